feat: lay out the workspace, the checked types and the inner protocol

Ruled out: a tagged enum for the frame. serde's externally tagged form can't tell an unknown kind from a malformed one; a kind byte before the CBOR message can.

--- /dev/null
+++ b/crates/daisychute-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent: the one process that gives its endpoint work and orders.
--- /dev/null
+++ b/crates/daisychute-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The command-line client for operators.
+
+fn main() {}
--- /dev/null
+++ b/crates/daisychute-core/src/lib.rs
@@ -0,0 +1,50 @@
+//! Identifiers, units and checked types shared by every package of daisychute.
+//!
+//! The types here hold no I/O and no clock. Time is passed in as [`Time`], names are shared immutable strings,
+//! and raw input becomes a checked type through `TryFrom`.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use daisychute_core::{ModelName, Time};
+//!
+//! let model = ModelName::try_from("clerk-lm")?;
+//! assert_eq!(model.as_str(), "clerk-lm");
+//! assert_eq!(Time::from_micros(5) + Duration::from_micros(2), Time::from_micros(7));
+//! # Ok::<(), daisychute_core::NameError>(())
+//! ```
+
+mod class;
+mod configuration;
+mod endpoint;
+mod error;
+mod incarnation;
+mod load;
+mod model;
+mod name;
+mod outcome;
+mod plan;
+mod request_id;
+mod revision;
+mod service;
+mod tenant;
+mod time;
+
+pub use crate::class::{Class, ClassTargets, Precedence};
+pub use crate::configuration::{Configuration, ConfigurationError, Preference};
+pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
+pub use crate::error::NameError;
+pub use crate::incarnation::Incarnation;
+pub use crate::load::LoadReport;
+pub use crate::model::Model;
+pub use crate::name::{
+    AdapterName, ClassName, DataCentreName, EndpointName, InstanceName, ModelName, ModelVersion,
+    ProcessName, RegionName, ServiceName, TenantName,
+};
+pub use crate::outcome::{FinishReason, Refusal, RefusalReason, Usage, Verdict};
+pub use crate::plan::{Desired, Plan};
+pub use crate::request_id::{ParseRequestIdError, RequestId};
+pub use crate::revision::{Revision, Term};
+pub use crate::service::{Route, RouteKind, Service};
+pub use crate::tenant::Tenant;
+pub use crate::time::Time;
--- /dev/null
+++ b/crates/daisychute-entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry: callers' HTTP interface, routing, retries and refusals.
--- /dev/null
+++ b/crates/daisychute-ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution and durable jobs.
--- /dev/null
+++ b/crates/daisychute-load/src/main.rs
@@ -0,0 +1,3 @@
+//! Generates traces of requests and replays them against a live deployment.
+
+fn main() {}
--- /dev/null
+++ b/crates/daisychute-proto/src/lib.rs
@@ -0,0 +1,33 @@
+//! The protocol between the processes of daisychute.
+//!
+//! One WebSocket message holds one [`Frame`]: a byte that names its kind, then the typed message in CBOR. Unknown
+//! fields of a message are ignored and absent optional ones take their default, so that neighbouring versions
+//! understand each other; see [`Hello`] for what happens to those that don't.
+//!
+//! ```
+//! use daisychute_core::{Incarnation, RequestId};
+//! use daisychute_proto::{Cancel, Frame};
+//!
+//! let frame = Frame::from(Cancel { id: RequestId::new(Incarnation::new(7), 1) });
+//! let bytes = frame.encode()?;
+//! assert_eq!(Frame::decode(&bytes)?, frame);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod document;
+mod error;
+mod frame;
+mod heartbeat;
+mod hello;
+mod probe;
+mod start;
+mod stream;
+
+pub use crate::document::{Document, DocumentKind, Pull};
+pub use crate::error::{DecodeError, EncodeError};
+pub use crate::frame::{Frame, MAX_FRAME_BYTES};
+pub use crate::heartbeat::{Heartbeat, Revisions};
+pub use crate::hello::{Goodbye, GoodbyeReason, Hello, PROTOCOL_VERSION, ProcessRole};
+pub use crate::probe::{Probe, ProbeAnswer};
+pub use crate::start::{Call, ChatMessage, Completion, Prompt, Start, Work};
+pub use crate::stream::{Cancel, Chunk, Credit, End, Head, Refused, Resume};
--- /dev/null
+++ b/crates/daisychute-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of a process and configuration of a deployment, read from INI into checked types.
--- /dev/null
+++ b/crates/daisychute-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the platform, an engine and a plain service, for tests and the demo.
--- /dev/null
+++ b/crates/daisychute/src/lib.rs
@@ -0,0 +1,1 @@
+//! A thin facade over the packages of daisychute.
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,28 @@
+//! Chores of the developers: `cargo xtask test`, and more to come.
+
+mod error;
+mod test;
+
+use clap::{Parser, Subcommand};
+
+pub(crate) use crate::error::XtaskError;
+
+/// Chores of the developers.
+#[derive(Debug, Parser)]
+struct Args {
+    #[command(subcommand)]
+    chore: Chore,
+}
+
+#[derive(Debug, Subcommand)]
+enum Chore {
+    /// Builds every program, then runs every test.
+    Test,
+}
+
+fn main() -> miette::Result<()> {
+    match Args::parse().chore {
+        Chore::Test => test::run()?,
+    }
+    Ok(())
+}
