feat(ledger): add leases, slots, hand-over and takeover

An owner renews its lease by conditional update and may go on beyond it while every standby that could revoke the lease has promised not to. A takeover revokes the lease first, waits until it has lapsed, and only then gives the slots away with the time of the loss, below which the next owner runs nothing.

Ruled out: renewal by reading, which needs reads that are never stale; a vote of the entries in contact, which can be wrong while another part of the fleet still reaches the platform.

--- a/crates/daisychute-ledger/src/lib.rs
+++ b/crates/daisychute-ledger/src/lib.rs
@@ -38,11 +38,22 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod hand_over;
 mod ledger;
+mod owner;
+mod service_ledger;
+mod store;
 mod wall_time;
 
+pub use crate::hand_over::{HandOverPart, HandOverTaken};
 pub use crate::ledger::{
     Answer, CallDigest, CallKey, EndedCall, Ending, KeyError, KeyOrigin, LedgerAction, LedgerCore,
     LedgerEvent, LedgerLimits, NewCall, Standing,
 };
+pub use crate::owner::{
+    Destination, OwnerAction, OwnerCore, OwnerEvent, OwnerId, OwnerLease, OwnerTable, OwnerTimes,
+    Slot, SlotMap, SlotOwner, TakeoverAction, TakeoverCore, TakeoverEvent,
+};
+pub use crate::service_ledger::{ServiceLedger, ServiceLedgerAction, ServiceLedgerEvent};
+pub use crate::store::{ProcessId, PutResult, ReadResult, Stored, Version, WriteId};
 pub use crate::wall_time::WallTime;
