--- a/crates/daisychute-ledger/src/owner/assign.rs
+++ b/crates/daisychute-ledger/src/owner/assign.rs
@@ -27,11 +27,14 @@
         let to = choose(table, members, slot);
         table.take_over(slot, to, wall);
     }
-    table.forget_next(lost);
+    table.retain_next(|it| it != lost);
 }
 
 /// Assigns the slots that have no owner, or else asks the fullest owners to hand slots over to the emptiest.
+///
+/// Requests to hand over to somebody who is no member any more are withdrawn first.
 pub(super) fn fill(table: &mut OwnerTable, members: &[OwnerId]) {
+    table.retain_next(|it| members.contains(it));
     let free: Vec<Slot> = table.free().collect();
     for slot in &free {
         if let Some(to) = choose(table, members, *slot) {
--- a/crates/daisychute-ledger/src/owner/event.rs
+++ b/crates/daisychute-ledger/src/owner/event.rs
@@ -32,7 +32,7 @@
         by: ProcessId,
         /// That of the question.
         nonce: u64,
-        /// How long it does not revoke the lease, from the moment it was asked; none where it refuses.
+        /// How long the owner may go on, from the moment it asked; none where the standby refuses.
         span: Option<Duration>,
     },
     /// The next owner has taken over every record of this slot.
@@ -74,7 +74,7 @@
     },
     /// Read the table and report [`OwnerEvent::Table`].
     GetTable,
-    /// Ask a standby for a promise not to revoke the lease.
+    /// Ask a standby whether it has revoked the lease.
     AskGrant {
         /// The standby.
         standby: ProcessId,
--- a/crates/daisychute-ledger/src/owner/lease_holder.rs
+++ b/crates/daisychute-ledger/src/owner/lease_holder.rs
@@ -17,7 +17,7 @@
 /// Works out until when the owner may admit calls.
 ///
 /// A renewal that took effect counts from the moment it was sent. Beyond it, the owner may go on while every process
-/// that could revoke the lease has promised not to.
+/// that could revoke the lease says that it has not.
 #[derive(Debug)]
 pub(super) struct LeaseHolder {
     pub(super) version: Version,
--- a/crates/daisychute-ledger/src/owner/object.rs
+++ b/crates/daisychute-ledger/src/owner/object.rs
@@ -85,12 +85,10 @@
         self.slots.iter().any(|it| it.next.is_some())
     }
 
-    /// No longer asks anybody to hand over to this owner.
-    pub fn forget_next(&mut self, owner: &OwnerId) {
+    /// Withdraws the requests to hand over to an owner that `keep` rejects.
+    pub fn retain_next(&mut self, keep: impl Fn(&OwnerId) -> bool) {
         for it in &mut self.slots {
-            if it.next.as_ref() == Some(owner) {
-                it.next = None;
-            }
+            it.next.take_if(|next| !keep(next));
         }
     }
 
--- a/crates/daisychute-ledger/src/owner/slot_map.rs
+++ b/crates/daisychute-ledger/src/owner/slot_map.rs
@@ -36,6 +36,12 @@
         self.newest.as_ref().map_or(Version::ABSENT, |(version, _)| *version)
     }
 
+    /// The owners that the newest table names, each as often as it has slots.
+    pub fn owners(&self) -> impl Iterator<Item = &OwnerId> {
+        let table = self.newest.iter().map(|(_, table)| table);
+        table.flat_map(OwnerTable::iter).filter_map(|(_, it)| it.owner.as_ref())
+    }
+
     /// Where a call with this key may be sent.
     ///
     /// An owner that refuses with `not_run` because it no longer owns the slot has the entry read the table anew; the
--- a/crates/daisychute-ledger/src/owner/takeover.rs
+++ b/crates/daisychute-ledger/src/owner/takeover.rs
@@ -21,6 +21,8 @@
     Lapsing { until: Time },
     /// An event was handled at or after `until`, so that every wall clock read since then is past the lease.
     Lapsed,
+    /// Its slots have been given away. Until `until` it must not hear that its lease was not revoked.
+    Done { until: Time },
 }
 
 /// Takes over the slots of lost owners, and assigns slots that have none. Lives in an entry.
@@ -33,8 +35,6 @@
     slots: u16,
     members: Vec<OwnerId>,
     assigner: bool,
-    // Invariant: no owner in here is revoked by this process before its time.
-    promised: BTreeMap<OwnerId, Time>,
     lost: BTreeMap<OwnerId, Phase>,
     seq: u64,
 }
@@ -49,7 +49,6 @@
             slots,
             members: Vec::new(),
             assigner: false,
-            promised: BTreeMap::new(),
             lost: BTreeMap::new(),
             seq: 0,
         }
@@ -63,25 +62,29 @@
             TakeoverEvent::Assigner(assigner) => self.assigner = assigner,
             TakeoverEvent::Suspect(owner) => {
                 let phase = Phase::Suspected { version: None, since: now };
-                self.lost.entry(owner).or_insert(phase);
+                let phase = self.lost.entry(owner).or_insert(phase);
+                if matches!(phase, Phase::Done { .. }) {
+                    *phase = Phase::Lapsed;
+                }
             }
-            TakeoverEvent::AskGrant { owner, nonce } => self.ask_grant(now, owner, nonce, out),
+            TakeoverEvent::AskGrant { owner, nonce } => self.ask_grant(owner, nonce, out),
             TakeoverEvent::Put { result: PutResult::Unclear, .. } => {}
             TakeoverEvent::Put { .. } => self.read_all(out),
             TakeoverEvent::Lease { owner, read } => self.lease_read(now, owner, read, out),
-            TakeoverEvent::Table { wall, read } => self.table_read(wall, read, out),
+            TakeoverEvent::Table { wall, read } => self.table_read(now, wall, read, out),
         }
         self.lapse(now);
     }
 
     /// Owners whose slots this process is taking away.
     pub fn lost(&self) -> impl Iterator<Item = &OwnerId> {
-        self.lost.keys()
+        let open = self.lost.iter().filter(|(_, it)| !matches!(it, Phase::Done { .. }));
+        open.map(|(owner, _)| owner)
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<TakeoverAction>) {
-        self.promised.retain(|_, until| now < *until);
         self.lapse(now);
+        self.forget_done(now);
         self.read_all(out);
         out.push(TakeoverAction::SetTimer(now + self.times.renew));
     }
@@ -103,14 +106,13 @@
         }
     }
 
-    fn ask_grant(&mut self, now: Time, owner: OwnerId, nonce: u64, out: &mut Vec<TakeoverAction>) {
+    fn ask_grant(&mut self, owner: OwnerId, nonce: u64, out: &mut Vec<TakeoverAction>) {
         if matches!(self.lost.get(&owner), Some(Phase::Suspected { .. })) {
             self.lost.remove(&owner);
         }
+        // A promise holds although a revocation may follow at once: nothing is given away before the lease has lapsed,
+        // and a promise is no longer than a lease.
         let span = (!self.lost.contains_key(&owner)).then_some(self.times.grant);
-        if let Some(span) = span {
-            self.promised.insert(owner.clone(), now + span);
-        }
         out.push(TakeoverAction::Grant { owner, nonce, span });
     }
 
@@ -129,7 +131,7 @@
         let Some(phase) = self.lost.get(&owner).copied() else { return };
         let revoked = lease.as_ref().is_some_and(|it| it.revoked_by.is_some());
         match phase {
-            Phase::Lapsing { .. } | Phase::Lapsed => {}
+            Phase::Lapsing { .. } | Phase::Lapsed | Phase::Done { .. } => {}
             _ if revoked => {
                 let until = now + self.times.lease + self.times.margin;
                 self.lost.insert(owner, Phase::Lapsing { until });
@@ -141,7 +143,7 @@
                 let since = if seen.is_some() { since } else { now };
                 let phase = Phase::Suspected { version: Some(version), since };
                 self.lost.insert(owner.clone(), phase);
-                if self.may_revoke(now, &owner, lease.as_ref(), since) {
+                if self.may_revoke(now, lease.as_ref(), since) {
                     self.revoke(owner, version, lease, out);
                 }
             }
@@ -153,16 +155,7 @@
         }
     }
 
-    fn may_revoke(
-        &self,
-        now: Time,
-        owner: &OwnerId,
-        lease: Option<&OwnerLease>,
-        since: Time,
-    ) -> bool {
-        if self.promised.get(owner).is_some_and(|until| now < *until) {
-            return false;
-        }
+    fn may_revoke(&self, now: Time, lease: Option<&OwnerLease>, since: Time) -> bool {
         let named = lease.is_none_or(|it| it.standbys.contains(&self.me));
         named || now >= since + self.times.orphan
     }
@@ -189,6 +182,7 @@
 
     fn table_read(
         &mut self,
+        now: Time,
         wall: WallTime,
         read: ReadResult<OwnerTable>,
         out: &mut Vec<TakeoverAction>,
@@ -204,7 +198,7 @@
             assign::fill(&mut changed, &self.staying());
         }
         if changed == table {
-            self.lost.retain(|_, phase| *phase != Phase::Lapsed);
+            self.finish(now);
             return;
         }
         if self.assigner || version != Version::ABSENT {
@@ -213,9 +207,23 @@
         }
     }
 
+    /// Notes that no slot is left to take over. An owner can't go on by promises longer than `orphan` after its last
+    /// renewal, so that it need not be remembered for longer.
+    fn finish(&mut self, now: Time) {
+        let until = now + self.times.orphan;
+        for phase in self.lost.values_mut().filter(|it| **it == Phase::Lapsed) {
+            *phase = Phase::Done { until };
+        }
+    }
+
+    fn forget_done(&mut self, now: Time) {
+        self.lost.retain(|_, phase| !matches!(phase, Phase::Done { until } if *until <= now));
+    }
+
     fn take_over(&self, wall: WallTime, table: &mut OwnerTable) {
         let staying = self.staying();
-        for (owner, _) in self.lost.iter().filter(|(_, it)| **it == Phase::Lapsed) {
+        let past = |it: &Phase| matches!(it, Phase::Lapsed | Phase::Done { .. });
+        for (owner, _) in self.lost.iter().filter(|(_, it)| past(it)) {
             assign::take_over(table, owner, &staying, wall);
         }
     }
--- a/crates/daisychute-ledger/src/owner/takeover_event.rs
+++ b/crates/daisychute-ledger/src/owner/takeover_event.rs
@@ -11,13 +11,13 @@
 pub enum TakeoverEvent {
     /// The time that [`TakeoverAction::SetTimer`] named has come; also the first event.
     Tick,
-    /// The owners that take part at present.
+    /// The owners that were heard lately, whose lease runs and who do not leave.
     Members(Vec<OwnerId>),
     /// Whether this process assigns slots that have no owner; one process of a region does.
     Assigner(bool),
     /// Nothing was heard from this owner for several heartbeats.
     Suspect(OwnerId),
-    /// The owner asks for a promise not to revoke its lease.
+    /// The owner asks whether its lease may have been revoked.
     AskGrant {
         /// The owner.
         owner: OwnerId,
@@ -78,7 +78,7 @@
         owner: OwnerId,
         /// That of the question.
         nonce: u64,
-        /// How long its lease is not revoked; none where no promise is made.
+        /// How long the owner may go on, from the moment it asked; none where its lease may have been revoked.
         span: Option<Duration>,
     },
     /// Send [`TakeoverEvent::Tick`] at this time.
--- a/crates/daisychute-ledger/src/owner/times.rs
+++ b/crates/daisychute-ledger/src/owner/times.rs
@@ -10,7 +10,8 @@
     /// The time between two renewals.
     // Invariant: less than half of `lease`.
     pub renew: Duration,
-    /// How long a standby promises not to revoke a lease.
+    /// How long an owner may go on after a standby said that it has not revoked the lease.
+    // Invariant: at most `lease`.
     pub grant: Duration,
     /// How long a lease must stay unchanged before a process that is not one of its standbys may revoke it.
     pub orphan: Duration,
