feat(ledger): make may-wait work durable and answer it once

Jobs are grouped into immutable segments; a small state object per segment carries the claim and where each result is. The state is written before the segment and deleted after it, so that no segment is without one. Every write of a state names the version that it replaces, so a runner that lost its claim publishes nothing. A submit is acknowledged only after both writes; while the platform is down it is refused at once, as not_run if no write of its segment was sent and as unknown otherwise.

Ruled out: the state inside the segment, which would rewrite up to 1 MiB at each claim and publication; segment and state written at the same time, which leaves segments that no list of states shows.

--- a/crates/daisychute-ledger/src/lib.rs
+++ b/crates/daisychute-ledger/src/lib.rs
@@ -39,6 +39,7 @@
 //! ```
 
 mod hand_over;
+mod jobs;
 mod ledger;
 mod owner;
 mod service_ledger;
@@ -46,6 +47,11 @@
 mod wall_time;
 
 pub use crate::hand_over::{HandOverPart, HandOverTaken};
+pub use crate::jobs::{
+    JobId, JobKeeper, JobLimits, JobResult, JobRunner, JobSpec, JobState, JobSubmitter,
+    KeeperAction, KeeperEvent, ParseJobIdError, ResultObject, ResultObjectId, RunnerAction,
+    RunnerEvent, Segment, SegmentId, SegmentState, SubmitAction, SubmitEvent,
+};
 pub use crate::ledger::{
     Answer, CallDigest, CallKey, EndedCall, Ending, KeyError, KeyOrigin, LedgerAction, LedgerCore,
     LedgerEvent, LedgerLimits, NewCall, Standing,
--- a/crates/daisychute-ledger/tests/world/store.rs
+++ b/crates/daisychute-ledger/tests/world/store.rs
@@ -1,5 +1,7 @@
 //! A model of the platform's object API.
 
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
+
 use std::collections::BTreeMap;
 
 use daisychute_ledger::{ProcessId, PutResult, ReadResult, Stored, Version, WriteId};
@@ -29,6 +31,23 @@
         self.objects.get(key).cloned().map_or(ReadResult::Absent, ReadResult::Found)
     }
 
+    pub fn keys(&self) -> Vec<K> {
+        self.objects.keys().cloned().collect()
+    }
+
+    pub fn len(&self) -> usize {
+        self.objects.len()
+    }
+
+    /// Deletes an object, if it has this version.
+    pub fn delete(&mut self, key: &K, expect: Option<Version>) {
+        self.calls += 1;
+        let present = self.objects.get(key).map(|it| it.version);
+        if expect.is_none() || expect == present {
+            self.objects.remove(key);
+        }
+    }
+
     pub fn put(
         &mut self,
         writer: &ProcessId,
