--- a/crates/daisychute-ledger/src/jobs/limits.rs
+++ b/crates/daisychute-ledger/src/jobs/limits.rs
@@ -31,14 +31,14 @@
 impl Default for JobLimits {
     fn default() -> Self {
         Self {
-            window: Duration::from_millis(250),
+            window: Duration::from_millis(500),
             object_bytes: 960 * 1024,
             pending_bytes: 32 * 1024 * 1024,
             retry: Duration::from_secs(1),
             give_up: Duration::from_secs(5),
             renew: Duration::from_secs(20),
             claim: Duration::from_secs(60),
-            publish: Duration::from_secs(2),
+            publish: Duration::from_secs(10),
             retention: Duration::from_secs(3 * 24 * 3_600),
         }
     }
--- a/crates/daisychute-ledger/src/jobs/runner.rs
+++ b/crates/daisychute-ledger/src/jobs/runner.rs
@@ -38,7 +38,7 @@
     unclaimed: BTreeMap<SegmentId, Unclaimed>,
     claims: BTreeMap<SegmentId, Claim>,
     puts: BTreeMap<u64, Write>,
-    claiming: BTreeMap<SegmentId, Time>,
+    claiming: BTreeMap<SegmentId, (Time, SegmentState)>,
     seq: u64,
 }
 
@@ -93,7 +93,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<RunnerAction>) {
         let retry = self.limits.retry;
-        self.claiming.retain(|_, sent| now < *sent + retry);
+        self.claiming.retain(|_, (sent, _)| now < *sent + retry);
         for claim in self.claims.values_mut() {
             if claim.specs.is_none() {
                 out.push(RunnerAction::GetSegment(claim.id.clone()));
@@ -197,6 +197,10 @@
                 }
             }
             (Some(Write::Results(_)), PutResult::Unclear) => {}
+            (Some(Write::Claim(it)), PutResult::Done(version)) => match self.claiming.remove(&it) {
+                Some((_, state)) => self.begin(now, it, version, state, out),
+                None => out.push(RunnerAction::GetState(it)),
+            },
             (Some(Write::Claim(it)), _) => out.push(RunnerAction::GetState(it)),
             (Some(Write::State(it)), PutResult::Done(version)) => {
                 self.state_written(now, seq, &it, version, out);
@@ -245,7 +249,7 @@
         state.claimer = Some(self.me.clone());
         self.seq += 1;
         self.puts.insert(self.seq, Write::Claim(segment.clone()));
-        self.claiming.insert(segment.clone(), now);
+        self.claiming.insert(segment.clone(), (now, state.clone()));
         out.push(RunnerAction::PutState { seq: self.seq, segment, expect, state });
     }
 
