--- /dev/null
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -0,0 +1,438 @@
+//! The agent's core.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use daisychute_core::{
+    EndpointRecord, EndpointState, Incarnation, Refusal, RefusalReason, RequestId, Time, Verdict,
+};
+use daisychute_link::LinkId;
+use daisychute_proto::{Frame, Head, Heartbeat, Probe, ProbeAnswer, Refused, Resume, Revisions, Start, Work};
+
+use super::job::Ending;
+use super::{Action, AgentConfig, Event, Job, JobState, OutcomeLog, Peers, Report, Transition};
+use crate::Admit;
+
+/// Decides what the agent does with every request: queues it, runs it, buffers its answer, resumes it on another
+/// connection, refuses it.
+#[derive(Debug)]
+pub struct AgentCore<A> {
+    cfg: AgentConfig,
+    admit: A,
+    record: EndpointRecord,
+    revisions: Revisions,
+    jobs: BTreeMap<RequestId, Job>,
+    /// Deadlines of the jobs that have not ended.
+    // Invariant: one entry for each queued or running job.
+    deadlines: BTreeSet<(Time, RequestId)>,
+    /// Bytes of answers held in `jobs`.
+    held: usize,
+    outcomes: OutcomeLog,
+    peers: Peers,
+    next_heartbeat: Time,
+    heartbeats: u64,
+    log: Option<Vec<(RequestId, Transition)>>,
+}
+
+impl<A: Admit> AgentCore<A> {
+    /// The core of the agent before the endpoint in `record`.
+    #[must_use]
+    pub fn new(cfg: AgentConfig, admit: A, record: EndpointRecord) -> Self {
+        Self {
+            cfg,
+            admit,
+            record,
+            revisions: Revisions::default(),
+            jobs: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            held: 0,
+            outcomes: OutcomeLog::default(),
+            peers: Peers::default(),
+            next_heartbeat: Time::ZERO,
+            heartbeats: 0,
+            log: None,
+        }
+    }
+
+    /// Keeps a log of all transitions.
+    #[must_use]
+    pub fn with_transition_log(mut self) -> Self {
+        self.log = Some(Vec::new());
+        self
+    }
+
+    /// Takes the transitions logged so far.
+    pub fn take_transitions(&mut self) -> Vec<(RequestId, Transition)> {
+        self.log.as_mut().map(std::mem::take).unwrap_or_default()
+    }
+
+    /// What is known of the endpoint.
+    #[must_use]
+    pub const fn record(&self) -> &EndpointRecord {
+        &self.record
+    }
+
+    /// The requests at the agent.
+    #[must_use]
+    pub const fn jobs(&self) -> &BTreeMap<RequestId, Job> {
+        &self.jobs
+    }
+
+    /// Bytes of answers that wait for entries.
+    #[must_use]
+    pub const fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Requests that wait or run.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        self.deadlines.len()
+    }
+
+    /// When [`Event::Wake`] is due.
+    #[must_use]
+    pub fn wake_at(&self) -> Time {
+        let deadline = self.deadlines.first().map(|it| it.0);
+        let lost = self.peers.first_lost().map(|it| it + self.cfg.orphan);
+        let admit = self.admit.wake_at();
+        [deadline, lost, admit].into_iter().flatten().fold(self.next_heartbeat, Time::min)
+    }
+
+    /// Takes one event and adds what must be done to `actions`.
+    pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::LinkUp { link, peer } => {
+                self.peers.up(link, peer);
+                self.send_heartbeat(now, link, actions);
+            }
+            Event::LinkDown { link } => {
+                self.peers.down(now, link);
+            }
+            Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
+            Event::Endpoint { id, attempt, report } => self.on_report(now, id, attempt, report, actions),
+            Event::Target(target) => {
+                self.record.target = target;
+                self.announce(now, actions);
+            }
+            Event::Drain(drain) => self.on_drain(now, drain, actions),
+            Event::Revisions(revisions) => self.revisions = revisions,
+            Event::Wake => self.on_wake(now, actions),
+        }
+        self.run_next(now, actions);
+    }
+
+    fn on_frame(&mut self, now: Time, link: LinkId, frame: Frame, actions: &mut Vec<Action>) {
+        let Some(peer) = self.peers.of_link(link) else { return };
+        match frame {
+            Frame::Start(start) => self.on_start(now, peer, start, actions),
+            Frame::Cancel(cancel) => self.on_cancel(now, cancel.id, actions),
+            Frame::Credit(credit) => self.on_credit(now, credit.id, credit.received, credit.window, actions),
+            Frame::Resume(resume) => self.on_resume(now, peer, &resume, actions),
+            Frame::Probe(probe) => self.on_probe(now, link, &probe, actions),
+            _ => {}
+        }
+    }
+
+    fn on_start(&mut self, now: Time, peer: Incarnation, start: Start, actions: &mut Vec<Action>) {
+        let (id, attempt) = (start.id, start.attempt);
+        if self.jobs.contains_key(&id) {
+            // A duplicate: the job answers for itself.
+            return;
+        }
+        if let Some(refusal) = self.outcomes.get(id, attempt) {
+            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+        }
+        if let Err(refusal) = self.admission(now, &start) {
+            self.outcomes.refused(now, id, attempt, refusal);
+            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+        }
+        let job = Job::new(now, start, peer);
+        self.deadlines.insert((job.deadline, id));
+        self.jobs.insert(id, job);
+        self.note(id, Transition::NewQueued);
+    }
+
+    fn admission(&mut self, now: Time, start: &Start) -> Result<(), Refusal> {
+        if self.record.state == EndpointState::Leaving {
+            return Err(Refusal::not_run(RefusalReason::Leaving));
+        }
+        if self.held >= self.cfg.total_answer_bytes {
+            return Err(Refusal::not_run(RefusalReason::MemoryBound));
+        }
+        if !self.serves(&start.work) {
+            return Err(Refusal::not_run(RefusalReason::NoEndpoint));
+        }
+        self.admit.offer(now, start)
+    }
+
+    fn serves(&self, work: &Work) -> bool {
+        match work {
+            Work::Completion(completion) => self.record.target.as_ref().is_some_and(|it| {
+                let version = completion.version.as_ref();
+                it.model == completion.model
+                    && it.adapter == completion.adapter
+                    && (version.is_none() || version == Some(&it.version))
+            }),
+            Work::Call(call) => {
+                matches!(&self.record.kind, daisychute_core::EndpointKind::Service(name) if *name == call.service)
+            }
+        }
+    }
+
+    fn refuse_frame(&self, peer: Incarnation, refused: Refused, actions: &mut Vec<Action>) {
+        if let Some(link) = self.peers.link(peer) {
+            actions.push(Action::Send { link, frame: refused.into() });
+        }
+    }
+
+    fn on_cancel(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        match self.jobs.get(&id).map(|it| it.state) {
+            Some(JobState::Queued) => {
+                self.end_queued(now, id, Refusal::not_run(RefusalReason::Cancelled), actions);
+            }
+            Some(JobState::Running) => {
+                self.abort(id, actions);
+                self.end_running(now, id, Ending::Refused(Refusal::unknown(RefusalReason::Cancelled)), actions);
+            }
+            Some(JobState::Ended) => self.forget(now, id),
+            None => {}
+        }
+    }
+
+    /// Cancels a run on the endpoint. A non-repeatable call is left to come to its end.
+    fn abort(&self, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let must_end = matches!(&job.start.work, Work::Call(call) if !call.repeatable);
+        if !must_end {
+            actions.push(Action::Abort { id, attempt: job.start.attempt });
+        }
+    }
+
+    fn on_credit(&mut self, now: Time, id: RequestId, received: u64, window: u32, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        self.held -= job.buffer.credit(received, window);
+        if job.is_delivered(received) {
+            self.forget(now, id);
+        } else {
+            self.pump(now, id, actions);
+        }
+    }
+
+    fn on_resume(&mut self, now: Time, peer: Incarnation, resume: &Resume, actions: &mut Vec<Action>) {
+        let (id, attempt) = (resume.id, resume.attempt);
+        let Some(job) = self.jobs.get_mut(&id).filter(|it| it.start.attempt == attempt) else {
+            let refusal = self.settle_missing(now, id, attempt);
+            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+        };
+        job.peer = peer;
+        let before = job.buffer.held();
+        let held = job.buffer.rewind(resume.offset, resume.window);
+        self.held -= before - job.buffer.held();
+        if !held {
+            let refusal = Refusal::unknown(RefusalReason::EndpointLost);
+            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+        }
+        job.head_sent = false;
+        job.ending_sent = false;
+        self.pump(now, id, actions);
+    }
+
+    /// What is told of a run that is not here. From now on it never runs here.
+    fn settle_missing(&mut self, now: Time, id: RequestId, attempt: u32) -> Refusal {
+        if let Some(refusal) = self.outcomes.get(id, attempt) {
+            return refusal;
+        }
+        let refusal = Refusal::not_run(RefusalReason::EndpointLost);
+        self.outcomes.refused(now, id, attempt, refusal);
+        refusal
+    }
+
+    fn on_probe(&self, now: Time, link: LinkId, probe: &Probe, actions: &mut Vec<Action>) {
+        let load = self.admit.load(now);
+        let frame = ProbeAnswer { seq: probe.seq, load, cached_blocks: 0 }.into();
+        actions.push(Action::Send { link, frame });
+    }
+
+    fn on_report(&mut self, now: Time, id: RequestId, attempt: u32, report: Report, actions: &mut Vec<Action>) {
+        let running = |it: &&mut Job| it.state == JobState::Running && it.start.attempt == attempt;
+        let Some(job) = self.jobs.get_mut(&id).filter(running) else { return };
+        match report {
+            Report::Head { status, content_type, version } => {
+                job.head.get_or_insert(Head { id, attempt, status, content_type, version, replayed: false });
+                self.pump(now, id, actions);
+            }
+            Report::Data { data, tokens } => {
+                job.buffer.push(&data, tokens);
+                self.held += data.len();
+                self.admit.progress(now, id, tokens);
+                self.check_bound(now, id, actions);
+                self.pump(now, id, actions);
+            }
+            Report::Finished { finish, usage } => {
+                self.end_running(now, id, Ending::Whole { finish, usage }, actions);
+            }
+            Report::NotStarted(reason) => {
+                self.end_running(now, id, Ending::Refused(Refusal::not_run(reason)), actions);
+            }
+            Report::Broken(reason) => self.on_broken(now, id, reason, actions),
+        }
+    }
+
+    fn on_broken(&mut self, now: Time, id: RequestId, reason: RefusalReason, actions: &mut Vec<Action>) {
+        let resumes = self.cfg.resumes;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let resumable = matches!(job.start.work, Work::Completion(_)) && job.head.is_some();
+        if resumable && job.resumed < resumes {
+            job.resumed += 1;
+            let from_tokens = job.buffer.tokens();
+            actions.push(Action::ResumeRun { start: job.start.clone(), from_tokens });
+            return;
+        }
+        self.end_running(now, id, Ending::Refused(Refusal::unknown(reason)), actions);
+    }
+
+    fn check_bound(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let over = job.buffer.held() > self.cfg.answer_bytes || self.held > self.cfg.total_answer_bytes;
+        if over && job.state == JobState::Running {
+            self.abort(id, actions);
+            let refusal = Refusal::unknown(RefusalReason::MemoryBound);
+            self.end_running(now, id, Ending::Refused(refusal), actions);
+        }
+    }
+
+    fn on_drain(&mut self, now: Time, drain: bool, actions: &mut Vec<Action>) {
+        self.record.state = if drain { EndpointState::Leaving } else { EndpointState::Live };
+        self.announce(now, actions);
+    }
+
+    /// Tells every entry at once what the endpoint is.
+    fn announce(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let links: Vec<LinkId> = self.peers.links().collect();
+        for link in links {
+            self.send_heartbeat(now, link, actions);
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Time, link: LinkId, actions: &mut Vec<Action>) {
+        self.heartbeats += 1;
+        let heartbeat = Heartbeat {
+            seq: self.heartbeats,
+            revisions: self.revisions,
+            load: Some(self.admit.load(now)),
+            endpoint: Some(self.record.clone()),
+        };
+        actions.push(Action::Send { link, frame: heartbeat.into() });
+    }
+
+    fn on_wake(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if now >= self.next_heartbeat {
+            self.announce(now, actions);
+            self.next_heartbeat = now + self.cfg.heartbeat;
+            self.outcomes.expire(now, self.cfg.outcome_retention);
+        }
+        while let Some((id, refusal)) = self.admit.refuse(now) {
+            self.end_queued(now, id, refusal, actions);
+        }
+        while let Some(&(_, id)) = self.deadlines.first().filter(|it| it.0 <= now) {
+            self.on_deadline(now, id, actions);
+        }
+        while let Some(peer) = self.peers.take_lost(now - self.cfg.orphan) {
+            self.on_orphaned(now, peer, actions);
+        }
+    }
+
+    fn on_deadline(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        if self.jobs.get(&id).is_some_and(|it| it.state == JobState::Queued) {
+            return self.end_queued(now, id, Refusal::not_run(RefusalReason::Deadline), actions);
+        }
+        self.abort(id, actions);
+        self.end_running(now, id, Ending::Refused(Refusal::unknown(RefusalReason::Deadline)), actions);
+    }
+
+    /// Gives up everything that an entry waited for which is gone for good.
+    fn on_orphaned(&mut self, now: Time, peer: Incarnation, actions: &mut Vec<Action>) {
+        let ids: Vec<RequestId> = self.jobs.iter().filter(|it| it.1.peer == peer).map(|it| *it.0).collect();
+        for id in ids {
+            self.on_cancel(now, id, actions);
+            self.forget(now, id);
+        }
+    }
+
+    fn run_next(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some(id) = self.admit.next(now) {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.state = JobState::Running;
+            actions.push(Action::Run { start: job.start.clone() });
+            self.note(id, Transition::QueuedRunning);
+        }
+    }
+
+    fn end_queued(&mut self, now: Time, id: RequestId, refusal: Refusal, actions: &mut Vec<Action>) {
+        self.admit.withdraw(now, id);
+        self.end(now, id, Ending::Refused(refusal), Transition::QueuedEnded, actions);
+    }
+
+    fn end_running(&mut self, now: Time, id: RequestId, ending: Ending, actions: &mut Vec<Action>) {
+        self.admit.ended(now, id);
+        self.end(now, id, ending, Transition::RunningEnded, actions);
+    }
+
+    fn end(&mut self, now: Time, id: RequestId, ending: Ending, transition: Transition, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.state = JobState::Ended;
+        job.ending = Some(ending);
+        self.deadlines.remove(&(job.deadline, id));
+        self.note(id, transition);
+        self.pump(now, id, actions);
+    }
+
+    /// Sends what may be sent of a job.
+    fn pump(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(link) = self.peers.link(job.peer) else { return };
+        while let Some(frame) = job.next_frame(self.cfg.chunk_bytes) {
+            let refused = matches!(frame, Frame::Refused(_));
+            actions.push(Action::Send { link, frame });
+            if refused {
+                return self.forget(now, id);
+            }
+        }
+    }
+
+    /// Lets go of a job that has ended. Its outcome is remembered for late questions.
+    fn forget(&mut self, now: Time, id: RequestId) {
+        let Some(job) = self.jobs.remove(&id) else { return };
+        self.held -= job.buffer.held();
+        match job.ending {
+            Some(Ending::Refused(refusal)) => self.outcomes.refused(now, id, job.start.attempt, refusal),
+            _ => self.outcomes.delivered(now, id, job.start.attempt),
+        }
+        self.note(id, Transition::EndedForgotten);
+    }
+
+    fn note(&mut self, id: RequestId, transition: Transition) {
+        if let Some(log) = &mut self.log {
+            log.push((id, transition));
+        }
+    }
+
+    /// Checks that the indexes agree with each other.
+    ///
+    /// # Panics
+    ///
+    /// If they don't. Meant for tests, after each event.
+    pub fn validate(&self) {
+        let held: usize = self.jobs.values().map(|it| it.buffer.held()).sum();
+        assert_eq!(held, self.held, "bytes held");
+        let open = self.jobs.values().filter(|it| it.state != JobState::Ended).count();
+        assert_eq!(open, self.deadlines.len(), "deadlines");
+        for (id, job) in &self.jobs {
+            let has_deadline = self.deadlines.contains(&(job.deadline, *id));
+            assert_eq!(has_deadline, job.state != JobState::Ended, "deadline of {id}");
+            assert_eq!(job.ending.is_some(), job.state == JobState::Ended, "ending of {id}");
+            let not_run = matches!(job.ending, Some(Ending::Refused(it)) if it.verdict == Verdict::NotRun);
+            assert!(!(not_run && job.buffer.length() > 0), "{id} has output and is called not run");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisychute-agent/src/core/answer_buffer.rs
@@ -0,0 +1,96 @@
+//! The part of an answer that the entry doesn't have yet.
+
+use bytes::{Buf, Bytes, BytesMut};
+
+/// The part of an answer that the entry has not acknowledged, with what may be sent of it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AnswerBuffer {
+    /// Bytes after `received`, in order.
+    bytes: BytesMut,
+    /// Output tokens made so far.
+    tokens: u32,
+    /// Output tokens sent so far.
+    tokens_sent: u32,
+    /// Offset of the first byte in `bytes`.
+    received: u64,
+    /// Offset of the first byte that was not sent on the present connection.
+    // Invariant: received <= sent <= received + bytes.len().
+    sent: u64,
+    /// How many bytes beyond `received` may be sent.
+    window: u64,
+}
+
+impl AnswerBuffer {
+    /// An empty buffer that may send `window` bytes.
+    #[must_use]
+    pub fn new(window: u32) -> Self {
+        Self { window: u64::from(window), ..Self::default() }
+    }
+
+    /// Bytes of the answer so far.
+    #[must_use]
+    pub fn length(&self) -> u64 {
+        self.received + self.bytes.len() as u64
+    }
+
+    /// Bytes held.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.bytes.len()
+    }
+
+    /// Output tokens of the answer so far.
+    #[must_use]
+    pub const fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Whether everything that is held was sent.
+    #[must_use]
+    pub fn all_sent(&self) -> bool {
+        self.sent == self.length()
+    }
+
+    /// Adds a part.
+    pub fn push(&mut self, data: &[u8], tokens: u32) {
+        self.bytes.extend_from_slice(data);
+        self.tokens += tokens;
+    }
+
+    /// The entry has `received` bytes and takes `window` more. Returns how many bytes were let go.
+    pub fn credit(&mut self, received: u64, window: u32) -> usize {
+        self.window = u64::from(window);
+        let received = received.clamp(self.received, self.length());
+        let gone = usize::try_from(received - self.received).unwrap_or(usize::MAX);
+        self.bytes.advance(gone);
+        self.received = received;
+        self.sent = self.sent.max(received);
+        gone
+    }
+
+    /// The entry asks for everything after `offset` on a new connection. Returns whether that is still held.
+    pub fn rewind(&mut self, offset: u64, window: u32) -> bool {
+        if offset < self.received || offset > self.length() {
+            return false;
+        }
+        self.credit(offset, window);
+        self.sent = offset;
+        true
+    }
+
+    /// Takes the next part that may be sent: its offset, its output tokens and its bytes.
+    pub fn take(&mut self, most: usize) -> Option<(u64, u32, Bytes)> {
+        let limit = (self.received + self.window).min(self.length());
+        if self.sent >= limit {
+            return None;
+        }
+        let offset = self.sent;
+        let len = usize::try_from(limit - offset).unwrap_or(usize::MAX).min(most);
+        let from = usize::try_from(offset - self.received).unwrap_or(usize::MAX);
+        let data = Bytes::copy_from_slice(&self.bytes[from..from + len]);
+        self.sent += len as u64;
+        let tokens = if self.all_sent() { self.tokens - self.tokens_sent } else { 0 };
+        self.tokens_sent += tokens;
+        Some((offset, tokens, data))
+    }
+}
--- a/crates/daisychute-agent/src/lib.rs
+++ b/crates/daisychute-agent/src/lib.rs
@@ -1,1 +1,28 @@
 //! The agent: the one process that gives its endpoint work and orders.
+//!
+//! [`core::AgentCore`] decides, [`shell`] does the I/O.
+//!
+//! ```
+//! use daisychute_agent::Fifo;
+//! use daisychute_agent::core::{AgentConfig, AgentCore};
+//! use daisychute_core::{EndpointKind, EndpointRecord, EndpointState, Incarnation};
+//!
+//! let record = EndpointRecord {
+//!     endpoint: "sign-feed-1".try_into()?,
+//!     instance: "i-1".try_into()?,
+//!     data_centre: "agdal".try_into()?,
+//!     kind: EndpointKind::Service("sign-feed".try_into()?),
+//!     agent: "127.0.0.1:4100".parse()?,
+//!     incarnation: Incarnation::new(1),
+//!     state: EndpointState::Live,
+//!     target: None,
+//! };
+//! let core = AgentCore::new(AgentConfig::default(), Fifo::new(8), record);
+//! assert_eq!(core.open(), 0);
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod admit;
+pub mod core;
+
+pub use crate::admit::{Admit, Fifo};
--- /dev/null
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -0,0 +1,248 @@
+//! The agent's task: one loop that feeds the core and does what it asks.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::time::Duration;
+use std::{io, mem};
+
+use daisychute_core::{DataCentreName, EndpointKind, EndpointStatus, ProcessName, ProcessStatus, RegionName, RequestId};
+use daisychute_link::{Link, LinkConfig, LinkEvent, LinkId, accept};
+use daisychute_proto::{GoodbyeReason, Hello, PROTOCOL_VERSION, ProcessRole, Revisions};
+use daisychute_runtime::Clock;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{AgentHandle, EndpointClient, Input, Reporter};
+use crate::Admit;
+use crate::core::{Action, AgentCore, Event};
+
+/// How often an engine is asked what it is.
+const STATE_INTERVAL: Duration = Duration::from_millis(500);
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Who the agent is and where it listens.
+#[derive(Debug, Clone)]
+pub struct AgentOptions {
+    /// Its name.
+    pub process: ProcessName,
+    /// Where it runs.
+    pub data_centre: DataCentreName,
+    /// The region of that data centre.
+    pub region: RegionName,
+    /// Base URL of the endpoint.
+    pub endpoint_url: String,
+    /// Time limits of the connections.
+    pub link: LinkConfig,
+}
+
+/// The agent's task.
+#[derive(Debug)]
+pub struct AgentShell<A> {
+    options: AgentOptions,
+    core: AgentCore<A>,
+    clock: Clock,
+    endpoint: EndpointClient,
+    listener: TcpListener,
+    links: BTreeMap<LinkId, Link>,
+    runs: BTreeMap<RequestId, JoinHandle<()>>,
+    revisions: Revisions,
+    next_link: u64,
+    leaving: bool,
+    tx: UnboundedSender<Input>,
+    rx: UnboundedReceiver<Input>,
+    link_tx: UnboundedSender<LinkEvent>,
+    link_rx: UnboundedReceiver<LinkEvent>,
+}
+
+impl<A: Admit> AgentShell<A> {
+    /// Prepares the task. Connections wait in the system's queue until [`AgentShell::run`].
+    ///
+    /// # Errors
+    ///
+    /// What the system says of the listener.
+    pub fn new(options: AgentOptions, core: AgentCore<A>, clock: Clock, listener: StdListener) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        let (tx, rx) = unbounded_channel();
+        let (link_tx, link_rx) = unbounded_channel();
+        Ok(Self {
+            endpoint: EndpointClient::new(&options.endpoint_url),
+            listener: TcpListener::from_std(listener)?,
+            options,
+            core,
+            clock,
+            links: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            revisions: Revisions::default(),
+            next_link: 0,
+            leaving: false,
+            tx,
+            rx,
+            link_tx,
+            link_rx,
+        })
+    }
+
+    /// For reaching the task.
+    #[must_use]
+    pub fn handle(&self) -> AgentHandle {
+        AgentHandle::new(self.tx.clone())
+    }
+
+    /// Serves until [`AgentHandle::leave`] was called and every request has been answered.
+    pub async fn run(mut self) {
+        if self.core.record().kind == EndpointKind::Engine {
+            actix_rt::spawn(watch_engine(self.endpoint.clone(), self.tx.clone()));
+        }
+        while !(self.leaving && self.core.jobs().is_empty()) {
+            let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
+            tokio::select! {
+                Some(input) = self.rx.recv() => self.on_input(input),
+                Some(event) = self.link_rx.recv() => self.on_link_event(event),
+                accepted = self.listener.accept() => self.on_accept(accepted).await,
+                () = sleep_until(wake) => self.feed(Event::Wake),
+            }
+        }
+        for link in self.links.values() {
+            link.close(GoodbyeReason::Leaving);
+        }
+    }
+
+    async fn on_accept(&mut self, accepted: io::Result<(tokio::net::TcpStream, SocketAddr)>) {
+        match accepted {
+            Ok((stream, _)) => {
+                self.next_link += 1;
+                let id = LinkId::new(self.next_link);
+                accept(stream, id, self.hello(), self.options.link, self.link_tx.clone());
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            version: PROTOCOL_VERSION,
+            min_version: PROTOCOL_VERSION,
+            process: self.options.process.clone(),
+            incarnation: self.core.record().incarnation,
+            role: ProcessRole::Agent,
+            data_centre: self.options.data_centre.clone(),
+            region: self.options.region.clone(),
+            endpoint: Some(self.core.record().clone()),
+            revisions: self.revisions,
+        }
+    }
+
+    fn on_input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => {
+                if let Event::Revisions(revisions) = &event {
+                    self.revisions = *revisions;
+                }
+                self.feed(event);
+            }
+            Input::Status(tx) => {
+                // The asker may be gone.
+                let _ = tx.send(self.status());
+            }
+            Input::Leave => {
+                self.leaving = true;
+                self.feed(Event::Drain(true));
+            }
+        }
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { id, hello, link } => {
+                self.links.insert(id, link);
+                self.feed(Event::LinkUp { link: id, peer: hello.incarnation });
+            }
+            LinkEvent::Frame { id, frame } => self.feed(Event::Frame { link: id, frame }),
+            LinkEvent::Down { id, .. } => {
+                self.links.remove(&id);
+                self.feed(Event::LinkDown { link: id });
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.core.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { link, frame } => {
+                if let Some(link) = self.links.get(&link) {
+                    link.send(frame);
+                }
+            }
+            Action::Run { start } => {
+                let id = start.id;
+                let reporter = Reporter::new(start, self.tx.clone());
+                let run = actix_rt::spawn(self.endpoint.clone().run(reporter));
+                self.remember_run(id, run);
+            }
+            Action::ResumeRun { start, from_tokens } => {
+                let id = start.id;
+                let reporter = Reporter::new(start, self.tx.clone());
+                let run = actix_rt::spawn(self.endpoint.clone().resume(reporter, from_tokens));
+                self.remember_run(id, run);
+            }
+            Action::Abort { id, .. } => {
+                if let Some(run) = self.runs.remove(&id) {
+                    run.abort();
+                }
+                if let Some(job) = self.core.jobs().get(&id) {
+                    actix_rt::spawn(self.endpoint.clone().cancel(job.shared_start()));
+                }
+            }
+        }
+    }
+
+    fn remember_run(&mut self, id: RequestId, run: JoinHandle<()>) {
+        self.runs.retain(|_, it| !it.is_finished());
+        drop(mem::replace(self.runs.entry(id).or_insert_with(|| actix_rt::spawn(async {})), run));
+    }
+
+    fn status(&self) -> ProcessStatus {
+        let record = self.core.record().clone();
+        ProcessStatus {
+            process: self.options.process.clone(),
+            role: "agent".to_owned(),
+            incarnation: record.incarnation,
+            region: self.options.region.clone(),
+            data_centre: self.options.data_centre.clone(),
+            leaving: self.leaving,
+            configuration: self.revisions.configuration,
+            plan: self.revisions.plan,
+            in_flight: self.core.open(),
+            connections: self.links.len(),
+            endpoints: vec![EndpointStatus { record, connected: true, load: Some(self.core.load(self.clock.now())) }],
+        }
+    }
+}
+
+/// Tells the core what the engine is, whenever that changes.
+async fn watch_engine(endpoint: EndpointClient, tx: UnboundedSender<Input>) {
+    let mut known = None;
+    loop {
+        let target = endpoint.target().await;
+        if target != known {
+            known.clone_from(&target);
+            if tx.send(Input::Event(Event::Target(target))).is_err() {
+                return;
+            }
+        }
+        sleep(STATE_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/daisychute-agent/src/shell/mod.rs
@@ -0,0 +1,16 @@
+//! The I/O of the agent: connections of entries, the endpoint's HTTP interface, timers.
+
+mod agent_shell;
+mod completion_event;
+mod completion_run;
+mod endpoint_client;
+mod handle;
+mod input;
+mod reporter;
+mod service_run;
+
+pub use self::agent_shell::{AgentOptions, AgentShell};
+pub use self::endpoint_client::EndpointClient;
+pub use self::handle::AgentHandle;
+pub(crate) use self::input::Input;
+pub(crate) use self::reporter::Reporter;
--- /dev/null
+++ b/crates/daisychute-agent/src/shell/reporter.rs
@@ -0,0 +1,32 @@
+//! Telling the core what the endpoint did with one request.
+
+use std::rc::Rc;
+
+use daisychute_proto::Start;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::Input;
+use crate::core::{Event, Report};
+
+/// Tells the core what the endpoint did with one run of a request.
+#[derive(Debug, Clone)]
+pub(crate) struct Reporter {
+    start: Rc<Start>,
+    tx: UnboundedSender<Input>,
+}
+
+impl Reporter {
+    pub(crate) const fn new(start: Rc<Start>, tx: UnboundedSender<Input>) -> Self {
+        Self { start, tx }
+    }
+
+    pub(crate) fn start(&self) -> &Start {
+        &self.start
+    }
+
+    pub(crate) fn report(&self, report: Report) {
+        let event = Event::Endpoint { id: self.start.id, attempt: self.start.attempt, report };
+        // The task is gone only when the process stops.
+        let _ = self.tx.send(Input::Event(event));
+    }
+}
--- /dev/null
+++ b/crates/daisychute-link/src/lib.rs
@@ -0,0 +1,31 @@
+//! Connections of the inner protocol: opening, accepting, framing, silence.
+//!
+//! A [`Link`] is one WebSocket connection to another process. It passes [`Frame`](daisychute_proto::Frame)s both ways
+//! and reports what happens to its owner as [`LinkEvent`]s. It decides nothing: who is connected to whom, what is sent
+//! again and when a heartbeat is due belong to the owner's core.
+//!
+//! ```no_run
+//! use daisychute_link::{LinkConfig, LinkId, connect};
+//! # fn hello() -> daisychute_proto::Hello { unimplemented!() }
+//! # async fn example() {
+//! let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
+//! connect("127.0.0.1:4100".parse().unwrap(), LinkId::new(1), hello(), LinkConfig::default(), tx);
+//! while let Some(event) = rx.recv().await {
+//!     println!("{event:?}");
+//! }
+//! # }
+//! ```
+
+mod config;
+mod down;
+mod event;
+mod id;
+mod link;
+mod shell;
+
+pub use crate::config::LinkConfig;
+pub use crate::down::DownReason;
+pub use crate::event::LinkEvent;
+pub use crate::id::LinkId;
+pub use crate::link::Link;
+pub use crate::shell::{accept, connect};
--- /dev/null
+++ b/crates/daisychute-runtime/src/lib.rs
@@ -0,0 +1,26 @@
+//! What every shell needs: the clock of a process and HTTP listeners with limits.
+//!
+//! ```no_run
+//! use std::convert::Infallible;
+//!
+//! use actix_http::{Request, Response, StatusCode};
+//! use daisychute_runtime::{HttpLimits, HttpServer};
+//!
+//! # async fn example() -> std::io::Result<()> {
+//! let server = HttpServer::bind("127.0.0.1:0".parse().unwrap(), HttpLimits::default())?;
+//! println!("listening {}", server.local_addr());
+//! server.serve(|_req: Request| async { Ok::<_, Infallible>(Response::new(StatusCode::NO_CONTENT)) }).await
+//! # }
+//! ```
+
+mod clock;
+mod http_limits;
+mod http_server;
+mod read_body;
+mod signal;
+
+pub use crate::clock::Clock;
+pub use crate::http_limits::HttpLimits;
+pub use crate::http_server::HttpServer;
+pub use crate::read_body::{BodyError, read_body};
+pub use crate::signal::stop_requested;
