feat(core): describe what a process and a job say to operators

The command-line client and the daemon need one schema for GET /status and GET /jobs. A copy in each was ruled out, since they would drift.

--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -19,6 +19,7 @@
 mod endpoint;
 mod error;
 mod incarnation;
+mod job;
 mod load;
 mod model;
 mod name;
@@ -27,6 +28,7 @@
 mod request_id;
 mod revision;
 mod service;
+mod status;
 mod tenant;
 mod time;
 
@@ -35,6 +37,7 @@
 pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
 pub use crate::error::NameError;
 pub use crate::incarnation::Incarnation;
+pub use crate::job::{JobState, JobStatus};
 pub use crate::load::LoadReport;
 pub use crate::model::Model;
 pub use crate::name::{
@@ -46,5 +49,8 @@
 pub use crate::request_id::{ParseRequestIdError, RequestId};
 pub use crate::revision::{Revision, Term};
 pub use crate::service::{Route, RouteKind, Service};
+pub use crate::status::{
+    Duty, EndpointStatus, PeerStatus, ProcessRole, ProcessState, ProcessStatus, Revisions,
+};
 pub use crate::tenant::Tenant;
 pub use crate::time::Time;
