--- a/crates/daisychute-agent/src/admit.rs
+++ b/crates/daisychute-agent/src/admit.rs
@@ -83,7 +83,11 @@
 
     fn load(&self, _now: Time) -> LoadReport {
         let count = |it: usize| u32::try_from(it).unwrap_or(u32::MAX);
-        LoadReport { queued: count(self.waiting.len()), running: count(self.running), ..LoadReport::default() }
+        LoadReport {
+            queued: count(self.waiting.len()),
+            running: count(self.running),
+            ..LoadReport::default()
+        }
     }
 
     fn wake_at(&self) -> Option<Time> {
--- a/crates/daisychute-agent/src/core/agent_core.rs
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -3,10 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use daisychute_core::{
-    EndpointRecord, EndpointState, Incarnation, Refusal, RefusalReason, RequestId, Time, Verdict,
+    EndpointRecord, EndpointState, Incarnation, LoadReport, Refusal, RefusalReason, RequestId,
+    Time, Verdict,
 };
 use daisychute_link::LinkId;
-use daisychute_proto::{Frame, Head, Heartbeat, Probe, ProbeAnswer, Refused, Resume, Revisions, Start, Work};
+use daisychute_proto::{
+    Frame, Head, Heartbeat, Probe, ProbeAnswer, Refused, Resume, Revisions, Start, Work,
+};
 
 use super::job::Ending;
 use super::{Action, AgentConfig, Event, Job, JobState, OutcomeLog, Peers, Report, Transition};
@@ -89,6 +92,11 @@
         self.deadlines.len()
     }
 
+    /// The present load.
+    pub fn load(&self, now: Time) -> LoadReport {
+        self.admit.load(now)
+    }
+
     /// When [`Event::Wake`] is due.
     #[must_use]
     pub fn wake_at(&self) -> Time {
@@ -109,7 +117,9 @@
                 self.peers.down(now, link);
             }
             Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
-            Event::Endpoint { id, attempt, report } => self.on_report(now, id, attempt, report, actions),
+            Event::Endpoint { id, attempt, report } => {
+                self.on_report(now, id, attempt, report, actions)
+            }
             Event::Target(target) => {
                 self.record.target = target;
                 self.announce(now, actions);
@@ -126,7 +136,9 @@
         match frame {
             Frame::Start(start) => self.on_start(now, peer, start, actions),
             Frame::Cancel(cancel) => self.on_cancel(now, cancel.id, actions),
-            Frame::Credit(credit) => self.on_credit(now, credit.id, credit.received, credit.window, actions),
+            Frame::Credit(credit) => {
+                self.on_credit(now, credit.id, credit.received, credit.window, actions)
+            }
             Frame::Resume(resume) => self.on_resume(now, peer, &resume, actions),
             Frame::Probe(probe) => self.on_probe(now, link, &probe, actions),
             _ => {}
@@ -192,7 +204,12 @@
             }
             Some(JobState::Running) => {
                 self.abort(id, actions);
-                self.end_running(now, id, Ending::Refused(Refusal::unknown(RefusalReason::Cancelled)), actions);
+                self.end_running(
+                    now,
+                    id,
+                    Ending::Refused(Refusal::unknown(RefusalReason::Cancelled)),
+                    actions,
+                );
             }
             Some(JobState::Ended) => self.forget(now, id),
             None => {}
@@ -208,7 +225,14 @@
         }
     }
 
-    fn on_credit(&mut self, now: Time, id: RequestId, received: u64, window: u32, actions: &mut Vec<Action>) {
+    fn on_credit(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        received: u64,
+        window: u32,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         self.held -= job.buffer.credit(received, window);
         if job.is_delivered(received) {
@@ -218,7 +242,13 @@
         }
     }
 
-    fn on_resume(&mut self, now: Time, peer: Incarnation, resume: &Resume, actions: &mut Vec<Action>) {
+    fn on_resume(
+        &mut self,
+        now: Time,
+        peer: Incarnation,
+        resume: &Resume,
+        actions: &mut Vec<Action>,
+    ) {
         let (id, attempt) = (resume.id, resume.attempt);
         let Some(job) = self.jobs.get_mut(&id).filter(|it| it.start.attempt == attempt) else {
             let refusal = self.settle_missing(now, id, attempt);
@@ -253,12 +283,26 @@
         actions.push(Action::Send { link, frame });
     }
 
-    fn on_report(&mut self, now: Time, id: RequestId, attempt: u32, report: Report, actions: &mut Vec<Action>) {
+    fn on_report(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: u32,
+        report: Report,
+        actions: &mut Vec<Action>,
+    ) {
         let running = |it: &&mut Job| it.state == JobState::Running && it.start.attempt == attempt;
         let Some(job) = self.jobs.get_mut(&id).filter(running) else { return };
         match report {
             Report::Head { status, content_type, version } => {
-                job.head.get_or_insert(Head { id, attempt, status, content_type, version, replayed: false });
+                job.head.get_or_insert(Head {
+                    id,
+                    attempt,
+                    status,
+                    content_type,
+                    version,
+                    replayed: false,
+                });
                 self.pump(now, id, actions);
             }
             Report::Data { data, tokens } => {
@@ -278,7 +322,13 @@
         }
     }
 
-    fn on_broken(&mut self, now: Time, id: RequestId, reason: RefusalReason, actions: &mut Vec<Action>) {
+    fn on_broken(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        reason: RefusalReason,
+        actions: &mut Vec<Action>,
+    ) {
         let resumes = self.cfg.resumes;
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let resumable = matches!(job.start.work, Work::Completion(_)) && job.head.is_some();
@@ -293,7 +343,8 @@
 
     fn check_bound(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let over = job.buffer.held() > self.cfg.answer_bytes || self.held > self.cfg.total_answer_bytes;
+        let over =
+            job.buffer.held() > self.cfg.answer_bytes || self.held > self.cfg.total_answer_bytes;
         if over && job.state == JobState::Running {
             self.abort(id, actions);
             let refusal = Refusal::unknown(RefusalReason::MemoryBound);
@@ -347,12 +398,18 @@
             return self.end_queued(now, id, Refusal::not_run(RefusalReason::Deadline), actions);
         }
         self.abort(id, actions);
-        self.end_running(now, id, Ending::Refused(Refusal::unknown(RefusalReason::Deadline)), actions);
+        self.end_running(
+            now,
+            id,
+            Ending::Refused(Refusal::unknown(RefusalReason::Deadline)),
+            actions,
+        );
     }
 
     /// Gives up everything that an entry waited for which is gone for good.
     fn on_orphaned(&mut self, now: Time, peer: Incarnation, actions: &mut Vec<Action>) {
-        let ids: Vec<RequestId> = self.jobs.iter().filter(|it| it.1.peer == peer).map(|it| *it.0).collect();
+        let ids: Vec<RequestId> =
+            self.jobs.iter().filter(|it| it.1.peer == peer).map(|it| *it.0).collect();
         for id in ids {
             self.on_cancel(now, id, actions);
             self.forget(now, id);
@@ -368,7 +425,13 @@
         }
     }
 
-    fn end_queued(&mut self, now: Time, id: RequestId, refusal: Refusal, actions: &mut Vec<Action>) {
+    fn end_queued(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        refusal: Refusal,
+        actions: &mut Vec<Action>,
+    ) {
         self.admit.withdraw(now, id);
         self.end(now, id, Ending::Refused(refusal), Transition::QueuedEnded, actions);
     }
@@ -378,7 +441,14 @@
         self.end(now, id, ending, Transition::RunningEnded, actions);
     }
 
-    fn end(&mut self, now: Time, id: RequestId, ending: Ending, transition: Transition, actions: &mut Vec<Action>) {
+    fn end(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        ending: Ending,
+        transition: Transition,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = JobState::Ended;
         job.ending = Some(ending);
@@ -405,7 +475,9 @@
         let Some(job) = self.jobs.remove(&id) else { return };
         self.held -= job.buffer.held();
         match job.ending {
-            Some(Ending::Refused(refusal)) => self.outcomes.refused(now, id, job.start.attempt, refusal),
+            Some(Ending::Refused(refusal)) => {
+                self.outcomes.refused(now, id, job.start.attempt, refusal)
+            }
             _ => self.outcomes.delivered(now, id, job.start.attempt),
         }
         self.note(id, Transition::EndedForgotten);
@@ -431,7 +503,8 @@
             let has_deadline = self.deadlines.contains(&(job.deadline, *id));
             assert_eq!(has_deadline, job.state != JobState::Ended, "deadline of {id}");
             assert_eq!(job.ending.is_some(), job.state == JobState::Ended, "ending of {id}");
-            let not_run = matches!(job.ending, Some(Ending::Refused(it)) if it.verdict == Verdict::NotRun);
+            let not_run =
+                matches!(job.ending, Some(Ending::Refused(it)) if it.verdict == Verdict::NotRun);
             assert!(!(not_run && job.buffer.length() > 0), "{id} has output and is called not run");
         }
     }
--- a/crates/daisychute-agent/src/core/answer_buffer.rs
+++ b/crates/daisychute-agent/src/core/answer_buffer.rs
@@ -78,7 +78,8 @@
         true
     }
 
-    /// Takes the next part that may be sent: its offset, its output tokens and its bytes.
+    /// Takes the next part that may be sent: its offset, its output tokens and its bytes. A part never ends inside a
+    /// UTF-8 sequence unless it would be empty.
     pub fn take(&mut self, most: usize) -> Option<(u64, u32, Bytes)> {
         let limit = (self.received + self.window).min(self.length());
         if self.sent >= limit {
@@ -87,6 +88,7 @@
         let offset = self.sent;
         let len = usize::try_from(limit - offset).unwrap_or(usize::MAX).min(most);
         let from = usize::try_from(offset - self.received).unwrap_or(usize::MAX);
+        let len = whole_characters(&self.bytes[from..], len);
         let data = Bytes::copy_from_slice(&self.bytes[from..from + len]);
         self.sent += len as u64;
         let tokens = if self.all_sent() { self.tokens - self.tokens_sent } else { 0 };
@@ -94,3 +96,9 @@
         Some((offset, tokens, data))
     }
 }
+
+/// The longest length up to `len` that doesn't cut a UTF-8 sequence, or `len` if there is none.
+fn whole_characters(bytes: &[u8], len: usize) -> usize {
+    let starts_character = |at: &usize| bytes.get(*at).is_none_or(|it| it & 0xc0 != 0x80);
+    (1..=len).rev().take(4).find(starts_character).unwrap_or(len)
+}
--- a/crates/daisychute-agent/src/core/event.rs
+++ b/crates/daisychute-agent/src/core/event.rs
@@ -1,7 +1,9 @@
 //! What the shell tells the core.
 
 use bytes::Bytes;
-use daisychute_core::{EngineTarget, FinishReason, Incarnation, ModelVersion, RefusalReason, RequestId, Usage};
+use daisychute_core::{
+    EngineTarget, FinishReason, Incarnation, ModelVersion, RefusalReason, RequestId, Usage,
+};
 use daisychute_link::LinkId;
 use daisychute_proto::{Frame, Revisions};
 
--- a/crates/daisychute-agent/src/core/job.rs
+++ b/crates/daisychute-agent/src/core/job.rs
@@ -72,6 +72,12 @@
         &self.start
     }
 
+    /// The request, shared.
+    #[must_use]
+    pub fn shared_start(&self) -> Rc<Start> {
+        self.start.clone()
+    }
+
     /// The next frame that the entry is owed and may be sent now.
     pub(super) fn next_frame(&mut self, chunk_bytes: usize) -> Option<Frame> {
         let (id, attempt) = (self.start.id, self.start.attempt);
--- a/crates/daisychute-agent/src/lib.rs
+++ b/crates/daisychute-agent/src/lib.rs
@@ -24,5 +24,6 @@
 
 mod admit;
 pub mod core;
+pub mod shell;
 
 pub use crate::admit::{Admit, Fifo};
--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -1,13 +1,16 @@
 //! The agent's task: one loop that feeds the core and does what it asks.
 
 use std::collections::BTreeMap;
+use std::io;
 use std::net::{SocketAddr, TcpListener as StdListener};
 use std::time::Duration;
-use std::{io, mem};
 
-use daisychute_core::{DataCentreName, EndpointKind, EndpointStatus, ProcessName, ProcessStatus, RegionName, RequestId};
+use daisychute_core::{
+    DataCentreName, EndpointKind, EndpointStatus, ProcessName, ProcessRole, ProcessState,
+    ProcessStatus, RegionName, RequestId, Revisions,
+};
 use daisychute_link::{Link, LinkConfig, LinkEvent, LinkId, accept};
-use daisychute_proto::{GoodbyeReason, Hello, PROTOCOL_VERSION, ProcessRole, Revisions};
+use daisychute_proto::{GoodbyeReason, Hello, PROTOCOL_VERSION};
 use daisychute_runtime::Clock;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -63,7 +66,12 @@
     /// # Errors
     ///
     /// What the system says of the listener.
-    pub fn new(options: AgentOptions, core: AgentCore<A>, clock: Clock, listener: StdListener) -> io::Result<Self> {
+    pub fn new(
+        options: AgentOptions,
+        core: AgentCore<A>,
+        clock: Clock,
+        listener: StdListener,
+    ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let (tx, rx) = unbounded_channel();
         let (link_tx, link_rx) = unbounded_channel();
@@ -211,23 +219,34 @@
 
     fn remember_run(&mut self, id: RequestId, run: JoinHandle<()>) {
         self.runs.retain(|_, it| !it.is_finished());
-        drop(mem::replace(self.runs.entry(id).or_insert_with(|| actix_rt::spawn(async {})), run));
+        self.runs.insert(id, run);
     }
 
     fn status(&self) -> ProcessStatus {
-        let record = self.core.record().clone();
+        let record = self.core.record();
+        let endpoint = EndpointStatus {
+            endpoint: record.endpoint.clone(),
+            data_centre: record.data_centre.clone(),
+            kind: record.kind.clone(),
+            state: record.state,
+            target: record.target.clone(),
+            changing: false,
+            load: Some(self.core.load(self.clock.now())),
+        };
         ProcessStatus {
             process: self.options.process.clone(),
-            role: "agent".to_owned(),
+            role: ProcessRole::Agent,
             incarnation: record.incarnation,
             region: self.options.region.clone(),
             data_centre: self.options.data_centre.clone(),
-            leaving: self.leaving,
-            configuration: self.revisions.configuration,
-            plan: self.revisions.plan,
-            in_flight: self.core.open(),
-            connections: self.links.len(),
-            endpoints: vec![EndpointStatus { record, connected: true, load: Some(self.core.load(self.clock.now())) }],
+            instance: record.instance.clone(),
+            state: if self.leaving { ProcessState::Leaving } else { ProcessState::Ready },
+            duties: Vec::new(),
+            revisions: self.revisions,
+            platform_heard: None,
+            in_flight: u32::try_from(self.core.open()).unwrap_or(u32::MAX),
+            endpoints: vec![endpoint],
+            peers: Vec::new(),
         }
     }
 }
--- a/crates/daisychute-agent/src/shell/completion_run.rs
+++ b/crates/daisychute-agent/src/shell/completion_run.rs
@@ -17,7 +17,11 @@
 
 const LAST_EVENT: &str = "[DONE]";
 
-pub(super) async fn run_completion(endpoint: &EndpointClient, reporter: &Reporter, completion: &Completion) {
+pub(super) async fn run_completion(
+    endpoint: &EndpointClient,
+    reporter: &Reporter,
+    completion: &Completion,
+) {
     let path = match completion.prompt {
         Prompt::Text(_) => "/v1/completions",
         Prompt::Chat(_) => "/v1/chat/completions",
@@ -33,9 +37,14 @@
     }
 }
 
-pub(super) async fn resume_completion(endpoint: &EndpointClient, reporter: &Reporter, from_tokens: u32) {
+pub(super) async fn resume_completion(
+    endpoint: &EndpointClient,
+    reporter: &Reporter,
+    from_tokens: u32,
+) {
     let start = reporter.start();
-    let path = format!("/requests/{}/stream?from={from_tokens}", endpoint_id(start.id, start.attempt));
+    let path =
+        format!("/requests/{}/stream?from={from_tokens}", endpoint_id(start.id, start.attempt));
     match endpoint.client().get(endpoint.url(&path)).send().await {
         Ok(res) if res.status() == StatusCode::OK => stream(reporter, res).await,
         Ok(_) | Err(_) => reporter.report(Report::Broken(RefusalReason::EndpointLost)),
@@ -48,7 +57,8 @@
 
 /// The JSON object that the engine is sent.
 fn request_body(start: &Start, completion: &Completion) -> Value {
-    let mut body: Map<String, Value> = serde_json::from_str(&completion.options).unwrap_or_default();
+    let mut body: Map<String, Value> =
+        serde_json::from_str(&completion.options).unwrap_or_default();
     match &completion.prompt {
         Prompt::Text(text) => body.insert("prompt".to_owned(), json!(text)),
         Prompt::Chat(messages) => body.insert("messages".to_owned(), json!(messages)),
@@ -81,7 +91,9 @@
     let mut finish: Option<FinishReason> = None;
     let mut usage = Usage::default();
     while let Some(event) = events.next().await {
-        let Ok(event) = event else { return reporter.report(Report::Broken(RefusalReason::EndpointLost)) };
+        let Ok(event) = event else {
+            return reporter.report(Report::Broken(RefusalReason::EndpointLost));
+        };
         if event.data == LAST_EVENT {
             return match finish {
                 Some(_) => reporter.report(Report::Finished { finish, usage }),
@@ -92,10 +104,11 @@
             return reporter.report(Report::Broken(RefusalReason::BadAnswer));
         };
         if let Some(text) = event.text() {
-            reporter.report(Report::Data { data: Bytes::copy_from_slice(text.as_bytes()), tokens: 1 });
+            reporter
+                .report(Report::Data { data: Bytes::copy_from_slice(text.as_bytes()), tokens: 1 });
         }
         finish = event.finish_reason().or(finish);
-        usage = event.usage.map(Usage::from).unwrap_or(usage);
+        usage = event.usage.map_or(usage, Usage::from);
     }
     reporter.report(Report::Broken(RefusalReason::EndpointLost));
 }
@@ -107,8 +120,12 @@
 {
     let status = res.status();
     match status {
-        StatusCode::SERVICE_UNAVAILABLE => reporter.report(Report::NotStarted(RefusalReason::NoEndpoint)),
-        StatusCode::TOO_MANY_REQUESTS => reporter.report(Report::NotStarted(RefusalReason::Overloaded)),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            reporter.report(Report::NotStarted(RefusalReason::NoEndpoint))
+        }
+        StatusCode::TOO_MANY_REQUESTS => {
+            reporter.report(Report::NotStarted(RefusalReason::Overloaded))
+        }
         _ => {
             let Ok(data) = res.body().await else {
                 return reporter.report(Report::Broken(RefusalReason::EndpointLost));
--- a/crates/daisychute-agent/src/shell/endpoint_client.rs
+++ b/crates/daisychute-agent/src/shell/endpoint_client.rs
@@ -79,7 +79,8 @@
 
     /// What the engine is at present; none while it changes or can't be asked.
     pub async fn target(&self) -> Option<EngineTarget> {
-        let mut res = self.client.get(self.url("/state")).timeout(STATE_TIMEOUT).send().await.ok()?;
+        let mut res =
+            self.client.get(self.url("/state")).timeout(STATE_TIMEOUT).send().await.ok()?;
         let body = res.body().await.ok()?;
         let state: EngineState = serde_json::from_slice(&body).ok()?;
         (!state.changing).then_some(state.target)
@@ -94,7 +95,9 @@
 /// What a failure to send tells of the request's effect.
 pub(super) fn send_failure(error: &SendRequestError) -> Report {
     match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => Report::NotStarted(RefusalReason::EndpointLost),
+        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
+            Report::NotStarted(RefusalReason::EndpointLost)
+        }
         _ => Report::Broken(RefusalReason::EndpointLost),
     }
 }
--- a/crates/daisychute-core/src/status.rs
+++ b/crates/daisychute-core/src/status.rs
@@ -50,10 +50,13 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revisions {
     /// Of the configuration.
+    #[serde(default)]
     pub configuration: Revision,
     /// Of the region's plan.
+    #[serde(default)]
     pub plan: Revision,
     /// The term of that plan's planner.
+    #[serde(default)]
     pub term: Term,
 }
 
--- /dev/null
+++ b/crates/daisychute-entry/src/core/mod.rs
@@ -0,0 +1,21 @@
+//! The decision core of the entry: no I/O, no clock, no randomness of its own.
+
+mod action;
+mod agents;
+mod config;
+mod entry_core;
+mod event;
+mod request;
+mod retry_budget;
+mod submission;
+mod transition;
+
+pub use self::action::{Action, Part};
+pub use self::agents::{Agent, Agents, LinkState};
+pub use self::config::EntryConfig;
+pub use self::entry_core::EntryCore;
+pub use self::event::Event;
+pub use self::request::{Request, RequestState};
+pub use self::retry_budget::RetryBudget;
+pub use self::submission::Submission;
+pub use self::transition::Transition;
--- a/crates/daisychute-entry/src/lib.rs
+++ b/crates/daisychute-entry/src/lib.rs
@@ -1,1 +1,18 @@
 //! The entry: callers' HTTP interface, routing, retries and refusals.
+//!
+//! [`core::EntryCore`] decides, [`shell`] does the I/O.
+//!
+//! ```
+//! use daisychute_core::Incarnation;
+//! use daisychute_entry::FewestRequests;
+//! use daisychute_entry::core::{EntryConfig, EntryCore};
+//!
+//! let mut core = EntryCore::new(EntryConfig::default(), FewestRequests, Incarnation::new(1));
+//! assert_eq!(core.next_id().seq, 1);
+//! assert!(core.requests().is_empty());
+//! ```
+
+mod choose;
+pub mod core;
+
+pub use crate::choose::{Choose, FewestRequests};
--- a/crates/daisychute-link/src/down.rs
+++ b/crates/daisychute-link/src/down.rs
@@ -9,6 +9,9 @@
     /// The socket could not be opened, or the handshake failed or took too long.
     #[error("the connection could not be opened: {0}")]
     Refused(String),
+    /// Nothing listens at the address.
+    #[error("nothing listens at the address")]
+    NoListener,
     /// The two sides speak no common version.
     #[error("the other side speaks no common version")]
     Version,
--- a/crates/daisychute-link/src/shell.rs
+++ b/crates/daisychute-link/src/shell.rs
@@ -1,5 +1,6 @@
 //! The tasks that carry a connection.
 
+use std::io;
 use std::net::SocketAddr;
 
 use daisychute_proto::{
@@ -36,7 +37,8 @@
 pub fn accept(stream: TcpStream, id: LinkId, hello: Hello, cfg: LinkConfig, events: Events) {
     actix_rt::spawn(async move {
         let _ = stream.set_nodelay(true);
-        let accepted = timeout(cfg.handshake, accept_async_with_config(stream, Some(websocket()))).await;
+        let accepted =
+            timeout(cfg.handshake, accept_async_with_config(stream, Some(websocket()))).await;
         let socket = match accepted {
             Ok(Ok(socket)) => socket,
             Ok(Err(error)) => return down(&events, id, DownReason::Refused(error.to_string())),
@@ -47,7 +49,8 @@
 }
 
 async fn open(addr: SocketAddr) -> Result<Socket, DownReason> {
-    let stream = TcpStream::connect(addr).await.map_err(|it| DownReason::Refused(it.to_string()))?;
+    let stream =
+        TcpStream::connect(addr).await.map_err(|it| connect_failure(&it))?;
     let _ = stream.set_nodelay(true);
     let url = format!("ws://{addr}/");
     let (socket, _) = client_async_with_config(url, stream, Some(websocket()))
@@ -56,8 +59,17 @@
     Ok(socket)
 }
 
+fn connect_failure(error: &io::Error) -> DownReason {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => DownReason::NoListener,
+        _ => DownReason::Refused(error.to_string()),
+    }
+}
+
 fn websocket() -> WebSocketConfig {
-    WebSocketConfig::default().max_message_size(Some(MAX_FRAME_BYTES)).max_frame_size(Some(MAX_FRAME_BYTES))
+    WebSocketConfig::default()
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
 }
 
 fn down(events: &Events, id: LinkId, reason: DownReason) {
@@ -83,6 +95,9 @@
         }
         Err(reason) => reason,
     };
+    if let DownReason::Malformed(_) = reason {
+        link.close(GoodbyeReason::Malformed);
+    }
     if reason == DownReason::Silent {
         // What is queued would never leave a silent connection.
         writer.abort();
@@ -101,7 +116,12 @@
     }
 }
 
-async fn read(mut stream: SplitStream<Socket>, id: LinkId, cfg: LinkConfig, events: &Events) -> DownReason {
+async fn read(
+    mut stream: SplitStream<Socket>,
+    id: LinkId,
+    cfg: LinkConfig,
+    events: &Events,
+) -> DownReason {
     loop {
         let frame = match timeout(cfg.silence, next(&mut stream)).await {
             Ok(Ok(frame)) => frame,
@@ -135,7 +155,9 @@
         match message {
             Message::Binary(buf) => match Frame::decode(&buf) {
                 Ok(frame) => return Ok(frame),
-                Err(DecodeError::UnknownKind { kind }) => log::debug!("frame kind {kind} passed over"),
+                Err(DecodeError::UnknownKind { kind }) => {
+                    log::debug!("frame kind {kind} passed over")
+                }
                 Err(error) => return Err(DownReason::Malformed(error.to_string())),
             },
             Message::Text(_) => return Err(DownReason::Malformed("a text message".to_owned())),
--- a/crates/daisychute-proto/src/heartbeat.rs
+++ b/crates/daisychute-proto/src/heartbeat.rs
@@ -1,19 +1,8 @@
 //! Signs of life.
 
-use daisychute_core::{EndpointRecord, LoadReport, Revision};
+use daisychute_core::{EndpointRecord, LoadReport, Revisions};
 use serde::{Deserialize, Serialize};
 
-/// The newest revisions of the shared documents that a process has in force.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Revisions {
-    /// Of the configuration.
-    #[serde(default)]
-    pub configuration: Revision,
-    /// Of the plan of its region.
-    #[serde(default)]
-    pub plan: Revision,
-}
-
 /// Sent by each side at a fixed interval. A side that hears nothing for several intervals gives the connection up
 /// as silent and opens a new one.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- a/crates/daisychute-proto/src/hello.rs
+++ b/crates/daisychute-proto/src/hello.rs
@@ -1,22 +1,13 @@
 //! How a connection begins and ends.
 
-use daisychute_core::{DataCentreName, EndpointRecord, Incarnation, ProcessName, RegionName};
+use daisychute_core::{
+    DataCentreName, EndpointRecord, Incarnation, ProcessName, ProcessRole, RegionName, Revisions,
+};
 use serde::{Deserialize, Serialize};
 
-use crate::Revisions;
-
 /// The version of the protocol that this package speaks.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// What a process is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum ProcessRole {
-    /// Takes requests from callers.
-    Entry,
-    /// Stands before one endpoint.
-    Agent,
-}
-
 /// First frame of each side.
 ///
 /// A side that gets a version outside its own `min_version..=version` answers [`GoodbyeReason::Version`] and closes.
--- a/crates/daisychute-proto/src/lib.rs
+++ b/crates/daisychute-proto/src/lib.rs
@@ -23,11 +23,13 @@
 mod start;
 mod stream;
 
+pub use daisychute_core::{ProcessRole, Revisions};
+
 pub use crate::document::{Document, DocumentKind, Pull};
 pub use crate::error::{DecodeError, EncodeError};
 pub use crate::frame::{Frame, MAX_FRAME_BYTES};
-pub use crate::heartbeat::{Heartbeat, Revisions};
-pub use crate::hello::{Goodbye, GoodbyeReason, Hello, PROTOCOL_VERSION, ProcessRole};
+pub use crate::heartbeat::Heartbeat;
+pub use crate::hello::{Goodbye, GoodbyeReason, Hello, PROTOCOL_VERSION};
 pub use crate::probe::{Probe, ProbeAnswer};
 pub use crate::start::{Call, ChatMessage, Completion, Prompt, Start, Work};
 pub use crate::stream::{Cancel, Chunk, Credit, End, Head, Refused, Resume};
--- a/crates/daisychute-runtime/src/http_server.rs
+++ b/crates/daisychute-runtime/src/http_server.rs
@@ -73,7 +73,8 @@
             .tcp_nodelay(true)
             .h1(service.into_factory())
             .tcp();
-        let service = factory.new_service(()).await.map_err(|()| io::Error::other("HTTP service"))?;
+        let service =
+            factory.new_service(()).await.map_err(|()| io::Error::other("HTTP service"))?;
         let service = Rc::new(service);
         let room = Arc::new(Semaphore::new(self.limits.connections));
         loop {
