feat(platform): add the object client and the replica core

Every process needs the configuration and the plan, and several packages need the object API.

- `ObjectClient`: read, list, create, conditional update, delete and watch, each with a deadline, a typed error and a place in the call budget of the process.
- `PendingWrite::settle`: what became of a write whose answer was lost, told from the object that is read back.
- `Replica`: the highest valid revision seen is in force.
Watchers list and watch; all others pull from the peer that is ahead and read the platform rarely.

Ruled out: taking the resource version as the revision. It is opaque, and a restored store may give it out again.

--- a/crates/daisychute-platform/src/lib.rs
+++ b/crates/daisychute-platform/src/lib.rs
@@ -1,1 +1,38 @@
 //! Client and decision cores for what lives on the platform: objects, leases, configuration, membership.
+//!
+//! [`ObjectClient`] speaks the platform's object API. Everything else is a decision core: a state machine that is
+//! told the time and what happened, and answers with actions. It does no I/O, reads no clock and owns no randomness.
+//!
+//! ```
+//! use daisychute_core::{Configuration, Revision, Time};
+//! use daisychute_platform::{Replica, ReplicaAction, ReplicaEvent, ReplicaSettings};
+//!
+//! let mut replica: Replica<Configuration> = Replica::new(ReplicaSettings::default(), 7);
+//! let mut out = Vec::new();
+//! let peer = "agent-1".try_into()?;
+//! let seen = ReplicaEvent::PeerRevision { peer, revision: Revision::new(3) };
+//! replica.handle(Time::ZERO, seen, &mut out);
+//! assert!(matches!(out[0], ReplicaAction::Pull { .. }));
+//! # Ok::<(), daisychute_core::NameError>(())
+//! ```
+
+mod backoff;
+mod budget;
+mod client;
+mod clock;
+mod object;
+mod replica;
+mod resource_version;
+mod settle;
+
+pub use crate::backoff::Backoff;
+pub use crate::budget::{BudgetSettings, BudgetUsedUp, CallBudget};
+pub use crate::client::{CallError, ClientSettings, ObjectClient, OutageCause, Watch};
+pub use crate::clock::Clock;
+pub use crate::object::{Metadata, Object, ObjectKind, ObjectList, WatchEvent, WatchKind};
+pub use crate::replica::{
+    ConfigurationDocument, DocumentError, Replica, ReplicaAction, ReplicaEvent, ReplicaSettings,
+    Shared,
+};
+pub use crate::resource_version::ResourceVersion;
+pub use crate::settle::{PendingWrite, Settled, WriteStamp};
--- /dev/null
+++ b/crates/daisychute-platform/src/settle.rs
@@ -0,0 +1,76 @@
+//! Settlement of writes whose answer was lost.
+//!
+//! A write whose answer is lost may have taken effect, may still take effect, or never will. Its writer reads the
+//! object back. A repeat carries the same stamp and the same condition, so that at most one of the two has effect.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::{Object, ResourceVersion};
+
+/// Identifies one write of one process.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WriteStamp {
+    /// The process and its incarnation.
+    pub writer: Arc<str>,
+    /// Counts the writes of that incarnation.
+    pub write: u64,
+}
+
+impl WriteStamp {
+    /// The first stamp of a writer.
+    #[must_use]
+    pub fn first(writer: impl Into<Arc<str>>) -> Self {
+        Self { writer: writer.into(), write: 1 }
+    }
+
+    /// Gives this stamp and moves on to the next.
+    pub fn take(&mut self) -> Self {
+        let taken = self.clone();
+        self.write += 1;
+        taken
+    }
+}
+
+impl fmt::Display for WriteStamp {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.writer, self.write)
+    }
+}
+
+/// What became of a write, as far as the object that was read back tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Settled {
+    /// It took effect, and the object is as it left it.
+    Mine,
+    /// The object is as it was before. The write may still take effect until the object changes.
+    Unchanged,
+    /// Another write is in the object. Mine either failed or was replaced; either way it is of no more effect.
+    SomeoneElse,
+}
+
+/// A write whose answer is not there.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PendingWrite {
+    /// Its stamp.
+    pub stamp: WriteStamp,
+    /// The version that it replaces; none where it creates the object.
+    pub base: Option<ResourceVersion>,
+}
+
+impl PendingWrite {
+    /// What became of it, given the object that was read back, or none where there is no object.
+    #[must_use]
+    pub fn settle(&self, found: Option<&Object>) -> Settled {
+        let Some(found) = found else {
+            return if self.base.is_none() { Settled::Unchanged } else { Settled::SomeoneElse };
+        };
+        if found.stamped().as_ref() == Some(&self.stamp) {
+            Settled::Mine
+        } else if found.metadata.resource_version == self.base {
+            Settled::Unchanged
+        } else {
+            Settled::SomeoneElse
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisychute-platform/tests/replica.rs
@@ -0,0 +1,99 @@
+//! The replica core, event by event.
+
+use bytes::Bytes;
+use daisychute_core::{ProcessName, Revision, Time};
+use daisychute_platform::{Replica, ReplicaAction, ReplicaEvent, ReplicaSettings};
+
+use ReplicaEvent::{Changed, Document, ListFailed, Listed, PeerRevision, PullFrom, Tick, Watcher};
+
+type Configurations = Replica<daisychute_core::Configuration>;
+
+fn body(revision: u64) -> Bytes {
+    let text = format!(
+        r#"{{"revision":{revision},"configuration":{{"preference":"goodput","classes":{{}},"tenants":{{}},"models":{{}},"services":{{}}}}}}"#
+    );
+    Bytes::from(text)
+}
+
+fn invalid(revision: u64) -> Bytes {
+    let text = format!(
+        r#"{{"revision":{revision},"configuration":{{"preference":"goodput","classes":{{}},"tenants":{{"t":{{"name":"t","token":null,"default_class":"c","classes":["c"]}}}},"models":{{}},"services":{{}}}}}}"#
+    );
+    Bytes::from(text)
+}
+
+fn peer(name: &str) -> ProcessName {
+    ProcessName::try_from(name).unwrap()
+}
+
+fn listed(revision: u64) -> ReplicaEvent {
+    Listed { version: "1".into(), body: Some(body(revision)) }
+}
+
+/// Takes the events a second apart and gives what was asked for, without the timers.
+fn run(replica: &mut Configurations, events: Vec<ReplicaEvent>) -> Vec<String> {
+    let mut out = Vec::new();
+    for (second, event) in events.into_iter().enumerate() {
+        replica.handle(Time::from_millis(second as u64 * 1_000), event, &mut out);
+    }
+    out.iter().filter(|it| !matches!(it, ReplicaAction::WakeAt(_))).map(shorten).collect()
+}
+
+fn shorten(action: &ReplicaAction) -> String {
+    match action {
+        ReplicaAction::Pull { peer, have } => format!("pull {peer} {have}"),
+        ReplicaAction::Send { peer, revision, .. } => format!("send {peer} {revision}"),
+        ReplicaAction::Accepted { revision } => format!("accepted {revision}"),
+        ReplicaAction::Rejected { error } => format!("rejected: {error}"),
+        ReplicaAction::Watch { from } => format!("watch {from}"),
+        other => format!("{other:?}"),
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: [$($event:expr),* $(,)?] => $revision:literal [$($action:expr),* $(,)?],)*) => {$(
+        #[test]
+        fn $name() {
+            let mut replica = Configurations::new(ReplicaSettings::default(), 1);
+            let actions = run(&mut replica, vec![$($event),*]);
+            let expected: Vec<&str> = vec![$($action),*];
+            assert_eq!(actions, expected);
+            assert_eq!(replica.revision(), Revision::new($revision));
+        }
+    )*};
+}
+
+cases! {
+    a_watcher_lists_then_watches: [Watcher(true), Tick, listed(4), Changed { body: body(5) }]
+        => 5 ["List", "accepted 4", "watch 1", "accepted 5"],
+    an_old_watch_event_changes_nothing: [Watcher(true), Tick, listed(4), Changed { body: body(3) }]
+        => 4 ["List", "accepted 4", "watch 1"],
+    a_stale_read_changes_nothing:
+        [Document { peer: peer("a"), body: body(9) }, Watcher(true), Tick, listed(4)]
+        => 9 ["accepted 9", "List", "watch 1"],
+    an_invalid_document_is_refused_as_a_whole:
+        [Watcher(true), Tick, listed(4), Changed { body: invalid(5) }]
+        => 4 ["List", "accepted 4", "watch 1",
+              "rejected: tenant t names the class c, which does not exist"],
+    a_deleted_object_changes_nothing:
+        [Document { peer: peer("a"), body: body(9) }, Watcher(true), Tick,
+         Listed { version: "1".into(), body: None }]
+        => 9 ["accepted 9", "List", "watch 1"],
+    the_first_document_comes_from_a_peer_in_an_outage:
+        [Tick, PeerRevision { peer: peer("a"), revision: Revision::new(7) },
+         Document { peer: peer("a"), body: body(7) }, ListFailed]
+        => 7 ["pull a 0", "accepted 7", "List"],
+    a_slow_peer_is_passed_over:
+        [PeerRevision { peer: peer("a"), revision: Revision::new(7) },
+         PeerRevision { peer: peer("b"), revision: Revision::new(6) },
+         Document { peer: peer("b"), body: body(6) }]
+        => 6 ["pull a 0", "pull b 0", "accepted 6", "List"],
+    a_pull_is_answered_only_with_a_newer_document:
+        [Document { peer: peer("a"), body: body(7) },
+         PullFrom { peer: peer("b"), have: Revision::new(6) },
+         PullFrom { peer: peer("c"), have: Revision::new(7) }]
+        => 7 ["accepted 7", "send b 7", "List"],
+    a_process_that_is_no_watcher_any_more_closes_its_watch:
+        [Watcher(true), Tick, listed(4), Watcher(false)]
+        => 4 ["List", "accepted 4", "watch 1", "EndWatch"],
+}
