--- a/crates/daisychute-agent/src/core/action.rs
+++ b/crates/daisychute-agent/src/core/action.rs
@@ -14,7 +14,7 @@
         /// The connection.
         link: LinkId,
         /// The frame.
-        frame: Frame,
+        frame: Box<Frame>,
     },
     /// Hand a request to the endpoint and report what comes of it.
     Run {
@@ -36,3 +36,9 @@
         attempt: u32,
     },
 }
+
+impl Action {
+    pub(super) fn send(link: LinkId, frame: impl Into<Frame>) -> Self {
+        Self::Send { link, frame: Box::new(frame.into()) }
+    }
+}
--- a/crates/daisychute-agent/src/core/agent_core.rs
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -193,7 +193,7 @@
 
     fn refuse_frame(&self, peer: Incarnation, refused: Refused, actions: &mut Vec<Action>) {
         if let Some(link) = self.peers.link(peer) {
-            actions.push(Action::Send { link, frame: refused.into() });
+            actions.push(Action::send(link, refused));
         }
     }
 
@@ -279,8 +279,8 @@
 
     fn on_probe(&self, now: Time, link: LinkId, probe: &Probe, actions: &mut Vec<Action>) {
         let load = self.admit.load(now);
-        let frame = ProbeAnswer { seq: probe.seq, load, cached_blocks: 0 }.into();
-        actions.push(Action::Send { link, frame });
+        let frame = ProbeAnswer { seq: probe.seq, load, cached_blocks: 0 };
+        actions.push(Action::send(link, frame));
     }
 
     fn on_report(
@@ -373,7 +373,7 @@
             load: Some(self.admit.load(now)),
             endpoint: Some(self.record.clone()),
         };
-        actions.push(Action::Send { link, frame: heartbeat.into() });
+        actions.push(Action::send(link, heartbeat));
     }
 
     fn on_wake(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -463,7 +463,7 @@
         let Some(link) = self.peers.link(job.peer) else { return };
         while let Some(frame) = job.next_frame(self.cfg.chunk_bytes) {
             let refused = matches!(frame, Frame::Refused(_));
-            actions.push(Action::Send { link, frame });
+            actions.push(Action::send(link, frame));
             if refused {
                 return self.forget(now, id);
             }
--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -191,7 +191,7 @@
         match action {
             Action::Send { link, frame } => {
                 if let Some(link) = self.links.get(&link) {
-                    link.send(frame);
+                    link.send(*frame);
                 }
             }
             Action::Run { start } => {
--- /dev/null
+++ b/crates/daisychute-entry/src/callers/mod.rs
@@ -0,0 +1,18 @@
+//! The callers' interface: from raw HTTP to a checked submission, and from parts of an answer back to HTTP.
+
+mod answer;
+mod answer_body;
+mod caller_error;
+mod caller_headers;
+mod completion_format;
+mod completion_request;
+mod handler;
+mod service_request;
+
+pub(crate) use self::answer::AnswerParts;
+pub use self::caller_error::CallerError;
+pub use self::caller_headers::CallerHeaders;
+pub use self::completion_format::CompletionFormat;
+pub use self::completion_request::CompletionRequest;
+pub use self::handler::Callers;
+pub use self::service_request::ServiceRequest;
--- a/crates/daisychute-entry/src/core/action.rs
+++ b/crates/daisychute-entry/src/core/action.rs
@@ -22,7 +22,7 @@
         /// The connection.
         link: LinkId,
         /// The frame.
-        frame: Frame,
+        frame: Box<Frame>,
     },
     /// Give a connection up.
     Close {
@@ -48,10 +48,16 @@
         /// The connection.
         link: LinkId,
         /// The frame.
-        frame: Frame,
+        frame: Box<Frame>,
     },
 }
 
+impl Action {
+    pub(super) fn send(link: LinkId, frame: impl Into<Frame>) -> Self {
+        Self::Send { link, frame: Box::new(frame.into()) }
+    }
+}
+
 /// A part of an answer on its way to the caller. `End` and `Refused` are the last.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Part {
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -192,7 +192,7 @@
         request.sent_to = self.agents.get(&request.agent).map(|it| it.record.incarnation);
         let start = request.start(now, id, self.cfg.window);
         let give_up = request.give_up;
-        actions.push(Action::Send { link, frame: start.into() });
+        actions.push(Action::send(link, start));
         self.transition(id, RequestState::Sent);
         self.set_timer(id, give_up);
     }
@@ -205,9 +205,9 @@
             return;
         }
         request.credited = request.taken;
-        let frame = Credit { id, received: request.taken, window: self.cfg.window }.into();
+        let frame = Credit { id, received: request.taken, window: self.cfg.window };
         if let Some(link) = self.agents.open_link(&request.agent) {
-            actions.push(Action::Send { link, frame });
+            actions.push(Action::send(link, frame));
         }
     }
 
@@ -220,7 +220,7 @@
         let Some(request) = self.requests.get(&id) else { return };
         let Some(link) = self.agents.open_link(&request.agent) else { return };
         if request.sent_to.is_some() {
-            actions.push(Action::Send { link, frame: Cancel { id }.into() });
+            actions.push(Action::send(link, Cancel { id }));
         }
     }
 
@@ -267,8 +267,8 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (attempt, offset, give_up) = (request.attempt, request.received, request.give_up);
         request.credited = request.taken;
-        let frame = Resume { id, attempt, offset, window: self.cfg.window }.into();
-        actions.push(Action::Send { link, frame });
+        let frame = Resume { id, attempt, offset, window: self.cfg.window };
+        actions.push(Action::send(link, frame));
         self.transition(id, RequestState::Sent);
         self.set_timer(id, give_up);
     }
@@ -318,7 +318,9 @@
             Frame::Chunk(chunk) => self.on_chunk(&endpoint, link, &chunk, actions),
             Frame::End(end) => self.on_end(&endpoint, link, &end, actions),
             Frame::Refused(refused) => self.on_refused(now, &endpoint, &refused, actions),
-            Frame::Pull(_) | Frame::Document(_) => actions.push(Action::Control { link, frame }),
+            Frame::Pull(_) | Frame::Document(_) => {
+                actions.push(Action::Control { link, frame: Box::new(frame) })
+            }
             _ => {}
         }
     }
@@ -381,8 +383,7 @@
         if chunk.offset > request.received {
             // A part is missing: ask for everything after what is here.
             let (id, attempt, offset) = (chunk.id, chunk.attempt, request.received);
-            return actions
-                .push(Action::Send { link, frame: Resume { id, attempt, offset, window }.into() });
+            return actions.push(Action::send(link, Resume { id, attempt, offset, window }));
         }
         let known = request.received - chunk.offset;
         if known >= chunk.data.len() as u64 {
@@ -405,12 +406,10 @@
         let Some(request) = self.current(endpoint, end.id, end.attempt) else { return };
         let (id, attempt, received) = (end.id, end.attempt, request.received);
         if received != end.length {
-            return actions.push(Action::Send {
-                link,
-                frame: Resume { id, attempt, offset: received, window }.into(),
-            });
+            return actions
+                .push(Action::send(link, Resume { id, attempt, offset: received, window }));
         }
-        actions.push(Action::Send { link, frame: Credit { id, received, window }.into() });
+        actions.push(Action::send(link, Credit { id, received, window }));
         actions
             .push(Action::Answer { id, part: Part::End { finish: end.finish, usage: end.usage } });
         self.budget.success();
@@ -542,7 +541,7 @@
             endpoint: None,
         };
         let links = self.agents.open_links();
-        actions.extend(links.map(|link| Action::Send { link, frame: heartbeat.clone().into() }));
+        actions.extend(links.map(|link| Action::send(link, heartbeat.clone())));
     }
 
     fn on_timer(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
--- a/crates/daisychute-entry/src/lib.rs
+++ b/crates/daisychute-entry/src/lib.rs
@@ -13,6 +13,8 @@
 //! ```
 
 mod choose;
+pub mod callers;
 pub mod core;
+pub mod shell;
 
 pub use crate::choose::{Choose, FewestRequests};
--- /dev/null
+++ b/crates/daisychute-entry/src/shell/entry_shell.rs
@@ -0,0 +1,227 @@
+//! The entry's task: one loop that feeds the core and does what it asks.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use daisychute_core::{
+    Configuration, DataCentreName, EndpointStatus, InstanceName, ProcessName, ProcessRole,
+    ProcessState, ProcessStatus, RegionName, RequestId, Revisions,
+};
+use daisychute_link::{DownReason, Link, LinkConfig, LinkEvent, LinkId, connect};
+use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
+use daisychute_runtime::Clock;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, sleep_until};
+
+use super::{EntryHandle, Input};
+use crate::Choose;
+use crate::core::{Action, Agent, EntryCore, Event, Part};
+
+/// Who the entry is.
+#[derive(Debug, Clone)]
+pub struct EntryOptions {
+    /// Its name.
+    pub process: ProcessName,
+    /// The instance that it runs on.
+    pub instance: InstanceName,
+    /// Where it runs.
+    pub data_centre: DataCentreName,
+    /// The region of that data centre.
+    pub region: RegionName,
+    /// Time limits of the connections.
+    pub link: LinkConfig,
+}
+
+/// The entry's task.
+#[derive(Debug)]
+pub struct EntryShell<C> {
+    options: EntryOptions,
+    core: EntryCore<C>,
+    clock: Clock,
+    links: BTreeMap<LinkId, Link>,
+    callers: BTreeMap<RequestId, UnboundedSender<Part>>,
+    configuration: Option<Rc<Configuration>>,
+    revisions: Revisions,
+    handle: EntryHandle,
+    rx: UnboundedReceiver<Input>,
+    link_tx: UnboundedSender<LinkEvent>,
+    link_rx: UnboundedReceiver<LinkEvent>,
+}
+
+impl<C: Choose> EntryShell<C> {
+    /// Prepares the task.
+    #[must_use]
+    pub fn new(options: EntryOptions, core: EntryCore<C>, clock: Clock) -> Self {
+        let (tx, rx) = unbounded_channel();
+        let (link_tx, link_rx) = unbounded_channel();
+        Self {
+            options,
+            core,
+            clock,
+            links: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            configuration: None,
+            revisions: Revisions::default(),
+            handle: EntryHandle::new(tx),
+            rx,
+            link_tx,
+            link_rx,
+        }
+    }
+
+    /// For reaching the task.
+    #[must_use]
+    pub fn handle(&self) -> EntryHandle {
+        self.handle.clone()
+    }
+
+    /// Serves until [`EntryHandle::leave`] was called and every request has its final answer.
+    pub async fn run(mut self) {
+        while !(self.core.is_leaving() && self.core.requests().is_empty()) {
+            let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
+            tokio::select! {
+                Some(input) = self.rx.recv() => self.on_input(input),
+                Some(event) = self.link_rx.recv() => self.on_link_event(event),
+                () = sleep_until(wake) => self.feed(Event::Wake),
+            }
+        }
+        for link in self.links.values() {
+            link.close(GoodbyeReason::Leaving);
+        }
+    }
+
+    fn on_input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => {
+                if let Event::Revisions(revisions) = &event {
+                    self.revisions = *revisions;
+                }
+                self.feed(event);
+            }
+            Input::Submit { submission, parts, id: id_tx } => {
+                let id = self.core.next_id();
+                if id_tx.send(id).is_err() {
+                    // The caller went away before its request was taken over.
+                    return;
+                }
+                self.callers.insert(id, parts);
+                self.feed(Event::Submit { id, submission });
+            }
+            Input::Configuration(cfg) => self.configuration = Some(cfg),
+            Input::Send { link, frame } => self.send(link, *frame),
+            Input::Status(tx) => {
+                // The asker may be gone.
+                let _ = tx.send(self.status());
+            }
+            Input::Leave => self.feed(Event::Leave),
+        }
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { id, hello, link } => {
+                self.links.insert(id, link);
+                self.feed(Event::LinkUp { link: id, hello });
+            }
+            LinkEvent::Frame { id, frame } => self.feed(Event::Frame { link: id, frame }),
+            LinkEvent::Down { id, reason } => {
+                self.links.remove(&id);
+                let gone = reason == DownReason::NoListener;
+                self.feed(Event::LinkDown { link: id, gone });
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.core.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Connect { link, addr } => {
+                connect(addr, link, self.hello(), self.options.link, self.link_tx.clone());
+            }
+            Action::Send { link, frame } => self.send(link, *frame),
+            Action::Close { link } => {
+                if let Some(link) = self.links.remove(&link) {
+                    link.close(GoodbyeReason::Replaced);
+                }
+            }
+            Action::Answer { id, part } => self.answer(id, part),
+            Action::PeerRevisions { .. } | Action::Control { .. } => {}
+        }
+    }
+
+    fn send(&self, link: LinkId, frame: Frame) {
+        if let Some(link) = self.links.get(&link) {
+            link.send(frame);
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, part: Part) {
+        let is_last = matches!(part, Part::End { .. } | Part::Refused(_));
+        if let Part::Refused(refusal) = &part {
+            log::info!("request {id} refused: {refusal} ({:?})", refusal.verdict);
+        }
+        if let Some(parts) = self.callers.get(&id) {
+            // A caller that is gone says so itself.
+            let _ = parts.send(part);
+        }
+        if is_last {
+            self.callers.remove(&id);
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            version: PROTOCOL_VERSION,
+            min_version: PROTOCOL_VERSION,
+            process: self.options.process.clone(),
+            incarnation: self.core.incarnation(),
+            role: ProcessRole::Entry,
+            data_centre: self.options.data_centre.clone(),
+            region: self.options.region.clone(),
+            endpoint: None,
+            revisions: self.revisions,
+        }
+    }
+
+    fn status(&self) -> ProcessStatus {
+        let state = match (self.core.is_leaving(), &self.configuration) {
+            (true, _) => ProcessState::Leaving,
+            (false, None) => ProcessState::Starting,
+            (false, Some(_)) => ProcessState::Ready,
+        };
+        ProcessStatus {
+            process: self.options.process.clone(),
+            role: ProcessRole::Entry,
+            incarnation: self.core.incarnation(),
+            region: self.options.region.clone(),
+            data_centre: self.options.data_centre.clone(),
+            instance: self.options.instance.clone(),
+            state,
+            duties: Vec::new(),
+            revisions: self.revisions,
+            platform_heard: None,
+            in_flight: u32::try_from(self.core.requests().len()).unwrap_or(u32::MAX),
+            endpoints: self.core.agents().iter().map(endpoint_status).collect(),
+            peers: Vec::new(),
+        }
+    }
+}
+
+fn endpoint_status(agent: &Agent) -> EndpointStatus {
+    EndpointStatus {
+        endpoint: agent.record.endpoint.clone(),
+        data_centre: agent.record.data_centre.clone(),
+        kind: agent.record.kind.clone(),
+        state: agent.record.state,
+        target: agent.record.target.clone(),
+        changing: false,
+        load: agent.load.map(|(_, load)| load),
+    }
+}
--- /dev/null
+++ b/crates/daisychute-entry/src/shell/handle.rs
@@ -0,0 +1,95 @@
+//! Reaching a running entry.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use daisychute_core::{Configuration, ProcessStatus};
+use daisychute_link::LinkId;
+use daisychute_proto::Frame;
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::sync::oneshot;
+
+use super::Input;
+use crate::callers::AnswerParts;
+use crate::core::{Event, Submission};
+
+/// For reaching a running entry from the same thread.
+#[derive(Debug, Clone)]
+pub struct EntryHandle {
+    tx: UnboundedSender<Input>,
+    shared: Rc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    leaving: Cell<bool>,
+}
+
+impl EntryHandle {
+    pub(super) fn new(tx: UnboundedSender<Input>) -> Self {
+        Self { tx, shared: Rc::default() }
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.shared.configuration.borrow().clone()
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, cfg: Rc<Configuration>) {
+        self.shared.configuration.replace(Some(cfg.clone()));
+        let _ = self.tx.send(Input::Configuration(cfg));
+    }
+
+    /// Whether new requests are welcome.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving() && self.shared.configuration.borrow().is_some()
+    }
+
+    /// Whether the entry is stopping.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.shared.leaving.get()
+    }
+
+    /// Says that the entry is about to stop: it is not ready any more, but still takes requests.
+    pub fn prepare_to_leave(&self) {
+        self.shared.leaving.set(true);
+    }
+
+    /// Asks the entry to take no new requests and to end when all have been answered.
+    pub fn leave(&self) {
+        self.prepare_to_leave();
+        let _ = self.tx.send(Input::Leave);
+    }
+
+    /// Tells the core something.
+    pub fn event(&self, event: Event) {
+        let _ = self.tx.send(Input::Event(event));
+    }
+
+    /// Sends a frame of the shared documents to a peer.
+    pub fn send(&self, link: LinkId, frame: Frame) {
+        let _ = self.tx.send(Input::Send { link, frame: Box::new(frame) });
+    }
+
+    /// A picture of the entry; none when it has ended.
+    pub async fn status(&self) -> Option<ProcessStatus> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(Input::Status(tx)).ok()?;
+        rx.await.ok()
+    }
+
+    /// Hands a request over; none when the entry has ended.
+    pub(crate) async fn submit(&self, submission: Submission) -> Option<AnswerParts> {
+        let (parts, rx) = unbounded_channel();
+        let (id_tx, id_rx) = oneshot::channel();
+        let input = Input::Submit { submission: Box::new(submission), parts, id: id_tx };
+        self.tx.send(input).ok()?;
+        let id = id_rx.await.ok()?;
+        Some(AnswerParts::new(id, rx, self.tx.clone()))
+    }
+}
--- a/crates/daisychute-link/src/shell.rs
+++ b/crates/daisychute-link/src/shell.rs
@@ -49,8 +49,7 @@
 }
 
 async fn open(addr: SocketAddr) -> Result<Socket, DownReason> {
-    let stream =
-        TcpStream::connect(addr).await.map_err(|it| connect_failure(&it))?;
+    let stream = TcpStream::connect(addr).await.map_err(|it| connect_failure(&it))?;
     let _ = stream.set_nodelay(true);
     let url = format!("ws://{addr}/");
     let (socket, _) = client_async_with_config(url, stream, Some(websocket()))
--- /dev/null
+++ b/crates/daisychuted/src/admin.rs
@@ -0,0 +1,71 @@
+//! The admin listener: health, status and metrics.
+
+use std::convert::Infallible;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{self, HeaderValue};
+use actix_http::{Request, Response, StatusCode};
+use daisychute_agent::shell::AgentHandle;
+use daisychute_core::ProcessStatus;
+use daisychute_entry::shell::EntryHandle;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// What the admin listener tells of.
+pub(crate) trait Subject: Clone + 'static {
+    /// A picture of the process; none when it has ended.
+    fn status(&self) -> impl Future<Output = Option<ProcessStatus>>;
+}
+
+impl Subject for EntryHandle {
+    async fn status(&self) -> Option<ProcessStatus> {
+        Self::status(self).await
+    }
+}
+
+impl Subject for AgentHandle {
+    async fn status(&self) -> Option<ProcessStatus> {
+        Self::status(self).await
+    }
+}
+
+/// Answers the requests of operators.
+#[derive(Debug, Clone)]
+pub(crate) struct Admin<S> {
+    subject: S,
+    metrics: PrometheusHandle,
+}
+
+impl<S: Subject> Admin<S> {
+    pub(crate) const fn new(subject: S, metrics: PrometheusHandle) -> Self {
+        Self { subject, metrics }
+    }
+
+    pub(crate) async fn handle(self, req: Request) -> Result<Response<BoxBody>, Infallible> {
+        let res = match req.path() {
+            "/healthz" => text(StatusCode::OK, "text/plain", "ok\n".to_owned()),
+            "/metrics" => text(StatusCode::OK, "text/plain; version=0.0.4", self.metrics.render()),
+            "/status" => match self.subject.status().await {
+                Some(status) => text(
+                    StatusCode::OK,
+                    "application/json",
+                    serde_json::to_string(&status).unwrap_or_default(),
+                ),
+                None => {
+                    text(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n".to_owned())
+                }
+            },
+            _ => text(
+                StatusCode::NOT_FOUND,
+                "text/plain",
+                "there is nothing at this path\n".to_owned(),
+            ),
+        };
+        Ok(res)
+    }
+}
+
+fn text(status: StatusCode, content_type: &'static str, body: String) -> Response<BoxBody> {
+    let mut res = Response::with_body(status, BoxBody::new(body));
+    res.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    res
+}
--- /dev/null
+++ b/crates/daisychuted/src/agent.rs
@@ -0,0 +1,76 @@
+//! The daemon as an agent.
+
+use std::net::TcpListener;
+
+use daisychute_agent::Fifo;
+use daisychute_agent::core::{AgentConfig, AgentCore};
+use daisychute_agent::shell::{AgentOptions, AgentShell};
+use daisychute_core::{EndpointRecord, EndpointState};
+use daisychute_link::LinkConfig;
+use daisychute_runtime::{Clock, stop_requested};
+use daisychute_settings::{AgentSettings, Settings};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::time::timeout;
+
+use crate::DaemonError;
+use crate::admin::Admin;
+use crate::entry::{bind, http_limits};
+
+/// Requests that run on the endpoint at a time.
+const ROOM: usize = 64;
+
+pub(crate) async fn run(settings: Settings, role: AgentSettings) -> Result<(), DaemonError> {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let inner = settings.listen.inner;
+    let listener = TcpListener::bind(inner).map_err(|source| DaemonError::Listen {
+        listener: "inner",
+        addr: inner,
+        source,
+    })?;
+    let admin = bind("admin", settings.listen.admin, http_limits(&settings.limits))?;
+    let core = AgentCore::new(agent_config(&settings), Fifo::new(ROOM), record(&settings, &role));
+    let shell = AgentShell::new(agent_options(&settings, &role), core, Clock::start(), listener)
+        .map_err(|source| DaemonError::Serve { listener: "inner", source })?;
+    let handle = shell.handle();
+
+    let answers = Admin::new(handle.clone(), metrics);
+    actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
+    log::info!("agent {} of {} listens at {inner}", settings.process.name, role.endpoint.name);
+
+    let task = actix_rt::spawn(shell.run());
+    stop_requested().await.map_err(DaemonError::Signals)?;
+    log::info!("agent {} is leaving", settings.process.name);
+    handle.leave();
+    if timeout(settings.timing.drain, task).await.is_err() {
+        log::warn!("requests are still open after {:?}", settings.timing.drain);
+    }
+    log::info!("agent {} has left", settings.process.name);
+    Ok(())
+}
+
+fn agent_config(settings: &Settings) -> AgentConfig {
+    AgentConfig { heartbeat: settings.timing.heartbeat, ..AgentConfig::default() }
+}
+
+fn record(settings: &Settings, role: &AgentSettings) -> EndpointRecord {
+    EndpointRecord {
+        endpoint: role.endpoint.name.clone(),
+        instance: settings.process.instance.clone(),
+        data_centre: settings.process.data_centre.clone(),
+        kind: role.endpoint.kind.clone(),
+        agent: settings.listen.inner,
+        incarnation: Clock::incarnation(),
+        state: EndpointState::Live,
+        target: None,
+    }
+}
+
+fn agent_options(settings: &Settings, role: &AgentSettings) -> AgentOptions {
+    AgentOptions {
+        process: settings.process.name.clone(),
+        data_centre: settings.process.data_centre.clone(),
+        region: settings.process.region.clone(),
+        endpoint_url: role.endpoint.url.as_str().to_owned(),
+        link: LinkConfig::default().silence(settings.timing.silence),
+    }
+}
--- /dev/null
+++ b/crates/daisychuted/src/entry.rs
@@ -0,0 +1,91 @@
+//! The daemon as an entry.
+
+use daisychute_entry::FewestRequests;
+use daisychute_entry::callers::Callers;
+use daisychute_entry::core::{EntryConfig, EntryCore};
+use daisychute_entry::shell::{EntryOptions, EntryShell};
+use daisychute_link::LinkConfig;
+use daisychute_platform::{ClientSettings, ObjectClient};
+use daisychute_runtime::{Clock, HttpLimits, HttpServer, stop_requested};
+use daisychute_settings::{EntrySettings, LimitSettings, Settings};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::time::timeout;
+
+use crate::admin::Admin;
+use crate::{DaemonError, discovery};
+
+/// Between "not ready" and the end of new requests, for the balancer to notice.
+const READINESS_LAG: std::time::Duration = std::time::Duration::from_millis(500);
+
+pub(crate) async fn run(settings: Settings, role: EntrySettings) -> Result<(), DaemonError> {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let limits = http_limits(&settings.limits);
+    let callers = bind("callers", role.callers, limits)?;
+    let admin = bind("admin", settings.listen.admin, limits)?;
+    let core = EntryCore::new(entry_config(&settings), FewestRequests, Clock::incarnation());
+    let shell = EntryShell::new(entry_options(&settings), core, Clock::start());
+    let handle = shell.handle();
+
+    let client = ObjectClient::new(ClientSettings::new(settings.platform.url.as_str()));
+    actix_rt::spawn(discovery::run(client, handle.clone()));
+    let answers = Admin::new(handle.clone(), metrics);
+    actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
+    let handler = Callers::new(handle.clone(), limits);
+    actix_rt::spawn(callers.serve(move |req| handler.clone().handle(req)));
+    log::info!("entry {} serves callers at {}", settings.process.name, role.callers);
+
+    let task = actix_rt::spawn(shell.run());
+    stop_requested().await.map_err(DaemonError::Signals)?;
+    log::info!("entry {} is leaving", settings.process.name);
+    handle.prepare_to_leave();
+    actix_rt::time::sleep(READINESS_LAG).await;
+    handle.leave();
+    if timeout(settings.timing.drain, task).await.is_err() {
+        log::warn!("requests are still open after {:?}", settings.timing.drain);
+    }
+    // What was handed to the connections' tasks still has to reach the sockets.
+    actix_rt::time::sleep(READINESS_LAG).await;
+    log::info!("entry {} has left", settings.process.name);
+    Ok(())
+}
+
+pub(crate) fn bind(
+    listener: &'static str,
+    addr: std::net::SocketAddr,
+    limits: HttpLimits,
+) -> Result<HttpServer, DaemonError> {
+    HttpServer::bind(addr, limits).map_err(|source| DaemonError::Listen { listener, addr, source })
+}
+
+pub(crate) fn http_limits(limits: &LimitSettings) -> HttpLimits {
+    HttpLimits {
+        connections: usize::try_from(limits.connections).unwrap_or(usize::MAX),
+        body_bytes: to_usize(limits.body_bytes.get()),
+        header_bytes: to_usize(limits.header_bytes.get()),
+        head_timeout: limits.request_timeout,
+        body_timeout: limits.request_timeout,
+        keep_alive: limits.keep_alive,
+    }
+}
+
+fn entry_config(settings: &Settings) -> EntryConfig {
+    EntryConfig {
+        heartbeat: settings.timing.heartbeat,
+        window: u32::try_from(settings.limits.stream_buffer_bytes.get()).unwrap_or(u32::MAX),
+        ..EntryConfig::default()
+    }
+}
+
+fn entry_options(settings: &Settings) -> EntryOptions {
+    EntryOptions {
+        process: settings.process.name.clone(),
+        instance: settings.process.instance.clone(),
+        data_centre: settings.process.data_centre.clone(),
+        region: settings.process.region.clone(),
+        link: LinkConfig::default().silence(settings.timing.silence),
+    }
+}
+
+fn to_usize(bytes: u64) -> usize {
+    usize::try_from(bytes).unwrap_or(usize::MAX)
+}
