feat(standin): run a platform, an engine, a service and a relay

The demo and the tests of the other packages need ends to talk to.

Add the program daisychute-standin with one subcommand for each of them, and the same as library types. They share a small HTTP/1.1 server on actix-http. The engine batches continuously, and its output is a function of the prompt and the token's index, so that a continued text can be compared with a whole one.

--- /dev/null
+++ b/crates/daisychute-standin/src/platform/watch.rs
@@ -0,0 +1,124 @@
+//! The stream of a watch.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use futures_util::{Stream, stream};
+use serde::Serialize;
+use serde_json::json;
+
+use super::State;
+use super::store::Change;
+use crate::http::Cut;
+
+/// One open watch.
+struct Watch {
+    state: Rc<State>,
+    kind: String,
+    prefix: String,
+    // Invariant: every change up to this version was queued.
+    version: u64,
+    queued: VecDeque<Bytes>,
+    // Invariant: once set it stays set.
+    silent: bool,
+}
+
+#[derive(Serialize)]
+struct Line<'a, T> {
+    r#type: &'a str,
+    object: &'a T,
+}
+
+/// The lines of a watch on the changes of a kind after `version`.
+pub(super) fn open(
+    state: Rc<State>,
+    kind: &str,
+    prefix: &str,
+    version: u64,
+) -> impl Stream<Item = Result<Bytes, Cut>> + use<> {
+    state.seen.borrow_mut().open_watches += 1;
+    let watch = Watch {
+        state,
+        kind: kind.to_owned(),
+        prefix: prefix.to_owned(),
+        version,
+        queued: VecDeque::new(),
+        silent: false,
+    };
+    stream::unfold(watch, |mut watch| async move {
+        let line = watch.next().await?;
+        Some((line, watch))
+    })
+}
+
+impl Watch {
+    async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+        loop {
+            let faults = self.state.faults.get();
+            if faults.outage {
+                return Some(Err(Cut));
+            }
+            self.silent |= faults.silent_watches;
+            if self.silent {
+                return self.stay_silent().await;
+            }
+            if let Some(line) = self.queued.pop_front() {
+                return Some(Ok(line));
+            }
+            let state = Rc::clone(&self.state);
+            let changed = state.changed.notified();
+            self.queue_changes()?;
+            if !self.queued.is_empty() {
+                continue;
+            }
+            if tokio::time::timeout(self.state.config.bookmark_interval, changed).await.is_err() {
+                self.queued.push_back(self.bookmark());
+            }
+        }
+    }
+
+    /// Sends nothing until an outage closes the connection.
+    async fn stay_silent(&self) -> Option<Result<Bytes, Cut>> {
+        loop {
+            let changed = self.state.changed.notified();
+            if self.state.faults.get().outage {
+                return Some(Err(Cut));
+            }
+            changed.await;
+        }
+    }
+
+    /// Queues the changes since the last time; none when they were compacted away, which ends the watch.
+    fn queue_changes(&mut self) -> Option<()> {
+        let store = self.state.store.borrow();
+        let changes = store.changes(&self.kind, self.version).ok()?;
+        let wanted = changes.iter().filter(|it| it.object.metadata.name.starts_with(&self.prefix));
+        self.queued.extend(wanted.filter_map(change_line));
+        self.version = self.version.max(store.version());
+        Some(())
+    }
+
+    fn bookmark(&self) -> Bytes {
+        let version = self.version.to_string();
+        let object = json!({"kind": self.kind, "metadata": {"resourceVersion": version}});
+        line("BOOKMARK", &object).unwrap_or_default()
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.state.seen.borrow_mut().open_watches -= 1;
+    }
+}
+
+fn change_line(change: &Change) -> Option<Bytes> {
+    let change_type = serde_json::to_value(change.change_type).ok()?;
+    line(change_type.as_str()?, &*change.object)
+}
+
+fn line(r#type: &str, object: &impl Serialize) -> Option<Bytes> {
+    let mut text = serde_json::to_vec(&Line { r#type, object }).ok()?;
+    text.push(b'\n');
+    Some(Bytes::from(text))
+}
