feat(standin): limit rates, serve weights and drive processes from tests

Process-level tests need to start programs, signal them and wait on conditions; engines load weights from a store that refuses; the platform limits its calls.

Add the module harness (Program, Process, Client, wait_until, wait_for, free_port), token buckets for reads and writes, and GET /weights/{model}/{version}. A watch that was open while watches were silenced now stays silent by a counter and not by the luck of being polled meanwhile.

A cut answer lost the tokens sent just before it: the HTTP library drops its write buffer when a body fails. a_cut_stream_can_be_resumed showed one token of two. Let the buffer be flushed before the cut.

awc reports the end of a chunked body that was cut short as its normal end, so the client checks only bodies of known length, and the tests of cuts read raw bytes.

--- a/crates/daisychute-standin/src/cli.rs
+++ b/crates/daisychute-standin/src/cli.rs
@@ -53,6 +53,12 @@
     /// Time between the bookmarks of a quiet watch, in milliseconds.
     #[arg(long, default_value_t = 2_000)]
     bookmark_ms: u64,
+    /// Loads from the weight store that run at once.
+    #[arg(long, default_value_t = 4)]
+    weight_loads: u32,
+    /// Time of one load from the weight store, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    weight_ms: u64,
 }
 
 impl PlatformArgs {
@@ -63,6 +69,8 @@
             instances_lag: Duration::from_millis(self.instances_lag_ms),
             read_rate: self.read_rate,
             write_rate: self.write_rate,
+            weight_loads: self.weight_loads,
+            weight_time: Duration::from_millis(self.weight_ms),
         }
     }
 }
--- a/crates/daisychute-standin/src/engine/runner.rs
+++ b/crates/daisychute-standin/src/engine/runner.rs
@@ -21,6 +21,7 @@
         let work = state.work.notified();
         let Some(step) = state.next_step() else {
             work.await;
+            due = Instant::now();
             continue;
         };
         let now = Instant::now();
--- a/crates/daisychute-standin/src/engine/sequence.rs
+++ b/crates/daisychute-standin/src/engine/sequence.rs
@@ -101,7 +101,7 @@
 
     /// KV tokens that it may come to hold.
     pub(super) fn kv_tokens(&self) -> u32 {
-        self.prompt_tokens + self.job.first_index + self.job.max_tokens
+        self.prompt_tokens.saturating_add(self.job.first_index).saturating_add(self.job.max_tokens)
     }
 
     /// Puts it into the batch with so many prompt tokens already computed.
--- a/crates/daisychute-standin/src/http/reply.rs
+++ b/crates/daisychute-standin/src/http/reply.rs
@@ -4,8 +4,8 @@
 use actix_http::header::CONTENT_TYPE;
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use futures_util::Stream;
 use futures_util::stream::iter;
+use futures_util::{Stream, StreamExt as _};
 use serde::Serialize;
 use thiserror::Error;
 
@@ -58,6 +58,14 @@
 ) -> Reply {
     Response::build(StatusCode::OK)
         .insert_header((CONTENT_TYPE, content_type))
-        .body(BodyStream::new(body))
+        .body(BodyStream::new(body.then(flush_before_cut)))
         .map_into_boxed_body()
 }
+
+/// Lets what was sent before a cut leave the server's buffer, which is dropped with the connection.
+async fn flush_before_cut(item: Result<Bytes, Cut>) -> Result<Bytes, Cut> {
+    if item.is_err() {
+        tokio::task::yield_now().await;
+    }
+    item
+}
--- a/crates/daisychute-standin/src/lib.rs
+++ b/crates/daisychute-standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod http;
 
 pub mod engine;
+pub mod harness;
 pub mod platform;
 pub mod relay;
 pub mod service;
--- a/crates/daisychute-standin/src/platform/api.rs
+++ b/crates/daisychute-standin/src/platform/api.rs
@@ -9,7 +9,7 @@
 
 use super::api_error::ApiError;
 use super::object::Object;
-use super::{INSTANCES, State, watch};
+use super::{INSTANCES, State, watch, weights};
 use crate::http::{Handler, Incoming, Reply, empty, json, stream};
 
 /// The largest object, in bytes.
@@ -25,6 +25,7 @@
 impl Handler for Api {
     async fn handle(&self, req: Incoming) -> Reply {
         match req.segments().as_slice() {
+            ["weights", model, version] => weights::load(&self.state, model, version).await,
             ["_standin", rest @ ..] => self.control(&req, rest),
             ["apis", "daisychute.dev", "v1", kind] => self.call(&req, kind, None).await,
             ["apis", "daisychute.dev", "v1", kind, name] => self.call(&req, kind, Some(name)).await,
@@ -65,8 +66,11 @@
         if self.state.faults.get().unavailable {
             return Err(ApiError::ServiceUnavailable);
         }
-        let _ = verb;
-        Ok(())
+        let limit = match verb {
+            "create" | "replace" | "delete" => &self.state.writes,
+            _ => &self.state.reads,
+        };
+        if limit.borrow_mut().take() { Ok(()) } else { Err(ApiError::TooManyRequests) }
     }
 
     fn loses_answer(&self, method: &Method) -> bool {
--- a/crates/daisychute-standin/src/platform/mod.rs
+++ b/crates/daisychute-standin/src/platform/mod.rs
@@ -1,12 +1,14 @@
-//! A stand-in for the platform's object API.
+//! A stand-in for the platform: its object API and its weight store.
 
 mod api;
 mod api_error;
 mod faults;
 mod object;
+mod rate;
 mod seen;
 mod store;
 mod watch;
+mod weights;
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -18,6 +20,7 @@
 
 pub use self::faults::Faults;
 pub use self::object::{API_VERSION, Metadata, Object};
+use self::rate::RateLimit;
 pub use self::seen::{CallsByKind, Seen};
 use self::store::Store;
 use crate::StandinError;
@@ -39,6 +42,10 @@
     pub read_rate: Option<u32>,
     /// Writes a second that are let through; none for no limit.
     pub write_rate: Option<u32>,
+    /// Loads from the weight store that run at once.
+    pub weight_loads: u32,
+    /// How long one load from the weight store takes.
+    pub weight_time: Duration,
 }
 
 impl Default for PlatformConfig {
@@ -49,6 +56,8 @@
             instances_lag: Duration::ZERO,
             read_rate: None,
             write_rate: None,
+            weight_loads: 4,
+            weight_time: Duration::ZERO,
         }
     }
 }
@@ -60,7 +69,12 @@
     store: RefCell<Store>,
     /// What reads show while they are stale.
     stale: RefCell<Option<Store>>,
+    reads: RefCell<RateLimit>,
+    writes: RefCell<RateLimit>,
+    weight_loads: Cell<u32>,
     faults: Cell<Faults>,
+    /// How many times watches were silenced.
+    silences: Cell<u64>,
     seen: RefCell<Seen>,
     /// Told of every change.
     changed: Notify,
@@ -83,9 +97,13 @@
     pub async fn start(addr: SocketAddr, config: PlatformConfig) -> Result<Self, StandinError> {
         let state = Rc::new(State {
             store: RefCell::new(Store::new(config.history)),
+            reads: RefCell::new(RateLimit::new(config.read_rate)),
+            writes: RefCell::new(RateLimit::new(config.write_rate)),
+            weight_loads: Cell::default(),
             config,
             stale: RefCell::default(),
             faults: Cell::default(),
+            silences: Cell::default(),
             seen: RefCell::default(),
             changed: Notify::new(),
             bytes: ByteCount::default(),
@@ -146,8 +164,11 @@
 
 impl State {
     fn set_faults(&self, faults: Faults) {
-        let was_stale = self.faults.replace(faults).stale_reads;
-        if faults.stale_reads != was_stale {
+        let before = self.faults.replace(faults);
+        if faults.silent_watches && !before.silent_watches {
+            self.silences.update(|it| it + 1);
+        }
+        if faults.stale_reads != before.stale_reads {
             let snapshot = faults.stale_reads.then(|| self.store.borrow().clone());
             *self.stale.borrow_mut() = snapshot;
         }
--- a/crates/daisychute-standin/src/platform/seen.rs
+++ b/crates/daisychute-standin/src/platform/seen.rs
@@ -14,6 +14,10 @@
     pub calls: BTreeMap<String, CallsByKind>,
     /// Answers by HTTP status; a call that was not answered is not counted.
     pub answers: BTreeMap<u16, u64>,
+    /// Loads from the weight store that were let through, by model and version joined by '/'.
+    pub weight_loads: BTreeMap<String, u64>,
+    /// Loads from the weight store that were refused.
+    pub weight_refusals: u64,
     /// Watches that are open.
     pub open_watches: u64,
     /// Bytes received on all connections.
--- a/crates/daisychute-standin/src/platform/watch.rs
+++ b/crates/daisychute-standin/src/platform/watch.rs
@@ -22,6 +22,8 @@
     queued: VecDeque<Bytes>,
     // Invariant: once set it stays set.
     silent: bool,
+    /// How many times watches had been silenced when it was opened.
+    silences: u64,
 }
 
 #[derive(Serialize)]
@@ -38,13 +40,16 @@
     version: u64,
 ) -> impl Stream<Item = Result<Bytes, Cut>> + use<> {
     state.seen.borrow_mut().open_watches += 1;
+    let silent = state.faults.get().silent_watches;
+    let silences = state.silences.get();
     let watch = Watch {
         state,
         kind: kind.to_owned(),
         prefix: prefix.to_owned(),
         version,
         queued: VecDeque::new(),
-        silent: false,
+        silent,
+        silences,
     };
     stream::unfold(watch, |mut watch| async move {
         let line = watch.next().await?;
@@ -55,11 +60,10 @@
 impl Watch {
     async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
         loop {
-            let faults = self.state.faults.get();
-            if faults.outage {
+            if self.state.faults.get().outage {
                 return Some(Err(Cut));
             }
-            self.silent |= faults.silent_watches;
+            self.silent |= self.state.silences.get() != self.silences;
             if self.silent {
                 return self.stay_silent().await;
             }
--- a/crates/daisychute-standin/src/relay.rs
+++ b/crates/daisychute-standin/src/relay.rs
@@ -208,10 +208,9 @@
     fate.wait_for(|it| *it != Fate::Forward).await.map_or(Fate::Cut, |it| *it)
 }
 
-/// Keeps a connection open without a byte until the next cut.
+/// Keeps a connection open without a byte until a cut that came after it was accepted.
 async fn hold_silent(state: &State, cut: &mut watch::Receiver<u64>) {
     state.count(|it| it.silent += 1);
-    cut.mark_unchanged();
     if cut.changed().await.is_err() {
         log::debug!("the relay has stopped");
     }
--- /dev/null
+++ b/crates/daisychute-standin/tests/common/mod.rs
@@ -0,0 +1,110 @@
+//! What the tests of the stand-ins share.
+
+#![allow(dead_code, unreachable_pub, reason = "each test program uses a part of it")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisychute_core::{EngineTarget, NameError, Role};
+use daisychute_standin::engine::EngineConfig;
+use daisychute_standin::harness::{Answer, HarnessError};
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+/// How long a condition may take to come true.
+pub const LIMIT: Duration = Duration::from_secs(10);
+
+/// What ends a chunked body that is whole.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// Names each case and runs its check to the end.
+macro_rules! cases {
+    ($($name:ident: $check:expr,)*) => {$(
+        #[test]
+        fn $name() -> Result<(), daisychute_standin::harness::HarnessError> {
+            actix_rt::System::new().block_on($check)
+        }
+    )*};
+}
+pub(crate) use cases;
+
+/// The status of an answer, or zero where there was none.
+pub fn status(answer: &Result<Answer, HarnessError>) -> u16 {
+    answer.as_ref().map_or(0, |it| it.status.as_u16())
+}
+
+/// Everything that a server sends after a `GET` until it closes the connection.
+pub async fn raw_get(addr: SocketAddr, path: String) -> String {
+    raw(addr, format!("GET {path} HTTP/1.1\r\nHost: {addr}\r\n\r\n")).await
+}
+
+/// Everything that a server sends after a `POST` until it closes the connection.
+pub async fn raw_post(addr: SocketAddr, path: &str, body: &Value) -> String {
+    let body = body.to_string();
+    let head = format!("POST {path} HTTP/1.1\r\nHost: {addr}\r\nContent-Length: {}", body.len());
+    raw(addr, format!("{head}\r\nConnection: close\r\n\r\n{body}")).await
+}
+
+async fn raw(addr: SocketAddr, req: String) -> String {
+    let mut stream = TcpStream::connect(addr).await.expect("the server listens");
+    stream.write_all(req.as_bytes()).await.expect("the server reads");
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.expect("the server closes");
+    String::from_utf8_lossy(&received).into_owned()
+}
+
+/// The body of an answer as JSON.
+pub fn body(answer: &Answer) -> Value {
+    answer.json().unwrap_or(Value::Null)
+}
+
+/// What an engine is told to be.
+pub fn target(role: Role, version: &str) -> EngineTarget {
+    let parse = || -> Result<EngineTarget, NameError> {
+        let model = "clerk-lm".try_into()?;
+        Ok(EngineTarget { role, model, version: version.try_into()?, adapter: None })
+    };
+    parse().expect("names of the tests are names")
+}
+
+/// An engine with steps of half a millisecond and reports without a lag.
+pub fn fast_engine() -> EngineConfig {
+    EngineConfig {
+        step: Duration::from_micros(500),
+        prefill_token: Duration::ZERO,
+        sequence: Duration::ZERO,
+        change: Duration::from_millis(100),
+        load_lag: Duration::ZERO,
+        event_lag: Duration::ZERO,
+        ..EngineConfig::new(target(Role::Mixed, "1"))
+    }
+}
+
+/// A completion request.
+pub fn completion(id: &str, prompt: &str, max_tokens: u32) -> Value {
+    json!({"model": "clerk-lm", "prompt": prompt, "max_tokens": max_tokens, "request_id": id})
+}
+
+/// The same request with more fields.
+pub fn with(mut req: Value, fields: &Value) -> Value {
+    for (name, value) in fields.as_object().into_iter().flatten() {
+        req[name.as_str()] = value.clone();
+    }
+    req
+}
+
+/// The JSON events of a stream, without the line that ends it.
+pub fn events(text: &str) -> Vec<Value> {
+    let data = text.lines().filter_map(|it| it.strip_prefix("data: "));
+    data.filter_map(|it| serde_json::from_str(it).ok()).collect()
+}
+
+/// The text of a stream's events.
+pub fn streamed_text(text: &str) -> String {
+    let choice = |it: &Value| {
+        let choice = &it["choices"][0];
+        choice["text"].as_str().or(choice["delta"]["content"].as_str()).map(str::to_owned)
+    };
+    events(text).iter().filter_map(choice).collect()
+}
