feat(policy): admission, choice and cost cores

Change: the admission core of one endpoint (precedence, earliest deadline, tenant counters, bound by time), the choice core of one entry (rendezvous candidates and random ones, least estimated time to the first token, own sends, ejection, slow start), and the learned cost model.

--- /dev/null
+++ b/crates/daisychute-policy/src/admission/core.rs
@@ -0,0 +1,405 @@
+//! The admission core of one endpoint.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use daisychute_core::{
+    ClassName, LoadReport, Precedence, Refusal, RefusalReason, RequestId, Role, Time,
+};
+
+use super::decision::Decision;
+use super::fair_share::FairShare;
+use super::limits::Limits;
+use super::queue::{Ahead, Queue, Waiting};
+use super::running::{Running, RunningSet};
+use super::ticket::{Phase, Ticket};
+use crate::cost::{Batch, CostModel, RobustMean};
+
+const PRECEDENCES: [Precedence; 3] =
+    [Precedence::First, Precedence::Interactive, Precedence::MayWait];
+
+/// Orders and bounds the work of one endpoint.
+///
+/// The agent calls [`offer`](Self::offer) for each request that comes, and [`expire`](Self::expire) and
+/// [`next`](Self::next) after every other event and every [`TICK`](Self::TICK) until they name nothing more.
+#[derive(Debug, Clone)]
+pub struct Admission {
+    limits: Limits,
+    cost: CostModel,
+    queue: Queue,
+    running: RunningSet,
+    shares: FairShare,
+    // Output tokens of a finished request, by class.
+    outputs: BTreeMap<ClassName, RobustMean>,
+    target: Option<Duration>,
+    last_interactive: Option<Time>,
+    last_may_wait_turn: Time,
+    last_prompt: Time,
+    last_gap: Time,
+}
+
+impl Admission {
+    /// How often [`expire`](Self::expire) and [`next`](Self::next) are due without another event.
+    pub const TICK: Duration = Duration::from_millis(50);
+    /// While interactive work came within this time, may-wait work leaves room for more of it.
+    const INTERACTIVE_MEMORY: Duration = Duration::from_secs(10);
+    /// May-wait work is given a turn before interactive work once it waited this long.
+    const MAY_WAIT_TURN: Duration = Duration::from_secs(10);
+    /// The part of the streams that may-wait work leaves free while interactive work comes.
+    const INTERACTIVE_RESERVE: f64 = 0.25;
+    /// The part of a target that planning may use; the rest is for errors of the estimate.
+    const TARGET_USE: f64 = 0.9;
+    const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+    const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+    /// An endpoint without work.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            cost: CostModel::new(),
+            queue: Queue::default(),
+            running: RunningSet::default(),
+            shares: FairShare::default(),
+            outputs: BTreeMap::new(),
+            target: None,
+            last_interactive: None,
+            last_may_wait_turn: Time::ZERO,
+            last_prompt: Time::ZERO,
+            last_gap: Time::ZERO,
+        }
+    }
+
+    /// The same endpoint with a cost model that was learned before.
+    #[must_use]
+    pub fn cost(mut self, cost: CostModel) -> Self {
+        self.cost = cost;
+        self
+    }
+
+    /// What was learned of the endpoint.
+    #[must_use]
+    pub fn cost_model(&self) -> &CostModel {
+        &self.cost
+    }
+
+    /// Takes other bounds, for example after a change of role. What runs goes on.
+    pub fn set_limits(&mut self, limits: Limits) {
+        self.limits = limits;
+    }
+
+    /// The engine was replaced or loaded another model: forgets what was learned of it.
+    pub fn reset_cost(&mut self) {
+        self.cost.reset();
+    }
+
+    /// A request comes.
+    pub fn offer(&mut self, now: Time, ticket: Ticket) -> Decision {
+        if now >= ticket.due() {
+            return Decision::Refused(Refusal::not_run(RefusalReason::Deadline));
+        }
+        self.note(now, &ticket);
+        let wait = self.wait(&ticket);
+        if let Some(refusal) = self.refusal(now, &ticket, wait) {
+            return Decision::Refused(refusal);
+        }
+        self.shares.arrived(&ticket.class, &ticket.tenant);
+        let first_in_line = self.queue.up_to(ticket.precedence).requests == 0;
+        if first_in_line && self.has_room(now, &ticket) {
+            self.start(now, ticket);
+            return Decision::Admitted;
+        }
+        self.queue.push(now, ticket);
+        Decision::Queued
+    }
+
+    /// The next waiting request that the endpoint has room for. The caller hands it to the endpoint.
+    pub fn next(&mut self, now: Time) -> Option<RequestId> {
+        let id = self.overdue_may_wait(now).or_else(|| self.regular(now))?;
+        let Waiting { ticket, .. } = self.queue.remove(id)?;
+        if ticket.precedence == Precedence::MayWait {
+            self.last_may_wait_turn = now;
+        }
+        self.start(now, ticket);
+        Some(id)
+    }
+
+    /// Refuses the waiting requests that can't meet their target any more, also those that later work of a sooner
+    /// precedence pushed back. Appends each to `refused`.
+    pub fn expire(&mut self, now: Time, refused: &mut Vec<(RequestId, Refusal)>) {
+        let late: Vec<RequestId> = self
+            .queue
+            .iter()
+            .filter(|it| self.is_late(now, &it.ticket))
+            .map(|it| it.ticket.id)
+            .collect();
+        for id in late {
+            let Some(waiting) = self.queue.remove(id) else { continue };
+            self.shares.left(&waiting.ticket.class, &waiting.ticket.tenant);
+            let retry_after = self.retry_after(self.wait(&waiting.ticket));
+            refused
+                .push((id, Refusal::not_run(RefusalReason::Overloaded).retry_after(retry_after)));
+        }
+    }
+
+    /// The first token of a request came; the engine had this many of its prompt tokens cached.
+    pub fn first_token(&mut self, now: Time, id: RequestId, cached_tokens: u32) {
+        let Some(running) = self.running.get(id) else { return };
+        if running.computes_prompt() {
+            let uncached = running.ticket.prompt_tokens.saturating_sub(cached_tokens);
+            let from = running.started.max(self.last_prompt);
+            self.cost.prompt(uncached, now.since(from));
+            self.last_prompt = now;
+        }
+        self.running.first_token(now, id);
+    }
+
+    /// Another token of a request came.
+    pub fn token(&mut self, now: Time, id: RequestId) {
+        let batch = self.batch();
+        let Some(gap) = self.running.token(now, id) else { return };
+        let step_is_new = now > self.last_gap;
+        if step_is_new && self.running.prompts == 0 {
+            self.cost.gap(batch, gap);
+        }
+        self.last_gap = now;
+    }
+
+    /// A request was answered whole.
+    pub fn finished(&mut self, now: Time, id: RequestId) {
+        let Some(running) = self.leave(id) else { return };
+        match running.ticket.phase {
+            Phase::Call => self.cost.call(now.since(running.started)),
+            Phase::Whole | Phase::Decode => {
+                let prior = f64::from(running.ticket.max_tokens.max(1));
+                let mean = self
+                    .outputs
+                    .entry(running.ticket.class)
+                    .or_insert_with(|| RobustMean::new(prior));
+                mean.add(f64::from(running.tokens));
+            }
+            Phase::Prefill => {}
+        }
+    }
+
+    /// A request was cancelled, or its run failed. Gives whether the endpoint had been given it.
+    pub fn cancelled(&mut self, id: RequestId) -> bool {
+        if let Some(waiting) = self.queue.remove(id) {
+            self.shares.left(&waiting.ticket.class, &waiting.ticket.tenant);
+            return false;
+        }
+        self.leave(id).is_some()
+    }
+
+    /// The load as others should see it.
+    #[must_use]
+    pub fn load_report(&self, _now: Time) -> LoadReport {
+        let queued = self.queue.up_to(Precedence::MayWait);
+        let urgent = self.queue.up_to(Precedence::Interactive);
+        let running_tokens: u32 = self.running.values().map(Running::remaining_tokens).sum();
+        let waiting_tokens: u32 =
+            self.queue.iter().map(|it| self.expected_tokens(&it.ticket)).sum();
+        LoadReport {
+            queued: queued.requests,
+            running: self.running.len(),
+            queued_prompt_tokens: saturate(queued.prompt_tokens + self.running.prompt_tokens),
+            pending_output_tokens: running_tokens.saturating_add(waiting_tokens),
+            wait: self.wait_behind(urgent, Precedence::Interactive),
+            prompt_token: self.cost.prompt_token(),
+            between_tokens: self.cost.between_tokens(self.batch()),
+            age: Duration::ZERO,
+        }
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests that the endpoint has.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len() as usize
+    }
+
+    fn note(&mut self, now: Time, ticket: &Ticket) {
+        if ticket.precedence < Precedence::MayWait {
+            self.last_interactive = Some(now);
+        }
+        if let Some(target) = ticket.between_tokens {
+            self.target = Some(self.target.map_or(target, |it| it.min(target)));
+        }
+    }
+
+    fn start(&mut self, now: Time, ticket: Ticket) {
+        let expected_tokens = self.expected_tokens(&ticket);
+        self.shares.served(&ticket.class, &ticket.tenant, self.service(&ticket));
+        let reserved = u64::from(ticket.prompt_tokens) + u64::from(expected_tokens);
+        self.running.insert(Running {
+            started: now,
+            first: None,
+            last: now,
+            tokens: 0,
+            reserved,
+            expected_tokens,
+            ticket,
+        });
+    }
+
+    fn leave(&mut self, id: RequestId) -> Option<Running> {
+        let running = self.running.remove(id)?;
+        self.shares.left(&running.ticket.class, &running.ticket.tenant);
+        Some(running)
+    }
+
+    /// A may-wait request that has waited so long that it goes before interactive work.
+    fn overdue_may_wait(&self, now: Time) -> Option<RequestId> {
+        let head = self.queue.head(Precedence::MayWait, &self.shares)?;
+        let since = head.since.max(self.last_may_wait_turn);
+        let overdue = now.since(since) >= Self::MAY_WAIT_TURN;
+        (overdue && self.fits(&head.ticket)).then_some(head.ticket.id)
+    }
+
+    fn regular(&self, now: Time) -> Option<RequestId> {
+        let heads = PRECEDENCES.into_iter().filter_map(|it| self.queue.head(it, &self.shares));
+        let head = heads.into_iter().next()?;
+        self.has_room(now, &head.ticket).then_some(head.ticket.id)
+    }
+
+    fn has_room(&self, now: Time, ticket: &Ticket) -> bool {
+        self.fits(ticket) && (ticket.precedence < Precedence::MayWait || self.leaves_reserve(now))
+    }
+
+    fn fits(&self, ticket: &Ticket) -> bool {
+        let need = u64::from(ticket.prompt_tokens) + u64::from(self.expected_tokens(ticket));
+        let kv = self.running.len() == 0 || self.running.reserved + need <= self.limits.kv_tokens;
+        let streams = self.running.len() < self.stream_limit();
+        let prompts = ticket.uncached_tokens() == 0 || self.prompt_fits();
+        kv && streams && prompts
+    }
+
+    fn prompt_fits(&self) -> bool {
+        let given = self.cost.prompt_time(self.running.prompt_tokens);
+        self.running.prompts == 0 || given < self.limits.prompt_window
+    }
+
+    fn leaves_reserve(&self, now: Time) -> bool {
+        let recent =
+            self.last_interactive.is_some_and(|it| now.since(it) < Self::INTERACTIVE_MEMORY);
+        let usable = f64::from(self.stream_limit()) * (1.0 - Self::INTERACTIVE_RESERVE);
+        !recent || f64::from(self.running.len()) < usable || self.running.may_wait == 0
+    }
+
+    /// The greatest batch that keeps the target between tokens.
+    fn stream_limit(&self) -> u32 {
+        let decodes = !matches!(self.limits.role, None | Some(Role::Prefill));
+        match self.target {
+            Some(target) if decodes => {
+                let streams = u64::from(self.running.streams.max(1));
+                let mean_context = self.running.context / streams;
+                let budget = target.mul_f64(Self::TARGET_USE);
+                self.limits.streams.min(self.cost.max_streams(budget, mean_context))
+            }
+            _ => self.limits.streams,
+        }
+    }
+
+    fn batch(&self) -> Batch {
+        Batch { streams: self.running.streams, context_tokens: self.running.context }
+    }
+
+    fn expected_tokens(&self, ticket: &Ticket) -> u32 {
+        if !ticket.decodes() {
+            return 1;
+        }
+        let learned = self.outputs.get(&ticket.class).map(|it| it.get().ceil() as u32);
+        learned.map_or(ticket.max_tokens, |it| it.clamp(1, ticket.max_tokens.max(1)))
+    }
+
+    /// Output tokens that a request makes at least, as far as is known: a class that was not seen may be short.
+    fn likely_tokens(&self, ticket: &Ticket) -> u32 {
+        if self.outputs.contains_key(&ticket.class) { self.expected_tokens(ticket) } else { 1 }
+    }
+
+    /// The endpoint's time that a request takes.
+    fn service(&self, ticket: &Ticket) -> Duration {
+        if ticket.phase == Phase::Call {
+            return self.cost.call_time();
+        }
+        let prompt = self.cost.prompt_time(u64::from(ticket.uncached_tokens()));
+        let batch = Batch { streams: self.stream_limit().max(1), context_tokens: 0 };
+        let gap = self.cost.between_tokens(batch) / batch.streams;
+        prompt + gap * self.expected_tokens(ticket)
+    }
+
+    /// The time until the turn of a request.
+    fn wait(&self, ticket: &Ticket) -> Duration {
+        self.wait_behind(self.queue.ahead(ticket, &self.shares), ticket.precedence)
+    }
+
+    fn wait_behind(&self, ahead: Ahead, precedence: Precedence) -> Duration {
+        let prompts = self.cost.prompt_time(self.running.prompt_tokens + ahead.prompt_tokens);
+        let mut limit = self.stream_limit();
+        if precedence == Precedence::MayWait {
+            limit = (f64::from(limit) * (1.0 - Self::INTERACTIVE_RESERVE)).ceil() as u32;
+        }
+        let over = (self.running.len() + ahead.requests + 1).saturating_sub(limit);
+        prompts.max(self.turnover() * over)
+    }
+
+    /// The mean time between two requests that leave the endpoint while it is full.
+    fn turnover(&self) -> Duration {
+        let running = self.running.len().max(1);
+        match self.limits.role {
+            None => self.cost.call_time() / running,
+            Some(Role::Prefill) => Duration::ZERO,
+            Some(Role::Decode | Role::Mixed) => {
+                let tokens: u32 = self.running.values().map(Running::remaining_tokens).sum();
+                let gap = self.cost.between_tokens(self.batch());
+                // The mean of what is left of each, spread over all of them; steady turnover takes twice that.
+                gap * (2 * tokens / running) / running
+            }
+        }
+    }
+
+    fn is_late(&self, now: Time, ticket: &Ticket) -> bool {
+        now + self.least_time(ticket) > ticket.due()
+    }
+
+    /// The time to the first target of a request whose turn is now.
+    fn least_time(&self, ticket: &Ticket) -> Duration {
+        let prompt = self.cost.prompt_time(u64::from(ticket.uncached_tokens()));
+        match (ticket.phase, ticket.first_token) {
+            (Phase::Call, _) => self.cost.call_time(),
+            (_, Some(_)) | (Phase::Prefill, _) => prompt,
+            (_, None) => {
+                let batch = Batch {
+                    streams: self.running.streams + 1,
+                    context_tokens: self.running.context,
+                };
+                prompt + self.cost.between_tokens(batch) * self.likely_tokens(ticket)
+            }
+        }
+    }
+
+    fn refusal(&self, now: Time, ticket: &Ticket, wait: Duration) -> Option<Refusal> {
+        let left = ticket.due().since(now);
+        let budget = left.mul_f64(Self::TARGET_USE);
+        let needed = wait + self.least_time(ticket);
+        let certain = wait.is_zero();
+        if needed <= budget || (certain && needed <= left) {
+            return None;
+        }
+        let retry_after = self.retry_after(needed.saturating_sub(budget));
+        Some(Refusal::not_run(RefusalReason::Overloaded).retry_after(retry_after))
+    }
+
+    fn retry_after(&self, excess: Duration) -> Duration {
+        excess.clamp(Self::MIN_RETRY_AFTER, Self::MAX_RETRY_AFTER)
+    }
+}
+
+fn saturate(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -0,0 +1,357 @@
+//! The choice core of one entry.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use daisychute_core::{DataCentreName, EndpointName, LoadReport, Role, Time};
+use rand::{Rng, RngExt};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::candidate::Candidate;
+use super::health::Health;
+use super::hits::Hits;
+use super::query::{Chosen, NoEndpoint, Query};
+use super::sends::Sends;
+use crate::prefix::BLOCK_TOKENS;
+
+/// An endpoint and what the entry knows of it.
+#[derive(Debug, Clone)]
+struct Slot {
+    candidate: Candidate,
+    hash: u64,
+    report: LoadReport,
+    as_of: Time,
+    sends: Sends,
+    hits: Hits,
+    health: Health,
+}
+
+/// Chooses the endpoint of each request of one entry.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use daisychute_core::{DataCentreName, EndpointName, LoadReport, ModelName, Time};
+/// use daisychute_policy::{Candidate, Chooser, Query};
+/// use rand::SeedableRng;
+/// use rand_pcg::Pcg64Mcg;
+///
+/// let model = ModelName::try_from("clerk-lm")?;
+/// let agdal = DataCentreName::try_from("agdal")?;
+/// let mut chooser = Chooser::new();
+/// for name in ["clerk-lm-1", "clerk-lm-2"] {
+///     let endpoint = EndpointName::try_from(name)?;
+///     chooser.upsert(Time::ZERO, Candidate::engine(endpoint, agdal.clone(), model.clone()));
+/// }
+///
+/// let mut rng = Pcg64Mcg::seed_from_u64(7);
+/// let query = Query::model(&model).prompt(640, &[11, 12, 13]).output_tokens(100);
+/// let first = chooser.choose(Time::from_millis(1), &query, &mut rng)?;
+/// chooser.report(Time::from_millis(1_900), &first.endpoint, LoadReport::default());
+/// let again = chooser.choose(Time::from_millis(2_000), &query, &mut rng)?;
+/// assert_eq!(first.endpoint, again.endpoint);
+/// assert!(again.cached_tokens > 0);
+/// # Ok::<(), Box<dyn std::error::Error>>(())
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Chooser {
+    slots: Vec<Slot>,
+    // Invariant: the place in `slots` of each endpoint there.
+    places: BTreeMap<EndpointName, usize>,
+}
+
+/// The role in which a request meets an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Whole,
+    Prefill,
+    Decode,
+}
+
+impl Chooser {
+    /// Candidates by the rendezvous hash.
+    const AFFINE: usize = 2;
+    /// Random candidates.
+    const RANDOM: usize = 4;
+    /// Leading blocks that decide the rendezvous hash: prompts that share these meet on the same endpoints.
+    const KEY_BLOCKS: usize = 4;
+    /// A report older than this is worth a probe.
+    const PROBE_AGE: Duration = Duration::from_millis(500);
+    /// No more than this part of the endpoints that serve a model is left out as outliers.
+    const MAX_EJECTED: f64 = 0.5;
+    /// The time between prefill's end on one engine and the first step on another, beside the transfer.
+    const HAND_OVER: Duration = Duration::from_millis(5);
+    /// KV cache that moves between two engines of a data centre, tokens a second.
+    const TRANSFER_TOKENS_PER_SECOND: f64 = 50_000.0;
+    /// What one running stream adds to an estimate, so that equal queues are told apart.
+    const STREAM_COST: Duration = Duration::from_micros(500);
+
+    /// A chooser that knows no endpoint.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// An endpoint is there, or what is known of it changed. One that is new starts slowly, unless the chooser is
+    /// new too (`now` is [`Time::ZERO`]).
+    pub fn upsert(&mut self, now: Time, candidate: Candidate) {
+        if let Some(&place) = self.places.get(&candidate.endpoint) {
+            let slot = &mut self.slots[place];
+            if slot.candidate.model != candidate.model
+                || slot.candidate.adapter != candidate.adapter
+            {
+                slot.hits.clear();
+            }
+            slot.candidate = candidate;
+            return;
+        }
+        self.places.insert(candidate.endpoint.clone(), self.slots.len());
+        self.slots.push(Slot {
+            hash: xxh3_64(candidate.endpoint.as_str().as_bytes()),
+            report: LoadReport::default(),
+            as_of: Time::ZERO,
+            sends: Sends::default(),
+            hits: Hits::default(),
+            health: if now == Time::ZERO { Health::warm() } else { Health::new(now) },
+            candidate,
+        });
+    }
+
+    /// An endpoint is gone.
+    pub fn remove(&mut self, endpoint: &EndpointName) {
+        let Some(place) = self.places.remove(endpoint) else { return };
+        self.slots.swap_remove(place);
+        if let Some(moved) = self.slots.get(place) {
+            self.places.insert(moved.candidate.endpoint.clone(), place);
+        }
+    }
+
+    /// An endpoint's load came. One that is older than the last is passed over.
+    pub fn report(&mut self, now: Time, endpoint: &EndpointName, report: LoadReport) {
+        let Some(slot) = self.slot_mut(endpoint) else { return };
+        let as_of = now - report.age;
+        if as_of < slot.as_of {
+            return;
+        }
+        slot.sends.forget_before(as_of);
+        slot.report = report;
+        slot.as_of = as_of;
+    }
+
+    /// An endpoint's cache holds these blocks, by a cache event, a probe or an answer.
+    pub fn cached(&mut self, endpoint: &EndpointName, blocks: &[u64]) {
+        if let Some(slot) = self.slot_mut(endpoint) {
+            slot.hits.add(blocks);
+        }
+    }
+
+    /// An endpoint's cache lost this block.
+    pub fn evicted(&mut self, endpoint: &EndpointName, block: u64) {
+        if let Some(slot) = self.slot_mut(endpoint) {
+            slot.hits.remove(block);
+        }
+    }
+
+    /// An endpoint answered.
+    pub fn succeeded(&mut self, endpoint: &EndpointName) {
+        if let Some(slot) = self.slot_mut(endpoint) {
+            slot.health.succeeded();
+        }
+    }
+
+    /// An endpoint failed a request. A refusal for load is no failure.
+    pub fn failed(&mut self, now: Time, endpoint: &EndpointName) {
+        if let Some(slot) = self.slot_mut(endpoint) {
+            slot.health.failed(now);
+        }
+    }
+
+    /// Chooses the endpoint that gets a request first, and counts the request as sent to it.
+    ///
+    /// # Errors
+    ///
+    /// No live endpoint serves the model.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        query: &Query<'_>,
+        rng: &mut impl Rng,
+    ) -> Result<Chosen, NoEndpoint> {
+        let whole = self.best(now, query, Part::Whole, rng);
+        let split = self.best(now, query, Part::Prefill, rng);
+        let (place, estimate, is_split) = match (whole, split) {
+            (Some((place, cost)), Some((_, other))) if cost <= other => (place, cost, false),
+            (_, Some((place, cost))) => (place, cost, true),
+            (Some((place, cost)), None) => (place, cost, false),
+            (None, None) => return Err(NoEndpoint),
+        };
+        let cached_tokens = self.cached_tokens(place, query);
+        let slot = &mut self.slots[place];
+        slot.sends.add(now, query.prompt_tokens - cached_tokens);
+        slot.hits.add(query.blocks);
+        let old = now.since(slot.as_of) > Self::PROBE_AGE;
+        Ok(Chosen {
+            endpoint: slot.candidate.endpoint.clone(),
+            data_centre: slot.candidate.data_centre.clone(),
+            split: is_split,
+            cached_tokens,
+            first_token: estimate,
+            probe: old.then(|| slot.candidate.endpoint.clone()),
+        })
+    }
+
+    /// Chooses the engine that decodes a request whose prompt was computed in this data centre, and counts the
+    /// request as sent to it. The KV cache moves inside the data centre only.
+    ///
+    /// # Errors
+    ///
+    /// No live engine of the data centre decodes the model.
+    pub fn choose_decode(
+        &mut self,
+        now: Time,
+        query: &Query<'_>,
+        data_centre: &DataCentreName,
+        rng: &mut impl Rng,
+    ) -> Result<EndpointName, NoEndpoint> {
+        let open = self.open(now, |slot| {
+            slot.candidate.data_centre == *data_centre && slot.serves(query, Part::Decode)
+        });
+        let picked = self.sample(&open, rng);
+        let place = self.least(now, query, Part::Decode, &picked).ok_or(NoEndpoint)?.0;
+        let slot = &mut self.slots[place];
+        slot.sends.add(now, 0);
+        Ok(slot.candidate.endpoint.clone())
+    }
+
+    /// The endpoint with the least estimate for this part of a request.
+    fn best(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        part: Part,
+        rng: &mut impl Rng,
+    ) -> Option<(usize, Duration)> {
+        let open = self.open(now, |slot| slot.serves(query, part));
+        let mut picked = self.affine(query, &open);
+        picked.extend(self.sample(&open, rng));
+        self.least(now, query, part, &picked)
+    }
+
+    /// The places that may be chosen. Outliers are left out unless they are too many.
+    fn open(&self, now: Time, serves: impl Fn(&Slot) -> bool) -> Vec<usize> {
+        let serving = || (0..self.slots.len()).filter(|it| serves(&self.slots[*it]));
+        let healthy: Vec<usize> =
+            serving().filter(|it| !self.slots[*it].health.is_ejected(now)).collect();
+        let all = serving().count();
+        let ejected = all - healthy.len();
+        if ejected as f64 <= Self::MAX_EJECTED * all as f64 { healthy } else { serving().collect() }
+    }
+
+    fn least(
+        &self,
+        now: Time,
+        query: &Query<'_>,
+        part: Part,
+        picked: &[usize],
+    ) -> Option<(usize, Duration)> {
+        picked
+            .iter()
+            .map(|it| (*it, self.estimate(now, query, part, *it)))
+            .min_by_key(|(_, cost)| *cost)
+    }
+
+    /// The first endpoints of the rendezvous hash of model, adapter and prefix.
+    fn affine(&self, query: &Query<'_>, open: &[usize]) -> Vec<usize> {
+        let depth = query.blocks.len().min(Self::KEY_BLOCKS);
+        let Some(key) = depth.checked_sub(1).map(|it| query.blocks[it]) else { return Vec::new() };
+        let mut best: Vec<(u64, usize)> = Vec::with_capacity(Self::AFFINE + 1);
+        for &place in open {
+            best.push((mix(key ^ self.slots[place].hash), place));
+            best.sort_unstable_by(|a, b| b.cmp(a));
+            best.truncate(Self::AFFINE);
+        }
+        best.into_iter().map(|(_, place)| place).collect()
+    }
+
+    fn sample(&self, open: &[usize], rng: &mut impl Rng) -> Vec<usize> {
+        if open.len() <= Self::RANDOM {
+            return open.to_vec();
+        }
+        (0..Self::RANDOM).map(|_| open[rng.random_range(0..open.len())]).collect()
+    }
+
+    /// The estimated time to the first token, with what tells equal candidates apart.
+    fn estimate(&self, now: Time, query: &Query<'_>, part: Part, place: usize) -> Duration {
+        let slot = &self.slots[place];
+        let cached = self.cached_tokens(place, query);
+        let uncached = u64::from(query.prompt_tokens - cached);
+        let sent = slot.prompt_token().mul_f64(slot.sends.prompt_tokens() as f64);
+        let streams = Self::STREAM_COST * (slot.report.running + slot.sends.count());
+        let base = slot.candidate.distance * 2
+            + slot.report.wait
+            + sent
+            + streams
+            + slot.health.penalty(now);
+        let prompt = slot.prompt_token().mul_f64(uncached as f64);
+        match part {
+            Part::Whole => base + prompt,
+            Part::Prefill => base + prompt + self.hand_over(query, place),
+            Part::Decode => base,
+        }
+    }
+
+    /// What moving the KV cache costs, and the wait for a decode engine of the same data centre.
+    fn hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
+        let data_centre = &self.slots[place].candidate.data_centre;
+        let decodes = self.slots.iter().filter(|it| {
+            it.candidate.data_centre == *data_centre && it.serves(query, Part::Decode)
+        });
+        let wait = decodes
+            .map(|it| it.report.wait + Self::STREAM_COST * (it.report.running + it.sends.count()))
+            .min();
+        let transfer = f64::from(query.prompt_tokens) / Self::TRANSFER_TOKENS_PER_SECOND;
+        Self::HAND_OVER + Duration::from_secs_f64(transfer) + wait.unwrap_or(Duration::MAX / 4)
+    }
+
+    fn cached_tokens(&self, place: usize, query: &Query<'_>) -> u32 {
+        let blocks = self.slots[place].hits.leading(query.blocks);
+        // The last token of a prompt is always computed.
+        (blocks * BLOCK_TOKENS).min(query.prompt_tokens.saturating_sub(1))
+    }
+
+    fn slot_mut(&mut self, endpoint: &EndpointName) -> Option<&mut Slot> {
+        let place = *self.places.get(endpoint)?;
+        self.slots.get_mut(place)
+    }
+}
+
+impl Slot {
+    /// The time for one uncached prompt token before any report came.
+    const DEFAULT_PROMPT_TOKEN: Duration = Duration::from_micros(150);
+
+    fn prompt_token(&self) -> Duration {
+        let reported = self.report.prompt_token;
+        if reported.is_zero() { Self::DEFAULT_PROMPT_TOKEN } else { reported }
+    }
+
+    fn serves(&self, query: &Query<'_>, part: Part) -> bool {
+        let candidate = &self.candidate;
+        let role = match part {
+            Part::Whole => candidate.role == Role::Mixed,
+            Part::Prefill => candidate.role == Role::Prefill,
+            Part::Decode => candidate.role != Role::Prefill,
+        };
+        role && candidate.live
+            && candidate.service.as_ref() == query.service
+            && (query.service.is_some() || candidate.model.as_ref() == query.model)
+            && candidate.adapter.as_ref() == query.adapter
+            && !query.exclude.contains(&candidate.endpoint)
+    }
+}
+
+/// The finalizer of SplitMix64 (Steele et al., 2014).
+fn mix(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
--- /dev/null
+++ b/crates/daisychute-policy/src/choice/query.rs
@@ -0,0 +1,121 @@
+//! A question to the chooser and its answer.
+
+use std::time::Duration;
+
+use daisychute_core::{
+    AdapterName, DataCentreName, EndpointName, ModelName, RefusalReason, ServiceName,
+};
+use thiserror::Error;
+
+/// What has to be known of a request to choose its endpoint. It borrows from the request.
+#[derive(Debug, Clone, Copy)]
+pub struct Query<'a> {
+    /// The model, for an engine.
+    pub model: Option<&'a ModelName>,
+    /// The plain service.
+    pub service: Option<&'a ServiceName>,
+    /// The adapter on top of it.
+    pub adapter: Option<&'a AdapterName>,
+    /// Hashes of the prompt's leading blocks, see [`block_hashes`](crate::prefix::block_hashes).
+    pub blocks: &'a [u64],
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Output tokens that are expected.
+    pub output_tokens: u32,
+    /// The target between tokens, where the class gives one.
+    pub between_tokens: Option<Duration>,
+    /// Endpoints that have refused or lost the request already.
+    pub exclude: &'a [EndpointName],
+}
+
+impl<'a> Query<'a> {
+    /// A request of this model without tokens.
+    #[must_use]
+    pub fn model(model: &'a ModelName) -> Self {
+        Self { model: Some(model), ..Self::empty() }
+    }
+
+    /// A call of this plain service.
+    #[must_use]
+    pub fn service(service: &'a ServiceName) -> Self {
+        Self { service: Some(service), ..Self::empty() }
+    }
+
+    fn empty() -> Self {
+        Self {
+            model: None,
+            service: None,
+            adapter: None,
+            blocks: &[],
+            prompt_tokens: 0,
+            output_tokens: 0,
+            between_tokens: None,
+            exclude: &[],
+        }
+    }
+
+    /// The same request on this adapter.
+    #[must_use]
+    pub fn adapter(mut self, adapter: impl Into<Option<&'a AdapterName>>) -> Self {
+        self.adapter = adapter.into();
+        self
+    }
+
+    /// The same request with a prompt of so many tokens and these block hashes.
+    #[must_use]
+    pub fn prompt(mut self, tokens: u32, blocks: &'a [u64]) -> Self {
+        self.prompt_tokens = tokens;
+        self.blocks = blocks;
+        self
+    }
+
+    /// The same request with so many output tokens expected.
+    #[must_use]
+    pub fn output_tokens(mut self, tokens: u32) -> Self {
+        self.output_tokens = tokens;
+        self
+    }
+
+    /// The same request with this target between tokens.
+    #[must_use]
+    pub fn between_tokens(mut self, target: impl Into<Option<Duration>>) -> Self {
+        self.between_tokens = target.into();
+        self
+    }
+
+    /// The same request, not on these endpoints.
+    #[must_use]
+    pub fn exclude(mut self, endpoints: &'a [EndpointName]) -> Self {
+        self.exclude = endpoints;
+        self
+    }
+}
+
+/// Where a request goes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Chosen {
+    /// The endpoint that gets it first.
+    pub endpoint: EndpointName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Whether it only computes the prompt there; [`choose_decode`](super::Chooser::choose_decode) names the engine
+    /// that goes on, once the prompt is computed.
+    pub split: bool,
+    /// Prompt tokens that the endpoint is believed to have in its cache.
+    pub cached_tokens: u32,
+    /// The estimated time to the first token.
+    pub first_token: Duration,
+    /// An endpoint whose report is old and that is worth a probe.
+    pub probe: Option<EndpointName>,
+}
+
+/// No endpoint can be chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("no live endpoint serves this model")]
+pub struct NoEndpoint;
+
+impl From<NoEndpoint> for RefusalReason {
+    fn from(NoEndpoint: NoEndpoint) -> Self {
+        Self::NoEndpoint
+    }
+}
