feat(platform): add the lease core and the election of watchers

A region needs one planner at a time, without a coordination service of our own.

The lease is one object. It is taken over only after its version has not changed for its whole duration by the clock of the one that takes it; the holder counts from the send time of its last successful write and stops a margin earlier. Lost answers are settled by the write stamp. Each acquisition adds one to the term.

Ruled out: comparing wall clocks in the object, which a clock step breaks.

--- a/crates/daisychute-platform/src/lib.rs
+++ b/crates/daisychute-platform/src/lib.rs
@@ -16,19 +16,24 @@
 //! # Ok::<(), daisychute_core::NameError>(())
 //! ```
 
+mod answer;
 mod backoff;
 mod budget;
 mod client;
 mod clock;
+mod lease;
 mod object;
 mod replica;
 mod resource_version;
 mod settle;
+mod watchers;
 
+pub use crate::answer::{ReadAnswer, WriteAnswer};
 pub use crate::backoff::Backoff;
 pub use crate::budget::{BudgetSettings, BudgetUsedUp, CallBudget};
 pub use crate::client::{CallError, ClientSettings, ObjectClient, OutageCause, Watch};
 pub use crate::clock::Clock;
+pub use crate::lease::{Holder, Lease, LeaseAction, LeaseEvent, LeaseRecord, LeaseSettings};
 pub use crate::object::{Metadata, Object, ObjectKind, ObjectList, WatchEvent, WatchKind};
 pub use crate::replica::{
     ConfigurationDocument, DocumentError, Replica, ReplicaAction, ReplicaEvent, ReplicaSettings,
@@ -36,3 +41,4 @@
 };
 pub use crate::resource_version::ResourceVersion;
 pub use crate::settle::{PendingWrite, Settled, WriteStamp};
+pub use crate::watchers::elect_watchers;
