feat(planner): add the planner core

The holder of the lease commits wished changes and drain requests of operators as the plan of its region.

--- a/crates/daisychute-planner/src/lib.rs
+++ b/crates/daisychute-planner/src/lib.rs
@@ -1,1 +1,22 @@
 //! The planner and the collector of a data centre: decision cores and their shells.
+//!
+//! [`Planner`] commits the plan of a region while its process holds the region's lease.
+//!
+//! ```
+//! use daisychute_core::{Term, Time};
+//! use daisychute_platform::WriteStamp;
+//! use daisychute_planner::{Planner, PlannerAction, PlannerEvent, PlannerSettings};
+//!
+//! let region = "morocco".try_into()?;
+//! let stamp = WriteStamp::first("entry-1/7/plan");
+//! let mut planner = Planner::new(PlannerSettings::default(), region, stamp, 7);
+//! let mut out = Vec::new();
+//! let acquired = PlannerEvent::Acquired { term: Term::new(1), until: Time::from_millis(5_000) };
+//! planner.handle(Time::ZERO, acquired, &mut out);
+//! assert!(matches!(out[0], PlannerAction::ReadPlan));
+//! # Ok::<(), daisychute_core::NameError>(())
+//! ```
+
+mod planner;
+
+pub use crate::planner::{Planner, PlannerAction, PlannerEvent, PlannerSettings, Wish};
