feat(core): refuse targets that contradict each other and list all faults

A configuration is accepted or refused as a whole, and an operator wants all faults at once. check() stopped at the first one. faults() lists them; check() gives the first. New: contradicting targets, a token shared by two tenants, a path that stands twice. Checking these only in the INI reader was ruled out: a replica must refuse them too. DeploymentName names the configuration object.

--- a/crates/daisychute-core/src/class.rs
+++ b/crates/daisychute-core/src/class.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 use crate::ClassName;
 
@@ -36,6 +37,49 @@
     pub throughput: Option<f64>,
 }
 
+/// Why the targets of a class can't all be meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum TargetError {
+    /// The first token may come later than the end of the answer.
+    #[error("the time to the first token is longer than the deadline")]
+    FirstTokenAfterDeadline,
+    /// Two tokens may be further apart than the whole answer may take.
+    #[error("the time between tokens is longer than the deadline")]
+    BetweenTokensOverDeadline,
+    /// The class may wait, and must start by a certain time.
+    #[error("a class that may wait has no time to the first token")]
+    WaitsAndStarts,
+    /// A time or a rate is zero, or the rate is no number.
+    #[error("a target must be greater than zero")]
+    Zero,
+}
+
+impl ClassTargets {
+    /// Checks that all of them can be meant together.
+    ///
+    /// # Errors
+    ///
+    /// The first pair that contradict each other.
+    pub fn check(&self, precedence: Precedence) -> Result<(), TargetError> {
+        let times = [self.first_token, self.between_tokens, self.deadline];
+        let positive_rate = self.throughput.is_none_or(|it| it.is_finite() && it > 0.0);
+        if times.contains(&Some(Duration::ZERO)) || !positive_rate {
+            return Err(TargetError::Zero);
+        }
+        if precedence == Precedence::MayWait && self.first_token.is_some() {
+            return Err(TargetError::WaitsAndStarts);
+        }
+        let Some(deadline) = self.deadline else { return Ok(()) };
+        if self.first_token.is_some_and(|it| it > deadline) {
+            return Err(TargetError::FirstTokenAfterDeadline);
+        }
+        if self.between_tokens.is_some_and(|it| it > deadline) {
+            return Err(TargetError::BetweenTokensOverDeadline);
+        }
+        Ok(())
+    }
+}
+
 /// A class of work.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Class {
--- a/crates/daisychute-core/src/configuration.rs
+++ b/crates/daisychute-core/src/configuration.rs
@@ -1,11 +1,13 @@
 //! The configuration of a deployment: classes, tenants, models and services.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::{Class, ClassName, Model, ModelName, Service, ServiceName, Tenant, TenantName};
+use crate::{
+    Class, ClassName, Model, ModelName, Service, ServiceName, TargetError, Tenant, TenantName,
+};
 
 /// What a deployment weighs more when both can't be had.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -38,6 +40,14 @@
 /// Why a configuration is refused.
 #[derive(Debug, Clone, PartialEq, Eq, Error)]
 pub enum ConfigurationError {
+    /// The targets of a class contradict each other.
+    #[error("class {class}: {error}")]
+    Targets {
+        /// The class.
+        class: ClassName,
+        /// Which of them, and why.
+        error: TargetError,
+    },
     /// A tenant names a class that does not exist.
     #[error("tenant {tenant} names the class {class}, which does not exist")]
     TenantClass {
@@ -54,6 +64,14 @@
         /// Its default class.
         class: ClassName,
     },
+    /// Two tenants present the same token, so that their requests can't be told apart.
+    #[error("tenants {first} and {second} have the same token")]
+    SharedToken {
+        /// One of them.
+        first: TenantName,
+        /// The other.
+        second: TenantName,
+    },
     /// A route names a class that does not exist.
     #[error("service {service} names the class {class}, which does not exist")]
     RouteClass {
@@ -62,6 +80,14 @@
         /// The missing class.
         class: ClassName,
     },
+    /// A service has two routes of the same path.
+    #[error("service {service} has the path {path} twice")]
+    DuplicateRoute {
+        /// The service.
+        service: ServiceName,
+        /// The path.
+        path: String,
+    },
 }
 
 impl Configuration {
@@ -69,39 +95,61 @@
     ///
     /// # Errors
     ///
-    /// The first part that names something that does not exist.
+    /// The first of the [faults](Self::faults).
     pub fn check(&self) -> Result<(), ConfigurationError> {
-        for tenant in self.tenants.values() {
-            self.check_tenant(tenant)?;
-        }
-        for service in self.services.values() {
-            self.check_service(service)?;
-        }
-        Ok(())
+        self.faults().into_iter().next().map_or(Ok(()), Err)
     }
 
-    fn check_tenant(&self, tenant: &Tenant) -> Result<(), ConfigurationError> {
+    /// All that no single part can check by itself and that is wrong.
+    #[must_use]
+    pub fn faults(&self) -> Vec<ConfigurationError> {
+        let mut faults = Vec::new();
+        faults.extend(self.classes.values().filter_map(target_fault));
+        faults.extend(self.tenants.values().filter_map(|it| self.tenant_fault(it)));
+        faults.extend(self.token_faults());
+        faults.extend(self.services.values().filter_map(|it| self.service_fault(it)));
+        faults
+    }
+
+    fn tenant_fault(&self, tenant: &Tenant) -> Option<ConfigurationError> {
         if let Some(class) = tenant.classes.iter().find(|it| !self.classes.contains_key(*it)) {
-            return Err(ConfigurationError::TenantClass {
-                tenant: tenant.name.clone(),
-                class: class.clone(),
-            });
+            let (tenant, class) = (tenant.name.clone(), class.clone());
+            return Some(ConfigurationError::TenantClass { tenant, class });
         }
         if !tenant.may_use(&tenant.default_class) {
-            let class = tenant.default_class.clone();
-            return Err(ConfigurationError::DefaultClass { tenant: tenant.name.clone(), class });
+            let (tenant, class) = (tenant.name.clone(), tenant.default_class.clone());
+            return Some(ConfigurationError::DefaultClass { tenant, class });
+        }
+        None
+    }
+
+    fn token_faults(&self) -> Vec<ConfigurationError> {
+        let mut owners: BTreeMap<&str, &TenantName> = BTreeMap::new();
+        let mut faults = Vec::new();
+        for tenant in self.tenants.values() {
+            let Some(token) = tenant.token.as_deref() else { continue };
+            if let Some(first) = owners.insert(token, &tenant.name) {
+                let (first, second) = (first.clone(), tenant.name.clone());
+                faults.push(ConfigurationError::SharedToken { first, second });
+            }
         }
-        Ok(())
+        faults
     }
 
-    fn check_service(&self, service: &Service) -> Result<(), ConfigurationError> {
+    fn service_fault(&self, service: &Service) -> Option<ConfigurationError> {
         let mut named = service.routes.iter().filter_map(|it| it.class.as_ref());
-        match named.find(|it| !self.classes.contains_key(*it)) {
-            Some(class) => Err(ConfigurationError::RouteClass {
-                service: service.name.clone(),
-                class: class.clone(),
-            }),
-            None => Ok(()),
+        if let Some(class) = named.find(|it| !self.classes.contains_key(*it)) {
+            let (service, class) = (service.name.clone(), class.clone());
+            return Some(ConfigurationError::RouteClass { service, class });
         }
+        let mut paths = BTreeSet::new();
+        let twice = service.routes.iter().find(|it| !paths.insert(it.path.as_str()))?;
+        let (service, path) = (service.name.clone(), twice.path.clone());
+        Some(ConfigurationError::DuplicateRoute { service, path })
     }
 }
+
+fn target_fault(class: &Class) -> Option<ConfigurationError> {
+    let error = class.targets.check(class.precedence).err()?;
+    Some(ConfigurationError::Targets { class: class.name.clone(), error })
+}
--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -32,7 +32,7 @@
 mod tenant;
 mod time;
 
-pub use crate::class::{Class, ClassTargets, Precedence};
+pub use crate::class::{Class, ClassTargets, Precedence, TargetError};
 pub use crate::configuration::{Configuration, ConfigurationError, Preference};
 pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
 pub use crate::error::NameError;
@@ -41,8 +41,8 @@
 pub use crate::load::LoadReport;
 pub use crate::model::Model;
 pub use crate::name::{
-    AdapterName, ClassName, DataCentreName, EndpointName, InstanceName, ModelName, ModelVersion,
-    ProcessName, RegionName, ServiceName, TenantName,
+    AdapterName, ClassName, DataCentreName, DeploymentName, EndpointName, InstanceName, ModelName,
+    ModelVersion, ProcessName, RegionName, ServiceName, TenantName,
 };
 pub use crate::outcome::{FinishReason, Refusal, RefusalReason, Usage, Verdict};
 pub use crate::plan::{Desired, Plan};
--- a/crates/daisychute-core/src/name.rs
+++ b/crates/daisychute-core/src/name.rs
@@ -104,6 +104,8 @@
     ClassName,
     /// Name of a data centre.
     DataCentreName,
+    /// Name of a deployment, which has one configuration.
+    DeploymentName,
     /// Name of an endpoint: a model engine or a plain service.
     EndpointName,
     /// Name of an instance, the machine that an endpoint or an entry runs on.
