feat(settings): read, check and write a deployment's configuration as INI

Operators give classes, tenants, models and services; weights and addresses are refused with the reason, targets that no endpoint can meet by unmeetable_targets. Serde for INI was ruled out, since it loses the place of a fault; writing uses rust-ini.

docs/SETTINGS.md is compared with the keys and defaults of the code by tests/docs.rs.

--- /dev/null
+++ b/crates/daisychute-settings/src/configuration/deployment.rs
@@ -0,0 +1,24 @@
+//! Section `[deployment]`: what holds for the whole deployment.
+
+use daisychute_core::Preference;
+
+use crate::field::raw_section;
+use crate::problem::Problem;
+use crate::rule::Choice;
+
+/// What a deployment may prefer.
+pub(super) const PREFERENCES: &[(&str, Preference)] =
+    &[("goodput", Preference::Goodput), ("few-role-changes", Preference::FewRoleChanges)];
+
+raw_section! {
+    /// Section `[deployment]` as it stands in the file.
+    RawDeployment {
+        prefer = "prefer",
+    }
+}
+
+impl RawDeployment {
+    pub(super) fn preference(&self) -> Result<Preference, Problem> {
+        self.prefer.or(Preference::default(), &Choice(PREFERENCES))
+    }
+}
--- /dev/null
+++ b/crates/daisychute-settings/src/configuration/mod.rs
@@ -0,0 +1,165 @@
+//! The configuration of a deployment as an INI file.
+
+mod class;
+mod deployment;
+mod fault;
+mod model;
+mod refused;
+mod service;
+mod tenant;
+mod write;
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::Path;
+
+use daisychute_core::{ClassName, Configuration, ModelName, ServiceName, TenantName};
+
+use self::class::RawClass;
+use self::deployment::RawDeployment;
+use self::model::RawModel;
+use self::refused::REFUSED_WORDS;
+use self::service::RawService;
+use self::tenant::RawTenant;
+use crate::document::{Document, Section};
+use crate::hint::Accepted;
+use crate::problem::{Problem, Problems};
+use crate::{SectionKeys, SettingsError, document, file};
+
+/// A configuration as it stands in an INI file.
+///
+/// ```
+/// use daisychute_settings::ConfigurationFile;
+///
+/// let text = "\
+/// [class panel]
+/// precedence = first
+/// deadline = 300ms
+///
+/// [tenant signs]
+/// classes = panel
+/// ";
+/// let file = ConfigurationFile::parse("rabat-sale.ini", text)?;
+/// let again = ConfigurationFile::parse("again.ini", &file.to_string())?;
+/// assert_eq!(file, again);
+/// # Ok::<(), daisychute_settings::SettingsError>(())
+/// ```
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ConfigurationFile(Configuration);
+
+impl ConfigurationFile {
+    /// The sections and keys that a configuration file may hold.
+    pub const SECTIONS: &'static [SectionKeys] = &[
+        SectionKeys { section: "deployment", named: false, keys: RawDeployment::KEYS },
+        SectionKeys { section: "class", named: true, keys: RawClass::KEYS },
+        SectionKeys { section: "tenant", named: true, keys: RawTenant::KEYS },
+        SectionKeys { section: "model", named: true, keys: RawModel::KEYS },
+        SectionKeys { section: "service", named: true, keys: RawService::KEYS },
+    ];
+
+    /// Reads and checks a configuration file.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read, is too large, or has faults; all of them are listed.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, SettingsError> {
+        let path = path.as_ref();
+        let text = file::read(path)?;
+        Self::parse(&path.to_string_lossy(), &text)
+    }
+
+    /// Checks the text of a configuration file. `file` is named in errors.
+    ///
+    /// # Errors
+    ///
+    /// The text is too large or has faults; all of them are listed.
+    pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
+        file::check_len(file, text)?;
+        let shown = document::cover(text, RawTenant::SECRET_KEY);
+        let refused = |problems| SettingsError::refused(file, &shown, problems);
+        let document = Document::parse(text).map_err(|it| refused(it.into()))?;
+        let mut problems = Problems::default();
+        document.check_keys(Self::SECTIONS, REFUSED_WORDS, &mut problems);
+        match problems.keep(read(&document)) {
+            Some(configuration) if problems.is_empty() => Ok(Self(configuration)),
+            _ => Err(refused(problems)),
+        }
+    }
+
+    /// The configuration.
+    #[must_use]
+    pub const fn configuration(&self) -> &Configuration {
+        &self.0
+    }
+
+    /// The configuration, without the file around it.
+    #[must_use]
+    pub fn into_configuration(self) -> Configuration {
+        self.0
+    }
+}
+
+impl From<Configuration> for ConfigurationFile {
+    fn from(configuration: Configuration) -> Self {
+        Self(configuration)
+    }
+}
+
+impl fmt::Display for ConfigurationFile {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write::write(&self.0, f)
+    }
+}
+
+fn read(document: &Document) -> Result<Configuration, Problems> {
+    let mut problems = Problems::default();
+    let deployment = RawDeployment::read(document.section("deployment"));
+    let preference = problems.keep(deployment.preference()).unwrap_or_default();
+    let classes = named(document, "class", &mut problems, |name: &ClassName, section| {
+        RawClass::read(section).check(name)
+    });
+    let tenants = named(document, "tenant", &mut problems, |name: &TenantName, section| {
+        RawTenant::read(section).check(name)
+    });
+    let models = named(document, "model", &mut problems, |name: &ModelName, section| {
+        RawModel::read(section).check(name)
+    });
+    let services = named(document, "service", &mut problems, |name: &ServiceName, section| {
+        RawService::read(section).check(name)
+    });
+    problems.none_or(())?;
+    let configuration = Configuration { preference, classes, tenants, models, services };
+    fault::check(&configuration, document)?;
+    Ok(configuration)
+}
+
+/// The checked sections `[kind NAME]`, by name.
+fn named<N, T>(
+    document: &Document,
+    kind: &'static str,
+    problems: &mut Problems,
+    check: impl Fn(&N, Section<'_>) -> Result<T, Problems>,
+) -> BTreeMap<N, T>
+where
+    N: Ord + for<'a> TryFrom<&'a str>,
+{
+    let mut found = BTreeMap::new();
+    for (name, section) in document.named(kind) {
+        let Ok(name) = N::try_from(name) else {
+            problems.push(bad_name(section));
+            continue;
+        };
+        if let Some(value) = problems.keep(check(&name, section)) {
+            found.insert(name, value);
+        }
+    }
+    found
+}
+
+fn bad_name(section: Section<'_>) -> Problem {
+    Problem::BadName {
+        section: section.header().to_owned(),
+        accepted: Accepted::Name,
+        at: section.at(),
+    }
+}
--- /dev/null
+++ b/crates/daisychute-settings/src/configuration/write.rs
@@ -0,0 +1,99 @@
+//! Writing of a configuration as INI.
+
+use std::fmt;
+
+use daisychute_core::{
+    AdapterName, Class, ClassName, Configuration, Model, Route, RouteKind, Service, Tenant,
+};
+use ini::{EscapePolicy, Ini, LineSeparator, WriteOption};
+
+use super::class::PRECEDENCES;
+use super::deployment::PREFERENCES;
+
+const OPTIONS: WriteOption = WriteOption {
+    escape_policy: EscapePolicy::Nothing,
+    line_separator: LineSeparator::CR,
+    kv_separator: " = ",
+};
+
+/// Writes every key that has a value.
+pub(super) fn write(configuration: &Configuration, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let mut ini = Ini::new();
+    let prefer = word(PREFERENCES, configuration.preference);
+    ini.with_section(Some("deployment")).set("prefer", prefer);
+    configuration.classes.values().for_each(|it| class(&mut ini, it));
+    configuration.tenants.values().for_each(|it| tenant(&mut ini, it));
+    configuration.models.values().for_each(|it| model(&mut ini, it));
+    configuration.services.values().for_each(|it| service(&mut ini, it));
+    let mut buf = Vec::new();
+    ini.write_to_opt(&mut buf, OPTIONS).map_err(|_| fmt::Error)?;
+    f.write_str(&String::from_utf8_lossy(&buf))
+}
+
+fn word<T: Copy + PartialEq>(words: &[(&'static str, T)], value: T) -> &'static str {
+    words.iter().find(|(_, it)| *it == value).map_or("", |(word, _)| word)
+}
+
+fn class(ini: &mut Ini, class: &Class) {
+    let targets = &class.targets;
+    let time = |it| humantime::format_duration(it).to_string();
+    let mut section = ini.with_section(Some(format!("class {}", class.name)));
+    section.set("precedence", word(PRECEDENCES, class.precedence));
+    if let Some(first_token) = targets.first_token {
+        section.set("first-token", time(first_token));
+    }
+    if let Some(between_tokens) = targets.between_tokens {
+        section.set("between-tokens", time(between_tokens));
+    }
+    if let Some(deadline) = targets.deadline {
+        section.set("deadline", time(deadline));
+    }
+    if let Some(throughput) = targets.throughput {
+        section.set("throughput", throughput.to_string());
+    }
+}
+
+fn tenant(ini: &mut Ini, tenant: &Tenant) {
+    let mut section = ini.with_section(Some(format!("tenant {}", tenant.name)));
+    if let Some(token) = &tenant.token {
+        section.set("token", token.as_str());
+    }
+    section.set("classes", joined(tenant.classes.iter().map(ClassName::as_str)));
+    section.set("default-class", tenant.default_class.as_str());
+}
+
+fn model(ini: &mut Ini, model: &Model) {
+    let mut section = ini.with_section(Some(format!("model {}", model.name)));
+    section.set("version", model.version.as_str());
+    if !model.adapters.is_empty() {
+        section.set("adapters", joined(model.adapters.iter().map(AdapterName::as_str)));
+    }
+    section.set("context-tokens", model.context_tokens.to_string());
+    section.set("kv-bytes-per-token", model.kv_bytes_per_token.to_string());
+}
+
+fn service(ini: &mut Ini, service: &Service) {
+    let header = format!("service {}", service.name);
+    ini.entry(Some(header.clone())).or_insert_with(Default::default);
+    let mut section = ini.with_section(Some(header));
+    let kinds =
+        [("repeatable", RouteKind::Repeatable), ("non-repeatable", RouteKind::NonRepeatable)];
+    for (key, kind) in kinds {
+        let routes: Vec<_> =
+            service.routes.iter().filter(|it| it.kind == kind).map(route).collect();
+        if !routes.is_empty() {
+            section.set(key, routes.join(", "));
+        }
+    }
+}
+
+fn route(route: &Route) -> String {
+    match &route.class {
+        Some(class) => format!("{} {class}", route.path),
+        None => route.path.clone(),
+    }
+}
+
+fn joined<'a>(names: impl Iterator<Item = &'a str>) -> String {
+    names.collect::<Vec<_>>().join(", ")
+}
--- a/crates/daisychute-settings/src/document.rs
+++ b/crates/daisychute-settings/src/document.rs
@@ -7,7 +7,9 @@
 
 use crate::SectionKeys;
 use crate::field::Field;
-use crate::problem::{Hint, Problem, Problems};
+use crate::hint::Hint;
+use crate::keys::split_header;
+use crate::problem::{Problem, Problems};
 
 /// A key of a section; none is the section's header.
 type Place = (String, Option<String>);
@@ -29,6 +31,13 @@
     properties: Option<&'a Properties>,
 }
 
+/// What the keys of one section may be.
+struct Keys<'a> {
+    section: &'a str,
+    known: &'a [&'static str],
+    refused: &'a [&'a str],
+}
+
 impl Document {
     /// Values are taken literally: no quotes and no escapes.
     const OPTIONS: ParseOption = ParseOption {
@@ -50,34 +59,58 @@
         Section { document: self, header, properties: self.ini.section(Some(header)) }
     }
 
-    /// Notes every section and key that is not in `known`, and all that stand twice.
-    pub(crate) fn check_keys(&self, known: &[SectionKeys], problems: &mut Problems) {
-        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+    /// The sections with a header of two words, the first of which is `kind`, in the order of the file.
+    pub(crate) fn named<'a>(&'a self, kind: &str) -> Vec<(&'a str, Section<'a>)> {
+        let mut found: Vec<(&str, Section<'_>)> = Vec::new();
+        for header in self.ini.sections().flatten() {
+            let Some((first, name)) = split_header(header) else { continue };
+            if first == kind && !found.iter().any(|(it, _)| *it == name) {
+                found.push((name, self.section(header)));
+            }
+        }
+        found
+    }
+
+    /// Notes every section and key that is not in `known`, and all that stand twice. Words in `refused` get a reason
+    /// of their own.
+    pub(crate) fn check_keys(
+        &self,
+        known: &[SectionKeys],
+        refused: &[&str],
+        problems: &mut Problems,
+    ) {
+        let mut seen: BTreeMap<Vec<&str>, usize> = BTreeMap::new();
         for (header, properties) in &self.ini {
             let header = header.unwrap_or_default();
-            if header.is_empty() && properties.is_empty() {
+            if header.is_empty() {
+                self.check_outside(properties, problems);
                 continue;
             }
-            let count = seen.entry(header).or_default();
+            let count = seen.entry(header.split_whitespace().collect()).or_default();
             *count += 1;
             if *count > 1 {
                 let at = self.nth_span(header, None, *count - 1);
                 problems.push(Problem::DuplicateSection { section: header.to_owned(), at });
             }
-            match known.iter().find(|it| matches_header(it, header)) {
-                Some(section) => self.check_section(header, section.keys, properties, problems),
-                None => problems.push(self.unknown_section(header, known)),
+            match known.iter().find(|it| it.matches(header)) {
+                Some(section) => {
+                    let keys = Keys { section: header, known: section.keys, refused };
+                    self.check_section(&keys, properties, problems);
+                }
+                None => problems.push(self.unknown_section(header, known, refused)),
             }
         }
     }
 
-    fn check_section(
-        &self,
-        section: &str,
-        known: &[&'static str],
-        properties: &Properties,
-        problems: &mut Problems,
-    ) {
+    fn check_outside(&self, properties: &Properties, problems: &mut Problems) {
+        for (key, _) in properties {
+            let at = self.nth_span("", Some(key), 0);
+            problems.push(Problem::OutsideSections { key: key.to_owned(), at });
+        }
+    }
+
+    fn check_section(&self, keys: &Keys<'_>, properties: &Properties, problems: &mut Problems) {
+        let section = keys.section;
         let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
         for (key, _) in properties {
             let count = seen.entry(key).or_default();
@@ -85,8 +118,8 @@
             if let Some((first, _)) = key.split_once('\n') {
                 let at = self.nth_span(section, Some(first.trim()), 0);
                 problems.push(Problem::NoValue { section: section.to_owned(), at });
-            } else if !known.contains(&key) {
-                problems.push(self.unknown_key(section, key, known));
+            } else if !keys.known.contains(&key) {
+                problems.push(self.unknown_key(keys, key));
             } else if *count > 1 {
                 let at = self.nth_span(section, Some(key), *count - 1);
                 let (section, key) = (section.to_owned(), key.to_owned());
@@ -95,17 +128,25 @@
         }
     }
 
-    fn unknown_section(&self, header: &str, known: &[SectionKeys]) -> Problem {
-        let first = header.split_whitespace().next().unwrap_or_default();
-        let hint = Hint::new(first, known.iter().map(|it| it.section));
+    fn unknown_section(&self, header: &str, known: &[SectionKeys], refused: &[&str]) -> Problem {
+        let section = header.to_owned();
         let at = self.nth_span(header, None, 0);
-        Problem::UnknownSection { section: header.to_owned(), hint, at }
+        let first = header.split_whitespace().next().unwrap_or_default();
+        if refused.contains(&first) {
+            return Problem::NotForOperators { section, key: None, at };
+        }
+        let hint = Hint::new(first, known.iter().map(SectionKeys::header));
+        Problem::UnknownSection { section, hint, at }
     }
 
-    fn unknown_key(&self, section: &str, key: &str, known: &[&'static str]) -> Problem {
-        let hint = Hint::new(key, known.iter().copied());
-        let at = self.nth_span(section, Some(key), 0);
-        Problem::UnknownKey { section: section.to_owned(), key: key.to_owned(), hint, at }
+    fn unknown_key(&self, keys: &Keys<'_>, key: &str) -> Problem {
+        let section = keys.section.to_owned();
+        let at = self.nth_span(keys.section, Some(key), 0);
+        if keys.refused.contains(&key) {
+            return Problem::NotForOperators { section, key: Some(key.to_owned()), at };
+        }
+        let hint = Hint::new(key, keys.known.iter().map(|it| (*it).to_owned()));
+        Problem::UnknownKey { section, key: key.to_owned(), hint, at }
     }
 
     fn nth_span(&self, section: &str, key: Option<&str>, n: usize) -> Option<SourceSpan> {
@@ -115,7 +156,16 @@
     }
 }
 
-impl Section<'_> {
+impl<'a> Section<'a> {
+    pub(crate) fn header(&self) -> &'a str {
+        self.header
+    }
+
+    /// The place of its header.
+    pub(crate) fn at(&self) -> Option<SourceSpan> {
+        self.document.nth_span(self.header, None, 0)
+    }
+
     /// The key of this section, whether or not the file gives it.
     pub(crate) fn field(&self, key: &'static str) -> Field {
         let value = self.properties.and_then(|it| it.get(key)).map(str::to_owned);
@@ -125,18 +175,6 @@
     }
 }
 
-fn matches_header(known: &SectionKeys, header: &str) -> bool {
-    if known.named {
-        return split_header(header).is_some_and(|(first, _)| first == known.section);
-    }
-    header == known.section
-}
-
-fn split_header(header: &str) -> Option<(&str, &str)> {
-    let (first, name) = header.trim().split_once(char::is_whitespace)?;
-    Some((first, name.trim_start()))
-}
-
 /// The place of every header and value, by the same rules as the reader's.
 fn locate(text: &str) -> BTreeMap<Place, Vec<SourceSpan>> {
     let mut spans: BTreeMap<Place, Vec<SourceSpan>> = BTreeMap::new();
@@ -150,7 +188,7 @@
             continue;
         }
         if let Some(rest) = line.strip_prefix('[') {
-            section = rest.split(']').next().unwrap_or_default().to_owned();
+            section = rest.split(']').next().unwrap_or_default().trim().to_owned();
             let span = SourceSpan::from((start, line.len()));
             spans.entry((section.clone(), None)).or_default().push(span);
             continue;
@@ -174,9 +212,22 @@
     (key, SourceSpan::from((start + line.len() - value.len(), value.len())))
 }
 
-/// The span of a line that is counted from 0.
+/// The span of a line that is counted from 1.
 fn line_span(text: &str, line: usize) -> SourceSpan {
-    let before: usize = text.split_inclusive('\n').take(line).map(str::len).sum();
-    let len = text[before..].lines().next().unwrap_or_default().len();
-    SourceSpan::from((before, len))
+    let before = line.saturating_sub(1);
+    let start: usize = text.split_inclusive('\n').take(before).map(str::len).sum();
+    let len = text[start..].lines().next().unwrap_or_default().len();
+    SourceSpan::from((start, len))
+}
+
+/// The text with the values of a key covered. No place in it moves.
+pub(crate) fn cover(text: &str, key: &str) -> String {
+    let spans = locate(text);
+    let secret = |place: &Place| place.1.as_deref() == Some(key);
+    let mut covered = text.to_owned();
+    for span in spans.iter().filter(|(place, _)| secret(place)).flat_map(|(_, it)| it) {
+        let stars = "*".repeat(span.len());
+        covered.replace_range(span.offset()..span.offset() + span.len(), &stars);
+    }
+    covered
 }
--- a/crates/daisychute-settings/src/lib.rs
+++ b/crates/daisychute-settings/src/lib.rs
@@ -20,16 +20,20 @@
 //! admin = 127.0.0.1:9000
 //! [platform]
 //! url = http://127.0.0.1:7000
+//! deployment = rabat-sale
 //! ";
 //! let settings = Settings::parse("entry-1.ini", text)?;
 //! assert!(matches!(settings.role, RoleSettings::Entry(_)));
 //! # Ok::<(), daisychute_settings::SettingsError>(())
 //! ```
 
+mod ability;
+mod configuration;
 mod document;
 mod error;
 mod field;
 mod file;
+mod hint;
 mod keys;
 mod limits;
 mod listen;
@@ -44,13 +48,16 @@
 mod timing;
 mod url;
 
+pub use crate::ability::{Ability, UnmeetableTarget, unmeetable_targets};
+pub use crate::configuration::ConfigurationFile;
 pub use crate::error::SettingsError;
+pub use crate::hint::{Accepted, Hint, Remedy};
 pub use crate::keys::SectionKeys;
 pub use crate::limits::LimitSettings;
 pub use crate::listen::ListenSettings;
 pub use crate::log::{LogFormat, LogLevel, LogSettings};
 pub use crate::platform::{PeerSettings, PlatformSettings};
-pub use crate::problem::{Accepted, Hint, Problem};
+pub use crate::problem::Problem;
 pub use crate::process::ProcessSettings;
 pub use crate::role::{AgentSettings, EndpointSettings, EntrySettings, RoleSettings};
 pub use crate::settings::Settings;
--- a/crates/daisychute-settings/src/platform.rs
+++ b/crates/daisychute-settings/src/platform.rs
@@ -2,15 +2,18 @@
 
 use std::net::SocketAddr;
 
+use daisychute_core::DeploymentName;
+
 use crate::BaseUrl;
 use crate::field::raw_section;
 use crate::problem::Problems;
-use crate::rule::{Addresses, Url};
+use crate::rule::{Addresses, Name, Url};
 
 raw_section! {
     /// Section `[platform]` as it stands in the file.
     RawPlatform {
         url = "url",
+        deployment = "deployment",
     }
 }
 
@@ -26,6 +29,8 @@
 pub struct PlatformSettings {
     /// Its base URL.
     pub url: BaseUrl,
+    /// The deployment, which names the configuration object.
+    pub deployment: DeploymentName,
 }
 
 /// Other processes of the system.
@@ -39,8 +44,13 @@
     type Error = Problems;
 
     fn try_from(raw: &RawPlatform) -> Result<Self, Problems> {
-        let url = raw.url.required(&Url)?;
-        Ok(Self { url })
+        let mut problems = Problems::default();
+        let url = problems.keep(raw.url.required(&Url));
+        let deployment = problems.keep(raw.deployment.required(&Name::new()));
+        match (url, deployment) {
+            (Some(url), Some(deployment)) => Ok(Self { url, deployment }),
+            _ => Err(problems),
+        }
     }
 }
 
--- a/crates/daisychute-settings/src/problem.rs
+++ b/crates/daisychute-settings/src/problem.rs
@@ -3,104 +3,11 @@
 use std::fmt;
 use std::time::Duration;
 
+use daisychute_core::ConfigurationError;
 use miette::{Diagnostic, SourceSpan};
 use thiserror::Error;
 
-use crate::ByteSize;
-
-/// What a key would have accepted.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Accepted {
-    /// A name.
-    Name,
-    /// Names separated by commas.
-    Names,
-    /// An IP address and port.
-    Address,
-    /// IP addresses and ports separated by commas.
-    Addresses,
-    /// A base URL.
-    Url,
-    /// A time between two bounds.
-    Duration {
-        /// The shortest.
-        min: Duration,
-        /// The longest.
-        max: Duration,
-    },
-    /// A size between two bounds.
-    Size {
-        /// The smallest.
-        min: ByteSize,
-        /// The largest.
-        max: ByteSize,
-    },
-    /// A whole number between two bounds.
-    Count {
-        /// The smallest.
-        min: u64,
-        /// The largest.
-        max: u64,
-    },
-    /// One of these words.
-    OneOf(Vec<&'static str>),
-}
-
-impl fmt::Display for Accepted {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Name => f.write_str("a name of 1 to 63 letters, digits, '.', '_' and '-'"),
-            Self::Names => {
-                f.write_str("names separated by commas, each of letters, digits, '.', '_' and '-'")
-            }
-            Self::Address => f.write_str("an IP address with a port, for example 127.0.0.1:4000"),
-            Self::Addresses => f.write_str("IP addresses with ports, separated by commas"),
-            Self::Url => f.write_str("a base URL, for example http://127.0.0.1:7000"),
-            Self::Duration { min, max } => {
-                let (min, max) =
-                    (humantime::format_duration(*min), humantime::format_duration(*max));
-                write!(f, "a time from {min} to {max}, for example 250ms or 8s")
-            }
-            Self::Size { min, max } => write!(f, "a size from {min} to {max}, for example 64KiB"),
-            Self::Count { min, max } => write!(f, "a whole number from {min} to {max}"),
-            Self::OneOf(words) => write!(f, "one of: {}", words.join(", ")),
-        }
-    }
-}
-
-/// What may have been meant by an unknown section or key.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Hint {
-    /// The closest known word, where one is close.
-    pub closest: Option<&'static str>,
-    /// All known words.
-    pub known: Vec<&'static str>,
-}
-
-impl Hint {
-    /// The least similarity of a suggestion, from 0 to 1.
-    const LEAST_SIMILARITY: f64 = 0.7;
-
-    pub(crate) fn new(found: &str, known: impl IntoIterator<Item = &'static str>) -> Self {
-        let known: Vec<_> = known.into_iter().collect();
-        let closest = known
-            .iter()
-            .map(|it| (strsim::jaro_winkler(found, it), *it))
-            .filter(|(similarity, _)| *similarity >= Self::LEAST_SIMILARITY)
-            .max_by(|a, b| a.0.total_cmp(&b.0))
-            .map(|(_, it)| it);
-        Self { closest, known }
-    }
-}
-
-impl fmt::Display for Hint {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if let Some(closest) = self.closest {
-            write!(f, "did you mean {closest:?}? ")?;
-        }
-        write!(f, "known: {}", self.known.join(", "))
-    }
-}
+use crate::hint::{Accepted, Hint, Remedy};
 
 /// One fault of a settings or configuration file.
 #[derive(Debug, Error, Diagnostic)]
@@ -112,7 +19,7 @@
     ))]
     Syntax {
         /// Where reading stopped.
-        #[label("{source}")]
+        #[label("reading stopped here")]
         at: SourceSpan,
         /// What the reader expected.
         source: ini::ParseError,
@@ -127,6 +34,16 @@
         #[label("no '=' here")]
         at: Option<SourceSpan>,
     },
+    /// A key stands before the first section, or in one without a name.
+    #[error("key {key} stands in no section")]
+    #[diagnostic(help("put it below the header of its section"))]
+    OutsideSections {
+        /// The key.
+        key: String,
+        /// The value in the file.
+        #[label("in no section")]
+        at: Option<SourceSpan>,
+    },
     /// The section is not known.
     #[error("unknown section [{section}]")]
     #[diagnostic(help("{hint}"))]
@@ -221,6 +138,49 @@
         #[label("not used by this role")]
         at: Option<SourceSpan>,
     },
+    /// The name in a section's header is not accepted.
+    #[error("the name in [{section}] is not accepted")]
+    #[diagnostic(help("give {accepted}"))]
+    BadName {
+        /// The section.
+        section: String,
+        /// What is accepted.
+        accepted: Accepted,
+        /// Its header.
+        #[label("this name")]
+        at: Option<SourceSpan>,
+    },
+    /// The file gives a weight or names endpoints, which the system chooses by itself.
+    #[error("{} is not for operators to give", Subject { section, key: key.as_deref() })]
+    #[diagnostic(help(
+        "the system chooses endpoints and shares; state a target of the class instead: first-token, \
+         between-tokens, deadline, throughput or precedence"
+    ))]
+    NotForOperators {
+        /// The section.
+        section: String,
+        /// The key; none where it is the whole section.
+        key: Option<String>,
+        /// Its place.
+        #[label("not accepted here")]
+        at: Option<SourceSpan>,
+    },
+    /// Parts of a configuration don't fit together.
+    #[error("{key} in section [{section}] is not accepted: {error}")]
+    #[diagnostic(help("{remedy}"))]
+    Mismatch {
+        /// The section.
+        section: String,
+        /// The key.
+        key: &'static str,
+        /// What doesn't fit.
+        error: Box<ConfigurationError>,
+        /// What would be accepted.
+        remedy: Remedy,
+        /// The value, or the section's header.
+        #[label("here")]
+        at: Option<SourceSpan>,
+    },
     /// A connection would be given up before its next heartbeats could arrive.
     #[error("silence = {silence} in section [timing] is under {factor} heartbeats of {heartbeat}",
         silence = humantime::format_duration(*silence),
@@ -239,6 +199,21 @@
     },
 }
 
+/// What a fault is about: a section, or a key in it.
+struct Subject<'a> {
+    section: &'a str,
+    key: Option<&'a str>,
+}
+
+impl fmt::Display for Subject<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.key {
+            Some(key) => write!(f, "{key} in section [{}]", self.section),
+            None => write!(f, "section [{}]", self.section),
+        }
+    }
+}
+
 /// The faults found so far.
 #[derive(Debug, Default)]
 pub(crate) struct Problems(Vec<Problem>);
--- a/crates/daisychute-settings/src/rule.rs
+++ b/crates/daisychute-settings/src/rule.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::problem::Accepted;
+use daisychute_core::ClassName;
+
+use crate::hint::Accepted;
 use crate::{BaseUrl, ByteSize};
 
 /// What a key accepts, and the checked type that a value becomes.
@@ -42,6 +44,103 @@
     }
 }
 
+/// Names of the type `T`, separated by commas; at least one.
+pub(crate) struct Names<T>(PhantomData<T>);
+
+impl<T> Names<T> {
+    pub(crate) const fn new() -> Self {
+        Self(PhantomData)
+    }
+}
+
+impl<T: for<'a> TryFrom<&'a str>> Rule for Names<T> {
+    type Value = Vec<T>;
+
+    fn check(&self, raw: &str) -> Option<Vec<T>> {
+        let names: Option<Vec<T>> = items(raw).map(|it| T::try_from(it).ok()).collect();
+        names.filter(|it| !it.is_empty())
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::Names
+    }
+}
+
+/// A bearer token.
+pub(crate) struct Token;
+
+impl Token {
+    /// The longest token, in bytes.
+    const MAX_LEN: usize = 256;
+}
+
+impl Rule for Token {
+    type Value = String;
+    const SECRET: bool = true;
+
+    fn check(&self, raw: &str) -> Option<String> {
+        let holds = |c: char| c.is_ascii_alphanumeric() || "-._~+/=".contains(c);
+        let accepted = (1..=Self::MAX_LEN).contains(&raw.len()) && raw.chars().all(holds);
+        accepted.then(|| raw.to_owned())
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::Token
+    }
+}
+
+/// Paths separated by commas, each followed by its class where it has one of its own.
+pub(crate) struct RoutePaths;
+
+impl RoutePaths {
+    /// The longest path, in bytes.
+    const MAX_LEN: usize = 256;
+
+    fn route(item: &str) -> Option<(String, Option<ClassName>)> {
+        let mut words = item.split_whitespace();
+        let path = words.next().filter(|it| Self::is_path(it))?;
+        let class = words.next().map(|it| ClassName::try_from(it).ok());
+        match (class, words.next()) {
+            (None, None) => Some((path.to_owned(), None)),
+            (Some(Some(class)), None) => Some((path.to_owned(), Some(class))),
+            _ => None,
+        }
+    }
+
+    fn is_path(raw: &str) -> bool {
+        let holds = |c: char| c.is_ascii_alphanumeric() || "/-._~%!$&'()*+:@=".contains(c);
+        raw.starts_with('/') && raw.len() <= Self::MAX_LEN && raw.chars().all(holds)
+    }
+}
+
+impl Rule for RoutePaths {
+    type Value = Vec<(String, Option<ClassName>)>;
+
+    fn check(&self, raw: &str) -> Option<Self::Value> {
+        items(raw).map(Self::route).collect()
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::RoutePaths
+    }
+}
+
+/// Tokens a second.
+pub(crate) struct Rate;
+
+impl Rule for Rate {
+    type Value = f64;
+
+    fn check(&self, raw: &str) -> Option<f64> {
+        let rate: f64 = raw.parse().ok()?;
+        (rate.is_finite() && rate > 0.0).then_some(rate)
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::Rate
+    }
+}
+
 /// An IP address with a port.
 pub(crate) struct Address;
 
--- a/crates/daisychute-settings/src/settings.rs
+++ b/crates/daisychute-settings/src/settings.rs
@@ -84,7 +84,7 @@
         let refused = |problems| SettingsError::refused(file, text, problems);
         let document = Document::parse(text).map_err(|it| refused(it.into()))?;
         let mut problems = Problems::default();
-        document.check_keys(Self::SECTIONS, &mut problems);
+        document.check_keys(Self::SECTIONS, &[], &mut problems);
         let settings = problems.keep(Self::try_from(&RawSettings::read(&document)));
         match settings {
             Some(settings) if problems.is_empty() => Ok(settings),
--- /dev/null
+++ b/crates/daisychute-settings/tests/docs.rs
@@ -0,0 +1,86 @@
+//! `docs/SETTINGS.md` names the keys and defaults of the code, and no others.
+
+use std::collections::BTreeMap;
+
+use daisychute_settings::{ConfigurationFile, SectionKeys, Settings};
+
+const PAGE: &str = include_str!("../../../docs/SETTINGS.md");
+const SECTION: &str = "### `[";
+const NO_DEFAULT: &str = "–";
+
+/// The sections of the page, and the default of each key.
+fn documented() -> BTreeMap<String, BTreeMap<String, String>> {
+    let mut found = BTreeMap::new();
+    let mut keys: Option<&mut BTreeMap<String, String>> = None;
+    for line in PAGE.lines() {
+        if let Some(rest) = line.strip_prefix(SECTION) {
+            let header = rest.trim_end_matches("]`").to_owned();
+            keys = Some(found.entry(header).or_default());
+        }
+        let Some(row) = line.strip_prefix("| `") else { continue };
+        let cells: Vec<_> = row.split('|').map(|it| it.trim().trim_matches('`')).collect();
+        let keys = keys.as_mut().expect("a table stands below its section");
+        keys.insert(cells[0].to_owned(), cells[1].to_owned());
+    }
+    found
+}
+
+fn in_code() -> impl Iterator<Item = &'static SectionKeys> {
+    Settings::SECTIONS.iter().chain(ConfigurationFile::SECTIONS)
+}
+
+#[test]
+fn keys_are_those_of_the_code() {
+    let documented: BTreeMap<_, Vec<_>> =
+        documented().into_iter().map(|(it, keys)| (it, keys.into_keys().collect())).collect();
+    let sorted = |it: &SectionKeys| {
+        let mut keys: Vec<_> = it.keys.iter().map(|it| (*it).to_owned()).collect();
+        keys.sort();
+        (it.header(), keys)
+    };
+    let in_code: BTreeMap<_, _> = in_code().map(sorted).collect();
+    assert_eq!(documented, in_code);
+}
+
+/// The documented defaults of these sections as the text of a file.
+fn defaults(sections: &[SectionKeys], name: &str) -> String {
+    let documented = documented();
+    let mut text = String::new();
+    for section in sections {
+        text.push_str(&format!("[{}]\n", section.header().replace("NAME", name)));
+        for (key, default) in &documented[&section.header()] {
+            if default != NO_DEFAULT {
+                text.push_str(&format!("{key} = {default}\n"));
+            }
+        }
+    }
+    text
+}
+
+#[test]
+fn defaults_of_settings_are_those_of_the_code() {
+    let required = "[process]\nname = a\nrole = entry\nregion = r\ndata-centre = d\ninstance = i\n\
+        [listen]\ncallers = 127.0.0.1:1\ninner = 127.0.0.1:2\nadmin = 127.0.0.1:3\n\
+        [platform]\nurl = http://127.0.0.1:4\ndeployment = x\n";
+    let optional: Vec<_> =
+        Settings::SECTIONS.iter().filter(|it| !required.contains(&it.header())).copied().collect();
+    let text = format!("{required}{}", defaults(&optional, "n"));
+    let given = Settings::parse("given", &text).expect("the defaults are accepted");
+    assert_eq!(given, Settings::parse("bare", required).expect("nothing else is required"));
+}
+
+#[test]
+fn defaults_of_a_configuration_are_those_of_the_code() {
+    let required = [("tenant", "classes = n\n"), ("model", "version = v\n")];
+    let with_required = |mut text: String| {
+        for (section, line) in required {
+            let header = format!("[{section} n]\n");
+            text = text.replace(&header, &format!("{header}{line}"));
+        }
+        text
+    };
+    let given = with_required(defaults(ConfigurationFile::SECTIONS, "n"));
+    let bare = with_required("[class n]\n[tenant n]\n[model n]\n[service n]\n".to_owned());
+    let given = ConfigurationFile::parse("given", &given).expect("the defaults are accepted");
+    assert_eq!(given, ConfigurationFile::parse("bare", &bare).expect("nothing else is required"));
+}
