feat(settings): compare configurations key by key and name the revision a file is based on

Operators race: the loser has to see both versions. A file that `get` wrote carries its revision, so that a change made from an old version is noticed and not only a race inside one run of `apply`.

--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod class;
 mod configuration;
+mod drains;
 mod endpoint;
 mod error;
 mod incarnation;
@@ -34,6 +35,7 @@
 
 pub use crate::class::{Class, ClassTargets, Precedence, TargetError};
 pub use crate::configuration::{Configuration, ConfigurationError, Preference};
+pub use crate::drains::Drains;
 pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
 pub use crate::error::NameError;
 pub use crate::incarnation::Incarnation;
--- a/crates/daisychute-platform/src/object.rs
+++ b/crates/daisychute-platform/src/object.rs
@@ -19,8 +19,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum ObjectKind {
-    /// Configurations, and the drain requests of operators.
+    /// Configurations, one for each deployment.
     Configurations,
+    /// Configurations that were replaced, one object for each deployment.
+    Histories,
+    /// Drain requests of operators, one object for each region.
+    Drains,
     /// Plans, one for each region.
     Plans,
     /// Leases.
@@ -43,6 +47,8 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Configurations => "configurations",
+            Self::Histories => "histories",
+            Self::Drains => "drains",
             Self::Plans => "plans",
             Self::Leases => "leases",
             Self::Claims => "claims",
--- a/crates/daisychute-settings/src/configuration/deployment.rs
+++ b/crates/daisychute-settings/src/configuration/deployment.rs
@@ -1,10 +1,10 @@
 //! Section `[deployment]`: what holds for the whole deployment.
 
-use daisychute_core::Preference;
+use daisychute_core::{Preference, Revision};
 
 use crate::field::raw_section;
 use crate::problem::Problem;
-use crate::rule::Choice;
+use crate::rule::{Choice, Number};
 
 /// What a deployment may prefer.
 pub(super) const PREFERENCES: &[(&str, Preference)] =
@@ -14,6 +14,7 @@
     /// Section `[deployment]` as it stands in the file.
     RawDeployment {
         prefer = "prefer",
+        revision = "revision",
     }
 }
 
@@ -21,4 +22,8 @@
     pub(super) fn preference(&self) -> Result<Preference, Problem> {
         self.prefer.or(Preference::default(), &Choice(PREFERENCES))
     }
+
+    pub(super) fn base(&self) -> Result<Option<Revision>, Problem> {
+        Ok(self.revision.optional(&Number)?.map(Revision::new))
+    }
 }
--- a/crates/daisychute-settings/src/configuration/mod.rs
+++ b/crates/daisychute-settings/src/configuration/mod.rs
@@ -2,6 +2,7 @@
 
 mod class;
 mod deployment;
+mod diff;
 mod fault;
 mod model;
 mod refused;
@@ -13,7 +14,9 @@
 use std::fmt;
 use std::path::Path;
 
-use daisychute_core::{ClassName, Configuration, ModelName, ServiceName, TenantName};
+use daisychute_core::{ClassName, Configuration, ModelName, Revision, ServiceName, TenantName};
+
+pub use self::diff::{Change, ConfigurationDiff};
 
 use self::class::RawClass;
 use self::deployment::RawDeployment;
@@ -45,7 +48,10 @@
 /// # Ok::<(), daisychute_settings::SettingsError>(())
 /// ```
 #[derive(Debug, Clone, Default, PartialEq)]
-pub struct ConfigurationFile(Configuration);
+pub struct ConfigurationFile {
+    configuration: Configuration,
+    base: Option<Revision>,
+}
 
 impl ConfigurationFile {
     /// The sections and keys that a configuration file may hold.
@@ -81,7 +87,7 @@
         let mut problems = Problems::default();
         document.check_keys(Self::SECTIONS, REFUSED_WORDS, &mut problems);
         match problems.keep(read(&document)) {
-            Some(configuration) if problems.is_empty() => Ok(Self(configuration)),
+            Some(file) if problems.is_empty() => Ok(file),
             _ => Err(refused(problems)),
         }
     }
@@ -89,32 +95,48 @@
     /// The configuration.
     #[must_use]
     pub const fn configuration(&self) -> &Configuration {
-        &self.0
+        &self.configuration
     }
 
     /// The configuration, without the file around it.
     #[must_use]
     pub fn into_configuration(self) -> Configuration {
-        self.0
+        self.configuration
+    }
+
+    /// The accepted revision that the file was made from; none where it replaces whatever there is.
+    #[must_use]
+    pub const fn base(&self) -> Option<Revision> {
+        self.base
+    }
+
+    /// The same file, made from this accepted revision.
+    #[must_use]
+    pub const fn based_on(mut self, revision: Revision) -> Self {
+        self.base = Some(revision);
+        self
     }
 }
 
 impl From<Configuration> for ConfigurationFile {
     fn from(configuration: Configuration) -> Self {
-        Self(configuration)
+        Self { configuration, base: None }
     }
 }
 
 impl fmt::Display for ConfigurationFile {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write::write(&self.0, f)
+        let mut buf = Vec::new();
+        write::to_ini(self).write_to_opt(&mut buf, write::OPTIONS).map_err(|_| fmt::Error)?;
+        f.write_str(&String::from_utf8_lossy(&buf))
     }
 }
 
-fn read(document: &Document) -> Result<Configuration, Problems> {
+fn read(document: &Document) -> Result<ConfigurationFile, Problems> {
     let mut problems = Problems::default();
     let deployment = RawDeployment::read(document.section("deployment"));
     let preference = problems.keep(deployment.preference()).unwrap_or_default();
+    let base = problems.keep(deployment.base()).flatten();
     let classes = named(document, "class", &mut problems, |name: &ClassName, section| {
         RawClass::read(section).check(name)
     });
@@ -130,7 +152,7 @@
     problems.none_or(())?;
     let configuration = Configuration { preference, classes, tenants, models, services };
     fault::check(&configuration, document)?;
-    Ok(configuration)
+    Ok(ConfigurationFile { configuration, base })
 }
 
 /// The checked sections `[kind NAME]`, by name.
--- a/crates/daisychute-settings/src/configuration/write.rs
+++ b/crates/daisychute-settings/src/configuration/write.rs
@@ -1,33 +1,32 @@
 //! Writing of a configuration as INI.
 
-use std::fmt;
-
-use daisychute_core::{
-    AdapterName, Class, ClassName, Configuration, Model, Route, RouteKind, Service, Tenant,
-};
+use daisychute_core::{AdapterName, Class, ClassName, Model, Route, RouteKind, Service, Tenant};
 use ini::{EscapePolicy, Ini, LineSeparator, WriteOption};
 
+use super::ConfigurationFile;
 use super::class::PRECEDENCES;
 use super::deployment::PREFERENCES;
 
-const OPTIONS: WriteOption = WriteOption {
+pub(super) const OPTIONS: WriteOption = WriteOption {
     escape_policy: EscapePolicy::Nothing,
     line_separator: LineSeparator::CR,
     kv_separator: " = ",
 };
 
-/// Writes every key that has a value.
-pub(super) fn write(configuration: &Configuration, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+/// Every key that has a value.
+pub(super) fn to_ini(file: &ConfigurationFile) -> Ini {
+    let configuration = &file.configuration;
     let mut ini = Ini::new();
-    let prefer = word(PREFERENCES, configuration.preference);
-    ini.with_section(Some("deployment")).set("prefer", prefer);
+    let mut deployment = ini.with_section(Some("deployment"));
+    deployment.set("prefer", word(PREFERENCES, configuration.preference));
+    if let Some(base) = file.base {
+        deployment.set("revision", base.to_string());
+    }
     configuration.classes.values().for_each(|it| class(&mut ini, it));
     configuration.tenants.values().for_each(|it| tenant(&mut ini, it));
     configuration.models.values().for_each(|it| model(&mut ini, it));
     configuration.services.values().for_each(|it| service(&mut ini, it));
-    let mut buf = Vec::new();
-    ini.write_to_opt(&mut buf, OPTIONS).map_err(|_| fmt::Error)?;
-    f.write_str(&String::from_utf8_lossy(&buf))
+    ini
 }
 
 fn word<T: Copy + PartialEq>(words: &[(&'static str, T)], value: T) -> &'static str {
--- a/crates/daisychute-settings/src/lib.rs
+++ b/crates/daisychute-settings/src/lib.rs
@@ -49,7 +49,7 @@
 mod url;
 
 pub use crate::ability::{Ability, UnmeetableTarget, unmeetable_targets};
-pub use crate::configuration::ConfigurationFile;
+pub use crate::configuration::{Change, ConfigurationDiff, ConfigurationFile};
 pub use crate::error::SettingsError;
 pub use crate::hint::{Accepted, Hint, Remedy};
 pub use crate::keys::SectionKeys;
--- a/crates/daisychute-settings/src/rule.rs
+++ b/crates/daisychute-settings/src/rule.rs
@@ -249,6 +249,21 @@
     }
 }
 
+/// A whole number.
+pub(crate) struct Number;
+
+impl Rule for Number {
+    type Value = u64;
+
+    fn check(&self, raw: &str) -> Option<u64> {
+        raw.parse().ok()
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::Count { min: 0, max: u64::MAX }
+    }
+}
+
 /// One of some words, each standing for a value.
 pub(crate) struct Choice<T: 'static>(pub(crate) &'static [(&'static str, T)]);
 
--- a/crates/daisychute-settings/tests/configuration.rs
+++ b/crates/daisychute-settings/tests/configuration.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use daisychute_core::{
-    Class, ClassName, ClassTargets, Configuration, Model, Precedence, Preference, Route, RouteKind,
-    Service, Tenant,
+    Class, ClassName, ClassTargets, Configuration, Model, Precedence, Preference, Revision, Route,
+    RouteKind, Service, Tenant,
 };
-use daisychute_settings::{ConfigurationFile, Settings};
+use daisychute_settings::{ConfigurationDiff, ConfigurationFile, Settings};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 fn example(file: &str) -> PathBuf {
@@ -114,7 +114,7 @@
 #[test]
 fn writing_and_reading_is_identity() {
     fn holds(Valid(configuration): Valid) -> bool {
-        let file = ConfigurationFile::from(configuration);
+        let file = ConfigurationFile::from(configuration).based_on(Revision::new(7));
         ConfigurationFile::parse("written", &file.to_string()).is_ok_and(|it| it == file)
     }
     quickcheck().tests(500).quickcheck(holds as fn(Valid) -> bool);
@@ -180,3 +180,12 @@
     }
     quickcheck().tests(3_000).quickcheck(holds as fn(Jumble) -> bool);
 }
+
+#[test]
+fn diff_of_the_examples() {
+    let load = |file| ConfigurationFile::load(example(file)).expect("an example file is accepted");
+    let (old, new) = (load("rabat-sale/configuration.ini"), load("budapest/configuration.ini"));
+    let diff = ConfigurationDiff::between(old.configuration(), new.configuration());
+    insta::assert_snapshot!(diff.to_string());
+    assert!(ConfigurationDiff::between(old.configuration(), old.configuration()).is_empty());
+}
