feat: choose and admit by the policy, measure each tenant and class

Cause: the thin path chose the least loaded endpoint and queued first in, first out; operators could not see what callers of a tenant or class got.

Change: the entry chooses by the policy's Chooser, fed with every record, load report, success and failure; the agent admits by the policy's Admission. Histograms of the time to the first token, between tokens and end to end, and a counter of outcomes, for each tenant and class with a bound on tenants; log lines carry key-value fields, the process and its incarnation.

--- a/crates/daisychute-agent/src/admit.rs
+++ b/crates/daisychute-agent/src/admit.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use daisychute_core::{LoadReport, Refusal, RequestId, Time};
+use daisychute_core::{LoadReport, Refusal, RequestId, Role, Time};
 use daisychute_proto::Start;
 
 /// Decides which request runs when on one endpoint.
@@ -23,17 +23,20 @@
     /// A request that waited is not wanted any more.
     fn withdraw(&mut self, now: Time, id: RequestId);
 
-    /// A running request has made its first or further output tokens.
-    fn progress(&mut self, now: Time, id: RequestId, tokens: u32);
+    /// A running request has made an output token, its first or a further one.
+    fn progress(&mut self, now: Time, id: RequestId, first: bool);
 
-    /// A running request has left the endpoint.
-    fn ended(&mut self, now: Time, id: RequestId);
+    /// A running request has left the endpoint, answered whole or not.
+    fn ended(&mut self, now: Time, id: RequestId, whole: bool);
 
     /// The present load.
     fn load(&self, now: Time) -> LoadReport;
 
     /// When [`Admit::refuse`] or [`Admit::next`] may have something new without any further call.
     fn wake_at(&self) -> Option<Time>;
+
+    /// The endpoint was replaced, restarted or changed; an engine has this role now.
+    fn replaced(&mut self, role: Option<Role>);
 }
 
 /// First in, first out, with a bound on how many run.
@@ -75,9 +78,9 @@
         self.waiting.retain(|it| *it != id);
     }
 
-    fn progress(&mut self, _now: Time, _id: RequestId, _tokens: u32) {}
+    fn progress(&mut self, _now: Time, _id: RequestId, _first: bool) {}
 
-    fn ended(&mut self, _now: Time, _id: RequestId) {
+    fn ended(&mut self, _now: Time, _id: RequestId, _whole: bool) {
         self.running = self.running.saturating_sub(1);
     }
 
@@ -93,4 +96,6 @@
     fn wake_at(&self) -> Option<Time> {
         None
     }
+
+    fn replaced(&mut self, _role: Option<Role>) {}
 }
--- a/crates/daisychute-agent/src/core/agent_core.rs
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -121,6 +121,7 @@
                 self.on_report(now, id, attempt, report, actions)
             }
             Event::Target(target) => {
+                self.admit.replaced(target.as_ref().map(|it| it.role));
                 self.record.target = target;
                 self.announce(now, actions);
             }
@@ -306,9 +307,12 @@
                 self.pump(now, id, actions);
             }
             Report::Data { data, tokens } => {
+                let is_first = job.buffer.tokens() == 0;
                 job.buffer.push(&data, tokens);
                 self.held += data.len();
-                self.admit.progress(now, id, tokens);
+                if tokens > 0 {
+                    self.admit.progress(now, id, is_first);
+                }
                 self.check_bound(now, id, actions);
                 self.pump(now, id, actions);
             }
@@ -437,7 +441,7 @@
     }
 
     fn end_running(&mut self, now: Time, id: RequestId, ending: Ending, actions: &mut Vec<Action>) {
-        self.admit.ended(now, id);
+        self.admit.ended(now, id, matches!(ending, Ending::Whole { .. }));
         self.end(now, id, ending, Transition::RunningEnded, actions);
     }
 
--- a/crates/daisychute-agent/src/lib.rs
+++ b/crates/daisychute-agent/src/lib.rs
@@ -23,8 +23,10 @@
 //! ```
 
 mod admit;
+mod policy_admit;
 pub mod core;
 pub mod orders;
 pub mod shell;
 
 pub use crate::admit::{Admit, Fifo};
+pub use crate::policy_admit::PolicyAdmit;
--- /dev/null
+++ b/crates/daisychute-agent/src/policy_admit.rs
@@ -0,0 +1,115 @@
+//! The policy's admission, fed by the agent.
+
+use std::collections::VecDeque;
+
+use daisychute_core::{EndpointKind, LoadReport, Refusal, RequestId, Role, Time};
+use daisychute_policy::{Admission, Decision, Limits, Phase, Ticket};
+use daisychute_proto::{Start, Work};
+
+use crate::Admit;
+
+/// Bytes of text in one token, for estimates before the engine has counted.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Admits by [`Admission`].
+#[derive(Debug, Clone)]
+pub struct PolicyAdmit {
+    admission: Admission,
+    /// Admitted at once and not handed out yet.
+    ready: VecDeque<RequestId>,
+    /// Refused and not handed out yet.
+    refused: Vec<(RequestId, Refusal)>,
+    next_tick: Time,
+}
+
+impl PolicyAdmit {
+    /// Admits for an endpoint of this kind.
+    #[must_use]
+    pub fn new(kind: &EndpointKind) -> Self {
+        let limits = match kind {
+            EndpointKind::Engine => Limits::engine(Role::Mixed),
+            EndpointKind::Service(_) => Limits::service(),
+        };
+        Self {
+            admission: Admission::new(limits),
+            ready: VecDeque::new(),
+            refused: Vec::new(),
+            next_tick: Time::ZERO,
+        }
+    }
+}
+
+impl Admit for PolicyAdmit {
+    fn offer(&mut self, now: Time, start: &Start) -> Result<(), Refusal> {
+        match self.admission.offer(now, ticket(now, start)) {
+            Decision::Admitted => self.ready.push_back(start.id),
+            Decision::Queued => {}
+            Decision::Refused(refusal) => return Err(refusal),
+        }
+        Ok(())
+    }
+
+    fn next(&mut self, now: Time) -> Option<RequestId> {
+        self.ready.pop_front().or_else(|| self.admission.next(now))
+    }
+
+    fn refuse(&mut self, now: Time) -> Option<(RequestId, Refusal)> {
+        if now >= self.next_tick {
+            self.next_tick = now + Admission::TICK;
+            self.admission.expire(now, &mut self.refused);
+        }
+        self.refused.pop()
+    }
+
+    fn withdraw(&mut self, _now: Time, id: RequestId) {
+        self.ready.retain(|it| *it != id);
+        self.admission.cancelled(id);
+    }
+
+    fn progress(&mut self, now: Time, id: RequestId, first: bool) {
+        if first {
+            self.admission.first_token(now, id, 0);
+        } else {
+            self.admission.token(now, id);
+        }
+    }
+
+    fn ended(&mut self, now: Time, id: RequestId, whole: bool) {
+        if whole {
+            self.admission.finished(now, id);
+        } else {
+            self.admission.cancelled(id);
+        }
+    }
+
+    fn load(&self, now: Time) -> LoadReport {
+        self.admission.load_report(now)
+    }
+
+    fn wake_at(&self) -> Option<Time> {
+        (self.admission.queued() > 0).then_some(self.next_tick)
+    }
+
+    fn replaced(&mut self, role: Option<Role>) {
+        if let Some(role) = role {
+            self.admission.set_limits(Limits::engine(role));
+        }
+        self.admission.reset_cost();
+    }
+}
+
+fn ticket(now: Time, start: &Start) -> Ticket {
+    let ticket = Ticket::new(start.id, start.tenant.clone(), start.class.clone())
+        .precedence(start.precedence)
+        .deadline(now + start.deadline)
+        .first_token(start.first_token.map(|it| now + it))
+        .between_tokens(start.between_tokens);
+    match &start.work {
+        Work::Completion(completion) => {
+            let bytes = completion.prompt.text().len() + completion.emitted.len();
+            let prompt_tokens = u32::try_from(bytes / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
+            ticket.prompt_tokens(prompt_tokens).max_tokens(completion.max_tokens)
+        }
+        Work::Call(_) => ticket.phase(Phase::Call),
+    }
+}
--- a/crates/daisychute-entry/src/callers/handler.rs
+++ b/crates/daisychute-entry/src/callers/handler.rs
@@ -182,6 +182,7 @@
         precedence: class.precedence,
         deadline: class.deadline(),
         first_token: class.targets.first_token,
+        between_tokens: class.targets.between_tokens,
         work,
         continuable,
     })
--- a/crates/daisychute-entry/src/choose.rs
+++ b/crates/daisychute-entry/src/choose.rs
@@ -1,52 +1,87 @@
 //! How the entry decides which agent gets a request.
 
-use daisychute_core::{EndpointKind, EndpointName, EndpointState, Time};
+use std::collections::{BTreeMap, BTreeSet};
+
+use daisychute_core::{
+    EndpointKind, EndpointName, EndpointRecord, EndpointState, LoadReport, Time,
+};
 use daisychute_proto::{Call, Completion, Work};
 
-use crate::core::{Agent, Submission};
+use crate::core::Submission;
 
-/// Decides which agent gets a request.
+/// Decides which agent gets a request. It is told everything that the entry learns of endpoints.
 pub trait Choose {
-    /// The endpoint to send a request to; none if no candidate will do. Every candidate serves the request and takes
-    /// new work.
-    fn choose<'a>(
+    /// What is known of an endpoint is new or has changed.
+    fn known(&mut self, now: Time, record: &EndpointRecord);
+    /// An endpoint is gone.
+    fn gone(&mut self, endpoint: &EndpointName);
+    /// An endpoint's load came.
+    fn report(&mut self, now: Time, endpoint: &EndpointName, load: LoadReport);
+    /// An endpoint answered a request whole.
+    fn succeeded(&mut self, endpoint: &EndpointName);
+    /// An endpoint failed a request. A refusal for load is no failure.
+    fn failed(&mut self, now: Time, endpoint: &EndpointName);
+    /// The endpoint that a request goes to, and counts it as sent there; none if none will do. It must not be one of
+    /// `tried`.
+    fn choose(
         &mut self,
         now: Time,
         submission: &Submission,
-        candidates: impl Iterator<Item = &'a Agent>,
+        tried: &BTreeSet<EndpointName>,
     ) -> Option<EndpointName>;
 }
 
-/// Takes the endpoint with the fewest requests: those of its last report and those sent since by this entry.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct FewestRequests;
+/// Takes the endpoint with the fewest requests of its last report; between equal ones, the first by name.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct LeastLoad {
+    endpoints: BTreeMap<EndpointName, (EndpointRecord, u32)>,
+}
+
+impl Choose for LeastLoad {
+    fn known(&mut self, _now: Time, record: &EndpointRecord) {
+        let load = self.endpoints.get(&record.endpoint).map_or(0, |it| it.1);
+        self.endpoints.insert(record.endpoint.clone(), (record.clone(), load));
+    }
+
+    fn gone(&mut self, endpoint: &EndpointName) {
+        self.endpoints.remove(endpoint);
+    }
+
+    fn report(&mut self, _now: Time, endpoint: &EndpointName, load: LoadReport) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.1 = load.queued + load.running;
+        }
+    }
+
+    fn succeeded(&mut self, _endpoint: &EndpointName) {}
+
+    fn failed(&mut self, _now: Time, _endpoint: &EndpointName) {}
 
-impl Choose for FewestRequests {
-    fn choose<'a>(
+    fn choose(
         &mut self,
         _now: Time,
-        _submission: &Submission,
-        candidates: impl Iterator<Item = &'a Agent>,
+        submission: &Submission,
+        tried: &BTreeSet<EndpointName>,
     ) -> Option<EndpointName> {
-        let load = |it: &Agent| {
-            let reported = it.load.map_or(0, |(_, load)| load.queued + load.running);
-            reported.max(u32::try_from(it.requests.len()).unwrap_or(u32::MAX))
+        let fits = |it: &&(EndpointRecord, u32)| {
+            serves(&it.0, &submission.work) && !tried.contains(&it.0.endpoint)
         };
-        candidates.min_by_key(|it| load(it)).map(|it| it.record.endpoint.clone())
+        let least = self.endpoints.values().filter(fits).min_by_key(|it| it.1)?;
+        Some(least.0.endpoint.clone())
     }
 }
 
-/// Whether the endpoint of an agent serves this work and takes new work.
-pub(crate) fn serves(agent: &Agent, work: &Work) -> bool {
-    agent.record.state == EndpointState::Live
+/// Whether an endpoint serves this work and takes new work.
+pub(crate) fn serves(record: &EndpointRecord, work: &Work) -> bool {
+    record.state == EndpointState::Live
         && match work {
-            Work::Completion(completion) => serves_completion(agent, completion),
-            Work::Call(call) => serves_call(agent, call),
+            Work::Completion(completion) => serves_completion(record, completion),
+            Work::Call(call) => serves_call(record, call),
         }
 }
 
-fn serves_completion(agent: &Agent, completion: &Completion) -> bool {
-    agent.record.target.as_ref().is_some_and(|it| {
+fn serves_completion(record: &EndpointRecord, completion: &Completion) -> bool {
+    record.target.as_ref().is_some_and(|it| {
         let version = completion.version.as_ref();
         it.model == completion.model
             && it.adapter == completion.adapter
@@ -54,6 +89,6 @@
     })
 }
 
-fn serves_call(agent: &Agent, call: &Call) -> bool {
-    matches!(&agent.record.kind, EndpointKind::Service(name) if *name == call.service)
+fn serves_call(record: &EndpointRecord, call: &Call) -> bool {
+    matches!(&record.kind, EndpointKind::Service(name) if *name == call.service)
 }
--- a/crates/daisychute-entry/src/core/agents.rs
+++ b/crates/daisychute-entry/src/core/agents.rs
@@ -32,6 +32,8 @@
     pub requests: BTreeSet<RequestId>,
     /// Whether the platform lists it.
     pub listed: bool,
+    /// Whether the last connection to it failed or was lost.
+    pub unreachable: bool,
     /// Whether its word on its own state is newer than the platform's list.
     pub direct: bool,
 }
@@ -51,6 +53,11 @@
         self.agents.values()
     }
 
+    /// The names of their endpoints.
+    pub fn names(&self) -> impl Iterator<Item = &EndpointName> {
+        self.agents.keys()
+    }
+
     /// The one before this endpoint.
     #[must_use]
     pub fn get(&self, endpoint: &EndpointName) -> Option<&Agent> {
@@ -100,6 +107,7 @@
         let endpoint = self.by_link.remove(&link)?;
         if let Some(agent) = self.agents.get_mut(&endpoint) {
             agent.link = LinkState::Down { retry };
+            agent.unreachable = true;
         }
         Some(endpoint)
     }
@@ -130,6 +138,7 @@
                 load: None,
                 requests: BTreeSet::new(),
                 listed: true,
+                unreachable: false,
                 direct: false,
             };
             self.agents.insert(endpoint, agent);
@@ -140,6 +149,7 @@
             let link = agent.link;
             agent.record = record;
             agent.direct = false;
+            agent.unreachable = false;
             return match link {
                 LinkState::Opening(link) | LinkState::Up(link) => Some(link),
                 LinkState::Down { .. } => None,
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use daisychute_core::{
-    EndpointName, Incarnation, Refusal, RefusalReason, RequestId, Revisions, Time, Verdict,
+    EndpointName, EndpointRecord, Incarnation, Refusal, RefusalReason, RequestId, Revisions, Time,
+    Verdict,
 };
 use daisychute_link::LinkId;
 use daisychute_proto::{
@@ -15,7 +16,6 @@
     Submission, Transition,
 };
 use crate::Choose;
-use crate::choose::serves;
 
 /// Decides what the entry does with every request: which agent gets it, when it is resumed, repeated, continued
 /// elsewhere or refused.
@@ -114,13 +114,7 @@
             Event::Submit { id, submission } => self.on_submit(now, id, *submission, actions),
             Event::CallerTook { id, bytes } => self.on_caller_took(id, bytes, actions),
             Event::CallerGone { id } => self.on_caller_gone(id, actions),
-            Event::Endpoints(records) => {
-                let moved = self.agents.list(now, records);
-                for link in moved {
-                    actions.push(Action::Close { link });
-                    self.on_link_down(now, link, false, actions);
-                }
-            }
+            Event::Endpoints(records) => self.on_endpoints(now, records, actions),
             Event::LinkUp { link, hello } => self.on_link_up(now, link, *hello, actions),
             Event::LinkDown { link, gone } => self.on_link_down(now, link, gone, actions),
             Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
@@ -161,10 +155,29 @@
         submission: &Submission,
         tried: &BTreeSet<EndpointName>,
     ) -> Option<EndpointName> {
-        let fits = |it: &&super::Agent| {
-            serves(it, &submission.work) && !tried.contains(&it.record.endpoint)
-        };
-        self.chooser.choose(now, submission, self.agents.iter().filter(fits))
+        let chosen = self.chooser.choose(now, submission, tried)?;
+        self.agents.get(&chosen).map(|_| chosen)
+    }
+
+    /// Tells the chooser what is known of an endpoint.
+    fn tell_chooser(&mut self, now: Time, endpoint: &EndpointName) {
+        match self.agents.get(endpoint) {
+            Some(agent) if !agent.unreachable => self.chooser.known(now, &agent.record),
+            Some(_) | None => self.chooser.gone(endpoint),
+        }
+    }
+
+    fn on_endpoints(&mut self, now: Time, records: Vec<EndpointRecord>, actions: &mut Vec<Action>) {
+        let before: Vec<EndpointName> = self.agents.names().cloned().collect();
+        let moved = self.agents.list(now, records);
+        let after: Vec<EndpointName> = self.agents.names().cloned().collect();
+        for endpoint in before.iter().chain(&after) {
+            self.tell_chooser(now, endpoint);
+        }
+        for link in moved {
+            actions.push(Action::Close { link });
+            self.on_link_down(now, link, false, actions);
+        }
     }
 
     /// Sends the present run of a request to its agent, or opens the connection first.
@@ -239,6 +252,8 @@
         }
         let Some(agent) = self.agents.get_mut(&endpoint) else { return };
         agent.link = LinkState::Up(link);
+        agent.unreachable = false;
+        self.chooser.known(now, &agent.record);
         let waiting: Vec<RequestId> = agent.requests.iter().copied().collect();
         actions.push(Action::PeerRevisions { link, revisions: hello.revisions });
         for id in waiting {
@@ -275,6 +290,7 @@
 
     fn on_link_down(&mut self, now: Time, link: LinkId, gone: bool, actions: &mut Vec<Action>) {
         let Some(endpoint) = self.agents.close(link, now + self.cfg.reconnect) else { return };
+        self.chooser.gone(&endpoint);
         let Some(agent) = self.agents.get(&endpoint) else { return };
         let waiting: Vec<RequestId> = agent.requests.iter().copied().collect();
         for id in waiting {
@@ -335,9 +351,11 @@
     ) {
         if let Some(record) = heartbeat.endpoint {
             self.agents.direct(endpoint, record);
+            self.tell_chooser(now, endpoint);
         }
         if let (Some(load), Some(agent)) = (heartbeat.load, self.agents.get_mut(endpoint)) {
             agent.load = Some((now, load));
+            self.chooser.report(now, endpoint, load);
         }
         actions.push(Action::PeerRevisions { link, revisions: heartbeat.revisions });
     }
@@ -413,6 +431,7 @@
         actions
             .push(Action::Answer { id, part: Part::End { finish: end.finish, usage: end.usage } });
         self.budget.success();
+        self.chooser.succeeded(endpoint);
         self.remove(id);
     }
 
@@ -465,6 +484,7 @@
     ) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.maybe_ran = true;
+        self.chooser.failed(now, &request.agent);
         let may_repeat = request.submission.repeatable()
             && (!request.has_emitted() || request.emitted.is_some());
         if !may_repeat {
--- a/crates/daisychute-entry/src/core/request.rs
+++ b/crates/daisychute-entry/src/core/request.rs
@@ -159,6 +159,7 @@
             precedence: submission.precedence,
             deadline: submission.deadline.saturating_sub(elapsed),
             first_token: first_token.map(|it| it.saturating_sub(elapsed)),
+            between_tokens: submission.between_tokens,
             window,
             work: self.work(),
         }
--- a/crates/daisychute-entry/src/core/submission.rs
+++ b/crates/daisychute-entry/src/core/submission.rs
@@ -18,6 +18,8 @@
     pub deadline: Duration,
     /// The time until the first token, where the class gives one.
     pub first_token: Option<Duration>,
+    /// The target between tokens, where the class gives one.
+    pub between_tokens: Option<Duration>,
     /// What is to be done.
     pub work: Work,
     /// Whether an answer that broke off may be continued by another run.
--- a/crates/daisychute-entry/src/lib.rs
+++ b/crates/daisychute-entry/src/lib.rs
@@ -4,17 +4,19 @@
 //!
 //! ```
 //! use daisychute_core::Incarnation;
-//! use daisychute_entry::FewestRequests;
+//! use daisychute_entry::LeastLoad;
 //! use daisychute_entry::core::{EntryConfig, EntryCore};
 //!
-//! let mut core = EntryCore::new(EntryConfig::default(), FewestRequests, Incarnation::new(1));
+//! let mut core = EntryCore::new(EntryConfig::default(), LeastLoad::default(), Incarnation::new(1));
 //! assert_eq!(core.next_id().seq, 1);
 //! assert!(core.requests().is_empty());
 //! ```
 
 mod choose;
+mod policy_choose;
 pub mod callers;
 pub mod core;
 pub mod shell;
 
-pub use crate::choose::{Choose, FewestRequests};
+pub use crate::choose::{Choose, LeastLoad};
+pub use crate::policy_choose::PolicyChoose;
--- /dev/null
+++ b/crates/daisychute-entry/src/policy_choose.rs
@@ -0,0 +1,97 @@
+//! The policy's choice of endpoint, fed by the entry.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use daisychute_core::{
+    AdapterName, DataCentreName, EndpointName, EndpointRecord, LoadReport, Time,
+};
+use daisychute_policy::prefix::{block_hashes, seed};
+use daisychute_policy::{Candidate, Chooser, Query};
+use daisychute_proto::{Completion, Work};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+use crate::Choose;
+use crate::core::Submission;
+
+/// Bytes of text in one token, for estimates before an engine has counted.
+const BYTES_PER_TOKEN: usize = 4;
+/// One way between two data centres of a region.
+const BETWEEN_DATA_CENTRES: Duration = Duration::from_micros(1_500);
+
+/// Chooses by [`Chooser`], from the point of view of one data centre.
+#[derive(Debug)]
+pub struct PolicyChoose {
+    chooser: Chooser,
+    data_centre: DataCentreName,
+    rng: Pcg64Mcg,
+}
+
+impl PolicyChoose {
+    /// Chooses for an entry in this data centre. The same seed gives the same choices.
+    #[must_use]
+    pub fn new(data_centre: DataCentreName, seed: u64) -> Self {
+        Self { chooser: Chooser::new(), data_centre, rng: Pcg64Mcg::seed_from_u64(seed) }
+    }
+}
+
+impl Choose for PolicyChoose {
+    fn known(&mut self, now: Time, record: &EndpointRecord) {
+        let is_near = record.data_centre == self.data_centre;
+        let distance = if is_near { Duration::ZERO } else { BETWEEN_DATA_CENTRES };
+        self.chooser.upsert(now, Candidate::from_record(record, distance));
+    }
+
+    fn gone(&mut self, endpoint: &EndpointName) {
+        self.chooser.remove(endpoint);
+    }
+
+    fn report(&mut self, now: Time, endpoint: &EndpointName, load: LoadReport) {
+        self.chooser.report(now, endpoint, load);
+    }
+
+    fn succeeded(&mut self, endpoint: &EndpointName) {
+        self.chooser.succeeded(endpoint);
+    }
+
+    fn failed(&mut self, now: Time, endpoint: &EndpointName) {
+        self.chooser.failed(now, endpoint);
+    }
+
+    fn choose(
+        &mut self,
+        now: Time,
+        submission: &Submission,
+        tried: &BTreeSet<EndpointName>,
+    ) -> Option<EndpointName> {
+        let tried: Vec<EndpointName> = tried.iter().cloned().collect();
+        let chosen = match &submission.work {
+            Work::Completion(completion) => {
+                let (tokens, blocks) = prompt(completion);
+                let query = Query::model(&completion.model)
+                    .adapter(completion.adapter.as_ref())
+                    .prompt(tokens, &blocks)
+                    .output_tokens(completion.max_tokens)
+                    .between_tokens(submission.between_tokens)
+                    .exclude(&tried);
+                self.chooser.choose(now, &query, &mut self.rng)
+            }
+            Work::Call(call) => self.chooser.choose(
+                now,
+                &Query::service(&call.service).exclude(&tried),
+                &mut self.rng,
+            ),
+        };
+        chosen.ok().map(|it| it.endpoint)
+    }
+}
+
+/// Estimated tokens and block hashes of a prompt.
+fn prompt(completion: &Completion) -> (u32, Vec<u64>) {
+    let text = completion.prompt.text();
+    let tokens = u32::try_from(text.len() / BYTES_PER_TOKEN).unwrap_or(u32::MAX);
+    let seed =
+        seed(completion.model.as_str(), completion.adapter.as_ref().map(AdapterName::as_str));
+    (tokens, block_hashes(seed, &text))
+}
--- a/crates/daisychute-entry/src/shell/entry_shell.rs
+++ b/crates/daisychute-entry/src/shell/entry_shell.rs
@@ -9,14 +9,18 @@
 };
 use daisychute_link::{DownReason, Link, LinkConfig, LinkEvent, LinkId, connect};
 use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
-use daisychute_runtime::Clock;
+use daisychute_runtime::{Clock, Labels};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep_until};
 
+use super::caller::Caller;
 use super::{EntryHandle, Input};
 use crate::Choose;
 use crate::core::{Action, Agent, EntryCore, Event, Part};
 
+/// Tenants that metrics tell apart.
+const MAX_TENANTS: usize = 512;
+
 /// Who the entry is.
 #[derive(Debug, Clone)]
 pub struct EntryOptions {
@@ -39,7 +43,8 @@
     core: EntryCore<C>,
     clock: Clock,
     links: BTreeMap<LinkId, Link>,
-    callers: BTreeMap<RequestId, UnboundedSender<Part>>,
+    callers: BTreeMap<RequestId, Caller>,
+    tenants: Labels,
     configuration: Option<Rc<Configuration>>,
     revisions: Revisions,
     handle: EntryHandle,
@@ -60,6 +65,7 @@
             clock,
             links: BTreeMap::new(),
             callers: BTreeMap::new(),
+            tenants: Labels::new(MAX_TENANTS),
             configuration: None,
             revisions: Revisions::default(),
             handle: EntryHandle::new(tx),
@@ -93,8 +99,10 @@
     fn on_input(&mut self, input: Input) {
         match input {
             Input::Event(event) => {
-                if let Event::Revisions(revisions) = &event {
-                    self.revisions = *revisions;
+                match &event {
+                    Event::Revisions(revisions) => self.revisions = *revisions,
+                    Event::CallerGone { id } => self.caller_gone(*id),
+                    _ => {}
                 }
                 self.feed(event);
             }
@@ -104,7 +112,8 @@
                     // The caller went away before its request was taken over.
                     return;
                 }
-                self.callers.insert(id, parts);
+                let caller = Caller::new(self.clock.now(), &submission, parts, &mut self.tenants);
+                self.callers.insert(id, caller);
                 self.feed(Event::Submit { id, submission });
             }
             Input::Configuration(cfg) => self.configuration = Some(cfg),
@@ -164,18 +173,21 @@
 
     fn answer(&mut self, id: RequestId, part: Part) {
         let is_last = matches!(part, Part::End { .. } | Part::Refused(_));
-        if let Part::Refused(refusal) = &part {
-            log::info!("request {id} refused: {refusal} ({:?})", refusal.verdict);
-        }
-        if let Some(parts) = self.callers.get(&id) {
-            // A caller that is gone says so itself.
-            let _ = parts.send(part);
+        let now = self.clock.now();
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.answer(now, id, part);
         }
         if is_last {
             self.callers.remove(&id);
         }
     }
 
+    fn caller_gone(&mut self, id: RequestId) {
+        if let Some(caller) = self.callers.remove(&id) {
+            caller.gone(self.clock.now());
+        }
+    }
+
     fn hello(&self) -> Hello {
         Hello {
             version: PROTOCOL_VERSION,
--- a/crates/daisychute-entry/src/shell/mod.rs
+++ b/crates/daisychute-entry/src/shell/mod.rs
@@ -1,5 +1,6 @@
 //! The I/O of the entry: callers' connections, connections to agents, timers.
 
+mod caller;
 mod entry_shell;
 mod handle;
 mod input;
--- a/crates/daisychute-proto/src/start.rs
+++ b/crates/daisychute-proto/src/start.rs
@@ -1,5 +1,6 @@
 //! A request on its way to an agent.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,19 @@
     Chat(Vec<ChatMessage>),
 }
 
+impl Prompt {
+    /// Its whole text: what engines cache by prefix.
+    #[must_use]
+    pub fn text(&self) -> Cow<'_, str> {
+        match self {
+            Self::Text(text) => Cow::Borrowed(text),
+            Self::Chat(messages) => {
+                Cow::Owned(messages.iter().map(|it| it.content.as_str()).collect())
+            }
+        }
+    }
+}
+
 /// A completion by a model.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Completion {
@@ -100,6 +114,9 @@
     /// The time that is left until the first token, where the class gives one.
     #[serde(default)]
     pub first_token: Option<Duration>,
+    /// The target between tokens, where the class gives one.
+    #[serde(default)]
+    pub between_tokens: Option<Duration>,
     /// How many bytes may be sent before the first [`Credit`](crate::Credit).
     pub window: u32,
     /// What is to be done.
--- a/crates/daisychute-proto/tests/codec.rs
+++ b/crates/daisychute-proto/tests/codec.rs
@@ -42,6 +42,7 @@
         precedence: Precedence::First,
         deadline: Duration::from_secs(5),
         first_token: None,
+        between_tokens: None,
         window: 65_536,
         work: Work::Call(call),
     }
--- a/crates/daisychute-runtime/src/lib.rs
+++ b/crates/daisychute-runtime/src/lib.rs
@@ -16,11 +16,13 @@
 mod clock;
 mod http_limits;
 mod http_server;
+mod labels;
 mod read_body;
 mod signal;
 
 pub use crate::clock::Clock;
 pub use crate::http_limits::HttpLimits;
 pub use crate::http_server::HttpServer;
+pub use crate::labels::Labels;
 pub use crate::read_body::{BodyError, read_body};
 pub use crate::signal::stop_requested;
--- a/crates/daisychuted/src/agent.rs
+++ b/crates/daisychuted/src/agent.rs
@@ -2,25 +2,25 @@
 
 use std::net::TcpListener;
 
-use daisychute_agent::Fifo;
+use daisychute_agent::PolicyAdmit;
 use daisychute_agent::core::{AgentConfig, AgentCore};
 use daisychute_agent::shell::{AgentOptions, AgentShell};
-use daisychute_core::{EndpointRecord, EndpointState};
+use daisychute_core::{EndpointRecord, EndpointState, Incarnation};
 use daisychute_link::LinkConfig;
 use daisychute_runtime::{Clock, stop_requested};
 use daisychute_settings::{AgentSettings, Settings};
-use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::time::timeout;
 
-use crate::DaemonError;
 use crate::admin::Admin;
 use crate::entry::{bind, http_limits};
+use crate::{DaemonError, metrics};
 
-/// Requests that run on the endpoint at a time.
-const ROOM: usize = 64;
-
-pub(crate) async fn run(settings: Settings, role: AgentSettings) -> Result<(), DaemonError> {
-    let metrics = PrometheusBuilder::new().install_recorder()?;
+pub(crate) async fn run(
+    settings: Settings,
+    role: AgentSettings,
+    incarnation: Incarnation,
+) -> Result<(), DaemonError> {
+    let metrics = metrics::install()?;
     let inner = settings.listen.inner;
     let listener = TcpListener::bind(inner).map_err(|source| DaemonError::Listen {
         listener: "inner",
@@ -28,7 +28,11 @@
         source,
     })?;
     let admin = bind("admin", settings.listen.admin, http_limits(&settings.limits))?;
-    let core = AgentCore::new(agent_config(&settings), Fifo::new(ROOM), record(&settings, &role));
+    let core = AgentCore::new(
+        agent_config(&settings),
+        PolicyAdmit::new(&role.endpoint.kind),
+        record(&settings, &role, incarnation),
+    );
     let shell = AgentShell::new(agent_options(&settings, &role), core, Clock::start(), listener)
         .map_err(|source| DaemonError::Serve { listener: "inner", source })?;
     let handle = shell.handle();
@@ -52,14 +56,14 @@
     AgentConfig { heartbeat: settings.timing.heartbeat, ..AgentConfig::default() }
 }
 
-fn record(settings: &Settings, role: &AgentSettings) -> EndpointRecord {
+fn record(settings: &Settings, role: &AgentSettings, incarnation: Incarnation) -> EndpointRecord {
     EndpointRecord {
         endpoint: role.endpoint.name.clone(),
         instance: settings.process.instance.clone(),
         data_centre: settings.process.data_centre.clone(),
         kind: role.endpoint.kind.clone(),
         agent: settings.listen.inner,
-        incarnation: Clock::incarnation(),
+        incarnation,
         state: EndpointState::Live,
         target: None,
     }
--- a/crates/daisychuted/src/entry.rs
+++ b/crates/daisychuted/src/entry.rs
@@ -1,6 +1,7 @@
 //! The daemon as an entry.
 
-use daisychute_entry::FewestRequests;
+use daisychute_core::Incarnation;
+use daisychute_entry::PolicyChoose;
 use daisychute_entry::callers::Callers;
 use daisychute_entry::core::{EntryConfig, EntryCore};
 use daisychute_entry::shell::{EntryOptions, EntryShell};
@@ -8,21 +9,25 @@
 use daisychute_platform::{ClientSettings, ObjectClient};
 use daisychute_runtime::{Clock, HttpLimits, HttpServer, stop_requested};
 use daisychute_settings::{EntrySettings, LimitSettings, Settings};
-use metrics_exporter_prometheus::PrometheusBuilder;
 use tokio::time::timeout;
 
 use crate::admin::Admin;
-use crate::{DaemonError, discovery};
+use crate::{DaemonError, discovery, metrics};
 
 /// Between "not ready" and the end of new requests, for the balancer to notice.
 const READINESS_LAG: std::time::Duration = std::time::Duration::from_millis(500);
 
-pub(crate) async fn run(settings: Settings, role: EntrySettings) -> Result<(), DaemonError> {
-    let metrics = PrometheusBuilder::new().install_recorder()?;
+pub(crate) async fn run(
+    settings: Settings,
+    role: EntrySettings,
+    incarnation: Incarnation,
+) -> Result<(), DaemonError> {
+    let metrics = metrics::install()?;
     let limits = http_limits(&settings.limits);
     let callers = bind("callers", role.callers, limits)?;
     let admin = bind("admin", settings.listen.admin, limits)?;
-    let core = EntryCore::new(entry_config(&settings), FewestRequests, Clock::incarnation());
+    let chooser = PolicyChoose::new(settings.process.data_centre.clone(), incarnation.get());
+    let core = EntryCore::new(entry_config(&settings), chooser, incarnation);
     let shell = EntryShell::new(entry_options(&settings), core, Clock::start());
     let handle = shell.handle();
 
--- a/crates/daisychuted/src/logging.rs
+++ b/crates/daisychuted/src/logging.rs
@@ -1,10 +1,16 @@
 //! Structured logs on standard error.
 
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
 use std::io;
+use std::sync::Arc;
+use std::time::SystemTime;
 
+use daisychute_core::{Incarnation, ProcessName};
 use daisychute_settings::{LogFormat, LogLevel, LogSettings};
-use fern::{Dispatch, FormatCallback};
+use fern::Dispatch;
 use humantime::format_rfc3339_micros;
+use log::kv::{Key, Value, VisitSource};
 use log::{LevelFilter, Record};
 use serde::Serialize;
 
@@ -15,26 +21,54 @@
 /// Target prefix of our own packages.
 const OWN: &str = "daisychute";
 
+/// What every line of a process says.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub(crate) process: ProcessName,
+    pub(crate) incarnation: Incarnation,
+}
+
 #[derive(Serialize)]
 struct JsonLine<'a> {
     time: String,
     level: &'a str,
     target: &'a str,
+    process: &'a ProcessName,
+    incarnation: String,
     message: String,
+    #[serde(flatten)]
+    fields: Fields,
+}
+
+/// The key-value pairs of one record.
+#[derive(Debug, Default, Serialize)]
+#[serde(transparent)]
+struct Fields(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.insert(key.as_str().to_owned(), value.to_string());
+        Ok(())
+    }
 }
 
 /// Installs the logger of the process.
-pub(crate) fn install(settings: &LogSettings) -> Result<(), DaemonError> {
+pub(crate) fn install(settings: &LogSettings, identity: Identity) -> Result<(), DaemonError> {
     let level = filter(settings.level);
     let format = settings.format;
+    let identity = Arc::new(identity);
     Dispatch::new()
-        .level(LIBRARY_LEVEL.min(level))
+        .level(level)
         .filter(move |it| it.target().starts_with(OWN) || it.level() <= LIBRARY_LEVEL)
-        .level_for(OWN, level)
-        .format(move |out, message, record| line(format, out, &message.to_string(), record))
+        .format(move |out, message, record| {
+            let line = match format {
+                LogFormat::KeyValue => key_value_line(&identity, &message.to_string(), record),
+                LogFormat::Json => json_line(&identity, &message.to_string(), record),
+            };
+            out.finish(format_args!("{line}"));
+        })
         .chain(io::stderr())
         .apply()?;
-    log::set_max_level(level);
     Ok(())
 }
 
@@ -48,18 +82,41 @@
     }
 }
 
-fn line(format: LogFormat, out: FormatCallback<'_>, message: &str, record: &Record<'_>) {
-    let time = format_rfc3339_micros(std::time::SystemTime::now()).to_string();
-    let (level, target) = (record.level().as_str(), record.target());
-    match format {
-        LogFormat::KeyValue => {
-            out.finish(format_args!(
-                "time={time} level={level} target={target} message={message:?}"
-            ));
-        }
-        LogFormat::Json => {
-            let json = JsonLine { time, level, target, message: message.to_owned() };
-            out.finish(format_args!("{}", serde_json::to_string(&json).unwrap_or_default()));
-        }
+fn fields(record: &Record<'_>) -> Fields {
+    let mut fields = Fields::default();
+    // Collecting into a map can't fail.
+    let _ = record.key_values().visit(&mut fields);
+    fields
+}
+
+fn now() -> String {
+    format_rfc3339_micros(SystemTime::now()).to_string()
+}
+
+fn key_value_line(identity: &Identity, message: &str, record: &Record<'_>) -> String {
+    let Identity { process, incarnation } = identity;
+    let (level, target) = (record.level(), record.target());
+    let mut line = format!(
+        "time={} level={level} target={target} process={process} incarnation={incarnation} message={message:?}",
+        now(),
+    );
+    for (key, value) in fields(record).0 {
+        // Writing to a string can't fail.
+        let _ = write!(line, " {key}={value:?}");
     }
+    line
+}
+
+fn json_line(identity: &Identity, message: &str, record: &Record<'_>) -> String {
+    let line = JsonLine {
+        time: now(),
+        level: record.level().as_str(),
+        target: record.target(),
+        process: &identity.process,
+        incarnation: identity.incarnation.to_string(),
+        message: message.to_owned(),
+        fields: fields(record),
+    };
+    // Every field is a string.
+    serde_json::to_string(&line).unwrap_or_default()
 }
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -7,12 +7,16 @@
 mod entry;
 mod error;
 mod logging;
+mod metrics;
 
 use clap::Parser;
+use daisychute_core::Incarnation;
+use daisychute_runtime::Clock;
 use daisychute_settings::{RoleSettings, Settings};
 
 use crate::args::Args;
 use crate::error::DaemonError;
+use crate::logging::Identity;
 
 fn main() -> miette::Result<()> {
     let args = Args::parse();
@@ -21,14 +25,16 @@
         println!("{} is valid", args.settings.display());
         return Ok(());
     }
-    logging::install(&settings.log)?;
-    actix_rt::System::new().block_on(run(settings))?;
+    let incarnation = Clock::incarnation();
+    let identity = Identity { process: settings.process.name.clone(), incarnation };
+    logging::install(&settings.log, identity)?;
+    actix_rt::System::new().block_on(run(settings, incarnation))?;
     Ok(())
 }
 
-async fn run(settings: Settings) -> Result<(), DaemonError> {
+async fn run(settings: Settings, incarnation: Incarnation) -> Result<(), DaemonError> {
     match settings.role.clone() {
-        RoleSettings::Entry(role) => entry::run(settings, role).await,
-        RoleSettings::Agent(role) => agent::run(settings, role).await,
+        RoleSettings::Entry(role) => entry::run(settings, role, incarnation).await,
+        RoleSettings::Agent(role) => agent::run(settings, role, incarnation).await,
     }
 }
