feat(cli): add the operators' command-line client

Operators need to change the configuration, drain endpoints and see who is behind. Each change is one conditional write with a stamp; a lost answer is settled by reading back and repeated under the same stamp and version. The replaced configuration goes to the history before the write: keeping the history inside the configuration object was ruled out, since every watcher would carry it; writing it after the update was ruled out, since a client killed between the two would lose a revision.

--- /dev/null
+++ b/crates/daisychute-cli/src/args.rs
@@ -0,0 +1,141 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use clap_complete::Shell;
+use daisychute_core::{DeploymentName, EndpointName, RegionName, Revision};
+
+use crate::output::Output;
+
+/// Operates a daisychute deployment.
+///
+/// Exit codes: 0 done, 1 failure, 2 usage, 3 conflict, 4 no answer from the platform or the entries,
+/// 5 refused file, 6 differences found.
+#[derive(Debug, Parser)]
+#[command(name = "daisychute", version)]
+pub(crate) struct Args {
+    #[command(flatten)]
+    pub(crate) shared: Shared,
+    #[command(subcommand)]
+    pub(crate) command: Command,
+}
+
+/// Options of all commands.
+#[derive(Debug, Clone, clap::Args)]
+pub(crate) struct Shared {
+    /// Base URL of the platform's object API
+    #[arg(long, global = true, value_name = "URL", env = "DAISYCHUTE_PLATFORM")]
+    pub(crate) platform: Option<String>,
+    /// Name of the deployment, as in its processes' settings
+    #[arg(long, global = true, value_name = "NAME", env = "DAISYCHUTE_DEPLOYMENT", value_parser = deployment)]
+    pub(crate) deployment: Option<DeploymentName>,
+    /// Name of the region, for status, plan, drain and undrain
+    #[arg(long, global = true, value_name = "NAME", env = "DAISYCHUTE_REGION", value_parser = region)]
+    pub(crate) region: Option<RegionName>,
+    /// Admin address of an entry, for status and jobs; may be given several times
+    #[arg(
+        long = "entry",
+        global = true,
+        value_name = "ADDR",
+        env = "DAISYCHUTE_ENTRIES",
+        value_delimiter = ','
+    )]
+    pub(crate) entries: Vec<SocketAddr>,
+    /// Who writes, as it is shown in the history
+    #[arg(
+        long,
+        global = true,
+        value_name = "NAME",
+        env = "DAISYCHUTE_WRITER",
+        default_value = "operator"
+    )]
+    pub(crate) writer: String,
+    /// How answers are shown
+    #[arg(long, global = true, value_enum, default_value_t = Output::Text)]
+    pub(crate) output: Output,
+    /// Width of tables, in columns
+    #[arg(
+        long,
+        global = true,
+        value_name = "COLUMNS",
+        env = "COLUMNS",
+        default_value_t = 80,
+        value_parser = clap::value_parser!(u16).range(40..)
+    )]
+    pub(crate) width: u16,
+}
+
+/// What to do.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Command {
+    /// Check a configuration file and make it the accepted configuration
+    Apply {
+        /// The configuration file
+        file: PathBuf,
+    },
+    /// Print the accepted configuration as a file
+    Get,
+    /// Show what a configuration file would change
+    Diff {
+        /// The configuration file
+        file: PathBuf,
+    },
+    /// List the accepted configurations, or print one of them as a file
+    History {
+        /// The revision to print
+        #[arg(value_parser = revision)]
+        revision: Option<Revision>,
+    },
+    /// Show processes and endpoints, and which are not yet at the accepted revision
+    Status {
+        /// Show it again and again
+        #[arg(long)]
+        watch: bool,
+        /// The time between two rounds of --watch
+        #[arg(long, value_name = "TIME", default_value = "2s", value_parser = humantime::parse_duration)]
+        interval: Duration,
+    },
+    /// Let an endpoint finish its work and take no more
+    Drain {
+        /// The endpoint
+        #[arg(value_parser = endpoint)]
+        endpoint: EndpointName,
+    },
+    /// Let a drained endpoint take work again
+    Undrain {
+        /// The endpoint
+        #[arg(value_parser = endpoint)]
+        endpoint: EndpointName,
+    },
+    /// Show the plan of the region
+    Plan,
+    /// List the jobs, or show one of them
+    Jobs {
+        /// The job
+        id: Option<String>,
+    },
+    /// Print the completions of a shell
+    Completions {
+        /// The shell
+        shell: Shell,
+    },
+}
+
+fn deployment(raw: &str) -> Result<DeploymentName, daisychute_core::NameError> {
+    DeploymentName::try_from(raw)
+}
+
+fn region(raw: &str) -> Result<RegionName, daisychute_core::NameError> {
+    RegionName::try_from(raw)
+}
+
+fn endpoint(raw: &str) -> Result<EndpointName, daisychute_core::NameError> {
+    EndpointName::try_from(raw)
+}
+
+fn revision(raw: &str) -> Result<Revision, std::num::ParseIntError> {
+    raw.parse().map(Revision::new)
+}
--- /dev/null
+++ b/crates/daisychute-cli/src/commands/get.rs
@@ -0,0 +1,64 @@
+//! `get` and `diff`: the accepted configuration.
+
+use std::path::Path;
+
+use daisychute_core::{Configuration, Revision};
+use daisychute_platform::ObjectKind;
+use daisychute_settings::{ConfigurationDiff, ConfigurationFile};
+use serde::Serialize;
+
+use crate::context::{Context, read};
+use crate::error::{CliError, Exit};
+use crate::history::Entry;
+use crate::output::Answer;
+
+#[derive(Serialize)]
+#[serde(transparent)]
+struct Accepted(Entry);
+
+impl Answer for Accepted {
+    fn text(&self, _width: u16) -> String {
+        let configuration = self.0.configuration.clone();
+        ConfigurationFile::from(configuration).based_on(self.0.revision).to_string()
+    }
+}
+
+#[derive(Serialize)]
+struct Difference {
+    revision: Revision,
+    changes: ConfigurationDiff,
+}
+
+impl Answer for Difference {
+    fn text(&self, _width: u16) -> String {
+        self.changes.to_string()
+    }
+}
+
+pub(super) async fn get(cx: &Context) -> Result<Exit, CliError> {
+    let entry = accepted(cx).await?;
+    let deployment = cx.deployment()?.clone();
+    let entry = entry.ok_or(CliError::NoConfiguration { deployment })?;
+    cx.show(&Accepted(entry))?;
+    Ok(Exit::Done)
+}
+
+pub(super) async fn diff(cx: &Context, path: &Path) -> Result<Exit, CliError> {
+    let file = ConfigurationFile::load(path)?;
+    let entry = accepted(cx).await?;
+    let none = Configuration::default();
+    let before = entry.as_ref().map_or(&none, |it| &it.configuration);
+    let changes = ConfigurationDiff::between(before, file.configuration());
+    let exit = if changes.is_empty() { Exit::Done } else { Exit::Different };
+    let revision = entry.as_ref().map_or(Revision::ZERO, |it| it.revision);
+    cx.show(&Difference { revision, changes })?;
+    Ok(exit)
+}
+
+/// The accepted configuration, where there is one.
+pub(super) async fn accepted(cx: &Context) -> Result<Option<Entry>, CliError> {
+    let deployment = cx.deployment()?;
+    let client = cx.client()?;
+    let object = read(&client, ObjectKind::Configurations, deployment.as_str()).await?;
+    object.as_ref().map(Entry::of).transpose()
+}
--- /dev/null
+++ b/crates/daisychute-cli/src/commands/mod.rs
@@ -0,0 +1,46 @@
+//! The commands.
+
+mod apply;
+mod drain;
+mod get;
+mod history;
+mod jobs;
+mod plan;
+mod status;
+
+use clap::CommandFactory;
+use clap_complete::Shell;
+
+pub(crate) use self::apply::Conflict;
+use crate::args::{Args, Command};
+use crate::context::Context;
+use crate::error::{CliError, Exit};
+use crate::output;
+
+/// Carries out the command line.
+pub(crate) async fn run(args: Args) -> Result<Exit, CliError> {
+    let cx = Context::new(args.shared);
+    match args.command {
+        Command::Apply { file } => apply::apply(&cx, &file).await,
+        Command::Get => get::get(&cx).await,
+        Command::Diff { file } => get::diff(&cx, &file).await,
+        Command::History { revision: None } => history::list(&cx).await,
+        Command::History { revision: Some(revision) } => history::show(&cx, revision).await,
+        Command::Status { watch: false, .. } => status::once(&cx).await,
+        Command::Status { watch: true, interval } => status::watch(&cx, interval).await,
+        Command::Drain { endpoint } => drain::drain(&cx, endpoint, true).await,
+        Command::Undrain { endpoint } => drain::drain(&cx, endpoint, false).await,
+        Command::Plan => plan::plan(&cx).await,
+        Command::Jobs { id: None } => jobs::list(&cx).await,
+        Command::Jobs { id: Some(id) } => jobs::show(&cx, &id).await,
+        Command::Completions { shell } => completions(shell),
+    }
+}
+
+fn completions(shell: Shell) -> Result<Exit, CliError> {
+    let mut script = Vec::new();
+    let mut command = Args::command();
+    clap_complete::generate(shell, &mut command, "daisychute", &mut script);
+    output::write_line(&String::from_utf8_lossy(&script))?;
+    Ok(Exit::Done)
+}
--- /dev/null
+++ b/crates/daisychute-cli/src/commands/status/text.rs
@@ -0,0 +1,134 @@
+//! The text form of an overview.
+
+use std::fmt::Write;
+
+use daisychute_core::{EndpointKind, EndpointState, ProcessRole, ProcessState};
+
+use super::overview::{EndpointRow, Overview, ProcessRow, Source};
+use crate::commands::jobs::whole_seconds;
+use crate::commands::plan;
+use crate::output::Answer;
+use crate::table::{lines, or_dash, table};
+
+impl Answer for Overview {
+    fn text(&self, width: u16) -> String {
+        let mut text = self.summary();
+        if !self.processes.is_empty() {
+            text.push('\n');
+            text.push_str(&self.process_table(width));
+        }
+        if !self.endpoints.is_empty() {
+            text.push('\n');
+            text.push_str(&self.endpoint_table(width));
+        }
+        text
+    }
+}
+
+impl Overview {
+    fn summary(&self) -> String {
+        let mut text = String::new();
+        let platform = match self.platform {
+            Source::Up => "up",
+            Source::Down => "no answer",
+            Source::NotAsked => "not asked",
+        };
+        // Writing to a string can't fail.
+        let _ = writeln!(text, "platform: {platform}");
+        for entry in &self.silent_entries {
+            let _ = writeln!(text, "entry {entry}: no answer");
+        }
+        if let Some(accepted) = self.accepted {
+            let _ =
+                writeln!(text, "configuration: revision {accepted} is accepted, {}", self.spread());
+        }
+        if let Some(plan) = self.plan {
+            let _ = writeln!(text, "plan: revision {plan}");
+        }
+        text
+    }
+
+    /// How far the accepted configuration has spread.
+    fn spread(&self) -> String {
+        let behind: Vec<_> = self.processes.iter().filter(|it| it.behind == Some(true)).collect();
+        let (all, there) = (self.processes.len(), self.processes.len() - behind.len());
+        if behind.is_empty() {
+            return format!("in force on all {all} known processes");
+        }
+        let names: Vec<_> = behind
+            .iter()
+            .map(|it| format!("{} at {}", it.process, it.revisions.configuration))
+            .collect();
+        format!("in force on {there} of {all} known processes; behind: {}", names.join(", "))
+    }
+
+    fn process_table(&self, width: u16) -> String {
+        let header =
+            ["PROCESS", "ROLE", "DATA CENTRE", "STATE", "CONFIG", "PLAN", "IN FLIGHT", "HEARD"];
+        let mut table = table(width, &header);
+        for row in &self.processes {
+            table.add_row(process_cells(row));
+        }
+        lines(&table)
+    }
+
+    fn endpoint_table(&self, width: u16) -> String {
+        let header =
+            ["ENDPOINT", "DATA CENTRE", "KIND", "STATE", "ROLE", "MODEL", "RUNNING", "QUEUED"];
+        let mut table = table(width, &header);
+        for row in &self.endpoints {
+            table.add_row(endpoint_cells(row));
+        }
+        lines(&table)
+    }
+}
+
+fn process_cells(row: &ProcessRow) -> [String; 8] {
+    let role = match row.role {
+        ProcessRole::Entry => "entry",
+        ProcessRole::Agent => "agent",
+    };
+    let state = row.state.map(|it| match it {
+        ProcessState::Starting => "starting",
+        ProcessState::Ready => "ready",
+        ProcessState::Leaving => "leaving",
+    });
+    let behind = if row.behind == Some(true) { " behind" } else { "" };
+    [
+        row.process.to_string(),
+        role.to_owned(),
+        row.data_centre.to_string(),
+        or_dash(state),
+        format!("{}{behind}", row.revisions.configuration),
+        row.revisions.plan.to_string(),
+        or_dash(row.in_flight),
+        row.heard.map_or_else(|| "now".to_owned(), |it| format!("{} ago", whole_seconds(it))),
+    ]
+}
+
+fn endpoint_cells(row: &EndpointRow) -> [String; 8] {
+    let status = &row.status;
+    let kind = match &status.kind {
+        EndpointKind::Engine => "engine".to_owned(),
+        EndpointKind::Service(service) => service.to_string(),
+    };
+    [
+        status.endpoint.to_string(),
+        status.data_centre.to_string(),
+        kind,
+        state(row).to_owned(),
+        or_dash(status.target.as_ref().map(|it| plan::role(it.role))),
+        or_dash(status.target.as_ref().map(plan::model)),
+        or_dash(status.load.map(|it| it.running)),
+        or_dash(status.load.map(|it| it.queued)),
+    ]
+}
+
+fn state(row: &EndpointRow) -> &'static str {
+    match row.status.state {
+        _ if row.status.changing => "changing",
+        EndpointState::Leaving => "leaving",
+        EndpointState::Live if row.drain == Some(true) => "drain asked",
+        EndpointState::Live => "live",
+    }
+}
