--- a/crates/daisychute-agent/src/lib.rs
+++ b/crates/daisychute-agent/src/lib.rs
@@ -24,6 +24,7 @@
 
 mod admit;
 pub mod core;
+pub mod orders;
 pub mod shell;
 
 pub use crate::admit::{Admit, Fifo};
