test: show the status of processes and endpoints in the demo

Cause: the demo showed what the platform lists only; the state of the processes comes from the entries' admin listeners.

Change: the testbed names the deployment in the settings, tells the log of an entry that is not ready in time, and the demo asks an entry as well.

--- a/crates/daisychute-testbed/src/deployment.rs
+++ b/crates/daisychute-testbed/src/deployment.rs
@@ -232,7 +232,7 @@
         let instance = name.strip_prefix("agent-").unwrap_or(name);
         format!(
             "[process]\nname = {name}\nrole = {role}\nregion = {region}\ndata-centre = {data_centre}\n\
-             instance = i-{instance}\n[platform]\nurl = {}\n[log]\nlevel = {log_level}\n{daemon_sections}\n",
+             instance = i-{instance}\n[platform]\nurl = {}\ndeployment = {region}\n[log]\nlevel = {log_level}\n{daemon_sections}\n",
             self.platform_url(),
         )
     }
@@ -245,8 +245,10 @@
     pub async fn wait_ready(&self) -> Result<(), TestbedError> {
         for entry in &self.entries {
             let what = "an entry is ready and sees every endpoint";
-            wait_for(what, self.plan.ready, async || self.is_ready(entry).await.then_some(()))
-                .await?;
+            let ready =
+                wait_for(what, self.plan.ready, async || self.is_ready(entry).await.then_some(()));
+            let log = || entry.daemon.log();
+            ready.await.map_err(|source| TestbedError::NotReady { source, log: log() })?;
         }
         Ok(())
     }
--- a/crates/daisychute-testbed/src/error.rs
+++ b/crates/daisychute-testbed/src/error.rs
@@ -10,6 +10,14 @@
     /// A process, or a call of it, failed.
     #[error(transparent)]
     Harness(#[from] HarnessError),
+    /// An entry is not ready in time.
+    #[error("{source}; what it logged last:\n{log}")]
+    NotReady {
+        /// What was waited for.
+        source: HarnessError,
+        /// The end of its log.
+        log: String,
+    },
     /// The platform refused an object.
     #[error("the platform answered {status} to {path}: {body}")]
     Platform {
--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -8,6 +8,8 @@
 
 use crate::TestbedError;
 
+/// Lines of a log that an error shows.
+const LOG_LINES: usize = 40;
 const DAEMON: &str = "daisychuted";
 /// How long a daemon may take to leave.
 const LEAVE: Duration = Duration::from_secs(30);
@@ -26,6 +28,12 @@
         Ok(Self { name, settings, process })
     }
 
+    /// The end of what it logged.
+    pub(crate) fn log(&self) -> String {
+        let lines = self.process.stderr();
+        lines[lines.len().saturating_sub(LOG_LINES)..].join("\n")
+    }
+
     fn restart(&mut self) -> Result<(), HarnessError> {
         self.process = Program::built(DAEMON)?.settings(self.settings.clone()).start()?;
         Ok(())
@@ -87,6 +95,12 @@
                 self.daemon.stop().await
             }
 
+            /// The address of its admin listener.
+            #[must_use]
+            pub const fn admin_addr(&self) -> SocketAddr {
+                self.admin
+            }
+
             /// A client of its admin listener.
             #[must_use]
             pub fn admin(&self) -> Client {
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -74,6 +74,7 @@
 async fn status(deployment: &Deployment) -> Result<(), XtaskError> {
     let mut cli = Program::built("daisychute")?
         .args(["--platform", &deployment.platform_url(), "--region", deployment.region(), "status"])
+        .args(["--entry", &deployment.entry(0).admin_addr().to_string()])
         .start()?;
     let status = cli.wait_exit(std::time::Duration::from_secs(10)).await?;
     println!("daisychute status\n{}", cli.stdout().join("\n"));
