--- a/crates/daisychute-agent/src/core/agent_core.rs
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -86,6 +86,12 @@
         self.held
     }
 
+    /// Ended requests that are remembered for late questions.
+    #[must_use]
+    pub fn outcomes(&self) -> usize {
+        self.outcomes.len()
+    }
+
     /// Requests that wait or run.
     #[must_use]
     pub fn open(&self) -> usize {
