--- a/crates/daisychute-cli/src/args.rs
+++ b/crates/daisychute-cli/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::env;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -10,6 +11,9 @@
 
 use crate::output::Output;
 
+/// The width of tables where nothing tells another, in columns.
+const DEFAULT_WIDTH: u16 = 80;
+
 /// Operates a daisychute deployment.
 ///
 /// Exit codes: 0 done, 1 failure, 2 usage, 3 conflict, 4 no answer from the platform or the entries,
@@ -56,15 +60,8 @@
     /// How answers are shown
     #[arg(long, global = true, value_enum, default_value_t = Output::Text)]
     pub(crate) output: Output,
-    /// Width of tables, in columns
-    #[arg(
-        long,
-        global = true,
-        value_name = "COLUMNS",
-        env = "COLUMNS",
-        default_value_t = 80,
-        value_parser = clap::value_parser!(u16).range(40..)
-    )]
+    /// Width of tables, in columns; by default that in COLUMNS, or 80
+    #[arg(long, global = true, value_name = "COLUMNS", default_value_t = terminal_width(), hide_default_value = true)]
     pub(crate) width: u16,
 }
 
@@ -124,6 +121,12 @@
     },
 }
 
+/// The width that a shell exports, where it does.
+fn terminal_width() -> u16 {
+    let columns = env::var("COLUMNS").ok().and_then(|it| it.parse().ok());
+    columns.unwrap_or(DEFAULT_WIDTH)
+}
+
 fn deployment(raw: &str) -> Result<DeploymentName, daisychute_core::NameError> {
     DeploymentName::try_from(raw)
 }
--- a/crates/daisychute-cli/src/commands/apply.rs
+++ b/crates/daisychute-cli/src/commands/apply.rs
@@ -1,5 +1,6 @@
 //! `apply`: makes a file the accepted configuration.
 
+use std::fmt;
 use std::path::Path;
 
 use daisychute_core::{Configuration, DeploymentName, Revision};
@@ -19,7 +20,7 @@
 #[derive(Debug, Error, Diagnostic)]
 #[error(
     "{file} is made from revision {base} of {deployment}, and revision {accepted} by {writer} was \
-     accepted since\n\nwhat {writer} changed:\n{theirs}\nwhat {file} changes:\n{mine}"
+     accepted since\n\n{both}"
 )]
 #[diagnostic(help(
     "nothing was changed; take over what you want to keep from `daisychute get`, then apply again"
@@ -30,8 +31,29 @@
     base: Revision,
     accepted: Revision,
     writer: String,
-    theirs: ConfigurationDiff,
-    mine: ConfigurationDiff,
+    both: Both,
+}
+
+/// What both sides want.
+#[derive(Debug)]
+enum Both {
+    /// What each changes in the revision that both started from.
+    FromBase { theirs: ConfigurationDiff, mine: ConfigurationDiff },
+    /// What the file would change in the accepted revision, because the one it was made from is not kept.
+    FromAccepted(ConfigurationDiff),
+}
+
+impl fmt::Display for Both {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::FromBase { theirs, mine } => {
+                write!(f, "accepted since:\n{theirs}\nthe file:\n{mine}")
+            }
+            Self::FromAccepted(mine) => {
+                write!(f, "the file, against the accepted revision:\n{mine}")
+            }
+        }
+    }
 }
 
 #[derive(Serialize)]
@@ -157,7 +179,7 @@
         ConfigurationDiff::between(before, self.file.configuration())
     }
 
-    /// `base` is what both sides started from, where it is still known.
+    /// `base` is what both sides started from, where it is kept.
     fn conflict(
         &self,
         base_revision: Revision,
@@ -166,15 +188,23 @@
     ) -> CliError {
         let none = Configuration::default();
         let theirs = accepted.map_or(&none, |it| &it.configuration);
-        let from = base.map_or(&none, |it| &it.configuration);
+        let mine = self.file.configuration();
+        let base = base.map(|it| &it.configuration);
+        let base = base.or((base_revision == Revision::ZERO).then_some(&none));
+        let both = match base {
+            Some(base) => Both::FromBase {
+                theirs: ConfigurationDiff::between(base, theirs),
+                mine: ConfigurationDiff::between(base, mine),
+            },
+            None => Both::FromAccepted(ConfigurationDiff::between(theirs, mine)),
+        };
         CliError::Conflict(Box::new(Conflict {
             deployment: self.deployment.clone(),
             file: self.path.display().to_string(),
             base: base_revision,
             accepted: accepted.map_or(Revision::ZERO, |it| it.revision),
             writer: accepted.map_or_else(|| "nobody".to_owned(), Entry::writer_name),
-            theirs: ConfigurationDiff::between(from, theirs),
-            mine: ConfigurationDiff::between(from, self.file.configuration()),
+            both,
         }))
     }
 
--- a/crates/daisychute-cli/src/commands/history.rs
+++ b/crates/daisychute-cli/src/commands/history.rs
@@ -11,6 +11,9 @@
 use crate::output::Answer;
 use crate::table::{lines, table};
 
+/// The most sections that are named in one row.
+const MAX_SECTIONS: usize = 4;
+
 #[derive(Serialize)]
 struct Row {
     revision: Revision,
@@ -41,7 +44,10 @@
         let Some(changes) = &self.changes else { return "-".to_owned() };
         let mut sections: Vec<_> = changes.changes().iter().map(|it| it.section.as_str()).collect();
         sections.dedup();
-        sections.join(", ")
+        let more = sections.len().saturating_sub(MAX_SECTIONS);
+        sections.truncate(MAX_SECTIONS);
+        let shown = sections.join(", ");
+        if more == 0 { shown } else { format!("{shown} and {more} more") }
     }
 }
 
--- a/crates/daisychute-cli/src/commands/jobs.rs
+++ b/crates/daisychute-cli/src/commands/jobs.rs
@@ -5,7 +5,7 @@
 use daisychute_core::{JobState, JobStatus};
 use serde::Serialize;
 
-use crate::admin;
+use crate::admin::{self, AdminError};
 use crate::context::Context;
 use crate::error::{CliError, Exit};
 use crate::output::Answer;
@@ -59,7 +59,12 @@
 }
 
 pub(super) async fn show(cx: &Context, id: &str) -> Result<Exit, CliError> {
-    let job = admin::get(cx.entry()?, &format!("/jobs/{id}")).await?;
-    cx.show(&Jobs(vec![job]))?;
+    match admin::get(cx.entry()?, &format!("/jobs/{id}")).await {
+        Ok(job) => cx.show(&Jobs(vec![job]))?,
+        Err(CliError::Entry { source: AdminError::NotFound, .. }) => {
+            return Err(CliError::NoJob { id: id.to_owned() });
+        }
+        Err(error) => return Err(error),
+    }
     Ok(Exit::Done)
 }
--- a/crates/daisychute-cli/src/commands/status/text.rs
+++ b/crates/daisychute-cli/src/commands/status/text.rs
@@ -10,6 +10,9 @@
 use crate::output::Answer;
 use crate::table::{lines, or_dash, table};
 
+/// The most processes that are named as behind above the tables.
+const MAX_BEHIND: usize = 5;
+
 impl Answer for Overview {
     fn text(&self, width: u16) -> String {
         let mut text = self.summary();
@@ -39,8 +42,9 @@
             let _ = writeln!(text, "entry {entry}: no answer");
         }
         if let Some(accepted) = self.accepted {
-            let _ =
-                writeln!(text, "configuration: revision {accepted} is accepted, {}", self.spread());
+            let _ = writeln!(text, "configuration: revision {accepted} is accepted");
+            let _ = writeln!(text, "in force: {}", self.spread());
+            text.push_str(&self.behind());
         }
         if let Some(plan) = self.plan {
             let _ = writeln!(text, "plan: revision {plan}");
@@ -50,16 +54,25 @@
 
     /// How far the accepted configuration has spread.
     fn spread(&self) -> String {
+        let all = self.processes.len();
+        match self.processes.iter().filter(|it| it.behind == Some(true)).count() {
+            _ if all == 0 => "no process is known".to_owned(),
+            0 => format!("on all {all} known processes"),
+            behind => format!("on {} of {all} known processes", all - behind),
+        }
+    }
+
+    /// A line for each of the first processes that are behind, and one for the rest.
+    fn behind(&self) -> String {
         let behind: Vec<_> = self.processes.iter().filter(|it| it.behind == Some(true)).collect();
-        let (all, there) = (self.processes.len(), self.processes.len() - behind.len());
-        if behind.is_empty() {
-            return format!("in force on all {all} known processes");
+        let mut text = String::new();
+        for row in behind.iter().take(MAX_BEHIND) {
+            let _ = writeln!(text, "behind: {} at {}", row.process, row.revisions.configuration);
+        }
+        if behind.len() > MAX_BEHIND {
+            let _ = writeln!(text, "behind: {} more", behind.len() - MAX_BEHIND);
         }
-        let names: Vec<_> = behind
-            .iter()
-            .map(|it| format!("{} at {}", it.process, it.revisions.configuration))
-            .collect();
-        format!("in force on {there} of {all} known processes; behind: {}", names.join(", "))
+        text
     }
 
     fn process_table(&self, width: u16) -> String {
--- a/crates/daisychute-cli/src/context.rs
+++ b/crates/daisychute-cli/src/context.rs
@@ -16,7 +16,7 @@
 use crate::output::{self, Answer, Output};
 
 /// How long one call to the platform may take.
-const CALL_DEADLINE: Duration = Duration::from_secs(5);
+const CALL_DEADLINE: Duration = Duration::from_secs(3);
 
 /// What commands work with.
 pub(crate) struct Context {
--- /dev/null
+++ b/crates/daisychute-cli/tests/cli/change.rs
@@ -0,0 +1,200 @@
+//! Changes of the configuration and drains, with the platform failing and operators racing.
+
+use daisychute_standin::Platform;
+use daisychute_standin::platform::Faults;
+use serde_json::json;
+
+use crate::support::{Client, file, platform};
+
+const FIRST: &str = "[class a]\ndeadline = 2s\n[tenant t]\nclasses = a\ntoken = secret-1\n";
+const SECOND: &str = "[class a]\ndeadline = 3s\n[tenant t]\nclasses = a\ntoken = secret-2\n";
+
+fn revision(platform: &Platform) -> Option<u64> {
+    platform.get("configurations", "rabat-sale")?.spec["revision"].as_u64()
+}
+
+async_tests! {
+    async fn apply_get_and_history() {
+        let (platform, client) = platform().await;
+        let (first, second) = (file("agh-1.ini", FIRST), file("agh-2.ini", SECOND));
+        let mut shown = String::new();
+        for args in [
+            &["get"][..],
+            &["diff", &first],
+            &["apply", &first],
+            &["apply", &first],
+            &["diff", &first],
+            &["--writer", "amina", "apply", &second],
+            &["get"],
+            &["history"],
+            &["history", "1"],
+            &["history", "7"],
+        ] {
+            let run = client.run(args).await.shown();
+            shown.push_str(&format!("=== {}\n{run}", args.join(" ")));
+        }
+        insta::assert_snapshot!(shown);
+        assert_eq!(revision(&platform), Some(2));
+    }
+}
+
+async_tests! {
+    async fn a_file_from_an_older_revision_conflicts() {
+        let (platform, client) = platform().await;
+        assert_eq!(client.run(&["apply", &file("older-1.ini", FIRST)]).await.code, 0);
+        let got = client.run(&["get"]).await.stdout;
+        let mine = file("older-mine.ini", &got.replace("token = secret-1\n", ""));
+        let theirs = file("older-theirs.ini", &got.replace("2s", "4s"));
+        let applied = client.clone().option("--writer", "amina").run(&["apply", &theirs]).await;
+        assert_eq!(applied.code, 0, "{}", applied.shown());
+        let run = client.run(&["apply", &mine]).await;
+        insta::assert_snapshot!(run.shown());
+        assert_eq!(revision(&platform), Some(2));
+        let json = client.clone().option("--output", "json").run(&["apply", &mine]).await;
+        assert_eq!(json.code, 3);
+        assert!(json.stderr.contains("+ deadline = 4s"), "{}", json.stderr);
+    }
+}
+
+async_tests! {
+    async fn racing_operators_each_win_or_see_a_conflict() {
+        let (platform, client) = platform().await;
+        platform.set_faults(Faults { delay_ms: 100, ..Faults::default() });
+        let run = |n: u64| {
+            let path = file(&format!("race-{n}.ini"), &FIRST.replace("2s", &format!("{}s", n + 2)));
+            let client = client.clone();
+            actix_rt::spawn(async move { client.run(&["apply", &path]).await })
+        };
+        let runs: Vec<_> = (0..4).map(run).collect();
+        let mut accepted = 0;
+        for run in runs {
+            let run = run.await.expect("the task ends");
+            match run.code {
+                0 => accepted += 1,
+                3 => assert!(run.stderr.contains("accepted since"), "{}", run.stderr),
+                _ => panic!("{}", run.shown()),
+            }
+        }
+        assert!(accepted > 0);
+        assert_eq!(revision(&platform), Some(accepted));
+        let history = client.clone().option("--output", "json").run(&["history"]).await.json();
+        assert_eq!(history.as_array().map(Vec::len), usize::try_from(accepted).ok());
+    }
+}
+
+macro_rules! lost_answers {
+    ($($name:ident: $lost:literal,)*) => {$(
+        async_tests! {
+            async fn $name() {
+                let (platform, client) = platform().await;
+                let paths = [FIRST, SECOND].map(|it| file(concat!(stringify!($name), ".ini"), it));
+                for (n, text) in (1..).zip([FIRST, SECOND]) {
+                    file(concat!(stringify!($name), ".ini"), text);
+                    platform.set_faults(Faults { lose_answers: $lost, ..Faults::default() });
+                    let run = client.run(&["apply", &paths[0]]).await;
+                    assert_eq!(run.code, 0, "{}", run.shown());
+                    assert_eq!(revision(&platform), Some(n));
+                }
+            }
+        }
+    )*};
+}
+
+lost_answers! {
+    one_lost_answer_is_settled: 1,
+    two_lost_answers_are_settled: 2,
+}
+
+macro_rules! outages {
+    ($($name:ident: $faults:expr => $code:literal,)*) => {$(
+        async_tests! {
+            async fn $name() {
+                let (platform, client) = platform().await;
+                platform.set_faults($faults);
+                let path = file(concat!(stringify!($name), ".ini"), FIRST);
+                let commands = [&["apply", &path][..], &["get"], &["history"], &["plan"], &["status"]];
+                for args in commands {
+                    let run = client.run(args).await;
+                    assert_eq!(run.code, $code, "{args:?}: {}", run.shown());
+                }
+                assert_eq!(revision(&platform), None);
+            }
+        }
+    )*};
+}
+
+outages! {
+    outage: Faults { outage: true, ..Faults::default() } => 4,
+    unavailable: Faults { unavailable: true, ..Faults::default() } => 4,
+}
+
+async_tests! {
+    async fn targets_that_no_endpoint_meets_are_refused() {
+        let (platform, client) = platform().await;
+        let best = json!({"secs": 5, "nanos": 0});
+        let record = json!({"endpoint": "clerk-lm-1", "ability": {"first_token": best}});
+        platform.put_instance("clerk-lm-1", record);
+        let run = client.run(&["apply", &file("unmeetable.ini", FIRST)]).await;
+        insta::assert_snapshot!(run.shown());
+        assert_eq!(revision(&platform), None);
+    }
+}
+
+fn put_endpoint(platform: &Platform, name: &str) {
+    platform.put_instance(name, json!({"endpoint": name}));
+}
+
+async_tests! {
+    async fn drain_and_undrain() {
+        let (platform, client) = platform().await;
+        put_endpoint(&platform, "clerk-lm-1");
+        let mut shown = String::new();
+        for args in [
+            ["drain", "clerk-lm-2"],
+            ["drain", "clerk-lm-1"],
+            ["drain", "clerk-lm-1"],
+            ["undrain", "clerk-lm-1"],
+            ["undrain", "clerk-lm-1"],
+        ] {
+            shown.push_str(&client.run(&args).await.shown());
+            let drains = platform.get("drains", "morocco").map(|it| it.spec);
+            shown.push_str(&format!("=== {}\n", drains.unwrap_or_default()));
+        }
+        insta::assert_snapshot!(shown);
+    }
+}
+
+async_tests! {
+    async fn racing_drains_are_all_kept() {
+        let (platform, client) = platform().await;
+        let names = ["clerk-lm-1", "clerk-lm-2", "clerk-lm-3"];
+        names.iter().for_each(|it| put_endpoint(&platform, it));
+        platform.set_faults(Faults { delay_ms: 50, lose_answers: 1, ..Faults::default() });
+        let run = |name: &'static str| {
+            let client: Client = client.clone();
+            actix_rt::spawn(async move { client.run(&["drain", name]).await })
+        };
+        let runs: Vec<_> = names.into_iter().map(run).collect();
+        for run in runs {
+            let run = run.await.expect("the task ends");
+            assert_eq!(run.code, 0, "{}", run.shown());
+        }
+        let drains = platform.get("drains", "morocco").expect("it was written").spec;
+        let expected = json!({"clerk-lm-1": true, "clerk-lm-2": true, "clerk-lm-3": true});
+        assert_eq!(drains, json!({"endpoints": expected}));
+    }
+}
+
+async_tests! {
+    async fn a_client_that_is_killed_loses_no_revision() {
+        let (platform, client) = platform().await;
+        assert_eq!(client.run(&["apply", &file("killed-1.ini", FIRST)]).await.code, 0);
+        // What a client leaves that was killed between the history and the update.
+        let accepted = platform.get("configurations", "rabat-sale").expect("it was accepted").spec;
+        platform.put("histories", "rabat-sale", json!({"entries": [accepted]}));
+        assert_eq!(client.run(&["apply", &file("killed-2.ini", SECOND)]).await.code, 0);
+        let history = client.clone().option("--output", "json").run(&["history"]).await.json();
+        let revisions: Vec<_> = history.as_array().expect("a list").iter().collect();
+        assert_eq!(revisions.len(), 2);
+    }
+}
--- /dev/null
+++ b/crates/daisychute-cli/tests/cli/look.rs
@@ -0,0 +1,184 @@
+//! What the client shows of a deployment.
+
+use daisychute_standin::Platform;
+use daisychute_standin::platform::Faults;
+use serde_json::{Value, json};
+
+use crate::support::{Client, entry, file, platform};
+
+/// The narrowest table that the tests ask for, in columns.
+const NARROW: usize = 60;
+const WIDE: usize = 120;
+
+fn process(name: &str, role: &str, configuration: u64) -> Value {
+    json!({
+        "process": name, "role": role, "incarnation": 1, "region": "morocco",
+        "data_centre": "agdal", "instance": "i-1", "state": "ready",
+        "revisions": {"configuration": configuration, "plan": 4, "term": 2},
+        "in_flight": 3
+    })
+}
+
+fn load() -> Value {
+    let zero = json!({"secs": 0, "nanos": 0});
+    json!({
+        "queued": 2, "running": 5, "queued_prompt_tokens": 0, "pending_output_tokens": 0,
+        "wait": zero, "prompt_token": zero, "between_tokens": zero, "age": zero
+    })
+}
+
+fn endpoint(name: &str, data_centre: &str, state: &str) -> Value {
+    let target =
+        json!({"role": "prefill", "model": "clerk-lm", "version": "v1", "adapter": "plate-notes"});
+    json!({
+        "endpoint": name, "instance": "i-1", "data_centre": data_centre, "kind": "engine",
+        "agent": "127.0.0.1:4100", "incarnation": 0, "state": state, "target": target
+    })
+}
+
+/// An entry at configuration 3 that heard of an agent at 2 and of a later start of another agent.
+fn entry_status() -> Value {
+    let mut status = process("entry-1", "entry", 3);
+    let peer = |name: &str, incarnation: u64, configuration: u64, secs: u64| {
+        json!({
+            "process": name, "role": "agent", "data_centre": "hassan", "incarnation": incarnation,
+            "revisions": {"configuration": configuration, "plan": 4, "term": 2},
+            "heard": {"secs": secs, "nanos": 5}
+        })
+    };
+    status["peers"] = json!([peer("agent-1", 1, 2, 7), peer("agent-2", 2, 3, 0)]);
+    let mut seen = endpoint("clerk-lm-1", "hassan", "leaving");
+    seen["load"] = load();
+    status["endpoints"] = json!([seen]);
+    status["a field of a later version"] = json!(true);
+    status
+}
+
+fn put_all(platform: &Platform) {
+    let configuration = json!({
+        "preference": "goodput", "classes": {}, "tenants": {}, "models": {}, "services": {}
+    });
+    let document = json!({"revision": 3, "configuration": configuration});
+    platform.put("configurations", "rabat-sale", document);
+    let target = json!({"role": "decode", "model": "clerk-lm", "version": "v1", "adapter": null});
+    let endpoints = json!({
+        "clerk-lm-1": {"target": target, "drain": true, "since": 4},
+        "sign-feed-1": {"target": null, "drain": false, "since": 1}
+    });
+    let plan = json!({"term": 2, "revision": 4, "endpoints": endpoints});
+    platform.put("plans", "morocco", plan);
+    platform.put("drains", "morocco", json!({"endpoints": {"clerk-lm-2": true}}));
+    for name in ["clerk-lm-1", "clerk-lm-2"] {
+        platform.put_instance(name, endpoint(name, "agdal", "live"));
+    }
+    platform.put("statuses", "agent-2", process("agent-2", "agent", 1));
+    platform.put("statuses", "agent-3", process("agent-3", "agent", 3));
+    platform.put("statuses", "agent-4", json!({"of": "a later version"}));
+}
+
+async_tests! {
+    async fn status_merges_all_sources() {
+        let (platform, client) = platform().await;
+        put_all(&platform);
+        let client = client.option("--entry", entry(vec![("/status", entry_status())]));
+        insta::assert_snapshot!(client.run(&["status"]).await.shown());
+        let json = client.clone().option("--output", "json").run(&["status"]).await.json();
+        let behind = json["processes"].as_array().expect("a list").iter();
+        let behind: Vec<_> = behind.filter(|it| it["behind"] == true).collect();
+        assert_eq!(behind.len(), 1);
+        assert_eq!(behind[0]["process"], "agent-1");
+    }
+
+    async fn status_without_the_platform() {
+        let (platform, client) = platform().await;
+        platform.set_faults(Faults { outage: true, ..Faults::default() });
+        let client = client.option("--entry", entry(vec![("/status", entry_status())]));
+        insta::assert_snapshot!(client.run(&["status"]).await.shown());
+    }
+
+    async fn status_without_entries() {
+        let (platform, client) = platform().await;
+        put_all(&platform);
+        let client = client.option("--entry", entry(vec![]));
+        let run = client.run(&["status"]).await;
+        assert_eq!(run.code, 0);
+        assert!(run.stdout.contains(": no answer"), "{}", run.stdout);
+    }
+
+    async fn plan_and_jobs() {
+        let (platform, client) = platform().await;
+        put_all(&platform);
+        let job = json!({
+            "id": "j-1", "tenant": "duty-clerks", "class": "digest", "state": "refused",
+            "age": {"secs": 3_700, "nanos": 0}, "attempts": 2, "endpoint": "clerk-lm-1",
+            "refusal": {"verdict": "not_run", "reason": "no_endpoint", "retry_after": null}
+        });
+        let answers = vec![("/jobs", json!([job, job])), ("/jobs/j-1", job)];
+        let client = client.option("--entry", entry(answers));
+        let mut shown = String::new();
+        for args in [&["plan"][..], &["jobs"], &["jobs", "j-1"], &["jobs", "j-2"]] {
+            shown.push_str(&client.run(args).await.shown());
+        }
+        insta::assert_snapshot!(shown);
+    }
+
+    async fn tables_fit_their_width() {
+        let (platform, client) = platform().await;
+        put_all(&platform);
+        let client = client.option("--entry", entry(vec![("/status", entry_status())]));
+        for width in [NARROW, WIDE] {
+            let client = client.clone().option("--width", width);
+            for args in [["status"], ["plan"]] {
+                let stdout = client.run(&args).await.stdout;
+                let widest = stdout.lines().map(|it| it.chars().count()).max();
+                assert!(widest.is_some_and(|it| it <= width), "{stdout}");
+            }
+        }
+    }
+
+    async fn a_slow_platform_is_no_answer() {
+        let (platform, client) = platform().await;
+        platform.set_faults(Faults { hang: true, ..Faults::default() });
+        assert_eq!(client.run(&["get"]).await.code, 4);
+    }
+}
+
+macro_rules! exit_codes {
+    ($($name:ident: $args:expr => $code:literal, $said:literal;)*) => {
+        async_tests! {$(
+            async fn $name() {
+                let run = Client::new().run(&$args).await;
+                assert_eq!(run.code, $code, "{}", run.shown());
+                let shown = run.shown();
+                assert!(shown.contains($said), "{shown}");
+            }
+        )*}
+    };
+}
+
+exit_codes! {
+    no_command: [] => 2, "Usage";
+    unknown_command: ["aply"] => 2, "apply";
+    no_platform: ["get"] => 2, "DAISYCHUTE_PLATFORM";
+    no_entry: ["jobs"] => 2, "DAISYCHUTE_ENTRIES";
+    no_source: ["status"] => 2, "DAISYCHUTE_PLATFORM";
+    bad_endpoint: ["drain", "clerk lm"] => 2, "a name holds";
+    bad_entry: ["--entry", "entry-1:9000", "status"] => 2, "entry-1:9000";
+    closed_platform: ["--platform", "http://127.0.0.1:1", "get"] => 4, "no connection";
+    closed_entry: ["--entry", "127.0.0.1:1", "status"] => 4, "no answer";
+    missing_file: ["--platform", "http://127.0.0.1:1", "apply", "none.ini"] => 5, "can't be read";
+    completions: ["completions", "bash"] => 0, "_daisychute";
+    unknown_shell: ["completions", "command.com"] => 2, "possible values";
+}
+
+async_tests! {
+    async fn refused_file() {
+        let path = file("refused.ini", "[class a]\nweight = 3\n");
+        let client = Client::new().option("--platform", "http://127.0.0.1:1");
+        for command in ["apply", "diff"] {
+            let run = client.run(&[command, &path]).await;
+            assert_eq!(run.code, 5, "{}", run.shown());
+            assert!(run.stderr.contains("refused.ini:2:10"), "{}", run.stderr);
+        }
+    }
+}
