fix(settings): cover a token also where its value goes over two lines

A value may go on after a backslash, and the part on the next line was shown beside an error in the next key. Places are now found on whole logical lines, in a module of their own. Refusing such values was ruled out, as long lists of peers use them.

--- a/crates/daisychute-cli/src/error.rs
+++ b/crates/daisychute-cli/src/error.rs
@@ -151,7 +151,9 @@
     pub(crate) fn exit(&self) -> Exit {
         match self {
             Self::MissingOption { .. } => Exit::Usage,
-            Self::File(_) | Self::Unmeetable { .. } => Exit::Refused,
+            Self::File(_) | Self::Unmeetable { .. } | Self::Platform(CallError::TooLarge) => {
+                Exit::Refused
+            }
             Self::Conflict(_) | Self::Contended { .. } => Exit::Conflict,
             Self::Unsettled { .. } => Exit::NoAnswer,
             Self::Platform(error) if is_outage(error) => Exit::NoAnswer,
--- a/crates/daisychute-cli/tests/cli/change.rs
+++ b/crates/daisychute-cli/tests/cli/change.rs
@@ -198,3 +198,38 @@
         assert_eq!(revisions.len(), 2);
     }
 }
+
+/// A configuration of `count` classes of which only the deadline of the first tells one from another.
+fn large(count: usize, deadline: usize) -> String {
+    let name = |it| format!("{it}-{}", "x".repeat(50));
+    let class = |it| format!("[class {}]\nbetween-tokens = 50ms\ndeadline = 1h\n", name(it));
+    let mut text: String = (1..count).map(class).collect();
+    text.push_str(&format!("[class first]\ndeadline = {deadline}s\n"));
+    text
+}
+
+async_tests! {
+    async fn the_history_stays_bounded() {
+        const MAX_BYTES: usize = 768 * 1024;
+        let (platform, client) = platform().await;
+        for deadline in 1..=5 {
+            let path = file("large.ini", &large(1_000, deadline));
+            let run = client.run(&["apply", &path]).await;
+            assert_eq!(run.code, 0, "{}", run.stderr);
+        }
+        let history = platform.get("histories", "rabat-sale").expect("it was written").spec;
+        assert!(history.to_string().len() <= MAX_BYTES);
+        let entries = history["entries"].as_array().expect("a list");
+        let kept: Vec<_> = entries.iter().filter_map(|it| it["revision"].as_u64()).collect();
+        assert!(kept.ends_with(&[3, 4]), "{kept:?}");
+        assert!(kept.len() < 4, "{kept:?}");
+    }
+
+    async fn a_configuration_that_the_platform_does_not_take() {
+        let (platform, client) = platform().await;
+        let run = client.run(&["apply", &file("huge.ini", &large(6_000, 1))]).await;
+        assert_eq!(run.code, 5, "{}", run.stderr);
+        assert!(run.stderr.contains("larger than the platform takes"), "{}", run.stderr);
+        assert_eq!(revision(&platform), None);
+    }
+}
--- a/crates/daisychute-cli/tests/cli/look.rs
+++ b/crates/daisychute-cli/tests/cli/look.rs
@@ -1,6 +1,9 @@
 //! What the client shows of a deployment.
 
+use std::time::Duration;
+
 use daisychute_standin::Platform;
+use daisychute_standin::harness::{Program, wait_until};
 use daisychute_standin::platform::Faults;
 use serde_json::{Value, json};
 
@@ -10,6 +13,9 @@
 const NARROW: usize = 60;
 const WIDE: usize = 120;
 
+/// The longest wait for a condition.
+const LIMIT: Duration = Duration::from_secs(10);
+
 fn process(name: &str, role: &str, configuration: u64) -> Value {
     json!({
         "process": name, "role": role, "incarnation": 1, "region": "morocco",
@@ -143,6 +149,24 @@
     }
 }
 
+async_tests! {
+    async fn watching_outlives_an_outage() {
+        let (platform, _) = platform().await;
+        let url = format!("http://{}", platform.local_addr());
+        let args = ["--platform", &url, "status", "--watch", "--interval", "20ms"];
+        let program = Program::new(env!("CARGO_BIN_EXE_daisychute")).args(args);
+        let process = program.start().expect("the client runs");
+        let rounds = || process.stdout().iter().filter(|it| *it == "platform: up").count();
+        wait_until("it shows two rounds", LIMIT, || rounds() >= 2).await.expect("it goes on");
+        platform.set_faults(Faults { outage: true, ..Faults::default() });
+        let is_told = || process.stderr().iter().any(|it| it.contains("the platform gave no answer"));
+        wait_until("it tells of the outage", LIMIT, is_told).await.expect("it tells");
+        platform.set_faults(Faults::default());
+        let before = rounds();
+        wait_until("it shows more rounds", LIMIT, || rounds() > before).await.expect("it goes on");
+    }
+}
+
 macro_rules! exit_codes {
     ($($name:ident: $args:expr => $code:literal, $said:literal;)*) => {
         async_tests! {$(
--- a/crates/daisychute-settings/src/document.rs
+++ b/crates/daisychute-settings/src/document.rs
@@ -10,16 +10,13 @@
 use crate::hint::Hint;
 use crate::keys::split_header;
 use crate::problem::{Problem, Problems};
-
-/// A key of a section; none is the section's header.
-type Place = (String, Option<String>);
+use crate::spans::{Spans, line_span};
 
 /// A file split into sections.
 #[derive(Debug)]
 pub(crate) struct Document {
     ini: Ini,
-    // Invariant: spans of one place stand in the order of the file.
-    spans: BTreeMap<Place, Vec<SourceSpan>>,
+    spans: Spans,
 }
 
 /// One section of a file, or a section that the file lacks.
@@ -49,7 +46,7 @@
 
     pub(crate) fn parse(text: &str) -> Result<Self, Problem> {
         match Ini::load_from_str_opt(text, Self::OPTIONS) {
-            Ok(ini) => Ok(Self { ini, spans: locate(text) }),
+            Ok(ini) => Ok(Self { ini, spans: Spans::locate(text) }),
             Err(source) => Err(Problem::Syntax { at: line_span(text, source.line), source }),
         }
     }
@@ -89,7 +86,7 @@
             let count = seen.entry(header.split_whitespace().collect()).or_default();
             *count += 1;
             if *count > 1 {
-                let at = self.nth_span(header, None, *count - 1);
+                let at = self.spans.nth(header, None, *count - 1);
                 problems.push(Problem::DuplicateSection { section: header.to_owned(), at });
             }
             match known.iter().find(|it| it.matches(header)) {
@@ -104,7 +101,7 @@
 
     fn check_outside(&self, properties: &Properties, problems: &mut Problems) {
         for (key, _) in properties {
-            let at = self.nth_span("", Some(key), 0);
+            let at = self.spans.nth("", Some(key), 0);
             problems.push(Problem::OutsideSections { key: key.to_owned(), at });
         }
     }
@@ -116,12 +113,12 @@
             let count = seen.entry(key).or_default();
             *count += 1;
             if let Some((first, _)) = key.split_once('\n') {
-                let at = self.nth_span(section, Some(first.trim()), 0);
+                let at = self.spans.nth(section, Some(first.trim()), 0);
                 problems.push(Problem::NoValue { section: section.to_owned(), at });
             } else if !keys.known.contains(&key) {
                 problems.push(self.unknown_key(keys, key));
             } else if *count > 1 {
-                let at = self.nth_span(section, Some(key), *count - 1);
+                let at = self.spans.nth(section, Some(key), *count - 1);
                 let (section, key) = (section.to_owned(), key.to_owned());
                 problems.push(Problem::DuplicateKey { section, key, at });
             }
@@ -130,7 +127,7 @@
 
     fn unknown_section(&self, header: &str, known: &[SectionKeys], refused: &[&str]) -> Problem {
         let section = header.to_owned();
-        let at = self.nth_span(header, None, 0);
+        let at = self.spans.nth(header, None, 0);
         let first = header.split_whitespace().next().unwrap_or_default();
         if refused.contains(&first) {
             return Problem::NotForOperators { section, key: None, at };
@@ -141,19 +138,13 @@
 
     fn unknown_key(&self, keys: &Keys<'_>, key: &str) -> Problem {
         let section = keys.section.to_owned();
-        let at = self.nth_span(keys.section, Some(key), 0);
+        let at = self.spans.nth(keys.section, Some(key), 0);
         if keys.refused.contains(&key) {
             return Problem::NotForOperators { section, key: Some(key.to_owned()), at };
         }
         let hint = Hint::new(key, keys.known.iter().map(|it| (*it).to_owned()));
         Problem::UnknownKey { section, key: key.to_owned(), hint, at }
     }
-
-    fn nth_span(&self, section: &str, key: Option<&str>, n: usize) -> Option<SourceSpan> {
-        let place = (section.to_owned(), key.map(str::to_owned));
-        let spans = self.spans.get(&place)?;
-        spans.get(n).or(spans.last()).copied()
-    }
 }
 
 impl<'a> Section<'a> {
@@ -163,71 +154,14 @@
 
     /// The place of its header.
     pub(crate) fn at(&self) -> Option<SourceSpan> {
-        self.document.nth_span(self.header, None, 0)
+        self.document.spans.nth(self.header, None, 0)
     }
 
     /// The key of this section, whether or not the file gives it.
     pub(crate) fn field(&self, key: &'static str) -> Field {
         let value = self.properties.and_then(|it| it.get(key)).map(str::to_owned);
         let place = value.as_ref().map(|_| key);
-        let at = self.document.nth_span(self.header, place, 0);
+        let at = self.document.spans.nth(self.header, place, 0);
         Field::new(self.header, key, value, at)
     }
 }
-
-/// The place of every header and value, by the same rules as the reader's.
-fn locate(text: &str) -> BTreeMap<Place, Vec<SourceSpan>> {
-    let mut spans: BTreeMap<Place, Vec<SourceSpan>> = BTreeMap::new();
-    let mut section = String::new();
-    let mut offset = 0;
-    for line in text.split_inclusive('\n') {
-        let start = offset + (line.len() - line.trim_start().len());
-        offset += line.len();
-        let line = line.trim();
-        if line.is_empty() || line.starts_with([';', '#']) {
-            continue;
-        }
-        if let Some(rest) = line.strip_prefix('[') {
-            section = rest.split(']').next().unwrap_or_default().trim().to_owned();
-            let span = SourceSpan::from((start, line.len()));
-            spans.entry((section.clone(), None)).or_default().push(span);
-            continue;
-        }
-        let (key, span) = key_span(start, line);
-        spans.entry((section.clone(), Some(key))).or_default().push(span);
-    }
-    spans
-}
-
-/// The key of a line and the span of its value, or of the whole line where the value is empty.
-fn key_span(start: usize, line: &str) -> (String, SourceSpan) {
-    let Some(split) = line.find(['=', ':']) else {
-        return (line.to_owned(), SourceSpan::from((start, line.len())));
-    };
-    let key = line[..split].trim().to_owned();
-    let value = line[split + 1..].trim();
-    if value.is_empty() {
-        return (key, SourceSpan::from((start, line.len())));
-    }
-    (key, SourceSpan::from((start + line.len() - value.len(), value.len())))
-}
-
-/// The span of a line that is counted from 1.
-fn line_span(text: &str, line: usize) -> SourceSpan {
-    let before = line.saturating_sub(1);
-    let start: usize = text.split_inclusive('\n').take(before).map(str::len).sum();
-    let len = text[start..].lines().next().unwrap_or_default().len();
-    SourceSpan::from((start, len))
-}
-
-/// The text with the values of a key covered. No place in it moves.
-pub(crate) fn cover(text: &str, key: &str) -> String {
-    let spans = locate(text);
-    let secret = |place: &Place| place.1.as_deref() == Some(key);
-    let mut covered = text.to_owned();
-    for span in spans.iter().filter(|(place, _)| secret(place)).flat_map(|(_, it)| it) {
-        let stars = "*".repeat(span.len());
-        covered.replace_range(span.offset()..span.offset() + span.len(), &stars);
-    }
-    covered
-}
--- a/crates/daisychute-settings/src/lib.rs
+++ b/crates/daisychute-settings/src/lib.rs
@@ -45,6 +45,7 @@
 mod rule;
 mod settings;
 mod size;
+mod spans;
 mod timing;
 mod url;
 
--- a/crates/daisychute-settings/tests/refused.rs
+++ b/crates/daisychute-settings/tests/refused.rs
@@ -135,6 +135,7 @@
     no_class_of_tenant: "[tenant signs]\nclasses =\n",
     default_class: "[class a]\n[class b]\n[tenant signs]\nclasses = a\ndefault-class = b\n",
     token_is_not_shown: "[class a]\n[tenant signs]\nclasses = a\ntoken = se cret\n",
+    token_over_two_lines_is_not_shown: "[class a]\n[tenant t]\ntoken = se\\\n cret\nclasses = b\n",
     shared_token: "[class a]\n[tenant s]\nclasses = a\ntoken = x\n[tenant t]\nclasses = a\ntoken = x\n",
     model_without_version: "[model clerk-lm]\ncontext-tokens = 0\n",
     relative_path: "[service sign-feed]\nrepeatable = panels\n",
