feat(cli): show listed endpoints that no process tells of

An agent that no entry hears of is in no list of processes, so 'in force on all known processes' left it out in silence. The status counts such endpoints and marks them. Guessing process names from the platform's list was ruled out, as it names none.

Tokens are now covered in one place for every file: one that stood in a settings file by mistake was shown beside another fault (token_in_the_wrong_file).

--- a/crates/daisychute-cli/src/commands/apply.rs
+++ b/crates/daisychute-cli/src/commands/apply.rs
@@ -11,9 +11,9 @@
 use thiserror::Error;
 
 use crate::commit::{Committed, commit};
-use crate::context::{self, Context, read};
+use crate::context::{self, Context, read, spec};
 use crate::error::{CliError, Exit};
-use crate::history::{self, Entry, History, spec};
+use crate::history::{self, Entry, History};
 use crate::output::Answer;
 
 /// Another operator was first.
--- a/crates/daisychute-cli/src/commands/drain.rs
+++ b/crates/daisychute-cli/src/commands/drain.rs
@@ -5,9 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::commit::{Committed, commit};
-use crate::context::{Context, parse, read};
+use crate::context::{Context, parse, read, spec};
 use crate::error::{CliError, Exit};
-use crate::history::spec;
 use crate::output::Answer;
 
 /// How often the request is merged with those of other operators.
--- a/crates/daisychute-cli/src/commands/status/overview.rs
+++ b/crates/daisychute-cli/src/commands/status/overview.rs
@@ -33,6 +33,8 @@
     pub(super) status: EndpointStatus,
     /// Whether operators want it drained; none where that is not known.
     pub(super) drain: Option<bool>,
+    /// Whether a process told of it; none where no process was heard at all.
+    pub(super) heard: Option<bool>,
 }
 
 /// Whether a source answered.
@@ -129,6 +131,11 @@
         self.accepted.map(|it| revisions.configuration < it)
     }
 
+    fn heard(&self, endpoint: &EndpointName) -> Option<bool> {
+        let mut told = self.statuses.iter().flat_map(|it| &it.endpoints);
+        (!self.statuses.is_empty()).then(|| told.any(|it| it.endpoint == *endpoint))
+    }
+
     /// What processes say of an endpoint goes before the platform's list, which lags.
     fn endpoints(&self) -> Vec<EndpointRow> {
         let mut found: BTreeMap<EndpointName, EndpointStatus> = BTreeMap::new();
@@ -141,8 +148,11 @@
             let endpoints = status.endpoints.iter().cloned();
             found.extend(endpoints.map(|it| (it.endpoint.clone(), it)));
         }
-        let drain = |it: &EndpointName| self.drains.as_ref().map(|drains| drains.contains(it));
-        let row = |status: EndpointStatus| EndpointRow { drain: drain(&status.endpoint), status };
+        let row = |status: EndpointStatus| EndpointRow {
+            drain: self.drains.as_ref().map(|it| it.contains(&status.endpoint)),
+            heard: self.heard(&status.endpoint),
+            status,
+        };
         found.into_values().map(row).collect()
     }
 }
--- a/crates/daisychute-cli/src/commands/status/text.rs
+++ b/crates/daisychute-cli/src/commands/status/text.rs
@@ -46,6 +46,10 @@
             let _ = writeln!(text, "in force: {}", self.spread());
             text.push_str(&self.behind());
         }
+        let unheard = self.endpoints.iter().filter(|it| it.heard == Some(false)).count();
+        if unheard > 0 {
+            let _ = writeln!(text, "not heard: agents of {unheard} listed endpoints");
+        }
         if let Some(plan) = self.plan {
             let _ = writeln!(text, "plan: revision {plan}");
         }
@@ -142,6 +146,7 @@
         _ if row.status.changing => "changing",
         EndpointState::Leaving => "leaving",
         EndpointState::Live if row.drain == Some(true) => "drain asked",
+        EndpointState::Live if row.heard == Some(false) => "not heard",
         EndpointState::Live => "live",
     }
 }
--- a/crates/daisychute-cli/src/context.rs
+++ b/crates/daisychute-cli/src/context.rs
@@ -8,7 +8,9 @@
 use daisychute_platform::{
     CallError, ClientSettings, Object, ObjectClient, ObjectKind, WriteStamp,
 };
+use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
 use uuid::Uuid;
 
 use crate::args::Shared;
@@ -108,6 +110,12 @@
     })
 }
 
+/// A value as the content of an object.
+pub(crate) fn spec(value: &impl Serialize) -> Result<Value, CliError> {
+    let json = serde_json::to_value(value);
+    json.map_err(|source| CliError::Malformed { object: "the new content".to_owned(), source })
+}
+
 /// The person or program behind a writer, without the part that makes the stamp unique.
 pub(crate) fn writer_name(writer: &str) -> Arc<str> {
     Arc::from(writer.split('/').next().unwrap_or_default())
--- a/crates/daisychute-cli/src/history.rs
+++ b/crates/daisychute-cli/src/history.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::commit::{Committed, commit};
-use crate::context::{self, parse, read};
+use crate::context::{self, parse, read, spec};
 use crate::error::CliError;
 
 /// The most revisions that are kept.
@@ -132,9 +132,3 @@
     // Others added entries each time, among them this one or a later one.
     Ok(())
 }
-
-/// A value as the content of an object.
-pub(crate) fn spec(value: &impl Serialize) -> Result<serde_json::Value, CliError> {
-    let json = serde_json::to_value(value);
-    json.map_err(|source| CliError::Malformed { object: "the new content".to_owned(), source })
-}
--- a/crates/daisychute-settings/src/configuration/diff.rs
+++ b/crates/daisychute-settings/src/configuration/diff.rs
@@ -6,7 +6,8 @@
 use daisychute_core::Configuration;
 use serde::Serialize;
 
-use super::{ConfigurationFile, RawTenant, write};
+use super::{ConfigurationFile, write};
+use crate::SettingsError;
 
 /// What is shown in place of a token.
 const COVERED: &str = "…";
@@ -89,7 +90,7 @@
 impl Change {
     /// The same change, without the values of a token.
     fn covered(mut self) -> Self {
-        if self.key.as_deref() == Some(RawTenant::SECRET_KEY) {
+        if self.key.as_deref() == Some(SettingsError::SECRET_KEY) {
             let cover = |value: Option<String>| value.map(|_| COVERED.to_owned());
             self.before = cover(self.before);
             self.after = cover(self.after);
--- a/crates/daisychute-settings/src/configuration/mod.rs
+++ b/crates/daisychute-settings/src/configuration/mod.rs
@@ -27,7 +27,7 @@
 use crate::document::{Document, Section};
 use crate::hint::Accepted;
 use crate::problem::{Problem, Problems};
-use crate::{SectionKeys, SettingsError, file, spans};
+use crate::{SectionKeys, SettingsError, file};
 
 /// A configuration as it stands in an INI file.
 ///
@@ -81,8 +81,7 @@
     /// The text is too large or has faults; all of them are listed.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
         file::check_len(file, text)?;
-        let shown = spans::cover(text, RawTenant::SECRET_KEY);
-        let refused = |problems| SettingsError::refused(file, &shown, problems);
+        let refused = |problems| SettingsError::refused(file, text, problems);
         let document = Document::parse(text).map_err(|it| refused(it.into()))?;
         let mut problems = Problems::default();
         document.check_keys(Self::SECTIONS, REFUSED_WORDS, &mut problems);
--- a/crates/daisychute-settings/src/configuration/tenant.rs
+++ b/crates/daisychute-settings/src/configuration/tenant.rs
@@ -18,9 +18,6 @@
 }
 
 impl RawTenant {
-    /// The key whose values are never shown.
-    pub(super) const SECRET_KEY: &str = "token";
-
     pub(super) fn check(&self, name: &TenantName) -> Result<Tenant, Problems> {
         let mut problems = Problems::default();
         let token = problems.keep(self.token.optional(&Token));
--- a/crates/daisychute-settings/src/error.rs
+++ b/crates/daisychute-settings/src/error.rs
@@ -6,8 +6,8 @@
 use miette::{Diagnostic, NamedSource};
 use thiserror::Error;
 
-use crate::Problem;
 use crate::problem::Problems;
+use crate::{Problem, spans};
 
 /// Why a settings or configuration file is refused.
 #[derive(Debug, Error, Diagnostic)]
@@ -48,10 +48,13 @@
     /// The largest file, in bytes.
     pub const MAX_BYTES: u64 = 1 << 20;
 
+    /// The key whose values are never shown, in whatever file it stands.
+    pub(crate) const SECRET_KEY: &str = "token";
+
     pub(crate) fn refused(file: &str, text: &str, problems: Problems) -> Self {
         Self::Refused {
             file: file.to_owned(),
-            text: NamedSource::new(file, text.to_owned()),
+            text: NamedSource::new(file, spans::cover(text, Self::SECRET_KEY)),
             problems: problems.into_vec(),
         }
     }
--- a/crates/daisychute-settings/tests/refused.rs
+++ b/crates/daisychute-settings/tests/refused.rs
@@ -119,6 +119,10 @@
     several_at_once: agent(&[("endpoint", "url = x"), ("log", "level = loud"), ("lgo", "a = b")]),
 }
 
+refused! { Settings::parse:
+    token_in_the_wrong_file: entry(&[("tenant t", "token = secret"), ("tenant t", "x = y")]),
+}
+
 refused! { ConfigurationFile::parse:
     weight: "[class a]\nweight = 3\n",
     instance_address: "[endpoint clerk-lm-1]\nurl = http://10.0.0.1:8000\n",
