--- a/crates/daisychute-settings/tests/refused.rs
+++ b/crates/daisychute-settings/tests/refused.rs
@@ -119,6 +119,10 @@
     several_at_once: agent(&[("endpoint", "url = x"), ("log", "level = loud"), ("lgo", "a = b")]),
 }
 
+refused! { Settings::parse:
+    token_in_the_wrong_file: entry(&[("tenant t", "token = secret"), ("tenant t", "x = y")]),
+}
+
 refused! { ConfigurationFile::parse:
     weight: "[class a]\nweight = 3\n",
     instance_address: "[endpoint clerk-lm-1]\nurl = http://10.0.0.1:8000\n",
@@ -135,6 +139,7 @@
     no_class_of_tenant: "[tenant signs]\nclasses =\n",
     default_class: "[class a]\n[class b]\n[tenant signs]\nclasses = a\ndefault-class = b\n",
     token_is_not_shown: "[class a]\n[tenant signs]\nclasses = a\ntoken = se cret\n",
+    token_over_two_lines_is_not_shown: "[class a]\n[tenant t]\ntoken = se\\\n cret\nclasses = b\n",
     shared_token: "[class a]\n[tenant s]\nclasses = a\ntoken = x\n[tenant t]\nclasses = a\ntoken = x\n",
     model_without_version: "[model clerk-lm]\ncontext-tokens = 0\n",
     relative_path: "[service sign-feed]\nrepeatable = panels\n",
