test: run random interleavings of the request cores

Cause: the request cores of entry and agent were proved by the demo only.

Found by the schedules, in this order, each seen to fail and then mended: - an agent kept answers for ever that their entry no longer asked for ("an agent still has answers"). An answer now belongs to the connection that last asked for it, and is forgotten when nobody comes back for it; - output tokens were counted per part and went wrong after a resume ("got what is not its answer"). A part now tells the tokens of the run up to its end; - a part that came before its head was given to the caller ("an answer without a head"). The entry now asks once for what is missing.

Ruled out: keeping answers until the entry's incarnation is lost. An entry that gave a request up while its connection was down never asks again.

--- a/crates/daisychute-agent/src/core/agent_core.rs
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -3,8 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use daisychute_core::{
-    EndpointRecord, EndpointState, Incarnation, LoadReport, Refusal, RefusalReason, RequestId,
-    Time, Verdict,
+    EndpointRecord, EndpointState, LoadReport, Refusal, RefusalReason, RequestId, Time, Verdict,
 };
 use daisychute_link::LinkId;
 use daisychute_proto::{
@@ -12,7 +11,7 @@
 };
 
 use super::job::Ending;
-use super::{Action, AgentConfig, Event, Job, JobState, OutcomeLog, Peers, Report, Transition};
+use super::{Action, AgentConfig, Event, Job, JobState, OutcomeLog, Report, Transition};
 use crate::Admit;
 
 /// Decides what the agent does with every request: queues it, runs it, buffers its answer, resumes it on another
@@ -24,13 +23,13 @@
     record: EndpointRecord,
     revisions: Revisions,
     jobs: BTreeMap<RequestId, Job>,
-    /// Deadlines of the jobs that have not ended.
-    // Invariant: one entry for each queued or running job.
-    deadlines: BTreeSet<(Time, RequestId)>,
+    // Invariant: one entry for each job.
+    timers: BTreeSet<(Time, RequestId)>,
     /// Bytes of answers held in `jobs`.
     held: usize,
     outcomes: OutcomeLog,
-    peers: Peers,
+    /// The open connections.
+    links: BTreeSet<LinkId>,
     next_heartbeat: Time,
     heartbeats: u64,
     log: Option<Vec<(RequestId, Transition)>>,
@@ -46,10 +45,10 @@
             record,
             revisions: Revisions::default(),
             jobs: BTreeMap::new(),
-            deadlines: BTreeSet::new(),
+            timers: BTreeSet::new(),
             held: 0,
             outcomes: OutcomeLog::default(),
-            peers: Peers::default(),
+            links: BTreeSet::new(),
             next_heartbeat: Time::ZERO,
             heartbeats: 0,
             log: None,
@@ -95,7 +94,7 @@
     /// Requests that wait or run.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.deadlines.len()
+        self.jobs.values().filter(|it| it.state != JobState::Ended).count()
     }
 
     /// The present load.
@@ -106,22 +105,19 @@
     /// When [`Event::Wake`] is due.
     #[must_use]
     pub fn wake_at(&self) -> Time {
-        let deadline = self.deadlines.first().map(|it| it.0);
-        let lost = self.peers.first_lost().map(|it| it + self.cfg.orphan);
+        let timer = self.timers.first().map(|it| it.0);
         let admit = self.admit.wake_at();
-        [deadline, lost, admit].into_iter().flatten().fold(self.next_heartbeat, Time::min)
+        [timer, admit].into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
 
     /// Takes one event and adds what must be done to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::LinkUp { link, peer } => {
-                self.peers.up(link, peer);
+            Event::LinkUp { link } => {
+                self.links.insert(link);
                 self.send_heartbeat(now, link, actions);
             }
-            Event::LinkDown { link } => {
-                self.peers.down(now, link);
-            }
+            Event::LinkDown { link } => self.on_link_down(now, link),
             Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
             Event::Endpoint { id, attempt, report } => {
                 self.on_report(now, id, attempt, report, actions)
@@ -139,34 +135,49 @@
     }
 
     fn on_frame(&mut self, now: Time, link: LinkId, frame: Frame, actions: &mut Vec<Action>) {
-        let Some(peer) = self.peers.of_link(link) else { return };
+        if !self.links.contains(&link) {
+            return;
+        }
         match frame {
-            Frame::Start(start) => self.on_start(now, peer, start, actions),
+            Frame::Start(start) => self.on_start(now, link, start, actions),
             Frame::Cancel(cancel) => self.on_cancel(now, cancel.id, actions),
             Frame::Credit(credit) => {
-                self.on_credit(now, credit.id, credit.received, credit.window, actions)
+                self.on_credit(now, credit.id, credit.received, credit.window, actions);
             }
-            Frame::Resume(resume) => self.on_resume(now, peer, &resume, actions),
+            Frame::Resume(resume) => self.on_resume(now, link, &resume, actions),
             Frame::Probe(probe) => self.on_probe(now, link, &probe, actions),
             _ => {}
         }
     }
 
-    fn on_start(&mut self, now: Time, peer: Incarnation, start: Start, actions: &mut Vec<Action>) {
+    /// The answers on this connection wait for another one.
+    fn on_link_down(&mut self, now: Time, link: LinkId) {
+        self.links.remove(&link);
+        let on_it: Vec<RequestId> =
+            self.jobs.iter().filter(|it| it.1.link == Some(link)).map(|it| *it.0).collect();
+        for id in on_it {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            job.link = None;
+            job.give_up = job.give_up.min(now + self.cfg.orphan);
+            self.reset_timer(id);
+        }
+    }
+
+    fn on_start(&mut self, now: Time, link: LinkId, start: Start, actions: &mut Vec<Action>) {
         let (id, attempt) = (start.id, start.attempt);
         if self.jobs.contains_key(&id) {
             // A duplicate: the job answers for itself.
             return;
         }
         if let Some(refusal) = self.outcomes.get(id, attempt) {
-            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+            return actions.push(Action::send(link, Refused { id, attempt, refusal }));
         }
         if let Err(refusal) = self.admission(now, &start) {
             self.outcomes.refused(now, id, attempt, refusal);
-            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+            return actions.push(Action::send(link, Refused { id, attempt, refusal }));
         }
-        let job = Job::new(now, start, peer);
-        self.deadlines.insert((job.deadline, id));
+        let job = Job::new(now, start, link);
+        self.timers.insert((job.timer, id));
         self.jobs.insert(id, job);
         self.note(id, Transition::NewQueued);
     }
@@ -198,12 +209,6 @@
         }
     }
 
-    fn refuse_frame(&self, peer: Incarnation, refused: Refused, actions: &mut Vec<Action>) {
-        if let Some(link) = self.peers.link(peer) {
-            actions.push(Action::send(link, refused));
-        }
-    }
-
     fn on_cancel(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         match self.jobs.get(&id).map(|it| it.state) {
             Some(JobState::Queued) => {
@@ -249,28 +254,21 @@
         }
     }
 
-    fn on_resume(
-        &mut self,
-        now: Time,
-        peer: Incarnation,
-        resume: &Resume,
-        actions: &mut Vec<Action>,
-    ) {
+    fn on_resume(&mut self, now: Time, link: LinkId, resume: &Resume, actions: &mut Vec<Action>) {
         let (id, attempt) = (resume.id, resume.attempt);
         let Some(job) = self.jobs.get_mut(&id).filter(|it| it.start.attempt == attempt) else {
             let refusal = self.settle_missing(now, id, attempt);
-            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+            return actions.push(Action::send(link, Refused { id, attempt, refusal }));
         };
-        job.peer = peer;
         let before = job.buffer.held();
         let held = job.buffer.rewind(resume.offset, resume.window);
         self.held -= before - job.buffer.held();
         if !held {
             let refusal = Refusal::unknown(RefusalReason::EndpointLost);
-            return self.refuse_frame(peer, Refused { id, attempt, refusal }, actions);
+            return actions.push(Action::send(link, Refused { id, attempt, refusal }));
         }
-        job.head_sent = false;
-        job.ending_sent = false;
+        job.attach(now, link, self.cfg.outcome_retention);
+        self.reset_timer(id);
         self.pump(now, id, actions);
     }
 
@@ -369,8 +367,7 @@
 
     /// Tells every entry at once what the endpoint is.
     fn announce(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let links: Vec<LinkId> = self.peers.links().collect();
-        for link in links {
+        for link in self.links.clone() {
             self.send_heartbeat(now, link, actions);
         }
     }
@@ -395,37 +392,33 @@
         while let Some((id, refusal)) = self.admit.refuse(now) {
             self.end_queued(now, id, refusal, actions);
         }
-        while let Some(&(_, id)) = self.deadlines.first().filter(|it| it.0 <= now) {
-            self.on_deadline(now, id, actions);
-        }
-        while let Some(peer) = self.peers.take_lost(now - self.cfg.orphan) {
-            self.on_orphaned(now, peer, actions);
+        while let Some(&(_, id)) = self.timers.first().filter(|it| it.0 <= now) {
+            self.on_timer(now, id, actions);
         }
     }
 
-    fn on_deadline(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
-        if self.jobs.get(&id).is_some_and(|it| it.state == JobState::Queued) {
-            return self.end_queued(now, id, Refusal::not_run(RefusalReason::Deadline), actions);
-        }
-        self.abort(id, actions);
-        self.end_running(
-            now,
-            id,
-            Ending::Refused(Refusal::unknown(RefusalReason::Deadline)),
-            actions,
-        );
-    }
-
-    /// Gives up everything that an entry waited for which is gone for good.
-    fn on_orphaned(&mut self, now: Time, peer: Incarnation, actions: &mut Vec<Action>) {
-        let ids: Vec<RequestId> =
-            self.jobs.iter().filter(|it| it.1.peer == peer).map(|it| *it.0).collect();
-        for id in ids {
+    fn on_timer(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if now >= job.give_up {
+            // Nobody has asked for the answer for too long.
             self.on_cancel(now, id, actions);
             self.forget(now, id);
+        } else if job.state == JobState::Queued {
+            self.end_queued(now, id, Refusal::not_run(RefusalReason::Deadline), actions);
+        } else {
+            self.abort(id, actions);
+            let refusal = Refusal::unknown(RefusalReason::Deadline);
+            self.end_running(now, id, Ending::Refused(refusal), actions);
         }
     }
 
+    fn reset_timer(&mut self, id: RequestId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        self.timers.remove(&(job.timer, id));
+        job.reset_timer();
+        self.timers.insert((job.timer, id));
+    }
+
     fn run_next(&mut self, now: Time, actions: &mut Vec<Action>) {
         while let Some(id) = self.admit.next(now) {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
@@ -462,7 +455,8 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.state = JobState::Ended;
         job.ending = Some(ending);
-        self.deadlines.remove(&(job.deadline, id));
+        job.give_up = job.give_up.min(now + self.cfg.outcome_retention);
+        self.reset_timer(id);
         self.note(id, transition);
         self.pump(now, id, actions);
     }
@@ -470,7 +464,7 @@
     /// Sends what may be sent of a job.
     fn pump(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let Some(link) = self.peers.link(job.peer) else { return };
+        let Some(link) = job.link else { return };
         while let Some(frame) = job.next_frame(self.cfg.chunk_bytes) {
             let refused = matches!(frame, Frame::Refused(_));
             actions.push(Action::send(link, frame));
@@ -483,6 +477,7 @@
     /// Lets go of a job that has ended. Its outcome is remembered for late questions.
     fn forget(&mut self, now: Time, id: RequestId) {
         let Some(job) = self.jobs.remove(&id) else { return };
+        self.timers.remove(&(job.timer, id));
         self.held -= job.buffer.held();
         match job.ending {
             Some(Ending::Refused(refusal)) => {
@@ -507,11 +502,10 @@
     pub fn validate(&self) {
         let held: usize = self.jobs.values().map(|it| it.buffer.held()).sum();
         assert_eq!(held, self.held, "bytes held");
-        let open = self.jobs.values().filter(|it| it.state != JobState::Ended).count();
-        assert_eq!(open, self.deadlines.len(), "deadlines");
+        assert_eq!(self.timers.len(), self.jobs.len(), "timers");
         for (id, job) in &self.jobs {
-            let has_deadline = self.deadlines.contains(&(job.deadline, *id));
-            assert_eq!(has_deadline, job.state != JobState::Ended, "deadline of {id}");
+            assert!(self.timers.contains(&(job.timer, *id)), "timer of {id}");
+            assert!(job.link.is_none_or(|it| self.links.contains(&it)), "connection of {id}");
             assert_eq!(job.ending.is_some(), job.state == JobState::Ended, "ending of {id}");
             let not_run =
                 matches!(job.ending, Some(Ending::Refused(it)) if it.verdict == Verdict::NotRun);
--- a/crates/daisychute-agent/src/core/answer_buffer.rs
+++ b/crates/daisychute-agent/src/core/answer_buffer.rs
@@ -1,5 +1,7 @@
 //! The part of an answer that the entry doesn't have yet.
 
+use std::collections::VecDeque;
+
 use bytes::{Buf, Bytes, BytesMut};
 
 /// The part of an answer that the entry has not acknowledged, with what may be sent of it.
@@ -7,10 +9,10 @@
 pub struct AnswerBuffer {
     /// Bytes after `received`, in order.
     bytes: BytesMut,
-    /// Output tokens made so far.
-    tokens: u32,
-    /// Output tokens sent so far.
-    tokens_sent: u32,
+    /// Where each output token after `received` ends.
+    token_ends: VecDeque<u64>,
+    /// Output tokens that end at or before `received`.
+    tokens_received: u32,
     /// Offset of the first byte in `bytes`.
     received: u64,
     /// Offset of the first byte that was not sent on the present connection.
@@ -41,8 +43,8 @@
 
     /// Output tokens of the answer so far.
     #[must_use]
-    pub const fn tokens(&self) -> u32 {
-        self.tokens
+    pub fn tokens(&self) -> u32 {
+        self.tokens_received + count(self.token_ends.len())
     }
 
     /// Whether everything that is held was sent.
@@ -51,10 +53,11 @@
         self.sent == self.length()
     }
 
-    /// Adds a part.
+    /// Adds a part, which ends so many output tokens.
     pub fn push(&mut self, data: &[u8], tokens: u32) {
         self.bytes.extend_from_slice(data);
-        self.tokens += tokens;
+        let end = self.length();
+        self.token_ends.extend((0..tokens).map(|_| end));
     }
 
     /// The entry has `received` bytes and takes `window` more. Returns how many bytes were let go.
@@ -65,6 +68,9 @@
         self.bytes.advance(gone);
         self.received = received;
         self.sent = self.sent.max(received);
+        let ended = self.token_ends.partition_point(|it| *it <= received);
+        self.token_ends.drain(..ended);
+        self.tokens_received += count(ended);
         gone
     }
 
@@ -78,7 +84,7 @@
         true
     }
 
-    /// Takes the next part that may be sent: its offset, its output tokens and its bytes. A part never ends inside a
+    /// Takes the next part that may be sent: its offset, the output tokens up to its end, and its bytes. A part never ends inside a
     /// UTF-8 sequence unless it would be empty.
     pub fn take(&mut self, most: usize) -> Option<(u64, u32, Bytes)> {
         let limit = (self.received + self.window).min(self.length());
@@ -91,12 +97,16 @@
         let len = whole_characters(&self.bytes[from..], len);
         let data = Bytes::copy_from_slice(&self.bytes[from..from + len]);
         self.sent += len as u64;
-        let tokens = if self.all_sent() { self.tokens - self.tokens_sent } else { 0 };
-        self.tokens_sent += tokens;
+        let ended = self.token_ends.partition_point(|it| *it <= self.sent);
+        let tokens = self.tokens_received + count(ended);
         Some((offset, tokens, data))
     }
 }
 
+fn count(tokens: usize) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 /// The longest length up to `len` that doesn't cut a UTF-8 sequence, or `len` if there is none.
 fn whole_characters(bytes: &[u8], len: usize) -> usize {
     let starts_character = |at: &usize| bytes.get(*at).is_none_or(|it| it & 0xc0 != 0x80);
--- a/crates/daisychute-agent/src/core/event.rs
+++ b/crates/daisychute-agent/src/core/event.rs
@@ -1,9 +1,7 @@
 //! What the shell tells the core.
 
 use bytes::Bytes;
-use daisychute_core::{
-    EngineTarget, FinishReason, Incarnation, ModelVersion, RefusalReason, RequestId, Usage,
-};
+use daisychute_core::{EngineTarget, FinishReason, ModelVersion, RefusalReason, RequestId, Usage};
 use daisychute_link::LinkId;
 use daisychute_proto::{Frame, Revisions};
 
@@ -14,8 +12,6 @@
     LinkUp {
         /// The connection.
         link: LinkId,
-        /// The incarnation of the process at the other end.
-        peer: Incarnation,
     },
     /// A connection is down.
     LinkDown {
--- a/crates/daisychute-agent/src/core/job.rs
+++ b/crates/daisychute-agent/src/core/job.rs
@@ -1,8 +1,10 @@
 //! One request at the agent.
 
 use std::rc::Rc;
+use std::time::Duration;
 
-use daisychute_core::{FinishReason, Incarnation, Refusal, Time, Usage};
+use daisychute_core::{FinishReason, Refusal, Time, Usage};
+use daisychute_link::LinkId;
 use daisychute_proto::{End, Frame, Head, Refused, Start};
 
 use super::AnswerBuffer;
@@ -29,11 +31,16 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct Job {
     pub(super) start: Rc<Start>,
-    /// The entry that waits for it.
-    pub(super) peer: Incarnation,
+    /// The connection that its answer goes to; none while the entry has to come back for it.
+    pub(super) link: Option<LinkId>,
     pub(super) state: JobState,
     /// When its class gives it up.
-    pub(super) deadline: Time,
+    deadline: Time,
+    /// When it is forgotten because nobody asks for it.
+    pub(super) give_up: Time,
+    /// The sooner of the two; only `give_up` once it has ended.
+    // Invariant: `(timer, id)` is in the core's timers.
+    pub(super) timer: Time,
     pub(super) head: Option<Head>,
     pub(super) head_sent: bool,
     pub(super) buffer: AnswerBuffer,
@@ -45,11 +52,14 @@
 }
 
 impl Job {
-    pub(super) fn new(now: Time, start: Start, peer: Incarnation) -> Self {
+    pub(super) fn new(now: Time, start: Start, link: LinkId) -> Self {
+        let deadline = now + start.deadline;
         Self {
-            peer,
+            link: Some(link),
             state: JobState::Queued,
-            deadline: now + start.deadline,
+            deadline,
+            give_up: Time::MAX,
+            timer: deadline,
             head: None,
             head_sent: false,
             buffer: AnswerBuffer::new(start.window),
@@ -78,6 +88,21 @@
         self.start.clone()
     }
 
+    /// The entry has come back for the answer on this connection, and gets everything that it lacks.
+    pub(super) fn attach(&mut self, now: Time, link: LinkId, retention: Duration) {
+        self.link = Some(link);
+        self.head_sent = false;
+        self.ending_sent = false;
+        self.give_up = if self.state == JobState::Ended { now + retention } else { Time::MAX };
+    }
+
+    pub(super) fn reset_timer(&mut self) {
+        self.timer = match self.state {
+            JobState::Queued | JobState::Running => self.deadline.min(self.give_up),
+            JobState::Ended => self.give_up,
+        };
+    }
+
     /// The next frame that the entry is owed and may be sent now.
     pub(super) fn next_frame(&mut self, chunk_bytes: usize) -> Option<Frame> {
         let (id, attempt) = (self.start.id, self.start.attempt);
--- a/crates/daisychute-agent/src/core/mod.rs
+++ b/crates/daisychute-agent/src/core/mod.rs
@@ -7,7 +7,6 @@
 mod event;
 mod job;
 mod outcome_log;
-mod peers;
 mod transition;
 
 pub use self::action::Action;
@@ -17,5 +16,4 @@
 pub use self::event::{Event, Report};
 pub use self::job::{Job, JobState};
 pub use self::outcome_log::OutcomeLog;
-pub use self::peers::Peers;
 pub use self::transition::Transition;
--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -169,7 +169,8 @@
         match event {
             LinkEvent::Up { id, hello, link } => {
                 self.links.insert(id, link);
-                self.feed(Event::LinkUp { link: id, peer: hello.incarnation });
+                log::debug!(link:% = id, peer:% = hello.process; "connected");
+                self.feed(Event::LinkUp { link: id });
             }
             LinkEvent::Frame { id, frame } => self.feed(Event::Frame { link: id, frame }),
             LinkEvent::Down { id, .. } => {
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -282,6 +282,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (attempt, offset, give_up) = (request.attempt, request.received, request.give_up);
         request.credited = request.taken;
+        request.resume_asked = true;
         let frame = Resume { id, attempt, offset, window: self.cfg.window };
         actions.push(Action::send(link, frame));
         self.transition(id, RequestState::Sent);
@@ -376,6 +377,7 @@
     fn on_head(&mut self, endpoint: &EndpointName, head: Head, actions: &mut Vec<Action>) {
         let Some(request) = self.current(endpoint, head.id, head.attempt) else { return };
         request.version = head.version.clone().or(request.version.take());
+        request.resume_asked = false;
         let first = !request.head_given;
         request.head_given = true;
         if first {
@@ -396,21 +398,29 @@
         chunk: &Chunk,
         actions: &mut Vec<Action>,
     ) {
-        let (most, window) = (self.cfg.emitted_bytes, self.cfg.window);
+        let most = self.cfg.emitted_bytes;
         let Some(request) = self.current(endpoint, chunk.id, chunk.attempt) else { return };
-        if chunk.offset > request.received {
-            // A part is missing: ask for everything after what is here.
-            let (id, attempt, offset) = (chunk.id, chunk.attempt, request.received);
-            return actions.push(Action::send(link, Resume { id, attempt, offset, window }));
+        if request.state != RequestState::Streaming || chunk.offset > request.received {
+            return self.ask_missing(chunk.id, link, actions);
         }
         let known = request.received - chunk.offset;
         if known >= chunk.data.len() as u64 {
             return;
         }
         let data = chunk.data.slice(usize::try_from(known).unwrap_or(usize::MAX)..);
-        request.emit(&data, chunk.tokens, most);
-        actions
-            .push(Action::Answer { id: chunk.id, part: Part::Data { data, tokens: chunk.tokens } });
+        let tokens = request.emit(&data, chunk.tokens, most);
+        actions.push(Action::Answer { id: chunk.id, part: Part::Data { data, tokens } });
+    }
+
+    /// Asks once for everything after what is here.
+    fn ask_missing(&mut self, id: RequestId, link: LinkId, actions: &mut Vec<Action>) {
+        let window = self.cfg.window;
+        let Some(request) = self.requests.get_mut(&id) else { return };
+        if !request.resume_asked {
+            request.resume_asked = true;
+            let (attempt, offset) = (request.attempt, request.received);
+            actions.push(Action::send(link, Resume { id, attempt, offset, window }));
+        }
     }
 
     fn on_end(
@@ -422,10 +432,9 @@
     ) {
         let window = self.cfg.window;
         let Some(request) = self.current(endpoint, end.id, end.attempt) else { return };
-        let (id, attempt, received) = (end.id, end.attempt, request.received);
-        if received != end.length {
-            return actions
-                .push(Action::send(link, Resume { id, attempt, offset: received, window }));
+        let (id, received) = (end.id, request.received);
+        if request.state != RequestState::Streaming || received != end.length {
+            return self.ask_missing(id, link, actions);
         }
         actions.push(Action::send(link, Credit { id, received, window }));
         actions
--- a/crates/daisychute-entry/src/core/request.rs
+++ b/crates/daisychute-entry/src/core/request.rs
@@ -65,6 +65,10 @@
     /// Bytes of the present run's answer that the caller has taken.
     // Invariant: taken <= received.
     pub(super) taken: u64,
+    /// Output tokens of the present run.
+    pub(super) run_tokens: u32,
+    /// Whether the agent was asked for what is missing and has not begun to send it.
+    pub(super) resume_asked: bool,
     /// What the agent was last told of `taken`.
     pub(super) credited: u64,
     /// Whether the caller was given the head of an answer.
@@ -100,6 +104,8 @@
             tried: BTreeSet::new(),
             received: 0,
             taken: 0,
+            run_tokens: 0,
+            resume_asked: false,
             credited: 0,
             head_given: false,
             version: None,
@@ -125,10 +131,18 @@
         self.head_given
     }
 
-    /// Remembers what the caller is given, up to `most` bytes.
-    pub(super) fn emit(&mut self, data: &[u8], tokens: u32, most: usize) {
+    /// Remembers what the caller is given, up to `most` bytes; `run_tokens` counts the output tokens of the run up to
+    /// the end of it. Returns the output tokens in it.
+    pub(super) fn emit(&mut self, data: &[u8], run_tokens: u32, most: usize) -> u32 {
+        let tokens = run_tokens.saturating_sub(self.run_tokens);
+        self.run_tokens += tokens;
         self.received += data.len() as u64;
         self.emitted_tokens += tokens;
+        self.remember(data, most);
+        tokens
+    }
+
+    fn remember(&mut self, data: &[u8], most: usize) {
         let Some(emitted) = &mut self.emitted else { return };
         if emitted.len() + data.len() > most {
             self.emitted = None;
@@ -143,6 +157,8 @@
         self.sent_to = None;
         self.received = 0;
         self.taken = 0;
+        self.run_tokens = 0;
+        self.resume_asked = false;
         self.credited = 0;
     }
 
--- a/crates/daisychute-entry/tests/world/caller.rs
+++ b/crates/daisychute-entry/tests/world/caller.rs
@@ -7,7 +7,7 @@
 use super::text;
 
 /// A caller and what it got so far.
-pub struct Caller {
+pub(crate) struct Caller {
     entry: usize,
     submission: Submission,
     got: Vec<u8>,
@@ -17,7 +17,7 @@
 }
 
 impl Caller {
-    pub fn new(entry: usize, submission: &Submission) -> Self {
+    pub(crate) fn new(entry: usize, submission: &Submission) -> Self {
         Self {
             entry,
             submission: submission.clone(),
@@ -28,20 +28,20 @@
         }
     }
 
-    pub fn entry(&self) -> usize {
+    pub(crate) fn entry(&self) -> usize {
         self.entry
     }
 
-    pub fn is_open(&self) -> bool {
+    pub(crate) fn is_open(&self) -> bool {
         self.last.is_none() && !self.left
     }
 
-    pub fn leave(&mut self) {
+    pub(crate) fn leave(&mut self) {
         self.left = true;
     }
 
     /// Takes a part and tells how many bytes were in it.
-    pub fn take(&mut self, entry: usize, part: Part) -> Option<u64> {
+    pub(crate) fn take(&mut self, entry: usize, part: Part) -> Option<u64> {
         assert_eq!(entry, self.entry, "the answer comes from another entry");
         assert!(self.last.is_none(), "{part:?} follows the final answer {:?}", self.last);
         assert!(!self.left, "{part:?} for a caller that has left");
@@ -63,7 +63,7 @@
         }
     }
 
-    pub fn check(&self, id: RequestId, executions: u32) {
+    pub(crate) fn check(&self, id: RequestId, executions: u32) {
         let expected = text(id, &self.submission.work);
         assert!(expected.as_bytes().starts_with(&self.got), "{id} got what is not its answer");
         if let Some(Part::End { .. }) = self.last {
--- a/crates/daisychute-entry/tests/world/endpoint.rs
+++ b/crates/daisychute-entry/tests/world/endpoint.rs
@@ -22,7 +22,7 @@
 
 /// An endpoint that makes a known text for each request.
 #[derive(Default)]
-pub struct Endpoint {
+pub(crate) struct Endpoint {
     runs: BTreeMap<RequestId, Run>,
 }
 
@@ -32,13 +32,13 @@
 }
 
 /// The whole answer to a request.
-pub fn text(id: RequestId, _work: &Work) -> String {
+pub(crate) fn text(id: RequestId, _work: &Work) -> String {
     (0..TOKENS).map(|it| token(id, it)).collect()
 }
 
 impl Endpoint {
     /// Starts a run. Returns its request.
-    pub fn start(&mut self, start: &Start) -> Option<RequestId> {
+    pub(crate) fn start(&mut self, start: &Start) -> Option<RequestId> {
         let made = match &start.work {
             Work::Completion(completion) => completion.emitted_tokens,
             Work::Call(_) => 0,
@@ -49,7 +49,7 @@
     }
 
     /// The agent asks for the rest of an answer.
-    pub fn resume(&mut self, start: &Start, from_tokens: u32) {
+    pub(crate) fn resume(&mut self, start: &Start, from_tokens: u32) {
         let Some(run) = self.runs.get_mut(&start.id) else {
             let run = Run { start: start.clone(), head: true, made: u32::MAX, joined: true };
             self.runs.insert(start.id, run);
@@ -63,16 +63,16 @@
         run.made = earlier + from_tokens;
     }
 
-    pub fn abort(&mut self, id: RequestId) {
+    pub(crate) fn abort(&mut self, id: RequestId) {
         self.runs.remove(&id);
     }
 
-    pub fn stop(&mut self) {
+    pub(crate) fn stop(&mut self) {
         self.runs.clear();
     }
 
     /// One run goes on.
-    pub fn step(&mut self, pick: usize) -> Option<(RequestId, u32, Report)> {
+    pub(crate) fn step(&mut self, pick: usize) -> Option<(RequestId, u32, Report)> {
         let (id, run) = self.pick(pick)?;
         let attempt = run.start.attempt;
         if run.made == u32::MAX {
@@ -98,7 +98,11 @@
     }
 
     /// The connection of one run breaks; the endpoint forgets the run or can go on with it.
-    pub fn break_one(&mut self, pick: usize, forget: bool) -> Option<(RequestId, u32, Report)> {
+    pub(crate) fn break_one(
+        &mut self,
+        pick: usize,
+        forget: bool,
+    ) -> Option<(RequestId, u32, Report)> {
         let (id, run) = self.pick(pick)?;
         let attempt = run.start.attempt;
         run.joined = false;
--- a/crates/daisychute-entry/tests/world/mod.rs
+++ b/crates/daisychute-entry/tests/world/mod.rs
@@ -23,8 +23,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-pub use self::caller::Caller;
-pub use self::endpoint::{Endpoint, text};
+pub(crate) use self::caller::Caller;
+pub(crate) use self::endpoint::{Endpoint, text};
 use self::wire::Wire;
 
 const ENTRIES: usize = 2;
@@ -48,14 +48,14 @@
 
 /// What may go wrong in a schedule.
 #[derive(Debug, Clone, Copy)]
-pub struct Faults {
+pub(crate) struct Faults {
     /// Frames may arrive twice.
-    pub duplicates: bool,
+    pub(crate) duplicates: bool,
     /// Frames may get lost although their connection goes on.
-    pub losses: bool,
+    pub(crate) losses: bool,
 }
 
-pub struct World {
+pub(crate) struct World {
     now: Time,
     rng: Pcg64Mcg,
     faults: Faults,
@@ -69,7 +69,7 @@
 }
 
 impl World {
-    pub fn new(seed: u64, faults: Faults) -> Self {
+    pub(crate) fn new(seed: u64, faults: Faults) -> Self {
         let mut world = Self {
             now: Time::from_millis(1),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -99,7 +99,7 @@
     }
 
     /// Runs a whole schedule and checks what must hold.
-    pub fn run(mut self) {
+    pub(crate) fn run(mut self) {
         let mut submitted = 0;
         for _ in 0..STEPS {
             if submitted < REQUESTS && self.rng.random_bool(0.1) {
@@ -202,8 +202,7 @@
         let agent_link = LinkId::new(agent.last_link);
         let hello = hello(agent.core.record());
         self.wires.push(Wire::new(entry, link, index, agent_link));
-        let peer = self.entries[entry].incarnation();
-        self.tell_agent(index, AgentEvent::LinkUp { link: agent_link, peer });
+        self.tell_agent(index, AgentEvent::LinkUp { link: agent_link });
         self.tell_entry(entry, Event::LinkUp { link, hello: Box::new(hello) });
     }
 
--- a/crates/daisychute-entry/tests/world/wire.rs
+++ b/crates/daisychute-entry/tests/world/wire.rs
@@ -6,19 +6,19 @@
 use daisychute_proto::Frame;
 
 /// A connection between an entry and an agent. Either side may believe that it is open while the other doesn't.
-pub(super) struct Wire {
-    pub(super) entry: usize,
-    pub(super) entry_link: LinkId,
-    pub(super) entry_up: bool,
-    pub(super) agent: usize,
-    pub(super) agent_link: LinkId,
-    pub(super) agent_up: bool,
-    pub(super) to_agent: VecDeque<Frame>,
-    pub(super) to_entry: VecDeque<Frame>,
+pub(crate) struct Wire {
+    pub(crate) entry: usize,
+    pub(crate) entry_link: LinkId,
+    pub(crate) entry_up: bool,
+    pub(crate) agent: usize,
+    pub(crate) agent_link: LinkId,
+    pub(crate) agent_up: bool,
+    pub(crate) to_agent: VecDeque<Frame>,
+    pub(crate) to_entry: VecDeque<Frame>,
 }
 
 impl Wire {
-    pub(super) const fn new(
+    pub(crate) const fn new(
         entry: usize,
         entry_link: LinkId,
         agent: usize,
@@ -37,11 +37,11 @@
     }
 
     /// The entry gave it up.
-    pub(super) fn cut(&mut self) {
+    pub(crate) fn cut(&mut self) {
         self.entry_up = false;
     }
 
-    pub(super) fn is_quiet(&self) -> bool {
+    pub(crate) fn is_quiet(&self) -> bool {
         self.to_agent.is_empty() && self.to_entry.is_empty()
     }
 }
--- a/crates/daisychute-proto/src/stream.rs
+++ b/crates/daisychute-proto/src/stream.rs
@@ -33,7 +33,7 @@
     pub attempt: u32,
     /// Bytes of this run's answer before this part.
     pub offset: u64,
-    /// Output tokens in `data`.
+    /// Output tokens of this run up to the end of this part.
     #[serde(default)]
     pub tokens: u32,
     /// The part: text of a completion in UTF-8, or bytes of a service's answer.
