test(planner): prove authority over random schedules of faults

Ten thousand schedules of kills, pauses, cuts, outages, lost answers, clock steps, engine crashes and operators' races run against the cores of lease, planner, replicas and orders together, with an object store, two engines (one checks the fencing number, one ignores it) and late writes and orders.

Seen to fail with the mechanism switched off, one at a time: - planner doesn't heed a higher term: TermFell { from: Term(2), to: Term(1) } - plan write without condition: PlanRevision { from: Revision(2), to: Revision(2) } - operator's write without condition: BothAccepted { revision: Revision(1) } - lease taken before it lapses: TwoHolders { first: 2, second: 1 } - lease time counted from the answer: TwoHolders { first: 2, second: 1 } - term not raised: LeaseTerm { from: Term(0), to: Term(0) } - replica takes any valid revision: Reverted { node: 0, from: Revision(2), to: Revision(1) } - no wait for a predecessor's orders: Conflicting { endpoint: "clerk-lm-0", had: Revision(4), got: Revision(3) } - lost answer to an order counts as none: Cut { endpoint: "clerk-lm-1" } - no look for a change in progress: WhileChanging { endpoint: "clerk-lm-1", got: Revision(5) } - no drain: Cut { endpoint: "clerk-lm-0" } Not seen to fail: the order core's own refusal of a lower plan revision, since its replica never gives one.

The first run found a fault, mended here: after a restart of the engine the order core took an order of unknown outcome for lost, and a late one cut requests (Cut { endpoint: "clerk-lm-1" }). It now always waits for the whole lifetime.

--- a/crates/daisychute-agent/src/orders/mod.rs
+++ b/crates/daisychute-agent/src/orders/mod.rs
@@ -50,8 +50,6 @@
     phase: Phase,
     /// Until when an order of an earlier agent, or one of unknown outcome, may still reach the engine.
     quiet_at: Time,
-    /// Which start of the engine was last seen.
-    started: Option<u64>,
     /// What was last said of the engine.
     observed: Option<EngineTarget>,
     /// Whether a change keeps the endpoint closed.
@@ -76,7 +74,6 @@
             leaving: false,
             phase,
             quiet_at: now + settings.order_lifetime,
-            started: None,
             observed: None,
             closed: is_engine,
             admitted: None,
@@ -149,7 +146,6 @@
     }
 
     fn state(&mut self, now: Time, state: &EngineState, out: &mut Vec<OrderAction>) {
-        self.note_start(now, state);
         self.say_observed(state, out);
         match std::mem::replace(&mut self.phase, Phase::Idle) {
             Phase::Looking(Look::Reading) => self.looked(now, state, out),
@@ -161,14 +157,6 @@
         }
     }
 
-    /// Notes which start of the engine this is. What was on its way to an earlier start never arrives.
-    fn note_start(&mut self, now: Time, state: &EngineState) {
-        let before = self.started.replace(state.started);
-        if before.is_some_and(|it| it != state.started) {
-            self.quiet_at = self.quiet_at.min(now);
-        }
-    }
-
     /// Decides whether a change is needed. No order of this agent is on its way here.
     fn looked(&mut self, now: Time, state: &EngineState, out: &mut Vec<OrderAction>) {
         self.closed = state.changing;
--- /dev/null
+++ b/crates/daisychute-planner/tests/world/acts.rs
@@ -0,0 +1,100 @@
+//! Faults, operators' acts and wishes.
+
+use std::time::Duration;
+
+use daisychute_core::{Class, ClassName, Configuration, Precedence, Revision};
+use daisychute_planner::{PlannerEvent, Wish};
+use daisychute_platform::{ConfigurationDocument, Object, ObjectKind, ReadAnswer, WriteStamp};
+use rand::Rng;
+
+use super::World;
+use super::engine::target;
+use super::message::Msg;
+use super::node::Node;
+use super::schedule::{AGENTS, Act, ENTRIES};
+
+impl World {
+    pub(super) fn act(&mut self, act: Act) {
+        self.note(|| format!("{act:?}"));
+        let until = |ms: u64| self.now + Duration::from_millis(ms);
+        match act {
+            Act::Kill { node, ms } => self.kill(node, ms),
+            Act::Pause { node, ms } => self.nodes[node].paused_until = until(ms),
+            Act::Cut { node, ms } => {
+                self.nodes[node].cut_until = until(ms);
+                self.end_watches(node..node + 1);
+            }
+            Act::Outage { ms } => {
+                self.outage_until = until(ms);
+                self.end_watches(0..ENTRIES + AGENTS);
+            }
+            Act::LoseAnswers { ms } => self.losing_until = until(ms),
+            Act::StepClock { entry, ms } => self.nodes[entry].skew += ms * 1_000,
+            Act::CrashEngine { engine } => self.engines[engine].crash(self.now),
+            Act::FailChange { engine } => self.engines[engine].fail_next(),
+            Act::Apply { operators } => self.apply(operators),
+            Act::Drain { engine, drain } => self.request_drain(engine, drain),
+            Act::Wish { engine, model } => self.wish(engine, model),
+        }
+    }
+
+    fn kill(&mut self, node: usize, ms: u64) {
+        let life = self.nodes[node].life + 1;
+        let seed = self.rng.next_u64() >> 1;
+        let restart = self.now + Duration::from_millis(ms);
+        self.nodes[node] = Node { alive: false, ..Node::new(node, life, restart, seed) };
+        if node >= ENTRIES {
+            self.engines[node - ENTRIES].busy_until = self.now;
+        }
+        self.push(Duration::from_millis(ms), Msg::Start(node));
+    }
+
+    /// So many operators read the configuration, then each sends a change of what it read.
+    fn apply(&mut self, operators: usize) {
+        let read = self.store.read(ObjectKind::Configurations);
+        for operator in 0..operators {
+            let object = change(&read, operator, self.now.as_micros());
+            let span = self.span(1, 500);
+            self.push(span, Msg::LateWrite(Box::new(object)));
+        }
+    }
+
+    fn request_drain(&mut self, engine: usize, drain: bool) {
+        let endpoint = self.engines[engine].endpoint.clone();
+        if drain {
+            self.drains.insert(endpoint);
+        } else {
+            self.drains.remove(&endpoint);
+        }
+    }
+
+    fn wish(&mut self, engine: usize, model: u8) {
+        let endpoint = self.engines[engine].endpoint.clone();
+        for node in 0..ENTRIES {
+            let wish = Wish::Target { endpoint: endpoint.clone(), target: target(model) };
+            let running = self.nodes[node].alive && self.nodes[node].paused_until <= self.now;
+            if running {
+                self.planner(node, PlannerEvent::Wish(wish));
+            }
+        }
+    }
+}
+
+/// The next configuration after the one that was read, with a class that names who wrote it.
+fn change(read: &ReadAnswer, operator: usize, write: u64) -> Object {
+    let found = match read {
+        ReadAnswer::Found(object) => Some(object),
+        _ => None,
+    };
+    let before = found.and_then(|it| it.parse::<ConfigurationDocument>().ok());
+    let revision = before.map_or(Revision::ZERO, |it| it.revision).next();
+    let class = ClassName::try_from(format!("operator-{operator}-{revision}")).unwrap();
+    let mut configuration = Configuration::default();
+    configuration.classes.insert(class.clone(), Class::new(class, Precedence::Interactive));
+    let document = ConfigurationDocument { revision, configuration };
+    let version = found.and_then(|it| it.metadata.resource_version.clone());
+    let writer = format!("operator-{operator}");
+    Object::new(ObjectKind::Configurations, "deployment", serde_json::to_value(document).unwrap())
+        .version(version)
+        .stamp(&WriteStamp { writer: writer.into(), write })
+}
--- /dev/null
+++ b/crates/daisychute-planner/tests/world/agents.rs
@@ -0,0 +1,132 @@
+//! Agents: the orders to their engines.
+
+use std::time::Duration;
+
+use daisychute_agent::orders::{EngineState, Order, OrderAction, OrderAnswer, OrderEvent, Orders};
+use daisychute_core::Revision;
+use daisychute_platform::ObjectKind;
+
+use super::World;
+use super::message::{Caller, Input, Msg, Op};
+use super::node::Cores;
+use super::schedule::ENTRIES;
+
+impl World {
+    pub(super) fn tick_agent(&mut self, node: usize) {
+        self.orders(node, OrderEvent::Tick);
+    }
+
+    fn orders_of(&mut self, node: usize) -> Option<&mut Orders> {
+        match &mut self.nodes[node].cores {
+            Cores::Agent(orders) => Some(orders),
+            Cores::Entry(_) => None,
+        }
+    }
+
+    fn orders(&mut self, node: usize, event: OrderEvent) {
+        let now = self.local(node);
+        let mut out = Vec::new();
+        if let Some(orders) = self.orders_of(node) {
+            orders.handle(now, event, &mut out);
+        }
+        for action in out {
+            self.order_action(node, action);
+        }
+    }
+
+    fn order_action(&mut self, node: usize, action: OrderAction) {
+        let life = self.nodes[node].life;
+        match action {
+            OrderAction::Admit(admit) => self.nodes[node].admits = admit,
+            OrderAction::Drain => {
+                let busy = self.engines[node - ENTRIES].busy_until;
+                self.send(node, busy.since(self.now), Input::Drained);
+            }
+            OrderAction::ConfirmPlan => {
+                self.call(node, Caller::Confirmation, Op::Read(ObjectKind::Plans));
+            }
+            OrderAction::ReadState => {
+                let span = self.span(1, 20);
+                self.push(span, Msg::ReadState { node, life });
+            }
+            OrderAction::Order(order) => self.send_order(node, life, order),
+            OrderAction::WakeAt(at) => self.wake_at(node, at),
+            OrderAction::Observed(_)
+            | OrderAction::Superseded { .. }
+            | OrderAction::Failed { .. } => {}
+        }
+    }
+
+    fn send_order(&mut self, node: usize, life: u64, order: Order) {
+        let fence = order.fence;
+        self.note(|| format!("agent-{node} orders with fence {fence}"));
+        let lost = self.losing_until > self.now;
+        let late = lost && self.below(2) == 0;
+        let span = if late { self.span(1, 7_500) } else { self.span(1, 20) };
+        if lost {
+            let answer = Input::Answered(OrderAnswer::Unknown);
+            self.send(node, Duration::from_millis(300), answer);
+        }
+        if !lost || self.below(3) != 0 {
+            self.push(span, Msg::Order { node, life, order, lost });
+        }
+    }
+
+    pub(super) fn order_arrives(&mut self, node: usize, life: u64, order: Order, lost: bool) {
+        let sender = &self.nodes[node];
+        let own = sender.alive && sender.life == life;
+        let engine = &mut self.engines[node - ENTRIES];
+        match engine.order(self.now, order, own, &self.store) {
+            Err(violation) => self.fail(violation),
+            Ok(answer) if !lost && own => self.send(node, Duration::ZERO, Input::Answered(answer)),
+            Ok(_) => {}
+        }
+    }
+
+    pub(super) fn state_read(&mut self, node: usize, life: u64) {
+        let state = self.engines[node - ENTRIES].state(self.now);
+        let span = self.span(1, 20);
+        self.push(span, Msg::To { node, life, input: Input::State(state) });
+    }
+
+    pub(super) fn engine_state(&mut self, node: usize, state: EngineState) {
+        self.orders(node, OrderEvent::State(Some(state)));
+    }
+
+    pub(super) fn order_answered(&mut self, node: usize, answer: OrderAnswer) {
+        self.orders(node, OrderEvent::Answered(answer));
+    }
+
+    /// The endpoint is empty, unless work came in before the agent heard of it.
+    pub(super) fn drained(&mut self, node: usize) {
+        let busy = self.engines[node - ENTRIES].busy_until;
+        if busy > self.now {
+            self.send(node, busy.since(self.now), Input::Drained);
+        } else {
+            self.orders(node, OrderEvent::Drained);
+        }
+    }
+
+    pub(super) fn plan_confirmed(&mut self, node: usize, revision: Option<Revision>) {
+        self.orders(node, OrderEvent::PlanRead(revision));
+    }
+
+    /// Tells the order core of the plan that is in force at its agent.
+    pub(super) fn plan_in_force(&mut self, node: usize) {
+        let Some(plan) = self.nodes[node].plan.document() else { return };
+        if node >= ENTRIES {
+            let endpoint = &self.engines[node - ENTRIES].endpoint;
+            let desired = plan.endpoints.get(endpoint).cloned();
+            self.orders(node, OrderEvent::Plan { revision: plan.revision, desired });
+        }
+    }
+
+    /// Requests that the agent admits go to its engine.
+    pub(super) fn work(&mut self, node: usize) {
+        if self.nodes[node].admits {
+            let until = self.now + self.span(0, 600);
+            let engine = &mut self.engines[node - ENTRIES];
+            engine.busy_until = engine.busy_until.max(until);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisychute-planner/tests/world/message.rs
@@ -0,0 +1,67 @@
+//! What is on its way in the world.
+
+use bytes::Bytes;
+use daisychute_agent::orders::{EngineState, Order, OrderAnswer};
+use daisychute_core::{EndpointName, EngineTarget, Revision, Time};
+use daisychute_platform::{Object, ObjectKind, ReadAnswer, ResourceVersion, WriteAnswer};
+
+use super::schedule::Act;
+
+/// Which core made a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Caller {
+    Lease,
+    Planner,
+    Configuration,
+    Plan,
+    Confirmation,
+}
+
+/// What a call asks for.
+#[derive(Debug, Clone)]
+pub(crate) enum Op {
+    Read(ObjectKind),
+    Write(Box<Object>),
+}
+
+/// How a call ends.
+#[derive(Debug, Clone)]
+pub(crate) enum Reply {
+    Read(Box<ReadAnswer>, ResourceVersion),
+    Write(WriteAnswer),
+}
+
+/// What one process tells another.
+#[derive(Debug, Clone)]
+pub(crate) enum Frame {
+    Revisions { configuration: Revision, plan: Revision },
+    Observed { endpoint: EndpointName, target: Option<EngineTarget> },
+    Pull { kind: ObjectKind, have: Revision },
+    Document { kind: ObjectKind, body: Bytes },
+}
+
+/// What reaches a process.
+#[derive(Debug, Clone)]
+pub(crate) enum Input {
+    Wake(Time),
+    Reply(Caller, Reply),
+    Watched(ObjectKind, Bytes),
+    WatchEnded(ObjectKind),
+    Frame(usize, Frame),
+    State(EngineState),
+    Answered(OrderAnswer),
+    Drained,
+}
+
+/// What happens next.
+#[derive(Debug, Clone)]
+pub(crate) enum Msg {
+    To { node: usize, life: u64, input: Input },
+    Call { node: usize, life: u64, caller: Caller, op: Op },
+    LateWrite(Box<Object>),
+    ReadState { node: usize, life: u64 },
+    Order { node: usize, life: u64, order: Order, lost: bool },
+    Gossip(usize),
+    Start(usize),
+    Act(Act),
+}
--- /dev/null
+++ b/crates/daisychute-planner/tests/world/node.rs
@@ -0,0 +1,98 @@
+//! A process: an entry with lease and planner, or an agent with its orders; both with replicas.
+
+use daisychute_agent::orders::{OrderSettings, Orders};
+use daisychute_core::{
+    Configuration, EndpointKind, Incarnation, Plan, ProcessName, RegionName, Revision, Time,
+};
+use daisychute_planner::{Planner, PlannerSettings};
+use daisychute_platform::{Holder, Lease, LeaseSettings, Replica, ReplicaSettings, WriteStamp};
+
+use super::schedule::ENTRIES;
+
+/// The cores of an entry.
+#[derive(Debug)]
+pub(crate) struct EntryCores {
+    pub(crate) lease: Lease,
+    pub(crate) planner: Planner,
+}
+
+/// The cores that differ between the kinds of process.
+#[derive(Debug)]
+pub(crate) enum Cores {
+    Entry(Box<EntryCores>),
+    Agent(Box<Orders>),
+}
+
+/// A process.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) name: ProcessName,
+    /// Which life of it; what was sent to an earlier one is lost.
+    pub(crate) life: u64,
+    pub(crate) alive: bool,
+    pub(crate) paused_until: Time,
+    pub(crate) cut_until: Time,
+    /// How far its clock is ahead, in microseconds.
+    pub(crate) skew: u64,
+    pub(crate) wake_at: Option<Time>,
+    pub(crate) admits: bool,
+    pub(crate) cores: Cores,
+    pub(crate) configuration: Replica<Configuration>,
+    pub(crate) plan: Replica<Plan>,
+    /// The configuration revision that was last seen in force.
+    pub(crate) in_force: Revision,
+}
+
+pub(crate) fn region() -> RegionName {
+    RegionName::try_from("morocco").unwrap()
+}
+
+pub(crate) fn order_settings() -> OrderSettings {
+    let span = std::time::Duration::from_millis;
+    OrderSettings {
+        order_lifetime: span(8_000),
+        first_retry: span(500),
+        longest_retry: span(2_000),
+        check_interval: span(2_000),
+        ..OrderSettings::default()
+    }
+}
+
+impl Node {
+    pub(crate) fn new(index: usize, life: u64, now: Time, seed: u64) -> Self {
+        let is_entry = index < ENTRIES;
+        let name = if is_entry { format!("entry-{index}") } else { format!("agent-{index}") };
+        let name = ProcessName::try_from(name).unwrap();
+        let cores = if is_entry {
+            Cores::Entry(Box::new(entry_cores(&name, life, seed)))
+        } else {
+            let orders = Orders::new(order_settings(), &EndpointKind::Engine, now, seed);
+            Cores::Agent(Box::new(orders))
+        };
+        Self {
+            name,
+            life,
+            alive: true,
+            paused_until: Time::ZERO,
+            cut_until: Time::ZERO,
+            skew: 0,
+            wake_at: None,
+            admits: false,
+            cores,
+            configuration: Replica::new(ReplicaSettings::default(), seed),
+            plan: Replica::new(ReplicaSettings::default(), seed + 1),
+            in_force: Revision::ZERO,
+        }
+    }
+}
+
+fn entry_cores(name: &ProcessName, life: u64, seed: u64) -> EntryCores {
+    let me = Holder { process: name.clone(), incarnation: Incarnation::new(life) };
+    let lease_stamp = WriteStamp::first(format!("{name}/{life}/lease"));
+    let plan_stamp = WriteStamp::first(format!("{name}/{life}/plan"));
+    let settings = PlannerSettings { max_weight_loads: 2, ..PlannerSettings::default() };
+    EntryCores {
+        lease: Lease::new(LeaseSettings::default(), region(), me, lease_stamp, seed),
+        planner: Planner::new(settings, region(), plan_stamp, seed),
+    }
+}
--- /dev/null
+++ b/crates/daisychute-planner/tests/world/replicas.rs
@@ -0,0 +1,214 @@
+//! Replicas of the configuration and the plan in every process, and the frames between processes.
+
+use bytes::Bytes;
+use daisychute_core::Revision;
+use daisychute_planner::PlannerEvent;
+use daisychute_platform::{ObjectKind, ReadAnswer, ReplicaAction, ReplicaEvent, ResourceVersion};
+
+use super::message::{Caller, Frame, Input, Msg, Op};
+use super::node::Node;
+use super::schedule::{AGENTS, ENTRIES};
+use super::{GOSSIP, Violation, World};
+
+const SHARED: [ObjectKind; 2] = [ObjectKind::Configurations, ObjectKind::Plans];
+
+impl Node {
+    fn replica(
+        &mut self,
+        kind: ObjectKind,
+        now: daisychute_core::Time,
+        event: ReplicaEvent,
+    ) -> Vec<ReplicaAction> {
+        let mut out = Vec::new();
+        match kind {
+            ObjectKind::Plans => self.plan.handle(now, event, &mut out),
+            _ => self.configuration.handle(now, event, &mut out),
+        }
+        out
+    }
+}
+
+impl World {
+    pub(super) fn become_watcher(&mut self, node: usize) {
+        for kind in SHARED {
+            self.replica(node, kind, ReplicaEvent::Watcher(true));
+        }
+    }
+
+    pub(super) fn tick_replicas(&mut self, node: usize) {
+        for kind in SHARED {
+            self.replica(node, kind, ReplicaEvent::Tick);
+        }
+    }
+
+    fn replica(&mut self, node: usize, kind: ObjectKind, event: ReplicaEvent) {
+        let now = self.local(node);
+        for action in self.nodes[node].replica(kind, now, event) {
+            self.replica_action(node, kind, action);
+        }
+    }
+
+    fn replica_action(&mut self, node: usize, kind: ObjectKind, action: ReplicaAction) {
+        match action {
+            ReplicaAction::List => {
+                let plan = kind == ObjectKind::Plans;
+                let caller = if plan { Caller::Plan } else { Caller::Configuration };
+                self.call(node, caller, Op::Read(kind));
+            }
+            ReplicaAction::Watch { .. } => self.open_watch(node, kind),
+            ReplicaAction::EndWatch | ReplicaAction::Rejected { .. } => {}
+            ReplicaAction::Pull { peer, have } => {
+                self.frame_to_name(node, peer.as_str(), Frame::Pull { kind, have });
+            }
+            ReplicaAction::Send { peer, body, .. } => {
+                self.frame_to_name(node, peer.as_str(), Frame::Document { kind, body });
+            }
+            ReplicaAction::Accepted { revision } => self.accepted(node, kind, revision),
+            ReplicaAction::WakeAt(at) => self.wake_at(node, at),
+        }
+    }
+
+    fn accepted(&mut self, node: usize, kind: ObjectKind, revision: Revision) {
+        self.note(|| format!("node-{node} has {kind} {revision}"));
+        if kind == ObjectKind::Plans {
+            self.plan_in_force(node);
+            if node < ENTRIES {
+                self.planner(node, PlannerEvent::RevisionSeen(revision));
+            }
+            return;
+        }
+        let from = self.nodes[node].in_force;
+        if revision < from {
+            self.fail(Violation::Reverted { node, from, to: revision });
+        }
+        self.nodes[node].in_force = revision;
+        let held = self.nodes[node].configuration.document();
+        let accepted = self.store.accepted(revision).map(|it| &it.configuration);
+        if held.as_deref() != accepted {
+            self.fail(Violation::NotAccepted { node, revision });
+        }
+    }
+
+    /// A watch brings what changed since the read, or ends at once while the platform can't be reached.
+    fn open_watch(&mut self, node: usize, kind: ObjectKind) {
+        if self.is_cut(node) || self.outage_until > self.now {
+            let span = self.span(300, 500);
+            return self.send(node, span, Input::WatchEnded(kind));
+        }
+        if let ReadAnswer::Found(object) = self.store.read(kind) {
+            let span = self.span(1, 50);
+            self.send(node, span, Input::Watched(kind, Bytes::from(object.spec.to_string())));
+        }
+    }
+
+    /// Tells the watchers of a change. Events may overtake each other.
+    pub(super) fn tell_watchers(&mut self, kind: ObjectKind, body: &Bytes) {
+        for node in 0..2 {
+            if self.nodes[node].alive && !self.is_cut(node) && self.outage_until <= self.now {
+                let span = self.span(1, 400);
+                self.send(node, span, Input::Watched(kind, body.clone()));
+            }
+        }
+    }
+
+    /// Ends the watches of the processes that lost the platform, after they noticed.
+    pub(super) fn end_watches(&mut self, nodes: std::ops::Range<usize>) {
+        for node in nodes.filter(|it| *it < 2) {
+            for kind in SHARED {
+                let span = self.span(500, 1_500);
+                self.send(node, span, Input::WatchEnded(kind));
+            }
+        }
+    }
+
+    pub(super) fn watched(&mut self, node: usize, kind: ObjectKind, body: Bytes) {
+        self.replica(node, kind, ReplicaEvent::Changed { body });
+    }
+
+    pub(super) fn watch_ended(&mut self, node: usize, kind: ObjectKind) {
+        self.replica(node, kind, ReplicaEvent::WatchEnded);
+    }
+
+    pub(super) fn listed(
+        &mut self,
+        node: usize,
+        kind: ObjectKind,
+        answer: ReadAnswer,
+        version: ResourceVersion,
+    ) {
+        let event = match answer {
+            ReadAnswer::Failed => ReplicaEvent::ListFailed,
+            ReadAnswer::Missing => ReplicaEvent::Listed { version, body: None },
+            ReadAnswer::Found(object) => {
+                let body = Some(Bytes::from(object.spec.to_string()));
+                ReplicaEvent::Listed { version, body }
+            }
+        };
+        self.replica(node, kind, event);
+    }
+
+    pub(super) fn frame(&mut self, node: usize, from: usize, frame: Frame) {
+        let peer = self.nodes[from].name.clone();
+        match frame {
+            Frame::Revisions { configuration, plan } => {
+                let revision = configuration;
+                let seen = ReplicaEvent::PeerRevision { peer: peer.clone(), revision };
+                self.replica(node, ObjectKind::Configurations, seen);
+                let seen = ReplicaEvent::PeerRevision { peer, revision: plan };
+                self.replica(node, ObjectKind::Plans, seen);
+            }
+            Frame::Observed { endpoint, target } => self.observed(node, endpoint, target),
+            Frame::Pull { kind, have } => {
+                self.replica(node, kind, ReplicaEvent::PullFrom { peer, have });
+            }
+            Frame::Document { kind, body } => {
+                self.replica(node, kind, ReplicaEvent::Document { peer, body });
+            }
+        }
+    }
+
+    /// What every process does at a fixed interval: it tells one other what it has.
+    pub(super) fn gossip(&mut self, node: usize) {
+        self.push(GOSSIP, Msg::Gossip(node));
+        let sender = &self.nodes[node];
+        if !sender.alive || sender.paused_until > self.now {
+            return;
+        }
+        let configuration = sender.configuration.revision();
+        let plan = sender.plan.revision();
+        let to = usize::try_from(self.below((ENTRIES + AGENTS) as u64)).unwrap();
+        self.frame_to(node, to, Frame::Revisions { configuration, plan });
+        if node < ENTRIES {
+            let reachable = !self.is_cut(node) && self.outage_until <= self.now;
+            let requests = self.drains.clone();
+            if reachable {
+                self.planner(node, PlannerEvent::DrainRequests(requests));
+            }
+        } else {
+            self.work(node);
+            self.tell_state(node);
+        }
+    }
+
+    fn tell_state(&mut self, node: usize) {
+        let engine = &mut self.engines[node - ENTRIES];
+        let state = engine.state(self.now);
+        let target = (!state.changing).then(|| state.target());
+        let frame = Frame::Observed { endpoint: engine.endpoint.clone(), target };
+        let to = usize::try_from(self.below(ENTRIES as u64)).unwrap();
+        self.frame_to(node, to, frame);
+    }
+
+    fn frame_to_name(&mut self, from: usize, name: &str, frame: Frame) {
+        if let Some(to) = self.nodes.iter().position(|it| it.name.as_str() == name) {
+            self.frame_to(from, to, frame);
+        }
+    }
+
+    fn frame_to(&mut self, from: usize, to: usize, frame: Frame) {
+        if from != to && !self.is_cut(from) && !self.is_cut(to) {
+            let span = self.span(1, 100);
+            self.send(to, span, Input::Frame(from, frame));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisychute-planner/tests/world/store.rs
@@ -0,0 +1,117 @@
+//! An object store in memory: versions, conditional writes and a history of what took effect.
+
+use std::collections::BTreeMap;
+
+use daisychute_core::{EndpointName, EngineTarget, Plan, Revision};
+use daisychute_platform::{
+    ConfigurationDocument, LeaseRecord, Object, ObjectKind, ReadAnswer, ResourceVersion,
+    WriteAnswer,
+};
+
+use super::Violation;
+
+/// The object store.
+#[derive(Debug, Default)]
+pub(crate) struct Store {
+    objects: BTreeMap<ObjectKind, Object>,
+    version: u64,
+    /// What each committed plan revision wanted of each endpoint that it changed.
+    targets: BTreeMap<(Revision, EndpointName), Option<EngineTarget>>,
+    /// The accepted configurations.
+    configurations: BTreeMap<Revision, ConfigurationDocument>,
+}
+
+impl Store {
+    pub(crate) fn read(&self, kind: ObjectKind) -> ReadAnswer {
+        self.objects.get(&kind).cloned().map_or(ReadAnswer::Missing, ReadAnswer::Found)
+    }
+
+    pub(crate) fn version(&self) -> ResourceVersion {
+        ResourceVersion::from(self.version.to_string().as_str())
+    }
+
+    /// Writes if the condition holds.
+    pub(crate) fn write(&mut self, object: &Object) -> Result<WriteAnswer, Violation> {
+        let present = self.objects.get(&object.kind);
+        let version = present.and_then(|it| it.metadata.resource_version.as_ref());
+        if version != object.metadata.resource_version.as_ref() {
+            return Ok(WriteAnswer::Conflict);
+        }
+        match object.kind {
+            ObjectKind::Plans => self.check_plan(object)?,
+            ObjectKind::Leases => self.check_lease(object)?,
+            ObjectKind::Configurations => self.accept(object)?,
+            _ => {}
+        }
+        self.version += 1;
+        let version = self.version();
+        self.objects.insert(object.kind, object.clone().version(version.clone()));
+        Ok(WriteAnswer::Done(version))
+    }
+
+    /// The present plan.
+    pub(crate) fn plan(&self) -> Plan {
+        let object = self.objects.get(&ObjectKind::Plans);
+        object.and_then(|it| it.parse().ok()).unwrap_or_default()
+    }
+
+    /// What the plan of a revision wanted of an endpoint, where that revision changed it.
+    pub(crate) fn ordered(
+        &self,
+        fence: Revision,
+        endpoint: &EndpointName,
+    ) -> Option<&EngineTarget> {
+        self.targets.get(&(fence, endpoint.clone()))?.as_ref()
+    }
+
+    fn check_plan(&mut self, object: &Object) -> Result<(), Violation> {
+        let before = self.plan();
+        let plan: Plan = object.parse().unwrap();
+        if plan.term < before.term {
+            return Err(Violation::TermFell { from: before.term, to: plan.term });
+        }
+        if plan.revision <= before.revision {
+            return Err(Violation::PlanRevision { from: before.revision, to: plan.revision });
+        }
+        for (endpoint, desired) in plan.endpoints {
+            if desired.since == plan.revision {
+                self.targets.insert((plan.revision, endpoint), desired.target);
+            }
+        }
+        Ok(())
+    }
+
+    /// The configuration that was accepted as this revision.
+    pub(crate) fn accepted(&self, revision: Revision) -> Option<&ConfigurationDocument> {
+        self.configurations.get(&revision)
+    }
+
+    /// The newest accepted configuration.
+    pub(crate) fn newest(&self) -> Revision {
+        self.configurations.keys().next_back().copied().unwrap_or_default()
+    }
+
+    fn accept(&mut self, object: &Object) -> Result<(), Violation> {
+        let document: ConfigurationDocument = object.parse().unwrap();
+        let revision = document.revision;
+        match self.configurations.insert(revision, document) {
+            Some(_) => Err(Violation::BothAccepted { revision }),
+            None => Ok(()),
+        }
+    }
+
+    fn check_lease(&self, object: &Object) -> Result<(), Violation> {
+        let next: LeaseRecord = object.parse().unwrap();
+        let before = self.objects.get(&ObjectKind::Leases);
+        let Some(before) = before.map(|it| it.parse::<LeaseRecord>().unwrap()) else {
+            return Ok(());
+        };
+        let renewed = next.holder == before.holder && next.term == before.term;
+        let released = next.holder.is_none() && next.term == before.term;
+        if renewed || released || next.term > before.term {
+            Ok(())
+        } else {
+            Err(Violation::LeaseTerm { from: before.term, to: next.term })
+        }
+    }
+}
