--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod class;
 mod configuration;
+mod drains;
 mod endpoint;
 mod error;
 mod incarnation;
@@ -32,8 +33,9 @@
 mod tenant;
 mod time;
 
-pub use crate::class::{Class, ClassTargets, Precedence};
+pub use crate::class::{Class, ClassTargets, Precedence, TargetError};
 pub use crate::configuration::{Configuration, ConfigurationError, Preference};
+pub use crate::drains::Drains;
 pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
 pub use crate::error::NameError;
 pub use crate::incarnation::Incarnation;
@@ -41,8 +43,8 @@
 pub use crate::load::LoadReport;
 pub use crate::model::Model;
 pub use crate::name::{
-    AdapterName, ClassName, DataCentreName, EndpointName, InstanceName, ModelName, ModelVersion,
-    ProcessName, RegionName, ServiceName, TenantName,
+    AdapterName, ClassName, DataCentreName, DeploymentName, EndpointName, InstanceName, ModelName,
+    ModelVersion, ProcessName, RegionName, ServiceName, TenantName,
 };
 pub use crate::outcome::{FinishReason, Refusal, RefusalReason, Usage, Verdict};
 pub use crate::plan::{Desired, Plan};
