feat(planner): add the control shell that daemons embed

`Control` runs the replicas, the election of watchers, the lease and the planner over the object client, and tells the daemon in one channel what came out: frames for peers, documents in force, the confirmation of a plan.

Ruled out: a trait for callbacks into the daemon. A channel keeps the order of plan and confirmation.

--- a/crates/daisychute-planner/src/lib.rs
+++ b/crates/daisychute-planner/src/lib.rs
@@ -1,6 +1,7 @@
 //! The planner and the collector of a data centre: decision cores and their shells.
 //!
-//! [`Planner`] commits the plan of a region while its process holds the region's lease.
+//! [`Control`] is the shell that a daemon embeds. Inside it, [`Planner`] commits the plan of a region while its
+//! process holds the region's lease.
 //!
 //! ```
 //! use daisychute_core::{Term, Time};
@@ -17,6 +18,8 @@
 //! # Ok::<(), daisychute_core::NameError>(())
 //! ```
 
+pub mod control;
 mod planner;
 
+pub use crate::control::{Control, ControlOutput, ControlSettings};
 pub use crate::planner::{Planner, PlannerAction, PlannerEvent, PlannerSettings, Wish};
--- a/crates/daisychute-platform/src/lib.rs
+++ b/crates/daisychute-platform/src/lib.rs
@@ -19,6 +19,7 @@
 mod answer;
 mod backoff;
 mod budget;
+mod candidates;
 mod client;
 mod clock;
 mod lease;
@@ -31,6 +32,7 @@
 pub use crate::answer::{ReadAnswer, WriteAnswer};
 pub use crate::backoff::Backoff;
 pub use crate::budget::{BudgetSettings, BudgetUsedUp, CallBudget};
+pub use crate::candidates::{Candidates, Listed};
 pub use crate::client::{CallError, ClientSettings, ObjectClient, OutageCause, Watch};
 pub use crate::clock::Clock;
 pub use crate::lease::{Holder, Lease, LeaseAction, LeaseEvent, LeaseRecord, LeaseSettings};
