feat(platform): add the membership core

An entry must stop sending work to a leaving or dead endpoint although the platform's list lags, and must not evict the fleet when it is the one that is cut off.

What an agent says of itself beats the list, a later incarnation beats an earlier one, a silent connection is replaced before its endpoint is suspect, an address at which another agent answers gets no work for the former one, and at most 40 % of the endpoints are suspect at once; beyond that those heard last keep their work.

Ruled out: gossip of suspicions between entries, which have no connections to each other.

--- a/crates/daisychute-platform/src/lib.rs
+++ b/crates/daisychute-platform/src/lib.rs
@@ -23,6 +23,7 @@
 mod client;
 mod clock;
 mod lease;
+mod membership;
 mod object;
 mod replica;
 mod resource_version;
@@ -36,6 +37,7 @@
 pub use crate::client::{CallError, ClientSettings, ObjectClient, OutageCause, Watch};
 pub use crate::clock::Clock;
 pub use crate::lease::{Holder, Lease, LeaseAction, LeaseEvent, LeaseRecord, LeaseSettings};
+pub use crate::membership::{MemberAction, MemberEvent, MemberSettings, Membership, Standing};
 pub use crate::object::{Metadata, Object, ObjectKind, ObjectList, WatchEvent, WatchKind};
 pub use crate::replica::{
     ConfigurationDocument, DocumentError, Replica, ReplicaAction, ReplicaEvent, ReplicaSettings,
