feat(load): generate traces and replay them through the cores

Cause: the policy has to be measured against baselines and a clairvoyant bound before it is tuned. Change: a seeded generator of seven scenarios for both deployments, traces as JSON lines with their outcomes, a replay on a virtual clock with an engine fake, five baselines, and cargo xtask measure policy.

--- /dev/null
+++ b/crates/daisychute-load/src/generate/classes.rs
@@ -0,0 +1,121 @@
+//! The classes of both deployments.
+
+use std::time::Duration;
+
+use daisychute_core::{Class, ClassName, ClassTargets, NameError, Precedence};
+
+use crate::trace::{DeploymentName, TraceClass, Work};
+
+/// How the requests of one class look.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Shape {
+    /// Share of the work of the engines; calls take none.
+    pub(super) share: f64,
+    /// Calls a second, for a plain service.
+    pub(super) calls: f64,
+    /// Mean prompt and output tokens where the mix is prompt-heavy.
+    pub(super) prompt_heavy: (f64, f64),
+    /// Mean prompt and output tokens where the mix is output-heavy.
+    pub(super) output_heavy: (f64, f64),
+}
+
+impl Shape {
+    const fn calls(calls: f64) -> Self {
+        Self { share: 0.0, calls, prompt_heavy: (0.0, 0.0), output_heavy: (0.0, 0.0) }
+    }
+
+    const fn tokens(share: f64, prompt_heavy: (f64, f64), output_heavy: (f64, f64)) -> Self {
+        Self { share, calls: 0.0, prompt_heavy, output_heavy }
+    }
+
+    /// Mean prompt and output tokens at this mix.
+    pub(super) fn at(&self, mix: f64) -> (f64, f64) {
+        let between = |from: f64, to: f64| from + (to - from) * mix;
+        (
+            between(self.prompt_heavy.0, self.output_heavy.0),
+            between(self.prompt_heavy.1, self.output_heavy.1),
+        )
+    }
+}
+
+pub(super) const fn tenant_prefix(deployment: DeploymentName) -> &'static str {
+    match deployment {
+        DeploymentName::RabatSale => "district",
+        DeploymentName::Budapest => "firm",
+    }
+}
+
+/// How the requests of each class look, in the order of [`classes`].
+pub(super) const fn shapes(deployment: DeploymentName) -> [Shape; 5] {
+    match deployment {
+        DeploymentName::RabatSale => [
+            Shape::calls(4.0),
+            Shape::calls(2.0),
+            Shape::tokens(0.75, (4_000.0, 120.0), (800.0, 500.0)),
+            Shape::tokens(0.15, (1_500.0, 40.0), (1_500.0, 40.0)),
+            Shape::tokens(0.10, (6_000.0, 600.0), (6_000.0, 600.0)),
+        ],
+        DeploymentName::Budapest => [
+            Shape::calls(4.0),
+            Shape::calls(2.0),
+            Shape::tokens(0.45, (2_500.0, 80.0), (700.0, 300.0)),
+            Shape::tokens(0.20, (1_800.0, 200.0), (900.0, 400.0)),
+            Shape::tokens(0.35, (9_000.0, 500.0), (9_000.0, 500.0)),
+        ],
+    }
+}
+
+/// The classes of a deployment.
+pub(super) fn classes(deployment: DeploymentName) -> Result<Vec<TraceClass>, NameError> {
+    match deployment {
+        DeploymentName::RabatSale => rabat_sale(),
+        DeploymentName::Budapest => budapest(),
+    }
+}
+
+fn rabat_sale() -> Result<Vec<TraceClass>, NameError> {
+    Ok(vec![
+        call("panel-refresh", Work::Call)?,
+        call("barrier-count", Work::NonRepeatableCall)?,
+        interactive("clerk-question")?,
+        may_wait("plate-note", Duration::from_secs(120))?,
+        may_wait("incident-digest", Duration::from_secs(240))?,
+    ])
+}
+
+fn budapest() -> Result<Vec<TraceClass>, NameError> {
+    Ok(vec![
+        call("status-ping", Work::Call)?,
+        call("match-confirmation", Work::NonRepeatableCall)?,
+        interactive("line-match")?,
+        interactive("ledger-question")?,
+        may_wait("statement-review", Duration::from_secs(240))?,
+    ])
+}
+
+fn call(name: &str, work: Work) -> Result<TraceClass, NameError> {
+    let targets = ClassTargets {
+        first_token: Some(Duration::from_millis(250)),
+        deadline: Some(Duration::from_millis(500)),
+        ..ClassTargets::default()
+    };
+    let class = Class::new(ClassName::try_from(name)?, Precedence::First).targets(targets);
+    Ok(TraceClass { class, work })
+}
+
+fn interactive(name: &str) -> Result<TraceClass, NameError> {
+    let targets = ClassTargets {
+        first_token: Some(Duration::from_millis(1_700)),
+        between_tokens: Some(Duration::from_millis(39)),
+        deadline: Some(Duration::from_secs(60)),
+        ..ClassTargets::default()
+    };
+    let class = Class::new(ClassName::try_from(name)?, Precedence::Interactive).targets(targets);
+    Ok(TraceClass { class, work: Work::Completion })
+}
+
+fn may_wait(name: &str, deadline: Duration) -> Result<TraceClass, NameError> {
+    let targets = ClassTargets { deadline: Some(deadline), ..ClassTargets::default() };
+    let class = Class::new(ClassName::try_from(name)?, Precedence::MayWait).targets(targets);
+    Ok(TraceClass { class, work: Work::Completion })
+}
--- /dev/null
+++ b/crates/daisychute-load/src/lib.rs
@@ -0,0 +1,16 @@
+//! Traces of requests: made by a seeded generator, replayed through the decision cores on a virtual clock, and
+//! replayed against a live deployment.
+//!
+//! ```
+//! use daisychute_load::generate::{Scenario, generate};
+//! use daisychute_load::trace::DeploymentName;
+//!
+//! let trace = generate(DeploymentName::RabatSale, Scenario::Steady, 1);
+//! let again = generate(DeploymentName::RabatSale, Scenario::Steady, 1);
+//! assert_eq!(trace, again);
+//! assert!(!trace.requests.is_empty());
+//! ```
+
+pub mod generate;
+pub mod replay;
+pub mod trace;
--- a/crates/daisychute-policy/src/admission/core.rs
+++ b/crates/daisychute-policy/src/admission/core.rs
@@ -14,6 +14,7 @@
 use super::running::{Running, RunningSet};
 use super::ticket::{Phase, Ticket};
 use crate::cost::{Batch, CostModel, RobustMean};
+use crate::roles::{Demand, UnitCosts};
 
 const PRECEDENCES: [Precedence; 3] =
     [Precedence::First, Precedence::Interactive, Precedence::MayWait];
@@ -211,6 +212,41 @@
         }
     }
 
+    /// The endpoint takes nothing new: gives the waiting requests, which were not run. What runs goes on.
+    pub fn drain(&mut self) -> Vec<RequestId> {
+        let ids: Vec<RequestId> = self.queue.iter().map(|it| it.ticket.id).collect();
+        for id in &ids {
+            self.cancelled(*id);
+        }
+        ids
+    }
+
+    /// What a token costs of the endpoint's time.
+    #[must_use]
+    pub fn unit_costs(&self) -> UnitCosts {
+        let prompts = self.limits.role.is_some_and(|it| it != Role::Decode);
+        let decodes = self.limits.role.is_some_and(|it| it != Role::Prefill);
+        UnitCosts {
+            prompt_token: prompts.then(|| self.cost.prompt_token()),
+            output_token: decodes.then(|| self.output_token()),
+        }
+    }
+
+    /// The work that waits or runs here, for the planner.
+    #[must_use]
+    pub fn demand(&self) -> Demand {
+        let waiting = self.queue.up_to(Precedence::MayWait);
+        let decode_waiting =
+            self.queue.iter().filter(|it| it.ticket.phase == Phase::Decode).count();
+        let streams = f64::from(self.running.streams) + decode_waiting as f64;
+        let tokens = self.running.prompt_tokens + waiting.prompt_tokens;
+        Demand {
+            prefill_backlog: self.cost.prompt_time(tokens).as_secs_f64(),
+            decode_busy: streams / f64::from(self.stream_limit()),
+            ..Demand::default()
+        }
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn queued(&self) -> usize {
@@ -328,9 +364,15 @@
             return self.cost.call_time();
         }
         let prompt = self.cost.prompt_time(u64::from(ticket.uncached_tokens()));
-        let batch = Batch { streams: self.stream_limit().max(1), context_tokens: 0 };
-        let gap = self.cost.between_tokens(batch) / batch.streams;
-        prompt + gap * self.expected_tokens(ticket)
+        prompt + self.output_token() * self.expected_tokens(ticket)
+    }
+
+    /// The endpoint's time that one output token takes in a full batch.
+    fn output_token(&self) -> Duration {
+        let streams = self.stream_limit().max(1);
+        let mean_context = self.running.context / u64::from(self.running.streams.max(1));
+        let batch = Batch { streams, context_tokens: mean_context * u64::from(streams) };
+        self.cost.between_tokens(batch) / streams
     }
 
     /// The time until the turn of a request.
--- a/crates/daisychute-policy/src/choice/candidate.rs
+++ b/crates/daisychute-policy/src/choice/candidate.rs
@@ -90,4 +90,11 @@
         self.distance = distance;
         self
     }
+
+    /// The same candidate, taking new work or not.
+    #[must_use]
+    pub fn live(mut self, live: bool) -> Self {
+        self.live = live;
+        self
+    }
 }
--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -75,8 +75,10 @@
     const RANDOM: usize = 4;
     /// Leading blocks that decide the rendezvous hash: prompts that share these meet on the same endpoints.
     const KEY_BLOCKS: usize = 4;
-    /// A report older than this is worth a probe.
-    const PROBE_AGE: Duration = Duration::from_millis(500);
+    /// A report no older than this is worth no probe, and its endpoint is a candidate without being drawn.
+    const FRESH: Duration = Duration::from_millis(50);
+    /// The greatest number of candidates for having a fresh report.
+    const MAX_FRESH: usize = 8;
     /// No more than this part of the endpoints that serve a model is left out as outliers.
     const MAX_EJECTED: f64 = 0.5;
     /// The time between prefill's end on one engine and the first step on another, beside the transfer.
@@ -159,6 +161,17 @@
         }
     }
 
+    /// An endpoint answered a prompt with these leading blocks, of whose tokens it had so many cached.
+    pub fn answered(&mut self, endpoint: &EndpointName, blocks: &[u64], cached_tokens: u32) {
+        let believed = self.places.get(endpoint).map(|it| self.slots[*it].hits.leading(blocks));
+        if let Some(slot) = self.slot_mut(endpoint) {
+            slot.health.succeeded();
+            if cached_tokens > 0 || believed == Some(0) {
+                slot.hits.add(blocks);
+            }
+        }
+    }
+
     /// An endpoint failed a request. A refusal for load is no failure.
     pub fn failed(&mut self, now: Time, endpoint: &EndpointName) {
         if let Some(slot) = self.slot_mut(endpoint) {
@@ -166,6 +179,22 @@
         }
     }
 
+    /// The endpoints that are worth a probe before [`choose`](Self::choose): those that it will look at and whose
+    /// report is old. The answers go to [`report`](Self::report) and [`cached`](Self::cached); a choice that
+    /// doesn't wait for them is worse and still right.
+    pub fn probes(&self, now: Time, query: &Query<'_>, rng: &mut impl Rng) -> Vec<EndpointName> {
+        let mut picked = Vec::new();
+        for part in [Part::Whole, Part::Prefill] {
+            let open = self.open(now, |slot| slot.serves(query, part));
+            picked.extend(self.affine(query, &open));
+            picked.extend(self.sample(&open, rng));
+        }
+        picked.sort_unstable();
+        picked.dedup();
+        picked.retain(|it| now.since(self.slots[*it].as_of) > Self::FRESH);
+        picked.into_iter().map(|it| self.slots[it].candidate.endpoint.clone()).collect()
+    }
+
     /// Chooses the endpoint that gets a request first, and counts the request as sent to it.
     ///
     /// # Errors
@@ -189,14 +218,12 @@
         let slot = &mut self.slots[place];
         slot.sends.add(now, query.prompt_tokens - cached_tokens);
         slot.hits.add(query.blocks);
-        let old = now.since(slot.as_of) > Self::PROBE_AGE;
         Ok(Chosen {
             endpoint: slot.candidate.endpoint.clone(),
             data_centre: slot.candidate.data_centre.clone(),
             split: is_split,
             cached_tokens,
             first_token: estimate,
-            probe: old.then(|| slot.candidate.endpoint.clone()),
         })
     }
 
@@ -233,7 +260,12 @@
     ) -> Option<(usize, Duration)> {
         let open = self.open(now, |slot| slot.serves(query, part));
         let mut picked = self.affine(query, &open);
-        picked.extend(self.sample(&open, rng));
+        let fresh =
+            open.iter().copied().filter(|it| now.since(self.slots[*it].as_of) <= Self::FRESH);
+        picked.extend(fresh.take(Self::MAX_FRESH));
+        if picked.len() < Self::AFFINE + Self::RANDOM {
+            picked.extend(self.sample(&open, rng));
+        }
         self.least(now, query, part, &picked)
     }
 
--- a/crates/daisychute-policy/src/choice/query.rs
+++ b/crates/daisychute-policy/src/choice/query.rs
@@ -105,8 +105,6 @@
     pub cached_tokens: u32,
     /// The estimated time to the first token.
     pub first_token: Duration,
-    /// An endpoint whose report is old and that is worth a probe.
-    pub probe: Option<EndpointName>,
 }
 
 /// No endpoint can be chosen.
--- a/crates/daisychute-policy/src/lib.rs
+++ b/crates/daisychute-policy/src/lib.rs
@@ -41,4 +41,6 @@
 pub use crate::admission::{Admission, Decision, Limits, Phase, Ticket};
 pub use crate::choice::{Candidate, Chooser, Chosen, NoEndpoint, Query};
 pub use crate::cost::CostModel;
-pub use crate::roles::{Demand, DemandTable, EngineView, Fleet, RoleChange, RolePlanner};
+pub use crate::roles::{
+    Demand, DemandMeter, DemandTable, EngineView, Fleet, RoleChange, RolePlanner, UnitCosts,
+};
--- a/crates/daisychute-policy/src/roles.rs
+++ b/crates/daisychute-policy/src/roles.rs
@@ -1,7 +1,9 @@
 //! Role planning: prefill and decode capacity follow the mix.
 
 mod demand;
+mod meter;
 mod planner;
 
 pub use self::demand::{Demand, DemandTable};
+pub use self::meter::{DemandMeter, UnitCosts};
 pub use self::planner::{EngineView, Fleet, RoleChange, RolePlanner};
--- a/crates/daisychute-policy/src/roles/demand.rs
+++ b/crates/daisychute-policy/src/roles/demand.rs
@@ -14,8 +14,8 @@
     pub decode: f64,
     /// Engine-seconds of prompts that wait.
     pub prefill_backlog: f64,
-    /// Engine-seconds of outputs that wait.
-    pub decode_backlog: f64,
+    /// Full batches that the streams of all engines make.
+    pub decode_busy: f64,
 }
 
 impl Demand {
@@ -26,7 +26,7 @@
             prefill: self.prefill + other.prefill,
             decode: self.decode + other.decode,
             prefill_backlog: self.prefill_backlog + other.prefill_backlog,
-            decode_backlog: self.decode_backlog + other.decode_backlog,
+            decode_busy: self.decode_busy + other.decode_busy,
         }
     }
 }
@@ -56,6 +56,12 @@
         self.expected += other.expected;
     }
 
+    /// Adds what the engines of a model say.
+    pub fn add_engines(&mut self, model: &ModelName, engines: Demand) {
+        let sum = self.models.entry(model.clone()).or_default();
+        *sum = sum.plus(engines);
+    }
+
     /// The part of the sources that was heard.
     #[must_use]
     pub fn coverage(&self) -> f64 {
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -1,7 +1,9 @@
 //! Errors of the chores.
 
 use std::io;
+use std::path::PathBuf;
 
+use daisychute_load::trace::TraceError;
 use miette::Diagnostic;
 use thiserror::Error;
 
@@ -23,4 +25,17 @@
         /// The program and its arguments.
         command: String,
     },
+    /// A file or directory can't be read.
+    #[error("{} can't be read", path.display())]
+    Read {
+        /// The file or directory.
+        path: PathBuf,
+        /// What the system said.
+        #[source]
+        source: io::Error,
+    },
+    /// A trace can't be read.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Trace(#[from] TraceError),
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Chores of the developers: `cargo xtask test`, and more to come.
 
 mod error;
+mod measure;
 mod test;
 
 use clap::{Parser, Subcommand};
@@ -18,11 +19,15 @@
 enum Chore {
     /// Builds every program, then runs every test.
     Test,
+    /// Measures and prints one line for each figure.
+    #[command(subcommand)]
+    Measure(measure::Measure),
 }
 
 fn main() -> miette::Result<()> {
     match Args::parse().chore {
         Chore::Test => test::run()?,
+        Chore::Measure(it) => it.run()?,
     }
     Ok(())
 }
--- /dev/null
+++ b/xtask/src/measure.rs
@@ -0,0 +1,22 @@
+//! Measurements.
+
+mod policy;
+
+use clap::Subcommand;
+
+use crate::XtaskError;
+
+/// What to measure.
+#[derive(Debug, Subcommand)]
+pub(crate) enum Measure {
+    /// Replays each trace under each policy and compares with the outcomes stated in it.
+    Policy(policy::Args),
+}
+
+impl Measure {
+    pub(crate) fn run(&self) -> Result<(), XtaskError> {
+        match self {
+            Self::Policy(args) => args.run(),
+        }
+    }
+}
