feat: embed the control shell and the order core in the daemons

Change: both roles embed the control shell. Hellos and heartbeats carry revisions, pulls and documents travel on the connections between entries and agents, an agent feeds its plan entry to the order core and does what it asks of the engine, entries tell the planner what engines are.

Ruled out: an own connection between entries. An agent that heard of a newer revision from one entry tells every other entry by its next heartbeat.

--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -6,23 +6,23 @@
 use std::time::Duration;
 
 use daisychute_core::{
-    DataCentreName, EndpointKind, EndpointStatus, ProcessName, ProcessRole, ProcessState,
-    ProcessStatus, RegionName, RequestId, Revisions,
+    DataCentreName, EndpointStatus, ProcessName, ProcessRole, ProcessState, ProcessStatus,
+    RegionName, RequestId, Revisions, Time,
 };
-use daisychute_link::{Link, LinkConfig, LinkEvent, LinkId, accept};
-use daisychute_proto::{GoodbyeReason, Hello, PROTOCOL_VERSION};
+use daisychute_link::{Documents, Link, LinkConfig, LinkEvent, LinkId, accept};
+use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
 use daisychute_runtime::Clock;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use super::orders_driver::OrdersDriver;
 use super::{AgentHandle, EndpointClient, Input, Reporter};
 use crate::Admit;
 use crate::core::{Action, AgentCore, Event};
+use crate::orders::{OrderAction, OrderEvent};
 
-/// How often an engine is asked what it is.
-const STATE_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -43,13 +43,15 @@
 
 /// The agent's task.
 #[derive(Debug)]
-pub struct AgentShell<A> {
+pub struct AgentShell<A, D> {
     options: AgentOptions,
     core: AgentCore<A>,
     clock: Clock,
     endpoint: EndpointClient,
     listener: TcpListener,
-    links: BTreeMap<LinkId, Link>,
+    links: BTreeMap<LinkId, (ProcessName, Link)>,
+    orders: OrdersDriver,
+    documents: D,
     runs: BTreeMap<RequestId, JoinHandle<()>>,
     revisions: Revisions,
     next_link: u64,
@@ -60,7 +62,7 @@
     link_rx: UnboundedReceiver<LinkEvent>,
 }
 
-impl<A: Admit> AgentShell<A> {
+impl<A: Admit, D: Documents> AgentShell<A, D> {
     /// Prepares the task. Connections wait in the system's queue until [`AgentShell::run`].
     ///
     /// # Errors
@@ -71,12 +73,19 @@
         core: AgentCore<A>,
         clock: Clock,
         listener: StdListener,
+        documents: D,
     ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let (tx, rx) = unbounded_channel();
         let (link_tx, link_rx) = unbounded_channel();
         Ok(Self {
             endpoint: EndpointClient::new(&options.endpoint_url),
+            orders: OrdersDriver::new(
+                &core.record().kind,
+                clock.now(),
+                core.record().incarnation.get(),
+            ),
+            documents,
             listener: TcpListener::from_std(listener)?,
             options,
             core,
@@ -101,23 +110,79 @@
 
     /// Serves until [`AgentHandle::leave`] was called and every request has been answered.
     pub async fn run(mut self) {
-        if self.core.record().kind == EndpointKind::Engine {
-            actix_rt::spawn(watch_engine(self.endpoint.clone(), self.tx.clone()));
-        }
         while !(self.leaving && self.core.jobs().is_empty()) {
-            let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
+            let wake = Instant::from_std(self.clock.instant(self.wake_at()));
             tokio::select! {
                 Some(input) = self.rx.recv() => self.on_input(input),
                 Some(event) = self.link_rx.recv() => self.on_link_event(event),
                 accepted = self.listener.accept() => self.on_accept(accepted).await,
-                () = sleep_until(wake) => self.feed(Event::Wake),
+                () = sleep_until(wake) => self.on_wake(),
             }
+            self.check_drained();
         }
-        for link in self.links.values() {
+        for (_, link) in self.links.values() {
             link.close(GoodbyeReason::Leaving);
         }
     }
 
+    fn wake_at(&self) -> Time {
+        self.orders.wake_at().map_or(self.core.wake_at(), |it| it.min(self.core.wake_at()))
+    }
+
+    fn on_wake(&mut self) {
+        let now = self.clock.now();
+        if self.core.wake_at() <= now {
+            self.feed(Event::Wake);
+        }
+        if self.orders.wake_at().is_some_and(|it| it <= now) {
+            self.order(OrderEvent::Tick);
+        }
+    }
+
+    fn check_drained(&mut self) {
+        if self.orders.awaits_drained() && self.core.open() == 0 {
+            self.order(OrderEvent::Drained);
+        }
+    }
+
+    /// Feeds the order core and does what it asks.
+    fn order(&mut self, event: OrderEvent) {
+        for action in self.orders.handle(self.clock.now(), event) {
+            self.act_on_order(action);
+        }
+    }
+
+    fn act_on_order(&mut self, action: OrderAction) {
+        match action {
+            OrderAction::Admit(admit) => self.feed(Event::Drain(!admit)),
+            OrderAction::ConfirmPlan => self.documents.confirm_plan(),
+            OrderAction::ReadState => {
+                let (endpoint, tx) = (self.endpoint.clone(), self.tx.clone());
+                actix_rt::spawn(async move {
+                    let state = endpoint.state().await;
+                    let _ = tx.send(Input::Order(OrderEvent::State(state)));
+                });
+            }
+            OrderAction::Order(order) => {
+                log::info!(fence:% = order.fence; "ordering a change of the engine");
+                let (endpoint, tx) = (self.endpoint.clone(), self.tx.clone());
+                actix_rt::spawn(async move {
+                    let answer = endpoint.order(order).await;
+                    let _ = tx.send(Input::Order(OrderEvent::Answered(answer)));
+                });
+            }
+            OrderAction::Observed(target) => self.feed(Event::Target(target)),
+            OrderAction::Superseded { fence } => {
+                log::warn!(fence:%; "the engine took an order with a higher fencing number");
+            }
+            OrderAction::Failed { order } => {
+                log::warn!(fence:% = order.fence; "a change of the engine failed and will be tried again");
+            }
+            // The driver keeps these.
+            OrderAction::Drain | OrderAction::WakeAt(_) => {}
+        }
+    }
+
     async fn on_accept(&mut self, accepted: io::Result<(tokio::net::TcpStream, SocketAddr)>) {
         match accepted {
             Ok((stream, _)) => {
@@ -154,12 +219,16 @@
                 }
                 self.feed(event);
             }
+            Input::Order(event) => self.order(event),
+            Input::Plan { revision, desired } => self.order(OrderEvent::Plan { revision, desired }),
+            Input::Send { peer, frame } => self.send_to(&peer, *frame),
             Input::Status(tx) => {
                 // The asker may be gone.
                 let _ = tx.send(self.status());
             }
             Input::Leave => {
                 self.leaving = true;
+                self.order(OrderEvent::Leaving);
                 self.feed(Event::Drain(true));
             }
         }
@@ -168,18 +237,43 @@
     fn on_link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up { id, hello, link } => {
-                self.links.insert(id, link);
                 log::debug!(link:% = id, peer:% = hello.process; "connected");
+                self.documents.heard(&hello.process, hello.revisions);
+                self.links.insert(id, (hello.process, link));
                 self.feed(Event::LinkUp { link: id });
             }
-            LinkEvent::Frame { id, frame } => self.feed(Event::Frame { link: id, frame }),
+            LinkEvent::Frame { id, frame } => self.on_frame(id, frame),
             LinkEvent::Down { id, .. } => {
-                self.links.remove(&id);
+                if let Some((peer, _)) = self.links.remove(&id) {
+                    self.on_peer_down(&peer);
+                }
                 self.feed(Event::LinkDown { link: id });
             }
         }
     }
 
+    fn on_frame(&mut self, id: LinkId, frame: Box<Frame>) {
+        let Some((peer, _)) = self.links.get(&id) else { return };
+        match *frame {
+            Frame::Heartbeat(heartbeat) => self.documents.heard(peer, heartbeat.revisions),
+            Frame::Pull(_) | Frame::Document(_) => self.documents.frame(peer, *frame),
+            _ => self.feed(Event::Frame { link: id, frame }),
+        }
+    }
+
+    fn on_peer_down(&self, peer: &ProcessName) {
+        if !self.links.values().any(|(it, _)| it == peer) {
+            self.documents.gone(peer);
+        }
+    }
+
+    fn send_to(&self, peer: &ProcessName, frame: Frame) {
+        // The newest connection has the highest number.
+        if let Some((_, link)) = self.links.values().rev().find(|(it, _)| it == peer) {
+            link.send(frame);
+        }
+    }
+
     fn feed(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.core.handle(self.clock.now(), event, &mut actions);
@@ -191,7 +285,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { link, frame } => {
-                if let Some(link) = self.links.get(&link) {
+                if let Some((_, link)) = self.links.get(&link) {
                     link.send(*frame);
                 }
             }
@@ -251,18 +345,3 @@
         }
     }
 }
-
-/// Tells the core what the engine is, whenever that changes.
-async fn watch_engine(endpoint: EndpointClient, tx: UnboundedSender<Input>) {
-    let mut known = None;
-    loop {
-        let target = endpoint.target().await;
-        if target != known {
-            known.clone_from(&target);
-            if tx.send(Input::Event(Event::Target(target))).is_err() {
-                return;
-            }
-        }
-        sleep(STATE_INTERVAL).await;
-    }
-}
--- a/crates/daisychute-agent/src/shell/endpoint_client.rs
+++ b/crates/daisychute-agent/src/shell/endpoint_client.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use awc::error::SendRequestError;
+use awc::http::StatusCode;
 use awc::{Client, Connector};
-use daisychute_core::{EngineTarget, RefusalReason, RequestId};
+use daisychute_core::{EngineTarget, RefusalReason, RequestId, Revision};
 use daisychute_proto::{Start, Work};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 
 use super::Reporter;
 use super::completion_run::{resume_completion, run_completion};
 use super::service_run::run_call;
 use crate::core::Report;
+use crate::orders::{EngineState, Order, OrderAnswer};
 
 /// How long the endpoint may take to answer a question about its state.
 const STATE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,12 +32,21 @@
     }
 }
 
-/// What an engine says of itself; fields that the agent doesn't use are left out.
+/// How long the engine may take to answer an order. Shorter than the lifetime that the order core reckons with.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Why an engine refused an order.
 #[derive(Debug, Deserialize)]
-struct EngineState {
-    changing: bool,
-    #[serde(flatten)]
-    target: EngineTarget,
+#[serde(tag = "error", rename_all = "snake_case")]
+enum OrderRefusal {
+    Changing,
+    StaleFence { fence: Revision },
+}
+
+#[derive(Serialize)]
+struct OrderBody<'a> {
+    fence: Revision,
+    target: &'a EngineTarget,
 }
 
 impl EndpointClient {
@@ -77,13 +88,32 @@
         }
     }
 
-    /// What the engine is at present; none while it changes or can't be asked.
-    pub async fn target(&self) -> Option<EngineTarget> {
+    /// What an engine says of itself; none if it can't be asked.
+    pub(crate) async fn state(self) -> Option<EngineState> {
         let mut res =
             self.client.get(self.url("/state")).timeout(STATE_TIMEOUT).send().await.ok()?;
         let body = res.body().await.ok()?;
-        let state: EngineState = serde_json::from_slice(&body).ok()?;
-        (!state.changing).then_some(state.target)
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Gives an engine an order. A new connection for each, so that a failure to open one proves that it wasn't sent.
+    pub(crate) async fn order(self, order: Order) -> OrderAnswer {
+        let body = OrderBody { fence: order.fence, target: &order.target };
+        let req = self.client.post(self.url("/orders")).timeout(ORDER_TIMEOUT).force_close();
+        let mut res = match req.send_json(&body).await {
+            Ok(res) => res,
+            Err(SendRequestError::Connect(_)) => return OrderAnswer::NotSent,
+            Err(_) => return OrderAnswer::Unknown,
+        };
+        match res.status() {
+            StatusCode::ACCEPTED => OrderAnswer::Accepted,
+            StatusCode::CONFLICT => match res.json().await {
+                Ok(OrderRefusal::Changing) => OrderAnswer::Changing,
+                Ok(OrderRefusal::StaleFence { fence }) => OrderAnswer::StaleFence(fence),
+                Err(_) => OrderAnswer::Unknown,
+            },
+            _ => OrderAnswer::Unknown,
+        }
     }
 }
 
--- a/crates/daisychute-agent/src/shell/handle.rs
+++ b/crates/daisychute-agent/src/shell/handle.rs
@@ -1,11 +1,13 @@
 //! Reaching a running agent.
 
-use daisychute_core::ProcessStatus;
+use daisychute_core::{Desired, ProcessName, ProcessStatus, Revision};
+use daisychute_proto::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use super::Input;
 use crate::core::Event;
+use crate::orders::OrderEvent;
 
 /// For reaching a running agent from the same process.
 #[derive(Debug, Clone)]
@@ -23,6 +25,21 @@
         let _ = self.tx.send(Input::Event(event));
     }
 
+    /// The plan in force has this entry for the endpoint.
+    pub fn plan(&self, revision: Revision, desired: Option<Desired>) {
+        let _ = self.tx.send(Input::Plan { revision, desired });
+    }
+
+    /// The plan on the platform has this revision, or could not be read.
+    pub fn plan_read(&self, revision: Option<Revision>) {
+        let _ = self.tx.send(Input::Order(OrderEvent::PlanRead(revision)));
+    }
+
+    /// Sends a frame about the documents to a peer, if there is a connection to it.
+    pub fn send(&self, peer: ProcessName, frame: Box<Frame>) {
+        let _ = self.tx.send(Input::Send { peer, frame });
+    }
+
     /// Asks it to take no new work and to end when all requests have been answered.
     pub fn leave(&self) {
         let _ = self.tx.send(Input::Leave);
--- a/crates/daisychute-entry/src/shell/entry_shell.rs
+++ b/crates/daisychute-entry/src/shell/entry_shell.rs
@@ -1,14 +1,14 @@
 //! The entry's task: one loop that feeds the core and does what it asks.
 
 use std::collections::BTreeMap;
-use std::rc::Rc;
+use std::sync::Arc;
 
 use daisychute_core::{
     Configuration, DataCentreName, EndpointStatus, InstanceName, ProcessName, ProcessRole,
     ProcessState, ProcessStatus, RegionName, RequestId, Revisions,
 };
-use daisychute_link::{DownReason, Link, LinkConfig, LinkEvent, LinkId, connect};
-use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
+use daisychute_link::{Documents, DownReason, Link, LinkConfig, LinkEvent, LinkId, connect};
+use daisychute_proto::{Frame, GoodbyeReason, Heartbeat, Hello, PROTOCOL_VERSION};
 use daisychute_runtime::{Clock, Labels};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::{Instant, sleep_until};
@@ -38,14 +38,15 @@
 
 /// The entry's task.
 #[derive(Debug)]
-pub struct EntryShell<C> {
+pub struct EntryShell<C, D> {
     options: EntryOptions,
     core: EntryCore<C>,
     clock: Clock,
-    links: BTreeMap<LinkId, Link>,
+    links: BTreeMap<LinkId, (ProcessName, Link)>,
+    documents: D,
     callers: BTreeMap<RequestId, Caller>,
     tenants: Labels,
-    configuration: Option<Rc<Configuration>>,
+    configuration: Option<Arc<Configuration>>,
     revisions: Revisions,
     handle: EntryHandle,
     rx: UnboundedReceiver<Input>,
@@ -53,10 +54,10 @@
     link_rx: UnboundedReceiver<LinkEvent>,
 }
 
-impl<C: Choose> EntryShell<C> {
+impl<C: Choose, D: Documents> EntryShell<C, D> {
     /// Prepares the task.
     #[must_use]
-    pub fn new(options: EntryOptions, core: EntryCore<C>, clock: Clock) -> Self {
+    pub fn new(options: EntryOptions, core: EntryCore<C>, clock: Clock, documents: D) -> Self {
         let (tx, rx) = unbounded_channel();
         let (link_tx, link_rx) = unbounded_channel();
         Self {
@@ -64,6 +65,7 @@
             core,
             clock,
             links: BTreeMap::new(),
+            documents,
             callers: BTreeMap::new(),
             tenants: Labels::new(MAX_TENANTS),
             configuration: None,
@@ -91,7 +93,7 @@
                 () = sleep_until(wake) => self.feed(Event::Wake),
             }
         }
-        for link in self.links.values() {
+        for (_, link) in self.links.values() {
             link.close(GoodbyeReason::Leaving);
         }
     }
@@ -117,7 +119,7 @@
                 self.feed(Event::Submit { id, submission });
             }
             Input::Configuration(cfg) => self.configuration = Some(cfg),
-            Input::Send { link, frame } => self.send(link, *frame),
+            Input::Send { peer, frame } => self.send_to(&peer, *frame),
             Input::Status(tx) => {
                 // The asker may be gone.
                 let _ = tx.send(self.status());
@@ -129,12 +131,22 @@
     fn on_link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up { id, hello, link } => {
-                self.links.insert(id, link);
+                if let Some(record) = &hello.endpoint {
+                    self.documents.observed(record);
+                }
+                self.links.insert(id, (hello.process.clone(), link));
                 self.feed(Event::LinkUp { link: id, hello });
             }
-            LinkEvent::Frame { id, frame } => self.feed(Event::Frame { link: id, frame }),
+            LinkEvent::Frame { id, frame } => {
+                if let Frame::Heartbeat(Heartbeat { endpoint: Some(record), .. }) = &*frame {
+                    self.documents.observed(record);
+                }
+                self.feed(Event::Frame { link: id, frame });
+            }
             LinkEvent::Down { id, reason } => {
-                self.links.remove(&id);
+                if let Some((peer, _)) = self.links.remove(&id) {
+                    self.on_peer_down(&peer);
+                }
                 let gone = reason == DownReason::NoListener;
                 self.feed(Event::LinkDown { link: id, gone });
             }
@@ -156,21 +168,44 @@
             }
             Action::Send { link, frame } => self.send(link, *frame),
             Action::Close { link } => {
-                if let Some(link) = self.links.remove(&link) {
+                if let Some((peer, link)) = self.links.remove(&link) {
+                    self.on_peer_down(&peer);
                     link.close(GoodbyeReason::Replaced);
                 }
             }
             Action::Answer { id, part } => self.answer(id, part),
-            Action::PeerRevisions { .. } | Action::Control { .. } => {}
+            Action::PeerRevisions { link, revisions } => {
+                if let Some((peer, _)) = self.links.get(&link) {
+                    self.documents.heard(peer, revisions);
+                }
+            }
+            Action::Control { link, frame } => {
+                if let Some((peer, _)) = self.links.get(&link) {
+                    self.documents.frame(peer, *frame);
+                }
+            }
         }
     }
 
     fn send(&self, link: LinkId, frame: Frame) {
-        if let Some(link) = self.links.get(&link) {
+        if let Some((_, link)) = self.links.get(&link) {
             link.send(frame);
         }
     }
 
+    fn send_to(&self, peer: &ProcessName, frame: Frame) {
+        // The newest connection has the highest number.
+        if let Some((_, link)) = self.links.values().rev().find(|(it, _)| it == peer) {
+            link.send(frame);
+        }
+    }
+
+    fn on_peer_down(&self, peer: &ProcessName) {
+        if !self.links.values().any(|(it, _)| it == peer) {
+            self.documents.gone(peer);
+        }
+    }
+
     fn answer(&mut self, id: RequestId, part: Part) {
         let is_last = matches!(part, Part::End { .. } | Part::Refused(_));
         let now = self.clock.now();
--- a/crates/daisychute-entry/src/shell/handle.rs
+++ b/crates/daisychute-entry/src/shell/handle.rs
@@ -2,9 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
-use daisychute_core::{Configuration, ProcessStatus};
-use daisychute_link::LinkId;
+use daisychute_core::{Configuration, ProcessName, ProcessStatus};
 use daisychute_proto::Frame;
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
@@ -22,7 +22,7 @@
 
 #[derive(Debug, Default)]
 struct Shared {
-    configuration: RefCell<Option<Rc<Configuration>>>,
+    configuration: RefCell<Option<Arc<Configuration>>>,
     leaving: Cell<bool>,
 }
 
@@ -33,12 +33,12 @@
 
     /// The configuration in force.
     #[must_use]
-    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.shared.configuration.borrow().clone()
     }
 
     /// Puts a configuration in force.
-    pub fn configure(&self, cfg: Rc<Configuration>) {
+    pub fn configure(&self, cfg: Arc<Configuration>) {
         self.shared.configuration.replace(Some(cfg.clone()));
         let _ = self.tx.send(Input::Configuration(cfg));
     }
@@ -71,9 +71,9 @@
         let _ = self.tx.send(Input::Event(event));
     }
 
-    /// Sends a frame of the shared documents to a peer.
-    pub fn send(&self, link: LinkId, frame: Frame) {
-        let _ = self.tx.send(Input::Send { link, frame: Box::new(frame) });
+    /// Sends a frame of the shared documents to a peer, if there is a connection to it.
+    pub fn send(&self, peer: ProcessName, frame: Box<Frame>) {
+        let _ = self.tx.send(Input::Send { peer, frame });
     }
 
     /// A picture of the entry; none when it has ended.
--- a/crates/daisychute-entry/src/shell/input.rs
+++ b/crates/daisychute-entry/src/shell/input.rs
@@ -1,9 +1,8 @@
 //! What reaches the entry's task.
 
-use std::rc::Rc;
+use std::sync::Arc;
 
-use daisychute_core::{Configuration, ProcessStatus, RequestId};
-use daisychute_link::LinkId;
+use daisychute_core::{Configuration, ProcessName, ProcessStatus, RequestId};
 use daisychute_proto::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -25,11 +24,11 @@
         id: oneshot::Sender<RequestId>,
     },
     /// A configuration is in force.
-    Configuration(Rc<Configuration>),
+    Configuration(Arc<Configuration>),
     /// Send a frame of the shared documents to a peer.
     Send {
-        /// The connection.
-        link: LinkId,
+        /// The peer.
+        peer: ProcessName,
         /// The frame.
         frame: Box<Frame>,
     },
--- /dev/null
+++ b/crates/daisychute-link/src/documents.rs
@@ -0,0 +1,18 @@
+//! What the owner of connections passes on about the shared documents.
+
+use daisychute_core::{EndpointRecord, ProcessName};
+use daisychute_proto::{Frame, Revisions};
+
+/// Takes part in spreading the shared documents of the system among the processes.
+pub trait Documents {
+    /// A peer has said which documents it has in force.
+    fn heard(&self, peer: &ProcessName, revisions: Revisions);
+    /// There is no connection to a peer any more.
+    fn gone(&self, peer: &ProcessName);
+    /// A peer has sent a frame that belongs to the documents.
+    fn frame(&self, peer: &ProcessName, frame: Frame);
+    /// An agent has said what its endpoint is.
+    fn observed(&self, record: &EndpointRecord);
+    /// Asks for the newest plan on the platform.
+    fn confirm_plan(&self);
+}
--- a/crates/daisychute-link/src/lib.rs
+++ b/crates/daisychute-link/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod config;
+mod documents;
 mod down;
 mod event;
 mod id;
@@ -24,6 +25,7 @@
 mod shell;
 
 pub use crate::config::LinkConfig;
+pub use crate::documents::Documents;
 pub use crate::down::DownReason;
 pub use crate::event::LinkEvent;
 pub use crate::id::LinkId;
--- a/crates/daisychuted/src/agent.rs
+++ b/crates/daisychuted/src/agent.rs
@@ -3,17 +3,21 @@
 use std::net::TcpListener;
 
 use daisychute_agent::PolicyAdmit;
-use daisychute_agent::core::{AgentConfig, AgentCore};
-use daisychute_agent::shell::{AgentOptions, AgentShell};
-use daisychute_core::{EndpointRecord, EndpointState, Incarnation};
+use daisychute_agent::core::{AgentConfig, AgentCore, Event};
+use daisychute_agent::shell::{AgentHandle, AgentOptions, AgentShell};
+use daisychute_core::{EndpointName, EndpointRecord, EndpointState, Incarnation, ProcessStatus};
 use daisychute_link::LinkConfig;
+use daisychute_planner::ControlOutput;
+use daisychute_proto::Revisions;
 use daisychute_runtime::{Clock, stop_requested};
 use daisychute_settings::{AgentSettings, Settings};
 use tokio::time::timeout;
 
-use crate::admin::Admin;
+use crate::admin::{Admin, Subject};
+use crate::control::Role;
 use crate::entry::{bind, http_limits};
-use crate::{DaemonError, metrics};
+use crate::shared_documents::SharedDocuments;
+use crate::{DaemonError, control, metrics};
 
 pub(crate) async fn run(
     settings: Settings,
@@ -33,10 +37,16 @@
         PolicyAdmit::new(&role.endpoint.kind),
         record(&settings, &role, incarnation),
     );
-    let shell = AgentShell::new(agent_options(&settings, &role), core, Clock::start(), listener)
+    let (control, outputs) = control::start(&settings, incarnation, control::client(&settings));
+    let documents = SharedDocuments::new(control.clone());
+    let options = agent_options(&settings, &role);
+    let shell = AgentShell::new(options, core, Clock::start(), listener, documents)
         .map_err(|source| DaemonError::Serve { listener: "inner", source })?;
     let handle = shell.handle();
 
+    let endpoint = role.endpoint.name.clone();
+    let subject = AgentRole { agent: handle.clone(), endpoint };
+    actix_rt::spawn(control::run(control, outputs, subject));
     let answers = Admin::new(handle.clone(), metrics);
     actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
     log::info!("agent {} of {} listens at {inner}", settings.process.name, role.endpoint.name);
@@ -52,6 +62,36 @@
     Ok(())
 }
 
+/// The agent with the name of its endpoint.
+#[derive(Debug, Clone)]
+struct AgentRole {
+    agent: AgentHandle,
+    endpoint: EndpointName,
+}
+
+impl Subject for AgentRole {
+    async fn status(&self) -> Option<ProcessStatus> {
+        self.agent.status().await
+    }
+}
+
+impl Role for AgentRole {
+    fn revisions(&self, revisions: Revisions) {
+        self.agent.event(Event::Revisions(revisions));
+    }
+
+    fn output(&self, output: ControlOutput) {
+        match output {
+            ControlOutput::Frame { peer, frame } => self.agent.send(peer, frame),
+            ControlOutput::Plan(plan) => {
+                self.agent.plan(plan.revision, control::desired(&plan, &self.endpoint));
+            }
+            ControlOutput::PlanConfirmed(revision) => self.agent.plan_read(revision),
+            _ => {}
+        }
+    }
+}
+
 fn agent_config(settings: &Settings) -> AgentConfig {
     AgentConfig { heartbeat: settings.timing.heartbeat, ..AgentConfig::default() }
 }
--- a/crates/daisychuted/src/entry.rs
+++ b/crates/daisychuted/src/entry.rs
@@ -3,16 +3,19 @@
 use daisychute_core::Incarnation;
 use daisychute_entry::PolicyChoose;
 use daisychute_entry::callers::Callers;
-use daisychute_entry::core::{EntryConfig, EntryCore};
-use daisychute_entry::shell::{EntryOptions, EntryShell};
+use daisychute_entry::core::{EntryConfig, EntryCore, Event};
+use daisychute_entry::shell::{EntryHandle, EntryOptions, EntryShell};
 use daisychute_link::LinkConfig;
-use daisychute_platform::{ClientSettings, ObjectClient};
+use daisychute_planner::ControlOutput;
+use daisychute_proto::Revisions;
 use daisychute_runtime::{Clock, HttpLimits, HttpServer, stop_requested};
 use daisychute_settings::{EntrySettings, LimitSettings, Settings};
 use tokio::time::timeout;
 
 use crate::admin::Admin;
-use crate::{DaemonError, discovery, metrics};
+use crate::control::Role;
+use crate::shared_documents::SharedDocuments;
+use crate::{DaemonError, control, discovery, metrics};
 
 /// Between "not ready" and the end of new requests, for the balancer to notice.
 const READINESS_LAG: std::time::Duration = std::time::Duration::from_millis(500);
@@ -28,10 +31,13 @@
     let admin = bind("admin", settings.listen.admin, limits)?;
     let chooser = PolicyChoose::new(settings.process.data_centre.clone(), incarnation.get());
     let core = EntryCore::new(entry_config(&settings), chooser, incarnation);
-    let shell = EntryShell::new(entry_options(&settings), core, Clock::start());
+    let client = control::client(&settings);
+    let (control, outputs) = control::start(&settings, incarnation, client.clone());
+    let documents = SharedDocuments::new(control.clone());
+    let shell = EntryShell::new(entry_options(&settings), core, Clock::start(), documents);
     let handle = shell.handle();
 
-    let client = ObjectClient::new(ClientSettings::new(settings.platform.url.as_str()));
+    actix_rt::spawn(control::run(control.clone(), outputs, handle.clone()));
     actix_rt::spawn(discovery::run(client, handle.clone()));
     let answers = Admin::new(handle.clone(), metrics);
     actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
@@ -43,6 +49,7 @@
     stop_requested().await.map_err(DaemonError::Signals)?;
     log::info!("entry {} is leaving", settings.process.name);
     handle.prepare_to_leave();
+    control.release();
     actix_rt::time::sleep(READINESS_LAG).await;
     handle.leave();
     if timeout(settings.timing.drain, task).await.is_err() {
@@ -54,6 +61,23 @@
     Ok(())
 }
 
+impl Role for EntryHandle {
+    fn revisions(&self, revisions: Revisions) {
+        self.event(Event::Revisions(revisions));
+    }
+
+    fn output(&self, output: ControlOutput) {
+        match output {
+            ControlOutput::Frame { peer, frame } => self.send(peer, frame),
+            ControlOutput::Configuration { revision, configuration } => {
+                log::info!(revision:%; "a configuration is in force");
+                self.configure(configuration);
+            }
+            _ => {}
+        }
+    }
+}
+
 pub(crate) fn bind(
     listener: &'static str,
     addr: std::net::SocketAddr,
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -3,11 +3,13 @@
 mod admin;
 mod agent;
 mod args;
+mod control;
 mod discovery;
 mod entry;
 mod error;
 mod logging;
 mod metrics;
+mod shared_documents;
 
 use clap::Parser;
 use daisychute_core::Incarnation;
