test(planner): record golden sessions of a takeover and of a spread

Two sessions of the fault world with fixed acts and seed: a paused holder that is replaced and has no effect, and a configuration that spreads through an outage with a restart inside it.

--- a/crates/daisychute-planner/tests/authority.rs
+++ b/crates/daisychute-planner/tests/authority.rs
@@ -1,4 +1,5 @@
-//! Random schedules of faults against the cores of lease, planner, replicas and orders together.
+//! Random schedules of faults against the cores of lease, planner, replicas and orders together, and golden sessions of
+//! two of them.
 //!
 //! `DAISYCHUTE_SEED` runs other schedules than the fixed ones of CI.
 
@@ -6,10 +7,11 @@
 
 use std::env;
 
+use daisychute_core::Time;
 use quickcheck::{Gen, QuickCheck, TestResult};
 
-use crate::world::run;
-use crate::world::schedule::Schedule;
+use crate::world::schedule::{Act, Schedule};
+use crate::world::{World, run};
 
 /// Schedules of each part. The parts run on a thread each.
 const SCHEDULES: u64 = 2_500;
@@ -46,3 +48,32 @@
     random_schedules_3: 3,
     random_schedules_4: 4,
 }
+
+/// What a schedule does up to a point in time, one line for each thing of note.
+fn session(acts: Vec<(u64, Act)>, until_ms: u64) -> String {
+    let mut world = World::new(Schedule { seed: 7, acts });
+    world.session = Some(Vec::new());
+    world.run_until(Time::from_millis(until_ms)).unwrap();
+    world.session.unwrap_or_default().join("\n")
+}
+
+#[test]
+fn a_paused_holder_is_replaced_and_has_no_effect() {
+    let acts = vec![
+        (3_000, Act::Pause { node: 0, ms: 10_000 }),
+        (3_000, Act::Wish { engine: 0, model: 1 }),
+        (13_500, Act::Wish { engine: 0, model: 2 }),
+    ];
+    insta::assert_snapshot!("lease_takeover", session(acts, 18_000));
+}
+
+#[test]
+fn a_configuration_spreads_through_an_outage() {
+    let acts = vec![
+        (1_000, Act::Apply { operators: 2 }),
+        (4_000, Act::Outage { ms: 4_000 }),
+        (5_000, Act::Kill { node: 2, ms: 200 }),
+        (9_000, Act::Apply { operators: 1 }),
+    ];
+    insta::assert_snapshot!("configuration_spread", session(acts, 13_000));
+}
