--- /dev/null
+++ b/crates/daisychute-planner/tests/planner.rs
@@ -0,0 +1,125 @@
+//! The planner core, event by event.
+
+use std::collections::BTreeSet;
+
+use daisychute_core::{Desired, EndpointName, EngineTarget, Plan, Revision, Role, Term, Time};
+use daisychute_planner::{Planner, PlannerAction, PlannerEvent, PlannerSettings, Wish};
+use daisychute_platform::{Object, ObjectKind, ReadAnswer, WriteAnswer, WriteStamp};
+
+use PlannerEvent::{DrainRequests, Gone, Observed, Read, Tick, Written};
+
+fn endpoint(number: u64) -> EndpointName {
+    EndpointName::try_from(format!("e-{number}")).unwrap()
+}
+
+fn target(model: &str, role: Role) -> EngineTarget {
+    let version = "1".try_into().unwrap();
+    EngineTarget { role, model: model.try_into().unwrap(), version, adapter: None }
+}
+
+fn wish(number: u64, model: &str, role: Role) -> PlannerEvent {
+    let target = target(model, role);
+    PlannerEvent::Wish(Wish::Target { endpoint: endpoint(number), target })
+}
+
+fn seen(number: u64, model: &str) -> PlannerEvent {
+    let target = Some(target(model, Role::Mixed));
+    Observed { endpoint: endpoint(number), target }
+}
+
+fn drains(numbers: &[u64]) -> PlannerEvent {
+    DrainRequests(numbers.iter().map(|it| endpoint(*it)).collect::<BTreeSet<_>>())
+}
+
+/// The plan object of this term and revision, with two engines of model `a`.
+fn found(term: u64, revision: u64) -> PlannerEvent {
+    let desired = Desired { target: Some(target("a", Role::Mixed)), ..Desired::default() };
+    let endpoints = (1..=2).map(|it| (endpoint(it), desired.clone())).collect();
+    let plan = Plan { term: Term::new(term), revision: Revision::new(revision), endpoints };
+    let spec = serde_json::to_value(plan).unwrap();
+    Read(ReadAnswer::Found(Object::new(ObjectKind::Plans, "r", spec).version(Some("7".into()))))
+}
+
+fn acquired(term: u64, until_ms: u64) -> PlannerEvent {
+    PlannerEvent::Acquired { term: Term::new(term), until: Time::from_millis(until_ms) }
+}
+
+fn done(version: &str) -> PlannerEvent {
+    Written(WriteAnswer::Done(version.into()))
+}
+
+/// Takes events a second apart and gives what was asked for, without the timers.
+fn run(events: Vec<PlannerEvent>) -> Vec<String> {
+    let settings = PlannerSettings { max_weight_loads: 1, ..PlannerSettings::default() };
+    let stamp = WriteStamp::first("entry-1/plan");
+    let mut planner = Planner::new(settings, "r".try_into().unwrap(), stamp, 1);
+    let mut out = Vec::new();
+    for (second, event) in events.into_iter().enumerate() {
+        planner.handle(Time::from_millis(second as u64 * 1_000), event, &mut out);
+    }
+    out.iter().filter_map(shorten).collect()
+}
+
+fn shorten(action: &PlannerAction) -> Option<String> {
+    Some(match action {
+        PlannerAction::ReadPlan => "read".to_owned(),
+        PlannerAction::WritePlan(object) => describe(&object.parse().unwrap()),
+        PlannerAction::Committed { revision } => format!("committed {revision}"),
+        PlannerAction::TermSeen(term) => format!("term {term}"),
+        PlannerAction::WakeAt(_) => return None,
+    })
+}
+
+fn describe(plan: &Plan) -> String {
+    let entries = plan.endpoints.iter().map(|(endpoint, desired)| {
+        let model = desired.target.as_ref().map_or("-", |it| it.model.as_str());
+        let drain = if desired.drain { " drained" } else { "" };
+        format!(" {endpoint}={model}@{}{drain}", desired.since)
+    });
+    format!("write {}/{}{}", plan.term, plan.revision, entries.collect::<String>())
+}
+
+macro_rules! cases {
+    ($($name:ident: [$($event:expr),* $(,)?] => [$($action:expr),* $(,)?],)*) => {$(
+        #[test]
+        fn $name() {
+            let actions = run(vec![$($event),*]);
+            let expected: Vec<&str> = vec![$($action),*];
+            assert_eq!(actions, expected);
+        }
+    )*};
+}
+
+cases! {
+    the_first_write_puts_the_term_into_the_plan: [acquired(4, 60_000), found(3, 9), done("8"), Tick]
+        => ["read", "write 4/10 e-1=a@0 e-2=a@0", "committed 10"],
+    a_higher_term_in_the_plan_ends_the_authority:
+        [acquired(4, 60_000), found(5, 9), wish(1, "b", Role::Mixed), Tick] => ["read", "term 5"],
+    nothing_is_written_after_the_lease: [acquired(4, 500), found(3, 9), Tick] => ["read"],
+    a_conflict_leads_to_a_fresh_read:
+        [acquired(4, 60_000), found(3, 9), Written(WriteAnswer::Conflict), found(3, 11)]
+        => ["read", "write 4/10 e-1=a@0 e-2=a@0", "read", "write 4/12 e-1=a@0 e-2=a@0"],
+    a_lost_answer_is_settled_before_the_next_write:
+        [acquired(4, 60_000), found(3, 9), Written(WriteAnswer::Unknown), Tick, found(3, 9)]
+        => ["read", "write 4/10 e-1=a@0 e-2=a@0", "read", "write 4/10 e-1=a@0 e-2=a@0"],
+    weight_loads_wait_for_their_turn:
+        [acquired(4, 60_000), seen(1, "a"), seen(2, "a"), wish(1, "b", Role::Mixed),
+         wish(2, "b", Role::Mixed), found(3, 9), done("8"), seen(1, "b"), done("9")]
+        => ["read", "write 4/10 e-1=b@10 e-2=a@0", "committed 10",
+            "write 4/11 e-1=b@10 e-2=b@11", "committed 11"],
+    a_load_on_an_endpoint_that_is_gone_holds_nobody_up:
+        [acquired(4, 60_000), seen(1, "a"), seen(2, "a"), wish(1, "b", Role::Mixed),
+         wish(2, "b", Role::Mixed), found(3, 9), done("8"), Gone(endpoint(1)), Tick, Tick, Tick,
+         Tick, Tick, Tick, Tick, Tick, done("9")]
+        => ["read", "write 4/10 e-1=b@10 e-2=a@0", "committed 10",
+            "write 4/11 e-1=b@10 e-2=b@11", "committed 11"],
+    a_change_of_role_loads_no_weights:
+        [acquired(4, 60_000), seen(1, "a"), seen(2, "a"), wish(1, "b", Role::Mixed),
+         wish(2, "a", Role::Decode), found(3, 9)]
+        => ["read", "write 4/10 e-1=b@10 e-2=a@10"],
+    drains_of_operators_are_committed_and_taken_back:
+        [acquired(4, 60_000), drains(&[2]), found(4, 9), done("8"), drains(&[]), done("9")]
+        => ["read", "write 4/10 e-1=a@0 e-2=a@10 drained", "committed 10",
+            "write 4/11 e-1=a@0 e-2=a@11", "committed 11"],
+    drains_stay_until_the_requests_are_known: [acquired(4, 60_000), found(4, 9), Tick] => ["read"],
+}
