feat(platform): keep a fleet from reading the platform together

A process that doesn't watch and got its document from a peer reads the platform only at its poll interval, and one that has a document doesn't hurry after a failed read. Before, 620 agents that start together would each have read two objects within two seconds, and all processes would have tried again every 5 to 10 s through an outage.

--- a/crates/daisychute-planner/src/planner/mod.rs
+++ b/crates/daisychute-planner/src/planner/mod.rs
@@ -10,7 +10,7 @@
 mod wish;
 mod wishes;
 
-use daisychute_core::{Plan, RegionName, Revision, Term, Time};
+use daisychute_core::{EndpointName, Plan, RegionName, Revision, Term, Time};
 use daisychute_platform::{
     Backoff, Object, ObjectKind, PendingWrite, ReadAnswer, ResourceVersion, Settled, WriteAnswer,
     WriteStamp,
@@ -138,7 +138,7 @@
         }
     }
 
-    fn gone(&mut self, endpoint: &daisychute_core::EndpointName) {
+    fn gone(&mut self, endpoint: &EndpointName) {
         self.seen.gone(endpoint);
         self.wishes.gone(endpoint);
     }
--- a/crates/daisychute-platform/src/replica/mod.rs
+++ b/crates/daisychute-platform/src/replica/mod.rs
@@ -16,6 +16,7 @@
 
 use self::peers::Peers;
 use self::source::Source;
+use crate::ResourceVersion;
 
 pub use self::document::{ConfigurationDocument, DocumentError, Shared};
 pub use self::event::{ReplicaAction, ReplicaEvent};
@@ -62,7 +63,7 @@
         match event {
             ReplicaEvent::Watcher(watcher) => self.source.set_watcher(now, watcher, out),
             ReplicaEvent::Listed { version, body } => self.listed(now, version, body, out),
-            ReplicaEvent::ListFailed => self.source.list_failed(now),
+            ReplicaEvent::ListFailed => self.source.list_failed(now, self.held.is_some()),
             ReplicaEvent::Changed { body } => self.changed(body, out),
             ReplicaEvent::WatchAlive => self.source.watch_alive(),
             ReplicaEvent::WatchEnded => self.source.watch_ended(now),
@@ -71,7 +72,7 @@
             }
             ReplicaEvent::PeerGone { peer } => self.peers.gone(&peer),
             ReplicaEvent::PullFrom { peer, have } => self.pulled(peer, have, out),
-            ReplicaEvent::Document { peer, body } => self.received(&peer, body, out),
+            ReplicaEvent::Document { peer, body } => self.received(now, &peer, body, out),
             ReplicaEvent::Tick => {}
         }
         self.peers.tick(now, self.revision(), out);
@@ -81,7 +82,7 @@
     fn listed(
         &mut self,
         now: Time,
-        version: crate::ResourceVersion,
+        version: ResourceVersion,
         body: Option<Bytes>,
         out: &mut Vec<ReplicaAction>,
     ) {
@@ -96,9 +97,17 @@
         self.offer(body, out);
     }
 
-    fn received(&mut self, peer: &ProcessName, body: Bytes, out: &mut Vec<ReplicaAction>) {
+    fn received(
+        &mut self,
+        now: Time,
+        peer: &ProcessName,
+        body: Bytes,
+        out: &mut Vec<ReplicaAction>,
+    ) {
         self.peers.answered(peer);
-        if !self.offer(body, out) {
+        if self.offer(body, out) {
+            self.source.served_by_peer(now);
+        } else {
             self.peers.refused(peer);
         }
     }
--- a/crates/daisychute-platform/src/replica/source.rs
+++ b/crates/daisychute-platform/src/replica/source.rs
@@ -68,12 +68,25 @@
         }
     }
 
-    pub(super) fn list_failed(&mut self, now: Time) {
-        if self.state == State::Listing {
+    /// A process that has a document and doesn't watch is in no hurry, so that an outage doesn't end in a rush.
+    pub(super) fn list_failed(&mut self, now: Time, has_document: bool) {
+        if self.state != State::Listing {
+            return;
+        }
+        if has_document && !self.watcher {
+            self.wait_for_poll(now);
+        } else {
             self.wait(now);
         }
     }
 
+    /// A peer sent a newer document, so a process that doesn't watch needs no read for a while.
+    pub(super) fn served_by_peer(&mut self, now: Time) {
+        if !self.watcher && matches!(self.state, State::New | State::Waiting { .. }) {
+            self.wait_for_poll(now);
+        }
+    }
+
     /// The watch brought something, so the platform is well again.
     pub(super) fn watch_alive(&mut self) {
         self.backoff.reset();
