--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -252,7 +252,7 @@
         let flight = &mut self.flights[i];
         flight.attempts += 1;
         flight.at = None;
-        let again = if flight.attempts % MAX_ATTEMPTS == 0 {
+        let again = if flight.attempts.is_multiple_of(MAX_ATTEMPTS) {
             flight.excluded.clear();
             now + pause.max(Duration::from_millis(100))
         } else {
