--- a/crates/daisychute-entry/src/core/agents.rs
+++ b/crates/daisychute-entry/src/core/agents.rs
@@ -1,18 +1,16 @@
-//! The agents that the entry knows.
+//! The agents that the entry knows and its connections to them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
-use daisychute_core::{EndpointName, EndpointRecord, EndpointState, LoadReport, RequestId, Time};
+use daisychute_core::{EndpointName, EndpointRecord, LoadReport, RequestId, Time};
 use daisychute_link::LinkId;
 
 /// The connection to an agent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkState {
     /// There is none.
-    Down {
-        /// When it may be opened again.
-        retry: Time,
-    },
+    Down,
     /// It is being opened.
     Opening(LinkId),
     /// It is open.
@@ -24,18 +22,16 @@
 pub struct Agent {
     /// What is known of its endpoint.
     pub record: EndpointRecord,
+    /// Where it is reached.
+    pub addr: SocketAddr,
     /// The connection to it.
     pub link: LinkState,
+    /// When a lost connection is opened again, because requests wait for it.
+    pub retry: Option<Time>,
     /// Its last load report and when it came.
     pub load: Option<(Time, LoadReport)>,
     /// The requests that this entry has there.
     pub requests: BTreeSet<RequestId>,
-    /// Whether the platform lists it.
-    pub listed: bool,
-    /// Whether the last connection to it failed or was lost.
-    pub unreachable: bool,
-    /// Whether its word on its own state is newer than the platform's list.
-    pub direct: bool,
 }
 
 /// The agents that the entry knows.
@@ -53,11 +49,6 @@
         self.agents.values()
     }
 
-    /// The names of their endpoints.
-    pub fn names(&self) -> impl Iterator<Item = &EndpointName> {
-        self.agents.keys()
-    }
-
     /// The one before this endpoint.
     #[must_use]
     pub fn get(&self, endpoint: &EndpointName) -> Option<&Agent> {
@@ -74,12 +65,21 @@
         self.by_link.get(&link)
     }
 
+    /// The connection to the agent before this endpoint, open or being opened.
+    #[must_use]
+    pub fn any_link(&self, endpoint: &EndpointName) -> Option<LinkId> {
+        match self.agents.get(endpoint)?.link {
+            LinkState::Up(link) | LinkState::Opening(link) => Some(link),
+            LinkState::Down => None,
+        }
+    }
+
     /// The open connection to the agent before this endpoint.
     #[must_use]
     pub fn open_link(&self, endpoint: &EndpointName) -> Option<LinkId> {
         match self.agents.get(endpoint)?.link {
             LinkState::Up(link) => Some(link),
-            LinkState::Opening(_) | LinkState::Down { .. } => None,
+            LinkState::Opening(_) | LinkState::Down => None,
         }
     }
 
@@ -87,120 +87,85 @@
     pub fn open_links(&self) -> impl Iterator<Item = LinkId> {
         self.agents.values().filter_map(|it| match it.link {
             LinkState::Up(link) => Some(link),
-            LinkState::Opening(_) | LinkState::Down { .. } => None,
+            LinkState::Opening(_) | LinkState::Down => None,
         })
     }
 
+    /// What is known of an endpoint is new or has changed.
+    pub(super) fn know(&mut self, record: &EndpointRecord, addr: SocketAddr) {
+        match self.agents.get_mut(&record.endpoint) {
+            Some(agent) => {
+                agent.record = record.clone();
+                agent.addr = addr;
+            }
+            None => {
+                let agent = Agent {
+                    record: record.clone(),
+                    addr,
+                    link: LinkState::Down,
+                    retry: None,
+                    load: None,
+                    requests: BTreeSet::new(),
+                };
+                self.agents.insert(record.endpoint.clone(), agent);
+            }
+        }
+    }
+
+    /// Forgets an agent that has neither connection nor requests.
+    pub(super) fn forget(&mut self, endpoint: &EndpointName) {
+        let is_idle = |it: &Agent| it.link == LinkState::Down && it.requests.is_empty();
+        if self.agents.get(endpoint).is_some_and(is_idle) {
+            self.agents.remove(endpoint);
+        }
+    }
+
     /// Numbers a new connection to an agent that has none.
-    pub(super) fn open(&mut self, endpoint: &EndpointName) -> Option<LinkId> {
+    pub(super) fn open(&mut self, endpoint: &EndpointName) -> Option<(LinkId, SocketAddr)> {
         let agent = self.agents.get_mut(endpoint)?;
-        let LinkState::Down { .. } = agent.link else { return None };
+        if agent.link != LinkState::Down {
+            return None;
+        }
         self.last_link += 1;
         let link = LinkId::new(self.last_link);
         agent.link = LinkState::Opening(link);
+        agent.retry = None;
         self.by_link.insert(link, endpoint.clone());
-        Some(link)
+        Some((link, agent.addr))
     }
 
     /// A connection is gone. Returns the endpoint of its agent.
-    pub(super) fn close(&mut self, link: LinkId, retry: Time) -> Option<EndpointName> {
+    pub(super) fn close(&mut self, link: LinkId) -> Option<EndpointName> {
         let endpoint = self.by_link.remove(&link)?;
         if let Some(agent) = self.agents.get_mut(&endpoint) {
-            agent.link = LinkState::Down { retry };
-            agent.unreachable = true;
+            agent.link = LinkState::Down;
         }
         Some(endpoint)
     }
 
-    /// Takes over the platform's list. What an agent has said of itself stays, unless the list tells of a newer
-    /// incarnation. Returns the connections to give up because the agent moved.
-    pub(super) fn list(&mut self, now: Time, records: Vec<EndpointRecord>) -> Vec<LinkId> {
-        let mut moved = Vec::new();
-        for agent in self.agents.values_mut() {
-            agent.listed = false;
-        }
-        for record in records {
-            moved.extend(self.list_one(now, record));
-        }
-        self.agents.retain(|_, it| {
-            it.listed || !matches!(it.link, LinkState::Down { .. }) || !it.requests.is_empty()
-        });
-        moved
-    }
-
-    fn list_one(&mut self, now: Time, record: EndpointRecord) -> Option<LinkId> {
-        let endpoint = record.endpoint.clone();
-        let Some(agent) = self.agents.get_mut(&endpoint) else {
-            let link = LinkState::Down { retry: now };
-            let agent = Agent {
-                record,
-                link,
-                load: None,
-                requests: BTreeSet::new(),
-                listed: true,
-                unreachable: false,
-                direct: false,
-            };
-            self.agents.insert(endpoint, agent);
-            return None;
-        };
-        agent.listed = true;
-        if record.agent != agent.record.agent {
-            let link = agent.link;
-            agent.record = record;
-            agent.direct = false;
-            agent.unreachable = false;
-            return match link {
-                LinkState::Opening(link) | LinkState::Up(link) => Some(link),
-                LinkState::Down { .. } => None,
-            };
-        }
-        if !agent.direct || record.incarnation > agent.record.incarnation {
-            agent.record =
-                EndpointRecord { target: record.target.or(agent.record.target.take()), ..record };
-        } else if record.state == EndpointState::Leaving {
-            agent.record.state = EndpointState::Leaving;
-        }
-        None
-    }
-
-    /// Takes over what an agent says of itself, unless it comes from an older incarnation.
-    pub(super) fn direct(&mut self, endpoint: &EndpointName, record: EndpointRecord) {
-        let Some(agent) = self.agents.get_mut(endpoint) else { return };
-        if record.incarnation >= agent.record.incarnation && record.endpoint == *endpoint {
-            agent.record = EndpointRecord { agent: agent.record.agent, ..record };
-            agent.direct = true;
-        }
-    }
-
-    /// The first time at which a lost connection may be opened again.
+    /// The first time at which a connection is opened again for waiting requests.
     pub(super) fn next_retry(&self) -> Option<Time> {
-        self.agents
-            .values()
-            .filter_map(|it| match it.link {
-                LinkState::Down { retry } if it.listed => Some(retry),
-                _ => None,
-            })
-            .min()
+        self.agents.values().filter_map(|it| it.retry).min()
     }
 
-    /// The agents whose connection may be opened again now.
+    /// The agents whose connection is opened again now.
     pub(super) fn due(&self, now: Time) -> Vec<EndpointName> {
-        let is_due =
-            |it: &&Agent| it.listed && matches!(it.link, LinkState::Down { retry } if retry <= now);
+        let is_due = |it: &&Agent| it.retry.is_some_and(|retry| retry <= now);
         self.agents.values().filter(is_due).map(|it| it.record.endpoint.clone()).collect()
     }
 
     pub(super) fn validate(&self) {
         for (link, endpoint) in &self.by_link {
             let state = self.agents[endpoint].link;
-            assert!(
-                state == LinkState::Up(*link) || state == LinkState::Opening(*link),
-                "{link} of {endpoint}"
-            );
+            let is_linked = state == LinkState::Up(*link) || state == LinkState::Opening(*link);
+            assert!(is_linked, "{link} of {endpoint}");
         }
-        let linked =
-            self.agents.values().filter(|it| !matches!(it.link, LinkState::Down { .. })).count();
+        let linked = self.agents.values().filter(|it| it.link != LinkState::Down).count();
         assert_eq!(linked, self.by_link.len(), "links");
+        let retries = self.agents.values().filter(|it| it.retry.is_some());
+        assert!(
+            retries.into_iter().all(|it| it.link == LinkState::Down),
+            "a retry of an open connection"
+        );
     }
 }
--- a/crates/daisychute-entry/src/core/config.rs
+++ b/crates/daisychute-entry/src/core/config.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use daisychute_platform::MemberSettings;
+
 /// Limits of the entry's core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EntryConfig {
@@ -11,8 +13,10 @@
     pub connect: Duration,
     /// How long a request waits for a lost connection to come back before it is run elsewhere.
     pub resume: Duration,
-    /// The pause before a lost connection is opened again, if no request waits for it.
+    /// The pause before a lost connection is opened again for the requests that wait for it.
     pub reconnect: Duration,
+    /// How the endpoints of the region are kept.
+    pub membership: MemberSettings,
     /// How long after its deadline a request is given up here, if its agent has not done so.
     pub deadline_grace: Duration,
     /// How many bytes of one answer may wait here for the caller.
@@ -33,7 +37,8 @@
             heartbeat: Duration::from_secs(1),
             connect: Duration::from_millis(1_000),
             resume: Duration::from_millis(1_500),
-            reconnect: Duration::from_millis(500),
+            reconnect: Duration::from_millis(50),
+            membership: MemberSettings::default(),
             deadline_grace: Duration::from_millis(250),
             window: 256 << 10,
             attempts: 4,
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -1,12 +1,14 @@
 //! The entry's core.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 
 use daisychute_core::{
     EndpointName, EndpointRecord, Incarnation, Refusal, RefusalReason, RequestId, Revisions, Time,
     Verdict,
 };
 use daisychute_link::LinkId;
+use daisychute_platform::{MemberAction, MemberEvent, Membership, Standing};
 use daisychute_proto::{
     Cancel, Chunk, Credit, End, Frame, Head, Heartbeat, Hello, Refused, Resume,
 };
@@ -29,6 +31,8 @@
     // Invariant: one entry for each request.
     timers: BTreeSet<(Time, RequestId)>,
     agents: Agents,
+    membership: Membership,
+    member_wake: Time,
     budget: RetryBudget,
     revisions: Revisions,
     leaving: bool,
@@ -49,6 +53,8 @@
             requests: BTreeMap::new(),
             timers: BTreeSet::new(),
             agents: Agents::default(),
+            membership: Membership::new(cfg.membership),
+            member_wake: Time::ZERO,
             budget: RetryBudget::default(),
             revisions: Revisions::default(),
             leaving: false,
@@ -105,7 +111,8 @@
     pub fn wake_at(&self) -> Time {
         let timer = self.timers.first().map(|it| it.0);
         let retry = self.agents.next_retry();
-        [timer, retry].into_iter().flatten().fold(self.next_heartbeat, Time::min)
+        let next = self.next_heartbeat.min(self.member_wake);
+        [timer, retry].into_iter().flatten().fold(next, Time::min)
     }
 
     /// Takes one event and adds what must be done to `actions`.
@@ -114,7 +121,7 @@
             Event::Submit { id, submission } => self.on_submit(now, id, *submission, actions),
             Event::CallerTook { id, bytes } => self.on_caller_took(id, bytes, actions),
             Event::CallerGone { id } => self.on_caller_gone(id, actions),
-            Event::Endpoints(records) => self.on_endpoints(now, records, actions),
+            Event::Endpoints(records) => self.member(now, MemberEvent::Listed(records), actions),
             Event::LinkUp { link, hello } => self.on_link_up(now, link, *hello, actions),
             Event::LinkDown { link, gone } => self.on_link_down(now, link, gone, actions),
             Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
@@ -159,27 +166,81 @@
         self.agents.get(&chosen).map(|_| chosen)
     }
 
-    /// Tells the chooser what is known of an endpoint.
-    fn tell_chooser(&mut self, now: Time, endpoint: &EndpointName) {
-        match self.agents.get(endpoint) {
-            Some(agent) if !agent.unreachable => self.chooser.known(now, &agent.record),
-            Some(_) | None => self.chooser.gone(endpoint),
+    /// Feeds the membership core and does what it asks.
+    fn member(&mut self, now: Time, event: MemberEvent, actions: &mut Vec<Action>) {
+        let mut asked = Vec::new();
+        self.membership.handle(now, event, &mut asked);
+        for action in asked {
+            self.act_for_member(now, action, actions);
+        }
+    }
+
+    fn act_for_member(&mut self, now: Time, action: MemberAction, actions: &mut Vec<Action>) {
+        match action {
+            MemberAction::Connect { endpoint, agent } => {
+                if let Some(record) = self.membership.record(&endpoint) {
+                    self.agents.know(record, agent);
+                }
+                self.replace_link(now, &endpoint, actions);
+            }
+            MemberAction::Disconnect { endpoint } => self.disconnect(&endpoint, actions),
+            MemberAction::Changed { endpoint, .. } => self.tell_chooser(now, &endpoint),
+            MemberAction::Removed { endpoint } => {
+                self.chooser.gone(&endpoint);
+                self.agents.forget(&endpoint);
+            }
+            MemberAction::WakeAt(at) => self.member_wake = at,
+            MemberAction::CutOff(_) => {}
         }
     }
 
-    fn on_endpoints(&mut self, now: Time, records: Vec<EndpointRecord>, actions: &mut Vec<Action>) {
-        let before: Vec<EndpointName> = self.agents.names().cloned().collect();
-        let moved = self.agents.list(now, records);
-        let after: Vec<EndpointName> = self.agents.names().cloned().collect();
-        for endpoint in before.iter().chain(&after) {
-            self.tell_chooser(now, endpoint);
+    /// Opens a new connection to an agent, in place of the one that is there.
+    fn replace_link(&mut self, now: Time, endpoint: &EndpointName, actions: &mut Vec<Action>) {
+        if let Some(link) = self.agents.any_link(endpoint) {
+            self.agents.close(link);
+            actions.push(Action::Close { link });
+            self.hold_requests(now, endpoint, actions);
         }
-        for link in moved {
+        self.connect(endpoint, actions);
+    }
+
+    /// Closes the connection to an agent unless a request needs it.
+    fn disconnect(&mut self, endpoint: &EndpointName, actions: &mut Vec<Action>) {
+        let Some(link) = self.agents.any_link(endpoint) else { return };
+        if self.agents.get(endpoint).is_some_and(|it| it.requests.is_empty()) {
+            self.agents.close(link);
             actions.push(Action::Close { link });
-            self.on_link_down(now, link, false, actions);
         }
     }
 
+    /// Tells the chooser what is known of an endpoint.
+    fn tell_chooser(&mut self, now: Time, endpoint: &EndpointName) {
+        let standing = self.membership.standing(endpoint);
+        match self.membership.record(endpoint) {
+            Some(record) if standing.is_some_and(Standing::takes_work) => {
+                self.chooser.known(now, record);
+            }
+            _ => self.chooser.gone(endpoint),
+        }
+    }
+
+    /// An agent has said what its endpoint is. Its address is the one by which it was reached.
+    fn on_record(
+        &mut self,
+        now: Time,
+        addr: SocketAddr,
+        record: EndpointRecord,
+        actions: &mut Vec<Action>,
+    ) {
+        let endpoint = record.endpoint.clone();
+        let record = EndpointRecord { agent: addr, ..record };
+        self.member(now, MemberEvent::Direct(record), actions);
+        if let Some(record) = self.membership.record(&endpoint) {
+            self.agents.know(record, addr);
+        }
+        self.tell_chooser(now, &endpoint);
+    }
+
     /// Sends the present run of a request to its agent, or opens the connection first.
     fn dispatch(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
@@ -195,9 +256,9 @@
     }
 
     fn connect(&mut self, endpoint: &EndpointName, actions: &mut Vec<Action>) {
-        let Some(link) = self.agents.open(endpoint) else { return };
-        let Some(agent) = self.agents.get(endpoint) else { return };
-        actions.push(Action::Connect { link, addr: agent.record.agent });
+        if let Some((link, addr)) = self.agents.open(endpoint) {
+            actions.push(Action::Connect { link, addr });
+        }
     }
 
     fn send_start(&mut self, now: Time, id: RequestId, link: LinkId, actions: &mut Vec<Action>) {
@@ -241,23 +302,35 @@
         let Some(endpoint) = self.agents.of_link(link).cloned() else {
             return actions.push(Action::Close { link });
         };
+        let Some(addr) = self.agents.get(&endpoint).map(|it| it.addr) else { return };
         let is_it = hello.endpoint.as_ref().is_some_and(|it| it.endpoint == endpoint);
-        if !is_it {
+        if is_it {
+            self.on_agent_up(now, link, &endpoint, hello.incarnation, actions);
+            actions.push(Action::PeerRevisions { link, revisions: hello.revisions });
+        } else {
             // Another instance has taken over the address.
             actions.push(Action::Close { link });
-            return self.on_link_down(now, link, false, actions);
+            self.on_link_down(now, link, true, actions);
         }
         if let Some(record) = hello.endpoint {
-            self.agents.direct(&endpoint, record);
+            self.on_record(now, addr, record, actions);
         }
-        let Some(agent) = self.agents.get_mut(&endpoint) else { return };
+    }
+
+    fn on_agent_up(
+        &mut self,
+        now: Time,
+        link: LinkId,
+        endpoint: &EndpointName,
+        incarnation: Incarnation,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(agent) = self.agents.get_mut(endpoint) else { return };
         agent.link = LinkState::Up(link);
-        agent.unreachable = false;
-        self.chooser.known(now, &agent.record);
+        agent.record.incarnation = incarnation;
         let waiting: Vec<RequestId> = agent.requests.iter().copied().collect();
-        actions.push(Action::PeerRevisions { link, revisions: hello.revisions });
         for id in waiting {
-            self.on_agent_back(now, id, link, hello.incarnation, actions);
+            self.on_agent_back(now, id, link, incarnation, actions);
         }
     }
 
@@ -290,33 +363,48 @@
     }
 
     fn on_link_down(&mut self, now: Time, link: LinkId, gone: bool, actions: &mut Vec<Action>) {
-        let Some(endpoint) = self.agents.close(link, now + self.cfg.reconnect) else { return };
-        self.chooser.gone(&endpoint);
-        let Some(agent) = self.agents.get(&endpoint) else { return };
-        let waiting: Vec<RequestId> = agent.requests.iter().copied().collect();
-        for id in waiting {
-            self.on_agent_away(now, id, gone, actions);
+        let Some(endpoint) = self.agents.close(link) else { return };
+        self.member(now, MemberEvent::LinkDown(endpoint.clone()), actions);
+        if gone {
+            self.lose_requests(now, &endpoint, actions);
         }
-        let still_waited_for = self.agents.get(&endpoint).is_some_and(|it| !it.requests.is_empty());
-        if still_waited_for {
-            self.set_retry(&endpoint, now + self.cfg.reconnect / 10);
+        self.hold_requests(now, &endpoint, actions);
+        let Some(agent) = self.agents.get_mut(&endpoint) else { return };
+        if !agent.requests.is_empty() && agent.link == LinkState::Down {
+            agent.retry = Some(now + self.cfg.reconnect);
         }
     }
 
-    fn set_retry(&mut self, endpoint: &EndpointName, retry: Time) {
-        if let Some(agent) = self.agents.get_mut(endpoint) {
-            agent.link = LinkState::Down { retry };
+    /// Requests at an agent that has ended are lost there.
+    fn lose_requests(&mut self, now: Time, endpoint: &EndpointName, actions: &mut Vec<Action>) {
+        for id in self.requests_at(endpoint) {
+            if self.requests.get(&id).is_some_and(|it| it.sent_to.is_some()) {
+                self.on_lost(now, id, RefusalReason::EndpointLost, actions);
+            }
         }
     }
 
-    fn on_agent_away(&mut self, now: Time, id: RequestId, gone: bool, actions: &mut Vec<Action>) {
+    /// Requests at an agent without a connection wait for it to come back, or go elsewhere if they were not sent.
+    fn hold_requests(&mut self, now: Time, endpoint: &EndpointName, actions: &mut Vec<Action>) {
+        for id in self.requests_at(endpoint) {
+            self.on_agent_away(now, id, actions);
+        }
+    }
+
+    fn requests_at(&self, endpoint: &EndpointName) -> Vec<RequestId> {
+        self.agents
+            .get(endpoint)
+            .map(|it| it.requests.iter().copied().collect())
+            .unwrap_or_default()
+    }
+
+    fn on_agent_away(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         match request.state {
             // Nothing was sent: another agent may have it at once.
             RequestState::Connecting => {
                 self.elsewhere(now, id, RefusalReason::EndpointLost, actions)
             }
-            _ if gone => self.on_lost(now, id, RefusalReason::EndpointLost, actions),
             RequestState::Sent | RequestState::Streaming => {
                 self.transition(id, RequestState::Resuming);
                 self.set_timer(id, now + self.cfg.resume);
@@ -327,6 +415,7 @@
 
     fn on_frame(&mut self, now: Time, link: LinkId, frame: Frame, actions: &mut Vec<Action>) {
         let Some(endpoint) = self.agents.of_link(link).cloned() else { return };
+        self.member(now, MemberEvent::Heard(endpoint.clone()), actions);
         match frame {
             Frame::Heartbeat(heartbeat) => {
                 self.on_heartbeat(now, link, &endpoint, heartbeat, actions)
@@ -350,9 +439,9 @@
         heartbeat: Heartbeat,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(record) = heartbeat.endpoint {
-            self.agents.direct(endpoint, record);
-            self.tell_chooser(now, endpoint);
+        let addr = self.agents.get(endpoint).map(|it| it.addr);
+        if let (Some(record), Some(addr)) = (heartbeat.endpoint, addr) {
+            self.on_record(now, addr, record, actions);
         }
         if let (Some(load), Some(agent)) = (heartbeat.load, self.agents.get_mut(endpoint)) {
             agent.load = Some((now, load));
@@ -559,6 +648,9 @@
         for endpoint in self.agents.due(now) {
             self.connect(&endpoint, actions);
         }
+        if now >= self.member_wake {
+            self.member(now, MemberEvent::Tick, actions);
+        }
     }
 
     fn send_heartbeats(&mut self, actions: &mut Vec<Action>) {
--- a/crates/daisychute-platform/src/membership/mod.rs
+++ b/crates/daisychute-platform/src/membership/mod.rs
@@ -41,6 +41,12 @@
         self.members.values().filter(|it| it.standing.takes_work()).map(|it| &it.record)
     }
 
+    /// The best evidence of an endpoint.
+    #[must_use]
+    pub fn record(&self, endpoint: &EndpointName) -> Option<&EndpointRecord> {
+        self.members.get(endpoint).map(|it| &it.record)
+    }
+
     /// How an endpoint stands.
     #[must_use]
     pub fn standing(&self, endpoint: &EndpointName) -> Option<Standing> {
