test(standin): kill the last surviving mutations

Twenty mechanisms were switched off one at a time.

Add cases for adapters, hung calls and the retention of ended requests, a count of the completion calls that came, and an example in the package's documentation.

--- a/crates/daisychute-standin/src/engine/api.rs
+++ b/crates/daisychute-standin/src/engine/api.rs
@@ -56,6 +56,7 @@
 
 impl Api {
     async fn complete(&self, req: &Incoming, call: Call) -> Reply {
+        self.state.seen.borrow_mut().calls += 1;
         if self.state.faults.get().hang {
             return future::pending().await;
         }
--- a/crates/daisychute-standin/src/engine/seen.rs
+++ b/crates/daisychute-standin/src/engine/seen.rs
@@ -60,6 +60,8 @@
     pub conflicts: u64,
     /// Changes that were completed.
     pub changes: u64,
+    /// Completion calls that came, run or not.
+    pub calls: u64,
     /// Ids of requests that were put into the batch, in that order.
     pub started: Vec<String>,
     /// Ids of requests that made all their tokens.
--- a/crates/daisychute-standin/src/lib.rs
+++ b/crates/daisychute-standin/src/lib.rs
@@ -2,6 +2,24 @@
 //!
 //! Each stand-in runs as a subcommand of the program `daisychute-standin` and inside a test through its type here.
 //! All of them are single-threaded and need a running `actix_rt` system.
+//!
+//! ```
+//! use daisychute_standin::Platform;
+//! use daisychute_standin::harness::{ANY_PORT, Client};
+//! use daisychute_standin::platform::PlatformConfig;
+//! use serde_json::json;
+//!
+//! # fn main() -> Result<(), Box<dyn std::error::Error>> {
+//! actix_rt::System::new().block_on(async {
+//!     let platform = Platform::start(ANY_PORT, PlatformConfig::default()).await?;
+//!     platform.put("plans", "morocco", json!({"revision": 1}));
+//!     let client = Client::new(platform.local_addr());
+//!     let answer = client.get("/apis/daisychute.dev/v1/plans/morocco").await?;
+//!     assert_eq!(answer.status, 200);
+//!     Ok(())
+//! })
+//! # }
+//! ```
 
 mod error;
 mod http;
--- a/crates/daisychute-standin/tests/engine.rs
+++ b/crates/daisychute-standin/tests/engine.rs
@@ -47,6 +47,9 @@
     a_known_prefix_is_cached: cached_prefix(),
     a_small_cache_evicts: evictions(),
     a_used_chain_is_evicted_from_its_end: used_chain(),
+    an_adapter_is_asked_for_by_name: adapter(),
+    a_hung_call_does_not_run: hang(),
+    the_last_requests_can_be_resumed: kept_requests(),
     cache_events_come_late: late_events(),
     cache_events_have_gaps: lost_events(),
     load_is_reported: load(),
@@ -314,17 +317,54 @@
 }
 
 async fn used_chain() -> Outcome {
-    let (_engine, client) = start(EngineConfig { cache_blocks: 3, ..fast_engine() }).await;
+    let config = EngineConfig { cache_blocks: 3, prefill_chunk: 1, ..fast_engine() };
+    let (engine, client) = start(config).await;
     let blocks = prompt_blocks(&words(48));
-    for (id, prompt) in [("a", words(48)), ("b", words(48)), ("c", "other ".repeat(16))] {
-        client.post(COMPLETIONS, &completion(id, &prompt, 1)).await?;
-    }
+    client.post(COMPLETIONS, &completion("a", &words(48), 1)).await?;
+    // Uses the chain and is cancelled before it stores it again.
+    let longer = words(48) + &"tail ".repeat(10_000);
+    send_all(&engine, &client, &[completion("b", &longer, 1)]).await?;
+    client.post("/requests/b/cancel", &json!({})).await?;
+    client.post(COMPLETIONS, &completion("c", &"other ".repeat(16), 1)).await?;
     let events: CacheEvents = client.get("/cache/events?from=0").await?.json()?;
     let last = events.events.last().expect("an event");
     assert_eq!((last.r#type, &last.blocks), (CacheEventType::Evicted, &vec![blocks[2]]));
     Ok(())
 }
 
+async fn adapter() -> Outcome {
+    let mut config = fast_engine();
+    config.target.adapter = Some("plates".try_into().expect("a name"));
+    let (_engine, client) = start(config).await;
+    let req = with(completion("a", PROMPT, 2), &json!({"model": "plates"}));
+    assert_eq!(text(&client.post(COMPLETIONS, &req).await?), output_text(PROMPT, 2));
+    Ok(())
+}
+
+async fn hang() -> Outcome {
+    let (engine, client) = start(fast_engine()).await;
+    engine.set_faults(EngineFaults { hang: true, ..EngineFaults::default() });
+    let hung = client.clone();
+    let call = actix_rt::spawn(async move { hung.post(COMPLETIONS, &streamed("a", 2)).await });
+    wait_until("the call has come", LIMIT, || engine.seen().calls == 1).await?;
+    engine.set_faults(EngineFaults::default());
+    client.post(COMPLETIONS, &streamed("b", 2)).await?;
+    assert!(!call.is_finished());
+    assert_eq!(engine.seen().started, ["b"]);
+    Ok(())
+}
+
+async fn kept_requests() -> Outcome {
+    let (_engine, client) = start(EngineConfig { kept_requests: 2, ..fast_engine() }).await;
+    for id in ["a", "b", "c"] {
+        client.post(COMPLETIONS, &completion(id, PROMPT, 2)).await?;
+    }
+    assert_eq!(client.get("/requests/a/stream?from=0").await?.status, 404);
+    let kept = client.get("/requests/b/stream?from=0").await?.text();
+    assert_eq!(streamed_text(&kept), output_text(PROMPT, 2));
+    Ok(())
+}
+
 async fn late_events() -> Outcome {
     let event_lag = Duration::from_millis(500);
     let (_engine, client) = start(EngineConfig { event_lag, ..fast_engine() }).await;
