feat(agent): add the shell of the order core

`OrderShell` calls `GET /state` and `POST /orders`, runs the timer of the order core, and tells the agent what to admit, when to drain and when to confirm the plan. An answer that the engine gives within no deadline, and any 5xx, counts as unknown.

--- a/crates/daisychute-agent/src/orders/event.rs
+++ b/crates/daisychute-agent/src/orders/event.rs
@@ -1,11 +1,12 @@
 //! What the order core is told and what it asks for.
 
 use daisychute_core::{Desired, EngineTarget, Revision, Time};
+use serde::{Deserialize, Serialize};
 
 use super::EngineState;
 
-/// An order to the engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// An order to the engine: the body of `POST /orders`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
     /// The fencing number: the plan revision that last changed the entry of this endpoint.
     pub fence: Revision,
--- a/crates/daisychute-agent/src/orders/mod.rs
+++ b/crates/daisychute-agent/src/orders/mod.rs
@@ -1,4 +1,6 @@
-//! The order core: turns the plan's entry for one endpoint into orders to its engine, one at a time.
+//! The order core and its shell.
+//!
+//! [`Orders`] turns the plan's entry for one endpoint into orders to its engine, one at a time. [`OrderShell`] runs it.
 //!
 //! A change goes through fixed steps: look at the engine, confirm the plan on the platform, drain, confirm again,
 //! look again, order, look until it is settled. Only the order itself has an effect on the engine, and it is given
@@ -23,10 +25,12 @@
 //! assert!(out.contains(&OrderAction::Admit(false)));
 //! ```
 
+mod engine_client;
 mod engine_state;
 mod event;
 mod phase;
 mod settings;
+mod shell;
 
 use daisychute_core::{Desired, EndpointKind, EngineTarget, Revision, Time};
 use daisychute_platform::Backoff;
@@ -38,6 +42,7 @@
 pub use self::engine_state::EngineState;
 pub use self::event::{Order, OrderAction, OrderAnswer, OrderEvent};
 pub use self::settings::OrderSettings;
+pub use self::shell::{OrderOutput, OrderShell};
 
 /// Decision core of the orders to one endpoint.
 #[derive(Debug)]
