--- a/crates/daisychute-platform/src/client/mod.rs
+++ b/crates/daisychute-platform/src/client/mod.rs
@@ -9,9 +9,10 @@
 use std::rc::Rc;
 
 use awc::http::Method;
+use daisychute_runtime::Clock;
 use serde::Deserialize;
 
-use crate::{CallBudget, Clock, Metadata, Object, ObjectKind, ObjectList, ResourceVersion};
+use crate::{CallBudget, Metadata, Object, ObjectKind, ObjectList, ResourceVersion};
 
 pub use self::error::{CallError, OutageCause};
 pub use self::settings::ClientSettings;
