--- /dev/null
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -0,0 +1,347 @@
+//! The agent's task: one loop that feeds the core and does what it asks.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::time::Duration;
+
+use daisychute_core::{
+    DataCentreName, EndpointStatus, ProcessName, ProcessRole, ProcessState, ProcessStatus,
+    RegionName, RequestId, Revisions, Time,
+};
+use daisychute_link::{Documents, Link, LinkConfig, LinkEvent, LinkId, accept};
+use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
+use daisychute_runtime::Clock;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::orders_driver::OrdersDriver;
+use super::{AgentHandle, EndpointClient, Input, Reporter};
+use crate::Admit;
+use crate::core::{Action, AgentCore, Event};
+use crate::orders::{OrderAction, OrderEvent};
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Who the agent is and where it listens.
+#[derive(Debug, Clone)]
+pub struct AgentOptions {
+    /// Its name.
+    pub process: ProcessName,
+    /// Where it runs.
+    pub data_centre: DataCentreName,
+    /// The region of that data centre.
+    pub region: RegionName,
+    /// Base URL of the endpoint.
+    pub endpoint_url: String,
+    /// Time limits of the connections.
+    pub link: LinkConfig,
+}
+
+/// The agent's task.
+#[derive(Debug)]
+pub struct AgentShell<A, D> {
+    options: AgentOptions,
+    core: AgentCore<A>,
+    clock: Clock,
+    endpoint: EndpointClient,
+    listener: TcpListener,
+    links: BTreeMap<LinkId, (ProcessName, Link)>,
+    orders: OrdersDriver,
+    documents: D,
+    runs: BTreeMap<RequestId, JoinHandle<()>>,
+    revisions: Revisions,
+    next_link: u64,
+    leaving: bool,
+    tx: UnboundedSender<Input>,
+    rx: UnboundedReceiver<Input>,
+    link_tx: UnboundedSender<LinkEvent>,
+    link_rx: UnboundedReceiver<LinkEvent>,
+}
+
+impl<A: Admit, D: Documents> AgentShell<A, D> {
+    /// Prepares the task. Connections wait in the system's queue until [`AgentShell::run`].
+    ///
+    /// # Errors
+    ///
+    /// What the system says of the listener.
+    pub fn new(
+        options: AgentOptions,
+        core: AgentCore<A>,
+        clock: Clock,
+        listener: StdListener,
+        documents: D,
+    ) -> io::Result<Self> {
+        listener.set_nonblocking(true)?;
+        let (tx, rx) = unbounded_channel();
+        let (link_tx, link_rx) = unbounded_channel();
+        Ok(Self {
+            endpoint: EndpointClient::new(&options.endpoint_url),
+            orders: OrdersDriver::new(
+                &core.record().kind,
+                clock.now(),
+                core.record().incarnation.get(),
+            ),
+            documents,
+            listener: TcpListener::from_std(listener)?,
+            options,
+            core,
+            clock,
+            links: BTreeMap::new(),
+            runs: BTreeMap::new(),
+            revisions: Revisions::default(),
+            next_link: 0,
+            leaving: false,
+            tx,
+            rx,
+            link_tx,
+            link_rx,
+        })
+    }
+
+    /// For reaching the task.
+    #[must_use]
+    pub fn handle(&self) -> AgentHandle {
+        AgentHandle::new(self.tx.clone())
+    }
+
+    /// Serves until [`AgentHandle::leave`] was called and every request has been answered.
+    pub async fn run(mut self) {
+        while !(self.leaving && self.core.jobs().is_empty()) {
+            let wake = Instant::from_std(self.clock.instant(self.wake_at()));
+            tokio::select! {
+                Some(input) = self.rx.recv() => self.on_input(input),
+                Some(event) = self.link_rx.recv() => self.on_link_event(event),
+                accepted = self.listener.accept() => self.on_accept(accepted).await,
+                () = sleep_until(wake) => self.on_wake(),
+            }
+            self.check_drained();
+        }
+        for (_, link) in self.links.values() {
+            link.close(GoodbyeReason::Leaving);
+        }
+    }
+
+    fn wake_at(&self) -> Time {
+        self.orders.wake_at().map_or(self.core.wake_at(), |it| it.min(self.core.wake_at()))
+    }
+
+    fn on_wake(&mut self) {
+        let now = self.clock.now();
+        if self.core.wake_at() <= now {
+            self.feed(Event::Wake);
+        }
+        if self.orders.wake_at().is_some_and(|it| it <= now) {
+            self.order(OrderEvent::Tick);
+        }
+    }
+
+    fn check_drained(&mut self) {
+        if self.orders.awaits_drained() && self.core.open() == 0 {
+            self.order(OrderEvent::Drained);
+        }
+    }
+
+    /// Feeds the order core and does what it asks.
+    fn order(&mut self, event: OrderEvent) {
+        for action in self.orders.handle(self.clock.now(), event) {
+            self.act_on_order(action);
+        }
+    }
+
+    fn act_on_order(&mut self, action: OrderAction) {
+        match action {
+            OrderAction::Admit(admit) => self.feed(Event::Drain(!admit)),
+            OrderAction::ConfirmPlan => self.documents.confirm_plan(),
+            OrderAction::ReadState => {
+                let (endpoint, tx) = (self.endpoint.clone(), self.tx.clone());
+                actix_rt::spawn(async move {
+                    let state = endpoint.state().await;
+                    let _ = tx.send(Input::Order(OrderEvent::State(state)));
+                });
+            }
+            OrderAction::Order(order) => {
+                log::info!(fence:% = order.fence; "ordering a change of the engine");
+                let (endpoint, tx) = (self.endpoint.clone(), self.tx.clone());
+                actix_rt::spawn(async move {
+                    let answer = endpoint.order(order).await;
+                    let _ = tx.send(Input::Order(OrderEvent::Answered(answer)));
+                });
+            }
+            OrderAction::Observed(target) => self.feed(Event::Target(target)),
+            OrderAction::Superseded { fence } => {
+                log::warn!(fence:%; "the engine took an order with a higher fencing number");
+            }
+            OrderAction::Failed { order } => {
+                log::warn!(fence:% = order.fence; "a change of the engine failed and will be tried again");
+            }
+            // The driver keeps these.
+            OrderAction::Drain | OrderAction::WakeAt(_) => {}
+        }
+    }
+
+    async fn on_accept(&mut self, accepted: io::Result<(tokio::net::TcpStream, SocketAddr)>) {
+        match accepted {
+            Ok((stream, _)) => {
+                self.next_link += 1;
+                let id = LinkId::new(self.next_link);
+                accept(stream, id, self.hello(), self.options.link, self.link_tx.clone());
+            }
+            Err(error) => {
+                log::warn!("accept failed: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            version: PROTOCOL_VERSION,
+            min_version: PROTOCOL_VERSION,
+            process: self.options.process.clone(),
+            incarnation: self.core.record().incarnation,
+            role: ProcessRole::Agent,
+            data_centre: self.options.data_centre.clone(),
+            region: self.options.region.clone(),
+            endpoint: Some(self.core.record().clone()),
+            revisions: self.revisions,
+        }
+    }
+
+    fn on_input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => {
+                if let Event::Revisions(revisions) = &event {
+                    self.revisions = *revisions;
+                }
+                self.feed(event);
+            }
+            Input::Order(event) => self.order(event),
+            Input::Plan { revision, desired } => self.order(OrderEvent::Plan { revision, desired }),
+            Input::Send { peer, frame } => self.send_to(&peer, *frame),
+            Input::Status(tx) => {
+                // The asker may be gone.
+                let _ = tx.send(self.status());
+            }
+            Input::Leave => {
+                self.leaving = true;
+                self.order(OrderEvent::Leaving);
+                self.feed(Event::Drain(true));
+            }
+        }
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { id, hello, link } => {
+                log::debug!(link:% = id, peer:% = hello.process; "connected");
+                self.documents.heard(&hello.process, hello.revisions);
+                self.links.insert(id, (hello.process, link));
+                self.feed(Event::LinkUp { link: id });
+            }
+            LinkEvent::Frame { id, frame } => self.on_frame(id, frame),
+            LinkEvent::Down { id, .. } => {
+                if let Some((peer, _)) = self.links.remove(&id) {
+                    self.on_peer_down(&peer);
+                }
+                self.feed(Event::LinkDown { link: id });
+            }
+        }
+    }
+
+    fn on_frame(&mut self, id: LinkId, frame: Box<Frame>) {
+        let Some((peer, _)) = self.links.get(&id) else { return };
+        match *frame {
+            Frame::Heartbeat(heartbeat) => self.documents.heard(peer, heartbeat.revisions),
+            Frame::Pull(_) | Frame::Document(_) => self.documents.frame(peer, *frame),
+            _ => self.feed(Event::Frame { link: id, frame }),
+        }
+    }
+
+    fn on_peer_down(&self, peer: &ProcessName) {
+        if !self.links.values().any(|(it, _)| it == peer) {
+            self.documents.gone(peer);
+        }
+    }
+
+    fn send_to(&self, peer: &ProcessName, frame: Frame) {
+        // The newest connection has the highest number.
+        if let Some((_, link)) = self.links.values().rev().find(|(it, _)| it == peer) {
+            link.send(frame);
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.core.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { link, frame } => {
+                if let Some((_, link)) = self.links.get(&link) {
+                    link.send(*frame);
+                }
+            }
+            Action::Run { start } => {
+                let id = start.id;
+                let reporter = Reporter::new(start, self.tx.clone());
+                let run = actix_rt::spawn(self.endpoint.clone().run(reporter));
+                self.remember_run(id, run);
+            }
+            Action::ResumeRun { start, from_tokens } => {
+                let id = start.id;
+                let reporter = Reporter::new(start, self.tx.clone());
+                let run = actix_rt::spawn(self.endpoint.clone().resume(reporter, from_tokens));
+                self.remember_run(id, run);
+            }
+            Action::Abort { id, .. } => {
+                if let Some(run) = self.runs.remove(&id) {
+                    run.abort();
+                }
+                if let Some(job) = self.core.jobs().get(&id) {
+                    actix_rt::spawn(self.endpoint.clone().cancel(job.shared_start()));
+                }
+            }
+        }
+    }
+
+    fn remember_run(&mut self, id: RequestId, run: JoinHandle<()>) {
+        self.runs.retain(|_, it| !it.is_finished());
+        self.runs.insert(id, run);
+    }
+
+    fn status(&self) -> ProcessStatus {
+        let record = self.core.record();
+        let endpoint = EndpointStatus {
+            endpoint: record.endpoint.clone(),
+            data_centre: record.data_centre.clone(),
+            kind: record.kind.clone(),
+            state: record.state,
+            target: record.target.clone(),
+            changing: false,
+            load: Some(self.core.load(self.clock.now())),
+        };
+        ProcessStatus {
+            process: self.options.process.clone(),
+            role: ProcessRole::Agent,
+            incarnation: record.incarnation,
+            region: self.options.region.clone(),
+            data_centre: self.options.data_centre.clone(),
+            instance: record.instance.clone(),
+            state: if self.leaving { ProcessState::Leaving } else { ProcessState::Ready },
+            duties: Vec::new(),
+            revisions: self.revisions,
+            platform_heard: None,
+            in_flight: u32::try_from(self.core.open()).unwrap_or(u32::MAX),
+            endpoints: vec![endpoint],
+            peers: Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daisychute-agent/src/shell/handle.rs
@@ -0,0 +1,54 @@
+//! Reaching a running agent.
+
+use daisychute_core::{Desired, ProcessName, ProcessStatus, Revision};
+use daisychute_proto::Frame;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+
+use super::Input;
+use crate::core::Event;
+use crate::orders::OrderEvent;
+
+/// For reaching a running agent from the same process.
+#[derive(Debug, Clone)]
+pub struct AgentHandle {
+    tx: UnboundedSender<Input>,
+}
+
+impl AgentHandle {
+    pub(super) const fn new(tx: UnboundedSender<Input>) -> Self {
+        Self { tx }
+    }
+
+    /// Tells the core something.
+    pub fn event(&self, event: Event) {
+        let _ = self.tx.send(Input::Event(event));
+    }
+
+    /// The plan in force has this entry for the endpoint.
+    pub fn plan(&self, revision: Revision, desired: Option<Desired>) {
+        let _ = self.tx.send(Input::Plan { revision, desired });
+    }
+
+    /// The plan on the platform has this revision, or could not be read.
+    pub fn plan_read(&self, revision: Option<Revision>) {
+        let _ = self.tx.send(Input::Order(OrderEvent::PlanRead(revision)));
+    }
+
+    /// Sends a frame about the documents to a peer, if there is a connection to it.
+    pub fn send(&self, peer: ProcessName, frame: Box<Frame>) {
+        let _ = self.tx.send(Input::Send { peer, frame });
+    }
+
+    /// Asks it to take no new work and to end when all requests have been answered.
+    pub fn leave(&self) {
+        let _ = self.tx.send(Input::Leave);
+    }
+
+    /// A picture of the agent; none when it has ended.
+    pub async fn status(&self) -> Option<ProcessStatus> {
+        let (tx, rx) = oneshot::channel();
+        self.tx.send(Input::Status(tx)).ok()?;
+        rx.await.ok()
+    }
+}
--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -16,9 +16,11 @@
 
 mod class;
 mod configuration;
+mod drains;
 mod endpoint;
 mod error;
 mod incarnation;
+mod job;
 mod load;
 mod model;
 mod name;
@@ -27,24 +29,30 @@
 mod request_id;
 mod revision;
 mod service;
+mod status;
 mod tenant;
 mod time;
 
-pub use crate::class::{Class, ClassTargets, Precedence};
+pub use crate::class::{Class, ClassTargets, Precedence, TargetError};
 pub use crate::configuration::{Configuration, ConfigurationError, Preference};
+pub use crate::drains::Drains;
 pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
 pub use crate::error::NameError;
 pub use crate::incarnation::Incarnation;
+pub use crate::job::{JobState, JobStatus};
 pub use crate::load::LoadReport;
 pub use crate::model::Model;
 pub use crate::name::{
-    AdapterName, ClassName, DataCentreName, EndpointName, InstanceName, ModelName, ModelVersion,
-    ProcessName, RegionName, ServiceName, TenantName,
+    AdapterName, ClassName, DataCentreName, DeploymentName, EndpointName, InstanceName, ModelName,
+    ModelVersion, ProcessName, RegionName, ServiceName, TenantName,
 };
 pub use crate::outcome::{FinishReason, Refusal, RefusalReason, Usage, Verdict};
 pub use crate::plan::{Desired, Plan};
 pub use crate::request_id::{ParseRequestIdError, RequestId};
 pub use crate::revision::{Revision, Term};
 pub use crate::service::{Route, RouteKind, Service};
+pub use crate::status::{
+    Duty, EndpointStatus, PeerStatus, ProcessRole, ProcessState, ProcessStatus, Revisions,
+};
 pub use crate::tenant::Tenant;
 pub use crate::time::Time;
--- /dev/null
+++ b/crates/daisychuted/src/agent.rs
@@ -0,0 +1,120 @@
+//! The daemon as an agent.
+
+use std::net::TcpListener;
+
+use daisychute_agent::PolicyAdmit;
+use daisychute_agent::core::{AgentConfig, AgentCore, Event};
+use daisychute_agent::shell::{AgentHandle, AgentOptions, AgentShell};
+use daisychute_core::{EndpointName, EndpointRecord, EndpointState, Incarnation, ProcessStatus};
+use daisychute_link::LinkConfig;
+use daisychute_planner::ControlOutput;
+use daisychute_proto::Revisions;
+use daisychute_runtime::{Clock, stop_requested};
+use daisychute_settings::{AgentSettings, Settings};
+use tokio::time::timeout;
+
+use crate::admin::{Admin, Subject};
+use crate::control::Role;
+use crate::entry::{bind, http_limits};
+use crate::shared_documents::SharedDocuments;
+use crate::{DaemonError, control, metrics};
+
+pub(crate) async fn run(
+    settings: Settings,
+    role: AgentSettings,
+    incarnation: Incarnation,
+) -> Result<(), DaemonError> {
+    let metrics = metrics::install()?;
+    let inner = settings.listen.inner;
+    let listener = TcpListener::bind(inner).map_err(|source| DaemonError::Listen {
+        listener: "inner",
+        addr: inner,
+        source,
+    })?;
+    let admin = bind("admin", settings.listen.admin, http_limits(&settings.limits))?;
+    let core = AgentCore::new(
+        agent_config(&settings),
+        PolicyAdmit::new(&role.endpoint.kind),
+        record(&settings, &role, incarnation),
+    );
+    let (control, outputs) = control::start(&settings, incarnation, control::client(&settings));
+    let documents = SharedDocuments::new(control.clone());
+    let options = agent_options(&settings, &role);
+    let shell = AgentShell::new(options, core, Clock::start(), listener, documents)
+        .map_err(|source| DaemonError::Serve { listener: "inner", source })?;
+    let handle = shell.handle();
+
+    let endpoint = role.endpoint.name.clone();
+    let subject = AgentRole { agent: handle.clone(), endpoint };
+    actix_rt::spawn(control::run(control, outputs, subject));
+    let answers = Admin::new(handle.clone(), metrics);
+    actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
+    log::info!("agent {} of {} listens at {inner}", settings.process.name, role.endpoint.name);
+
+    let task = actix_rt::spawn(shell.run());
+    stop_requested().await.map_err(DaemonError::Signals)?;
+    log::info!("agent {} is leaving", settings.process.name);
+    handle.leave();
+    if timeout(settings.timing.drain, task).await.is_err() {
+        log::warn!("requests are still open after {:?}", settings.timing.drain);
+    }
+    log::info!("agent {} has left", settings.process.name);
+    Ok(())
+}
+
+/// The agent with the name of its endpoint.
+#[derive(Debug, Clone)]
+struct AgentRole {
+    agent: AgentHandle,
+    endpoint: EndpointName,
+}
+
+impl Subject for AgentRole {
+    async fn status(&self) -> Option<ProcessStatus> {
+        self.agent.status().await
+    }
+}
+
+impl Role for AgentRole {
+    fn revisions(&self, revisions: Revisions) {
+        self.agent.event(Event::Revisions(revisions));
+    }
+
+    fn output(&self, output: ControlOutput) {
+        match output {
+            ControlOutput::Frame { peer, frame } => self.agent.send(peer, frame),
+            ControlOutput::Plan(plan) => {
+                self.agent.plan(plan.revision, control::desired(&plan, &self.endpoint));
+            }
+            ControlOutput::PlanConfirmed(revision) => self.agent.plan_read(revision),
+            _ => {}
+        }
+    }
+}
+
+fn agent_config(settings: &Settings) -> AgentConfig {
+    AgentConfig { heartbeat: settings.timing.heartbeat, ..AgentConfig::default() }
+}
+
+fn record(settings: &Settings, role: &AgentSettings, incarnation: Incarnation) -> EndpointRecord {
+    EndpointRecord {
+        endpoint: role.endpoint.name.clone(),
+        instance: settings.process.instance.clone(),
+        data_centre: settings.process.data_centre.clone(),
+        kind: role.endpoint.kind.clone(),
+        agent: settings.listen.inner,
+        incarnation,
+        state: EndpointState::Live,
+        target: None,
+    }
+}
+
+fn agent_options(settings: &Settings, role: &AgentSettings) -> AgentOptions {
+    AgentOptions {
+        process: settings.process.name.clone(),
+        data_centre: settings.process.data_centre.clone(),
+        region: settings.process.region.clone(),
+        endpoint_url: role.endpoint.url.as_str().to_owned(),
+        link: LinkConfig::default().silence(settings.timing.silence),
+    }
+}
--- /dev/null
+++ b/crates/daisychuted/src/logging.rs
@@ -0,0 +1,122 @@
+//! Structured logs on standard error.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::io;
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use daisychute_core::{Incarnation, ProcessName};
+use daisychute_settings::{LogFormat, LogLevel, LogSettings};
+use fern::Dispatch;
+use humantime::format_rfc3339_micros;
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Record};
+use serde::Serialize;
+
+use crate::DaemonError;
+
+/// Lines of other packages are logged from this severity.
+const LIBRARY_LEVEL: LevelFilter = LevelFilter::Warn;
+/// Target prefix of our own packages.
+const OWN: &str = "daisychute";
+
+/// What every line of a process says.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    pub(crate) process: ProcessName,
+    pub(crate) incarnation: Incarnation,
+}
+
+#[derive(Serialize)]
+struct JsonLine<'a> {
+    time: String,
+    level: &'a str,
+    target: &'a str,
+    process: &'a ProcessName,
+    incarnation: String,
+    message: String,
+    #[serde(flatten)]
+    fields: Fields,
+}
+
+/// The key-value pairs of one record.
+#[derive(Debug, Default, Serialize)]
+#[serde(transparent)]
+struct Fields(BTreeMap<String, String>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.insert(key.as_str().to_owned(), value.to_string());
+        Ok(())
+    }
+}
+
+/// Installs the logger of the process.
+pub(crate) fn install(settings: &LogSettings, identity: Identity) -> Result<(), DaemonError> {
+    let level = filter(settings.level);
+    let format = settings.format;
+    let identity = Arc::new(identity);
+    Dispatch::new()
+        .level(level)
+        .filter(move |it| it.target().starts_with(OWN) || it.level() <= LIBRARY_LEVEL)
+        .format(move |out, message, record| {
+            let line = match format {
+                LogFormat::KeyValue => key_value_line(&identity, &message.to_string(), record),
+                LogFormat::Json => json_line(&identity, &message.to_string(), record),
+            };
+            out.finish(format_args!("{line}"));
+        })
+        .chain(io::stderr())
+        .apply()?;
+    Ok(())
+}
+
+const fn filter(level: LogLevel) -> LevelFilter {
+    match level {
+        LogLevel::Error => LevelFilter::Error,
+        LogLevel::Warn => LevelFilter::Warn,
+        LogLevel::Info => LevelFilter::Info,
+        LogLevel::Debug => LevelFilter::Debug,
+        LogLevel::Trace => LevelFilter::Trace,
+    }
+}
+
+fn fields(record: &Record<'_>) -> Fields {
+    let mut fields = Fields::default();
+    // Collecting into a map can't fail.
+    let _ = record.key_values().visit(&mut fields);
+    fields
+}
+
+fn now() -> String {
+    format_rfc3339_micros(SystemTime::now()).to_string()
+}
+
+fn key_value_line(identity: &Identity, message: &str, record: &Record<'_>) -> String {
+    let Identity { process, incarnation } = identity;
+    let (level, target) = (record.level(), record.target());
+    let mut line = format!(
+        "time={} level={level} target={target} process={process} incarnation={incarnation} message={message:?}",
+        now(),
+    );
+    for (key, value) in fields(record).0 {
+        // Writing to a string can't fail.
+        let _ = write!(line, " {key}={value:?}");
+    }
+    line
+}
+
+fn json_line(identity: &Identity, message: &str, record: &Record<'_>) -> String {
+    let line = JsonLine {
+        time: now(),
+        level: record.level().as_str(),
+        target: record.target(),
+        process: &identity.process,
+        incarnation: identity.incarnation.to_string(),
+        message: message.to_owned(),
+        fields: fields(record),
+    };
+    // Every field is a string.
+    serde_json::to_string(&line).unwrap_or_default()
+}
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -1,12 +1,15 @@
 //! Errors of the chores.
 
 use std::io;
+use std::path::PathBuf;
 
-use miette::Diagnostic;
+use daisychute_load::trace::TraceError;
+use daisychute_standin::harness::HarnessError;
+use daisychute_testbed::TestbedError;
 use thiserror::Error;
 
 /// Why a chore failed.
-#[derive(Debug, Error, Diagnostic)]
+#[derive(Debug, Error)]
 pub(crate) enum XtaskError {
     /// A program could not be started.
     #[error("{program} could not be started")]
@@ -17,10 +20,31 @@
         #[source]
         source: io::Error,
     },
+    /// A deployment could not be driven.
+    #[error(transparent)]
+    Testbed(#[from] TestbedError),
+    /// A step of the deployment failed.
+    #[error(transparent)]
+    Harness(#[from] HarnessError),
+    /// The demo did not show what it must.
+    #[error("the demo failed: {0}")]
+    Demo(&'static str),
     /// A program ended with a failure.
     #[error("{command} failed")]
     Failed {
         /// The program and its arguments.
         command: String,
     },
+    /// A file or directory can't be read.
+    #[error("{} can't be read", path.display())]
+    Read {
+        /// The file or directory.
+        path: PathBuf,
+        /// What the system said.
+        #[source]
+        source: io::Error,
+    },
+    /// A trace can't be read.
+    #[error(transparent)]
+    Trace(#[from] TraceError),
 }
