feat(proto): add the frames of owners and hand-overs

LeaseQuestion and LeaseAnswer between an owner and its standbys, HandOver and HandOverTaken between two owners, with conversions in daisychute-ledger. Ruled out: opaque bytes, which the codec's checks would not reach. Conclusion: a hand-over comes through its frame unchanged (cases.rs).

--- a/crates/daisychute-ledger/src/ledger/digest.rs
+++ b/crates/daisychute-ledger/src/ledger/digest.rs
@@ -19,4 +19,16 @@
         }
         Self(hash.digest128())
     }
+
+    /// The upper and the lower half.
+    #[must_use]
+    pub const fn halves(self) -> (u64, u64) {
+        ((self.0 >> 64) as u64, self.0 as u64)
+    }
+
+    /// The digest with these halves, upper first.
+    #[must_use]
+    pub const fn from_halves((upper, lower): (u64, u64)) -> Self {
+        Self((upper as u128) << 64 | lower as u128)
+    }
 }
--- a/crates/daisychute-ledger/src/ledger/key.rs
+++ b/crates/daisychute-ledger/src/ledger/key.rs
@@ -71,6 +71,12 @@
         self.origin
     }
 
+    /// The tenant.
+    #[must_use]
+    pub const fn tenant(&self) -> &TenantName {
+        &self.tenant
+    }
+
     /// The key as text.
     #[must_use]
     pub fn as_str(&self) -> &str {
--- a/crates/daisychute-ledger/src/lib.rs
+++ b/crates/daisychute-ledger/src/lib.rs
@@ -38,6 +38,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod frames;
 mod hand_over;
 mod jobs;
 mod ledger;
@@ -61,5 +62,5 @@
     Slot, SlotMap, SlotOwner, TakeoverAction, TakeoverCore, TakeoverEvent,
 };
 pub use crate::service_ledger::{ServiceLedger, ServiceLedgerAction, ServiceLedgerEvent};
-pub use crate::store::{ProcessId, PutResult, ReadResult, Stored, Version, WriteId};
+pub use crate::store::{ProcessId, PutResult, ReadResult, Stored, Version, VersionError, WriteId};
 pub use crate::wall_time::WallTime;
--- a/crates/daisychute-ledger/src/owner/id.rs
+++ b/crates/daisychute-ledger/src/owner/id.rs
@@ -49,6 +49,12 @@
         Self(number)
     }
 
+    /// Its number.
+    #[must_use]
+    pub const fn get(self) -> u16 {
+        self.0
+    }
+
     /// Its place in the table.
     #[must_use]
     pub const fn index(self) -> usize {
--- a/crates/daisychute-ledger/src/store.rs
+++ b/crates/daisychute-ledger/src/store.rs
@@ -4,6 +4,7 @@
 
 use daisychute_core::{Incarnation, ProcessName};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
 /// One start of one process.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -52,6 +53,19 @@
     }
 }
 
+impl TryFrom<&str> for Version {
+    type Error = VersionError;
+
+    fn try_from(raw: &str) -> Result<Self, VersionError> {
+        raw.parse().map(Self).map_err(|_| VersionError)
+    }
+}
+
+/// The text is no version that can be ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("a resource version is a decimal number")]
+pub struct VersionError;
+
 /// Tells one write from every other. It is stored with the object, so that a lost answer is settled by reading.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WriteId {
--- a/crates/daisychute-ledger/tests/cases.rs
+++ b/crates/daisychute-ledger/tests/cases.rs
@@ -1,6 +1,7 @@
 //! Single cases that random schedules hardly reach.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,11 +9,12 @@
     Incarnation, ProcessName, Refusal, RefusalReason, RequestId, TenantName, Time, Verdict,
 };
 use daisychute_ledger::{
-    Answer, CallDigest, CallKey, JobKeeper, JobLimits, KeeperAction, KeeperEvent, LedgerAction,
-    LedgerCore, LedgerEvent, LedgerLimits, NewCall, OwnerAction, OwnerCore, OwnerEvent, OwnerTable,
-    OwnerTimes, ProcessId, PutResult, ReadResult, SegmentId, Slot, Standing, Stored, Version,
-    WallTime, WriteId,
+    Answer, CallDigest, CallKey, EndedCall, Ending, HandOverPart, JobKeeper, JobLimits,
+    KeeperAction, KeeperEvent, LedgerAction, LedgerCore, LedgerEvent, LedgerLimits, NewCall,
+    OwnerAction, OwnerCore, OwnerEvent, OwnerId, OwnerTable, OwnerTimes, ProcessId, PutResult,
+    ReadResult, SegmentId, Slot, Standing, Stored, Version, WallTime, WriteId,
 };
+use daisychute_proto::{Frame, HandOver};
 
 const LIMITS: LedgerLimits = LedgerLimits {
     retention: Duration::from_secs(100),
@@ -219,3 +221,25 @@
     let delete = KeeperAction::Delete { segment: stray.clone(), expect: Version::ABSENT };
     assert_eq!(tell(absent()), [delete]);
 }
+
+#[test]
+fn hand_over_survives_its_frame() {
+    let owner = |name: &str| OwnerId::first(process(name)).next();
+    let answer = Answer { status: 201, content_type: Some("text/plain".into()), body: "41".into() };
+    let unknown = Ending::Unknown(Refusal::unknown(RefusalReason::BadAnswer));
+    let ended = |text: &str, ending| EndedCall {
+        key: key(text),
+        digest: CallDigest::of("POST", "/counts", text.as_bytes()),
+        ending,
+    };
+    let part = HandOverPart {
+        from: owner("agent-1"),
+        to: owner("agent-2"),
+        slot: Slot::new(255),
+        index: 3,
+        calls: vec![ended("a", Ending::Answered(Arc::new(answer))), ended("b", unknown)],
+    };
+    let bytes = Frame::from(HandOver::from(&part)).encode().expect("a frame");
+    let Ok(Frame::HandOver(frame)) = Frame::decode(&bytes) else { panic!("no hand-over") };
+    assert_eq!(HandOverPart::try_from(frame), Ok(part));
+}
