feat(ledger): delete the leases of lost owners

Cause: each restart of an agent left a lease object on the platform. Ruled out: deletion by the owner alone, which a killed one never does.

--- a/crates/daisychute-ledger/src/owner/takeover.rs
+++ b/crates/daisychute-ledger/src/owner/takeover.rs
@@ -18,11 +18,21 @@
     /// A revocation that replaces `version` has been sent and may take effect at any time.
     Revoking { version: Version },
     /// The lease is revoked, and the owner admits nothing from `until` on.
-    Lapsing { until: Time },
+    Lapsing { until: Time, version: Version },
     /// An event was handled at or after `until`, so that every wall clock read since then is past the lease.
-    Lapsed,
-    /// Its slots have been given away. Until `until` it must not hear that its lease was not revoked.
-    Done { until: Time },
+    Lapsed { version: Version },
+    /// Its slots have been given away. Until `until` it must not hear that its lease was not revoked; then its lease is
+    /// deleted.
+    Done { until: Time, version: Version },
+}
+
+/// A lease as sweeps have found it.
+#[derive(Debug, Clone, Copy)]
+struct Swept {
+    version: Version,
+    since: Time,
+    // Whether it was unchanged for longer than a lease may be.
+    is_old: bool,
 }
 
 /// Takes over the slots of lost owners, and assigns slots that have none. Lives in an entry.
@@ -36,6 +46,8 @@
     members: Vec<OwnerId>,
     assigner: bool,
     lost: BTreeMap<OwnerId, Phase>,
+    // The leases of the last sweep.
+    swept: BTreeMap<OwnerId, Swept>,
     seq: u64,
 }
 
@@ -50,6 +62,7 @@
             members: Vec::new(),
             assigner: false,
             lost: BTreeMap::new(),
+            swept: BTreeMap::new(),
             seq: 0,
         }
     }
@@ -59,12 +72,13 @@
         match event {
             TakeoverEvent::Tick => self.tick(now, out),
             TakeoverEvent::Members(members) => self.members = members,
+            TakeoverEvent::Swept(leases) => self.sweep(now, leases),
             TakeoverEvent::Assigner(assigner) => self.assigner = assigner,
             TakeoverEvent::Suspect(owner) => {
                 let phase = Phase::Suspected { version: None, since: now };
                 let phase = self.lost.entry(owner).or_insert(phase);
-                if matches!(phase, Phase::Done { .. }) {
-                    *phase = Phase::Lapsed;
+                if let Phase::Done { version, .. } = *phase {
+                    *phase = Phase::Lapsed { version };
                 }
             }
             TakeoverEvent::AskGrant { owner, nonce } => self.ask_grant(owner, nonce, out),
@@ -84,7 +98,7 @@
 
     fn tick(&mut self, now: Time, out: &mut Vec<TakeoverAction>) {
         self.lapse(now);
-        self.forget_done(now);
+        self.forget_done(now, out);
         self.read_all(out);
         out.push(TakeoverAction::SetTimer(now + self.times.renew));
     }
@@ -93,15 +107,17 @@
         let open = |it: &Phase| matches!(it, Phase::Suspected { .. } | Phase::Revoking { .. });
         let unsettled = self.lost.iter().filter(|(_, phase)| open(phase));
         out.extend(unsettled.map(|(owner, _)| TakeoverAction::GetLease(owner.clone())));
-        if self.assigner || self.lost.values().any(|it| *it == Phase::Lapsed) {
+        if self.assigner || self.lost.values().any(|it| matches!(it, Phase::Lapsed { .. })) {
             out.push(TakeoverAction::GetTable);
         }
     }
 
     fn lapse(&mut self, now: Time) {
         for phase in self.lost.values_mut() {
-            if matches!(phase, Phase::Lapsing { until } if *until <= now) {
-                *phase = Phase::Lapsed;
+            if let Phase::Lapsing { until, version } = *phase
+                && until <= now
+            {
+                *phase = Phase::Lapsed { version };
             }
         }
     }
@@ -131,10 +147,10 @@
         let Some(phase) = self.lost.get(&owner).copied() else { return };
         let revoked = lease.as_ref().is_some_and(|it| it.revoked_by.is_some());
         match phase {
-            Phase::Lapsing { .. } | Phase::Lapsed | Phase::Done { .. } => {}
+            Phase::Lapsing { .. } | Phase::Lapsed { .. } | Phase::Done { .. } => {}
             _ if revoked => {
                 let until = now + self.times.lease + self.times.margin;
-                self.lost.insert(owner, Phase::Lapsing { until });
+                self.lost.insert(owner, Phase::Lapsing { until, version });
             }
             Phase::Suspected { version: Some(seen), .. } if seen != version => {
                 self.lost.remove(&owner);
@@ -211,18 +227,54 @@
     /// renewal, so that it need not be remembered for longer.
     fn finish(&mut self, now: Time) {
         let until = now + self.times.orphan;
-        for phase in self.lost.values_mut().filter(|it| **it == Phase::Lapsed) {
-            *phase = Phase::Done { until };
+        for phase in self.lost.values_mut() {
+            if let Phase::Lapsed { version } = *phase {
+                *phase = Phase::Done { until, version };
+            }
+        }
+    }
+
+    fn forget_done(&mut self, now: Time, out: &mut Vec<TakeoverAction>) {
+        let forgotten = self.lost.extract_if(.., |_, phase| match phase {
+            Phase::Done { until, .. } => *until <= now,
+            _ => false,
+        });
+        for (owner, phase) in forgotten {
+            if let Phase::Done { version: expect, .. } = phase {
+                out.push(TakeoverAction::DeleteLease { owner, expect });
+            }
         }
     }
 
-    fn forget_done(&mut self, now: Time) {
-        self.lost.retain(|_, phase| !matches!(phase, Phase::Done { until } if *until <= now));
+    /// Finds the leases that nobody renews any more and that no takeover in progress deals with.
+    ///
+    /// One is revoked only if a later sweep than the one that found it old finds it unchanged, so that owners have the
+    /// time to renew after an outage.
+    fn sweep(&mut self, now: Time, leases: Vec<Stored<OwnerLease>>) {
+        let orphan = self.times.orphan;
+        let mut seen = BTreeMap::new();
+        for Stored { version, body, .. } in leases {
+            let OwnerLease { owner, revoked_by, .. } = body;
+            if revoked_by.is_some() {
+                let until = now + self.times.lease + self.times.margin;
+                self.lost.entry(owner).or_insert(Phase::Lapsing { until, version });
+                continue;
+            }
+            let before = self.swept.get(&owner).filter(|it| it.version == version);
+            let mut swept = before.copied().unwrap_or(Swept { version, since: now, is_old: false });
+            if swept.is_old {
+                let phase = Phase::Suspected { version: Some(version), since: swept.since };
+                self.lost.entry(owner.clone()).or_insert(phase);
+            }
+            swept.is_old = swept.since + orphan <= now;
+            seen.insert(owner, swept);
+        }
+        self.swept = seen;
     }
 
     fn take_over(&self, wall: WallTime, table: &mut OwnerTable) {
         let staying = self.staying();
-        let past = |it: &Phase| matches!(it, Phase::Lapsed | Phase::Done { .. });
+        let past = |it: &Phase| matches!(it, Phase::Lapsed { .. } | Phase::Done { .. });
         for (owner, _) in self.lost.iter().filter(|(_, it)| past(it)) {
             assign::take_over(table, owner, &staying, wall);
         }
--- a/crates/daisychute-ledger/src/owner/takeover_event.rs
+++ b/crates/daisychute-ledger/src/owner/takeover_event.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::Time;
 
-use crate::{OwnerId, OwnerLease, OwnerTable, PutResult, ReadResult, Version, WallTime};
+use crate::{OwnerId, OwnerLease, OwnerTable, PutResult, ReadResult, Stored, Version, WallTime};
 
 /// What a [`TakeoverCore`](crate::TakeoverCore) is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +15,8 @@
     Members(Vec<OwnerId>),
     /// Whether this process assigns slots that have no owner; one process of a region does.
     Assigner(bool),
+    /// Every lease of the service, as a rare sweep of the assigner listed them.
+    Swept(Vec<Stored<OwnerLease>>),
     /// Nothing was heard from this owner for several heartbeats.
     Suspect(OwnerId),
     /// The owner asks whether its lease may have been revoked.
@@ -61,6 +63,13 @@
         /// What to write.
         lease: OwnerLease,
     },
+    /// Delete the lease of an owner if it has this version.
+    DeleteLease {
+        /// The owner.
+        owner: OwnerId,
+        /// The version of the lease.
+        expect: Version,
+    },
     /// Read the table.
     GetTable,
     /// Write the table if it has this version.
--- a/crates/daisychute-ledger/tests/at_most_once.rs
+++ b/crates/daisychute-ledger/tests/at_most_once.rs
@@ -108,12 +108,24 @@
     }
     check(&world)?;
     world.pass_retention();
+    if world.requests.len().is_multiple_of(8) {
+        check_leases(&mut world)?;
+    }
     match world.agents().find(|it| !it.ledger().is_empty() || it.ledger().bytes() != 0) {
         Some(it) => Err(format!("{} keeps {} bytes", it.owner().id(), it.ledger().bytes())),
         None => Ok(()),
     }
 }
 
+/// Later yet, no lease of an earlier owner is left on the platform.
+fn check_leases(world: &mut World) -> Result<(), String> {
+    world.run_for(Duration::from_secs(150));
+    match world.leases.len() {
+        leases if leases == world.agents().count() => Ok(()),
+        leases => Err(format!("{leases} leases are left")),
+    }
+}
+
 fn run(schedule: &Schedule, base: &[Step], limits: LedgerLimits) -> Result<(), String> {
     let mut world = World::new(schedule.seed, limits);
     base.iter().for_each(|it| world.step(*it));
--- a/crates/daisychute-ledger/tests/cases.rs
+++ b/crates/daisychute-ledger/tests/cases.rs
@@ -11,8 +11,9 @@
 use daisychute_ledger::{
     Answer, CallDigest, CallKey, EndedCall, Ending, HandOverPart, JobKeeper, JobLimits,
     KeeperAction, KeeperEvent, LedgerAction, LedgerCore, LedgerEvent, LedgerLimits, NewCall,
-    OwnerAction, OwnerCore, OwnerEvent, OwnerId, OwnerTable, OwnerTimes, ProcessId, PutResult,
-    ReadResult, SegmentId, Slot, Standing, Stored, Version, WallTime, WriteId,
+    OwnerAction, OwnerCore, OwnerEvent, OwnerId, OwnerLease, OwnerTable, OwnerTimes, ProcessId,
+    PutResult, ReadResult, SegmentId, Slot, Standing, Stored, TakeoverAction, TakeoverCore,
+    TakeoverEvent, Version, WallTime, WriteId,
 };
 use daisychute_proto::{Frame, HandOver};
 
@@ -243,3 +244,29 @@
     let Ok(Frame::HandOver(frame)) = Frame::decode(&bytes) else { panic!("no hand-over") };
     assert_eq!(HandOverPart::try_from(frame), Ok(part));
 }
+
+#[test]
+fn slots_of_a_lease_that_a_sweep_finds_revoked_wait_for_its_lapse() {
+    let times = OwnerTimes::default();
+    let mut takeover = TakeoverCore::new(process("entry"), times, 1);
+    let owner = OwnerId::first(process("agent"));
+    let mut tell = |secs: u64, event| {
+        let mut out = Vec::new();
+        takeover.handle(Time::from_millis(secs * 1_000), event, &mut out);
+        out.iter().any(|it| matches!(it, TakeoverAction::PutTable { .. }))
+    };
+    let write = WriteId { writer: process("other-entry"), seq: 1 };
+    let version = Version::new(7);
+    let revoked_by = Some(process("other-entry"));
+    let body = OwnerLease { owner: owner.clone(), standbys: Vec::new(), revoked_by };
+    let lease = Stored { version, write: write.clone(), body };
+    let mut table = OwnerTable::new(1);
+    table.hand_over(Slot::new(0), owner);
+    let read = ReadResult::Found(Stored { version, write, body: table });
+    let table = || TakeoverEvent::Table { wall: wall(0), read: read.clone() };
+    assert!(!tell(0, TakeoverEvent::Members(vec![OwnerId::first(process("agent-2"))])));
+    assert!(!tell(0, TakeoverEvent::Swept(vec![lease])));
+    assert!(!tell(15, table()));
+    assert!(!tell(16, TakeoverEvent::Tick));
+    assert!(tell(16, table()));
+}
--- a/crates/daisychute-ledger/tests/figures.rs
+++ b/crates/daisychute-ledger/tests/figures.rs
@@ -11,6 +11,7 @@
     Standing, WallTime,
 };
 use world::World;
+use world::schedule::Step;
 
 #[test]
 fn store_calls_of_an_owner() {
@@ -57,3 +58,15 @@
     assert!(ledger.is_empty());
     assert!(!out.iter().any(|it| matches!(it, LedgerAction::Refuse { .. })));
 }
+
+#[test]
+fn owners_do_not_change_without_a_fault() {
+    let mut world = World::new(1, LedgerLimits::default());
+    world.step(Step::KillAgent(1));
+    world.step(Step::PauseAgent(2, 45));
+    world.run_for(Duration::from_secs(200));
+    let changes = world.changes_of_owner();
+    world.run_for(Duration::from_secs(1_000));
+    println!("{changes} changes of owner after two faults");
+    assert_eq!(world.changes_of_owner(), changes);
+}
--- a/crates/daisychute-ledger/tests/world/mod.rs
+++ b/crates/daisychute-ledger/tests/world/mod.rs
@@ -463,6 +463,10 @@
         }
         self.tell_entry(at, TakeoverEvent::Tick);
         self.entry_action(at, TakeoverAction::GetTable);
+        let sweeps = (self.now.as_micros() / 5_000_000).is_multiple_of(4);
+        if at == 0 && sweeps && !self.unreachable(Node::Entry(0)) {
+            self.tell_entry(0, TakeoverEvent::Swept(self.leases.all()));
+        }
         let next = self.now + SHELL_PERIOD;
         self.post(next, Node::Entry(at), self.entries[at].id.incarnation, Message::Shell);
     }
@@ -484,6 +488,10 @@
                 let read = self.read(node, |it| it.leases.get(&owner));
                 self.answer(node, Message::Entry(TakeoverEvent::Lease { owner, read }));
             }
+            TakeoverAction::DeleteLease { .. } if self.unreachable(node) => {}
+            TakeoverAction::DeleteLease { owner, expect } => {
+                self.leases.delete(&owner, Some(expect));
+            }
             TakeoverAction::GetTable => {
                 let read = self.read(node, |it| it.tables.get(&()));
                 let wall = WallTime::default();
--- a/crates/daisychute-ledger/tests/world/store.rs
+++ b/crates/daisychute-ledger/tests/world/store.rs
@@ -35,6 +35,10 @@
         self.objects.keys().cloned().collect()
     }
 
+    pub fn all(&self) -> Vec<Stored<T>> {
+        self.objects.values().cloned().collect()
+    }
+
     pub fn len(&self) -> usize {
         self.objects.len()
     }
