--- a/crates/daisychute-ledger/src/lib.rs
+++ b/crates/daisychute-ledger/src/lib.rs
@@ -1,6 +1,17 @@
 //! At-most-once execution and durable jobs, as decision cores without I/O.
 //!
-//! [`LedgerCore`] lives in an agent and sees every non-repeatable call before it goes out:
+//! | core | lives in | decides |
+//! | --- | --- | --- |
+//! | [`ServiceLedger`] | agent of a plain service | everything below for its service: [`LedgerCore`], [`OwnerCore`] and hand-overs |
+//! | [`LedgerCore`] | agent | whether a call runs, waits for a run, is replayed or refused |
+//! | [`OwnerCore`] | agent | until when the agent may admit calls, and for which slots |
+//! | [`SlotMap`] | entry | which agent a call goes to |
+//! | [`TakeoverCore`] | entry | who gets the slots of a lost owner, and when |
+//! | [`JobSubmitter`] | entry | when a job is durable |
+//! | [`JobRunner`] | entry | which jobs to claim and run, and what to publish |
+//! | [`JobKeeper`] | entry | what to delete |
+//!
+//! [`LedgerCore`] sees every non-repeatable call before it goes out:
 //!
 //! ```
 //! use bytes::Bytes;
