test(ledger): let promises count after a pause again

Cause: since the shorter time for orphans, no directed takeover failed when a standby answered yes after it had revoked. They now use 45 s; with the mechanism off 'paused_and_cut_off' printed '-3f37-... ran twice, as 18 and 41'.

--- a/crates/daisychute-ledger/tests/at_most_once.rs
+++ b/crates/daisychute-ledger/tests/at_most_once.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use daisychute_core::{Refusal, RefusalReason, Verdict};
-use daisychute_ledger::LedgerLimits;
+use daisychute_ledger::{LedgerLimits, OwnerTimes};
 use quickcheck::{Gen, QuickCheck};
 use world::schedule::{KeyKind, Schedule, Step};
 use world::{Outcome, World};
@@ -163,7 +163,9 @@
 /// Calls go to an owner through one entry while the other entry takes its slots away; later every key is repeated
 /// through that other entry.
 fn through_a_takeover(seed: u64, agent: u8, faults: &[Step]) -> Result<(), String> {
-    let mut world = World::new(seed, limits());
+    // Longer than the pauses, so that promises could still count after one.
+    let times = OwnerTimes { orphan: Duration::from_secs(45), ..OwnerTimes::default() };
+    let mut world = World::with_times(seed, limits(), times);
     world.step(Step::Wait(u8::try_from(seed % 24).unwrap_or_default()));
     world.step(Step::CutEntry(1, true));
     faults.iter().for_each(|it| world.step(*it));
