test(ledger): cover the step down of a revoked owner by a case

Cause: since lost leases are deleted, no schedule fails when an owner ignores its revocation; it only takes longer to serve again. With the mechanism off the case printed 'left: agent.1.0, right: agent.1.1' (by their fields).

--- a/crates/daisychute-ledger/tests/cases.rs
+++ b/crates/daisychute-ledger/tests/cases.rs
@@ -270,3 +270,21 @@
     assert!(!tell(16, TakeoverEvent::Tick));
     assert!(tell(16, table()));
 }
+
+#[test]
+fn revoked_owner_goes_on_under_a_new_id() {
+    let agent = process("agent");
+    let mut owner = OwnerCore::new(agent.clone(), OwnerTimes::default());
+    let (seq, _, _) = tell_owner(&mut owner, 0, OwnerEvent::Tick);
+    let done = OwnerEvent::Put { seq, result: PutResult::Done(Version::new(1)) };
+    tell_owner(&mut owner, 0, done);
+    assert!(owner.valid_until().is_some());
+    let first = owner.id().clone();
+    let revoked_by = Some(process("entry"));
+    let body = OwnerLease { owner: first.clone(), standbys: Vec::new(), revoked_by };
+    let write = WriteId { writer: process("entry"), seq: 1 };
+    let lease = Stored { version: Version::new(2), write, body };
+    tell_owner(&mut owner, 1, OwnerEvent::Lease(ReadResult::Found(lease)));
+    assert_eq!(owner.id(), &first.next());
+    assert_eq!(owner.valid_until(), None);
+}
