--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -7,7 +7,7 @@
 
 use daisychute_core::{
     DataCentreName, EndpointStatus, ProcessName, ProcessRole, ProcessState, ProcessStatus,
-    RegionName, RequestId, Revisions, Time,
+    RegionName, RequestId, Revisions,
 };
 use daisychute_link::{Documents, Link, LinkConfig, LinkEvent, LinkId, accept};
 use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
@@ -17,11 +17,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::orders_driver::OrdersDriver;
 use super::{AgentHandle, EndpointClient, Input, Reporter};
 use crate::Admit;
 use crate::core::{Action, AgentCore, Event};
-use crate::orders::{OrderAction, OrderEvent};
+use crate::orders::{OrderOutput, OrderSettings, OrderShell};
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -42,7 +41,6 @@
 }
 
 /// The agent's task.
-#[derive(Debug)]
 pub struct AgentShell<A, D> {
     options: AgentOptions,
     core: AgentCore<A>,
@@ -50,7 +48,10 @@
     endpoint: EndpointClient,
     listener: TcpListener,
     links: BTreeMap<LinkId, (ProcessName, Link)>,
-    orders: OrdersDriver,
+    orders: OrderShell,
+    order_rx: UnboundedReceiver<OrderOutput>,
+    /// Whether the order core waits until nothing runs or waits for the endpoint.
+    awaits_drained: bool,
     documents: D,
     runs: BTreeMap<RequestId, JoinHandle<()>>,
     revisions: Revisions,
@@ -78,13 +79,14 @@
         listener.set_nonblocking(true)?;
         let (tx, rx) = unbounded_channel();
         let (link_tx, link_rx) = unbounded_channel();
+        let (kind, seed) = (&core.record().kind, core.record().incarnation.get());
+        let (orders, order_rx) =
+            OrderShell::start(OrderSettings::default(), kind, &options.endpoint_url, seed);
         Ok(Self {
             endpoint: EndpointClient::new(&options.endpoint_url),
-            orders: OrdersDriver::new(
-                &core.record().kind,
-                clock.now(),
-                core.record().incarnation.get(),
-            ),
+            orders,
+            order_rx,
+            awaits_drained: false,
             documents,
             listener: TcpListener::from_std(listener)?,
             options,
@@ -111,12 +113,13 @@
     /// Serves until [`AgentHandle::leave`] was called and every request has been answered.
     pub async fn run(mut self) {
         while !(self.leaving && self.core.jobs().is_empty()) {
-            let wake = Instant::from_std(self.clock.instant(self.wake_at()));
+            let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
             tokio::select! {
                 Some(input) = self.rx.recv() => self.on_input(input),
                 Some(event) = self.link_rx.recv() => self.on_link_event(event),
                 accepted = self.listener.accept() => self.on_accept(accepted).await,
-                () = sleep_until(wake) => self.on_wake(),
+                () = sleep_until(wake) => self.feed(Event::Wake),
+                Some(output) = self.order_rx.recv() => self.on_order(output),
             }
             self.check_drained();
         }
@@ -125,61 +128,19 @@
         }
     }
 
-    fn wake_at(&self) -> Time {
-        self.orders.wake_at().map_or(self.core.wake_at(), |it| it.min(self.core.wake_at()))
-    }
-
-    fn on_wake(&mut self) {
-        let now = self.clock.now();
-        if self.core.wake_at() <= now {
-            self.feed(Event::Wake);
-        }
-        if self.orders.wake_at().is_some_and(|it| it <= now) {
-            self.order(OrderEvent::Tick);
-        }
-    }
-
     fn check_drained(&mut self) {
-        if self.orders.awaits_drained() && self.core.open() == 0 {
-            self.order(OrderEvent::Drained);
-        }
-    }
-
-    /// Feeds the order core and does what it asks.
-    fn order(&mut self, event: OrderEvent) {
-        for action in self.orders.handle(self.clock.now(), event) {
-            self.act_on_order(action);
+        if self.awaits_drained && self.core.open() == 0 {
+            self.awaits_drained = false;
+            self.orders.drained();
         }
     }
 
-    fn act_on_order(&mut self, action: OrderAction) {
-        match action {
-            OrderAction::Admit(admit) => self.feed(Event::Drain(!admit)),
-            OrderAction::ConfirmPlan => self.documents.confirm_plan(),
-            OrderAction::ReadState => {
-                let (endpoint, tx) = (self.endpoint.clone(), self.tx.clone());
-                actix_rt::spawn(async move {
-                    let state = endpoint.state().await;
-                    let _ = tx.send(Input::Order(OrderEvent::State(state)));
-                });
-            }
-            OrderAction::Order(order) => {
-                log::info!(fence:% = order.fence; "ordering a change of the engine");
-                let (endpoint, tx) = (self.endpoint.clone(), self.tx.clone());
-                actix_rt::spawn(async move {
-                    let answer = endpoint.order(order).await;
-                    let _ = tx.send(Input::Order(OrderEvent::Answered(answer)));
-                });
-            }
-            OrderAction::Observed(target) => self.feed(Event::Target(target)),
-            OrderAction::Superseded { fence } => {
-                log::warn!(fence:%; "the engine took an order with a higher fencing number");
-            }
-            OrderAction::Failed { order } => {
-                log::warn!(fence:% = order.fence; "a change of the engine failed and will be tried again");
-            }
-            // The driver keeps these.
-            OrderAction::Drain | OrderAction::WakeAt(_) => {}
+    fn on_order(&mut self, output: OrderOutput) {
+        match output {
+            OrderOutput::Admit(admit) => self.feed(Event::Drain(!admit)),
+            OrderOutput::Drain => self.awaits_drained = true,
+            OrderOutput::ConfirmPlan => self.documents.confirm_plan(),
+            OrderOutput::Observed(target) => self.feed(Event::Target(target)),
         }
     }
 
@@ -219,8 +180,8 @@
                 }
                 self.feed(event);
             }
-            Input::Order(event) => self.order(event),
-            Input::Plan { revision, desired } => self.order(OrderEvent::Plan { revision, desired }),
+            Input::Plan(plan) => self.orders.plan(&plan, &self.core.record().endpoint),
+            Input::PlanConfirmed(revision) => self.orders.plan_confirmed(revision),
             Input::Send { peer, frame } => self.send_to(&peer, *frame),
             Input::Status(tx) => {
                 // The asker may be gone.
@@ -228,7 +189,7 @@
             }
             Input::Leave => {
                 self.leaving = true;
-                self.order(OrderEvent::Leaving);
+                self.orders.leaving();
                 self.feed(Event::Drain(true));
             }
         }
--- a/crates/daisychute-agent/src/shell/endpoint_client.rs
+++ b/crates/daisychute-agent/src/shell/endpoint_client.rs
@@ -4,20 +4,17 @@
 use std::time::Duration;
 
 use awc::error::SendRequestError;
-use awc::http::StatusCode;
 use awc::{Client, Connector};
-use daisychute_core::{EngineTarget, RefusalReason, RequestId, Revision};
+use daisychute_core::{RefusalReason, RequestId};
 use daisychute_proto::{Start, Work};
-use serde::{Deserialize, Serialize};
 
 use super::Reporter;
 use super::completion_run::{resume_completion, run_completion};
 use super::service_run::run_call;
 use crate::core::Report;
-use crate::orders::{EngineState, Order, OrderAnswer};
 
-/// How long the endpoint may take to answer a question about its state.
-const STATE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the endpoint may take to answer a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Speaks the HTTP interface of one endpoint.
 #[derive(Clone)]
@@ -32,23 +29,6 @@
     }
 }
 
-/// How long the engine may take to answer an order. Shorter than the lifetime that the order core reckons with.
-const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
-
-/// Why an engine refused an order.
-#[derive(Debug, Deserialize)]
-#[serde(tag = "error", rename_all = "snake_case")]
-enum OrderRefusal {
-    Changing,
-    StaleFence { fence: Revision },
-}
-
-#[derive(Serialize)]
-struct OrderBody<'a> {
-    fence: Revision,
-    target: &'a EngineTarget,
-}
-
 impl EndpointClient {
     /// A client of the endpoint at this base URL.
     #[must_use]
@@ -83,38 +63,10 @@
     /// Cancels a request on an engine. That it may have ended is no error.
     pub(crate) async fn cancel(self, start: Rc<Start>) {
         let url = self.url(&format!("/requests/{}/cancel", endpoint_id(start.id, start.attempt)));
-        if let Err(error) = self.client.post(url).timeout(STATE_TIMEOUT).send().await {
+        if let Err(error) = self.client.post(url).timeout(CANCEL_TIMEOUT).send().await {
             log::debug!("cancel of {}: {error}", start.id);
         }
     }
-
-    /// What an engine says of itself; none if it can't be asked.
-    pub(crate) async fn state(self) -> Option<EngineState> {
-        let mut res =
-            self.client.get(self.url("/state")).timeout(STATE_TIMEOUT).send().await.ok()?;
-        let body = res.body().await.ok()?;
-        serde_json::from_slice(&body).ok()
-    }
-
-    /// Gives an engine an order. A new connection for each, so that a failure to open one proves that it wasn't sent.
-    pub(crate) async fn order(self, order: Order) -> OrderAnswer {
-        let body = OrderBody { fence: order.fence, target: &order.target };
-        let req = self.client.post(self.url("/orders")).timeout(ORDER_TIMEOUT).force_close();
-        let mut res = match req.send_json(&body).await {
-            Ok(res) => res,
-            Err(SendRequestError::Connect(_)) => return OrderAnswer::NotSent,
-            Err(_) => return OrderAnswer::Unknown,
-        };
-        match res.status() {
-            StatusCode::ACCEPTED => OrderAnswer::Accepted,
-            StatusCode::CONFLICT => match res.json().await {
-                Ok(OrderRefusal::Changing) => OrderAnswer::Changing,
-                Ok(OrderRefusal::StaleFence { fence }) => OrderAnswer::StaleFence(fence),
-                Err(_) => OrderAnswer::Unknown,
-            },
-            _ => OrderAnswer::Unknown,
-        }
-    }
 }
 
 /// The id under which an endpoint knows one run of a request.
--- a/crates/daisychute-agent/src/shell/handle.rs
+++ b/crates/daisychute-agent/src/shell/handle.rs
@@ -1,13 +1,14 @@
 //! Reaching a running agent.
 
-use daisychute_core::{Desired, ProcessName, ProcessStatus, Revision};
+use std::sync::Arc;
+
+use daisychute_core::{Plan, ProcessName, ProcessStatus, Revision};
 use daisychute_proto::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
 use super::Input;
 use crate::core::Event;
-use crate::orders::OrderEvent;
 
 /// For reaching a running agent from the same process.
 #[derive(Debug, Clone)]
@@ -25,14 +26,14 @@
         let _ = self.tx.send(Input::Event(event));
     }
 
-    /// The plan in force has this entry for the endpoint.
-    pub fn plan(&self, revision: Revision, desired: Option<Desired>) {
-        let _ = self.tx.send(Input::Plan { revision, desired });
+    /// A newer plan is in force.
+    pub fn plan(&self, plan: Arc<Plan>) {
+        let _ = self.tx.send(Input::Plan(plan));
     }
 
     /// The plan on the platform has this revision, or could not be read.
-    pub fn plan_read(&self, revision: Option<Revision>) {
-        let _ = self.tx.send(Input::Order(OrderEvent::PlanRead(revision)));
+    pub fn plan_confirmed(&self, revision: Option<Revision>) {
+        let _ = self.tx.send(Input::PlanConfirmed(revision));
     }
 
     /// Sends a frame about the documents to a peer, if there is a connection to it.
--- a/crates/daisychute-agent/src/shell/input.rs
+++ b/crates/daisychute-agent/src/shell/input.rs
@@ -1,26 +1,22 @@
 //! What reaches the agent's task.
 
-use daisychute_core::{Desired, ProcessName, ProcessStatus, Revision};
+use std::sync::Arc;
+
+use daisychute_core::{Plan, ProcessName, ProcessStatus, Revision};
 use daisychute_proto::Frame;
 use tokio::sync::oneshot;
 
 use crate::core::Event;
-use crate::orders::OrderEvent;
 
 /// What reaches the agent's task.
 #[derive(Debug)]
 pub(crate) enum Input {
     /// Something that the core decides on.
     Event(Event),
-    /// Something that the order core decides on.
-    Order(OrderEvent),
-    /// The documents that this process has in force, and the plan's entry for the endpoint.
-    Plan {
-        /// The plan's revision.
-        revision: Revision,
-        /// The entry of this endpoint.
-        desired: Option<Desired>,
-    },
+    /// A newer plan is in force.
+    Plan(Arc<Plan>),
+    /// The revision of the plan on the platform, or none if it could not be read.
+    PlanConfirmed(Option<Revision>),
     /// Send a frame about the documents to a peer.
     Send {
         /// The peer.
--- a/crates/daisychute-agent/src/shell/mod.rs
+++ b/crates/daisychute-agent/src/shell/mod.rs
@@ -6,7 +6,6 @@
 mod endpoint_client;
 mod handle;
 mod input;
-mod orders_driver;
 mod reporter;
 mod service_run;
 
--- a/crates/daisychute-platform/src/membership/mod.rs
+++ b/crates/daisychute-platform/src/membership/mod.rs
@@ -61,6 +61,9 @@
 
     /// Takes one event.
     pub fn handle(&mut self, now: Time, event: MemberEvent, out: &mut Vec<MemberAction>) {
+        if self.confirms(now, &event) {
+            return;
+        }
         match event {
             MemberEvent::Listed(records) => self.listed(now, records, out),
             MemberEvent::Direct(record) => self.direct(now, record, out),
@@ -82,6 +85,23 @@
         self.ask_to_be_woken(now, out);
     }
 
+    /// Takes an event that only says that a live endpoint is still as it was. That is by far the most frequent one, and
+    /// nothing else depends on it.
+    fn confirms(&mut self, now: Time, event: &MemberEvent) -> bool {
+        let (endpoint, record) = match event {
+            MemberEvent::Heard(endpoint) => (endpoint, None),
+            MemberEvent::Direct(record) => (&record.endpoint, Some(record)),
+            _ => return false,
+        };
+        let Some(member) = self.members.get_mut(endpoint) else { return false };
+        let is_same = record.is_none_or(|it| member.direct && *it == member.record);
+        if member.standing != Standing::Live || member.link_down || !is_same {
+            return false;
+        }
+        member.hear(now);
+        true
+    }
+
     fn listed(&mut self, now: Time, records: Vec<EndpointRecord>, out: &mut Vec<MemberAction>) {
         for member in self.members.values_mut() {
             member.listed = false;
--- a/crates/daisychuted/src/agent.rs
+++ b/crates/daisychuted/src/agent.rs
@@ -5,7 +5,7 @@
 use daisychute_agent::PolicyAdmit;
 use daisychute_agent::core::{AgentConfig, AgentCore, Event};
 use daisychute_agent::shell::{AgentHandle, AgentOptions, AgentShell};
-use daisychute_core::{EndpointName, EndpointRecord, EndpointState, Incarnation, ProcessStatus};
+use daisychute_core::{EndpointRecord, EndpointState, Incarnation};
 use daisychute_link::LinkConfig;
 use daisychute_planner::ControlOutput;
 use daisychute_proto::Revisions;
@@ -13,7 +13,7 @@
 use daisychute_settings::{AgentSettings, Settings};
 use tokio::time::timeout;
 
-use crate::admin::{Admin, Subject};
+use crate::admin::Admin;
 use crate::control::Role;
 use crate::entry::{bind, http_limits};
 use crate::shared_documents::SharedDocuments;
@@ -44,9 +44,7 @@
         .map_err(|source| DaemonError::Serve { listener: "inner", source })?;
     let handle = shell.handle();
 
-    let endpoint = role.endpoint.name.clone();
-    let subject = AgentRole { agent: handle.clone(), endpoint };
-    actix_rt::spawn(control::run(control, outputs, subject));
+    actix_rt::spawn(control::run(control, outputs, handle.clone()));
     let answers = Admin::new(handle.clone(), metrics);
     actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
     log::info!("agent {} of {} listens at {inner}", settings.process.name, role.endpoint.name);
@@ -62,31 +60,16 @@
     Ok(())
 }
 
-/// The agent with the name of its endpoint.
-#[derive(Debug, Clone)]
-struct AgentRole {
-    agent: AgentHandle,
-    endpoint: EndpointName,
-}
-
-impl Subject for AgentRole {
-    async fn status(&self) -> Option<ProcessStatus> {
-        self.agent.status().await
-    }
-}
-
-impl Role for AgentRole {
+impl Role for AgentHandle {
     fn revisions(&self, revisions: Revisions) {
-        self.agent.event(Event::Revisions(revisions));
+        self.event(Event::Revisions(revisions));
     }
 
     fn output(&self, output: ControlOutput) {
         match output {
-            ControlOutput::Frame { peer, frame } => self.agent.send(peer, frame),
-            ControlOutput::Plan(plan) => {
-                self.agent.plan(plan.revision, control::desired(&plan, &self.endpoint));
-            }
-            ControlOutput::PlanConfirmed(revision) => self.agent.plan_read(revision),
+            ControlOutput::Frame { peer, frame } => self.send(peer, frame),
+            ControlOutput::Plan(plan) => self.plan(plan),
+            ControlOutput::PlanConfirmed(revision) => self.plan_confirmed(revision),
             _ => {}
         }
     }
--- a/crates/daisychuted/src/control.rs
+++ b/crates/daisychuted/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisychute_core::{EndpointName, Incarnation, Plan, ProcessStatus, Revisions};
+use daisychute_core::{Incarnation, ProcessStatus, Revisions};
 use daisychute_planner::{Control, ControlOutput, ControlSettings};
 use daisychute_platform::{ClientSettings, LeaseSettings, ObjectClient};
 use daisychute_settings::Settings;
@@ -84,8 +84,3 @@
         control.publish_status(ProcessStatus { revisions: control.revisions(), ..status });
     }
 }
-
-/// The plan's entry for one endpoint.
-pub(crate) fn desired(plan: &Plan, endpoint: &EndpointName) -> Option<daisychute_core::Desired> {
-    plan.endpoints.get(endpoint).cloned()
-}
