feat(policy): plan roles by data centre, and keep deferrable work off split engines

Change: supply pairs the engines of each data centre; demand tells urgent from deferrable work, which takes engines of mixed role; a request whose hand-over would wait is refused before its prompt is computed.

--- a/crates/daisychute-load/src/generate/scenario.rs
+++ b/crates/daisychute-load/src/generate/scenario.rs
@@ -47,7 +47,7 @@
         Self::HotTenant,
         Self::Overload,
     ];
-    const BASE_LOAD: f64 = 0.5;
+    const BASE_LOAD: f64 = 0.6;
 
     /// Its name in files and tables.
     #[must_use]
--- a/crates/daisychute-load/src/replay/bound.rs
+++ b/crates/daisychute-load/src/replay/bound.rs
@@ -35,7 +35,7 @@
     work: f64,
 }
 
-/// For each request its whole, due at its deadline, and its prompt, due with its first token. The prompt stands as
+/// For each request its output, due with its last token, and its prompt, due with its first token. The prompt stands as
 /// what it has before the whole is due, so that both together never count for more than the whole.
 fn pieces(trace: &Trace) -> Vec<Piece> {
     let speed = trace.header.deployment.speed;
@@ -52,10 +52,14 @@
         let from = f64::from(request.at_ms) / 1e3;
         let end = from + class.class.deadline().as_secs_f64();
         let first = class.class.targets.first_token.map_or(end, |it| from + it.as_secs_f64());
+        let last = class.class.targets.between_tokens.map_or(end, |it| {
+            // The mean gap keeps the target, so that the last token is due so long after the first.
+            (first + it.as_secs_f64() * f64::from(request.output_tokens)).min(end)
+        });
         let span =
             |due: f64, work: f64| Piece { from: from as usize, to: due.ceil() as usize, work };
         pieces.push(span(first.min(end), prompt));
-        pieces.push(span(end, rest));
+        pieces.push(span(last, rest));
     }
     pieces
 }
--- a/crates/daisychute-load/src/replay/flight.rs
+++ b/crates/daisychute-load/src/replay/flight.rs
@@ -60,7 +60,8 @@
         gap
     }
 
-    /// Whether it was answered within the targets of its class. 95 of 100 gaps between tokens have to keep theirs.
+    /// Whether it was answered within the targets of its class. Of the gaps between
+    /// tokens, 95 of 100 and their mean have to keep the target.
     pub(super) fn is_good(&self, arrived: Time, class: &Class) -> bool {
         let Some(End::Answered(end)) = self.end else { return false };
         let targets = &class.targets;
@@ -68,6 +69,8 @@
         let first_ok = targets.first_token.is_none_or(|it| first <= it);
         let allowed = (f64::from(self.gaps) * Self::LONG_GAPS).ceil();
         let gaps_ok = f64::from(self.long_gaps) <= allowed;
-        first_ok && gaps_ok && end.since(arrived) <= class.deadline()
+        let streamed = end.since(self.first.unwrap_or(end));
+        let mean_ok = targets.between_tokens.is_none_or(|it| streamed <= it * self.gaps);
+        first_ok && gaps_ok && mean_ok && end.since(arrived) <= class.deadline()
     }
 }
--- a/crates/daisychute-load/src/replay/roles.rs
+++ b/crates/daisychute-load/src/replay/roles.rs
@@ -47,8 +47,8 @@
         let total = demand.models.values().fold(Demand::default(), |sum, it| sum.plus(*it));
         let count =
             |role: Role| fleet.engines.iter().filter(|it| it.live && it.role == role).count();
-        let prefill = total.prefill / count(Role::Prefill).max(1) as f64;
-        let decode = total.decode / count(Role::Decode).max(1) as f64;
+        let prefill = (total.prefill + total.deferrable / 2.0) / count(Role::Prefill).max(1) as f64;
+        let decode = (total.decode + total.deferrable / 2.0) / count(Role::Decode).max(1) as f64;
         self.rounds = if prefill > Self::HIGH && decode < Self::LOW {
             self.rounds.max(0) + 1
         } else if decode > Self::HIGH && prefill < Self::LOW {
--- a/crates/daisychute-load/src/replay/routing.rs
+++ b/crates/daisychute-load/src/replay/routing.rs
@@ -1,6 +1,7 @@
 //! Choice of endpoint: ours behind a trait, and the baselines.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use daisychute_core::{DataCentreName, EndpointName, LoadReport, Role, Time};
 use daisychute_policy::{Candidate, Chooser, Chosen, NoEndpoint, Query};
@@ -217,6 +218,7 @@
         data_centre: candidate.data_centre.clone(),
         split: candidate.role == Role::Prefill,
         cached_tokens: 0,
-        first_token: std::time::Duration::ZERO,
+        first_token: Duration::ZERO,
+        hand_over: Duration::ZERO,
     }
 }
--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -11,8 +11,8 @@
     RequestId, Role, Time,
 };
 use daisychute_policy::{
-    Admission, Candidate, Decision, Demand, DemandMeter, DemandTable, EngineView, Fleet, Limits,
-    Phase, Query, Ticket,
+    Admission, Candidate, Chosen, Decision, Demand, DemandMeter, DemandTable, EngineView, Fleet,
+    Limits, Phase, Query, Ticket,
 };
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
@@ -197,7 +197,8 @@
         if class.work == Work::Completion {
             let model = &self.trace.header.deployment.model;
             let meter = &mut self.meters[self.flights[i].entry];
-            meter.arrived(model, &class.class.name, request.prompt_tokens, request.max_tokens);
+            let (name, precedence) = (&class.class.name, class.class.precedence);
+            meter.arrived(model, name, precedence, request.prompt_tokens, request.max_tokens);
         }
     }
 
@@ -209,6 +210,12 @@
             self.try_later(now, i, Duration::from_millis(200));
             return;
         };
+        let class = usize::from(self.trace.requests[i].class);
+        let is_targeted = self.trace.header.classes[class].class.targets.between_tokens.is_some();
+        if is_targeted && chosen.hand_over > Chosen::MAX_HAND_OVER {
+            self.try_later(now, i, chosen.hand_over);
+            return;
+        }
         let place = self.places[&chosen.endpoint];
         let phase = match (self.is_call(i), chosen.split) {
             (true, _) => Phase::Call,
--- a/crates/daisychute-policy/src/admission/core.rs
+++ b/crates/daisychute-policy/src/admission/core.rs
@@ -235,14 +235,15 @@
     /// The work that waits or runs here, for the planner.
     #[must_use]
     pub fn demand(&self) -> Demand {
-        let waiting = self.queue.up_to(Precedence::MayWait);
-        let decode_waiting =
-            self.queue.iter().filter(|it| it.ticket.phase == Phase::Decode).count();
-        let streams = f64::from(self.running.streams) + decode_waiting as f64;
-        let tokens = self.running.prompt_tokens + waiting.prompt_tokens;
+        let waiting = self.queue.up_to(Precedence::Interactive);
+        let targeted =
+            |it: &&Waiting| it.ticket.phase == Phase::Decode && it.ticket.between_tokens.is_some();
+        let decode_waiting = self.queue.iter().filter(targeted).count();
+        let streams = f64::from(self.running.with_target) + decode_waiting as f64;
+        let decodes = self.limits.role != Some(Role::Prefill);
         Demand {
-            prefill_backlog: self.cost.prompt_time(tokens).as_secs_f64(),
-            decode_busy: streams / f64::from(self.stream_limit()),
+            prefill_backlog: self.cost.prompt_time(waiting.prompt_tokens).as_secs_f64(),
+            decode_busy: if decodes { streams / f64::from(self.stream_limit()) } else { 0.0 },
             ..Demand::default()
         }
     }
--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -85,6 +85,14 @@
     const HAND_OVER: Duration = Duration::from_millis(5);
     /// KV cache that moves between two engines of a data centre, tokens a second.
     const TRANSFER_TOKENS_PER_SECOND: f64 = 50_000.0;
+    /// What one stream of a decode engine adds to the estimate of a hand-over to it.
+    const DECODE_STREAM_COST: Duration = Duration::from_millis(5);
+    /// The estimate of a hand-over where no engine of the data centre decodes.
+    const NO_DECODE: Duration = Duration::from_secs(3_600);
+    /// What deferrable work waits for an engine of mixed role rather than take one that urgent work needs.
+    const DEFERRABLE_SPLIT: Duration = Duration::from_secs(5);
+    /// What urgent work waits for a split rather than be mixed with prompts that stretch its gaps.
+    const MIXING_PENALTY: Duration = Duration::from_secs(1);
     /// What one running stream adds to an estimate, so that equal queues are told apart.
     const STREAM_COST: Duration = Duration::from_micros(500);
 
@@ -215,6 +223,7 @@
             (None, None) => return Err(NoEndpoint),
         };
         let cached_tokens = self.cached_tokens(place, query);
+        let hand_over = if is_split { self.decode_wait(query, place) } else { Duration::ZERO };
         let slot = &mut self.slots[place];
         slot.sends.add(now, query.prompt_tokens - cached_tokens);
         slot.hits.add(query.blocks);
@@ -224,6 +233,7 @@
             split: is_split,
             cached_tokens,
             first_token: estimate,
+            hand_over,
         })
     }
 
@@ -240,9 +250,13 @@
         data_centre: &DataCentreName,
         rng: &mut impl Rng,
     ) -> Result<EndpointName, NoEndpoint> {
-        let open = self.open(now, |slot| {
-            slot.candidate.data_centre == *data_centre && slot.serves(query, Part::Decode)
-        });
+        // An engine of mixed role decodes only where no other can.
+        let is_here = |slot: &Slot| slot.candidate.data_centre == *data_centre;
+        let decodes = |slot: &Slot| is_here(slot) && slot.serves(query, Part::Decode);
+        let mut open = self.open(now, |slot| decodes(slot) && slot.candidate.role == Role::Decode);
+        if open.is_empty() {
+            open = self.open(now, decodes);
+        }
         let picked = self.sample(&open, rng);
         let place = self.least(now, query, Part::Decode, &picked).ok_or(NoEndpoint)?.0;
         let slot = &mut self.slots[place];
@@ -326,7 +340,7 @@
             + slot.health.penalty(now);
         let prompt = slot.prompt_token().mul_f64(uncached as f64);
         match part {
-            Part::Whole => base + prompt,
+            Part::Whole => base + prompt + mixing_penalty(query),
             Part::Prefill => base + prompt + self.hand_over(query, place),
             Part::Decode => base,
         }
@@ -334,15 +348,28 @@
 
     /// What moving the KV cache costs, and the wait for a decode engine of the same data centre.
     fn hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
+        let transfer = f64::from(query.prompt_tokens) / Self::TRANSFER_TOKENS_PER_SECOND;
+        let moved = Self::HAND_OVER + Duration::from_secs_f64(transfer);
+        let wait = self.decode_wait(query, place);
+        match query.between_tokens {
+            Some(_) => moved + wait,
+            None => moved + wait + Self::DEFERRABLE_SPLIT,
+        }
+    }
+
+    /// The least wait for a decode engine of the data centre.
+    fn decode_wait(&self, query: &Query<'_>, place: usize) -> Duration {
         let data_centre = &self.slots[place].candidate.data_centre;
         let decodes = self.slots.iter().filter(|it| {
-            it.candidate.data_centre == *data_centre && it.serves(query, Part::Decode)
+            it.candidate.data_centre == *data_centre
+                && it.candidate.role == Role::Decode
+                && it.serves(query, Part::Decode)
         });
-        let wait = decodes
-            .map(|it| it.report.wait + Self::STREAM_COST * (it.report.running + it.sends.count()))
-            .min();
-        let transfer = f64::from(query.prompt_tokens) / Self::TRANSFER_TOKENS_PER_SECOND;
-        Self::HAND_OVER + Duration::from_secs_f64(transfer) + wait.unwrap_or(Duration::MAX / 4)
+        let wait = |it: &Slot| {
+            let streams = it.report.running + it.report.queued + it.sends.count();
+            it.report.wait + Self::DECODE_STREAM_COST * streams
+        };
+        decodes.map(wait).min().unwrap_or(Self::NO_DECODE)
     }
 
     fn cached_tokens(&self, place: usize, query: &Query<'_>) -> u32 {
@@ -381,6 +408,13 @@
     }
 }
 
+fn mixing_penalty(query: &Query<'_>) -> Duration {
+    match query.between_tokens {
+        Some(_) => Chooser::MIXING_PENALTY,
+        None => Duration::ZERO,
+    }
+}
+
 /// The finalizer of SplitMix64 (Steele et al., 2014).
 fn mix(mut hash: u64) -> u64 {
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/daisychute-policy/src/roles/demand.rs
+++ b/crates/daisychute-policy/src/roles/demand.rs
@@ -5,16 +5,19 @@
 use daisychute_core::{ModelName, Time};
 use serde::{Deserialize, Serialize};
 
-/// Work that came for one model, in engine-seconds a second.
+/// Work that came for one model, in engine-seconds a second. Urgent work has a target for its first token or between
+/// tokens; deferrable work has none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
-    /// Of prompts, cached parts left out.
+    /// Of urgent prompts, cached parts left out.
     pub prefill: f64,
-    /// Of outputs.
+    /// Of urgent outputs.
     pub decode: f64,
-    /// Engine-seconds of prompts that wait.
+    /// Of deferrable prompts and outputs.
+    pub deferrable: f64,
+    /// Engine-seconds of urgent prompts that wait.
     pub prefill_backlog: f64,
-    /// Full batches that the streams of all engines make.
+    /// Full batches that the urgent streams of all engines make.
     pub decode_busy: f64,
 }
 
@@ -25,6 +28,7 @@
         Self {
             prefill: self.prefill + other.prefill,
             decode: self.decode + other.decode,
+            deferrable: self.deferrable + other.deferrable,
             prefill_backlog: self.prefill_backlog + other.prefill_backlog,
             decode_busy: self.decode_busy + other.decode_busy,
         }
--- a/crates/daisychute-policy/src/roles/meter.rs
+++ b/crates/daisychute-policy/src/roles/meter.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use daisychute_core::{ClassName, ModelName, Time};
+use daisychute_core::{ClassName, ModelName, Precedence, Time};
 
 use super::demand::{Demand, DemandTable};
 use crate::cost::RobustMean;
@@ -25,10 +25,16 @@
     since: Time,
 }
 
+#[derive(Debug, Clone, Copy, Default)]
+struct Tokens {
+    prompt: f64,
+    output: f64,
+}
+
 #[derive(Debug, Clone)]
 struct Counter {
-    prompt_tokens: f64,
-    output_tokens: f64,
+    urgent: Tokens,
+    deferrable: Tokens,
     // The mean part of a prompt that no cache has.
     uncached: f64,
 }
@@ -49,14 +55,19 @@
         &mut self,
         model: &ModelName,
         class: &ClassName,
+        precedence: Precedence,
         prompt_tokens: u32,
         max_tokens: u32,
     ) {
         let learned = self.outputs.get(class).map(RobustMean::get);
         let expected = learned.unwrap_or(f64::from(max_tokens)).min(f64::from(max_tokens));
         let counter = self.counter(model);
-        counter.prompt_tokens += f64::from(prompt_tokens);
-        counter.output_tokens += expected;
+        let tokens = match precedence {
+            Precedence::First | Precedence::Interactive => &mut counter.urgent,
+            Precedence::MayWait => &mut counter.deferrable,
+        };
+        tokens.prompt += f64::from(prompt_tokens);
+        tokens.output += expected;
     }
 
     /// An engine computed a prompt and had so many of its tokens cached.
@@ -83,20 +94,24 @@
         self.since = now;
         let mut table = DemandTable { as_of: now, heard: 1, expected: 1, ..DemandTable::default() };
         for (model, counter) in &mut self.models {
+            let prefill = |it: Tokens| it.prompt * counter.uncached * prompt_token / seconds;
+            let decode = |it: Tokens| it.output * output_token / seconds;
             let demand = Demand {
-                prefill: counter.prompt_tokens * counter.uncached * prompt_token / seconds,
-                decode: counter.output_tokens * output_token / seconds,
+                prefill: prefill(counter.urgent),
+                decode: decode(counter.urgent),
+                deferrable: prefill(counter.deferrable) + decode(counter.deferrable),
                 ..Demand::default()
             };
             table.models.insert(model.clone(), demand);
-            counter.prompt_tokens = 0.0;
-            counter.output_tokens = 0.0;
+            counter.urgent = Tokens::default();
+            counter.deferrable = Tokens::default();
         }
         table
     }
 
     fn counter(&mut self, model: &ModelName) -> &mut Counter {
-        let blank = || Counter { prompt_tokens: 0.0, output_tokens: 0.0, uncached: 1.0 };
+        let blank =
+            || Counter { urgent: Tokens::default(), deferrable: Tokens::default(), uncached: 1.0 };
         self.models.entry(model.clone()).or_insert_with(blank)
     }
 }
--- a/crates/daisychute-policy/src/roles/planner.rs
+++ b/crates/daisychute-policy/src/roles/planner.rs
@@ -1,8 +1,14 @@
 //! The role planner.
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
 use daisychute_core::{DataCentreName, EndpointName, ModelName, Preference, Role, Time};
 
 use super::demand::DemandTable;
+use super::supply::Supply;
+use super::track::{Need, Track};
+use crate::cost::RobustMean;
 
 /// What the planner knows of one engine.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,7 +23,7 @@
     pub role: Role,
     /// Whether a change is in progress or planned.
     pub changing: bool,
-    /// Whether it takes work.
+    /// Whether it takes work, or will after its change.
     pub live: bool,
     /// Requests that it has.
     pub running: u32,
@@ -42,16 +48,37 @@
 }
 
 /// Plans role changes.
+///
+/// A change is planned where the work that it is expected to save, over the time that the mix is likely to last,
+/// outweighs the engine-seconds of the change, the caches that it drops and a price that the deployment's
+/// preference sets. Every data centre keeps an engine for each phase, because a KV cache moves inside one only.
 #[derive(Debug, Clone)]
 pub struct RolePlanner {
     preference: Preference,
+    tracks: BTreeMap<ModelName, Track>,
+    // Seconds that a change takes, with its drain.
+    change: RobustMean,
+    pending: BTreeMap<EndpointName, Time>,
 }
 
 impl RolePlanner {
+    /// Older demand is no ground for a change.
+    const MAX_DEMAND_AGE: Duration = Duration::from_secs(10);
+    /// Demand of fewer of its sources is no ground for a change.
+    const MIN_COVERAGE: f64 = 0.6;
+    const DEFAULT_CHANGE_SECONDS: f64 = 10.0;
+    /// One change at a time for so many engines of a model.
+    const ENGINES_PER_CHANGE: usize = 6;
+
     /// A planner that knows no demand yet.
     #[must_use]
     pub fn new(preference: Preference) -> Self {
-        Self { preference }
+        Self {
+            preference,
+            tracks: BTreeMap::new(),
+            change: RobustMean::new(Self::DEFAULT_CHANGE_SECONDS),
+            pending: BTreeMap::new(),
+        }
     }
 
     /// What the deployment weighs more.
@@ -60,8 +87,151 @@
         self.preference
     }
 
-    /// The changes to start now. None where the picture is old or partial.
-    pub fn plan(&mut self, _now: Time, _fleet: &Fleet, _demand: &DemandTable) -> Vec<RoleChange> {
-        Vec::new()
+    /// The changes to start now.
+    ///
+    /// An old or partial picture of the demand gives only the changes that keep a data centre able to serve both
+    /// phases.
+    pub fn plan(&mut self, now: Time, fleet: &Fleet, demand: &DemandTable) -> Vec<RoleChange> {
+        self.follow_changes(now, fleet);
+        let mut engines: Vec<EngineView> =
+            fleet.engines.iter().filter(|it| it.live).cloned().collect();
+        let mut changes = repair(&mut engines);
+        let is_known = now.since(demand.as_of) <= Self::MAX_DEMAND_AGE
+            && demand.coverage() >= Self::MIN_COVERAGE;
+        if is_known {
+            for (model, it) in &demand.models {
+                let track = self.tracks.entry(model.clone()).or_insert_with(|| Track::new(now));
+                track.add(now, *it, peak_memory(self.preference));
+                changes.extend(self.plan_model(model, &mut engines));
+            }
+        }
+        self.pending.extend(changes.iter().map(|it| (it.endpoint.clone(), now)));
+        changes
+    }
+
+    /// Learns how long changes take.
+    fn follow_changes(&mut self, now: Time, fleet: &Fleet) {
+        for engine in &fleet.engines {
+            if engine.changing || !engine.live {
+                continue;
+            }
+            if let Some(since) = self.pending.remove(&engine.endpoint) {
+                self.change.add(now.since(since).as_secs_f64());
+            }
+        }
+    }
+
+    fn plan_model(&self, model: &ModelName, engines: &mut [EngineView]) -> Vec<RoleChange> {
+        let Some(track) = self.tracks.get(model) else { return Vec::new() };
+        let count = engines.iter().filter(|it| it.model == *model).count();
+        let in_flight = engines.iter().filter(|it| it.model == *model && it.changing).count();
+        let allowed = match self.preference {
+            Preference::Goodput => (count / Self::ENGINES_PER_CHANGE).max(1),
+            Preference::FewRoleChanges => 1,
+        };
+        let need = track.need(self.change.get(), count as f64);
+        let mut changes = Vec::new();
+        for _ in in_flight..allowed {
+            let Some((place, role)) = self.best(model, engines, need, track.dwell()) else { break };
+            engines[place].role = role;
+            engines[place].changing = true;
+            changes.push(RoleChange { endpoint: engines[place].endpoint.clone(), role });
+        }
+        changes
+    }
+
+    /// The change with the greatest gain, if any gains.
+    fn best(
+        &self,
+        model: &ModelName,
+        engines: &[EngineView],
+        need: Need,
+        dwell: f64,
+    ) -> Option<(usize, Role)> {
+        let own = |it: &&EngineView| it.model == *model;
+        let supply = Supply::of(engines.iter().filter(own));
+        let before = supply.loss(need);
+        let mut best: Option<(f64, usize, Role)> = None;
+        for (place, engine) in engines.iter().enumerate() {
+            if engine.model != *model || engine.changing {
+                continue;
+            }
+            let without = supply.with(engine, engine.role, -1.0);
+            let missed = (without.loss(need) - before).max(0.0) * self.change.get();
+            for role in [Role::Prefill, Role::Decode, Role::Mixed] {
+                if role == engine.role || !keeps_floor(engines, place, role) {
+                    continue;
+                }
+                let saved = (before - without.with(engine, role, 1.0).loss(need)) * dwell;
+                let cost = missed + engine.cache_seconds + disturbance(engine);
+                let gain = saved - cost - price(self.preference);
+                if gain > best.map_or(0.0, |(gain, _, _)| gain) {
+                    best = Some((gain, place, role));
+                }
+            }
+        }
+        best.map(|(_, place, role)| (place, role))
+    }
+}
+
+/// Engine-seconds that a change is charged beside what it costs.
+const fn price(preference: Preference) -> f64 {
+    match preference {
+        Preference::Goodput => 8.0,
+        Preference::FewRoleChanges => 40.0,
+    }
+}
+
+/// Seconds for which a peak of demand is remembered.
+const fn peak_memory(preference: Preference) -> f64 {
+    match preference {
+        Preference::Goodput => 20.0,
+        Preference::FewRoleChanges => 240.0,
+    }
+}
+
+/// Engine-seconds for each request that a drain has to wait for, so that among equals the least loaded engine goes.
+fn disturbance(engine: &EngineView) -> f64 {
+    f64::from(engine.running) * 0.01
+}
+
+/// Whether the data centre of an engine can serve both phases after a change of it.
+fn keeps_floor(engines: &[EngineView], place: usize, role: Role) -> bool {
+    let own = &engines[place];
+    let peers = engines
+        .iter()
+        .enumerate()
+        .filter(|(_, it)| it.data_centre == own.data_centre && it.model == own.model);
+    let roles: Vec<Role> =
+        peers.map(|(other, it)| if other == place { role } else { it.role }).collect();
+    serves_both(&roles)
+}
+
+fn serves_both(roles: &[Role]) -> bool {
+    roles.iter().any(|it| *it != Role::Decode) && roles.iter().any(|it| *it != Role::Prefill)
+}
+
+/// Gives each data centre that lost its last engine of a phase one that serves it.
+fn repair(engines: &mut [EngineView]) -> Vec<RoleChange> {
+    let mut pools: BTreeMap<(DataCentreName, ModelName), Vec<usize>> = BTreeMap::new();
+    for (place, it) in engines.iter().enumerate() {
+        let pool = (it.data_centre.clone(), it.model.clone());
+        pools.entry(pool).or_default().push(place);
+    }
+    let mut changes = Vec::new();
+    for places in pools.values() {
+        let roles: Vec<Role> = places.iter().map(|it| engines[*it].role).collect();
+        let free = places.iter().copied().filter(|it| !engines[*it].changing);
+        let least = free.min_by_key(|it| (engines[*it].running, engines[*it].endpoint.clone()));
+        let (false, Some(place)) = (serves_both(&roles), least) else { continue };
+        let role = match (places.len(), engines[place].role) {
+            (1, _) => Role::Mixed,
+            (_, Role::Prefill) => Role::Decode,
+            _ => Role::Prefill,
+        };
+        engines[place].role = role;
+        engines[place].changing = true;
+        changes.push(RoleChange { endpoint: engines[place].endpoint.clone(), role });
     }
+    changes
 }
