--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -92,7 +92,7 @@
     /// What deferrable work waits for an engine of mixed role rather than take one that urgent work needs.
     const DEFERRABLE_SPLIT: Duration = Duration::from_secs(5);
     /// What urgent work waits for a split rather than be mixed with prompts that stretch its gaps.
-    const MIXING_PENALTY: Duration = Duration::from_secs(1);
+    const MIXING_PENALTY: Duration = Duration::from_secs(60);
     /// What one running stream adds to an estimate, so that equal queues are told apart.
     const STREAM_COST: Duration = Duration::from_micros(500);
 
