--- a/crates/daisychute-load/src/replay/routing.rs
+++ b/crates/daisychute-load/src/replay/routing.rs
@@ -123,7 +123,11 @@
         data_centre: &DataCentreName,
         _rng: &mut Pcg64Mcg,
     ) -> Result<EndpointName, NoEndpoint> {
-        self.next(|it| decodes(it, query, data_centre)).map(|it| it.endpoint.clone())
+        let is_near = |it: &Candidate| it.data_centre == *data_centre && decodes(it, query);
+        if let Ok(near) = self.next(is_near) {
+            return Ok(near.endpoint.clone());
+        }
+        self.next(|it| decodes(it, query)).map(|it| it.endpoint.clone())
     }
 
     fn answered(&mut self, _endpoint: &EndpointName, _blocks: &[u64], _cached_tokens: u32) {}
@@ -188,7 +192,11 @@
         data_centre: &DataCentreName,
         _rng: &mut Pcg64Mcg,
     ) -> Result<EndpointName, NoEndpoint> {
-        self.least(|it| decodes(it, query, data_centre)).map(|it| it.endpoint.clone())
+        let is_near = |it: &Candidate| it.data_centre == *data_centre && decodes(it, query);
+        if let Ok(near) = self.least(is_near) {
+            return Ok(near.endpoint.clone());
+        }
+        self.least(|it| decodes(it, query)).map(|it| it.endpoint.clone())
     }
 
     fn answered(&mut self, _endpoint: &EndpointName, _blocks: &[u64], _cached_tokens: u32) {}
@@ -206,10 +214,8 @@
     candidate.role != Role::Decode && is_asked_for(candidate, query)
 }
 
-fn decodes(candidate: &Candidate, query: &Query<'_>, data_centre: &DataCentreName) -> bool {
-    candidate.role != Role::Prefill
-        && candidate.data_centre == *data_centre
-        && is_asked_for(candidate, query)
+fn decodes(candidate: &Candidate, query: &Query<'_>) -> bool {
+    candidate.role != Role::Prefill && is_asked_for(candidate, query)
 }
 
 fn chosen(candidate: &Candidate) -> Chosen {
--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -236,13 +236,15 @@
             world.entries[entry].choose_decode(now, query, &data_centre, &mut world.rng)
         });
         let Ok(endpoint) = chosen else {
-            // No engine of the data centre decodes: the request starts over elsewhere with what was emitted.
+            // No engine decodes: the request starts over with what was emitted.
             self.queue.push(now + DECODE_RETRY, Event::Route(i));
             return;
         };
         let place = self.places[&endpoint];
         let tokens = f64::from(self.trace.requests[i].prompt_tokens);
-        let rate = self.trace.header.deployment.speed.transfer_tokens;
+        let speed = self.trace.header.deployment.speed;
+        let is_near = self.sites[place].site.data_centre == data_centre;
+        let rate = if is_near { speed.transfer_tokens } else { speed.far_transfer_tokens };
         let at = now + Duration::from_secs_f64(tokens / rate);
         self.queue.push(at, Event::Offer { flight: i, place, phase: Phase::Decode, cached: 0 });
     }
--- a/crates/daisychute-load/src/trace/deployment.rs
+++ b/crates/daisychute-load/src/trace/deployment.rs
@@ -62,8 +62,10 @@
     pub streams: u32,
     /// Tokens of finished prompts that the prefix cache holds.
     pub cache_tokens: u32,
-    /// Tokens of KV cache that move between two engines in a second.
+    /// Tokens of KV cache that move between two engines of a data centre in a second.
     pub transfer_tokens: f64,
+    /// The same between two data centres.
+    pub far_transfer_tokens: f64,
     /// One call of a plain service.
     pub call: f64,
     /// A change of role after the engine is empty, in milliseconds.
@@ -82,6 +84,7 @@
             streams: 64,
             cache_tokens: 40_000,
             transfer_tokens: 40_000.0,
+            far_transfer_tokens: 10_000.0,
             call: 8_000.0,
             role_change_ms: 4_000,
         }
--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -85,9 +85,11 @@
     const HAND_OVER: Duration = Duration::from_millis(5);
     /// KV cache that moves between two engines of a data centre, tokens a second.
     const TRANSFER_TOKENS_PER_SECOND: f64 = 50_000.0;
+    /// KV cache that moves between two engines of different data centres, tokens a second.
+    const FAR_TRANSFER_TOKENS_PER_SECOND: f64 = 10_000.0;
     /// What one stream of a decode engine adds to the estimate of a hand-over to it.
     const DECODE_STREAM_COST: Duration = Duration::from_millis(5);
-    /// The estimate of a hand-over where no engine of the data centre decodes.
+    /// The estimate of a hand-over where no engine decodes.
     const NO_DECODE: Duration = Duration::from_secs(3_600);
     /// What deferrable work waits for an engine of mixed role rather than take one that urgent work needs.
     const DEFERRABLE_SPLIT: Duration = Duration::from_secs(5);
@@ -238,11 +240,12 @@
     }
 
     /// Chooses the engine that decodes a request whose prompt was computed in this data centre, and counts the
-    /// request as sent to it. The KV cache moves inside the data centre only.
+    /// request as sent to it. The KV cache moves inside the data centre unless the wait there is longer than the
+    /// move to another takes.
     ///
     /// # Errors
     ///
-    /// No live engine of the data centre decodes the model.
+    /// No live engine decodes the model.
     pub fn choose_decode(
         &mut self,
         now: Time,
@@ -251,14 +254,17 @@
         rng: &mut impl Rng,
     ) -> Result<EndpointName, NoEndpoint> {
         // An engine of mixed role decodes only where no other can.
-        let is_here = |slot: &Slot| slot.candidate.data_centre == *data_centre;
-        let decodes = |slot: &Slot| is_here(slot) && slot.serves(query, Part::Decode);
+        let decodes = |slot: &Slot| slot.serves(query, Part::Decode);
         let mut open = self.open(now, |slot| decodes(slot) && slot.candidate.role == Role::Decode);
         if open.is_empty() {
             open = self.open(now, decodes);
         }
-        let picked = self.sample(&open, rng);
-        let place = self.least(now, query, Part::Decode, &picked).ok_or(NoEndpoint)?.0;
+        let is_here = |it: &usize| self.slots[*it].candidate.data_centre == *data_centre;
+        let (here, elsewhere): (Vec<usize>, Vec<usize>) = open.into_iter().partition(is_here);
+        let mut picked = self.sample(&here, rng);
+        picked.extend(self.sample(&elsewhere, rng));
+        let cost = |it: &usize| self.decode_cost(query, data_centre, &self.slots[*it]);
+        let place = picked.into_iter().min_by_key(cost).ok_or(NoEndpoint)?;
         let slot = &mut self.slots[place];
         slot.sends.add(now, 0);
         Ok(slot.candidate.endpoint.clone())
@@ -346,30 +352,36 @@
         }
     }
 
-    /// What moving the KV cache costs, and the wait for a decode engine of the same data centre.
+    /// What moving the KV cache costs, and the wait for an engine that decodes.
     fn hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
-        let transfer = f64::from(query.prompt_tokens) / Self::TRANSFER_TOKENS_PER_SECOND;
-        let moved = Self::HAND_OVER + Duration::from_secs_f64(transfer);
         let wait = self.decode_wait(query, place);
         match query.between_tokens {
-            Some(_) => moved + wait,
-            None => moved + wait + Self::DEFERRABLE_SPLIT,
+            Some(_) => Self::HAND_OVER + wait,
+            None => Self::HAND_OVER + wait + Self::DEFERRABLE_SPLIT,
         }
     }
 
-    /// The least wait for a decode engine of the data centre.
+    /// The least time until an engine decodes what `place` prefills.
     fn decode_wait(&self, query: &Query<'_>, place: usize) -> Duration {
         let data_centre = &self.slots[place].candidate.data_centre;
-        let decodes = self.slots.iter().filter(|it| {
-            it.candidate.data_centre == *data_centre
-                && it.candidate.role == Role::Decode
-                && it.serves(query, Part::Decode)
-        });
-        let wait = |it: &Slot| {
-            let streams = it.report.running + it.report.queued + it.sends.count();
-            it.report.wait + Self::DECODE_STREAM_COST * streams
+        let decodes = self
+            .slots
+            .iter()
+            .filter(|it| it.candidate.role == Role::Decode && it.serves(query, Part::Decode));
+        let costs = decodes.map(|it| self.decode_cost(query, data_centre, it));
+        costs.min().unwrap_or(Self::NO_DECODE)
+    }
+
+    /// The time until this engine decodes what an engine of this data centre prefills.
+    fn decode_cost(&self, query: &Query<'_>, from: &DataCentreName, slot: &Slot) -> Duration {
+        let streams = slot.report.running + slot.report.queued + slot.sends.count();
+        let wait = slot.report.wait + Self::DECODE_STREAM_COST * streams;
+        let rate = if slot.candidate.data_centre == *from {
+            Self::TRANSFER_TOKENS_PER_SECOND
+        } else {
+            Self::FAR_TRANSFER_TOKENS_PER_SECOND
         };
-        decodes.map(wait).min().unwrap_or(Self::NO_DECODE)
+        wait + Duration::from_secs_f64(f64::from(query.prompt_tokens) / rate)
     }
 
     fn cached_tokens(&self, place: usize, query: &Query<'_>) -> u32 {
--- a/crates/daisychute-policy/src/roles/planner.rs
+++ b/crates/daisychute-policy/src/roles/planner.rs
@@ -1,6 +1,6 @@
 //! The role planner.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use daisychute_core::{DataCentreName, EndpointName, ModelName, Preference, Role, Time};
@@ -51,7 +51,7 @@
 ///
 /// A change is planned where the work that it is expected to save, over the time that the mix is likely to last,
 /// outweighs the engine-seconds of the change, the caches that it drops and a price that the deployment's
-/// preference sets. Every data centre keeps an engine for each phase, because a KV cache moves inside one only.
+/// preference sets. Both phases keep engines in two data centres where there are enough.
 #[derive(Debug, Clone)]
 pub struct RolePlanner {
     preference: Preference,
@@ -89,8 +89,7 @@
 
     /// The changes to start now.
     ///
-    /// An old or partial picture of the demand gives only the changes that keep a data centre able to serve both
-    /// phases.
+    /// An old or partial picture of the demand gives only the changes that keep both phases served.
     pub fn plan(&mut self, now: Time, fleet: &Fleet, demand: &DemandTable) -> Vec<RoleChange> {
         self.follow_changes(now, fleet);
         let mut engines: Vec<EngineView> =
@@ -195,43 +194,55 @@
     f64::from(engine.running) * 0.01
 }
 
-/// Whether the data centre of an engine can serve both phases after a change of it.
+/// Whether both phases keep their floor after a change of this engine: an engine each, and two in different data
+/// centres where there are enough engines, so that the loss of one data centre leaves both phases served.
 fn keeps_floor(engines: &[EngineView], place: usize, role: Role) -> bool {
     let own = &engines[place];
-    let peers = engines
-        .iter()
-        .enumerate()
-        .filter(|(_, it)| it.data_centre == own.data_centre && it.model == own.model);
-    let roles: Vec<Role> =
-        peers.map(|(other, it)| if other == place { role } else { it.role }).collect();
+    let peers = engines.iter().enumerate().filter(|(_, it)| it.model == own.model);
+    let roles: Vec<(Role, &DataCentreName)> = peers
+        .map(|(other, it)| (if other == place { role } else { it.role }, &it.data_centre))
+        .collect();
     serves_both(&roles)
 }
 
-fn serves_both(roles: &[Role]) -> bool {
-    roles.iter().any(|it| *it != Role::Decode) && roles.iter().any(|it| *it != Role::Prefill)
+fn serves_both(engines: &[(Role, &DataCentreName)]) -> bool {
+    const ENOUGH: usize = 4;
+    let spread = |unfit: Role| {
+        let fit = engines.iter().filter(|(role, _)| *role != unfit).map(|(_, it)| *it);
+        fit.collect::<BTreeSet<_>>().len()
+    };
+    let data_centres = engines.iter().map(|(_, it)| *it).collect::<BTreeSet<_>>().len();
+    let floor = if engines.len() >= ENOUGH { data_centres.min(2) } else { 1 };
+    spread(Role::Decode) >= floor && spread(Role::Prefill) >= floor
 }
 
-/// Gives each data centre that lost its last engine of a phase one that serves it.
+/// Gives each model that lost its last engine of a phase one that serves it.
 fn repair(engines: &mut [EngineView]) -> Vec<RoleChange> {
-    let mut pools: BTreeMap<(DataCentreName, ModelName), Vec<usize>> = BTreeMap::new();
+    let mut models: BTreeMap<ModelName, Vec<usize>> = BTreeMap::new();
     for (place, it) in engines.iter().enumerate() {
-        let pool = (it.data_centre.clone(), it.model.clone());
-        pools.entry(pool).or_default().push(place);
+        models.entry(it.model.clone()).or_default().push(place);
     }
     let mut changes = Vec::new();
-    for places in pools.values() {
-        let roles: Vec<Role> = places.iter().map(|it| engines[*it].role).collect();
-        let free = places.iter().copied().filter(|it| !engines[*it].changing);
-        let least = free.min_by_key(|it| (engines[*it].running, engines[*it].endpoint.clone()));
-        let (false, Some(place)) = (serves_both(&roles), least) else { continue };
-        let role = match (places.len(), engines[place].role) {
-            (1, _) => Role::Mixed,
-            (_, Role::Prefill) => Role::Decode,
-            _ => Role::Prefill,
-        };
-        engines[place].role = role;
-        engines[place].changing = true;
-        changes.push(RoleChange { endpoint: engines[place].endpoint.clone(), role });
+    for places in models.values() {
+        if let Some((place, role)) = repair_model(engines, places) {
+            engines[place].role = role;
+            engines[place].changing = true;
+            changes.push(RoleChange { endpoint: engines[place].endpoint.clone(), role });
+        }
     }
     changes
 }
+
+/// The change that a model needs most where a phase of it is not served.
+fn repair_model(engines: &[EngineView], places: &[usize]) -> Option<(usize, Role)> {
+    let lacks = |unfit: Role| places.iter().all(|it| engines[*it].role == unfit);
+    let role = match (lacks(Role::Prefill), lacks(Role::Decode)) {
+        (false, false) => return None,
+        _ if places.len() == 1 => Role::Mixed,
+        (true, _) => Role::Decode,
+        (_, true) => Role::Prefill,
+    };
+    let free = places.iter().copied().filter(|it| !engines[*it].changing);
+    let least = free.min_by_key(|it| (engines[*it].running, engines[*it].endpoint.clone()));
+    least.map(|place| (place, role))
+}
--- a/crates/daisychute-policy/src/roles/supply.rs
+++ b/crates/daisychute-policy/src/roles/supply.rs
@@ -17,8 +17,7 @@
 
 /// Engines of each role by data centre.
 ///
-/// Split serving pairs the engines of one data centre, so that one with two prefill engines and one decode engine
-/// does no more of an even mix than one of each.
+/// Split serving pairs engines, those of one data centre first because a KV cache moves faster there.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub(super) struct Supply {
     data_centres: BTreeMap<DataCentreName, Roles>,
@@ -34,6 +33,9 @@
     /// The part of a mixed engine that urgent work can use, because prompts stretch the gaps of streams.
     const MIXED_URGENT: f64 = 0.3;
 
+    /// What a pair of engines in different data centres does of the work of a pair in one.
+    const FAR: f64 = 0.9;
+
     pub(super) fn of<'a>(engines: impl Iterator<Item = &'a EngineView>) -> Self {
         engines.fold(Self::default(), |sum, it| sum.with(it, it.role, 1.0))
     }
@@ -67,12 +69,16 @@
             return f64::INFINITY;
         }
         let (prefill, decode) = (need.prefill / total, need.decode / total);
-        let pair = |it: &Roles| {
-            let by_prefill = it.prefill / prefill.max(1e-6);
-            let by_decode = it.decode / decode.max(1e-6);
-            by_prefill.min(by_decode) + Self::MIXED_URGENT * it.mixed
-        };
-        self.data_centres.values().map(pair).sum()
+        let mut capacity = 0.0;
+        let mut spare = Roles::default();
+        for it in self.data_centres.values() {
+            let pairs = (it.prefill / prefill.max(1e-6)).min(it.decode / decode.max(1e-6));
+            capacity += pairs + Self::MIXED_URGENT * it.mixed;
+            spare.prefill += (it.prefill - pairs * prefill).max(0.0);
+            spare.decode += (it.decode - pairs * decode).max(0.0);
+        }
+        let far = (spare.prefill / prefill.max(1e-6)).min(spare.decode / decode.max(1e-6));
+        capacity + Self::FAR * far
     }
 }
 
