feat(policy): plan for decode room ahead, time prompts by steps, change roles more slowly

Change: prompts of one step share its time; the chooser compares what is under way to the decode engines with what they finish; the planner drops the trend, expects a lean of the mix to last three times as long as it has, remembers peaks for 60 s (240 s where few changes are preferred), and charges 20 (200) engine-seconds for a change.

--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -210,9 +210,7 @@
             self.try_later(now, i, Duration::from_millis(200));
             return;
         };
-        let class = usize::from(self.trace.requests[i].class);
-        let is_targeted = self.trace.header.classes[class].class.targets.between_tokens.is_some();
-        if is_targeted && chosen.hand_over > Chosen::MAX_HAND_OVER {
+        if chosen.hand_over > Chosen::MAX_HAND_OVER {
             self.try_later(now, i, chosen.hand_over);
             return;
         }
--- a/crates/daisychute-policy/src/admission.rs
+++ b/crates/daisychute-policy/src/admission.rs
@@ -9,6 +9,7 @@
 mod decision;
 mod fair_share;
 mod limits;
+mod prompt_clock;
 mod queue;
 mod running;
 mod ticket;
--- a/crates/daisychute-policy/src/admission/core.rs
+++ b/crates/daisychute-policy/src/admission/core.rs
@@ -10,6 +10,7 @@
 use super::decision::Decision;
 use super::fair_share::FairShare;
 use super::limits::Limits;
+use super::prompt_clock::PromptClock;
 use super::queue::{Ahead, Queue, Waiting};
 use super::running::{Running, RunningSet};
 use super::ticket::{Phase, Ticket};
@@ -35,7 +36,7 @@
     target: Option<Duration>,
     last_interactive: Option<Time>,
     last_may_wait_turn: Time,
-    last_prompt: Time,
+    prompts: PromptClock,
     last_gap: Time,
 }
 
@@ -66,7 +67,7 @@
             target: None,
             last_interactive: None,
             last_may_wait_turn: Time::ZERO,
-            last_prompt: Time::ZERO,
+            prompts: PromptClock::default(),
             last_gap: Time::ZERO,
         }
     }
@@ -148,9 +149,7 @@
         let Some(running) = self.running.get(id) else { return };
         if running.computes_prompt() {
             let uncached = running.ticket.prompt_tokens.saturating_sub(cached_tokens);
-            let from = running.started.max(self.last_prompt);
-            self.cost.prompt(uncached, now.since(from));
-            self.last_prompt = now;
+            self.prompts.computed(now, running.started, uncached, &mut self.cost);
         }
         self.running.first_token(now, id);
     }
--- a/crates/daisychute-policy/src/choice.rs
+++ b/crates/daisychute-policy/src/choice.rs
@@ -13,6 +13,7 @@
 mod chooser;
 mod health;
 mod hits;
+mod pipeline;
 mod query;
 mod sends;
 
--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -10,6 +10,7 @@
 use super::candidate::Candidate;
 use super::health::Health;
 use super::hits::Hits;
+use super::pipeline::Pipeline;
 use super::query::{Chosen, NoEndpoint, Query};
 use super::sends::Sends;
 use crate::prefix::BLOCK_TOKENS;
@@ -88,7 +89,9 @@
     /// KV cache that moves between two engines of different data centres, tokens a second.
     const FAR_TRANSFER_TOKENS_PER_SECOND: f64 = 10_000.0;
     /// What one stream of a decode engine adds to the estimate of a hand-over to it.
-    const DECODE_STREAM_COST: Duration = Duration::from_millis(5);
+    const DECODE_STREAM_COST: Duration = Duration::from_millis(4);
+    /// What each request that waits at a decode engine adds for deferrable work, which comes after it.
+    const DEFERRABLE_QUEUED: Duration = Duration::from_millis(50);
     /// The estimate of a hand-over where no engine decodes.
     const NO_DECODE: Duration = Duration::from_secs(3_600);
     /// What deferrable work waits for an engine of mixed role rather than take one that urgent work needs.
@@ -225,7 +228,8 @@
             (None, None) => return Err(NoEndpoint),
         };
         let cached_tokens = self.cached_tokens(place, query);
-        let hand_over = if is_split { self.decode_wait(query, place) } else { Duration::ZERO };
+        let hand_over =
+            if is_split { self.expected_hand_over(query, place) } else { Duration::ZERO };
         let slot = &mut self.slots[place];
         slot.sends.add(now, query.prompt_tokens - cached_tokens);
         slot.hits.add(query.blocks);
@@ -361,6 +365,18 @@
         }
     }
 
+    /// The wait between prefill and decode, with what is under way to the decode engines.
+    fn expected_hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
+        let now = self.decode_wait(query, place);
+        let Some(target) = query.between_tokens else { return now };
+        let mut pipeline = Pipeline::default();
+        for slot in self.slots.iter().filter(|it| it.candidate.model.as_ref() == query.model) {
+            let prompt = slot.prompt_token().mul_f64(f64::from(query.prompt_tokens));
+            pipeline.add(slot.candidate.role, &slot.report, prompt, target);
+        }
+        now.max(pipeline.wait())
+    }
+
     /// The least time until an engine decodes what `place` prefills.
     fn decode_wait(&self, query: &Query<'_>, place: usize) -> Duration {
         let data_centre = &self.slots[place].candidate.data_centre;
@@ -374,14 +390,18 @@
 
     /// The time until this engine decodes what an engine of this data centre prefills.
     fn decode_cost(&self, query: &Query<'_>, from: &DataCentreName, slot: &Slot) -> Duration {
-        let streams = slot.report.running + slot.report.queued + slot.sends.count();
-        let wait = slot.report.wait + Self::DECODE_STREAM_COST * streams;
+        let queued = match query.between_tokens {
+            Some(_) => Duration::ZERO,
+            None => Self::DEFERRABLE_QUEUED * slot.report.queued,
+        };
         let rate = if slot.candidate.data_centre == *from {
             Self::TRANSFER_TOKENS_PER_SECOND
         } else {
             Self::FAR_TRANSFER_TOKENS_PER_SECOND
         };
-        wait + Duration::from_secs_f64(f64::from(query.prompt_tokens) / rate)
+        let streams = Self::DECODE_STREAM_COST * (slot.report.running + slot.sends.count());
+        let transfer = Duration::from_secs_f64(f64::from(query.prompt_tokens) / rate);
+        slot.report.wait + queued + streams + transfer
     }
 
     fn cached_tokens(&self, place: usize, query: &Query<'_>) -> u32 {
--- a/crates/daisychute-policy/src/choice/query.rs
+++ b/crates/daisychute-policy/src/choice/query.rs
@@ -105,14 +105,14 @@
     pub cached_tokens: u32,
     /// The estimated time to the first token.
     pub first_token: Duration,
-    /// The estimated wait between prefill and decode, zero where one engine does both. A request with a target
-    /// between tokens is better refused than sent where this is above [`MAX_HAND_OVER`](Self::MAX_HAND_OVER).
+    /// The estimated wait between prefill and decode, zero where one engine does both. A request is better
+    /// refused than sent where this is above [`MAX_HAND_OVER`](Self::MAX_HAND_OVER).
     pub hand_over: Duration,
 }
 
 impl Chosen {
-    /// The longest wait between prefill and decode that a target between tokens stands.
-    pub const MAX_HAND_OVER: Duration = Duration::from_millis(800);
+    /// The longest wait between prefill and decode that a request should meet.
+    pub const MAX_HAND_OVER: Duration = Duration::from_millis(500);
 }
 
 /// No endpoint can be chosen.
--- a/crates/daisychute-policy/src/roles/planner.rs
+++ b/crates/daisychute-policy/src/roles/planner.rs
@@ -68,7 +68,7 @@
     const MIN_COVERAGE: f64 = 0.6;
     const DEFAULT_CHANGE_SECONDS: f64 = 10.0;
     /// One change at a time for so many engines of a model.
-    const ENGINES_PER_CHANGE: usize = 6;
+    const ENGINES_PER_CHANGE: usize = 12;
 
     /// A planner that knows no demand yet.
     #[must_use]
@@ -101,7 +101,7 @@
             for (model, it) in &demand.models {
                 let track = self.tracks.entry(model.clone()).or_insert_with(|| Track::new(now));
                 track.add(now, *it, peak_memory(self.preference));
-                changes.extend(self.plan_model(model, &mut engines));
+                changes.extend(self.plan_model(now, model, &mut engines));
             }
         }
         self.pending.extend(changes.iter().map(|it| (it.endpoint.clone(), now)));
@@ -120,18 +120,26 @@
         }
     }
 
-    fn plan_model(&self, model: &ModelName, engines: &mut [EngineView]) -> Vec<RoleChange> {
-        let Some(track) = self.tracks.get(model) else { return Vec::new() };
+    fn plan_model(
+        &mut self,
+        now: Time,
+        model: &ModelName,
+        engines: &mut [EngineView],
+    ) -> Vec<RoleChange> {
+        let Some(track) = self.tracks.get_mut(model) else { return Vec::new() };
         let count = engines.iter().filter(|it| it.model == *model).count();
         let in_flight = engines.iter().filter(|it| it.model == *model && it.changing).count();
         let allowed = match self.preference {
             Preference::Goodput => (count / Self::ENGINES_PER_CHANGE).max(1),
             Preference::FewRoleChanges => 1,
         };
-        let need = track.need(self.change.get(), count as f64);
+        let need = track.need(count as f64);
+        let supply = Supply::of(engines.iter().filter(|it| it.model == *model));
+        let (prefill, decode) = supply.utilization(need);
+        let dwell = track.lean(now, prefill, decode);
         let mut changes = Vec::new();
         for _ in in_flight..allowed {
-            let Some((place, role)) = self.best(model, engines, need, track.dwell()) else { break };
+            let Some((place, role)) = self.best(model, engines, need, dwell) else { break };
             engines[place].role = role;
             engines[place].changing = true;
             changes.push(RoleChange { endpoint: engines[place].endpoint.clone(), role });
@@ -157,7 +165,7 @@
             }
             let without = supply.with(engine, engine.role, -1.0);
             let missed = (without.loss(need) - before).max(0.0) * self.change.get();
-            for role in [Role::Prefill, Role::Decode, Role::Mixed] {
+            for role in [Role::Prefill, Role::Decode] {
                 if role == engine.role || !keeps_floor(engines, place, role) {
                     continue;
                 }
@@ -176,15 +184,15 @@
 /// Engine-seconds that a change is charged beside what it costs.
 const fn price(preference: Preference) -> f64 {
     match preference {
-        Preference::Goodput => 8.0,
-        Preference::FewRoleChanges => 40.0,
+        Preference::Goodput => 20.0,
+        Preference::FewRoleChanges => 200.0,
     }
 }
 
 /// Seconds for which a peak of demand is remembered.
 const fn peak_memory(preference: Preference) -> f64 {
     match preference {
-        Preference::Goodput => 20.0,
+        Preference::Goodput => 60.0,
         Preference::FewRoleChanges => 240.0,
     }
 }
--- a/crates/daisychute-policy/src/roles/supply.rs
+++ b/crates/daisychute-policy/src/roles/supply.rs
@@ -25,7 +25,7 @@
 
 impl Supply {
     /// Up to this utilization no work is lost to waiting.
-    const EASY: f64 = 0.55;
+    const EASY: f64 = 0.7;
     /// The part of the work that is lost to waiting as the utilization comes to one.
     const RISK: f64 = 0.5;
     /// Deferrable work that finds no engine counts less: it has time until the mix changes.
@@ -52,6 +52,15 @@
         supply
     }
 
+    /// Utilization of prefill and of decode.
+    pub(super) fn utilization(&self, need: Need) -> (f64, f64) {
+        let sum = |part: fn(&Roles) -> f64| self.data_centres.values().map(part).sum::<f64>();
+        let mixed = Self::MIXED_URGENT * sum(|it| it.mixed);
+        let prefill = sum(|it| it.prefill) + mixed;
+        let decode = sum(|it| it.decode) + mixed;
+        (need.prefill / prefill.max(1e-6), need.decode / decode.max(1e-6))
+    }
+
     /// Engine-seconds of work that miss their target, for each second.
     pub(super) fn loss(&self, need: Need) -> f64 {
         let urgent = need.prefill + need.decode;
--- a/crates/daisychute-policy/src/roles/track.rs
+++ b/crates/daisychute-policy/src/roles/track.rs
@@ -19,7 +19,6 @@
     prefill: Forecast,
     decode: Forecast,
     deferrable: Forecast,
-    mean_share: f64,
     lean: i8,
     lean_since: Time,
     /// Seconds that a lean of the mix lasts.
@@ -31,8 +30,9 @@
     const DEFAULT_DWELL: f64 = 60.0;
     const MAX_DWELL: f64 = 300.0;
     const DWELL_GAIN: f64 = 0.4;
-    const SHARE_MEMORY: f64 = 120.0;
-    const LEAN_BAND: f64 = 0.05;
+    /// A lean that has lasted for a while is expected to go on for this multiple of it.
+    const AGE_FACTOR: f64 = 3.0;
+    const LEAN_BAND: f64 = 0.1;
     /// A backlog is meant to be worked off in this many seconds.
     const BACKLOG_SECONDS: f64 = 10.0;
     /// Demand that fills more than this part of the engines leaves no room for peaks that are over.
@@ -43,7 +43,6 @@
             prefill: Forecast::default(),
             decode: Forecast::default(),
             deferrable: Forecast::default(),
-            mean_share: 0.5,
             lean: 0,
             lean_since: now,
             dwell: Self::DEFAULT_DWELL,
@@ -59,18 +58,12 @@
         self.prefill.add(prefill, seconds, memory);
         self.decode.add(demand.decode.max(demand.decode_busy), seconds, memory);
         self.deferrable.add(demand.deferrable, seconds, memory);
-        self.follow_lean(now, seconds);
     }
 
-    /// Seconds that the present mix is likely to last.
-    pub(super) fn dwell(&self) -> f64 {
-        self.dwell
-    }
-
-    /// What is needed `horizon` seconds from now: the forecast, raised towards the recent peaks as far as the engines
+    /// What is needed while a change takes effect: the present level, raised towards the recent peaks as far as the engines
     /// suffice for both.
-    pub(super) fn need(&self, horizon: f64, engines: f64) -> Need {
-        let (prefill, decode) = (self.prefill.at(horizon), self.decode.at(horizon));
+    pub(super) fn need(&self, engines: f64) -> Need {
+        let (prefill, decode) = (self.prefill.level(), self.decode.level());
         let extra_prefill = (self.prefill.peak() - prefill).max(0.0);
         let extra_decode = (self.decode.peak() - decode).max(0.0);
         let used = prefill + decode + self.deferrable.level();
@@ -84,28 +77,24 @@
         }
     }
 
-    fn follow_lean(&mut self, now: Time, seconds: f64) {
-        let (prefill, decode) = (self.prefill.level(), self.decode.level());
-        let total = prefill + decode;
-        if total <= 0.0 {
-            return;
-        }
-        let share = prefill / total;
-        let gain = (seconds / Self::SHARE_MEMORY).min(1.0);
-        self.mean_share += gain * (share - self.mean_share);
-        let lean = match share - self.mean_share {
+    /// Takes in the utilization of both phases: a phase that is more in demand than the other makes the mix lean
+    /// towards it. Gives the seconds that this is likely to go on: as a multiple of the time that it has lasted, and
+    /// no more than such leans lasted before.
+    pub(super) fn lean(&mut self, now: Time, prefill: f64, decode: f64) -> f64 {
+        let lean = match prefill - decode {
             it if it > Self::LEAN_BAND => 1,
             it if it < -Self::LEAN_BAND => -1,
-            _ => return,
+            _ => 0,
         };
-        if lean == self.lean {
-            return;
-        }
-        if self.lean != 0 {
-            let lasted = now.since(self.lean_since).as_secs_f64();
-            self.dwell += Self::DWELL_GAIN * (lasted.min(Self::MAX_DWELL) - self.dwell);
+        if lean != 0 && lean != self.lean {
+            if self.lean != 0 {
+                let lasted = now.since(self.lean_since).as_secs_f64();
+                self.dwell += Self::DWELL_GAIN * (lasted.min(Self::MAX_DWELL) - self.dwell);
+            }
+            self.lean = lean;
+            self.lean_since = now;
         }
-        self.lean = lean;
-        self.lean_since = now;
+        let age = now.since(self.lean_since).as_secs_f64();
+        (age * Self::AGE_FACTOR).min(self.dwell)
     }
 }
