feat(xtask): measure the way through entry and agent

cargo xtask measure path builds everything in release mode and runs four measurements on processes of target/release: latency that entry and agent add (direct calls and calls through them take turns, 200 requests/s each), requests a second of one entry, processor share at 13 requests/s and 3,700 tokens/s, and memory of 1,000 open streams. The xtask runs itself again from target/release, so that the programs beside it are the released ones.

--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -138,6 +138,12 @@
         &mut self.standin
     }
 
+    /// The address of the endpoint's stand-in.
+    #[must_use]
+    pub const fn endpoint_addr(&self) -> SocketAddr {
+        self.standin_addr
+    }
+
     /// A client of the endpoint's stand-in.
     #[must_use]
     pub fn endpoint(&self) -> Client {
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -27,6 +27,18 @@
     /// The demo did not show what it must.
     #[error("the demo failed: {0}")]
     Demo(&'static str),
+    /// The system's account of a process can't be read, or is malformed where there is no source.
+    #[error("{path} can't be read")]
+    Proc {
+        /// The file.
+        path: String,
+        /// What the system said.
+        #[source]
+        source: Option<io::Error>,
+    },
+    /// A histogram can't be made.
+    #[error(transparent)]
+    Histogram(#[from] hdrhistogram::CreationError),
     /// A program ended with a failure.
     #[error("{command} failed")]
     Failed {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod error;
+mod measure;
 mod test;
 
 use std::error::Error as _;
@@ -24,6 +25,9 @@
     Demo,
     /// Builds every program, then runs every test.
     Test,
+    /// Measures and prints one line for each figure.
+    #[command(subcommand)]
+    Measure(measure::Measure),
 }
 
 fn main() -> ExitCode {
@@ -40,6 +44,7 @@
     match chore {
         Chore::Demo => demo::run(),
         Chore::Test => test::run(),
+        Chore::Measure(it) => it.run(),
     }
 }
 
