fix(agent): tell a cut answer of a plain service from a whole one

Cause: awc takes the end of the connection for the end of the body.

Ruled out: counting against Content-Length, which mends known lengths only; a connection that is not kept, where the same cases fail.

Change: plain services are called by hyper through hyper-util's client, which reports a body that ends early. Nothing is sent twice by the client, and non-repeatable calls keep having a connection of their own. An answer that neither has a length nor is chunked can't be told from a cut one and is refused as bad_answer.

--- a/crates/daisychute-agent/src/shell/endpoint_client.rs
+++ b/crates/daisychute-agent/src/shell/endpoint_client.rs
@@ -11,6 +11,7 @@
 
 use super::Reporter;
 use super::completion_run::{resume_completion, run_completion};
+use super::service_client::ServiceClient;
 use super::service_run::run_call;
 use crate::core::Report;
 
@@ -21,6 +22,7 @@
 #[derive(Clone)]
 pub struct EndpointClient {
     client: Client,
+    service: ServiceClient,
     base: Rc<str>,
 }
 
@@ -45,13 +47,18 @@
         // The number of connections is bounded by what the core lets run.
         let connector = Connector::new().limit(0);
         let client = Client::builder().connector(connector).disable_timeout().finish();
-        Self { client, base: Rc::from(base.trim_end_matches('/')) }
+        let base = Rc::from(base.trim_end_matches('/'));
+        Self { client, service: ServiceClient::new(), base }
     }
 
     pub(super) const fn client(&self) -> &Client {
         &self.client
     }
 
+    pub(super) const fn service(&self) -> &ServiceClient {
+        &self.service
+    }
+
     pub(super) fn url(&self, path: &str) -> String {
         format!("{}{path}", self.base)
     }
--- a/crates/daisychute-agent/src/shell/mod.rs
+++ b/crates/daisychute-agent/src/shell/mod.rs
@@ -7,6 +7,7 @@
 mod handle;
 mod input;
 mod reporter;
+mod service_client;
 mod service_run;
 
 pub use self::agent_shell::{AgentOptions, AgentShell};
--- a/crates/daisychute-agent/src/shell/service_run.rs
+++ b/crates/daisychute-agent/src/shell/service_run.rs
@@ -1,11 +1,14 @@
 //! Running a call on a plain service.
 
-use awc::http::{Method, header};
+use bytes::Bytes;
 use daisychute_core::{RefusalReason, Usage};
 use daisychute_proto::Call;
-use futures_util::StreamExt;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::header;
+use hyper::{Request, Response, http};
 
-use super::endpoint_client::{endpoint_id, send_failure};
+use super::endpoint_client::endpoint_id;
 use super::{EndpointClient, Reporter};
 use crate::core::Report;
 
@@ -13,37 +16,63 @@
 const REQUEST_ID: &str = "X-Request-Id";
 
 pub(super) async fn run_call(endpoint: &EndpointClient, reporter: &Reporter, call: &Call) {
-    let Ok(method) = Method::from_bytes(call.method.as_bytes()) else {
+    let Ok(req) = request(endpoint, reporter, call) else {
         return reporter.report(Report::NotStarted(RefusalReason::BadAnswer));
     };
+    match endpoint.service().send(req, call.repeatable).await {
+        Ok(res) => pass_on(reporter, res).await,
+        Err(error) if error.is_connect() => {
+            reporter.report(Report::NotStarted(RefusalReason::EndpointLost))
+        }
+        Err(_) => reporter.report(Report::Broken(RefusalReason::EndpointLost)),
+    }
+}
+
+fn request(
+    endpoint: &EndpointClient,
+    reporter: &Reporter,
+    call: &Call,
+) -> http::Result<Request<Full<Bytes>>> {
     let start = reporter.start();
-    let mut req = endpoint
-        .client()
-        .request(method, endpoint.url(&call.path))
-        .insert_header((REQUEST_ID, endpoint_id(start.id, start.attempt)));
+    let mut req = Request::builder()
+        .method(call.method.as_str())
+        .uri(endpoint.url(&call.path))
+        .header(REQUEST_ID, endpoint_id(start.id, start.attempt));
     if let Some(content_type) = &call.content_type {
-        req = req.insert_header((header::CONTENT_TYPE, content_type.as_str()));
+        req = req.header(header::CONTENT_TYPE, content_type);
     }
     if let Some(key) = &call.key {
-        req = req.insert_header((IDEMPOTENCY_KEY, key.as_str()));
+        req = req.header(IDEMPOTENCY_KEY, key);
     }
-    if !call.repeatable {
-        // A kept connection may be dead without notice, and then nobody knows whether the call has run. A failure to
-        // open a new one proves that it has not.
-        req = req.force_close();
+    req.body(Full::new(call.body.clone()))
+}
+
+/// Reports an answer. Only one that marks its own end can be told from a cut one.
+async fn pass_on(reporter: &Reporter, res: Response<Incoming>) {
+    if !marks_its_end(&res) {
+        return reporter.report(Report::Broken(RefusalReason::BadAnswer));
     }
-    let mut res = match req.send_body(call.body.clone()).await {
-        Ok(res) => res,
-        Err(error) => return reporter.report(send_failure(&error)),
-    };
     let content_type =
         res.headers().get(header::CONTENT_TYPE).and_then(|it| it.to_str().ok()).map(str::to_owned);
     reporter.report(Report::Head { status: res.status().as_u16(), content_type, version: None });
-    while let Some(part) = res.next().await {
-        match part {
-            Ok(data) => reporter.report(Report::Data { data, tokens: 0 }),
-            Err(_) => return reporter.report(Report::Broken(RefusalReason::EndpointLost)),
+    let mut body = res.into_body();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return reporter.report(Report::Broken(RefusalReason::EndpointLost));
+        };
+        // Trailers are not passed on.
+        if let Ok(data) = frame.into_data() {
+            reporter.report(Report::Data { data, tokens: 0 });
         }
     }
     reporter.report(Report::Finished { finish: None, usage: Usage::default() });
 }
+
+fn marks_its_end(res: &Response<Incoming>) -> bool {
+    // A body that can't be there has ended already.
+    let is_empty = res.body().is_end_stream();
+    let headers = res.headers();
+    is_empty
+        || headers.contains_key(header::CONTENT_LENGTH)
+        || headers.contains_key(header::TRANSFER_ENCODING)
+}
--- /dev/null
+++ b/crates/daisychute-agent/tests/whole_answers.rs
@@ -0,0 +1,252 @@
+//! An answer that is cut between endpoint and agent never passes for whole.
+
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::time::Duration;
+
+use bytes::Bytes;
+use daisychute_agent::Fifo;
+use daisychute_agent::core::{AgentConfig, AgentCore};
+use daisychute_agent::shell::{AgentOptions, AgentShell};
+use daisychute_core::{
+    EndpointKind, EndpointRecord, EndpointState, EngineTarget, Incarnation, Precedence,
+    RefusalReason, RequestId, Role, Verdict,
+};
+use daisychute_link::{LinkConfig, LinkEvent, LinkId, connect};
+use daisychute_proto::{
+    Call, Completion, Frame, Hello, PROTOCOL_VERSION, ProcessRole, Prompt, Revisions, Start, Work,
+};
+use daisychute_runtime::Clock;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::time::timeout;
+
+const LIMIT: Duration = Duration::from_secs(10);
+const REQUEST: RequestId = RequestId::new(Incarnation::new(7), 1);
+/// What the calls send; a service has read a call when it has seen this.
+const BODY: &str = "passed=1";
+
+/// How a call ends for the entry.
+#[derive(Debug, PartialEq)]
+enum Ended {
+    Whole { status: u16, body: String },
+    Refused { verdict: Verdict, reason: RefusalReason },
+}
+
+fn whole(status: u16, body: &str) -> Ended {
+    Ended::Whole { status, body: body.to_owned() }
+}
+
+const LOST: Ended =
+    Ended::Refused { verdict: Verdict::Unknown, reason: RefusalReason::EndpointLost };
+const BAD: Ended = Ended::Refused { verdict: Verdict::Unknown, reason: RefusalReason::BadAnswer };
+
+macro_rules! answers {
+    ($($name:ident: $bytes:expr => $ended:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            for work in [call(false), call(true)] {
+                let ended = actix_rt::System::new().block_on(run($bytes, &work));
+                assert_eq!(ended, $ended, "{work:?}");
+            }
+        }
+    )*};
+}
+
+macro_rules! engine_refusals {
+    ($($name:ident: $bytes:expr => $ended:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let ended = actix_rt::System::new().block_on(run($bytes, &completion()));
+            assert_eq!(ended, $ended);
+        }
+    )*};
+}
+
+answers! {
+    whole_answer_of_known_length:
+        "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello" => whole(200, "hello"),
+    whole_answer_in_chunks:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+            => whole(200, "hello"),
+    whole_answer_without_a_body: "HTTP/1.1 204 No Content\r\n\r\n" => whole(204, ""),
+    refusal_of_the_service_passes:
+        "HTTP/1.1 409 Conflict\r\ncontent-length: 4\r\n\r\nfull" => whole(409, "full"),
+    cut_of_known_length: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhello" => LOST,
+    cut_of_known_length_before_the_body: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n" => LOST,
+    cut_inside_a_chunk:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n9\r\nhello" => LOST,
+    cut_between_chunks:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n" => LOST,
+    cut_before_the_first_chunk:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n" => LOST,
+    cut_inside_the_last_chunk:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" => LOST,
+    cut_inside_the_head: "HTTP/1.1 200 OK\r\ncontent-le" => LOST,
+    malformed_chunk:
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nhello\r\n" => LOST,
+    end_marked_only_by_the_close: "HTTP/1.1 200 OK\r\n\r\nhello" => BAD,
+}
+
+engine_refusals! {
+    whole_refusal_of_an_engine:
+        "HTTP/1.1 400 Bad Request\r\ncontent-length: 9\r\n\r\n{\"no\": 1}" => whole(400, "{\"no\": 1}"),
+    empty_refusal_of_an_engine:
+        "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n" => whole(404, ""),
+    cut_refusal_of_an_engine:
+        "HTTP/1.1 400 Bad Request\r\ncontent-length: 9\r\n\r\n{\"no\"" => LOST,
+    cut_refusal_of_an_engine_before_the_body:
+        "HTTP/1.1 400 Bad Request\r\ncontent-length: 9\r\n\r\n" => LOST,
+    cut_refusal_of_an_engine_in_chunks:
+        "HTTP/1.1 400 Bad Request\r\ntransfer-encoding: chunked\r\n\r\n5\r\n{\"no\"\r\n" => LOST,
+}
+
+/// Runs one request on an endpoint that answers with these bytes and closes.
+async fn run(answer: &'static str, work: &Work) -> Ended {
+    let service = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let service_addr = service.local_addr().expect("an address");
+    actix_rt::spawn(serve(service, answer));
+    let agent_addr = start_agent(service_addr, work);
+    let (tx, mut rx) = unbounded_channel();
+    connect(agent_addr, LinkId::new(1), hello(), LinkConfig::default(), tx);
+    let ended = timeout(LIMIT, follow(&mut rx, work)).await;
+    ended.expect("the call ends in time")
+}
+
+async fn serve(service: TcpListener, answer: &'static str) {
+    while let Ok((mut stream, _)) = service.accept().await {
+        actix_rt::spawn(async move {
+            if read_call(&mut stream).await {
+                stream.write_all(answer.as_bytes()).await.expect("the agent reads");
+            }
+        });
+    }
+}
+
+/// Whether a whole request came; the agent also asks an engine for its state, which gets no answer.
+async fn read_call(stream: &mut TcpStream) -> bool {
+    let mut read = Vec::new();
+    while !String::from_utf8_lossy(&read).contains(BODY) {
+        if stream.read_buf(&mut read).await.expect("the agent writes") == 0 {
+            return false;
+        }
+    }
+    true
+}
+
+fn start_agent(service: SocketAddr, work: &Work) -> SocketAddr {
+    let listener = StdListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("an address");
+    let core = AgentCore::new(AgentConfig::default(), Fifo::new(4), record(addr, work));
+    let options = AgentOptions {
+        process: "agent-1".try_into().expect("a name"),
+        data_centre: "agdal".try_into().expect("a name"),
+        region: "morocco".try_into().expect("a name"),
+        endpoint_url: format!("http://{service}"),
+        link: LinkConfig::default(),
+    };
+    let shell = AgentShell::new(options, core, Clock::start(), listener).expect("a listener");
+    actix_rt::spawn(shell.run());
+    addr
+}
+
+fn record(agent: SocketAddr, work: &Work) -> EndpointRecord {
+    let (kind, target) = match work {
+        Work::Call(call) => (EndpointKind::Service(call.service.clone()), None),
+        Work::Completion(completion) => (EndpointKind::Engine, Some(target(completion))),
+    };
+    EndpointRecord {
+        endpoint: "sign-feed-1".try_into().expect("a name"),
+        instance: "i-1".try_into().expect("a name"),
+        data_centre: "agdal".try_into().expect("a name"),
+        kind,
+        agent,
+        incarnation: Incarnation::new(1),
+        state: EndpointState::Live,
+        target,
+    }
+}
+
+fn target(completion: &Completion) -> EngineTarget {
+    EngineTarget {
+        role: Role::Mixed,
+        model: completion.model.clone(),
+        version: "1".try_into().expect("a name"),
+        adapter: None,
+    }
+}
+
+fn hello() -> Hello {
+    Hello {
+        version: PROTOCOL_VERSION,
+        min_version: PROTOCOL_VERSION,
+        process: "entry-1".try_into().expect("a name"),
+        incarnation: REQUEST.origin,
+        role: ProcessRole::Entry,
+        data_centre: "agdal".try_into().expect("a name"),
+        region: "morocco".try_into().expect("a name"),
+        endpoint: None,
+        revisions: Revisions::default(),
+    }
+}
+
+fn start(work: Work) -> Start {
+    Start {
+        id: REQUEST,
+        attempt: 1,
+        tenant: "clerks".try_into().expect("a name"),
+        class: "panel".try_into().expect("a name"),
+        precedence: Precedence::First,
+        deadline: LIMIT,
+        first_token: None,
+        between_tokens: None,
+        window: 1 << 16,
+        work,
+    }
+}
+
+fn call(repeatable: bool) -> Work {
+    Work::Call(Call {
+        service: "sign-feed".try_into().expect("a name"),
+        method: "POST".to_owned(),
+        path: "/counts".to_owned(),
+        content_type: None,
+        body: Bytes::from_static(BODY.as_bytes()),
+        key: Some("count-1".to_owned()),
+        repeatable,
+    })
+}
+
+fn completion() -> Work {
+    Work::Completion(Completion {
+        model: "clerk-lm".try_into().expect("a name"),
+        adapter: None,
+        version: None,
+        prompt: Prompt::Text(BODY.to_owned()),
+        max_tokens: 4,
+        options: String::new(),
+        emitted: String::new(),
+        emitted_tokens: 0,
+    })
+}
+
+async fn follow(rx: &mut UnboundedReceiver<LinkEvent>, work: &Work) -> Ended {
+    let mut status = 0;
+    let mut body = String::new();
+    loop {
+        match rx.recv().await.expect("the link lives") {
+            LinkEvent::Up { link, .. } => link.send(start(work.clone())),
+            LinkEvent::Down { reason, .. } => panic!("the link is down: {reason}"),
+            LinkEvent::Frame { frame, .. } => match *frame {
+                Frame::Head(head) => status = head.status,
+                Frame::Chunk(chunk) => body.push_str(&String::from_utf8_lossy(&chunk.data)),
+                Frame::End(_) => return Ended::Whole { status, body },
+                Frame::Refused(refused) => {
+                    let refusal = refused.refusal;
+                    return Ended::Refused { verdict: refusal.verdict, reason: refusal.reason };
+                }
+                _ => {}
+            },
+        }
+    }
+}
