--- a/xtask/src/measure/path/added_latency.rs
+++ b/xtask/src/measure/path/added_latency.rs
@@ -21,6 +21,10 @@
 /// Calls before the measured ones.
 const WARM_UP: u32 = 400;
 const TOKENS: u32 = 4;
+/// The greatest latency that is told from greater ones, in microseconds.
+const MOST_MICROS: u64 = 60_000_000;
+/// Significant decimal digits of a latency.
+const DIGITS: u8 = 3;
 const MICROS_PER_MILLI: f64 = 1_000.0;
 /// Targets in milliseconds.
 const MEDIAN_BELOW: f64 = 1.0;
@@ -35,7 +39,8 @@
 
 impl Way {
     fn new() -> Result<Self, XtaskError> {
-        Ok(Self { first: Histogram::new(3)?, whole: Histogram::new(3)?, failed: 0 })
+        let latencies = || Histogram::new_with_bounds(1, MOST_MICROS, DIGITS);
+        Ok(Self { first: latencies()?, whole: latencies()?, failed: 0 })
     }
 
     fn record(&mut self, outcome: Outcome) {
