test(daisychuted): send bad requests to a real entry

Seen to fail before the change of the runtime: oversized_header (431 without a body) and oversized_path (404 no_such_path).

--- /dev/null
+++ b/crates/daisychuted/tests/bad_input/callers.rs
@@ -0,0 +1,157 @@
+//! Bad requests of callers.
+
+use daisychute_testbed::Deployment;
+
+use crate::raw::Raw;
+use crate::support::{deployment, serves};
+
+/// One bad request and the error that it gets.
+struct Case {
+    name: &'static str,
+    request: String,
+    status: u16,
+    /// The code in the JSON body.
+    code: &'static str,
+}
+
+macro_rules! cases {
+    ($($name:ident: $request:expr => $status:literal $code:literal,)*) => {
+        fn cases() -> Vec<Case> {
+            vec![$(Case {
+                name: stringify!($name),
+                request: $request,
+                status: $status,
+                code: $code,
+            },)*]
+        }
+    };
+}
+
+cases! {
+    unknown_path: get("/nothing") => 404 "no_such_path",
+    unknown_method: get("/v1/completions") => 405 "no_such_method",
+    no_tenant: post("/v1/completions", "", GOOD) => 401 "unknown_tenant",
+    unknown_tenant: post("/v1/completions", "x-daisychute-tenant: nobody\r\n", GOOD)
+        => 401 "unknown_tenant",
+    unknown_token: post("/v1/completions", "authorization: Bearer none\r\n", GOOD)
+        => 401 "unknown_tenant",
+    malformed_tenant: post("/v1/completions", "x-daisychute-tenant: a b\r\n", GOOD)
+        => 400 "bad_header",
+    unknown_class: completion_in("nothing") => 403 "class_not_allowed",
+    malformed_class: completion_in("a b") => 400 "bad_header",
+    empty_key: post("/services/sign-feed/counts", "x-daisychute-tenant: clerks\r\nidempotency-key:\r\n", "{}")
+        => 400 "bad_header",
+    long_key: post("/services/sign-feed/counts", &long_key(), "{}") => 400 "bad_header",
+    empty_body: completion("") => 400 "malformed_body",
+    malformed_json: completion("{\"model\":") => 400 "malformed_body",
+    json_of_another_kind: completion("[1, 2]") => 400 "malformed_body",
+    no_model: completion("{\"prompt\": \"a\"}") => 400 "malformed_body",
+    wrong_type: completion("{\"model\": 7, \"prompt\": \"a\"}") => 400 "malformed_body",
+    negative_max_tokens: completion("{\"model\": \"clerk-lm\", \"prompt\": \"a\", \"max_tokens\": -1}")
+        => 400 "malformed_body",
+    deep_json: completion(&"[".repeat(2_000)) => 400 "malformed_body",
+    no_tokens: completion("{\"model\": \"clerk-lm\", \"prompt\": \"a\", \"max_tokens\": 0}")
+        => 400 "bad_field",
+    no_prompt: completion("{\"model\": \"clerk-lm\"}") => 400 "bad_field",
+    several_choices: completion("{\"model\": \"clerk-lm\", \"prompt\": \"a\", \"n\": 2}")
+        => 400 "bad_field",
+    unknown_model: completion("{\"model\": \"other\", \"prompt\": \"a\"}") => 404 "no_such_model",
+    unknown_adapter: completion("{\"model\": \"clerk-lm:other\", \"prompt\": \"a\"}")
+        => 404 "no_such_model",
+    unknown_service: post("/services/other/counts", TENANT, "{}") => 404 "no_such_service",
+    unknown_route: post("/services/sign-feed/other", TENANT, "{}") => 404 "no_such_route",
+    oversized_body: completion(&"a".repeat(5 << 10)) => 413 "body_too_large",
+    oversized_chunked_body: chunked(&"a".repeat(5 << 10)) => 413 "body_too_large",
+    malformed_chunk: format!("POST /v1/completions HTTP/1.1\r\nhost: a\r\n{TENANT}transfer-encoding: chunked\r\n\r\nzz\r\n")
+        => 400 "body_broken",
+    oversized_header: post("/v1/completions", &format!("{TENANT}x-long: {}\r\n", "a".repeat(3 << 10)), GOOD)
+        => 431 "head_too_large",
+    oversized_path: get(&format!("/{}", "a".repeat(3 << 10))) => 431 "head_too_large",
+    slow_body: format!("POST /v1/completions HTTP/1.1\r\nhost: a\r\n{TENANT}content-length: 90\r\n\r\n{{")
+        => 408 "body_too_slow",
+}
+
+/// Bytes that are no HTTP, or a head that does not come to its end. The HTTP library answers these itself.
+const NO_HTTP: [(&str, &[u8], Option<u16>); 5] = [
+    ("garbage", b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", Some(400)),
+    ("malformed_request_line", b"GET\r\n\r\n", Some(400)),
+    ("malformed_header", b"GET / HTTP/1.1\r\nno colon\r\n\r\n", Some(400)),
+    ("malformed_length", b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: many\r\n\r\n", Some(400)),
+    ("slow_head", b"GET / HTTP/1.1\r\nhost:", Some(408)),
+];
+
+const TENANT: &str = "x-daisychute-tenant: clerks\r\n";
+const GOOD: &str = "{\"model\": \"clerk-lm\", \"prompt\": \"a\", \"max_tokens\": 1}";
+
+fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nhost: a\r\n\r\n")
+}
+
+fn post(path: &str, headers: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nhost: a\r\n{headers}content-length: {length}\r\n\r\n{body}")
+}
+
+fn completion(body: &str) -> String {
+    post("/v1/completions", TENANT, body)
+}
+
+fn completion_in(class: &str) -> String {
+    post("/v1/completions", &format!("{TENANT}x-daisychute-class: {class}\r\n"), GOOD)
+}
+
+fn long_key() -> String {
+    format!("{TENANT}idempotency-key: {}\r\n", "k".repeat(256))
+}
+
+fn chunked(body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\n{TENANT}transfer-encoding: chunked\r\n\r\n\
+         {length:x}\r\n{body}\r\n0\r\n\r\n"
+    )
+}
+
+#[test]
+fn each_bad_request_gets_its_error() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment().await;
+        let mut wrong = Vec::new();
+        for case in cases() {
+            wrong.extend(check(&deployment, &case).await);
+            serves(deployment.entry(0), case.name).await;
+        }
+        assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    });
+}
+
+/// What is wrong with the answer; none if nothing is.
+async fn check(deployment: &Deployment, case: &Case) -> Option<String> {
+    let mut raw = Raw::open(deployment.entry(0).callers()).await;
+    raw.send(case.request.as_bytes()).await;
+    let reply = raw.reply().await;
+    let error = reply.error().unwrap_or_default();
+    let fits = reply.status() == Some(case.status)
+        && error["code"] == case.code
+        && error["message"].as_str().is_some_and(|it| !it.is_empty())
+        && error["outcome"] == "not_run";
+    (!fits).then(|| format!("{}: {}", case.name, reply.text))
+}
+
+#[test]
+fn what_is_no_http_is_refused_and_cut_off() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment().await;
+        let mut wrong = Vec::new();
+        for (name, bytes, status) in NO_HTTP {
+            let mut raw = Raw::open(deployment.entry(0).callers()).await;
+            raw.send(bytes).await;
+            let reply = raw.reply_and_close().await;
+            if reply.status() != status {
+                wrong.push(format!("{name}: {}", reply.text));
+            }
+            serves(deployment.entry(0), name).await;
+        }
+        assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    });
+}
