--- a/crates/daisychute-ledger/src/lib.rs
+++ b/crates/daisychute-ledger/src/lib.rs
@@ -38,7 +38,9 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod frames;
 mod hand_over;
+mod jobs;
 mod ledger;
 mod owner;
 mod service_ledger;
@@ -46,6 +48,11 @@
 mod wall_time;
 
 pub use crate::hand_over::{HandOverPart, HandOverTaken};
+pub use crate::jobs::{
+    JobId, JobKeeper, JobLimits, JobResult, JobRunner, JobSpec, JobState, JobSubmitter,
+    KeeperAction, KeeperEvent, ParseJobIdError, ResultObject, ResultObjectId, RunnerAction,
+    RunnerEvent, Segment, SegmentId, SegmentState, SubmitAction, SubmitEvent,
+};
 pub use crate::ledger::{
     Answer, CallDigest, CallKey, EndedCall, Ending, KeyError, KeyOrigin, LedgerAction, LedgerCore,
     LedgerEvent, LedgerLimits, NewCall, Standing,
@@ -55,5 +62,5 @@
     Slot, SlotMap, SlotOwner, TakeoverAction, TakeoverCore, TakeoverEvent,
 };
 pub use crate::service_ledger::{ServiceLedger, ServiceLedgerAction, ServiceLedgerEvent};
-pub use crate::store::{ProcessId, PutResult, ReadResult, Stored, Version, WriteId};
+pub use crate::store::{ProcessId, PutResult, ReadResult, Stored, Version, VersionError, WriteId};
 pub use crate::wall_time::WallTime;
--- a/crates/daisychute-ledger/src/owner/takeover.rs
+++ b/crates/daisychute-ledger/src/owner/takeover.rs
@@ -18,9 +18,21 @@
     /// A revocation that replaces `version` has been sent and may take effect at any time.
     Revoking { version: Version },
     /// The lease is revoked, and the owner admits nothing from `until` on.
-    Lapsing { until: Time },
+    Lapsing { until: Time, version: Version },
     /// An event was handled at or after `until`, so that every wall clock read since then is past the lease.
-    Lapsed,
+    Lapsed { version: Version },
+    /// Its slots have been given away. Until `until` it must not hear that its lease was not revoked; then its lease is
+    /// deleted.
+    Done { until: Time, version: Version },
+}
+
+/// A lease as sweeps have found it.
+#[derive(Debug, Clone, Copy)]
+struct Swept {
+    version: Version,
+    since: Time,
+    // Whether it was unchanged for longer than a lease may be.
+    is_old: bool,
 }
 
 /// Takes over the slots of lost owners, and assigns slots that have none. Lives in an entry.
@@ -33,9 +45,9 @@
     slots: u16,
     members: Vec<OwnerId>,
     assigner: bool,
-    // Invariant: no owner in here is revoked by this process before its time.
-    promised: BTreeMap<OwnerId, Time>,
     lost: BTreeMap<OwnerId, Phase>,
+    // The leases of the last sweep.
+    swept: BTreeMap<OwnerId, Swept>,
     seq: u64,
 }
 
@@ -49,8 +61,8 @@
             slots,
             members: Vec::new(),
             assigner: false,
-            promised: BTreeMap::new(),
             lost: BTreeMap::new(),
+            swept: BTreeMap::new(),
             seq: 0,
         }
     }
@@ -60,28 +72,33 @@
         match event {
             TakeoverEvent::Tick => self.tick(now, out),
             TakeoverEvent::Members(members) => self.members = members,
+            TakeoverEvent::Swept(leases) => self.sweep(now, leases),
             TakeoverEvent::Assigner(assigner) => self.assigner = assigner,
             TakeoverEvent::Suspect(owner) => {
                 let phase = Phase::Suspected { version: None, since: now };
-                self.lost.entry(owner).or_insert(phase);
+                let phase = self.lost.entry(owner).or_insert(phase);
+                if let Phase::Done { version, .. } = *phase {
+                    *phase = Phase::Lapsed { version };
+                }
             }
-            TakeoverEvent::AskGrant { owner, nonce } => self.ask_grant(now, owner, nonce, out),
+            TakeoverEvent::AskGrant { owner, nonce } => self.ask_grant(owner, nonce, out),
             TakeoverEvent::Put { result: PutResult::Unclear, .. } => {}
             TakeoverEvent::Put { .. } => self.read_all(out),
             TakeoverEvent::Lease { owner, read } => self.lease_read(now, owner, read, out),
-            TakeoverEvent::Table { wall, read } => self.table_read(wall, read, out),
+            TakeoverEvent::Table { wall, read } => self.table_read(now, wall, read, out),
         }
         self.lapse(now);
     }
 
     /// Owners whose slots this process is taking away.
     pub fn lost(&self) -> impl Iterator<Item = &OwnerId> {
-        self.lost.keys()
+        let open = self.lost.iter().filter(|(_, it)| !matches!(it, Phase::Done { .. }));
+        open.map(|(owner, _)| owner)
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<TakeoverAction>) {
-        self.promised.retain(|_, until| now < *until);
         self.lapse(now);
+        self.forget_done(now, out);
         self.read_all(out);
         out.push(TakeoverAction::SetTimer(now + self.times.renew));
     }
@@ -90,27 +107,28 @@
         let open = |it: &Phase| matches!(it, Phase::Suspected { .. } | Phase::Revoking { .. });
         let unsettled = self.lost.iter().filter(|(_, phase)| open(phase));
         out.extend(unsettled.map(|(owner, _)| TakeoverAction::GetLease(owner.clone())));
-        if self.assigner || self.lost.values().any(|it| *it == Phase::Lapsed) {
+        if self.assigner || self.lost.values().any(|it| matches!(it, Phase::Lapsed { .. })) {
             out.push(TakeoverAction::GetTable);
         }
     }
 
     fn lapse(&mut self, now: Time) {
         for phase in self.lost.values_mut() {
-            if matches!(phase, Phase::Lapsing { until } if *until <= now) {
-                *phase = Phase::Lapsed;
+            if let Phase::Lapsing { until, version } = *phase
+                && until <= now
+            {
+                *phase = Phase::Lapsed { version };
             }
         }
     }
 
-    fn ask_grant(&mut self, now: Time, owner: OwnerId, nonce: u64, out: &mut Vec<TakeoverAction>) {
+    fn ask_grant(&mut self, owner: OwnerId, nonce: u64, out: &mut Vec<TakeoverAction>) {
         if matches!(self.lost.get(&owner), Some(Phase::Suspected { .. })) {
             self.lost.remove(&owner);
         }
+        // A promise holds although a revocation may follow at once: nothing is given away before the lease has lapsed,
+        // and a promise is no longer than a lease.
         let span = (!self.lost.contains_key(&owner)).then_some(self.times.grant);
-        if let Some(span) = span {
-            self.promised.insert(owner.clone(), now + span);
-        }
         out.push(TakeoverAction::Grant { owner, nonce, span });
     }
 
@@ -129,10 +147,10 @@
         let Some(phase) = self.lost.get(&owner).copied() else { return };
         let revoked = lease.as_ref().is_some_and(|it| it.revoked_by.is_some());
         match phase {
-            Phase::Lapsing { .. } | Phase::Lapsed => {}
+            Phase::Lapsing { .. } | Phase::Lapsed { .. } | Phase::Done { .. } => {}
             _ if revoked => {
                 let until = now + self.times.lease + self.times.margin;
-                self.lost.insert(owner, Phase::Lapsing { until });
+                self.lost.insert(owner, Phase::Lapsing { until, version });
             }
             Phase::Suspected { version: Some(seen), .. } if seen != version => {
                 self.lost.remove(&owner);
@@ -141,7 +159,7 @@
                 let since = if seen.is_some() { since } else { now };
                 let phase = Phase::Suspected { version: Some(version), since };
                 self.lost.insert(owner.clone(), phase);
-                if self.may_revoke(now, &owner, lease.as_ref(), since) {
+                if self.may_revoke(now, lease.as_ref(), since) {
                     self.revoke(owner, version, lease, out);
                 }
             }
@@ -153,16 +171,7 @@
         }
     }
 
-    fn may_revoke(
-        &self,
-        now: Time,
-        owner: &OwnerId,
-        lease: Option<&OwnerLease>,
-        since: Time,
-    ) -> bool {
-        if self.promised.get(owner).is_some_and(|until| now < *until) {
-            return false;
-        }
+    fn may_revoke(&self, now: Time, lease: Option<&OwnerLease>, since: Time) -> bool {
         let named = lease.is_none_or(|it| it.standbys.contains(&self.me));
         named || now >= since + self.times.orphan
     }
@@ -189,6 +198,7 @@
 
     fn table_read(
         &mut self,
+        now: Time,
         wall: WallTime,
         read: ReadResult<OwnerTable>,
         out: &mut Vec<TakeoverAction>,
@@ -204,7 +214,7 @@
             assign::fill(&mut changed, &self.staying());
         }
         if changed == table {
-            self.lost.retain(|_, phase| *phase != Phase::Lapsed);
+            self.finish(now);
             return;
         }
         if self.assigner || version != Version::ABSENT {
@@ -213,9 +223,59 @@
         }
     }
 
+    /// Notes that no slot is left to take over. An owner can't go on by promises longer than `orphan` after its last
+    /// renewal, so that it need not be remembered for longer.
+    fn finish(&mut self, now: Time) {
+        let until = now + self.times.orphan;
+        for phase in self.lost.values_mut() {
+            if let Phase::Lapsed { version } = *phase {
+                *phase = Phase::Done { until, version };
+            }
+        }
+    }
+
+    fn forget_done(&mut self, now: Time, out: &mut Vec<TakeoverAction>) {
+        let forgotten = self.lost.extract_if(.., |_, phase| match phase {
+            Phase::Done { until, .. } => *until <= now,
+            _ => false,
+        });
+        for (owner, phase) in forgotten {
+            if let Phase::Done { version: expect, .. } = phase {
+                out.push(TakeoverAction::DeleteLease { owner, expect });
+            }
+        }
+    }
+
+    /// Finds the leases that nobody renews any more and that no takeover in progress deals with.
+    ///
+    /// One is revoked only if a later sweep than the one that found it old finds it unchanged, so that owners have the
+    /// time to renew after an outage.
+    fn sweep(&mut self, now: Time, leases: Vec<Stored<OwnerLease>>) {
+        let orphan = self.times.orphan;
+        let mut seen = BTreeMap::new();
+        for Stored { version, body, .. } in leases {
+            let OwnerLease { owner, revoked_by, .. } = body;
+            if revoked_by.is_some() {
+                let until = now + self.times.lease + self.times.margin;
+                self.lost.entry(owner).or_insert(Phase::Lapsing { until, version });
+                continue;
+            }
+            let before = self.swept.get(&owner).filter(|it| it.version == version);
+            let mut swept = before.copied().unwrap_or(Swept { version, since: now, is_old: false });
+            if swept.is_old {
+                let phase = Phase::Suspected { version: Some(version), since: swept.since };
+                self.lost.entry(owner.clone()).or_insert(phase);
+            }
+            swept.is_old = swept.since + orphan <= now;
+            seen.insert(owner, swept);
+        }
+        self.swept = seen;
+    }
+
     fn take_over(&self, wall: WallTime, table: &mut OwnerTable) {
         let staying = self.staying();
-        for (owner, _) in self.lost.iter().filter(|(_, it)| **it == Phase::Lapsed) {
+        let past = |it: &Phase| matches!(it, Phase::Lapsed { .. } | Phase::Done { .. });
+        for (owner, _) in self.lost.iter().filter(|(_, it)| past(it)) {
             assign::take_over(table, owner, &staying, wall);
         }
     }
--- a/crates/daisychute-ledger/src/owner/takeover_event.rs
+++ b/crates/daisychute-ledger/src/owner/takeover_event.rs
@@ -4,20 +4,22 @@
 
 use daisychute_core::Time;
 
-use crate::{OwnerId, OwnerLease, OwnerTable, PutResult, ReadResult, Version, WallTime};
+use crate::{OwnerId, OwnerLease, OwnerTable, PutResult, ReadResult, Stored, Version, WallTime};
 
 /// What a [`TakeoverCore`](crate::TakeoverCore) is told.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum TakeoverEvent {
     /// The time that [`TakeoverAction::SetTimer`] named has come; also the first event.
     Tick,
-    /// The owners that take part at present.
+    /// The owners that were heard lately, whose lease runs and who do not leave.
     Members(Vec<OwnerId>),
     /// Whether this process assigns slots that have no owner; one process of a region does.
     Assigner(bool),
+    /// Every lease of the service, as a rare sweep of the assigner listed them.
+    Swept(Vec<Stored<OwnerLease>>),
     /// Nothing was heard from this owner for several heartbeats.
     Suspect(OwnerId),
-    /// The owner asks for a promise not to revoke its lease.
+    /// The owner asks whether its lease may have been revoked.
     AskGrant {
         /// The owner.
         owner: OwnerId,
@@ -61,6 +63,13 @@
         /// What to write.
         lease: OwnerLease,
     },
+    /// Delete the lease of an owner if it has this version.
+    DeleteLease {
+        /// The owner.
+        owner: OwnerId,
+        /// The version of the lease.
+        expect: Version,
+    },
     /// Read the table.
     GetTable,
     /// Write the table if it has this version.
@@ -78,7 +87,7 @@
         owner: OwnerId,
         /// That of the question.
         nonce: u64,
-        /// How long its lease is not revoked; none where no promise is made.
+        /// How long the owner may go on, from the moment it asked; none where its lease may have been revoked.
         span: Option<Duration>,
     },
     /// Send [`TakeoverEvent::Tick`] at this time.
