--- a/crates/daisychute-agent/src/shell/mod.rs
+++ b/crates/daisychute-agent/src/shell/mod.rs
@@ -6,8 +6,8 @@
 mod endpoint_client;
 mod handle;
 mod input;
-mod orders_driver;
 mod reporter;
+mod service_client;
 mod service_run;
 
 pub use self::agent_shell::{AgentOptions, AgentShell};
--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -11,8 +11,8 @@
     RequestId, Role, Time,
 };
 use daisychute_policy::{
-    Admission, Candidate, Decision, Demand, DemandMeter, DemandTable, EngineView, Fleet, Limits,
-    Phase, Query, Ticket,
+    Admission, Candidate, Chosen, Decision, Demand, DemandMeter, DemandTable, EngineView, Fleet,
+    Limits, Phase, Query, Ticket,
 };
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
@@ -197,7 +197,8 @@
         if class.work == Work::Completion {
             let model = &self.trace.header.deployment.model;
             let meter = &mut self.meters[self.flights[i].entry];
-            meter.arrived(model, &class.class.name, request.prompt_tokens, request.max_tokens);
+            let (name, precedence) = (&class.class.name, class.class.precedence);
+            meter.arrived(model, name, precedence, request.prompt_tokens, request.max_tokens);
         }
     }
 
@@ -209,6 +210,10 @@
             self.try_later(now, i, Duration::from_millis(200));
             return;
         };
+        if chosen.hand_over > Chosen::MAX_HAND_OVER {
+            self.try_later(now, i, chosen.hand_over);
+            return;
+        }
         let place = self.places[&chosen.endpoint];
         let phase = match (self.is_call(i), chosen.split) {
             (true, _) => Phase::Call,
@@ -229,13 +234,15 @@
             world.entries[entry].choose_decode(now, query, &data_centre, &mut world.rng)
         });
         let Ok(endpoint) = chosen else {
-            // No engine of the data centre decodes: the request starts over elsewhere with what was emitted.
+            // No engine decodes: the request starts over with what was emitted.
             self.queue.push(now + DECODE_RETRY, Event::Route(i));
             return;
         };
         let place = self.places[&endpoint];
         let tokens = f64::from(self.trace.requests[i].prompt_tokens);
-        let rate = self.trace.header.deployment.speed.transfer_tokens;
+        let speed = self.trace.header.deployment.speed;
+        let is_near = self.sites[place].site.data_centre == data_centre;
+        let rate = if is_near { speed.transfer_tokens } else { speed.far_transfer_tokens };
         let at = now + Duration::from_secs_f64(tokens / rate);
         self.queue.push(at, Event::Offer { flight: i, place, phase: Phase::Decode, cached: 0 });
     }
