--- a/crates/daisychute-link/src/documents.rs
+++ b/crates/daisychute-link/src/documents.rs
@@ -16,3 +16,16 @@
     /// Asks for the newest plan on the platform.
     fn confirm_plan(&self);
 }
+
+/// Takes no part: for processes without shared documents.
+impl Documents for () {
+    fn heard(&self, _peer: &ProcessName, _revisions: Revisions) {}
+
+    fn gone(&self, _peer: &ProcessName) {}
+
+    fn frame(&self, _peer: &ProcessName, _frame: Frame) {}
+
+    fn observed(&self, _record: &EndpointRecord) {}
+
+    fn confirm_plan(&self) {}
+}
