--- /dev/null
+++ b/crates/daisychuted/tests/bad_input/connections.rs
@@ -0,0 +1,31 @@
+//! More connections than a listener takes.
+
+use crate::raw::Raw;
+use crate::support::{CONNECTIONS, deployment, serves};
+
+const READY: &[u8] = b"GET /readyz HTTP/1.1\r\nhost: a\r\n\r\n";
+const HALF: &[u8] = b"GET /readyz HTTP/1.1\r\n";
+
+#[test]
+fn one_connection_too_many_waits_until_a_slow_one_is_cut_off() {
+    actix_rt::System::new().block_on(async {
+        let deployment = deployment().await;
+        let addr = deployment.entry(0).callers();
+        let mut slow = Vec::new();
+        for _ in 0..CONNECTIONS {
+            let mut raw = Raw::open(addr).await;
+            raw.send(HALF).await;
+            slow.push(raw);
+        }
+        let mut waiting = Raw::open(addr).await;
+        waiting.send(READY).await;
+        let reply = waiting.reply().await;
+        assert_eq!(reply.status(), Some(200), "{}", reply.text);
+        let cut = slow.iter_mut().filter_map(Raw::received).count();
+        assert!(cut > 0, "the connection too many was served beside {CONNECTIONS} others");
+        for mut raw in slow {
+            assert_eq!(raw.reply_and_close().await.status(), Some(408));
+        }
+        serves(deployment.entry(0), "too many connections").await;
+    });
+}
