--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -6,11 +6,11 @@
 use std::time::Duration;
 
 use daisychute_core::{
-    DataCentreName, EndpointKind, EndpointStatus, ProcessName, ProcessRole, ProcessState,
-    ProcessStatus, RegionName, RequestId, Revisions,
+    DataCentreName, EndpointStatus, ProcessName, ProcessRole, ProcessState, ProcessStatus,
+    RegionName, RequestId, Revisions,
 };
-use daisychute_link::{Link, LinkConfig, LinkEvent, LinkId, accept};
-use daisychute_proto::{GoodbyeReason, Hello, PROTOCOL_VERSION};
+use daisychute_link::{Documents, Link, LinkConfig, LinkEvent, LinkId, accept};
+use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
 use daisychute_runtime::Clock;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -20,9 +20,8 @@
 use super::{AgentHandle, EndpointClient, Input, Reporter};
 use crate::Admit;
 use crate::core::{Action, AgentCore, Event};
+use crate::orders::{OrderOutput, OrderSettings, OrderShell};
 
-/// How often an engine is asked what it is.
-const STATE_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -42,14 +41,18 @@
 }
 
 /// The agent's task.
-#[derive(Debug)]
-pub struct AgentShell<A> {
+pub struct AgentShell<A, D> {
     options: AgentOptions,
     core: AgentCore<A>,
     clock: Clock,
     endpoint: EndpointClient,
     listener: TcpListener,
-    links: BTreeMap<LinkId, Link>,
+    links: BTreeMap<LinkId, (ProcessName, Link)>,
+    orders: OrderShell,
+    order_rx: UnboundedReceiver<OrderOutput>,
+    /// Whether the order core waits until nothing runs or waits for the endpoint.
+    awaits_drained: bool,
+    documents: D,
     runs: BTreeMap<RequestId, JoinHandle<()>>,
     revisions: Revisions,
     next_link: u64,
@@ -60,7 +63,7 @@
     link_rx: UnboundedReceiver<LinkEvent>,
 }
 
-impl<A: Admit> AgentShell<A> {
+impl<A: Admit, D: Documents> AgentShell<A, D> {
     /// Prepares the task. Connections wait in the system's queue until [`AgentShell::run`].
     ///
     /// # Errors
@@ -71,12 +74,20 @@
         core: AgentCore<A>,
         clock: Clock,
         listener: StdListener,
+        documents: D,
     ) -> io::Result<Self> {
         listener.set_nonblocking(true)?;
         let (tx, rx) = unbounded_channel();
         let (link_tx, link_rx) = unbounded_channel();
+        let (kind, seed) = (&core.record().kind, core.record().incarnation.get());
+        let (orders, order_rx) =
+            OrderShell::start(OrderSettings::default(), kind, &options.endpoint_url, seed);
         Ok(Self {
             endpoint: EndpointClient::new(&options.endpoint_url),
+            orders,
+            order_rx,
+            awaits_drained: false,
+            documents,
             listener: TcpListener::from_std(listener)?,
             options,
             core,
@@ -101,9 +112,6 @@
 
     /// Serves until [`AgentHandle::leave`] was called and every request has been answered.
     pub async fn run(mut self) {
-        if self.core.record().kind == EndpointKind::Engine {
-            actix_rt::spawn(watch_engine(self.endpoint.clone(), self.tx.clone()));
-        }
         while !(self.leaving && self.core.jobs().is_empty()) {
             let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
             tokio::select! {
@@ -111,13 +119,31 @@
                 Some(event) = self.link_rx.recv() => self.on_link_event(event),
                 accepted = self.listener.accept() => self.on_accept(accepted).await,
                 () = sleep_until(wake) => self.feed(Event::Wake),
+                Some(output) = self.order_rx.recv() => self.on_order(output),
             }
+            self.check_drained();
         }
-        for link in self.links.values() {
+        for (_, link) in self.links.values() {
             link.close(GoodbyeReason::Leaving);
         }
     }
 
+    fn check_drained(&mut self) {
+        if self.awaits_drained && self.core.open() == 0 {
+            self.awaits_drained = false;
+            self.orders.drained();
+        }
+    }
+
+    fn on_order(&mut self, output: OrderOutput) {
+        match output {
+            OrderOutput::Admit(admit) => self.feed(Event::Drain(!admit)),
+            OrderOutput::Drain => self.awaits_drained = true,
+            OrderOutput::ConfirmPlan => self.documents.confirm_plan(),
+            OrderOutput::Observed(target) => self.feed(Event::Target(target)),
+        }
+    }
+
     async fn on_accept(&mut self, accepted: io::Result<(tokio::net::TcpStream, SocketAddr)>) {
         match accepted {
             Ok((stream, _)) => {
@@ -154,12 +180,16 @@
                 }
                 self.feed(event);
             }
+            Input::Plan(plan) => self.orders.plan(&plan, &self.core.record().endpoint),
+            Input::PlanConfirmed(revision) => self.orders.plan_confirmed(revision),
+            Input::Send { peer, frame } => self.send_to(&peer, *frame),
             Input::Status(tx) => {
                 // The asker may be gone.
                 let _ = tx.send(self.status());
             }
             Input::Leave => {
                 self.leaving = true;
+                self.orders.leaving();
                 self.feed(Event::Drain(true));
             }
         }
@@ -168,18 +198,43 @@
     fn on_link_event(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up { id, hello, link } => {
-                self.links.insert(id, link);
                 log::debug!(link:% = id, peer:% = hello.process; "connected");
+                self.documents.heard(&hello.process, hello.revisions);
+                self.links.insert(id, (hello.process, link));
                 self.feed(Event::LinkUp { link: id });
             }
-            LinkEvent::Frame { id, frame } => self.feed(Event::Frame { link: id, frame }),
+            LinkEvent::Frame { id, frame } => self.on_frame(id, frame),
             LinkEvent::Down { id, .. } => {
-                self.links.remove(&id);
+                if let Some((peer, _)) = self.links.remove(&id) {
+                    self.on_peer_down(&peer);
+                }
                 self.feed(Event::LinkDown { link: id });
             }
         }
     }
 
+    fn on_frame(&mut self, id: LinkId, frame: Box<Frame>) {
+        let Some((peer, _)) = self.links.get(&id) else { return };
+        match *frame {
+            Frame::Heartbeat(heartbeat) => self.documents.heard(peer, heartbeat.revisions),
+            Frame::Pull(_) | Frame::Document(_) => self.documents.frame(peer, *frame),
+            _ => self.feed(Event::Frame { link: id, frame }),
+        }
+    }
+
+    fn on_peer_down(&self, peer: &ProcessName) {
+        if !self.links.values().any(|(it, _)| it == peer) {
+            self.documents.gone(peer);
+        }
+    }
+
+    fn send_to(&self, peer: &ProcessName, frame: Frame) {
+        // The newest connection has the highest number.
+        if let Some((_, link)) = self.links.values().rev().find(|(it, _)| it == peer) {
+            link.send(frame);
+        }
+    }
+
     fn feed(&mut self, event: Event) {
         let mut actions = Vec::new();
         self.core.handle(self.clock.now(), event, &mut actions);
@@ -191,7 +246,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Send { link, frame } => {
-                if let Some(link) = self.links.get(&link) {
+                if let Some((_, link)) = self.links.get(&link) {
                     link.send(*frame);
                 }
             }
@@ -251,18 +306,3 @@
         }
     }
 }
-
-/// Tells the core what the engine is, whenever that changes.
-async fn watch_engine(endpoint: EndpointClient, tx: UnboundedSender<Input>) {
-    let mut known = None;
-    loop {
-        let target = endpoint.target().await;
-        if target != known {
-            known.clone_from(&target);
-            if tx.send(Input::Event(Event::Target(target))).is_err() {
-                return;
-            }
-        }
-        sleep(STATE_INTERVAL).await;
-    }
-}
--- a/crates/daisychute-agent/src/shell/endpoint_client.rs
+++ b/crates/daisychute-agent/src/shell/endpoint_client.rs
@@ -5,9 +5,8 @@
 
 use awc::error::SendRequestError;
 use awc::{Client, Connector};
-use daisychute_core::{EngineTarget, RefusalReason, RequestId};
+use daisychute_core::{RefusalReason, RequestId};
 use daisychute_proto::{Start, Work};
-use serde::Deserialize;
 
 use super::Reporter;
 use super::completion_run::{resume_completion, run_completion};
@@ -15,8 +14,8 @@
 use super::service_run::run_call;
 use crate::core::Report;
 
-/// How long the endpoint may take to answer a question about its state.
-const STATE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long the endpoint may take to answer a cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Speaks the HTTP interface of one endpoint.
 #[derive(Clone)]
@@ -32,14 +31,6 @@
     }
 }
 
-/// What an engine says of itself; fields that the agent doesn't use are left out.
-#[derive(Debug, Deserialize)]
-struct EngineState {
-    changing: bool,
-    #[serde(flatten)]
-    target: EngineTarget,
-}
-
 impl EndpointClient {
     /// A client of the endpoint at this base URL.
     #[must_use]
@@ -79,19 +70,10 @@
     /// Cancels a request on an engine. That it may have ended is no error.
     pub(crate) async fn cancel(self, start: Rc<Start>) {
         let url = self.url(&format!("/requests/{}/cancel", endpoint_id(start.id, start.attempt)));
-        if let Err(error) = self.client.post(url).timeout(STATE_TIMEOUT).send().await {
+        if let Err(error) = self.client.post(url).timeout(CANCEL_TIMEOUT).send().await {
             log::debug!("cancel of {}: {error}", start.id);
         }
     }
-
-    /// What the engine is at present; none while it changes or can't be asked.
-    pub async fn target(&self) -> Option<EngineTarget> {
-        let mut res =
-            self.client.get(self.url("/state")).timeout(STATE_TIMEOUT).send().await.ok()?;
-        let body = res.body().await.ok()?;
-        let state: EngineState = serde_json::from_slice(&body).ok()?;
-        (!state.changing).then_some(state.target)
-    }
 }
 
 /// The id under which an endpoint knows one run of a request.
--- a/crates/daisychute-agent/src/shell/handle.rs
+++ b/crates/daisychute-agent/src/shell/handle.rs
@@ -1,6 +1,9 @@
 //! Reaching a running agent.
 
-use daisychute_core::ProcessStatus;
+use std::sync::Arc;
+
+use daisychute_core::{Plan, ProcessName, ProcessStatus, Revision};
+use daisychute_proto::Frame;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -23,6 +26,21 @@
         let _ = self.tx.send(Input::Event(event));
     }
 
+    /// A newer plan is in force.
+    pub fn plan(&self, plan: Arc<Plan>) {
+        let _ = self.tx.send(Input::Plan(plan));
+    }
+
+    /// The plan on the platform has this revision, or could not be read.
+    pub fn plan_confirmed(&self, revision: Option<Revision>) {
+        let _ = self.tx.send(Input::PlanConfirmed(revision));
+    }
+
+    /// Sends a frame about the documents to a peer, if there is a connection to it.
+    pub fn send(&self, peer: ProcessName, frame: Box<Frame>) {
+        let _ = self.tx.send(Input::Send { peer, frame });
+    }
+
     /// Asks it to take no new work and to end when all requests have been answered.
     pub fn leave(&self) {
         let _ = self.tx.send(Input::Leave);
--- a/crates/daisychute-agent/tests/whole_answers.rs
+++ b/crates/daisychute-agent/tests/whole_answers.rs
@@ -11,7 +11,7 @@
     EndpointKind, EndpointRecord, EndpointState, EngineTarget, Incarnation, Precedence,
     RefusalReason, RequestId, Role, Verdict,
 };
-use daisychute_link::{LinkConfig, LinkEvent, LinkId, connect};
+use daisychute_link::{Documents, LinkConfig, LinkEvent, LinkId, connect};
 use daisychute_proto::{
     Call, Completion, Frame, Hello, PROTOCOL_VERSION, ProcessRole, Prompt, Revisions, Start, Work,
 };
@@ -33,6 +33,18 @@
     Refused { verdict: Verdict, reason: RefusalReason },
 }
 
+/// The platform's documents, which no call needs.
+#[derive(Debug)]
+struct NoDocuments;
+
+impl Documents for NoDocuments {
+    fn heard(&self, _: &ProcessName, _: Revisions) {}
+    fn gone(&self, _: &ProcessName) {}
+    fn frame(&self, _: &ProcessName, _: Frame) {}
+    fn observed(&self, _: &EndpointRecord) {}
+    fn confirm_plan(&self) {}
+}
+
 fn whole(status: u16, body: &str) -> Ended {
     Ended::Whole { status, body: body.to_owned() }
 }
@@ -145,7 +157,8 @@
         endpoint_url: format!("http://{service}"),
         link: LinkConfig::default(),
     };
-    let shell = AgentShell::new(options, core, Clock::start(), listener).expect("a listener");
+    let shell =
+        AgentShell::new(options, core, Clock::start(), listener, NoDocuments).expect("a listener");
     actix_rt::spawn(shell.run());
     addr
 }
--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -10,6 +10,7 @@
 use super::candidate::Candidate;
 use super::health::Health;
 use super::hits::Hits;
+use super::pipeline::Pipeline;
 use super::query::{Chosen, NoEndpoint, Query};
 use super::sends::Sends;
 use crate::prefix::BLOCK_TOKENS;
@@ -75,14 +76,28 @@
     const RANDOM: usize = 4;
     /// Leading blocks that decide the rendezvous hash: prompts that share these meet on the same endpoints.
     const KEY_BLOCKS: usize = 4;
-    /// A report older than this is worth a probe.
-    const PROBE_AGE: Duration = Duration::from_millis(500);
+    /// A report no older than this is worth no probe, and its endpoint is a candidate without being drawn.
+    const FRESH: Duration = Duration::from_millis(50);
+    /// The greatest number of candidates for having a fresh report.
+    const MAX_FRESH: usize = 8;
     /// No more than this part of the endpoints that serve a model is left out as outliers.
     const MAX_EJECTED: f64 = 0.5;
     /// The time between prefill's end on one engine and the first step on another, beside the transfer.
     const HAND_OVER: Duration = Duration::from_millis(5);
     /// KV cache that moves between two engines of a data centre, tokens a second.
     const TRANSFER_TOKENS_PER_SECOND: f64 = 50_000.0;
+    /// KV cache that moves between two engines of different data centres, tokens a second.
+    const FAR_TRANSFER_TOKENS_PER_SECOND: f64 = 10_000.0;
+    /// What one stream of a decode engine adds to the estimate of a hand-over to it.
+    const DECODE_STREAM_COST: Duration = Duration::from_millis(4);
+    /// What each request that waits at a decode engine adds for deferrable work, which comes after it.
+    const DEFERRABLE_QUEUED: Duration = Duration::from_millis(50);
+    /// The estimate of a hand-over where no engine decodes.
+    const NO_DECODE: Duration = Duration::from_secs(3_600);
+    /// What deferrable work waits for an engine of mixed role rather than take one that urgent work needs.
+    const DEFERRABLE_SPLIT: Duration = Duration::from_secs(5);
+    /// What urgent work waits for a split rather than be mixed with prompts that stretch its gaps.
+    const MIXING_PENALTY: Duration = Duration::from_secs(60);
     /// What one running stream adds to an estimate, so that equal queues are told apart.
     const STREAM_COST: Duration = Duration::from_micros(500);
 
@@ -159,6 +174,17 @@
         }
     }
 
+    /// An endpoint answered a prompt with these leading blocks, of whose tokens it had so many cached.
+    pub fn answered(&mut self, endpoint: &EndpointName, blocks: &[u64], cached_tokens: u32) {
+        let believed = self.places.get(endpoint).map(|it| self.slots[*it].hits.leading(blocks));
+        if let Some(slot) = self.slot_mut(endpoint) {
+            slot.health.succeeded();
+            if cached_tokens > 0 || believed == Some(0) {
+                slot.hits.add(blocks);
+            }
+        }
+    }
+
     /// An endpoint failed a request. A refusal for load is no failure.
     pub fn failed(&mut self, now: Time, endpoint: &EndpointName) {
         if let Some(slot) = self.slot_mut(endpoint) {
@@ -166,6 +192,22 @@
         }
     }
 
+    /// The endpoints that are worth a probe before [`choose`](Self::choose): those that it will look at and whose
+    /// report is old. The answers go to [`report`](Self::report) and [`cached`](Self::cached); a choice that
+    /// doesn't wait for them is worse and still right.
+    pub fn probes(&self, now: Time, query: &Query<'_>, rng: &mut impl Rng) -> Vec<EndpointName> {
+        let mut picked = Vec::new();
+        for part in [Part::Whole, Part::Prefill] {
+            let open = self.open(now, |slot| slot.serves(query, part));
+            picked.extend(self.affine(query, &open));
+            picked.extend(self.sample(&open, rng));
+        }
+        picked.sort_unstable();
+        picked.dedup();
+        picked.retain(|it| now.since(self.slots[*it].as_of) > Self::FRESH);
+        picked.into_iter().map(|it| self.slots[it].candidate.endpoint.clone()).collect()
+    }
+
     /// Chooses the endpoint that gets a request first, and counts the request as sent to it.
     ///
     /// # Errors
@@ -186,26 +228,28 @@
             (None, None) => return Err(NoEndpoint),
         };
         let cached_tokens = self.cached_tokens(place, query);
+        let hand_over =
+            if is_split { self.expected_hand_over(query, place) } else { Duration::ZERO };
         let slot = &mut self.slots[place];
         slot.sends.add(now, query.prompt_tokens - cached_tokens);
         slot.hits.add(query.blocks);
-        let old = now.since(slot.as_of) > Self::PROBE_AGE;
         Ok(Chosen {
             endpoint: slot.candidate.endpoint.clone(),
             data_centre: slot.candidate.data_centre.clone(),
             split: is_split,
             cached_tokens,
             first_token: estimate,
-            probe: old.then(|| slot.candidate.endpoint.clone()),
+            hand_over,
         })
     }
 
     /// Chooses the engine that decodes a request whose prompt was computed in this data centre, and counts the
-    /// request as sent to it. The KV cache moves inside the data centre only.
+    /// request as sent to it. The KV cache moves inside the data centre unless the wait there is longer than the
+    /// move to another takes.
     ///
     /// # Errors
     ///
-    /// No live engine of the data centre decodes the model.
+    /// No live engine decodes the model.
     pub fn choose_decode(
         &mut self,
         now: Time,
@@ -213,11 +257,18 @@
         data_centre: &DataCentreName,
         rng: &mut impl Rng,
     ) -> Result<EndpointName, NoEndpoint> {
-        let open = self.open(now, |slot| {
-            slot.candidate.data_centre == *data_centre && slot.serves(query, Part::Decode)
-        });
-        let picked = self.sample(&open, rng);
-        let place = self.least(now, query, Part::Decode, &picked).ok_or(NoEndpoint)?.0;
+        // An engine of mixed role decodes only where no other can.
+        let decodes = |slot: &Slot| slot.serves(query, Part::Decode);
+        let mut open = self.open(now, |slot| decodes(slot) && slot.candidate.role == Role::Decode);
+        if open.is_empty() {
+            open = self.open(now, decodes);
+        }
+        let is_here = |it: &usize| self.slots[*it].candidate.data_centre == *data_centre;
+        let (here, elsewhere): (Vec<usize>, Vec<usize>) = open.into_iter().partition(is_here);
+        let mut picked = self.sample(&here, rng);
+        picked.extend(self.sample(&elsewhere, rng));
+        let cost = |it: &usize| self.decode_cost(query, data_centre, &self.slots[*it]);
+        let place = picked.into_iter().min_by_key(cost).ok_or(NoEndpoint)?;
         let slot = &mut self.slots[place];
         slot.sends.add(now, 0);
         Ok(slot.candidate.endpoint.clone())
@@ -233,7 +284,12 @@
     ) -> Option<(usize, Duration)> {
         let open = self.open(now, |slot| slot.serves(query, part));
         let mut picked = self.affine(query, &open);
-        picked.extend(self.sample(&open, rng));
+        let fresh =
+            open.iter().copied().filter(|it| now.since(self.slots[*it].as_of) <= Self::FRESH);
+        picked.extend(fresh.take(Self::MAX_FRESH));
+        if picked.len() < Self::AFFINE + Self::RANDOM {
+            picked.extend(self.sample(&open, rng));
+        }
         self.least(now, query, part, &picked)
     }
 
@@ -294,23 +350,58 @@
             + slot.health.penalty(now);
         let prompt = slot.prompt_token().mul_f64(uncached as f64);
         match part {
-            Part::Whole => base + prompt,
+            Part::Whole => base + prompt + mixing_penalty(query),
             Part::Prefill => base + prompt + self.hand_over(query, place),
             Part::Decode => base,
         }
     }
 
-    /// What moving the KV cache costs, and the wait for a decode engine of the same data centre.
+    /// What moving the KV cache costs, and the wait for an engine that decodes.
     fn hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
+        let wait = self.decode_wait(query, place);
+        match query.between_tokens {
+            Some(_) => Self::HAND_OVER + wait,
+            None => Self::HAND_OVER + wait + Self::DEFERRABLE_SPLIT,
+        }
+    }
+
+    /// The wait between prefill and decode, with what is under way to the decode engines.
+    fn expected_hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
+        let now = self.decode_wait(query, place);
+        let Some(target) = query.between_tokens else { return now };
+        let mut pipeline = Pipeline::default();
+        for slot in self.slots.iter().filter(|it| it.candidate.model.as_ref() == query.model) {
+            let prompt = slot.prompt_token().mul_f64(f64::from(query.prompt_tokens));
+            pipeline.add(slot.candidate.role, &slot.report, prompt, target);
+        }
+        now.max(pipeline.wait())
+    }
+
+    /// The least time until an engine decodes what `place` prefills.
+    fn decode_wait(&self, query: &Query<'_>, place: usize) -> Duration {
         let data_centre = &self.slots[place].candidate.data_centre;
-        let decodes = self.slots.iter().filter(|it| {
-            it.candidate.data_centre == *data_centre && it.serves(query, Part::Decode)
-        });
-        let wait = decodes
-            .map(|it| it.report.wait + Self::STREAM_COST * (it.report.running + it.sends.count()))
-            .min();
-        let transfer = f64::from(query.prompt_tokens) / Self::TRANSFER_TOKENS_PER_SECOND;
-        Self::HAND_OVER + Duration::from_secs_f64(transfer) + wait.unwrap_or(Duration::MAX / 4)
+        let decodes = self
+            .slots
+            .iter()
+            .filter(|it| it.candidate.role == Role::Decode && it.serves(query, Part::Decode));
+        let costs = decodes.map(|it| self.decode_cost(query, data_centre, it));
+        costs.min().unwrap_or(Self::NO_DECODE)
+    }
+
+    /// The time until this engine decodes what an engine of this data centre prefills.
+    fn decode_cost(&self, query: &Query<'_>, from: &DataCentreName, slot: &Slot) -> Duration {
+        let queued = match query.between_tokens {
+            Some(_) => Duration::ZERO,
+            None => Self::DEFERRABLE_QUEUED * slot.report.queued,
+        };
+        let rate = if slot.candidate.data_centre == *from {
+            Self::TRANSFER_TOKENS_PER_SECOND
+        } else {
+            Self::FAR_TRANSFER_TOKENS_PER_SECOND
+        };
+        let streams = Self::DECODE_STREAM_COST * (slot.report.running + slot.sends.count());
+        let transfer = Duration::from_secs_f64(f64::from(query.prompt_tokens) / rate);
+        slot.report.wait + queued + streams + transfer
     }
 
     fn cached_tokens(&self, place: usize, query: &Query<'_>) -> u32 {
@@ -349,6 +440,13 @@
     }
 }
 
+fn mixing_penalty(query: &Query<'_>) -> Duration {
+    match query.between_tokens {
+        Some(_) => Chooser::MIXING_PENALTY,
+        None => Duration::ZERO,
+    }
+}
+
 /// The finalizer of SplitMix64 (Steele et al., 2014).
 fn mix(mut hash: u64) -> u64 {
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/daisychute-policy/src/roles/demand.rs
+++ b/crates/daisychute-policy/src/roles/demand.rs
@@ -5,17 +5,20 @@
 use daisychute_core::{ModelName, Time};
 use serde::{Deserialize, Serialize};
 
-/// Work that came for one model, in engine-seconds a second.
+/// Work that came for one model, in engine-seconds a second. Urgent work has a target for its first token or between
+/// tokens; deferrable work has none.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
-    /// Of prompts, cached parts left out.
+    /// Of urgent prompts, cached parts left out.
     pub prefill: f64,
-    /// Of outputs.
+    /// Of urgent outputs.
     pub decode: f64,
-    /// Engine-seconds of prompts that wait.
+    /// Of deferrable prompts and outputs.
+    pub deferrable: f64,
+    /// Engine-seconds of urgent prompts that wait.
     pub prefill_backlog: f64,
-    /// Engine-seconds of outputs that wait.
-    pub decode_backlog: f64,
+    /// Full batches that the urgent streams of all engines make.
+    pub decode_busy: f64,
 }
 
 impl Demand {
@@ -25,8 +28,9 @@
         Self {
             prefill: self.prefill + other.prefill,
             decode: self.decode + other.decode,
+            deferrable: self.deferrable + other.deferrable,
             prefill_backlog: self.prefill_backlog + other.prefill_backlog,
-            decode_backlog: self.decode_backlog + other.decode_backlog,
+            decode_busy: self.decode_busy + other.decode_busy,
         }
     }
 }
@@ -56,6 +60,12 @@
         self.expected += other.expected;
     }
 
+    /// Adds what the engines of a model say.
+    pub fn add_engines(&mut self, model: &ModelName, engines: Demand) {
+        let sum = self.models.entry(model.clone()).or_default();
+        *sum = sum.plus(engines);
+    }
+
     /// The part of the sources that was heard.
     #[must_use]
     pub fn coverage(&self) -> f64 {
--- a/crates/daisychuted/src/agent.rs
+++ b/crates/daisychuted/src/agent.rs
@@ -3,17 +3,21 @@
 use std::net::TcpListener;
 
 use daisychute_agent::PolicyAdmit;
-use daisychute_agent::core::{AgentConfig, AgentCore};
-use daisychute_agent::shell::{AgentOptions, AgentShell};
+use daisychute_agent::core::{AgentConfig, AgentCore, Event};
+use daisychute_agent::shell::{AgentHandle, AgentOptions, AgentShell};
 use daisychute_core::{EndpointRecord, EndpointState, Incarnation};
 use daisychute_link::LinkConfig;
+use daisychute_planner::ControlOutput;
+use daisychute_proto::Revisions;
 use daisychute_runtime::{Clock, stop_requested};
 use daisychute_settings::{AgentSettings, Settings};
 use tokio::time::timeout;
 
 use crate::admin::Admin;
+use crate::control::Role;
 use crate::entry::{bind, http_limits};
-use crate::{DaemonError, metrics};
+use crate::shared_documents::SharedDocuments;
+use crate::{DaemonError, control, metrics};
 
 pub(crate) async fn run(
     settings: Settings,
@@ -34,10 +38,14 @@
         PolicyAdmit::new(&role.endpoint.kind),
         record(&settings, &role, incarnation),
     );
-    let shell = AgentShell::new(agent_options(&settings, &role), core, Clock::start(), listener)
+    let (control, outputs) = control::start(&settings, incarnation, control::client(&settings));
+    let documents = SharedDocuments::new(control.clone());
+    let options = agent_options(&settings, &role);
+    let shell = AgentShell::new(options, core, Clock::start(), listener, documents)
         .map_err(|source| DaemonError::Serve { listener: "inner", source })?;
     let handle = shell.handle();
 
+    actix_rt::spawn(control::run(control, outputs, handle.clone()));
     let answers = Admin::new(handle.clone(), metrics, limits);
     actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
     log::info!("agent {} of {} listens at {inner}", settings.process.name, role.endpoint.name);
@@ -53,6 +61,21 @@
     Ok(())
 }
 
+impl Role for AgentHandle {
+    fn revisions(&self, revisions: Revisions) {
+        self.event(Event::Revisions(revisions));
+    }
+
+    fn output(&self, output: ControlOutput) {
+        match output {
+            ControlOutput::Frame { peer, frame } => self.send(peer, frame),
+            ControlOutput::Plan(plan) => self.plan(plan),
+            ControlOutput::PlanConfirmed(revision) => self.plan_confirmed(revision),
+            _ => {}
+        }
+    }
+}
+
 fn agent_config(settings: &Settings) -> AgentConfig {
     AgentConfig { heartbeat: settings.timing.heartbeat, ..AgentConfig::default() }
 }
