--- a/crates/daisychute-agent/tests/whole_answers.rs
+++ b/crates/daisychute-agent/tests/whole_answers.rs
@@ -9,9 +9,9 @@
 use daisychute_agent::shell::{AgentOptions, AgentShell};
 use daisychute_core::{
     EndpointKind, EndpointRecord, EndpointState, EngineTarget, Incarnation, Precedence,
-    RefusalReason, RequestId, Role, Verdict,
+    ProcessName, RefusalReason, RequestId, Role, Verdict,
 };
-use daisychute_link::{Documents, LinkConfig, LinkEvent, LinkId, connect};
+use daisychute_link::{Documents, Link, LinkConfig, LinkEvent, LinkId, connect};
 use daisychute_proto::{
     Call, Completion, Frame, Hello, PROTOCOL_VERSION, ProcessRole, Prompt, Revisions, Start, Work,
 };
@@ -26,6 +26,9 @@
 /// What the calls send; a service has read a call when it has seen this.
 const BODY: &str = "passed=1";
 
+/// How an agent asks an engine for its state.
+const STATE_CALL: &str = "GET /state HTTP/1.1";
+
 /// How a call ends for the entry.
 #[derive(Debug, PartialEq)]
 enum Ended {
@@ -135,15 +138,28 @@
     }
 }
 
-/// Whether a whole request came; the agent also asks an engine for its state, which gets no answer.
+/// Whether a whole call came. An engine is asked for its state before.
 async fn read_call(stream: &mut TcpStream) -> bool {
     let mut read = Vec::new();
-    while !String::from_utf8_lossy(&read).contains(BODY) {
+    loop {
+        let text = String::from_utf8_lossy(&read).into_owned();
+        if text.contains(BODY) {
+            return true;
+        }
+        if text.contains(STATE_CALL) {
+            stream.write_all(state().as_bytes()).await.expect("the agent reads");
+            read.clear();
+        }
         if stream.read_buf(&mut read).await.expect("the agent writes") == 0 {
             return false;
         }
     }
-    true
+}
+
+fn state() -> String {
+    let body = "{\"role\":\"mixed\",\"model\":\"clerk-lm\",\"version\":\"1\",\"changing\":false,\"fence\":0,\
+        \"checks_fence\":true,\"started\":1}";
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len())
 }
 
 fn start_agent(service: SocketAddr, work: &Work) -> SocketAddr {
@@ -243,23 +259,41 @@
     })
 }
 
+/// Starts the request as soon as the endpoint takes work, and waits for its end.
 async fn follow(rx: &mut UnboundedReceiver<LinkEvent>, work: &Work) -> Ended {
     let mut status = 0;
     let mut body = String::new();
+    let mut open: Option<Link> = None;
+    let mut waiting = Some(start(work.clone()));
     loop {
-        match rx.recv().await.expect("the link lives") {
-            LinkEvent::Up { link, .. } => link.send(start(work.clone())),
+        let record = match rx.recv().await.expect("the link lives") {
+            LinkEvent::Up { link, hello, .. } => {
+                open = Some(link);
+                hello.endpoint
+            }
             LinkEvent::Down { reason, .. } => panic!("the link is down: {reason}"),
             LinkEvent::Frame { frame, .. } => match *frame {
-                Frame::Head(head) => status = head.status,
-                Frame::Chunk(chunk) => body.push_str(&String::from_utf8_lossy(&chunk.data)),
+                Frame::Heartbeat(heartbeat) => heartbeat.endpoint,
+                Frame::Head(head) => {
+                    status = head.status;
+                    None
+                }
+                Frame::Chunk(chunk) => {
+                    body.push_str(&String::from_utf8_lossy(&chunk.data));
+                    None
+                }
                 Frame::End(_) => return Ended::Whole { status, body },
                 Frame::Refused(refused) => {
                     let refusal = refused.refusal;
                     return Ended::Refused { verdict: refusal.verdict, reason: refusal.reason };
                 }
-                _ => {}
+                _ => None,
             },
+        };
+        if record.is_some_and(|it| it.state == EndpointState::Live)
+            && let (Some(link), Some(start)) = (&open, waiting.take())
+        {
+            link.send(start);
         }
     }
 }
