--- a/crates/daisychute-proto/src/frame.rs
+++ b/crates/daisychute-proto/src/frame.rs
@@ -22,6 +22,9 @@
         )*}
 
         impl Frame {
+            /// All kinds, each with its name.
+            pub const KINDS: &[(u8, &str)] = &[$(($kind, stringify!($name)),)*];
+
             /// Reads a frame.
             ///
             /// # Errors
