--- a/crates/daisychuted/tests/bad_input/settings.rs
+++ b/crates/daisychuted/tests/bad_input/settings.rs
@@ -16,7 +16,7 @@
             let words: &[&str] = &$words;
             actix_rt::System::new().block_on(async {
                 for arguments in [vec!["--check"], vec![]] {
-                    let code = run(&arguments, &$text, words).await;
+                    let code = run(&arguments, $text, words).await;
                     assert_eq!(code, Some(1), "{arguments:?}");
                 }
             });
@@ -33,8 +33,8 @@
     unknown_role: GOOD.replace("role = entry", "role = planner") => ["role", "planner", "agent"];
     no_address: GOOD.replace("inner = 127.0.0.1:0", "inner = localhost") => ["inner", "localhost"];
     missing_key: GOOD.replace("name = entry-1\n", "") => ["process", "name"];
-    no_ini: "\u{1}\u{2}[[[".to_owned() => [".ini"];
-    empty_file: String::new() => ["process"];
+    no_ini: "\u{1}\u{2}[[[" => [".ini"];
+    empty_file: "" => ["process"];
     oversized_file: format!("{GOOD}; {}\n", "a".repeat(2 << 20)) => [".ini"];
 }
 
@@ -46,7 +46,7 @@
 }
 
 /// The exit code of the daemon, once its standard error has all these words.
-async fn run(arguments: &[&str], settings: &str, words: &[&str]) -> Option<i32> {
+async fn run(arguments: &[&str], settings: impl Into<String>, words: &[&str]) -> Option<i32> {
     let program = Program::built("daisychuted").expect("the daemon is built");
     let program = program.args(arguments.iter().copied()).settings(settings);
     let mut process = program.start().expect("the daemon starts");
