--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -144,7 +144,7 @@
                 self.offer(now, flight, place, phase, cached);
             }
             Event::Decode { flight, data_centre_of } => {
-                self.choose_decode(now, flight, data_centre_of)
+                self.choose_decode(now, flight, data_centre_of);
             }
             Event::Step { place, epoch } => self.end_step(now, place, epoch),
             Event::CallDone { place, flight, epoch } => self.call_done(now, place, flight, epoch),
@@ -259,7 +259,7 @@
         let flight = &mut self.flights[i];
         flight.attempts += 1;
         flight.at = None;
-        let again = if flight.attempts % MAX_ATTEMPTS == 0 {
+        let again = if flight.attempts.is_multiple_of(MAX_ATTEMPTS) {
             flight.excluded.clear();
             now + pause.max(Duration::from_millis(100))
         } else {
--- a/crates/daisychute-load/src/replay/world/event.rs
+++ b/crates/daisychute-load/src/replay/world/event.rs
@@ -7,7 +7,7 @@
 use daisychute_policy::Phase;
 
 /// What happens. Flights and endpoints are named by their places.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Copy)]
 pub(super) enum Event {
     Route(usize),
     Choose(usize),
--- /dev/null
+++ b/crates/daisychute-load/tests/replay.rs
@@ -0,0 +1,70 @@
+//! Replays on the virtual clock.
+
+use daisychute_load::generate::{Scenario, generate};
+use daisychute_load::replay::{PolicyName, Report, bound, replay};
+use daisychute_load::trace::{DeploymentName, Fault, Trace};
+
+/// The first seconds of a trace.
+fn beginning(deployment: DeploymentName, scenario: Scenario, seconds: u32) -> Trace {
+    let mut trace = generate(deployment, scenario, 5);
+    trace.requests.retain(|it| it.at_ms < seconds * 1_000);
+    for fault in &mut trace.header.faults {
+        let Fault::EngineLost { at_ms, .. } = fault;
+        *at_ms /= 10;
+    }
+    trace
+}
+
+fn summary(report: &Report) -> String {
+    format!("{:.4} {} {:.4}", report.goodput, report.role_changes, report.refused)
+}
+
+macro_rules! bound_cases {
+    ($($name:ident: $deployment:ident, $scenario:ident;)*) => {$(
+        /// No policy gets above the clairvoyant bound, and the classes that come first keep their target.
+        #[test]
+        fn $name() {
+            let trace = beginning(DeploymentName::$deployment, Scenario::$scenario, 30);
+            let bound = bound(&trace);
+            assert!((0.0..=1.0).contains(&bound));
+            for policy in PolicyName::ALL {
+                let report = replay(&trace, policy);
+                assert!(report.goodput <= bound, "{policy:?} {} {bound}", report.goodput);
+                assert!(report.first_classes >= 0.99, "{policy:?} {}", report.first_classes);
+            }
+        }
+    )*};
+}
+
+bound_cases! {
+    steady_in_rabat_sale: RabatSale, Steady;
+    square_wave_in_rabat_sale: RabatSale, SquareWave;
+    engine_loss_in_rabat_sale: RabatSale, EngineLoss;
+    steady_in_budapest: Budapest, Steady;
+    engine_loss_in_budapest: Budapest, EngineLoss;
+}
+
+#[test]
+fn a_replay_repeats() {
+    let trace = beginning(DeploymentName::RabatSale, Scenario::EngineLoss, 20);
+    let [one, two] = [(), ()].map(|()| summary(&replay(&trace, PolicyName::Ours)));
+    assert_eq!(one, two);
+}
+
+/// Ten times the load of the engines: the bound falls below one, and first classes are not harmed.
+#[test]
+fn overload_lowers_the_bound() {
+    let mut trace = beginning(DeploymentName::RabatSale, Scenario::Steady, 100);
+    trace.requests.iter_mut().for_each(|it| it.at_ms /= 10);
+    assert!(bound(&trace) < 0.9);
+    let report = replay(&trace, PolicyName::Ours);
+    assert!(report.goodput <= bound(&trace));
+    assert!(report.first_classes >= 0.99);
+    assert!(report.refused > 0.0);
+}
+
+#[test]
+fn the_clairvoyant_bound_of_an_empty_trace_is_one() {
+    let trace = beginning(DeploymentName::Budapest, Scenario::Steady, 0);
+    assert!((bound(&trace) - 1.0).abs() < f64::EPSILON);
+}
--- a/crates/daisychute-policy/tests/choice.rs
+++ b/crates/daisychute-policy/tests/choice.rs
@@ -168,7 +168,7 @@
     let model = model();
     let query = Query::model(&model).prompt(2_000, &[]);
     let home = data_centre(4);
-    let mut choose = |chooser: &mut Chooser| chooser.choose_decode(NOW, &query, &home, &mut rng());
+    let choose = |chooser: &mut Chooser| chooser.choose_decode(NOW, &query, &home, &mut rng());
     assert_eq!(choose(&mut chooser), Ok(name(4)));
     chooser.report(NOW, &name(4), busy(1_000));
     chooser.report(NOW, &name(1), busy(1_000));
@@ -198,24 +198,25 @@
 /// An endpoint that is excluded, not live or gone is never chosen, and the same seed gives the same choice.
 #[test]
 fn only_live_endpoints_are_chosen_and_choices_repeat() {
+    #[expect(clippy::needless_pass_by_value, reason = "quickcheck gives owned values")]
     fn property(states: Vec<u8>, seed: u64) -> bool {
         let model = model();
         let mut chooser = Chooser::new();
         for (i, state) in states.iter().enumerate().take(60) {
             let candidate = Candidate::engine(name(i), data_centre(i), model.clone());
-            chooser.upsert(Time::ZERO, candidate.live(state % 3 != 0));
+            chooser.upsert(Time::ZERO, candidate.live(!state.is_multiple_of(3)));
         }
         let excluded: Vec<EndpointName> = states
             .iter()
             .enumerate()
-            .filter(|(_, it)| *it % 5 == 0)
+            .filter(|(_, it)| it.is_multiple_of(5))
             .map(|(i, _)| name(i))
             .collect();
         let query = Query::model(&model).prompt(500, &BLOCKS).exclude(&excluded);
-        let mut choose =
+        let choose =
             |mut chooser: Chooser| chooser.choose(NOW, &query, &mut Pcg64Mcg::seed_from_u64(seed));
         let (one, two) = (choose(chooser.clone()), choose(chooser));
-        let open = |i: usize| states[i] % 3 != 0 && states[i] % 5 != 0;
+        let open = |i: usize| !states[i].is_multiple_of(3) && !states[i].is_multiple_of(5);
         let any = (0..states.len().min(60)).any(open);
         one == two
             && match one {
--- a/xtask/src/measure/decisions.rs
+++ b/xtask/src/measure/decisions.rs
@@ -134,7 +134,7 @@
             endpoint: EndpointName::try_from(format!("engine-{i}"))?,
             data_centre: DataCentreName::try_from(format!("dc-{}", i / MODELS % DATA_CENTRES))?,
             model: models[i % MODELS].clone(),
-            role: if i / MODELS % 2 == 0 { Role::Prefill } else { Role::Decode },
+            role: if (i / MODELS).is_multiple_of(2) { Role::Prefill } else { Role::Decode },
             changing: false,
             live: true,
             running: 30,
