--- a/crates/daisychute-load/src/lib.rs
+++ b/crates/daisychute-load/src/lib.rs
@@ -12,5 +12,6 @@
 //! ```
 
 pub mod generate;
+pub mod live;
 pub mod replay;
 pub mod trace;
--- a/crates/daisychute-load/src/main.rs
+++ b/crates/daisychute-load/src/main.rs
@@ -1,12 +1,14 @@
 //! Generates traces of requests and replays them against a live deployment.
 
 use std::fs::File;
-use std::io::BufWriter;
+use std::io::{BufReader, BufWriter};
 use std::path::PathBuf;
+use std::rc::Rc;
 
 use clap::{Parser, Subcommand};
 use daisychute_load::generate::{Scenario, generate};
-use daisychute_load::trace::{DeploymentName, TraceError};
+use daisychute_load::live::{LiveOptions, replay_live};
+use daisychute_load::trace::{DeploymentName, Trace, TraceError};
 
 /// Generates traces of requests and replays them against a live deployment.
 #[derive(Debug, Parser)]
@@ -19,6 +21,8 @@
 enum Command {
     /// Makes a trace.
     Generate(Generate),
+    /// Replays a trace against a live entry.
+    Replay(Replay),
 }
 
 #[derive(Debug, clap::Args)]
@@ -36,9 +40,28 @@
     out: PathBuf,
 }
 
+#[derive(Debug, clap::Args)]
+struct Replay {
+    /// The base address of an entry.
+    #[arg(long)]
+    entry: String,
+    /// The bearer token, where the entry asks for one.
+    #[arg(long)]
+    token: Option<String>,
+    /// Sends so many times as fast as recorded.
+    #[arg(long, default_value_t = 1.0)]
+    speed: f64,
+    /// Sends only the first seconds of the trace.
+    #[arg(long)]
+    seconds: Option<f64>,
+    /// The trace.
+    trace: PathBuf,
+}
+
 fn main() -> miette::Result<()> {
     match Args::parse().command {
         Command::Generate(args) => args.run()?,
+        Command::Replay(args) => args.run()?,
     }
     Ok(())
 }
@@ -49,3 +72,16 @@
         generate(self.deployment, self.scenario, self.seed).write(file)
     }
 }
+
+impl Replay {
+    fn run(self) -> Result<(), TraceError> {
+        let trace = Rc::new(Trace::read(BufReader::new(File::open(&self.trace)?))?);
+        let options = LiveOptions::new(self.entry.trim_end_matches('/'))
+            .token(self.token)
+            .speed(self.speed)
+            .seconds(self.seconds);
+        let report = actix_rt::System::new().block_on(replay_live(Rc::clone(&trace), options));
+        print!("{} {report}", trace.header.trace);
+        Ok(())
+    }
+}
--- a/crates/daisychute-load/src/replay.rs
+++ b/crates/daisychute-load/src/replay.rs
@@ -21,3 +21,4 @@
 pub use self::options::Options;
 pub use self::policy::{PolicyName, replay, replay_with};
 pub use self::report::{Report, Sample};
+pub(crate) use self::report::{histogram, weight};
--- a/crates/daisychute-load/src/replay/report.rs
+++ b/crates/daisychute-load/src/replay/report.rs
@@ -51,7 +51,7 @@
 }
 
 /// The work of a request at the least cost, in microseconds of an engine. It is its weight in the goodput.
-pub(super) fn weight(trace: &Trace, request: &Request) -> f64 {
+pub(crate) fn weight(trace: &Trace, request: &Request) -> f64 {
     if trace.header.classes[usize::from(request.class)].work != Work::Completion {
         return 0.0;
     }
@@ -140,7 +140,7 @@
 }
 
 /// Microseconds up to two minutes, with three significant digits.
-pub(super) fn histogram() -> Histogram<u64> {
+pub(crate) fn histogram() -> Histogram<u64> {
     Histogram::new_with_bounds(1, 120_000_000, 3).expect("the bounds are in order")
 }
 
