--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -42,4 +42,10 @@
     /// A name of a measurement is malformed.
     #[error(transparent)]
     Name(#[from] NameError),
+    /// A plot can't be drawn.
+    #[error("the plot can't be drawn: {reason}")]
+    Plot {
+        /// What the plotting library said.
+        reason: String,
+    },
 }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,6 +1,7 @@
 //! Measurements.
 
 mod decisions;
+mod plot;
 mod policy;
 mod sensitivity;
 
@@ -15,6 +16,8 @@
     Policy(policy::Args),
     /// Varies the age of reports, the lost cache events and the number of entries.
     Sensitivity(sensitivity::Args),
+    /// Draws goodput and roles over a trace.
+    Plot(plot::Args),
     /// Times one admission, one choice and one plan at full size.
     Decisions,
 }
@@ -24,6 +27,7 @@
         match self {
             Self::Policy(args) => args.run(),
             Self::Sensitivity(args) => args.run(),
+            Self::Plot(args) => args.run(),
             Self::Decisions => decisions::run(),
         }
     }
