--- a/crates/daisychute-entry/src/lib.rs
+++ b/crates/daisychute-entry/src/lib.rs
@@ -1,1 +1,22 @@
 //! The entry: callers' HTTP interface, routing, retries and refusals.
+//!
+//! [`core::EntryCore`] decides, [`shell`] does the I/O.
+//!
+//! ```
+//! use daisychute_core::Incarnation;
+//! use daisychute_entry::LeastLoad;
+//! use daisychute_entry::core::{EntryConfig, EntryCore};
+//!
+//! let mut core = EntryCore::new(EntryConfig::default(), LeastLoad::default(), Incarnation::new(1));
+//! assert_eq!(core.next_id().seq, 1);
+//! assert!(core.requests().is_empty());
+//! ```
+
+mod choose;
+mod policy_choose;
+pub mod callers;
+pub mod core;
+pub mod shell;
+
+pub use crate::choose::{Choose, LeastLoad};
+pub use crate::policy_choose::PolicyChoose;
--- /dev/null
+++ b/crates/daisychute-entry/src/shell/entry_shell.rs
@@ -0,0 +1,274 @@
+//! The entry's task: one loop that feeds the core and does what it asks.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use daisychute_core::{
+    Configuration, DataCentreName, EndpointStatus, InstanceName, ProcessName, ProcessRole,
+    ProcessState, ProcessStatus, RegionName, RequestId, Revisions,
+};
+use daisychute_link::{Documents, DownReason, Link, LinkConfig, LinkEvent, LinkId, connect};
+use daisychute_proto::{Frame, GoodbyeReason, Heartbeat, Hello, PROTOCOL_VERSION};
+use daisychute_runtime::{Clock, Labels};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, sleep_until};
+
+use super::caller::Caller;
+use super::{EntryHandle, Input};
+use crate::Choose;
+use crate::core::{Action, Agent, EntryCore, Event, Part};
+
+/// Tenants that metrics tell apart.
+const MAX_TENANTS: usize = 512;
+
+/// Who the entry is.
+#[derive(Debug, Clone)]
+pub struct EntryOptions {
+    /// Its name.
+    pub process: ProcessName,
+    /// The instance that it runs on.
+    pub instance: InstanceName,
+    /// Where it runs.
+    pub data_centre: DataCentreName,
+    /// The region of that data centre.
+    pub region: RegionName,
+    /// Time limits of the connections.
+    pub link: LinkConfig,
+}
+
+/// The entry's task.
+#[derive(Debug)]
+pub struct EntryShell<C, D> {
+    options: EntryOptions,
+    core: EntryCore<C>,
+    clock: Clock,
+    links: BTreeMap<LinkId, (ProcessName, Link)>,
+    documents: D,
+    callers: BTreeMap<RequestId, Caller>,
+    tenants: Labels,
+    configuration: Option<Arc<Configuration>>,
+    revisions: Revisions,
+    handle: EntryHandle,
+    rx: UnboundedReceiver<Input>,
+    link_tx: UnboundedSender<LinkEvent>,
+    link_rx: UnboundedReceiver<LinkEvent>,
+}
+
+impl<C: Choose, D: Documents> EntryShell<C, D> {
+    /// Prepares the task.
+    #[must_use]
+    pub fn new(options: EntryOptions, core: EntryCore<C>, clock: Clock, documents: D) -> Self {
+        let (tx, rx) = unbounded_channel();
+        let (link_tx, link_rx) = unbounded_channel();
+        Self {
+            options,
+            core,
+            clock,
+            links: BTreeMap::new(),
+            documents,
+            callers: BTreeMap::new(),
+            tenants: Labels::new(MAX_TENANTS),
+            configuration: None,
+            revisions: Revisions::default(),
+            handle: EntryHandle::new(tx),
+            rx,
+            link_tx,
+            link_rx,
+        }
+    }
+
+    /// For reaching the task.
+    #[must_use]
+    pub fn handle(&self) -> EntryHandle {
+        self.handle.clone()
+    }
+
+    /// Serves until [`EntryHandle::leave`] was called and every request has its final answer.
+    pub async fn run(mut self) {
+        while !(self.core.is_leaving() && self.core.requests().is_empty()) {
+            let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
+            tokio::select! {
+                Some(input) = self.rx.recv() => self.on_input(input),
+                Some(event) = self.link_rx.recv() => self.on_link_event(event),
+                () = sleep_until(wake) => self.feed(Event::Wake),
+            }
+        }
+        for (_, link) in self.links.values() {
+            link.close(GoodbyeReason::Leaving);
+        }
+    }
+
+    fn on_input(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => {
+                match &event {
+                    Event::Revisions(revisions) => self.revisions = *revisions,
+                    Event::CallerGone { id } => self.caller_gone(*id),
+                    _ => {}
+                }
+                self.feed(event);
+            }
+            Input::Submit { submission, parts, id: id_tx } => {
+                let id = self.core.next_id();
+                if id_tx.send(id).is_err() {
+                    // The caller went away before its request was taken over.
+                    return;
+                }
+                let caller = Caller::new(self.clock.now(), &submission, parts, &mut self.tenants);
+                self.callers.insert(id, caller);
+                self.feed(Event::Submit { id, submission });
+            }
+            Input::Configuration(cfg) => self.configuration = Some(cfg),
+            Input::Send { peer, frame } => self.send_to(&peer, *frame),
+            Input::Status(tx) => {
+                // The asker may be gone.
+                let _ = tx.send(self.status());
+            }
+            Input::Leave => self.feed(Event::Leave),
+        }
+    }
+
+    fn on_link_event(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up { id, hello, link } => {
+                if let Some(record) = &hello.endpoint {
+                    self.documents.observed(record);
+                }
+                self.links.insert(id, (hello.process.clone(), link));
+                self.feed(Event::LinkUp { link: id, hello });
+            }
+            LinkEvent::Frame { id, frame } => {
+                if let Frame::Heartbeat(Heartbeat { endpoint: Some(record), .. }) = &*frame {
+                    self.documents.observed(record);
+                }
+                self.feed(Event::Frame { link: id, frame });
+            }
+            LinkEvent::Down { id, reason } => {
+                if let Some((peer, _)) = self.links.remove(&id) {
+                    self.on_peer_down(&peer);
+                }
+                let gone = reason == DownReason::NoListener;
+                self.feed(Event::LinkDown { link: id, gone });
+            }
+        }
+    }
+
+    fn feed(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.core.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Connect { link, addr } => {
+                connect(addr, link, self.hello(), self.options.link, self.link_tx.clone());
+            }
+            Action::Send { link, frame } => self.send(link, *frame),
+            Action::Close { link } => {
+                if let Some((peer, link)) = self.links.remove(&link) {
+                    self.on_peer_down(&peer);
+                    link.close(GoodbyeReason::Replaced);
+                }
+            }
+            Action::Answer { id, part } => self.answer(id, part),
+            Action::PeerRevisions { link, revisions } => {
+                if let Some((peer, _)) = self.links.get(&link) {
+                    self.documents.heard(peer, revisions);
+                }
+            }
+            Action::Control { link, frame } => {
+                if let Some((peer, _)) = self.links.get(&link) {
+                    self.documents.frame(peer, *frame);
+                }
+            }
+        }
+    }
+
+    fn send(&self, link: LinkId, frame: Frame) {
+        if let Some((_, link)) = self.links.get(&link) {
+            link.send(frame);
+        }
+    }
+
+    fn send_to(&self, peer: &ProcessName, frame: Frame) {
+        // The newest connection has the highest number.
+        if let Some((_, link)) = self.links.values().rev().find(|(it, _)| it == peer) {
+            link.send(frame);
+        }
+    }
+
+    fn on_peer_down(&self, peer: &ProcessName) {
+        if !self.links.values().any(|(it, _)| it == peer) {
+            self.documents.gone(peer);
+        }
+    }
+
+    fn answer(&mut self, id: RequestId, part: Part) {
+        let is_last = matches!(part, Part::End { .. } | Part::Refused(_));
+        let now = self.clock.now();
+        if let Some(caller) = self.callers.get_mut(&id) {
+            caller.answer(now, id, part);
+        }
+        if is_last {
+            self.callers.remove(&id);
+        }
+    }
+
+    fn caller_gone(&mut self, id: RequestId) {
+        if let Some(caller) = self.callers.remove(&id) {
+            caller.gone(self.clock.now());
+        }
+    }
+
+    fn hello(&self) -> Hello {
+        Hello {
+            version: PROTOCOL_VERSION,
+            min_version: PROTOCOL_VERSION,
+            process: self.options.process.clone(),
+            incarnation: self.core.incarnation(),
+            role: ProcessRole::Entry,
+            data_centre: self.options.data_centre.clone(),
+            region: self.options.region.clone(),
+            endpoint: None,
+            revisions: self.revisions,
+        }
+    }
+
+    fn status(&self) -> ProcessStatus {
+        let state = match (self.core.is_leaving(), &self.configuration) {
+            (true, _) => ProcessState::Leaving,
+            (false, None) => ProcessState::Starting,
+            (false, Some(_)) => ProcessState::Ready,
+        };
+        ProcessStatus {
+            process: self.options.process.clone(),
+            role: ProcessRole::Entry,
+            incarnation: self.core.incarnation(),
+            region: self.options.region.clone(),
+            data_centre: self.options.data_centre.clone(),
+            instance: self.options.instance.clone(),
+            state,
+            duties: Vec::new(),
+            revisions: self.revisions,
+            platform_heard: None,
+            in_flight: u32::try_from(self.core.requests().len()).unwrap_or(u32::MAX),
+            endpoints: self.core.agents().iter().map(endpoint_status).collect(),
+            peers: Vec::new(),
+        }
+    }
+}
+
+fn endpoint_status(agent: &Agent) -> EndpointStatus {
+    EndpointStatus {
+        endpoint: agent.record.endpoint.clone(),
+        data_centre: agent.record.data_centre.clone(),
+        kind: agent.record.kind.clone(),
+        state: agent.record.state,
+        target: agent.record.target.clone(),
+        changing: false,
+        load: agent.load.map(|(_, load)| load),
+    }
+}
--- a/crates/daisychute-proto/src/lib.rs
+++ b/crates/daisychute-proto/src/lib.rs
@@ -17,17 +17,29 @@
 mod document;
 mod error;
 mod frame;
+mod hand_over;
+mod hand_over_taken;
 mod heartbeat;
 mod hello;
+mod lease_answer;
+mod lease_question;
+mod owner;
 mod probe;
 mod start;
 mod stream;
 
+pub use daisychute_core::{ProcessRole, Revisions};
+
 pub use crate::document::{Document, DocumentKind, Pull};
 pub use crate::error::{DecodeError, EncodeError};
 pub use crate::frame::{Frame, MAX_FRAME_BYTES};
-pub use crate::heartbeat::{Heartbeat, Revisions};
-pub use crate::hello::{Goodbye, GoodbyeReason, Hello, PROTOCOL_VERSION, ProcessRole};
+pub use crate::hand_over::{HandOver, HandOverCall, HandOverEnding};
+pub use crate::hand_over_taken::HandOverTaken;
+pub use crate::heartbeat::Heartbeat;
+pub use crate::hello::{Goodbye, GoodbyeReason, Hello, PROTOCOL_VERSION};
+pub use crate::lease_answer::LeaseAnswer;
+pub use crate::lease_question::LeaseQuestion;
+pub use crate::owner::Owner;
 pub use crate::probe::{Probe, ProbeAnswer};
 pub use crate::start::{Call, ChatMessage, Completion, Prompt, Start, Work};
 pub use crate::stream::{Cancel, Chunk, Credit, End, Head, Refused, Resume};
--- /dev/null
+++ b/crates/daisychute-settings/src/document.rs
@@ -0,0 +1,167 @@
+//! An INI file split into sections, with the place of each key.
+
+use std::collections::BTreeMap;
+
+use ini::{Ini, ParseOption, Properties};
+use miette::SourceSpan;
+
+use crate::SectionKeys;
+use crate::field::Field;
+use crate::hint::Hint;
+use crate::keys::split_header;
+use crate::problem::{Problem, Problems};
+use crate::spans::{Spans, line_span};
+
+/// A file split into sections.
+#[derive(Debug)]
+pub(crate) struct Document {
+    ini: Ini,
+    spans: Spans,
+}
+
+/// One section of a file, or a section that the file lacks.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Section<'a> {
+    document: &'a Document,
+    /// The header without its brackets.
+    header: &'a str,
+    properties: Option<&'a Properties>,
+}
+
+/// What the keys of one section may be.
+struct Keys<'a> {
+    section: &'a str,
+    known: &'a [&'static str],
+    refused: &'a [&'a str],
+}
+
+impl Document {
+    /// Values are taken literally: no quotes and no escapes.
+    const OPTIONS: ParseOption = ParseOption {
+        enabled_quote: false,
+        enabled_escape: false,
+        enabled_indented_mutiline_value: false,
+        enabled_preserve_key_leading_whitespace: false,
+    };
+
+    pub(crate) fn parse(text: &str) -> Result<Self, Problem> {
+        match Ini::load_from_str_opt(text, Self::OPTIONS) {
+            Ok(ini) => Ok(Self { ini, spans: Spans::locate(text) }),
+            Err(source) => Err(Problem::Syntax { at: line_span(text, source.line), source }),
+        }
+    }
+
+    /// The section with this header, empty where the file lacks it.
+    pub(crate) fn section<'a>(&'a self, header: &'a str) -> Section<'a> {
+        Section { document: self, header, properties: self.ini.section(Some(header)) }
+    }
+
+    /// The sections with a header of two words, the first of which is `kind`, in the order of the file.
+    pub(crate) fn named<'a>(&'a self, kind: &str) -> Vec<(&'a str, Section<'a>)> {
+        let mut found: Vec<(&str, Section<'_>)> = Vec::new();
+        for header in self.ini.sections().flatten() {
+            let Some((first, name)) = split_header(header) else { continue };
+            if first == kind && !found.iter().any(|(it, _)| *it == name) {
+                found.push((name, self.section(header)));
+            }
+        }
+        found
+    }
+
+    /// Notes every section and key that is not in `known`, and all that stand twice. Words in `refused` get a reason
+    /// of their own.
+    pub(crate) fn check_keys(
+        &self,
+        known: &[SectionKeys],
+        refused: &[&str],
+        problems: &mut Problems,
+    ) {
+        let mut seen: BTreeMap<Vec<&str>, usize> = BTreeMap::new();
+        for (header, properties) in &self.ini {
+            let header = header.unwrap_or_default();
+            if header.is_empty() {
+                self.check_outside(properties, problems);
+                continue;
+            }
+            let count = seen.entry(header.split_whitespace().collect()).or_default();
+            *count += 1;
+            if *count > 1 {
+                let at = self.spans.nth(header, None, *count - 1);
+                problems.push(Problem::DuplicateSection { section: header.to_owned(), at });
+            }
+            match known.iter().find(|it| it.matches(header)) {
+                Some(section) => {
+                    let keys = Keys { section: header, known: section.keys, refused };
+                    self.check_section(&keys, properties, problems);
+                }
+                None => problems.push(self.unknown_section(header, known, refused)),
+            }
+        }
+    }
+
+    fn check_outside(&self, properties: &Properties, problems: &mut Problems) {
+        for (key, _) in properties {
+            let at = self.spans.nth("", Some(key), 0);
+            problems.push(Problem::OutsideSections { key: key.to_owned(), at });
+        }
+    }
+
+    fn check_section(&self, keys: &Keys<'_>, properties: &Properties, problems: &mut Problems) {
+        let section = keys.section;
+        let mut seen: BTreeMap<&str, usize> = BTreeMap::new();
+        for (key, _) in properties {
+            let count = seen.entry(key).or_default();
+            *count += 1;
+            if let Some((first, _)) = key.split_once('\n') {
+                let at = self.spans.nth(section, Some(first.trim()), 0);
+                problems.push(Problem::NoValue { section: section.to_owned(), at });
+            } else if !keys.known.contains(&key) {
+                problems.push(self.unknown_key(keys, key));
+            } else if *count > 1 {
+                let at = self.spans.nth(section, Some(key), *count - 1);
+                let (section, key) = (section.to_owned(), key.to_owned());
+                problems.push(Problem::DuplicateKey { section, key, at });
+            }
+        }
+    }
+
+    fn unknown_section(&self, header: &str, known: &[SectionKeys], refused: &[&str]) -> Problem {
+        let section = header.to_owned();
+        let at = self.spans.nth(header, None, 0);
+        let first = header.split_whitespace().next().unwrap_or_default();
+        if refused.contains(&first) {
+            return Problem::NotForOperators { section, key: None, at };
+        }
+        let hint = Hint::new(first, known.iter().map(SectionKeys::header));
+        Problem::UnknownSection { section, hint, at }
+    }
+
+    fn unknown_key(&self, keys: &Keys<'_>, key: &str) -> Problem {
+        let section = keys.section.to_owned();
+        let at = self.spans.nth(keys.section, Some(key), 0);
+        if keys.refused.contains(&key) {
+            return Problem::NotForOperators { section, key: Some(key.to_owned()), at };
+        }
+        let hint = Hint::new(key, keys.known.iter().map(|it| (*it).to_owned()));
+        Problem::UnknownKey { section, key: key.to_owned(), hint, at }
+    }
+}
+
+impl<'a> Section<'a> {
+    pub(crate) fn header(&self) -> &'a str {
+        self.header
+    }
+
+    /// The place of its header.
+    pub(crate) fn at(&self) -> Option<SourceSpan> {
+        self.document.spans.nth(self.header, None, 0)
+    }
+
+    /// The key of this section, whether or not the file gives it.
+    pub(crate) fn field(&self, key: &'static str) -> Field {
+        let value = self.properties.and_then(|it| it.get(key)).map(str::to_owned);
+        let place = value.as_ref().map(|_| key);
+        let at = self.document.spans.nth(self.header, place, 0);
+        Field::new(self.header, key, value, at)
+    }
+}
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -1,3 +1,42 @@
 //! The daemon of daisychute, in the role that its settings name.
 
-fn main() {}
+mod admin;
+mod agent;
+mod args;
+mod control;
+mod discovery;
+mod entry;
+mod error;
+mod logging;
+mod metrics;
+mod shared_documents;
+
+use clap::Parser;
+use daisychute_core::Incarnation;
+use daisychute_runtime::Clock;
+use daisychute_settings::{RoleSettings, Settings};
+
+use crate::args::Args;
+use crate::error::DaemonError;
+use crate::logging::Identity;
+
+fn main() -> miette::Result<()> {
+    let args = Args::parse();
+    let settings = Settings::load(&args.settings)?;
+    if args.check {
+        println!("{} is valid", args.settings.display());
+        return Ok(());
+    }
+    let incarnation = Clock::incarnation();
+    let identity = Identity { process: settings.process.name.clone(), incarnation };
+    logging::install(&settings.log, identity)?;
+    actix_rt::System::new().block_on(run(settings, incarnation))?;
+    Ok(())
+}
+
+async fn run(settings: Settings, incarnation: Incarnation) -> Result<(), DaemonError> {
+    match settings.role.clone() {
+        RoleSettings::Entry(role) => entry::run(settings, role, incarnation).await,
+        RoleSettings::Agent(role) => agent::run(settings, role, incarnation).await,
+    }
+}
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -5,11 +5,12 @@
 
 use daisychute_core::NameError;
 use daisychute_load::trace::TraceError;
-use miette::Diagnostic;
+use daisychute_standin::harness::HarnessError;
+use daisychute_testbed::TestbedError;
 use thiserror::Error;
 
 /// Why a chore failed.
-#[derive(Debug, Error, Diagnostic)]
+#[derive(Debug, Error)]
 pub(crate) enum XtaskError {
     /// A program could not be started.
     #[error("{program} could not be started")]
@@ -20,6 +21,27 @@
         #[source]
         source: io::Error,
     },
+    /// A deployment could not be driven.
+    #[error(transparent)]
+    Testbed(#[from] TestbedError),
+    /// A step of the deployment failed.
+    #[error(transparent)]
+    Harness(#[from] HarnessError),
+    /// The demo did not show what it must.
+    #[error("the demo failed: {0}")]
+    Demo(&'static str),
+    /// The system's account of a process can't be read, or is malformed where there is no source.
+    #[error("{path} can't be read")]
+    Proc {
+        /// The file.
+        path: String,
+        /// What the system said.
+        #[source]
+        source: Option<io::Error>,
+    },
+    /// A histogram can't be made.
+    #[error(transparent)]
+    Histogram(#[from] hdrhistogram::CreationError),
     /// A program ended with a failure.
     #[error("{command} failed")]
     Failed {
@@ -37,7 +59,6 @@
     },
     /// A trace can't be read.
     #[error(transparent)]
-    #[diagnostic(transparent)]
     Trace(#[from] TraceError),
     /// A name of a measurement is malformed.
     #[error(transparent)]
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,6 +1,7 @@
 //! Measurements.
 
 mod decisions;
+mod path;
 mod plot;
 mod policy;
 mod sensitivity;
@@ -20,6 +21,8 @@
     Plot(plot::Args),
     /// Times one admission, one choice and one plan at full size.
     Decisions,
+    /// Compares calls through entry and agent with direct ones, and weighs the entry.
+    Path(path::Args),
 }
 
 impl Measure {
@@ -29,6 +32,7 @@
             Self::Sensitivity(args) => args.run(),
             Self::Plot(args) => args.run(),
             Self::Decisions => decisions::run(),
+            Self::Path(args) => args.run(),
         }
     }
 }
