--- a/crates/daisychute-policy/src/admission.rs
+++ b/crates/daisychute-policy/src/admission.rs
@@ -7,6 +7,7 @@
 
 mod core;
 mod decision;
+mod estimate;
 mod fair_share;
 mod limits;
 mod prompt_clock;
--- a/crates/daisychute-policy/src/admission/core.rs
+++ b/crates/daisychute-policy/src/admission/core.rs
@@ -11,10 +11,10 @@
 use super::fair_share::FairShare;
 use super::limits::Limits;
 use super::prompt_clock::PromptClock;
-use super::queue::{Ahead, Queue, Waiting};
+use super::queue::{Queue, Waiting};
 use super::running::{Running, RunningSet};
 use super::ticket::{Phase, Ticket};
-use crate::cost::{Batch, CostModel, RobustMean};
+use crate::cost::{CostModel, RobustMean};
 use crate::roles::{Demand, UnitCosts};
 
 const PRECEDENCES: [Precedence; 3] =
@@ -26,18 +26,18 @@
 /// [`next`](Self::next) after every other event and every [`TICK`](Self::TICK) until they name nothing more.
 #[derive(Debug, Clone)]
 pub struct Admission {
-    limits: Limits,
-    cost: CostModel,
-    queue: Queue,
-    running: RunningSet,
-    shares: FairShare,
+    pub(super) limits: Limits,
+    pub(super) cost: CostModel,
+    pub(super) queue: Queue,
+    pub(super) running: RunningSet,
+    pub(super) shares: FairShare,
     // Output tokens of a finished request, by class.
-    outputs: BTreeMap<ClassName, RobustMean>,
-    target: Option<Duration>,
-    last_interactive: Option<Time>,
-    last_may_wait_turn: Time,
-    prompts: PromptClock,
-    last_gap: Time,
+    pub(super) outputs: BTreeMap<ClassName, RobustMean>,
+    pub(super) target: Option<Duration>,
+    pub(super) last_interactive: Option<Time>,
+    pub(super) last_may_wait_turn: Time,
+    pub(super) prompts: PromptClock,
+    pub(super) last_gap: Time,
 }
 
 impl Admission {
@@ -48,11 +48,11 @@
     /// May-wait work is given a turn before interactive work once it waited this long.
     const MAY_WAIT_TURN: Duration = Duration::from_secs(10);
     /// The part of the streams that may-wait work leaves free while interactive work comes.
-    const INTERACTIVE_RESERVE: f64 = 0.25;
+    pub(super) const INTERACTIVE_RESERVE: f64 = 0.25;
     /// The part of a target that planning may use; the rest is for errors of the estimate.
-    const TARGET_USE: f64 = 0.9;
-    const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-    const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+    pub(super) const TARGET_USE: f64 = 0.9;
+    pub(super) const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+    pub(super) const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
 
     /// An endpoint without work.
     #[must_use]
@@ -326,120 +326,6 @@
         let usable = f64::from(self.stream_limit()) * (1.0 - Self::INTERACTIVE_RESERVE);
         !recent || f64::from(self.running.len()) < usable || self.running.may_wait == 0
     }
-
-    /// The greatest batch that keeps the target between tokens.
-    fn stream_limit(&self) -> u32 {
-        let decodes = !matches!(self.limits.role, None | Some(Role::Prefill));
-        match self.target {
-            Some(target) if decodes => {
-                let streams = u64::from(self.running.streams.max(1));
-                let mean_context = self.running.context / streams;
-                let budget = target.mul_f64(Self::TARGET_USE);
-                self.limits.streams.min(self.cost.max_streams(budget, mean_context))
-            }
-            _ => self.limits.streams,
-        }
-    }
-
-    fn batch(&self) -> Batch {
-        Batch { streams: self.running.streams, context_tokens: self.running.context }
-    }
-
-    fn expected_tokens(&self, ticket: &Ticket) -> u32 {
-        if !ticket.decodes() {
-            return 1;
-        }
-        let learned = self.outputs.get(&ticket.class).map(|it| it.get().ceil() as u32);
-        learned.map_or(ticket.max_tokens, |it| it.clamp(1, ticket.max_tokens.max(1)))
-    }
-
-    /// Output tokens that a request makes at least, as far as is known: a class that was not seen may be short.
-    fn likely_tokens(&self, ticket: &Ticket) -> u32 {
-        if self.outputs.contains_key(&ticket.class) { self.expected_tokens(ticket) } else { 1 }
-    }
-
-    /// The endpoint's time that a request takes.
-    fn service(&self, ticket: &Ticket) -> Duration {
-        if ticket.phase == Phase::Call {
-            return self.cost.call_time();
-        }
-        let prompt = self.cost.prompt_time(u64::from(ticket.uncached_tokens()));
-        prompt + self.output_token() * self.expected_tokens(ticket)
-    }
-
-    /// The endpoint's time that one output token takes in a full batch.
-    fn output_token(&self) -> Duration {
-        let streams = self.stream_limit().max(1);
-        let mean_context = self.running.context / u64::from(self.running.streams.max(1));
-        let batch = Batch { streams, context_tokens: mean_context * u64::from(streams) };
-        self.cost.between_tokens(batch) / streams
-    }
-
-    /// The time until the turn of a request.
-    fn wait(&self, ticket: &Ticket) -> Duration {
-        self.wait_behind(self.queue.ahead(ticket, &self.shares), ticket.precedence)
-    }
-
-    fn wait_behind(&self, ahead: Ahead, precedence: Precedence) -> Duration {
-        let prompts = self.cost.prompt_time(self.running.prompt_tokens + ahead.prompt_tokens);
-        let mut limit = self.stream_limit();
-        if precedence == Precedence::MayWait {
-            limit = (f64::from(limit) * (1.0 - Self::INTERACTIVE_RESERVE)).ceil() as u32;
-        }
-        let over = (self.running.len() + ahead.requests + 1).saturating_sub(limit);
-        prompts.max(self.turnover() * over)
-    }
-
-    /// The mean time between two requests that leave the endpoint while it is full.
-    fn turnover(&self) -> Duration {
-        let running = self.running.len().max(1);
-        match self.limits.role {
-            None => self.cost.call_time() / running,
-            Some(Role::Prefill) => Duration::ZERO,
-            Some(Role::Decode | Role::Mixed) => {
-                let tokens: u32 = self.running.values().map(Running::remaining_tokens).sum();
-                let gap = self.cost.between_tokens(self.batch());
-                // The mean of what is left of each, spread over all of them; steady turnover takes twice that.
-                gap * (2 * tokens / running) / running
-            }
-        }
-    }
-
-    fn is_late(&self, now: Time, ticket: &Ticket) -> bool {
-        now + self.least_time(ticket) > ticket.due()
-    }
-
-    /// The time to the first target of a request whose turn is now.
-    fn least_time(&self, ticket: &Ticket) -> Duration {
-        let prompt = self.cost.prompt_time(u64::from(ticket.uncached_tokens()));
-        match (ticket.phase, ticket.first_token) {
-            (Phase::Call, _) => self.cost.call_time(),
-            (_, Some(_)) | (Phase::Prefill, _) => prompt,
-            (_, None) => {
-                let batch = Batch {
-                    streams: self.running.streams + 1,
-                    context_tokens: self.running.context,
-                };
-                prompt + self.cost.between_tokens(batch) * self.likely_tokens(ticket)
-            }
-        }
-    }
-
-    fn refusal(&self, now: Time, ticket: &Ticket, wait: Duration) -> Option<Refusal> {
-        let left = ticket.due().since(now);
-        let budget = left.mul_f64(Self::TARGET_USE);
-        let needed = wait + self.least_time(ticket);
-        let certain = wait.is_zero();
-        if needed <= budget || (certain && needed <= left) {
-            return None;
-        }
-        let retry_after = self.retry_after(needed.saturating_sub(budget));
-        Some(Refusal::not_run(RefusalReason::Overloaded).retry_after(retry_after))
-    }
-
-    fn retry_after(&self, excess: Duration) -> Duration {
-        excess.clamp(Self::MIN_RETRY_AFTER, Self::MAX_RETRY_AFTER)
-    }
 }
 
 fn saturate(tokens: u64) -> u32 {
--- a/crates/daisychute-policy/src/choice.rs
+++ b/crates/daisychute-policy/src/choice.rs
@@ -11,11 +11,13 @@
 
 mod candidate;
 mod chooser;
+mod estimate;
 mod health;
 mod hits;
 mod pipeline;
 mod query;
 mod sends;
+mod slot;
 
 pub use self::candidate::Candidate;
 pub use self::chooser::Chooser;
--- a/crates/daisychute-policy/src/choice/chooser.rs
+++ b/crates/daisychute-policy/src/choice/chooser.rs
@@ -10,22 +10,9 @@
 use super::candidate::Candidate;
 use super::health::Health;
 use super::hits::Hits;
-use super::pipeline::Pipeline;
 use super::query::{Chosen, NoEndpoint, Query};
 use super::sends::Sends;
-use crate::prefix::BLOCK_TOKENS;
-
-/// An endpoint and what the entry knows of it.
-#[derive(Debug, Clone)]
-struct Slot {
-    candidate: Candidate,
-    hash: u64,
-    report: LoadReport,
-    as_of: Time,
-    sends: Sends,
-    hits: Hits,
-    health: Health,
-}
+use super::slot::{Part, Slot};
 
 /// Chooses the endpoint of each request of one entry.
 ///
@@ -56,19 +43,11 @@
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Chooser {
-    slots: Vec<Slot>,
+    pub(super) slots: Vec<Slot>,
     // Invariant: the place in `slots` of each endpoint there.
     places: BTreeMap<EndpointName, usize>,
 }
 
-/// The role in which a request meets an engine.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Part {
-    Whole,
-    Prefill,
-    Decode,
-}
-
 impl Chooser {
     /// Candidates by the rendezvous hash.
     const AFFINE: usize = 2;
@@ -82,24 +61,6 @@
     const MAX_FRESH: usize = 8;
     /// No more than this part of the endpoints that serve a model is left out as outliers.
     const MAX_EJECTED: f64 = 0.5;
-    /// The time between prefill's end on one engine and the first step on another, beside the transfer.
-    const HAND_OVER: Duration = Duration::from_millis(5);
-    /// KV cache that moves between two engines of a data centre, tokens a second.
-    const TRANSFER_TOKENS_PER_SECOND: f64 = 50_000.0;
-    /// KV cache that moves between two engines of different data centres, tokens a second.
-    const FAR_TRANSFER_TOKENS_PER_SECOND: f64 = 10_000.0;
-    /// What one stream of a decode engine adds to the estimate of a hand-over to it.
-    const DECODE_STREAM_COST: Duration = Duration::from_millis(4);
-    /// What each request that waits at a decode engine adds for deferrable work, which comes after it.
-    const DEFERRABLE_QUEUED: Duration = Duration::from_millis(50);
-    /// The estimate of a hand-over where no engine decodes.
-    const NO_DECODE: Duration = Duration::from_secs(3_600);
-    /// What deferrable work waits for an engine of mixed role rather than take one that urgent work needs.
-    const DEFERRABLE_SPLIT: Duration = Duration::from_secs(5);
-    /// What urgent work waits for a split rather than be mixed with prompts that stretch its gaps.
-    const MIXING_PENALTY: Duration = Duration::from_secs(60);
-    /// What one running stream adds to an estimate, so that equal queues are told apart.
-    const STREAM_COST: Duration = Duration::from_micros(500);
 
     /// A chooser that knows no endpoint.
     #[must_use]
@@ -336,117 +297,12 @@
         (0..Self::RANDOM).map(|_| open[rng.random_range(0..open.len())]).collect()
     }
 
-    /// The estimated time to the first token, with what tells equal candidates apart.
-    fn estimate(&self, now: Time, query: &Query<'_>, part: Part, place: usize) -> Duration {
-        let slot = &self.slots[place];
-        let cached = self.cached_tokens(place, query);
-        let uncached = u64::from(query.prompt_tokens - cached);
-        let sent = slot.prompt_token().mul_f64(slot.sends.prompt_tokens() as f64);
-        let streams = Self::STREAM_COST * (slot.report.running + slot.sends.count());
-        let base = slot.candidate.distance * 2
-            + slot.report.wait
-            + sent
-            + streams
-            + slot.health.penalty(now);
-        let prompt = slot.prompt_token().mul_f64(uncached as f64);
-        match part {
-            Part::Whole => base + prompt + mixing_penalty(query),
-            Part::Prefill => base + prompt + self.hand_over(query, place),
-            Part::Decode => base,
-        }
-    }
-
-    /// What moving the KV cache costs, and the wait for an engine that decodes.
-    fn hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
-        let wait = self.decode_wait(query, place);
-        match query.between_tokens {
-            Some(_) => Self::HAND_OVER + wait,
-            None => Self::HAND_OVER + wait + Self::DEFERRABLE_SPLIT,
-        }
-    }
-
-    /// The wait between prefill and decode, with what is under way to the decode engines.
-    fn expected_hand_over(&self, query: &Query<'_>, place: usize) -> Duration {
-        let now = self.decode_wait(query, place);
-        let Some(target) = query.between_tokens else { return now };
-        let mut pipeline = Pipeline::default();
-        for slot in self.slots.iter().filter(|it| it.candidate.model.as_ref() == query.model) {
-            let prompt = slot.prompt_token().mul_f64(f64::from(query.prompt_tokens));
-            pipeline.add(slot.candidate.role, &slot.report, prompt, target);
-        }
-        now.max(pipeline.wait())
-    }
-
-    /// The least time until an engine decodes what `place` prefills.
-    fn decode_wait(&self, query: &Query<'_>, place: usize) -> Duration {
-        let data_centre = &self.slots[place].candidate.data_centre;
-        let decodes = self
-            .slots
-            .iter()
-            .filter(|it| it.candidate.role == Role::Decode && it.serves(query, Part::Decode));
-        let costs = decodes.map(|it| self.decode_cost(query, data_centre, it));
-        costs.min().unwrap_or(Self::NO_DECODE)
-    }
-
-    /// The time until this engine decodes what an engine of this data centre prefills.
-    fn decode_cost(&self, query: &Query<'_>, from: &DataCentreName, slot: &Slot) -> Duration {
-        let queued = match query.between_tokens {
-            Some(_) => Duration::ZERO,
-            None => Self::DEFERRABLE_QUEUED * slot.report.queued,
-        };
-        let rate = if slot.candidate.data_centre == *from {
-            Self::TRANSFER_TOKENS_PER_SECOND
-        } else {
-            Self::FAR_TRANSFER_TOKENS_PER_SECOND
-        };
-        let streams = Self::DECODE_STREAM_COST * (slot.report.running + slot.sends.count());
-        let transfer = Duration::from_secs_f64(f64::from(query.prompt_tokens) / rate);
-        slot.report.wait + queued + streams + transfer
-    }
-
-    fn cached_tokens(&self, place: usize, query: &Query<'_>) -> u32 {
-        let blocks = self.slots[place].hits.leading(query.blocks);
-        // The last token of a prompt is always computed.
-        (blocks * BLOCK_TOKENS).min(query.prompt_tokens.saturating_sub(1))
-    }
-
     fn slot_mut(&mut self, endpoint: &EndpointName) -> Option<&mut Slot> {
         let place = *self.places.get(endpoint)?;
         self.slots.get_mut(place)
     }
 }
 
-impl Slot {
-    /// The time for one uncached prompt token before any report came.
-    const DEFAULT_PROMPT_TOKEN: Duration = Duration::from_micros(150);
-
-    fn prompt_token(&self) -> Duration {
-        let reported = self.report.prompt_token;
-        if reported.is_zero() { Self::DEFAULT_PROMPT_TOKEN } else { reported }
-    }
-
-    fn serves(&self, query: &Query<'_>, part: Part) -> bool {
-        let candidate = &self.candidate;
-        let role = match part {
-            Part::Whole => candidate.role == Role::Mixed,
-            Part::Prefill => candidate.role == Role::Prefill,
-            Part::Decode => candidate.role != Role::Prefill,
-        };
-        role && candidate.live
-            && candidate.service.as_ref() == query.service
-            && (query.service.is_some() || candidate.model.as_ref() == query.model)
-            && candidate.adapter.as_ref() == query.adapter
-            && !query.exclude.contains(&candidate.endpoint)
-    }
-}
-
-fn mixing_penalty(query: &Query<'_>) -> Duration {
-    match query.between_tokens {
-        Some(_) => Chooser::MIXING_PENALTY,
-        None => Duration::ZERO,
-    }
-}
-
 /// The finalizer of SplitMix64 (Steele et al., 2014).
 fn mix(mut hash: u64) -> u64 {
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
