--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use daisychute_core::NameError;
 use daisychute_load::trace::TraceError;
 use daisychute_standin::harness::HarnessError;
 use daisychute_testbed::TestbedError;
@@ -59,4 +60,13 @@
     /// A trace can't be read.
     #[error(transparent)]
     Trace(#[from] TraceError),
+    /// A name of a measurement is malformed.
+    #[error(transparent)]
+    Name(#[from] NameError),
+    /// A plot can't be drawn.
+    #[error("the plot can't be drawn: {reason}")]
+    Plot {
+        /// What the plotting library said.
+        reason: String,
+    },
 }
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,7 +1,10 @@
 //! Measurements.
 
+mod decisions;
 mod path;
+mod plot;
 mod policy;
+mod sensitivity;
 
 use clap::Subcommand;
 
@@ -14,6 +17,12 @@
     Path(path::Args),
     /// Replays each trace under each policy and compares with the outcomes stated in it.
     Policy(policy::Args),
+    /// Varies the age of reports, the lost cache events and the number of entries.
+    Sensitivity(sensitivity::Args),
+    /// Draws goodput and roles over a trace.
+    Plot(plot::Args),
+    /// Times one admission, one choice and one plan at full size.
+    Decisions,
 }
 
 impl Measure {
@@ -21,6 +30,9 @@
         match self {
             Self::Path(args) => args.run(),
             Self::Policy(args) => args.run(),
+            Self::Sensitivity(args) => args.run(),
+            Self::Plot(args) => args.run(),
+            Self::Decisions => decisions::run(),
         }
     }
 }
