--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,7 +1,7 @@
 //! Measurements.
 
-mod path;
 mod policy;
+mod path;
 
 use clap::Subcommand;
 
@@ -10,17 +10,17 @@
 /// What to measure.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Measure {
-    /// Compares calls through entry and agent with direct ones, and weighs the entry.
-    Path(path::Args),
     /// Replays each trace under each policy and compares with the outcomes stated in it.
     Policy(policy::Args),
+    /// Compares calls through entry and agent with direct ones, and weighs the entry.
+    Path(path::Args),
 }
 
 impl Measure {
     pub(crate) fn run(&self) -> Result<(), XtaskError> {
         match self {
-            Self::Path(args) => args.run(),
             Self::Policy(args) => args.run(),
+            Self::Path(args) => args.run(),
         }
     }
 }
