fix(agent): count the tokens of earlier runs when an answer is continued

Cause: the continuation of a broken answer asked the engine for `max_tokens` again, so the caller got the answer followed by as many tokens as it had already. The usage counted only the last run.

Ruled out: tokens sent twice by the entry; the first part of the texts was right and the rest was what follows it.

Change: the agent asks for the tokens that are left, reports an answer as complete where none is left, and adds the earlier tokens to the usage. The testbed has callers in the background that check every answer, behind a balancer that follows the readiness of the entries, and a test kills processes under their load.

Conclusion: continued answers have the length that was asked for.

--- a/crates/daisychute-agent/src/shell/completion_run.rs
+++ b/crates/daisychute-agent/src/shell/completion_run.rs
@@ -5,7 +5,7 @@
 use awc::http::StatusCode;
 use bytes::Bytes;
 use daisychute_core::{FinishReason, ModelVersion, Precedence, RefusalReason, Usage};
-use daisychute_proto::{Completion, Prompt, Start};
+use daisychute_proto::{Completion, Prompt, Start, Work};
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
 use serde_json::{Map, Value, json};
@@ -22,6 +22,9 @@
     reporter: &Reporter,
     completion: &Completion,
 ) {
+    if tokens_left(completion) == 0 {
+        return report_complete(reporter, completion);
+    }
     let path = match completion.prompt {
         Prompt::Text(_) => "/v1/completions",
         Prompt::Chat(_) => "/v1/chat/completions",
@@ -30,7 +33,7 @@
     match endpoint.client().post(endpoint.url(path)).send_json(&body).await {
         Ok(res) if res.status() == StatusCode::OK => {
             report_head(reporter, completion.version.clone());
-            stream(reporter, res).await;
+            stream(reporter, res, completion.emitted_tokens).await;
         }
         Ok(res) => refuse_or_pass_on(reporter, res).await,
         Err(error) => reporter.report(send_failure(&error)),
@@ -46,7 +49,9 @@
     let path =
         format!("/requests/{}/stream?from={from_tokens}", endpoint_id(start.id, start.attempt));
     match endpoint.client().get(endpoint.url(&path)).send().await {
-        Ok(res) if res.status() == StatusCode::OK => stream(reporter, res).await,
+        Ok(res) if res.status() == StatusCode::OK => {
+            stream(reporter, res, emitted_before(start)).await;
+        }
         Ok(_) | Err(_) => reporter.report(Report::Broken(RefusalReason::EndpointLost)),
     }
 }
@@ -55,6 +60,27 @@
     reporter.report(Report::Head { status: StatusCode::OK.as_u16(), content_type: None, version });
 }
 
+/// Output tokens of earlier runs.
+const fn emitted_before(start: &Start) -> u32 {
+    match &start.work {
+        Work::Completion(completion) => completion.emitted_tokens,
+        Work::Call(_) => 0,
+    }
+}
+
+/// Output tokens that the engine may still make.
+const fn tokens_left(completion: &Completion) -> u32 {
+    completion.max_tokens.saturating_sub(completion.emitted_tokens)
+}
+
+/// Reports the end of an answer whose caller has every token already.
+fn report_complete(reporter: &Reporter, completion: &Completion) {
+    report_head(reporter, completion.version.clone());
+    let finish = Some(FinishReason::Length);
+    let usage = Usage { output_tokens: completion.emitted_tokens, ..Usage::default() };
+    reporter.report(Report::Finished { finish, usage });
+}
+
 /// The JSON object that the engine is sent.
 fn request_body(start: &Start, completion: &Completion) -> Value {
     let mut body: Map<String, Value> =
@@ -64,7 +90,7 @@
         Prompt::Chat(messages) => body.insert("messages".to_owned(), json!(messages)),
     };
     body.insert("model".to_owned(), json!(completion.model));
-    body.insert("max_tokens".to_owned(), json!(completion.max_tokens));
+    body.insert("max_tokens".to_owned(), json!(tokens_left(completion)));
     body.insert("stream".to_owned(), json!(true));
     body.insert("request_id".to_owned(), json!(endpoint_id(start.id, start.attempt)));
     body.insert("priority".to_owned(), json!(priority(start.precedence)));
@@ -82,8 +108,9 @@
     }
 }
 
-/// Reports the events of a streamed answer. Only the engine's own last event makes it whole.
-async fn stream<S>(reporter: &Reporter, res: ClientResponse<S>)
+/// Reports the events of a streamed answer that goes on after `emitted_tokens` of an earlier run. Only the engine's
+/// own last event makes it whole.
+async fn stream<S>(reporter: &Reporter, res: ClientResponse<S>, emitted_tokens: u32)
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
@@ -95,6 +122,7 @@
             return reporter.report(Report::Broken(RefusalReason::EndpointLost));
         };
         if event.data == LAST_EVENT {
+            usage.output_tokens += emitted_tokens;
             return match finish {
                 Some(_) => reporter.report(Report::Finished { finish, usage }),
                 None => reporter.report(Report::Broken(RefusalReason::BadAnswer)),
--- a/crates/daisychute-testbed/src/deployment.rs
+++ b/crates/daisychute-testbed/src/deployment.rs
@@ -4,8 +4,7 @@
 use std::time::Duration;
 
 use daisychute_core::{
-    Configuration, EndpointKind, EndpointRecord, EndpointState, Incarnation, ProcessStatus,
-    Revision,
+    Configuration, EndpointKind, EndpointRecord, EndpointState, Incarnation, Revision,
 };
 use daisychute_platform::ConfigurationDocument;
 use daisychute_standin::harness::{Client, HarnessError, Process, Program, free_port, wait_for};
@@ -141,6 +140,11 @@
         self.put_object("instances", record.endpoint.as_str(), record).await
     }
 
+    /// The path of an object on the platform.
+    pub(crate) fn object_path(&self, kind: &str, name: &str) -> String {
+        format!("{API}/{kind}/{name}")
+    }
+
     async fn put_object(
         &self,
         kind: &str,
@@ -148,7 +152,7 @@
         spec: &impl Serialize,
     ) -> Result<(), TestbedError> {
         let client = self.platform();
-        let path = format!("{API}/{kind}/{name}");
+        let path = self.object_path(kind, name);
         let present = client.get(&path).await?;
         let mut object = json!({ "apiVersion": API_VERSION, "kind": kind, "metadata": { "name": name }, "spec": spec });
         let answer = if present.status.is_success() {
@@ -258,7 +262,7 @@
         if !ready.is_ok_and(|it| it.status.is_success()) {
             return false;
         }
-        let Ok(status) = entry_status(entry).await else { return false };
+        let Ok(status) = entry.status().await else { return false };
         let seen = status.endpoints.iter().filter(|it| {
             let known = it.kind != EndpointKind::Engine || it.target.is_some();
             it.load.is_some() && known
@@ -266,6 +270,27 @@
         seen.count() >= self.agents.len()
     }
 
+    /// Kills every daemon and starts all of them again, together.
+    ///
+    /// # Errors
+    ///
+    /// A daemon can't be killed or started.
+    pub fn restart_all(&mut self) -> Result<(), TestbedError> {
+        for entry in &mut self.entries {
+            entry.process().kill()?;
+        }
+        for agent in &mut self.agents {
+            agent.process().kill()?;
+        }
+        for agent in &mut self.agents {
+            agent.restart()?;
+        }
+        for entry in &mut self.entries {
+            entry.restart()?;
+        }
+        Ok(())
+    }
+
     /// Asks every daemon to leave, entries first, and ends the stand-ins.
     ///
     /// # Errors
@@ -284,11 +309,6 @@
     }
 }
 
-/// What an entry says of itself.
-async fn entry_status(entry: &EntryNode) -> Result<ProcessStatus, HarnessError> {
-    entry.admin().get("/status").await?.json()
-}
-
 fn loopback() -> Result<SocketAddr, HarnessError> {
     Ok(SocketAddr::new(Ipv4Addr::LOCALHOST.into(), free_port()?))
 }
--- a/crates/daisychute-testbed/src/lib.rs
+++ b/crates/daisychute-testbed/src/lib.rs
@@ -17,11 +17,15 @@
 mod configuration;
 mod deployment;
 mod error;
+mod load;
 mod node;
+mod operator;
 mod plan;
 
 pub use crate::configuration::configuration;
 pub use crate::deployment::Deployment;
 pub use crate::error::TestbedError;
+pub use crate::load::{Fault, Load, Report};
 pub use crate::node::{AgentNode, EntryNode};
+pub use crate::operator::CommandOutput;
 pub use crate::plan::Plan;
--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisychute_core::EndpointRecord;
+use daisychute_core::{EndpointKind, EndpointRecord, ProcessStatus};
+use daisychute_standin::engine::EngineSeen;
 use daisychute_standin::harness::{Client, HarnessError, Process, Program};
+use daisychute_standin::service::ServiceSeen;
 
 use crate::TestbedError;
 
@@ -101,6 +103,15 @@
                 self.admin
             }
 
+            /// What it says of itself.
+            ///
+            /// # Errors
+            ///
+            /// It doesn't answer.
+            pub async fn status(&self) -> Result<ProcessStatus, HarnessError> {
+                self.admin().get("/status").await?.json()
+            }
+
             /// A client of its admin listener.
             #[must_use]
             pub fn admin(&self) -> Client {
@@ -138,6 +149,30 @@
         &mut self.standin
     }
 
+    /// Whether its endpoint is an engine.
+    #[must_use]
+    pub fn is_engine(&self) -> bool {
+        self.record.kind == EndpointKind::Engine
+    }
+
+    /// What the stand-in of its engine has seen.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't answer, or is no engine.
+    pub async fn engine_seen(&self) -> Result<EngineSeen, HarnessError> {
+        self.endpoint().get("/_standin/seen").await?.json()
+    }
+
+    /// What the stand-in of its plain service has seen.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't answer, or is no plain service.
+    pub async fn service_seen(&self) -> Result<ServiceSeen, HarnessError> {
+        self.endpoint().get("/_standin/seen").await?.json()
+    }
+
     /// A client of the endpoint's stand-in.
     #[must_use]
     pub fn endpoint(&self) -> Client {
