--- a/crates/daisychute-load/src/replay/routing.rs
+++ b/crates/daisychute-load/src/replay/routing.rs
@@ -1,6 +1,7 @@
 //! Choice of endpoint: ours behind a trait, and the baselines.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use daisychute_core::{DataCentreName, EndpointName, LoadReport, Role, Time};
 use daisychute_policy::{Candidate, Chooser, Chosen, NoEndpoint, Query};
@@ -122,7 +123,11 @@
         data_centre: &DataCentreName,
         _rng: &mut Pcg64Mcg,
     ) -> Result<EndpointName, NoEndpoint> {
-        self.next(|it| decodes(it, query, data_centre)).map(|it| it.endpoint.clone())
+        let is_near = |it: &Candidate| it.data_centre == *data_centre && decodes(it, query);
+        if let Ok(near) = self.next(is_near) {
+            return Ok(near.endpoint.clone());
+        }
+        self.next(|it| decodes(it, query)).map(|it| it.endpoint.clone())
     }
 
     fn answered(&mut self, _endpoint: &EndpointName, _blocks: &[u64], _cached_tokens: u32) {}
@@ -187,7 +192,11 @@
         data_centre: &DataCentreName,
         _rng: &mut Pcg64Mcg,
     ) -> Result<EndpointName, NoEndpoint> {
-        self.least(|it| decodes(it, query, data_centre)).map(|it| it.endpoint.clone())
+        let is_near = |it: &Candidate| it.data_centre == *data_centre && decodes(it, query);
+        if let Ok(near) = self.least(is_near) {
+            return Ok(near.endpoint.clone());
+        }
+        self.least(|it| decodes(it, query)).map(|it| it.endpoint.clone())
     }
 
     fn answered(&mut self, _endpoint: &EndpointName, _blocks: &[u64], _cached_tokens: u32) {}
@@ -205,10 +214,8 @@
     candidate.role != Role::Decode && is_asked_for(candidate, query)
 }
 
-fn decodes(candidate: &Candidate, query: &Query<'_>, data_centre: &DataCentreName) -> bool {
-    candidate.role != Role::Prefill
-        && candidate.data_centre == *data_centre
-        && is_asked_for(candidate, query)
+fn decodes(candidate: &Candidate, query: &Query<'_>) -> bool {
+    candidate.role != Role::Prefill && is_asked_for(candidate, query)
 }
 
 fn chosen(candidate: &Candidate) -> Chosen {
@@ -217,6 +224,7 @@
         data_centre: candidate.data_centre.clone(),
         split: candidate.role == Role::Prefill,
         cached_tokens: 0,
-        first_token: std::time::Duration::ZERO,
+        first_token: Duration::ZERO,
+        hand_over: Duration::ZERO,
     }
 }
