--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -174,6 +174,12 @@
         self.endpoint().get("/_standin/seen").await?.json()
     }
 
+    /// The address of the endpoint's stand-in.
+    #[must_use]
+    pub const fn endpoint_addr(&self) -> SocketAddr {
+        self.standin_addr
+    }
+
     /// A client of the endpoint's stand-in.
     #[must_use]
     pub fn endpoint(&self) -> Client {
--- a/crates/daisychuted/src/agent.rs
+++ b/crates/daisychuted/src/agent.rs
@@ -31,7 +31,8 @@
         addr: inner,
         source,
     })?;
-    let admin = bind("admin", settings.listen.admin, http_limits(&settings.limits))?;
+    let limits = http_limits(&settings.limits);
+    let admin = bind("admin", settings.listen.admin, limits)?;
     let core = AgentCore::new(
         agent_config(&settings),
         PolicyAdmit::new(&role.endpoint.kind),
@@ -45,7 +46,7 @@
     let handle = shell.handle();
 
     actix_rt::spawn(control::run(control, outputs, handle.clone()));
-    let answers = Admin::new(handle.clone(), metrics);
+    let answers = Admin::new(handle.clone(), metrics, limits);
     actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
     log::info!("agent {} of {} listens at {inner}", settings.process.name, role.endpoint.name);
 
--- a/crates/daisychuted/src/entry.rs
+++ b/crates/daisychuted/src/entry.rs
@@ -39,7 +39,7 @@
 
     actix_rt::spawn(control::run(control.clone(), outputs, handle.clone()));
     actix_rt::spawn(discovery::run(client, handle.clone()));
-    let answers = Admin::new(handle.clone(), metrics);
+    let answers = Admin::new(handle.clone(), metrics, limits);
     actix_rt::spawn(admin.serve(move |req| answers.clone().handle(req)));
     let handler = Callers::new(handle.clone(), limits);
     actix_rt::spawn(callers.serve(move |req| handler.clone().handle(req)));
