--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -75,6 +75,12 @@
 macro_rules! daemons {
     ($($node:ident)*) => {$(
         impl $node {
+            /// Its name.
+            #[must_use]
+            pub fn name(&self) -> &str {
+                &self.daemon.name
+            }
+
             /// Its process.
             pub fn process(&mut self) -> &mut Process {
                 &mut self.daemon.process
--- a/crates/daisychute-testbed/src/operator.rs
+++ b/crates/daisychute-testbed/src/operator.rs
@@ -60,6 +60,17 @@
         Ok(CommandOutput { code, stdout, stderr })
     }
 
+    /// The content of the region's object of this kind.
+    ///
+    /// # Errors
+    ///
+    /// The platform doesn't answer.
+    pub async fn object(&self, kind: &str) -> Result<Value, TestbedError> {
+        let path = self.object_path(kind, self.region());
+        let mut object: Value = self.platform().get(&path).await?.json()?;
+        Ok(object["spec"].take())
+    }
+
     /// Commits a change of the plan under the present term, as a planner does.
     ///
     /// # Errors
