test(daisychuted): measure a silent data centre and the return of the platform

The restart of all daemons in the testbed waits until the killed ones have ended. Without that, some new daemons could not listen and the first run of the test timed out.

Partial: the outage is short, so delays have not grown to their bound. Not run: an entry whose connections to all agents are cut by a relay, because an agent announces the address that it listens on and entries leave the relay with its first hello.

--- a/crates/daisychute-testbed/src/deployment.rs
+++ b/crates/daisychute-testbed/src/deployment.rs
@@ -20,6 +20,8 @@
 const API: &str = "/apis/daisychute.dev/v1";
 const API_VERSION: &str = "daisychute.dev/v1";
 const START: Duration = Duration::from_secs(10);
+/// How long a killed daemon may take to end.
+const END: Duration = Duration::from_secs(10);
 /// How long a daemon may take to tell of itself.
 const STATUS: Duration = Duration::from_secs(2);
 
@@ -295,13 +297,19 @@
     /// # Errors
     ///
     /// A daemon can't be killed or started.
-    pub fn restart_all(&mut self) -> Result<(), TestbedError> {
+    pub async fn restart_all(&mut self) -> Result<(), TestbedError> {
         for entry in &mut self.entries {
             entry.process().kill()?;
         }
         for agent in &mut self.agents {
             agent.process().kill()?;
         }
+        for entry in &mut self.entries {
+            entry.process().wait_exit(END).await?;
+        }
+        for agent in &mut self.agents {
+            agent.process().wait_exit(END).await?;
+        }
         for agent in &mut self.agents {
             agent.restart()?;
         }
--- a/crates/daisychute-testbed/src/load/caller.rs
+++ b/crates/daisychute-testbed/src/load/caller.rs
@@ -4,7 +4,7 @@
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use awc::ClientResponse;
 use awc::error::PayloadError;
@@ -75,6 +75,7 @@
     async fn send(&self, entry: SocketAddr, serial: usize, report: &RefCell<Report>) {
         let id = format!("load-{}-{serial}", self.number);
         let kind = KINDS[(serial + self.number) % KINDS.len()];
+        let start = Instant::now();
         let sent = match kind {
             Kind::Stream => self.complete(entry, &id, true).await,
             Kind::Completion => self.complete(entry, &id, false).await,
@@ -86,7 +87,7 @@
             Err(failure) => (failure.end, format!("{id} at {entry}: {}", failure.detail)),
         };
         let key = matches!(kind, Kind::Count).then_some(id);
-        report.borrow_mut().add(key, end, detail);
+        report.borrow_mut().add(key, end, detail, start.elapsed());
     }
 
     async fn complete(&self, entry: SocketAddr, id: &str, stream: bool) -> Result<(), Failure> {
--- a/crates/daisychute-testbed/src/load/report.rs
+++ b/crates/daisychute-testbed/src/load/report.rs
@@ -39,6 +39,8 @@
     pub not_run: usize,
     /// What was wrong, with a line that tells more.
     pub faults: Vec<(Fault, String)>,
+    /// The longest time from a request to the end of its answer.
+    pub longest: Duration,
     /// From the first to the last request that was not answered whole.
     pub disturbed: Option<(Instant, Instant)>,
     keys: BTreeMap<String, End>,
@@ -58,7 +60,8 @@
         self.disturbed.map(|(first, last)| last - first).unwrap_or_default()
     }
 
-    pub(super) fn add(&mut self, key: Option<String>, end: End, detail: String) {
+    pub(super) fn add(&mut self, key: Option<String>, end: End, detail: String, took: Duration) {
+        self.longest = self.longest.max(took);
         match end {
             End::Whole => self.whole += 1,
             End::NotRun => self.not_run += 1,
