test(daisychuted): lose the answers to the planner's own writes

The writes of other processes used up the four lost answers, so the case passed without the planner's settlement. All answers are lost now until the drain is committed, and the planner must commit once more after that.

--- a/crates/daisychuted/tests/orders.rs
+++ b/crates/daisychuted/tests/orders.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_core::{Desired, EngineTarget, Plan as FleetPlan, Role};
+use daisychute_core::{Desired, EndpointName, EngineTarget, Plan as FleetPlan, Role};
 use daisychute_standin::engine::{EngineSeen, OrderOutcome};
 use daisychute_standin::harness::{Client, wait_for};
 use daisychute_testbed::{Deployment, Plan, TestbedError};
@@ -20,8 +20,8 @@
 const END: Duration = Duration::from_secs(5);
 /// A lease that is short enough for a test.
 const TIMING: &str = "[timing]\nlease = 2s\n";
-/// Answers to writes that the platform loses.
-const LOST_ANSWERS: u32 = 4;
+/// More writes than there are before the planner's.
+const LOST_ANSWERS: u32 = 1_000;
 
 /// One test for each fault and each kind of engine.
 macro_rules! orders {
@@ -93,11 +93,7 @@
         deployment.entry_mut(first).process().resume()?;
         deployment.operator(["undrain", second_engine.as_str()]).await?;
         wait_version(deployment, "3").await?;
-        let undrained = async || {
-            let plan = committed_plan(deployment).await?;
-            plan.endpoints.get(&second_engine).is_none_or(|it| !it.drain).then_some(plan)
-        };
-        let plan = wait_for("the endpoint is undrained", EFFECT, undrained).await?;
+        let plan = wait_drain(deployment, &second_engine, false).await?;
         assert!(Some(plan.term) > term, "the term fell");
         assert_ne!(holder(deployment).await?, first, "the paused holder has the lease");
         Ok(())
@@ -133,20 +129,37 @@
         let engine = deployment.agents()[0].endpoint();
         engine.post("/_standin/faults", &json!({ "lose_orders": 1 })).await?;
         commit_version(deployment, "2").await?;
-        let lost = json!({ "lose_answers": LOST_ANSWERS });
-        deployment.platform().post("/_standin/faults", &lost).await?;
         let second_engine = deployment.agents()[1].record().endpoint.clone();
-        let drained = deployment.operator(["drain", second_engine.as_str()]).await?;
-        assert_eq!(drained.code, Some(0), "{}", drained.stderr);
-        let committed = async || {
-            let plan = committed_plan(deployment).await?;
-            plan.endpoints.get(&second_engine).filter(|it| it.drain).map(|_| ())
-        };
-        wait_for("the drain is committed", EFFECT, committed).await?;
+        deployment.operator(["drain", second_engine.as_str()]).await?;
+        lose_answers(deployment, LOST_ANSWERS).await?;
+        wait_drain(deployment, &second_engine, true).await?;
+        lose_answers(deployment, 0).await?;
+        deployment.operator(["undrain", second_engine.as_str()]).await?;
+        wait_drain(deployment, &second_engine, false).await?;
         wait_version(deployment, "2").await
     }
 }
 
+async fn lose_answers(deployment: &Deployment, count: u32) -> Result<(), TestbedError> {
+    let faults = json!({ "lose_answers": count });
+    deployment.platform().post("/_standin/faults", &faults).await?;
+    Ok(())
+}
+
+/// Waits until the committed plan does, or doesn't, drain an endpoint.
+async fn wait_drain(
+    deployment: &Deployment,
+    endpoint: &EndpointName,
+    drain: bool,
+) -> Result<FleetPlan, TestbedError> {
+    let committed = async || {
+        let plan = committed_plan(deployment).await?;
+        let present = plan.endpoints.get(endpoint).is_some_and(|it| it.drain);
+        (present == drain).then_some(plan)
+    };
+    Ok(wait_for("the plan drains the endpoint or not", EFFECT, committed).await?)
+}
+
 /// Notes each committed plan whose term or revision is lower than that of an earlier one.
 async fn watch_plan(platform: Client, falls: Rc<RefCell<Vec<String>>>) {
     let mut highest = FleetPlan::default();
