--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,7 +1,10 @@
 //! Measurements.
 
-mod policy;
+mod decisions;
 mod path;
+mod plot;
+mod policy;
+mod sensitivity;
 
 use clap::Subcommand;
 
@@ -10,17 +13,26 @@
 /// What to measure.
 #[derive(Debug, Subcommand)]
 pub(crate) enum Measure {
-    /// Replays each trace under each policy and compares with the outcomes stated in it.
-    Policy(policy::Args),
     /// Compares calls through entry and agent with direct ones, and weighs the entry.
     Path(path::Args),
+    /// Replays each trace under each policy and compares with the outcomes stated in it.
+    Policy(policy::Args),
+    /// Varies the age of reports, the lost cache events and the number of entries.
+    Sensitivity(sensitivity::Args),
+    /// Draws goodput and roles over a trace.
+    Plot(plot::Args),
+    /// Times one admission, one choice and one plan at full size.
+    Decisions,
 }
 
 impl Measure {
     pub(crate) fn run(&self) -> Result<(), XtaskError> {
         match self {
-            Self::Policy(args) => args.run(),
             Self::Path(args) => args.run(),
+            Self::Policy(args) => args.run(),
+            Self::Sensitivity(args) => args.run(),
+            Self::Plot(args) => args.run(),
+            Self::Decisions => decisions::run(),
         }
     }
 }
