--- a/crates/daisychute-testbed/src/deployment.rs
+++ b/crates/daisychute-testbed/src/deployment.rs
@@ -1,6 +1,6 @@
 //! A running deployment.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use daisychute_core::{
@@ -8,16 +8,22 @@
     Revision,
 };
 use daisychute_platform::ConfigurationDocument;
-use daisychute_standin::harness::{Client, HarnessError, Process, Program, free_port, wait_for};
+use daisychute_standin::harness::{Client, Process, Program, wait_for};
+use futures_util::future::join_all;
 use serde::Serialize;
 use serde_json::{Value, json};
 
+use crate::addr::free_addr;
 use crate::node::Daemon;
 use crate::{AgentNode, EntryNode, Plan, TestbedError, configuration};
 
 const API: &str = "/apis/daisychute.dev/v1";
 const API_VERSION: &str = "daisychute.dev/v1";
 const START: Duration = Duration::from_secs(10);
+/// How long a killed daemon may take to end.
+const END: Duration = Duration::from_secs(10);
+/// How long a daemon may take to tell of itself.
+const STATUS: Duration = Duration::from_secs(2);
 
 /// A running deployment. Dropping it kills its processes.
 #[derive(Debug)]
@@ -141,6 +147,11 @@
         self.put_object("instances", record.endpoint.as_str(), record).await
     }
 
+    /// The path of an object on the platform.
+    pub(crate) fn object_path(&self, kind: &str, name: &str) -> String {
+        format!("{API}/{kind}/{name}")
+    }
+
     async fn put_object(
         &self,
         kind: &str,
@@ -148,7 +159,7 @@
         spec: &impl Serialize,
     ) -> Result<(), TestbedError> {
         let client = self.platform();
-        let path = format!("{API}/{kind}/{name}");
+        let path = self.object_path(kind, name);
         let present = client.get(&path).await?;
         let mut object = json!({ "apiVersion": API_VERSION, "kind": kind, "metadata": { "name": name }, "spec": spec });
         let answer = if present.status.is_success() {
@@ -186,9 +197,8 @@
         kind: EndpointKind,
         standin: &Program,
     ) -> Result<(), TestbedError> {
-        let mut standin = standin.start()?;
-        let standin_addr = standin.wait_listening(START).await?;
-        let (inner, admin) = (loopback()?, loopback()?);
+        let (standin, standin_addr) = self.start_standin(&kind, standin).await?;
+        let (inner, admin) = (free_addr()?, free_addr()?);
         let kind_key = match &kind {
             EndpointKind::Engine => "kind = engine".to_owned(),
             EndpointKind::Service(service) => format!("kind = service\nservice = {service}"),
@@ -214,9 +224,25 @@
         Ok(())
     }
 
+    /// Starts a stand-in, or takes that of an earlier agent where they are shared.
+    async fn start_standin(
+        &self,
+        kind: &EndpointKind,
+        program: &Program,
+    ) -> Result<(Option<Process>, SocketAddr), TestbedError> {
+        let shared =
+            self.agents.iter().find(|it| self.plan.shared_standins && it.record.kind == *kind);
+        if let Some(agent) = shared {
+            return Ok((None, agent.standin_addr));
+        }
+        let mut standin = program.start()?;
+        let addr = standin.wait_listening(START).await?;
+        Ok((Some(standin), addr))
+    }
+
     fn add_entry(&mut self, index: usize) -> Result<(), TestbedError> {
         let name = format!("entry-{}", index + 1);
-        let (callers, inner, admin) = (loopback()?, loopback()?, loopback()?);
+        let (callers, inner, admin) = (free_addr()?, free_addr()?, free_addr()?);
         let settings = format!(
             "{}[listen]\ncallers = {callers}\ninner = {inner}\nadmin = {admin}\n",
             self.common_settings(&name, "entry", index),
@@ -258,7 +284,7 @@
         if !ready.is_ok_and(|it| it.status.is_success()) {
             return false;
         }
-        let Ok(status) = entry_status(entry).await else { return false };
+        let Ok(status) = entry.status().await else { return false };
         let seen = status.endpoints.iter().filter(|it| {
             let known = it.kind != EndpointKind::Engine || it.target.is_some();
             it.load.is_some() && known
@@ -266,6 +292,40 @@
         seen.count() >= self.agents.len()
     }
 
+    /// Kills every daemon and starts all of them again, together.
+    ///
+    /// # Errors
+    ///
+    /// A daemon can't be killed or started.
+    pub async fn restart_all(&mut self) -> Result<(), TestbedError> {
+        for entry in &mut self.entries {
+            entry.process().kill()?;
+        }
+        for agent in &mut self.agents {
+            agent.process().kill()?;
+        }
+        for entry in &mut self.entries {
+            entry.process().wait_exit(END).await?;
+        }
+        for agent in &mut self.agents {
+            agent.process().wait_exit(END).await?;
+        }
+        for agent in &mut self.agents {
+            agent.restart()?;
+        }
+        for entry in &mut self.entries {
+            entry.restart()?;
+        }
+        Ok(())
+    }
+
+    /// What every daemon says of itself, entries first; none where it doesn't answer.
+    pub async fn statuses(&self) -> Vec<Option<ProcessStatus>> {
+        let entries = self.entries.iter().map(EntryNode::admin);
+        let agents = self.agents.iter().map(AgentNode::admin);
+        join_all(entries.chain(agents).map(status)).await
+    }
+
     /// Asks every daemon to leave, entries first, and ends the stand-ins.
     ///
     /// # Errors
@@ -277,18 +337,16 @@
         }
         for agent in &mut self.agents {
             agent.stop().await?;
-            agent.standin.terminate()?;
+            if let Some(standin) = agent.standin() {
+                standin.terminate()?;
+            }
         }
         self.platform.terminate()?;
         Ok(())
     }
 }
 
-/// What an entry says of itself.
-async fn entry_status(entry: &EntryNode) -> Result<ProcessStatus, HarnessError> {
-    entry.admin().get("/status").await?.json()
-}
-
-fn loopback() -> Result<SocketAddr, HarnessError> {
-    Ok(SocketAddr::new(Ipv4Addr::LOCALHOST.into(), free_port()?))
+async fn status(admin: Client) -> Option<ProcessStatus> {
+    let answer = actix_rt::time::timeout(STATUS, admin.get("/status")).await;
+    answer.ok()?.ok()?.json().ok()
 }
--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisychute_core::EndpointRecord;
+use daisychute_core::{EndpointKind, EndpointRecord, ProcessStatus};
+use daisychute_standin::engine::EngineSeen;
 use daisychute_standin::harness::{Client, HarnessError, Process, Program};
+use daisychute_standin::service::ServiceSeen;
 
 use crate::TestbedError;
 
@@ -65,13 +67,20 @@
     pub(crate) daemon: Daemon,
     pub(crate) admin: SocketAddr,
     pub(crate) record: EndpointRecord,
-    pub(crate) standin: Process,
+    // None where another agent has the same stand-in.
+    pub(crate) standin: Option<Process>,
     pub(crate) standin_addr: SocketAddr,
 }
 
 macro_rules! daemons {
     ($($node:ident)*) => {$(
         impl $node {
+            /// Its name.
+            #[must_use]
+            pub fn name(&self) -> &str {
+                &self.daemon.name
+            }
+
             /// Its process.
             pub fn process(&mut self) -> &mut Process {
                 &mut self.daemon.process
@@ -101,6 +110,15 @@
                 self.admin
             }
 
+            /// What it says of itself.
+            ///
+            /// # Errors
+            ///
+            /// It doesn't answer.
+            pub async fn status(&self) -> Result<ProcessStatus, HarnessError> {
+                self.admin().get("/status").await?.json()
+            }
+
             /// A client of its admin listener.
             #[must_use]
             pub fn admin(&self) -> Client {
@@ -133,9 +151,33 @@
         &self.record
     }
 
-    /// The process of the endpoint's stand-in.
-    pub const fn standin(&mut self) -> &mut Process {
-        &mut self.standin
+    /// The process of the endpoint's stand-in; none where another agent has the same one.
+    pub const fn standin(&mut self) -> Option<&mut Process> {
+        self.standin.as_mut()
+    }
+
+    /// Whether its endpoint is an engine.
+    #[must_use]
+    pub fn is_engine(&self) -> bool {
+        self.record.kind == EndpointKind::Engine
+    }
+
+    /// What the stand-in of its engine has seen.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't answer, or is no engine.
+    pub async fn engine_seen(&self) -> Result<EngineSeen, HarnessError> {
+        self.endpoint().get("/_standin/seen").await?.json()
+    }
+
+    /// What the stand-in of its plain service has seen.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't answer, or is no plain service.
+    pub async fn service_seen(&self) -> Result<ServiceSeen, HarnessError> {
+        self.endpoint().get("/_standin/seen").await?.json()
     }
 
     /// The address of the endpoint's stand-in.
