fix: tell a call that was closed without an answer from one never sent

Cause: `awc` reports a connection that the other side closed before it answered as `Connect(Disconnected)`. The object client, the order client and the agent took every `Connect` for a proof that nothing was sent. The same fault made an agent call a completion "not run", and an order "not sent", that may have arrived.

Ruled out: a fault in the settlement of lease or plan. The log showed "no connection could be opened" for writes that the platform had taken.

Change: one function, `never_sent`, decides for all three; only a refused or never opened connection proves it. Test `never_sent` (with the old rule `closed_after_the_request` fails: `Connect(Disconnected)`).

--- a/crates/daisychute-agent/src/orders/engine_client.rs
+++ b/crates/daisychute-agent/src/orders/engine_client.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use actix_rt::time::timeout;
-use awc::error::SendRequestError;
 use awc::http::StatusCode;
 use awc::{Client, Connector};
 use daisychute_core::Revision;
+use daisychute_runtime::never_sent;
 use serde::Deserialize;
 
 use super::{EngineState, Order, OrderAnswer};
@@ -57,9 +57,7 @@
         let request = request.insert_header(("Content-Type", "application/json"));
         let mut response = match request.send_body(body).await {
             Ok(response) => response,
-            Err(SendRequestError::Connect(_) | SendRequestError::Url(_)) => {
-                return OrderAnswer::NotSent;
-            }
+            Err(error) if never_sent(&error) => return OrderAnswer::NotSent,
             Err(_) => return OrderAnswer::Unknown,
         };
         match response.status() {
--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -15,13 +15,15 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::{AgentHandle, EndpointClient, Input, Reporter};
 use crate::Admit;
 use crate::core::{Action, AgentCore, Event};
 use crate::orders::{OrderOutput, OrderSettings, OrderShell};
 
+/// How long entries may take to close their connections after the goodbye.
+const FAREWELL: Duration = Duration::from_secs(1);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -126,6 +128,18 @@
         for (_, link) in self.links.values() {
             link.close(GoodbyeReason::Leaving);
         }
+        // What is queued before the goodbye has to arrive, or the entries can't know that the rest was not run.
+        if timeout(FAREWELL, self.links_closed()).await.is_err() {
+            log::warn!("{} connections did not close in time", self.links.len());
+        }
+    }
+
+    async fn links_closed(&mut self) {
+        while !self.links.is_empty() {
+            if let Some(LinkEvent::Down { id, .. }) = self.link_rx.recv().await {
+                self.links.remove(&id);
+            }
+        }
     }
 
     fn check_drained(&mut self) {
--- a/crates/daisychute-agent/src/shell/endpoint_client.rs
+++ b/crates/daisychute-agent/src/shell/endpoint_client.rs
@@ -7,6 +7,7 @@
 use awc::{Client, Connector};
 use daisychute_core::{RefusalReason, RequestId};
 use daisychute_proto::{Start, Work};
+use daisychute_runtime::never_sent;
 
 use super::Reporter;
 use super::completion_run::{resume_completion, run_completion};
@@ -83,10 +84,9 @@
 
 /// What a failure to send tells of the request's effect.
 pub(super) fn send_failure(error: &SendRequestError) -> Report {
-    match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => {
-            Report::NotStarted(RefusalReason::EndpointLost)
-        }
-        _ => Report::Broken(RefusalReason::EndpointLost),
+    if never_sent(error) {
+        Report::NotStarted(RefusalReason::EndpointLost)
+    } else {
+        Report::Broken(RefusalReason::EndpointLost)
     }
 }
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -14,8 +14,8 @@
 };
 
 use super::{
-    Action, Agents, EntryConfig, Event, LinkState, Part, Request, RequestState, RetryBudget,
-    Submission, Transition,
+    Action, Agents, EntryConfig, Event, LinkEnd, LinkState, Part, Request, RequestState,
+    RetryBudget, Submission, Transition,
 };
 use crate::Choose;
 
@@ -123,7 +123,7 @@
             Event::CallerGone { id } => self.on_caller_gone(id, actions),
             Event::Endpoints(records) => self.member(now, MemberEvent::Listed(records), actions),
             Event::LinkUp { link, hello } => self.on_link_up(now, link, *hello, actions),
-            Event::LinkDown { link, gone } => self.on_link_down(now, link, gone, actions),
+            Event::LinkDown { link, end } => self.on_link_down(now, link, end, actions),
             Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
             Event::Revisions(revisions) => self.revisions = revisions,
             Event::Leave => self.leaving = true,
@@ -310,7 +310,7 @@
         } else {
             // Another instance has taken over the address.
             actions.push(Action::Close { link });
-            self.on_link_down(now, link, true, actions);
+            self.on_link_down(now, link, LinkEnd::Gone, actions);
         }
         if let Some(record) = hello.endpoint {
             self.on_record(now, addr, record, actions);
@@ -362,11 +362,13 @@
         self.set_timer(id, give_up);
     }
 
-    fn on_link_down(&mut self, now: Time, link: LinkId, gone: bool, actions: &mut Vec<Action>) {
+    fn on_link_down(&mut self, now: Time, link: LinkId, end: LinkEnd, actions: &mut Vec<Action>) {
         let Some(endpoint) = self.agents.close(link) else { return };
         self.member(now, MemberEvent::LinkDown(endpoint.clone()), actions);
-        if gone {
-            self.lose_requests(now, &endpoint, actions);
+        match end {
+            LinkEnd::Lost => {}
+            LinkEnd::Gone => self.lose_requests(now, &endpoint, actions),
+            LinkEnd::Left => self.take_back_requests(now, &endpoint, actions),
         }
         self.hold_requests(now, &endpoint, actions);
         let Some(agent) = self.agents.get_mut(&endpoint) else { return };
@@ -384,6 +386,18 @@
         }
     }
 
+    /// Requests that an agent has not run before it left go elsewhere.
+    fn take_back_requests(
+        &mut self,
+        now: Time,
+        endpoint: &EndpointName,
+        actions: &mut Vec<Action>,
+    ) {
+        for id in self.requests_at(endpoint) {
+            self.elsewhere(now, id, RefusalReason::Leaving, actions);
+        }
+    }
+
     /// Requests at an agent without a connection wait for it to come back, or go elsewhere if they were not sent.
     fn hold_requests(&mut self, now: Time, endpoint: &EndpointName, actions: &mut Vec<Action>) {
         for id in self.requests_at(endpoint) {
@@ -605,9 +619,7 @@
     ) {
         let attempts = self.cfg.attempts;
         let Some(request) = self.requests.get_mut(&id) else { return };
-        let ran = request.submission.repeatable() && request.sent_to.is_some();
-        let verdict = if ran || request.has_emitted() { Verdict::Unknown } else { Verdict::NotRun };
-        let refusal = Refusal { verdict, reason, retry_after: None };
+        let refusal = Refusal::not_run(reason);
         if request.attempt >= attempts {
             return self.finish(id, refusal, actions);
         }
@@ -629,7 +641,7 @@
 
     /// Gives the caller its final answer.
     fn finish(&mut self, id: RequestId, mut refusal: Refusal, actions: &mut Vec<Action>) {
-        if self.requests.get(&id).is_some_and(|it| it.maybe_ran) {
+        if self.requests.get(&id).is_some_and(|it| it.maybe_ran || it.has_emitted()) {
             refusal.verdict = Verdict::Unknown;
         }
         let retry_after = refusal.retry_after.unwrap_or(self.cfg.retry_after);
--- a/crates/daisychute-entry/src/core/event.rs
+++ b/crates/daisychute-entry/src/core/event.rs
@@ -4,7 +4,7 @@
 use daisychute_link::LinkId;
 use daisychute_proto::{Frame, Hello};
 
-use super::Submission;
+use super::{LinkEnd, Submission};
 
 /// What the shell tells the core.
 #[derive(Debug, Clone, PartialEq)]
@@ -41,8 +41,8 @@
     LinkDown {
         /// The connection.
         link: LinkId,
-        /// Whether nothing listens at the agent's address, so that the agent must have ended.
-        gone: bool,
+        /// What its end tells of the agent.
+        end: LinkEnd,
     },
     /// A frame has arrived.
     Frame {
--- a/crates/daisychute-entry/src/shell/entry_shell.rs
+++ b/crates/daisychute-entry/src/shell/entry_shell.rs
@@ -16,7 +16,7 @@
 use super::caller::Caller;
 use super::{EntryHandle, Input};
 use crate::Choose;
-use crate::core::{Action, Agent, EntryCore, Event, Part};
+use crate::core::{Action, Agent, EntryCore, Event, LinkEnd, Part};
 
 /// Tenants that metrics tell apart.
 const MAX_TENANTS: usize = 512;
@@ -147,8 +147,7 @@
                 if let Some((peer, _)) = self.links.remove(&id) {
                     self.on_peer_down(&peer);
                 }
-                let gone = reason == DownReason::NoListener;
-                self.feed(Event::LinkDown { link: id, gone });
+                self.feed(Event::LinkDown { link: id, end: link_end(&reason) });
             }
         }
     }
@@ -261,6 +260,14 @@
     }
 }
 
+fn link_end(reason: &DownReason) -> LinkEnd {
+    match reason {
+        DownReason::NoListener => LinkEnd::Gone,
+        DownReason::Goodbye(GoodbyeReason::Leaving) => LinkEnd::Left,
+        _ => LinkEnd::Lost,
+    }
+}
+
 fn endpoint_status(agent: &Agent) -> EndpointStatus {
     EndpointStatus {
         endpoint: agent.record.endpoint.clone(),
--- a/crates/daisychute-entry/tests/world/mod.rs
+++ b/crates/daisychute-entry/tests/world/mod.rs
@@ -15,7 +15,7 @@
     Revisions, Role, Time,
 };
 use daisychute_entry::LeastLoad;
-use daisychute_entry::core::{Action, EntryConfig, EntryCore, Event, Submission};
+use daisychute_entry::core::{Action, EntryConfig, EntryCore, Event, LinkEnd, Submission};
 use daisychute_link::LinkId;
 use daisychute_proto::{
     Call, Completion, Frame, Hello, PROTOCOL_VERSION, ProcessRole, Prompt, Work,
@@ -197,7 +197,7 @@
 
     fn connect(&mut self, entry: usize, link: LinkId, index: usize) {
         if !self.agents[index].alive {
-            return self.tell_entry(entry, Event::LinkDown { link, gone: true });
+            return self.tell_entry(entry, Event::LinkDown { link, end: LinkEnd::Gone });
         }
         let agent = &mut self.agents[index];
         agent.last_link += 1;
@@ -285,7 +285,7 @@
         let Wire { entry, entry_link, agent, agent_link, entry_up, agent_up, .. } = self.wires[at];
         if entry_side && entry_up {
             self.wires[at].entry_up = false;
-            self.tell_entry(entry, Event::LinkDown { link: entry_link, gone: false });
+            self.tell_entry(entry, Event::LinkDown { link: entry_link, end: LinkEnd::Lost });
         } else if !entry_side && agent_up {
             self.wires[at].agent_up = false;
             self.tell_agent(agent, AgentEvent::LinkDown { link: agent_link });
--- a/crates/daisychute-platform/src/client/http.rs
+++ b/crates/daisychute-platform/src/client/http.rs
@@ -9,6 +9,7 @@
 use awc::http::Method;
 use awc::http::header::RETRY_AFTER;
 use bytes::Bytes;
+use daisychute_runtime::never_sent;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
@@ -119,7 +120,7 @@
 
 fn outage_cause(error: &SendRequestError) -> OutageCause {
     match error {
-        SendRequestError::Connect(_) | SendRequestError::Url(_) => OutageCause::Connect,
+        error if never_sent(error) => OutageCause::Connect,
         SendRequestError::Timeout => OutageCause::Deadline,
         _ => OutageCause::Broken,
     }
--- a/crates/daisychute-runtime/src/lib.rs
+++ b/crates/daisychute-runtime/src/lib.rs
@@ -18,6 +18,7 @@
 mod http_limits;
 mod http_server;
 mod labels;
+mod never_sent;
 mod read_body;
 mod signal;
 
@@ -26,5 +27,6 @@
 pub use crate::http_limits::HttpLimits;
 pub use crate::http_server::HttpServer;
 pub use crate::labels::Labels;
+pub use crate::never_sent::never_sent;
 pub use crate::read_body::{BodyError, read_body};
 pub use crate::signal::stop_requested;
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -5,6 +5,7 @@
 
 use daisychute_core::NameError;
 use daisychute_load::trace::TraceError;
+use daisychute_proto::EncodeError;
 use daisychute_standin::harness::HarnessError;
 use daisychute_testbed::TestbedError;
 use thiserror::Error;
@@ -57,6 +58,9 @@
         #[source]
         source: io::Error,
     },
+    /// A frame can't be encoded.
+    #[error(transparent)]
+    Encode(#[from] EncodeError),
     /// A trace can't be read.
     #[error(transparent)]
     Trace(#[from] TraceError),
--- a/xtask/src/measure.rs
+++ b/xtask/src/measure.rs
@@ -1,6 +1,7 @@
 //! Measurements.
 
 mod decisions;
+mod frames;
 mod path;
 mod plot;
 mod policy;
@@ -23,6 +24,8 @@
     Plot(plot::Args),
     /// Times one admission, one choice and one plan at full size.
     Decisions,
+    /// Weighs the heartbeats of one connection.
+    Frames,
 }
 
 impl Measure {
@@ -33,6 +36,7 @@
             Self::Sensitivity(args) => args.run(),
             Self::Plot(args) => args.run(),
             Self::Decisions => decisions::run(),
+            Self::Frames => frames::run(),
         }
     }
 }
