--- a/crates/daisychute-link/src/lib.rs
+++ b/crates/daisychute-link/src/lib.rs
@@ -6,10 +6,9 @@
 //!
 //! ```no_run
 //! use daisychute_link::{LinkConfig, LinkId, connect};
-//! # fn hello() -> daisychute_proto::Hello { unimplemented!() }
-//! # async fn example() {
+//! # async fn example(hello: daisychute_proto::Hello) {
 //! let (tx, mut rx) = tokio::sync::mpsc::unbounded_channel();
-//! connect("127.0.0.1:4100".parse().unwrap(), LinkId::new(1), hello(), LinkConfig::default(), tx);
+//! connect("127.0.0.1:4100".parse().unwrap(), LinkId::new(1), hello, LinkConfig::default(), tx);
 //! while let Some(event) = rx.recv().await {
 //!     println!("{event:?}");
 //! }
