feat(dispatch): plan reading and generating by predicted time, with fetches of cached parts

Cause: digests waited seconds at four prefill engines while their shared parts were read again and again (5.4 M tokens), since a front knew neither where parts are kept nor what other fronts had sent.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -6,7 +6,7 @@
 
 use daisychute_core::{EndpointName, Time};
 
-use crate::{EndpointKey, Reason, RequestKey, RequestKind};
+use crate::{EndpointKey, PromptPart, Reason, RequestKey, RequestKind};
 
 /// What an endpoint is asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,6 +57,12 @@
     pub sends: u32,
     /// Predicted time to the first output.
     pub predicted: Duration,
+    /// The part of it that the request waits for others.
+    pub wait: Duration,
+    /// Prompt tokens that the endpoint must read.
+    pub unread: u32,
+    /// An engine from which parts of the prompt are fetched before.
+    pub fetch_from: Option<SocketAddr>,
     /// Endpoints among which it was chosen.
     pub among: usize,
     /// Age of the endpoint's load sample, where there is one.
@@ -103,6 +109,24 @@
         /// The name of the KV cache.
         handle: Arc<str>,
     },
+    /// An endpoint has this shared part of a prompt now: other fronts want to know.
+    Placed {
+        /// The endpoint.
+        endpoint: EndpointName,
+        /// The part.
+        part: PromptPart,
+    },
+    /// The first output of a send came in.
+    Observed {
+        /// The request.
+        key: RequestKey,
+        /// What the endpoint did.
+        task: &'static str,
+        /// The time that was predicted for the send.
+        predicted: Duration,
+        /// The time that it took.
+        took: Duration,
+    },
     /// Close idle connections to an endpoint that takes no more work.
     Close {
         /// The endpoint.
--- a/crates/daisychute-dispatch/src/core/attempt.rs
+++ b/crates/daisychute-dispatch/src/core/attempt.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisychute_core::{ServiceName, Time};
 
+use crate::fleet::engine_model::Reading;
 use crate::{EndpointKey, RequestFacts, Route, Task};
 
 /// A send that hasn't ended.
@@ -13,15 +15,22 @@
     pub(crate) endpoint: EndpointKey,
     pub(crate) task: Task,
     pub(crate) at: Time,
-    /// Prompt tokens that it must read, as counted in the endpoint's work.
-    pub(crate) unread: u64,
-    /// Tokens that were before it in the queue.
-    pub(crate) queued: u64,
+    /// Tokens that it takes at the endpoint, as counted in the endpoint's work.
+    pub(crate) tokens: u32,
+    /// What the endpoint must read.
+    pub(crate) reading: Reading,
+    /// Time that isn't spent on reading, such as a transfer.
+    pub(crate) other: Duration,
+    /// The endpoint had nothing else to read, so that its time tells how fast it reads.
+    pub(crate) alone: bool,
+    /// Predicted time to the first output.
+    pub(crate) predicted: Duration,
 }
 
 /// A KV cache that was made for a request and not fetched yet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct KvHandle {
+    pub(crate) endpoint: EndpointKey,
     pub(crate) address: SocketAddr,
     pub(crate) handle: Arc<str>,
 }
--- /dev/null
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -0,0 +1,142 @@
+//! How requests end: retries, refusals and failures.
+
+use std::time::Duration;
+
+use daisychute_core::Time;
+
+use crate::core::attempt::{KvHandle, Sent};
+use crate::{Action, Break, Dispatcher, Reason, RequestKey, Task};
+
+/// Sends that never left their front are repeated so often.
+const MOST_UNSENT: u32 = 3;
+
+impl Dispatcher {
+    pub(crate) fn broke(&mut self, now: Time, key: RequestKey, how: Break, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.requests.get_mut(&key) else { return };
+        let Some(sent) = attempt.current.take() else { return };
+        let counts = how != Break::Unsent;
+        if counts {
+            attempt.sends += 1;
+        } else {
+            attempt.unsent += 1;
+        }
+        let ran = !matches!(how, Break::Unsent | Break::NotRun { .. });
+        let prompt_only = sent.task == Task::Prefill;
+        attempt.may_have_run |= ran && !prompt_only;
+        self.release_work(now, key, &sent);
+        self.note_failure(now, &sent, how);
+        self.retry(now, key, how, actions);
+    }
+
+    fn note_failure(&mut self, now: Time, sent: &Sent, how: Break) {
+        let Some(known) = self.fleet.known_mut(sent.endpoint) else { return };
+        match how {
+            Break::Unsent => known.health.unreachable(now),
+            Break::NotRun { misdirected: true } => known.misdirected = true,
+            Break::NotRun { misdirected: false } => {}
+            Break::NoAnswer | Break::MidAnswer { .. } | Break::ServerError => {
+                known.health.failed(now);
+            }
+        }
+    }
+
+    fn retry(&mut self, now: Time, key: RequestKey, how: Break, actions: &mut Vec<Action>) {
+        let reason = match how {
+            Break::Unsent => Reason::Unreachable,
+            Break::NotRun { .. } => Reason::Rejected,
+            Break::NoAnswer | Break::MidAnswer { .. } | Break::ServerError => Reason::Broken,
+        };
+        if self.may_send_again(now, key, how) {
+            self.place(now, key, reason, actions);
+        } else {
+            self.give_up_after(now, key, how, reason, actions);
+        }
+    }
+
+    fn may_send_again(&mut self, now: Time, key: RequestKey, how: Break) -> bool {
+        let fronts = self.fronts;
+        let Some(attempt) = self.requests.get(&key) else { return false };
+        if now >= attempt.due {
+            return false;
+        }
+        if how == Break::Unsent && attempt.sends == 0 {
+            return attempt.unsent <= MOST_UNSENT;
+        }
+        let safe = !attempt.may_have_run || attempt.route.kind.repeatable();
+        let service = attempt.service.clone();
+        safe && attempt.sends < attempt.route.max_sends && self.budget(&service).allows(now, fronts)
+    }
+
+    fn give_up_after(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        how: Break,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
+        if how == Break::ServerError {
+            actions.push(Action::Relay { key });
+            return;
+        }
+        self.give_up(now, key, reason, actions);
+    }
+
+    /// Refuses a request that can't be served in time.
+    pub(crate) fn refuse(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        retry_after: Duration,
+        actions: &mut Vec<Action>,
+    ) {
+        let retry_after = Some(retry_after);
+        actions.push(Action::Refuse { key, reason: Reason::Overload, retry_after });
+        self.end(now, key, actions);
+    }
+
+    /// Ends a request with a final answer of our own.
+    pub(crate) fn give_up(&mut self, now: Time, key: RequestKey, reason: Reason, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.requests.get(&key) else { return };
+        if attempt.may_have_run {
+            actions.push(Action::Fail { key, reason });
+        } else {
+            let retry_after = Some(Self::RETRY_AFTER);
+            actions.push(Action::Refuse { key, reason, retry_after });
+        }
+        self.end(now, key, actions);
+    }
+
+    pub(crate) fn finished(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        if let Some(attempt) = self.requests.get(&key) {
+            if let Some(sent) = &attempt.current {
+                let held = now.since(sent.at);
+                if let Some(known) = self.fleet.known_mut(sent.endpoint) {
+                    known.health.succeeded();
+                }
+                if let Some(model) = self.models.get_mut(&attempt.service) {
+                    model.held(held);
+                }
+            }
+        }
+        self.end(now, key, actions);
+    }
+
+    pub(crate) fn expired(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.requests.get_mut(&key) else { return };
+        let running = attempt.current.as_ref().is_some_and(|it| it.task != Task::Prefill);
+        attempt.may_have_run |= running;
+        self.give_up(now, key, Reason::Deadline, actions);
+    }
+
+    /// Forgets a request and frees what it holds.
+    pub(crate) fn end(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        let Some(attempt) = self.requests.remove(&key) else { return };
+        if let Some(sent) = &attempt.current {
+            self.release_work(now, key, sent);
+        }
+        if let Some(KvHandle { address, handle, .. }) = attempt.handle {
+            actions.push(Action::Release { address, handle });
+        }
+    }
+}
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -5,7 +5,7 @@
 
 use daisychute_core::EndpointName;
 
-use crate::{Endpoint, LoadSample, PeerLoad, Removal, RequestFacts, RequestKey, RouteTable};
+use crate::{Endpoint, LoadSample, PeerLoad, PromptPart, Removal, RequestFacts, RequestKey, RouteTable};
 
 /// How an endpoint's answer came to nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -101,6 +101,8 @@
         peer: u64,
         /// Its work at each endpoint where it has any.
         loads: Vec<(EndpointName, PeerLoad)>,
+        /// Shared parts of prompts that it sent lately, with the endpoint that has them now.
+        parts: Vec<(EndpointName, PromptPart)>,
     },
     /// So many fronts share the load, this one included.
     Fronts(usize),
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::load::KeptSample;
 use crate::fleet::part_cache::PartCache;
+use crate::fleet::work::Work;
 use crate::{Health, LoadSample, PeerLoad};
 
 /// Identifies one incarnation of an endpoint within this process.
@@ -64,21 +65,12 @@
     pub born: Option<u64>,
 }
 
-/// Work that this front has at an endpoint.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Work {
-    /// Requests that haven't ended.
-    pub requests: u32,
-    /// Prompt tokens of those that have shown no output yet.
-    pub unread: u64,
-}
-
 /// An endpoint with all that this front has learned of it.
 #[derive(Debug, Clone)]
 pub(crate) struct Known {
     pub(crate) endpoint: Endpoint,
     pub(crate) lifecycle: EndpointLifecycle,
-    pub(crate) mine: Work,
+    pub(crate) work: Work,
     pub(crate) sample: Option<KeptSample>,
     pub(crate) peers: FxHashMap<u64, (Time, PeerLoad)>,
     pub(crate) health: Health,
@@ -98,7 +90,7 @@
         Self {
             endpoint,
             lifecycle,
-            mine: Work::default(),
+            work: Work::default(),
             sample: None,
             peers: FxHashMap::default(),
             health: Health::default(),
@@ -119,16 +111,19 @@
     }
 
     pub(crate) fn takes_work(&self, now: Time) -> bool {
-        let listed = match self.lifecycle {
-            EndpointLifecycle::Ready => true,
-            EndpointLifecycle::Draining => false,
+        self.lifecycle != EndpointLifecycle::Draining && self.is_listed(now) && !self.misdirected
+    }
+
+    /// Whether it still runs, though it may be leaving.
+    pub(crate) fn is_listed(&self, now: Time) -> bool {
+        match self.lifecycle {
+            EndpointLifecycle::Ready | EndpointLifecycle::Draining => true,
             EndpointLifecycle::Unlisted { until } => now < until,
-        };
-        listed && !self.misdirected
+        }
     }
 
     pub(crate) fn note_load(&mut self, now: Time, sample: LoadSample) {
-        self.sample = Some(KeptSample { at: now, sample, mine: self.mine.requests });
+        self.sample = Some(KeptSample { at: now, sample, mine: self.work.requests() });
     }
 
     /// Requests of other fronts: what they told, or what the latest sample leaves after ours, whichever is more.
@@ -138,9 +133,14 @@
         told.max(sampled.map_or(0, |it| it.others()))
     }
 
-    /// Unread prompt tokens of other fronts.
-    pub(crate) fn others_unread(&self, now: Time) -> u64 {
-        self.told(now).map(|it| u64::from(it.unread)).sum()
+    /// How long the endpoint still reads prompts of other fronts.
+    pub(crate) fn others_unread(&self, now: Time) -> Duration {
+        self.told(now).map(|it| it.unread).sum()
+    }
+
+    /// Tokens of the requests of other fronts.
+    pub(crate) fn others_tokens(&self, now: Time) -> u64 {
+        self.told(now).map(|it| u64::from(it.tokens)).sum()
     }
 
     fn told(&self, now: Time) -> impl Iterator<Item = &PeerLoad> {
--- a/crates/daisychute-dispatch/src/fleet/load.rs
+++ b/crates/daisychute-dispatch/src/fleet/load.rs
@@ -1,5 +1,7 @@
 //! What is known of the load of an endpoint.
 
+use std::time::Duration;
+
 use daisychute_core::Time;
 
 /// The load that an endpoint told with an answer.
@@ -13,13 +15,15 @@
     pub slots: u32,
 }
 
-/// The work that another front has at an endpoint.
+/// The work that one front has at an endpoint.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PeerLoad {
     /// Its requests there.
     pub requests: u32,
-    /// Prompt tokens of these that aren't read yet, as far as it knows.
-    pub unread: u32,
+    /// How long reading the prompts of those takes that have shown no output yet.
+    pub unread: Duration,
+    /// Tokens of all its requests there.
+    pub tokens: u32,
 }
 
 /// A load sample, kept with what this front had there at that time.
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod load;
 pub(crate) mod part_cache;
 pub(crate) mod prompt;
+pub(crate) mod work;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::fleet::endpoint::Known;
-use crate::{Endpoint, EndpointKey, EndpointLifecycle, PeerLoad};
+use crate::{Endpoint, EndpointKey, EndpointLifecycle, PeerLoad, PromptPart};
 
 /// Whether the directory could be reached when a record vanished.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -152,12 +153,16 @@
     }
 
     /// The work of this front at each endpoint that has any.
-    pub fn own_load(&self) -> impl Iterator<Item = (&EndpointName, PeerLoad)> {
-        let busy = self.known.values().filter(|it| it.mine.requests > 0);
-        busy.map(|it| {
-            let unread = u32::try_from(it.mine.unread).unwrap_or(u32::MAX);
-            (&it.endpoint.name, PeerLoad { requests: it.mine.requests, unread })
-        })
+    pub fn own_load(&self, now: Time) -> impl Iterator<Item = (&EndpointName, PeerLoad)> {
+        let busy = self.known.values().filter(|it| it.work.requests() > 0);
+        busy.map(move |it| (&it.endpoint.name, it.work.told(now)))
+    }
+
+    /// Another front has sent a prompt with this part to an endpoint.
+    pub fn peer_part(&mut self, now: Time, name: &EndpointName, part: PromptPart, capacity: u64) {
+        if let Some(known) = self.names.get(name).and_then(|key| self.known.get_mut(key)) {
+            known.parts.note(now, &[part], capacity);
+        }
     }
 
     /// How many endpoints are known.
@@ -172,10 +177,6 @@
         self.known.is_empty()
     }
 
-    pub(crate) fn known(&self, key: EndpointKey) -> Option<&Known> {
-        self.known.get(&key)
-    }
-
     pub(crate) fn known_mut(&mut self, key: EndpointKey) -> Option<&mut Known> {
         self.known.get_mut(&key)
     }
--- a/crates/daisychute-dispatch/src/fleet/part_cache.rs
+++ b/crates/daisychute-dispatch/src/fleet/part_cache.rs
@@ -21,13 +21,13 @@
 
 impl PartCache {
     /// Shorter parts aren't worth a place: reading them takes a few milliseconds.
-    const SHORTEST: u32 = 512;
+    pub(crate) const SHORTEST: u32 = 512;
     /// Part of the memory that is taken for cached parts; the rest belongs to requests that run.
     const SHARE: f64 = 0.8;
 
-    /// The endpoint reads this prompt.
-    pub(crate) fn note(&mut self, now: Time, prompt: &Prompt, capacity: u64) {
-        for part in &prompt.parts {
+    /// The endpoint has these parts now; it holds `capacity` tokens.
+    pub(crate) fn note(&mut self, now: Time, parts: &[PromptPart], capacity: u64) {
+        for part in parts {
             self.keep(now, *part);
         }
         let most = (capacity as f64 * Self::SHARE) as u64;
--- a/crates/daisychute-dispatch/src/fleet/prompt.rs
+++ b/crates/daisychute-dispatch/src/fleet/prompt.rs
@@ -1,7 +1,9 @@
 //! What a request says of its prompt.
 
+use crate::fleet::part_cache::PartCache;
+
 /// One part of a prompt. Parts with the same key hold the same tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct PromptPart {
     /// Identifies the part's tokens.
     pub key: u64,
@@ -27,6 +29,11 @@
         self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 
+    /// The shared parts that are worth a place in an engine's memory.
+    pub fn long_shared_parts(&self) -> impl Iterator<Item = &PromptPart> {
+        self.shared().iter().filter(|it| it.tokens >= PartCache::SHORTEST)
+    }
+
     /// Tokens of the shared parts.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -34,7 +34,7 @@
 pub use crate::core::reason::Reason;
 pub use crate::core::request_facts::{RequestFacts, RequestKey};
 pub use crate::fleet::budget::RetryBudget;
-pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage, Work};
+pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage};
 pub use crate::fleet::health::Health;
 pub use crate::fleet::load::{LoadSample, PeerLoad};
 pub use crate::fleet::prompt::{Prompt, PromptPart};
--- a/crates/daisychute-front/src/caller/exchange.rs
+++ b/crates/daisychute-front/src/caller/exchange.rs
@@ -149,17 +149,21 @@
                 self.shared.handle(Event::Finished { key: self.key });
                 self.answerer.whole(&head, &body).await
             }
-            Action::Send { .. } | Action::Release { .. } | Action::Close { .. } => return After::Cut,
+            _ => return After::Cut,
         };
         if written.is_ok() { After::Keep } else { After::Cut }
     }
 
     fn note_send(&self, order: &SendOrder) {
         let request = &self.incoming.facts.id;
-        let SendOrder { name, task, sends, predicted, among, load_age, .. } = order;
-        let (task, predicted_ms) = (task.as_str(), predicted.as_millis());
-        let load_age_ms = load_age.map(|it| it.as_millis());
-        log::info!(request:%, endpoint:% = name, task, sends, predicted_ms, among, load_age_ms:?; "sent");
+        let SendOrder { name, task, sends, predicted, wait, unread, fetch_from, among, .. } = order;
+        let (task, predicted_ms, wait_ms) = (task.as_str(), predicted.as_millis(), wait.as_millis());
+        let load_age_ms = order.load_age.map(|it| it.as_millis());
+        log::info!(
+            request:%, endpoint:% = name, task, sends, predicted_ms, wait_ms, unread, fetch_from:?,
+            among, load_age_ms:?;
+            "sent"
+        );
     }
 
     fn note_break(&self, order: &SendOrder, how: &str) {
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -1,5 +1,6 @@
 //! How requests and answers look on the wire.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -20,6 +21,8 @@
     pub remaining: Duration,
     /// Rank of the request; 0 is the most urgent.
     pub rank: u8,
+    /// An engine from which parts of the prompt are fetched before.
+    pub fetch_from: Option<SocketAddr>,
     /// The last event of a stream that was passed on, where the stream goes on after it.
     pub after: Option<&'a str>,
 }
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -131,7 +131,7 @@
                 self.shared.configured(table);
             }
             Record::Endpoint(endpoint) => self.shared.listed(endpoint),
-            Record::Front(address) => self.shared.peers.listed(name, Some(address)),
+            Record::Front(address) => self.shared.peers.listed(self.shared.now(), name, Some(address)),
         }
     }
 
@@ -142,7 +142,7 @@
         match self.collection {
             // The last configuration stays in force.
             Collection::Configuration => {}
-            Collection::Fronts => self.shared.peers.listed(name, None),
+            Collection::Fronts => self.shared.peers.listed(self.shared.now(), name, None),
             Collection::Endpoints => {
                 let Ok(name) = EndpointName::try_from(name) else { return };
                 let removal = self.removal();
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -129,6 +129,7 @@
             task: &self.order.task,
             remaining: self.order.due.since(self.shared.now()),
             rank: self.order.rank,
+            fetch_from: self.order.fetch_from,
             after: after.as_deref(),
         };
         let head = self.shared.dialect.forward(&self.incoming.head, forward);
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use daisychute_dispatch::{DispatchSettings, Event};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::caller::server;
 use crate::directory::watcher::Watcher;
+use crate::peers::talk;
 use crate::readiness;
 use crate::shared::Shared;
 use crate::{Collection, Dialect, Directory};
@@ -38,6 +39,10 @@
     pub callers: SocketAddr,
     /// Where the platform asks for readiness.
     pub ready: SocketAddr,
+    /// Where other fronts send what they have under way.
+    pub inner: SocketAddr,
+    /// Its name, unique among the fronts.
+    pub name: String,
     /// What the deployment fixes.
     pub dispatch: DispatchSettings,
     /// How long a graceful stop may take.
@@ -65,13 +70,20 @@
         let callers = listen(self.callers).await?;
         let ready = listen(self.ready).await?;
         let shared = Shared::new(dialect, self.dispatch.clone(), self.seed);
-        for collection in [Collection::Configuration, Collection::Endpoints] {
+        let inner = UdpSocket::bind(self.inner).await;
+        let inner = inner.map_err(|source| FrontError::Listen { address: self.inner, source })?;
+        let inner = Rc::new(inner);
+        for collection in [Collection::Configuration, Collection::Endpoints, Collection::Fronts] {
             let watcher = Watcher::new(Rc::clone(&shared), store.clone(), collection);
             actix_rt::spawn(watcher.run());
         }
         actix_rt::spawn(server::accept(Rc::clone(&shared), callers));
         actix_rt::spawn(readiness::serve(Rc::clone(&shared), ready));
         actix_rt::spawn(sweep(Rc::clone(&shared)));
+        actix_rt::spawn(talk::tell(Rc::clone(&shared), Rc::clone(&inner), self.inner));
+        actix_rt::spawn(talk::hear(Rc::clone(&shared), inner));
+        let announce = talk::announce(Rc::clone(&shared), store, self.name.clone(), self.inner);
+        actix_rt::spawn(announce);
         daisychute_runtime::stop_requested().await.map_err(FrontError::Signals)?;
         self.stop(&shared).await;
         Ok(())
--- /dev/null
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -0,0 +1,91 @@
+//! What fronts tell each other.
+//!
+//! Each front sends every other one a [`Beat`](beat::Beat) several times a second: its work at each endpoint, and the
+//! parts of prompts that it sent lately. A beat is one datagram: it is out of date a moment later, so that a lost one
+//! is better replaced by the next than sent again.
+
+pub(crate) mod beat;
+pub(crate) mod talk;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use daisychute_core::{EndpointName, Time};
+use daisychute_dispatch::PromptPart;
+
+/// A front that wasn't heard for so long doesn't count any more.
+const SILENT: Duration = Duration::from_secs(10);
+/// A part is told this many times, since datagrams get lost.
+const REPEATS: u32 = 3;
+/// Parts told at once; more than a front sends between two beats.
+const MOST_PARTS: usize = 24;
+
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    address: SocketAddr,
+    // When it was listed or heard last.
+    seen: Time,
+}
+
+/// The fronts that the directory lists, and what they are to be told.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    listed: RefCell<BTreeMap<String, Peer>>,
+    // Parts with the beats that still tell them.
+    placed: RefCell<VecDeque<(EndpointName, PromptPart, u32)>>,
+}
+
+impl Peers {
+    /// A front is listed, or not any more.
+    pub(crate) fn listed(&self, now: Time, name: String, address: Option<SocketAddr>) {
+        let mut listed = self.listed.borrow_mut();
+        match address {
+            Some(address) => listed.insert(name, Peer { address, seen: now }),
+            None => listed.remove(&name),
+        };
+    }
+
+    /// A front was heard.
+    pub(crate) fn heard(&self, now: Time, from: SocketAddr) {
+        let mut listed = self.listed.borrow_mut();
+        if let Some(peer) = listed.values_mut().find(|it| it.address == from) {
+            peer.seen = now;
+        }
+    }
+
+    /// The addresses of all others.
+    pub(crate) fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
+        let listed = self.listed.borrow();
+        listed.values().map(|it| it.address).filter(|it| *it != own).collect()
+    }
+
+    /// The fronts that share the load, this one included.
+    pub(crate) fn count(&self, now: Time, own: SocketAddr) -> usize {
+        let listed = self.listed.borrow();
+        let live = |it: &&Peer| it.address != own && now.since(it.seen) < SILENT;
+        1 + listed.values().filter(live).count()
+    }
+
+    /// An endpoint has a shared part of a prompt now.
+    pub(crate) fn placed(&self, endpoint: EndpointName, part: PromptPart) {
+        let mut placed = self.placed.borrow_mut();
+        placed.push_back((endpoint, part, REPEATS));
+        if placed.len() > MOST_PARTS * REPEATS as usize {
+            placed.pop_front();
+        }
+    }
+
+    /// The parts that the next beat tells.
+    pub(crate) fn take_parts(&self) -> Vec<(EndpointName, PromptPart)> {
+        let mut placed = self.placed.borrow_mut();
+        let mut told = Vec::new();
+        for (endpoint, part, left) in placed.iter_mut().take(MOST_PARTS) {
+            told.push((endpoint.clone(), *part));
+            *left -= 1;
+        }
+        placed.retain(|it| it.2 > 0);
+        told
+    }
+}
--- /dev/null
+++ b/crates/daisychute-front/src/peers/talk.rs
@@ -0,0 +1,87 @@
+//! Sends and receives beats.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daisychute_dispatch::Event;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::peers::beat::{Beat, Load, Part};
+use crate::shared::Shared;
+use crate::{Dialect, Directory};
+
+/// The shortest pause between beats: engines take tens of milliseconds for a prompt.
+const SHORTEST: Duration = Duration::from_millis(40);
+/// The longest pause between beats: what is older says little about an engine.
+const LONGEST: Duration = Duration::from_millis(400);
+/// Added for each peer, so that the datagrams of a front stay below a hundred a second as the fleet grows.
+const EACH: Duration = Duration::from_millis(12);
+/// The largest datagram, in bytes: it fits into one packet of most networks.
+const LARGEST: usize = 1_400;
+/// Pause before another try to be listed.
+const AGAIN: Duration = Duration::from_millis(800);
+
+/// Tells the others what this front has under way, for the life of the process.
+pub(crate) async fn tell<D: Dialect>(shared: Rc<Shared<D>>, socket: Rc<UdpSocket>, own: SocketAddr) {
+    loop {
+        let peers = shared.peers.addresses(own);
+        let pause = EACH * u32::try_from(peers.len()).unwrap_or(u32::MAX);
+        sleep(shared.jitter(pause.clamp(SHORTEST, LONGEST))).await;
+        let fronts = shared.peers.count(shared.now(), own);
+        shared.handle(Event::Fronts(fronts));
+        let Some(bytes) = encode(&shared) else { continue };
+        for peer in peers {
+            // A datagram that can't be sent is a lost one.
+            let _ = socket.try_send_to(&bytes, peer);
+        }
+    }
+}
+
+fn encode<D: Dialect>(shared: &Shared<D>) -> Option<Vec<u8>> {
+    let now = shared.now();
+    let parts: Vec<Part> = shared.peers.take_parts().into_iter().map(Part::from).collect();
+    let beat = shared.view(|it| {
+        let version = it.table().map_or(0, |table| table.version());
+        let loads: Vec<Load> = it.fleet().own_load(now).map(Load::from).collect();
+        Beat(shared.incarnation, version, loads, parts)
+    });
+    let mut bytes = Vec::with_capacity(512);
+    ciborium::into_writer(&beat, &mut bytes).ok()?;
+    Some(bytes)
+}
+
+/// Takes in what the others tell, for the life of the process.
+pub(crate) async fn hear<D: Dialect>(shared: Rc<Shared<D>>, socket: Rc<UdpSocket>) {
+    let mut buf = [0; LARGEST * 4];
+    loop {
+        let Ok((len, from)) = socket.recv_from(&mut buf).await else {
+            sleep(SHORTEST).await;
+            continue;
+        };
+        let beat: Result<Beat, _> = ciborium::from_reader(&buf[..len]);
+        let Ok(Beat(peer, _, loads, parts)) = beat else {
+            log::debug!(from:%; "datagram that can't be read");
+            continue;
+        };
+        shared.peers.heard(shared.now(), from);
+        let loads = loads.into_iter().map(Into::into).collect();
+        let parts = parts.into_iter().map(Into::into).collect();
+        shared.handle(Event::Peer { peer, loads, parts });
+    }
+}
+
+/// Writes the record by which the others find this front.
+pub(crate) async fn announce<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    store: impl Directory,
+    name: String,
+    own: SocketAddr,
+) {
+    while let Err(error) = store.announce(&name, own).await {
+        log::warn!(error:%; "front not announced yet");
+        sleep(shared.jitter(AGAIN)).await;
+    }
+    log::info!(name, address:% = own; "front announced");
+}
--- a/crates/daisychute-front/src/shared.rs
+++ b/crates/daisychute-front/src/shared.rs
@@ -27,6 +27,8 @@
     pub(crate) peers: Peers,
     pub(crate) stop: Stop,
     pub(crate) http: ServiceConfig,
+    /// Tells this incarnation from others.
+    pub(crate) incarnation: u64,
     clock: Clock,
     dispatcher: RefCell<Dispatcher>,
     next_key: Cell<u64>,
@@ -41,6 +43,7 @@
             peers: Peers::default(),
             stop: Stop::default(),
             http: ServiceConfig::default(),
+            incarnation: seed,
             clock: Clock::start(),
             dispatcher: RefCell::new(Dispatcher::new(settings)),
             next_key: Cell::new(1),
@@ -81,6 +84,8 @@
             match action {
                 Action::Release { address, handle } => release::spawn(self, address, &handle),
                 Action::Close { endpoint } => self.pool.drop_idle(endpoint),
+                Action::Placed { endpoint, part } => self.peers.placed(endpoint, part),
+                Action::Observed { task, predicted, took, .. } => observe(task, predicted, took),
                 action => answer = Some(action),
             }
         }
@@ -113,3 +118,10 @@
         !self.stop.requested() && self.view(|it| it.table().is_some() && !it.fleet().is_empty())
     }
 }
+
+/// Tells how far a prediction was off.
+fn observe(task: &'static str, predicted: Duration, took: Duration) {
+    metrics::histogram!("daisychute_first_output_seconds", "task" => task).record(took);
+    let error = took.abs_diff(predicted);
+    metrics::histogram!("daisychute_prediction_error_seconds", "task" => task).record(error);
+}
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -22,6 +22,8 @@
     let front = Front {
         callers: settings.callers,
         ready: settings.ready,
+        inner: settings.inner,
+        name: settings.name.to_string(),
         dispatch: dispatch(&settings),
         stop_within: settings.stop_within,
         seed: incarnation.get(),
