--- a/crates/daisychute-dispatch/src/config/backends.rs
+++ b/crates/daisychute-dispatch/src/config/backends.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// One service of a route, with its share of the requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Backend {
     /// The service.
     pub service: ServiceName,
@@ -13,12 +13,32 @@
 }
 
 /// The services of a route. Never empty, and the weights add up to more than zero.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(try_from = "Vec<Backend>", into = "Vec<Backend>")]
 pub struct Backends {
     list: Vec<Backend>,
     total: u64,
 }
 
+/// No backend of a route has a weight above zero.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("no backend has a weight above zero")]
+pub struct NoWeight;
+
+impl TryFrom<Vec<Backend>> for Backends {
+    type Error = NoWeight;
+
+    fn try_from(list: Vec<Backend>) -> Result<Self, NoWeight> {
+        Self::split(list).ok_or(NoWeight)
+    }
+}
+
+impl From<Backends> for Vec<Backend> {
+    fn from(backends: Backends) -> Self {
+        backends.list
+    }
+}
+
 impl Backends {
     /// All requests go to one service.
     #[must_use]
--- a/crates/daisychute-dispatch/src/config/client_limits.rs
+++ b/crates/daisychute-dispatch/src/config/client_limits.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// Bounds on the requests and connections of callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct ClientLimits {
     /// The longest head of a request, in bytes.
     pub head_bytes: usize,
--- a/crates/daisychute-dispatch/src/config/engine_spec.rs
+++ b/crates/daisychute-dispatch/src/config/engine_spec.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 /// The engines of one service.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct EngineSpec {
     /// Requests that run at once.
     pub slots: u32,
--- a/crates/daisychute-dispatch/src/config/request_kind.rs
+++ b/crates/daisychute-dispatch/src/config/request_kind.rs
@@ -1,7 +1,7 @@
 //! What may be repeated.
 
 /// How often a request may run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum RequestKind {
     /// It may run more than once.
     Idempotent,
--- a/crates/daisychute-dispatch/src/config/route.rs
+++ b/crates/daisychute-dispatch/src/config/route.rs
@@ -6,7 +6,7 @@
 use crate::{Backends, RequestKind};
 
 /// Where the requests of one host and path prefix go, and what they are owed.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct Route {
     /// Its name, unique in the table.
     pub name: Arc<str>,
--- a/crates/daisychute-dispatch/src/config/route_table.rs
+++ b/crates/daisychute-dispatch/src/config/route_table.rs
@@ -74,6 +74,16 @@
         self.version
     }
 
+    /// All routes, in no order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flat_map(FxHashMap::values).map(AsRef::as_ref)
+    }
+
+    /// All services, in no order.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceSpec> {
+        self.services.values()
+    }
+
     /// How many routes it has.
     #[must_use]
     pub const fn len(&self) -> usize {
--- a/crates/daisychute-dispatch/src/config/service_spec.rs
+++ b/crates/daisychute-dispatch/src/config/service_spec.rs
@@ -7,7 +7,7 @@
 use crate::EngineSpec;
 
 /// One service.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, serde::Serialize, serde::Deserialize)]
 pub struct ServiceSpec {
     /// Its name.
     pub name: ServiceName,
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -45,7 +45,7 @@
 }
 
 /// What the directory says of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Endpoint {
     /// Its name, new at each start unless `born` tells starts apart.
     pub name: EndpointName,
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -128,6 +128,11 @@
         self.names.get(name).copied()
     }
 
+    /// What the directory says of all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.known.values().map(|it| &it.endpoint)
+    }
+
     /// All names.
     pub fn names(&self) -> impl Iterator<Item = &EndpointName> {
         self.names.keys()
--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -1,6 +1,7 @@
 //! Where configurations, endpoints and other fronts are listed.
 
 pub(crate) mod record;
+pub(crate) mod revisions;
 pub(crate) mod watcher;
 
 use std::time::Duration;
@@ -40,14 +41,17 @@
     pub changes: Vec<Change>,
     /// The revision that it shows; a watch goes on from here.
     pub revision: u64,
+    /// The revision of the latest change among the records; 0 where there is none.
+    pub latest: u64,
 }
 
 /// A store of records with a revision. It decides nothing.
 pub trait Directory: Clone + 'static {
-    /// All records of a collection.
+    /// All records of a collection. A listing that may be `old` by seconds is cheaper.
     fn list(
         &self,
         collection: Collection,
+        old: bool,
     ) -> impl Future<Output = Result<Listing, DirectoryError>>;
 
     /// Waits up to `wait` for changes after `revision`. The listing is empty where there were none.
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -12,9 +12,17 @@
 use crate::shared::Shared;
 use crate::Dialect;
 
-/// How long one watch waits at the directory: long enough that idle watches are rare calls, short enough that a
-/// connection that went silent is replaced before a change is overdue.
-const WATCH: Duration = Duration::from_millis(1_500);
+/// How long one watch waits at the directory, for each front: fronts tell each other of changes, so that together they
+/// notice within about this time that watches bring nothing any more.
+const WATCH_EACH: Duration = Duration::from_millis(600);
+/// The shortest wait of a watch.
+const SHORTEST_WATCH: Duration = Duration::from_millis(1_500);
+/// The longest wait of a watch.
+const LONGEST_WATCH: Duration = Duration::from_secs(12);
+/// The pause between two looks at the other fronts, for each of them: they change rarely, and a new one is heard soon.
+const LOOK_EACH: Duration = Duration::from_millis(700);
+/// The shortest pause between two looks at the other fronts.
+const SHORTEST_LOOK: Duration = Duration::from_secs(2);
 /// The first pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// The longest pause after failed calls: changes must be in force within two seconds of the directory's return.
@@ -44,25 +52,51 @@
     /// Runs for the life of the process.
     pub(crate) async fn run(mut self) {
         loop {
-            match self.store.list(self.collection).await {
+            let old = self.collection == Collection::Fronts;
+            match self.store.list(self.collection, old).await {
                 Ok(listing) => {
                     self.answered();
                     let revision = listing.revision;
                     self.replace(listing);
-                    self.follow(revision).await;
+                    if old {
+                        self.pause().await;
+                    } else {
+                        self.follow(revision).await;
+                    }
                 }
                 Err(e) => self.failed(&e).await,
             }
         }
     }
 
+    /// Waits until the other fronts are looked at again.
+    async fn pause(&self) {
+        let pause = LOOK_EACH * self.fronts();
+        sleep(self.shared.jitter(pause.max(SHORTEST_LOOK))).await;
+    }
+
+    fn fronts(&self) -> u32 {
+        u32::try_from(self.shared.peers.count(self.shared.now())).unwrap_or(u32::MAX)
+    }
+
     /// Watches from `revision` on until a new listing is needed.
     async fn follow(&mut self, mut revision: u64) {
         loop {
-            match self.store.watch(self.collection, revision, WATCH).await {
+            let wait = (WATCH_EACH * self.fronts()).clamp(SHORTEST_WATCH, LONGEST_WATCH);
+            let wait = self.shared.jitter(wait);
+            let listing = tokio::select! {
+                listing = self.store.watch(self.collection, revision, wait) => listing,
+                () = self.shared.revisions.lagging(self.collection) => {
+                    let collection = self.collection.as_str();
+                    log::info!(collection, revision; "a peer is ahead; watch replaced");
+                    continue;
+                }
+            };
+            match listing {
                 Ok(listing) => {
                     self.answered();
                     revision = revision.max(listing.revision);
+                    self.shared.revisions.seen(self.collection, listing.latest);
                     for change in listing.changes {
                         self.apply(change);
                     }
@@ -78,6 +112,9 @@
     }
 
     fn answered(&mut self) {
+        if self.collection == Collection::Configuration {
+            self.shared.directory_lost.set(false);
+        }
         if self.failures > 0 {
             let (collection, failures) = (self.collection.as_str(), self.failures);
             log::info!(collection, failures; "directory regained");
@@ -89,6 +126,9 @@
     async fn failed(&mut self, error: &DirectoryError) {
         let collection = self.collection.as_str();
         self.failures += 1;
+        if self.collection == Collection::Configuration {
+            self.shared.directory_lost.set(true);
+        }
         if self.failures == 1 {
             log::warn!(collection, error:%; "directory lost; what is known stays in force");
         }
@@ -99,6 +139,7 @@
 
     /// Takes a whole listing in: records that it lacks are gone.
     fn replace(&mut self, listing: Listing) {
+        self.shared.revisions.seen(self.collection, listing.latest);
         let listed: BTreeSet<_> = listing.changes.iter().map(|it| it.name.clone()).collect();
         let gone: Vec<_> = self.names.difference(&listed).cloned().collect();
         for name in gone {
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -12,7 +12,7 @@
 
 use crate::caller::server;
 use crate::directory::watcher::Watcher;
-use crate::peers::talk;
+use crate::peers::{snapshots, talk};
 use crate::readiness;
 use crate::shared::Shared;
 use crate::{Collection, Dialect, Directory};
@@ -42,6 +42,10 @@
     pub ready: SocketAddr,
     /// Where other fronts send what they have under way.
     pub inner: SocketAddr,
+    /// Where other fronts fetch what is known here.
+    pub snapshots: SocketAddr,
+    /// Fronts that may tell what is known when the directory can't be reached.
+    pub seeds: Vec<SocketAddr>,
     /// Its name, unique among the fronts.
     pub name: String,
     /// What the deployment fixes.
@@ -70,7 +74,8 @@
     pub async fn run(self, dialect: impl Dialect, store: impl Directory) -> Result<(), FrontError> {
         let callers = listen(self.callers).await?;
         let ready = listen(self.ready).await?;
-        let shared = Shared::new(dialect, self.dispatch.clone(), self.identity());
+        let snapshots = listen(self.snapshots).await?;
+        let shared = Shared::new(dialect, self.dispatch.clone(), self.identity(), self.inner);
         let inner = UdpSocket::bind(self.inner).await;
         let inner = inner.map_err(|source| FrontError::Listen { address: self.inner, source })?;
         let inner = Rc::new(inner);
@@ -81,7 +86,10 @@
         actix_rt::spawn(server::accept(Rc::clone(&shared), callers));
         actix_rt::spawn(readiness::serve(Rc::clone(&shared), ready));
         actix_rt::spawn(sweep(Rc::clone(&shared)));
-        actix_rt::spawn(talk::tell(Rc::clone(&shared), Rc::clone(&inner), self.inner));
+        actix_rt::spawn(snapshots::serve(Rc::clone(&shared), snapshots));
+        let learn = snapshots::learn(Rc::clone(&shared), self.seeds.clone(), self.snapshots);
+        actix_rt::spawn(learn);
+        actix_rt::spawn(talk::tell(Rc::clone(&shared), Rc::clone(&inner)));
         actix_rt::spawn(talk::hear(Rc::clone(&shared), inner));
         let announce = talk::announce(Rc::clone(&shared), store, self.name.clone(), self.inner);
         actix_rt::spawn(announce);
--- a/crates/daisychute-front/src/peers/beat.rs
+++ b/crates/daisychute-front/src/peers/beat.rs
@@ -11,8 +11,8 @@
 pub(crate) struct Beat(
     /// Identifies the sender's incarnation.
     pub(crate) u64,
-    /// The version of the configuration in force there; 0 where none is known.
-    pub(crate) u64,
+    /// The latest changes of configuration and endpoints that it saw, as revisions of the directory.
+    pub(crate) (u64, u64),
     /// Its work.
     pub(crate) Vec<Load>,
     /// Parts of prompts that endpoints have now.
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -5,6 +5,8 @@
 //! is better replaced by the next than sent again.
 
 pub(crate) mod beat;
+pub(crate) mod snapshot;
+pub(crate) mod snapshots;
 pub(crate) mod talk;
 
 use std::cell::RefCell;
@@ -30,14 +32,20 @@
 }
 
 /// The fronts that the directory lists, and what they are to be told.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Peers {
+    own: SocketAddr,
     listed: RefCell<BTreeMap<String, Peer>>,
     // Parts with the beats that still tell them.
     placed: RefCell<VecDeque<(EndpointName, PromptPart, u32)>>,
 }
 
 impl Peers {
+    /// No peers yet, for the front that listens at `own`.
+    pub(crate) fn new(own: SocketAddr) -> Self {
+        Self { own, listed: RefCell::default(), placed: RefCell::default() }
+    }
+
     /// A front is listed, or not any more.
     pub(crate) fn listed(&self, now: Time, name: String, address: Option<SocketAddr>) {
         let mut listed = self.listed.borrow_mut();
@@ -56,15 +64,15 @@
     }
 
     /// The addresses of all others.
-    pub(crate) fn addresses(&self, own: SocketAddr) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         let listed = self.listed.borrow();
-        listed.values().map(|it| it.address).filter(|it| *it != own).collect()
+        listed.values().map(|it| it.address).filter(|it| *it != self.own).collect()
     }
 
     /// The fronts that share the load, this one included.
-    pub(crate) fn count(&self, now: Time, own: SocketAddr) -> usize {
+    pub(crate) fn count(&self, now: Time) -> usize {
         let listed = self.listed.borrow();
-        let live = |it: &&Peer| it.address != own && now.since(it.seen) < SILENT;
+        let live = |it: &&Peer| it.address != self.own && now.since(it.seen) < SILENT;
         1 + listed.values().filter(live).count()
     }
 
--- /dev/null
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -0,0 +1,38 @@
+//! What a front knows, for one that can't reach the directory.
+
+use std::sync::Arc;
+
+use daisychute_dispatch::{
+    ClientLimits, Dispatcher, DuplicateRoute, Endpoint, Route, RouteTable, ServiceSpec,
+};
+use serde::{Deserialize, Serialize};
+
+/// The configuration in force at a front, and the endpoints that it knows.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Snapshot {
+    version: u64,
+    routes: Vec<Route>,
+    services: Vec<ServiceSpec>,
+    limits: ClientLimits,
+    pub(crate) endpoints: Vec<Endpoint>,
+}
+
+impl Snapshot {
+    /// What the dispatcher knows; none while it knows no configuration.
+    pub(crate) fn of(dispatcher: &Dispatcher) -> Option<Self> {
+        let table = dispatcher.table()?;
+        Some(Self {
+            version: table.version(),
+            routes: table.routes().cloned().collect(),
+            services: table.services().cloned().collect(),
+            limits: *table.limits(),
+            endpoints: dispatcher.fleet().endpoints().cloned().collect(),
+        })
+    }
+
+    /// The configuration, checked again.
+    pub(crate) fn table(&self) -> Result<Arc<RouteTable>, DuplicateRoute> {
+        let (routes, services) = (self.routes.clone(), self.services.clone());
+        RouteTable::new(self.version, routes, services, self.limits).map(Arc::new)
+    }
+}
--- a/crates/daisychute-front/src/peers/talk.rs
+++ b/crates/daisychute-front/src/peers/talk.rs
@@ -24,12 +24,12 @@
 const AGAIN: Duration = Duration::from_millis(800);
 
 /// Tells the others what this front has under way, for the life of the process.
-pub(crate) async fn tell<D: Dialect>(shared: Rc<Shared<D>>, socket: Rc<UdpSocket>, own: SocketAddr) {
+pub(crate) async fn tell<D: Dialect>(shared: Rc<Shared<D>>, socket: Rc<UdpSocket>) {
     loop {
-        let peers = shared.peers.addresses(own);
+        let peers = shared.peers.addresses();
         let pause = EACH * u32::try_from(peers.len()).unwrap_or(u32::MAX);
         sleep(shared.jitter(pause.clamp(SHORTEST, LONGEST))).await;
-        let fronts = shared.peers.count(shared.now(), own);
+        let fronts = shared.peers.count(shared.now());
         shared.handle(Event::Fronts(fronts));
         let Some(bytes) = encode(&shared) else { continue };
         for peer in peers {
@@ -43,9 +43,8 @@
     let now = shared.now();
     let parts: Vec<Part> = shared.peers.take_parts().into_iter().map(Part::from).collect();
     let beat = shared.view(|it| {
-        let version = it.table().map_or(0, |table| table.version());
         let loads: Vec<Load> = it.fleet().own_load(now).map(Load::from).collect();
-        Beat(shared.identity, version, loads, parts)
+        Beat(shared.identity, shared.revisions.own(), loads, parts)
     });
     let mut bytes = Vec::with_capacity(512);
     ciborium::into_writer(&beat, &mut bytes).ok()?;
@@ -61,11 +60,12 @@
             continue;
         };
         let beat: Result<Beat, _> = ciborium::from_reader(&buf[..len]);
-        let Ok(Beat(peer, _, loads, parts)) = beat else {
+        let Ok(Beat(peer, revisions, loads, parts)) = beat else {
             log::debug!(from:%; "datagram that can't be read");
             continue;
         };
         shared.peers.heard(shared.now(), from);
+        shared.revisions.told(shared.now(), revisions);
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         shared.handle(Event::Peer { peer, loads, parts });
--- a/crates/daisychute-front/src/shared.rs
+++ b/crates/daisychute-front/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all tasks of a front share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -15,6 +16,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::Dialect;
+use crate::directory::revisions::Revisions;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::release;
 use crate::peers::Peers;
@@ -25,6 +27,9 @@
     pub(crate) dialect: D,
     pub(crate) pool: Pool,
     pub(crate) peers: Peers,
+    pub(crate) revisions: Revisions,
+    /// The directory hasn't answered the last call for configurations.
+    pub(crate) directory_lost: Cell<bool>,
     pub(crate) stop: Stop,
     pub(crate) http: ServiceConfig,
     /// Tells this incarnation of this front from all others; seeds its random choices.
@@ -36,11 +41,18 @@
 }
 
 impl<D: Dialect> Shared<D> {
-    pub(crate) fn new(dialect: D, settings: DispatchSettings, identity: u64) -> Rc<Self> {
+    pub(crate) fn new(
+        dialect: D,
+        settings: DispatchSettings,
+        identity: u64,
+        inner: SocketAddr,
+    ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
             pool: Pool::default(),
-            peers: Peers::default(),
+            peers: Peers::new(inner),
+            revisions: Revisions::default(),
+            directory_lost: Cell::new(true),
             stop: Stop::default(),
             http: ServiceConfig::default(),
             identity,
@@ -113,6 +125,25 @@
         self.handle(Event::Unlisted { name, removal });
     }
 
+    /// Whether a peer must tell what the directory doesn't: nothing is known yet, or calls fail.
+    pub(crate) fn needs_snapshot(&self) -> bool {
+        self.directory_lost.get()
+    }
+
+    /// Takes in endpoints that a peer knows. One that is known here changes only from ready to leaving: the
+    /// directory knows better what is back.
+    pub(crate) fn learn_endpoints(self: &Rc<Self>, endpoints: &[Endpoint]) {
+        for endpoint in endpoints {
+            let known = self.view(|it| {
+                let key = it.fleet().key(&endpoint.name);
+                key.and_then(|it_key| it.fleet().endpoint(it_key)).map(|it| it.draining)
+            });
+            if known.is_none() || (known == Some(false) && endpoint.draining) {
+                self.listed(endpoint.clone());
+            }
+        }
+    }
+
     /// Whether requests can be served: a configuration is known and no stop was asked for.
     pub(crate) fn is_ready(&self) -> bool {
         !self.stop.requested() && self.view(|it| it.table().is_some() && !it.fleet().is_empty())
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -23,6 +23,8 @@
         callers: settings.callers,
         ready: settings.ready,
         inner: settings.inner,
+        snapshots: settings.snapshots,
+        seeds: settings.seeds.clone(),
         name: settings.name.to_string(),
         dispatch: dispatch(&settings),
         stop_within: settings.stop_within,
