--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -28,6 +28,21 @@
     ServerError,
 }
 
+impl Break {
+    /// Its name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Unsent => "unsent",
+            Self::NotRun { misdirected: true } => "misdirected",
+            Self::NotRun { misdirected: false } => "not_run",
+            Self::NoAnswer => "no_answer",
+            Self::MidAnswer { .. } => "mid_answer",
+            Self::ServerError => "server_error",
+        }
+    }
+}
+
 /// Something happened.
 #[derive(Debug, Clone)]
 pub enum Event {
--- a/crates/daisychute-front/src/caller/exchange.rs
+++ b/crates/daisychute-front/src/caller/exchange.rs
@@ -1,10 +1,11 @@
 //! One request from its arrival to its final answer.
 
+use std::fmt::Write;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
-use daisychute_dispatch::{Action, Event, Reason, RequestKey, SendOrder};
+use daisychute_dispatch::{Action, Break, Event, Reason, RequestKey, SendOrder};
 use tokio::time::sleep_until;
 
 use crate::Dialect;
@@ -40,8 +41,12 @@
         answerer.close();
     }
     let arrived = Event::arrived(key, incoming.facts.clone());
-    let mut exchange = Exchange { shared, key, incoming, answerer, failure: None, started };
     let first = shared.handle(arrived);
+    let kind = shared.view(|it| it.route(key).map_or("unrouted", |route| route.kind.as_str()));
+    let config = shared.view(|it| it.table().map_or(0, |table| table.version()));
+    let (failure, trail) = (None, String::new());
+    let mut exchange =
+        Exchange { shared, key, incoming, answerer, failure, started, trail, kind, config };
     let due = shared.view(|it| it.due(key)).map(|it| shared.instant(it));
     let ended = tokio::select! {
         biased;
@@ -57,7 +62,7 @@
 }
 
 /// A request that has no deadline ends after this time.
-const LONGEST: std::time::Duration = std::time::Duration::from_secs(600);
+const LONGEST: Duration = Duration::from_secs(600);
 
 struct Exchange<'a, 'c, D> {
     shared: &'a Rc<Shared<D>>,
@@ -67,6 +72,12 @@
     /// A whole answer that is a failure, and may be passed on.
     failure: Option<Failure>,
     started: Instant,
+    /// The sends so far and how each came to nothing, for the last line of a request that failed.
+    trail: String,
+    /// What kind of request it is, once its route is known.
+    kind: &'static str,
+    /// The version of the configuration by which it is handled.
+    config: u64,
 }
 
 impl<D: Dialect> Exchange<'_, '_, D> {
@@ -78,19 +89,19 @@
                 Some(Action::Send { order, .. }) => match self.send(&order).await {
                     CallEnd::Finished => {
                         self.shared.handle(Event::Finished { key: self.key });
-                        self.note("answered", "", "");
+                        self.note("answered", "", None);
                         return After::Keep;
                     }
                     CallEnd::CallerGone => {
                         self.shared.handle(Event::Left { key: self.key });
-                        self.note("left", "", "");
+                        self.note("left", "", None);
                         return After::Cut;
                     }
                     CallEnd::Prefilled(handle) => {
                         self.shared.handle(Event::Prefilled { key: self.key, handle })
                     }
                     CallEnd::Broke(how, failure) => {
-                        self.note_break(&order, &format!("{how:?}"));
+                        self.note_break(&order, how);
                         self.failure = failure;
                         self.shared.handle(Event::Broke { key: self.key, how })
                     }
@@ -119,7 +130,7 @@
         let action = self.shared.handle(event);
         match action {
             _ if gone => {
-                self.note("left", "", "");
+                self.note("left", "", None);
                 After::Cut
             }
             Some(last) => self.finish(last).await,
@@ -130,21 +141,21 @@
     /// Gives the final answer.
     async fn finish(&mut self, last: Action) -> After {
         if self.answerer.head_passed() {
-            self.note("cut", reason_of(&last).map_or("", Reason::as_str), "");
+            self.note("cut", reason_of(&last).map_or("", Reason::as_str), None);
             return After::Cut;
         }
         let written = match last {
             Action::Refuse { reason, retry_after, .. } => {
-                self.note("refused", reason.as_str(), &format!("{retry_after:?}"));
+                self.note("refused", reason.as_str(), retry_after);
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 self.answerer.own(status, reason.as_str(), retry_after).await
             }
             Action::Fail { reason, .. } => {
-                self.note("failed", reason.as_str(), "");
+                self.note("failed", reason.as_str(), None);
                 self.answerer.own(status_of(reason), reason.as_str(), None).await
             }
             Action::Relay { .. } => {
-                self.note("relayed", "", "");
+                self.note("relayed", "", None);
                 let Some(Failure { head, body }) = self.failure.take() else { return After::Cut };
                 self.answerer.whole(&head, &body).await
             }
@@ -153,10 +164,12 @@
         if written.is_ok() { After::Keep } else { After::Cut }
     }
 
-    fn note_send(&self, order: &SendOrder) {
-        let request = &self.incoming.facts.id;
+    fn note_send(&mut self, order: &SendOrder) {
         let SendOrder { name, task, sends, predicted, wait, unread, fetch_from, among, .. } = order;
         let (task, predicted_ms, wait_ms) = (task.as_str(), predicted.as_millis(), wait.as_millis());
+        // Writing to a string can't fail.
+        let _ = write!(self.trail, "{task} at {name} after {} ms; ", self.elapsed_ms());
+        let request = &self.incoming.facts.id;
         let load_age_ms = order.load_age.map(|it| it.as_millis());
         log::info!(
             request:%, endpoint:% = name, task, sends, predicted_ms, wait_ms, unread, fetch_from:?,
@@ -165,20 +178,39 @@
         );
     }
 
-    fn note_break(&self, order: &SendOrder, how: &str) {
-        let (request, endpoint) = (&self.incoming.facts.id, &order.name);
-        log::warn!(request:%, endpoint:%, how; "send came to nothing");
+    fn note_break(&mut self, order: &SendOrder, how: Break) {
+        let _ = write!(self.trail, "{how:?} after {} ms; ", self.elapsed_ms());
+        let (request, endpoint, task) = (&self.incoming.facts.id, &order.name, order.task.as_str());
+        log::warn!(request:%, endpoint:%, task, how:?; "send came to nothing");
+        metrics::counter!("daisychute_sends_failed_total", "how" => how.as_str()).increment(1);
     }
 
-    fn note(&self, outcome: &'static str, reason: &'static str, retry_after: &str) {
-        let request = &self.incoming.facts.id;
-        let elapsed_ms = self.started.elapsed().as_millis();
+    fn elapsed_ms(&self) -> u128 {
+        self.started.elapsed().as_millis()
+    }
+
+    /// The last line of a request.
+    fn note(&self, outcome: &'static str, reason: &'static str, retry_after: Option<Duration>) {
+        metrics::counter!("daisychute_front_requests_total", "outcome" => outcome, "reason" => reason)
+            .increment(1);
+        let kind = self.kind;
+        metrics::histogram!("daisychute_request_seconds", "kind" => kind, "outcome" => outcome)
+            .record(self.started.elapsed());
+        let (request, elapsed_ms) = (&self.incoming.facts.id, self.elapsed_ms());
         let pace = self.answerer.pace();
         let first_ms = pace.first.map(|it| it.duration_since(self.started).as_millis());
         let pause_ms = pace.longest_pause.as_millis();
-        metrics::counter!("daisychute_requests_total", "outcome" => outcome, "reason" => reason)
-            .increment(1);
-        log::info!(request:%, outcome, reason, retry_after, elapsed_ms, first_ms:?, pause_ms; "request ended");
+        if outcome == "answered" {
+            log::info!(request:%, outcome, kind, elapsed_ms, first_ms:?, pause_ms; "request ended");
+            return;
+        }
+        let (config, path, trail) = (self.config, &self.incoming.facts.path, &self.trail);
+        let retry_after_ms = retry_after.map(|it| it.as_millis());
+        log::warn!(
+            request:%, outcome, reason, kind, path:%, config, retry_after_ms:?, elapsed_ms,
+            first_ms:?, pause_ms, trail;
+            "request ended"
+        );
     }
 }
 
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use actix_http::StatusCode;
 use daisychute_dispatch::{DispatchSettings, Event};
 use tokio::net::{TcpListener, UdpSocket};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -15,6 +16,7 @@
 use crate::peers::{snapshots, talk};
 use crate::readiness;
 use crate::shared::Shared;
+use crate::plain_server;
 use crate::{Collection, Dialect, Directory};
 
 /// Why a front can't run.
@@ -42,6 +44,8 @@
     pub ready: SocketAddr,
     /// Where other fronts send what they have under way.
     pub inner: SocketAddr,
+    /// Where metrics are fetched.
+    pub metrics: SocketAddr,
     /// Where other fronts fetch what is known here.
     pub snapshots: SocketAddr,
     /// Fronts that may tell what is known when the directory can't be reached.
@@ -56,6 +60,8 @@
     pub incarnation: u64,
 }
 
+/// The path of the metrics.
+const METRICS: &str = "/metrics";
 /// Old connections and records are swept this often.
 const SWEEP: Duration = Duration::from_millis(250);
 /// The platform notices within this time that a front isn't ready, and sends no new callers.
@@ -71,27 +77,45 @@
     /// # Errors
     ///
     /// An address can't be listened on.
-    pub async fn run(self, dialect: impl Dialect, store: impl Directory) -> Result<(), FrontError> {
+    pub async fn run(
+        self,
+        dialect: impl Dialect,
+        store: impl Directory,
+        metrics: impl Fn() -> String + Clone + 'static,
+    ) -> Result<(), FrontError> {
         let callers = listen(self.callers).await?;
         let ready = listen(self.ready).await?;
         let snapshots = listen(self.snapshots).await?;
-        let shared = Shared::new(dialect, self.dispatch.clone(), self.identity(), self.inner);
+        let metrics_listener = listen(self.metrics).await?;
         let inner = UdpSocket::bind(self.inner).await;
         let inner = inner.map_err(|source| FrontError::Listen { address: self.inner, source })?;
+        let own = inner.local_addr().unwrap_or(self.inner);
+        let own_snapshots = snapshots.local_addr().unwrap_or(self.snapshots);
+        log::info!(
+            callers:% = address(&callers), ready:% = address(&ready), inner:% = own,
+            snapshots:% = own_snapshots, metrics:% = address(&metrics_listener);
+            "listening"
+        );
         let inner = Rc::new(inner);
+        let shared = Shared::new(dialect, self.dispatch.clone(), self.identity(), own);
         for collection in [Collection::Configuration, Collection::Endpoints, Collection::Fronts] {
             let watcher = Watcher::new(Rc::clone(&shared), store.clone(), collection);
             actix_rt::spawn(watcher.run());
         }
         actix_rt::spawn(server::accept(Rc::clone(&shared), callers));
         actix_rt::spawn(readiness::serve(Rc::clone(&shared), ready));
+        let render = move |path: &str| match path {
+            METRICS => (StatusCode::OK, metrics()),
+            _ => (StatusCode::NOT_FOUND, String::new()),
+        };
+        actix_rt::spawn(plain_server::serve(shared.http.clone(), metrics_listener, render));
         actix_rt::spawn(sweep(Rc::clone(&shared)));
         actix_rt::spawn(snapshots::serve(Rc::clone(&shared), snapshots));
-        let learn = snapshots::learn(Rc::clone(&shared), self.seeds.clone(), self.snapshots);
+        let learn = snapshots::learn(Rc::clone(&shared), self.seeds.clone(), own_snapshots);
         actix_rt::spawn(learn);
         actix_rt::spawn(talk::tell(Rc::clone(&shared), Rc::clone(&inner)));
         actix_rt::spawn(talk::hear(Rc::clone(&shared), inner));
-        let announce = talk::announce(Rc::clone(&shared), store, self.name.clone(), self.inner);
+        let announce = talk::announce(Rc::clone(&shared), store, self.name.clone(), own);
         actix_rt::spawn(announce);
         daisychute_runtime::stop_requested().await.map_err(FrontError::Signals)?;
         self.stop(&shared).await;
@@ -136,6 +160,11 @@
     bound.map_err(|source| FrontError::Listen { address, source })
 }
 
+/// Where a listener listens, for the log.
+fn address(listener: &TcpListener) -> String {
+    listener.local_addr().map_or_else(|e| e.to_string(), |it| it.to_string())
+}
+
 async fn sweep<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut ticks = interval(SWEEP);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -13,6 +13,7 @@
 mod event_framer;
 mod front;
 mod peers;
+mod plain_server;
 mod readiness;
 mod shared;
 mod stop;
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -1,23 +1,33 @@
 //! The daemon as a front on the users' platform.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use daisychute_adapter::{PlatformDialect, Store};
 use daisychute_core::Incarnation;
 use daisychute_dispatch::DispatchSettings;
 use daisychute_front::Front;
 use daisychute_settings::FrontSettings;
+use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
 
-use crate::DaemonError;
+use crate::logging::Outlet;
+use crate::{DaemonError, metrics};
+
+/// Metrics are condensed, and lines that were left out of the log are told, this often.
+const UPKEEP: Duration = Duration::from_secs(2);
 
 /// Serves callers until the process is asked to stop.
 pub(crate) async fn run(
     path: PathBuf,
     settings: FrontSettings,
     incarnation: Incarnation,
+    outlet: Outlet,
 ) -> Result<(), DaemonError> {
     actix_rt::spawn(reload(path, settings.clone(), signal(SignalKind::hangup()).map_err(DaemonError::Signals)?));
+    let metrics = metrics::install()?;
+    actix_rt::spawn(upkeep(metrics.clone(), outlet));
     log::info!(name:% = settings.name, data_centre:% = settings.data_centre, callers:% = settings.callers; "front started");
     let front = Front {
         callers: settings.callers,
@@ -26,11 +36,13 @@
         snapshots: settings.snapshots,
         seeds: settings.seeds.clone(),
         name: settings.name.to_string(),
+        metrics: settings.metrics,
         dispatch: dispatch(&settings),
         stop_within: settings.stop_within,
         incarnation: incarnation.get(),
     };
-    front.run(PlatformDialect, Store::new(settings.store)).await?;
+    let render = move || metrics.render();
+    front.run(PlatformDialect, Store::new(settings.store), render).await?;
     Ok(())
 }
 
@@ -44,6 +56,18 @@
     }
 }
 
+/// Keeps metrics and log in order, for the life of the process.
+async fn upkeep(metrics: PrometheusHandle, outlet: Outlet) {
+    loop {
+        sleep(UPKEEP).await;
+        metrics.run_upkeep();
+        for (line, count) in outlet.take_dropped() {
+            log::warn!(line, count; "log lines left out");
+            ::metrics::counter!("daisychute_log_lines_dropped_total").increment(count);
+        }
+    }
+}
+
 /// Checks the settings again at each SIGHUP. What they hold of addresses and bounds is fixed for the life of a
 /// process, so a change is told and takes effect with the next start.
 async fn reload(
--- a/crates/daisychuted/src/logging.rs
+++ b/crates/daisychuted/src/logging/mod.rs
@@ -1,4 +1,6 @@
-//! Structured logs on standard error.
+//! Structured logs: on standard error for entries and agents, on standard output for fronts.
+
+mod outlet;
 
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -15,6 +17,7 @@
 use serde::Serialize;
 
 use crate::DaemonError;
+pub(crate) use crate::logging::outlet::Outlet;
 
 /// Lines of other packages are logged from this severity.
 const LIBRARY_LEVEL: LevelFilter = LevelFilter::Warn;
@@ -72,6 +75,32 @@
     Ok(())
 }
 
+/// Installs the logger of a front, which writes to the standard output through the outlet that is returned.
+pub(crate) fn install_outlet(
+    settings: &LogSettings,
+    identity: Identity,
+) -> Result<Outlet, DaemonError> {
+    let (format, level) = (settings.format, filter(settings.level));
+    let identity = Arc::new(identity);
+    let outlet = Outlet::start();
+    let (gate, sink) = (outlet.clone(), outlet.clone());
+    Dispatch::new()
+        .level(level)
+        .filter(move |it| it.target().starts_with(OWN) || it.level() <= LIBRARY_LEVEL)
+        .chain(fern::Output::call(move |record| {
+            if !gate.admits(record) {
+                return;
+            }
+            let message = record.args().to_string();
+            sink.push(&match format {
+                LogFormat::KeyValue => key_value_line(&identity, &message, record),
+                LogFormat::Json => json_line(&identity, &message, record),
+            });
+        }))
+        .apply()?;
+    Ok(outlet)
+}
+
 const fn filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -47,9 +47,14 @@
     }
     let incarnation = Clock::incarnation();
     let identity = Identity { process: settings.name.clone(), incarnation };
-    logging::install(&settings.log, identity)?;
-    actix_rt::System::new().block_on(front::run(args.settings.clone(), settings, incarnation))?;
-    Ok(())
+    let outlet = logging::install_outlet(&settings.log, identity)?;
+    let front = front::run(args.settings.clone(), settings, incarnation, outlet.clone());
+    let ended = actix_rt::System::new().block_on(front);
+    if let Err(error) = &ended {
+        log::error!(error:%; "front ended");
+    }
+    outlet.finish();
+    Ok(ended?)
 }
 
 async fn run(settings: Settings, incarnation: Incarnation) -> Result<(), DaemonError> {
