--- a/crates/daisychute-cli/src/args.rs
+++ b/crates/daisychute-cli/src/args.rs
@@ -114,6 +114,13 @@
         /// The job
         id: Option<String>,
     },
+    /// Tell from the logs of several processes what became of a request, and why
+    Explain {
+        /// The id of the request, as its caller gave it
+        request: String,
+        /// Logs; the standard input where none is given, or for -
+        logs: Vec<PathBuf>,
+    },
     /// Print the completions of a shell
     Completions {
         /// The shell
--- a/crates/daisychute-cli/src/commands/mod.rs
+++ b/crates/daisychute-cli/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod drain;
+mod explain;
 mod get;
 mod history;
 mod jobs;
@@ -33,6 +34,7 @@
         Command::Plan => plan::plan(&cx).await,
         Command::Jobs { id: None } => jobs::list(&cx).await,
         Command::Jobs { id: Some(id) } => jobs::show(&cx, &id).await,
+        Command::Explain { request, logs } => explain::explain(&cx, &request, &logs),
         Command::Completions { shell } => completions(shell),
     }
 }
--- a/crates/daisychute-cli/src/error.rs
+++ b/crates/daisychute-cli/src/error.rs
@@ -49,6 +49,21 @@
         /// The variable that stands in for it.
         variable: &'static str,
     },
+    /// A log can't be read.
+    #[error("the log {} can't be read", log.display())]
+    Log {
+        /// The log.
+        log: std::path::PathBuf,
+        /// What the system says.
+        source: std::io::Error,
+    },
+    /// No line of the logs tells of the request.
+    #[error("no line tells of request {request}")]
+    #[diagnostic(help("give the logs of all fronts: any of them may have had the request"))]
+    UnknownRequest {
+        /// Its id.
+        request: String,
+    },
     /// The file is refused.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -87,6 +87,8 @@
         key: RequestKey,
         /// Why.
         reason: Reason,
+        /// The predicted wait for others that decided it; zero where it wasn't the load.
+        wait: Duration,
         /// When to come back; none where coming back is no use.
         retry_after: Option<Duration>,
     },
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -125,8 +125,8 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(table) = &self.table else {
-            let retry_after = Some(Self::RETRY_AFTER);
-            actions.push(Action::Refuse { key, reason: Reason::NoConfiguration, retry_after });
+            let (reason, retry_after) = (Reason::NoConfiguration, Some(Self::RETRY_AFTER));
+            actions.push(Action::Refuse { key, reason, wait: Duration::ZERO, retry_after });
             return;
         };
         let Some(route) = table.find(&request.host, &request.path).cloned() else {
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -93,11 +93,12 @@
         &mut self,
         now: Time,
         key: RequestKey,
+        wait: Duration,
         retry_after: Duration,
         actions: &mut Vec<Action>,
     ) {
         let retry_after = Some(retry_after);
-        actions.push(Action::Refuse { key, reason: Reason::Overload, retry_after });
+        actions.push(Action::Refuse { key, reason: Reason::Overload, wait, retry_after });
         self.end(now, key, actions);
     }
 
@@ -108,7 +109,7 @@
             actions.push(Action::Fail { key, reason });
         } else {
             let retry_after = Some(Self::RETRY_AFTER);
-            actions.push(Action::Refuse { key, reason, retry_after });
+            actions.push(Action::Refuse { key, reason, wait: Duration::ZERO, retry_after });
         }
         self.end(now, key, actions);
     }
--- a/crates/daisychute-dispatch/src/core/placing.rs
+++ b/crates/daisychute-dispatch/src/core/placing.rs
@@ -52,7 +52,8 @@
             return;
         };
         if let Some(retry_after) = self.overloaded(now, key, &placing) {
-            self.refuse(now, key, retry_after, actions);
+            let wait = Duration::from_secs_f64(placing.wait_ms / 1e3);
+            self.refuse(now, key, wait, retry_after, actions);
             return;
         }
         self.send(now, key, placing, actions);
--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -9,21 +9,21 @@
     Backends, ClientLimits, Endpoint, EngineSpec, RequestKind, Route, RouteTable, ServiceSpec,
 };
 
-pub const HOST: &str = "signs.example";
-pub const LONG: &str = "/digest/";
-pub const SHORT: &str = "/tag/";
-pub const ONCE: &str = "/count/";
-pub const PANEL: &str = "/panel/";
+pub(crate) const HOST: &str = "signs.example";
+pub(crate) const LONG: &str = "/digest/";
+pub(crate) const SHORT: &str = "/tag/";
+pub(crate) const ONCE: &str = "/count/";
+pub(crate) const PANEL: &str = "/panel/";
 
-pub fn service(name: &str) -> ServiceName {
+pub(crate) fn service(name: &str) -> ServiceName {
     ServiceName::try_from(name).expect("a name")
 }
 
-pub fn name(text: &str) -> EndpointName {
+pub(crate) fn name(text: &str) -> EndpointName {
     EndpointName::try_from(text).expect("a name")
 }
 
-pub fn route(prefix: &str, kind: RequestKind, to: &str, objective_ms: u64, sends: u32) -> Route {
+pub(crate) fn route(prefix: &str, kind: RequestKind, to: &str, objective_ms: u64, sends: u32) -> Route {
     Route {
         name: Arc::from(prefix),
         host: Arc::from(HOST),
@@ -38,7 +38,7 @@
     }
 }
 
-pub fn services() -> Vec<ServiceSpec> {
+pub(crate) fn services() -> Vec<ServiceSpec> {
     let engine = EngineSpec {
         slots: 16,
         kv_tokens: 440_000,
@@ -56,7 +56,7 @@
 }
 
 /// A table with a resumable stream of long prompts, a stream of short ones, calls that run once, and reads.
-pub fn table(version: u64) -> Arc<RouteTable> {
+pub(crate) fn table(version: u64) -> Arc<RouteTable> {
     let stream = |resumable| RequestKind::Stream { resumable };
     let routes = vec![
         route(LONG, stream(true), "lm", 600, 2),
@@ -68,7 +68,7 @@
     Arc::new(table.expect("routes differ"))
 }
 
-pub fn endpoint(number: usize, of: &str, stage: Option<Role>) -> Endpoint {
+pub(crate) fn endpoint(number: usize, of: &str, stage: Option<Role>) -> Endpoint {
     let zones = ["agdal", "hassan", "tabriquet", "hay-riad"];
     let zone = DataCentreName::try_from(zones[number % zones.len()]).expect("a name");
     Endpoint {
@@ -84,7 +84,7 @@
 }
 
 /// Four engines that read prompts, eight that generate, and four workers of a plain service.
-pub fn fleet() -> Vec<Endpoint> {
+pub(crate) fn fleet() -> Vec<Endpoint> {
     let stage = |number| Some(if number < 4 { Role::Prefill } else { Role::Decode });
     let engines = (0..12).map(|it| endpoint(it, "lm", stage(it)));
     engines.chain((0..4).map(|it| endpoint(it, "feed", None))).collect()
--- a/crates/daisychute-dispatch/tests/world/mod.rs
+++ b/crates/daisychute-dispatch/tests/world/mod.rs
@@ -33,29 +33,29 @@
 }
 
 #[derive(Debug, Default, Clone)]
-pub struct Engine {
+pub(crate) struct Engine {
     busy_until: Time,
     kept: HashSet<u64>,
-    pub read_tokens: u64,
-    pub shared_read: u64,
-    pub sends: usize,
+    pub(crate) read_tokens: u64,
+    pub(crate) shared_read: u64,
+    pub(crate) sends: usize,
     /// Times as long as others.
-    pub slow: f64,
+    pub(crate) slow: f64,
 }
 
 /// What became of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fate {
+pub(crate) enum Fate {
     First(Duration),
     Refused { after: Duration, retry_after: Duration },
     Failed,
 }
 
-pub struct World {
-    pub fronts: Vec<Dispatcher>,
-    pub engines: HashMap<EndpointName, Engine>,
-    pub fates: BTreeMap<usize, Fate>,
-    pub requests: Vec<(Time, usize, RequestFacts)>,
+pub(crate) struct World {
+    pub(crate) fronts: Vec<Dispatcher>,
+    pub(crate) engines: HashMap<EndpointName, Engine>,
+    pub(crate) fates: BTreeMap<usize, Fate>,
+    pub(crate) requests: Vec<(Time, usize, RequestFacts)>,
     queue: BinaryHeap<Reverse<(Time, u64, Happening)>>,
     parts: Vec<Vec<(EndpointName, PromptPart)>>,
     arrived: HashMap<u64, (usize, Time)>,
@@ -65,7 +65,7 @@
 }
 
 impl World {
-    pub fn new(fronts: usize, share: bool) -> Self {
+    pub(crate) fn new(fronts: usize, share: bool) -> Self {
         let mut world = Self {
             fronts: Vec::new(),
             engines: HashMap::new(),
@@ -95,7 +95,7 @@
     }
 
     /// A request reaches a front at this time.
-    pub fn arrival(&mut self, at: Time, front: usize, path: &str, prompt: Option<Prompt>) {
+    pub(crate) fn arrival(&mut self, at: Time, front: usize, path: &str, prompt: Option<Prompt>) {
         let number = self.requests.len();
         let mut facts = RequestFacts::new(format!("id-{number}"), common::HOST, format!("{path}{number}"));
         facts.prompt = prompt;
@@ -109,7 +109,7 @@
         self.queue.push(Reverse((at, self.sequence, happening)));
     }
 
-    pub fn run(&mut self) {
+    pub(crate) fn run(&mut self) {
         self.push(self.now + BEAT, Happening::Beat);
         while let Some(Reverse((at, _, happening))) = self.queue.pop() {
             self.now = at;
@@ -215,18 +215,18 @@
     }
 
     /// The share of the requests on a path that had their first output within `objective`.
-    pub fn on_time(&self, path: &str, objective: Duration) -> f64 {
+    pub(crate) fn on_time(&self, path: &str, objective: Duration) -> f64 {
         let on_path = |number: &usize| self.requests[*number].2.path.starts_with(path);
         let fates: Vec<_> = self.fates.iter().filter(|(number, _)| on_path(number)).collect();
         let good = fates.iter().filter(|(_, it)| matches!(it, Fate::First(took) if *took <= objective));
         good.count() as f64 / fates.len().max(1) as f64
     }
 
-    pub fn shared_read(&self) -> u64 {
+    pub(crate) fn shared_read(&self) -> u64 {
         self.engines.values().map(|it| it.shared_read).sum()
     }
 
-    pub fn key(&self, front: usize, name: &EndpointName) -> Option<EndpointKey> {
+    pub(crate) fn key(&self, front: usize, name: &EndpointName) -> Option<EndpointKey> {
         self.fronts[front].fleet().key(name)
     }
 }
@@ -252,7 +252,7 @@
 }
 
 /// A long prompt: one of so many shared parts and a part of its own.
-pub fn long_prompt(subject: u64, own: u64) -> Prompt {
+pub(crate) fn long_prompt(subject: u64, own: u64) -> Prompt {
     let parts = vec![
         PromptPart { key: 1_000 + subject, tokens: 13_300 },
         PromptPart { key: 1_000_000 + own, tokens: 3_720 },
@@ -261,7 +261,7 @@
 }
 
 /// A short prompt whose shared parts are too small to matter.
-pub fn short_prompt(own: u64) -> Prompt {
+pub(crate) fn short_prompt(own: u64) -> Prompt {
     let parts = vec![
         PromptPart { key: 7, tokens: 55 },
         PromptPart { key: 50_000 + own % 1_590, tokens: 37 },
--- /dev/null
+++ b/crates/daisychute-explain/src/lib.rs
@@ -0,0 +1,19 @@
+//! Finds in the logs of several processes what became of one request, and why.
+//!
+//! ```
+//! use daisychute_explain::{Explanation, LogLine};
+//!
+//! let log = r#"{"time":"2026-01-01T00:00:01Z","level":"WARN","process":"front-1","message":"request ended",
+//!     "request":"9c41","outcome":"refused","reason":"overload","wait_ms":"700","elapsed_ms":"0"}"#;
+//! let lines = [log.replace('\n', "")];
+//! let lines: Vec<_> = lines.iter().filter_map(|it| LogLine::parse(it)).collect();
+//! let explanation = Explanation::of("9c41", &lines).expect("the request is in the log");
+//! assert!(explanation.cause.starts_with("refused at once"));
+//! ```
+
+mod cause;
+mod explanation;
+mod log_line;
+
+pub use crate::explanation::Explanation;
+pub use crate::log_line::LogLine;
--- /dev/null
+++ b/crates/daisychute-explain/tests/explain.rs
@@ -0,0 +1,67 @@
+//! Lines of logs and what follows from them.
+
+use daisychute_explain::{Explanation, LogLine};
+use quickcheck::quickcheck;
+
+fn line(time: u32, process: &str, message: &str, fields: &[(&str, &str)]) -> LogLine {
+    let fields = fields.iter().map(|(key, it)| ((*key).to_owned(), (*it).to_owned())).collect();
+    LogLine {
+        time: format!("2026-01-01T00:00:{time:02}Z"),
+        process: process.to_owned(),
+        message: message.to_owned(),
+        fields,
+    }
+}
+
+fn ended(outcome: &str, reason: &str) -> LogLine {
+    let fields = [("request", "r"), ("outcome", outcome), ("reason", reason), ("trail", "run at i-1 after 3 ms; ")];
+    line(9, "front-1", "request ended", &fields)
+}
+
+macro_rules! causes {
+    ($($name:ident: $lines:expr => $part:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let explanation = Explanation::of("r", &$lines).expect("the request is told of");
+            assert!(explanation.cause.contains($part), "{}", explanation.cause);
+        }
+    )*};
+}
+
+causes! {
+    overload: [ended("refused", "overload")] => "refused at once",
+    broken_stream: [
+        line(5, "front-1", "sent", &[("request", "r"), ("endpoint", "i-1")]),
+        ended("cut", "broken"),
+    ] => "i-1 broke off",
+    directory_away: [
+        line(2, "front-1", "directory lost; what is known stays in force", &[("error", "timeout")]),
+        ended("refused", "no_configuration"),
+    ] => "had not answered it since 2026-01-01T00:00:02Z",
+    directory_back: [
+        line(2, "front-1", "directory lost; what is known stays in force", &[]),
+        line(3, "front-1", "directory regained", &[]),
+        ended("refused", "no_endpoint"),
+    ] => "no endpoint of the service took work",
+    deadline: [ended("failed", "deadline")] => "the time was up",
+    lost_with_the_process: [line(1, "front-1", "sent", &[("request", "r")])] => "hasn't ended",
+}
+
+#[test]
+fn both_formats_are_read() {
+    let json = r#"  3.1 front-1 {"time":"t","process":"p","message":"sent","request":"r","sends":0}"#;
+    let pairs = r#"time=t level=INFO process=p message="request ended" request="r" trail="a \"b\"; ""#;
+    let json = LogLine::parse(json).expect("a line");
+    assert_eq!((json.field("request"), json.field("sends")), ("r", "0"));
+    let pairs = LogLine::parse(pairs).expect("a line");
+    assert_eq!((pairs.message.as_str(), pairs.field("trail")), ("request ended", "a \"b\"; "));
+}
+
+quickcheck! {
+    fn any_text_is_read_without_panic(text: String) -> bool {
+        let _ = LogLine::parse(&text);
+        let _ = LogLine::parse(&format!("time={text}"));
+        let _ = LogLine::parse(&format!("{{\"time\":{text}"));
+        true
+    }
+}
--- a/crates/daisychute-front/src/caller/exchange.rs
+++ b/crates/daisychute-front/src/caller/exchange.rs
@@ -44,9 +44,9 @@
     let first = shared.handle(arrived);
     let kind = shared.view(|it| it.route(key).map_or("unrouted", |route| route.kind.as_str()));
     let config = shared.view(|it| it.table().map_or(0, |table| table.version()));
-    let (failure, trail) = (None, String::new());
+    let (failure, trail, wait) = (None, String::new(), Duration::ZERO);
     let mut exchange =
-        Exchange { shared, key, incoming, answerer, failure, started, trail, kind, config };
+        Exchange { shared, key, incoming, answerer, failure, started, trail, wait, kind, config };
     let due = shared.view(|it| it.due(key)).map(|it| shared.instant(it));
     let ended = tokio::select! {
         biased;
@@ -74,6 +74,8 @@
     started: Instant,
     /// The sends so far and how each came to nothing, for the last line of a request that failed.
     trail: String,
+    /// The predicted wait for which it was refused.
+    wait: Duration,
     /// What kind of request it is, once its route is known.
     kind: &'static str,
     /// The version of the configuration by which it is handled.
@@ -145,7 +147,8 @@
             return After::Cut;
         }
         let written = match last {
-            Action::Refuse { reason, retry_after, .. } => {
+            Action::Refuse { reason, retry_after, wait, .. } => {
+                self.wait = wait;
                 self.note("refused", reason.as_str(), retry_after);
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 self.answerer.own(status, reason.as_str(), retry_after).await
@@ -205,9 +208,10 @@
             return;
         }
         let (config, path, trail) = (self.config, &self.incoming.facts.path, &self.trail);
+        let wait_ms = self.wait.as_millis();
         let retry_after_ms = retry_after.map(|it| it.as_millis());
         log::warn!(
-            request:%, outcome, reason, kind, path:%, config, retry_after_ms:?, elapsed_ms,
+            request:%, outcome, reason, kind, path:%, config, wait_ms, retry_after_ms:?, elapsed_ms,
             first_ms:?, pause_ms, trail;
             "request ended"
         );
--- a/crates/daisychute-standin/src/harness/program.rs
+++ b/crates/daisychute-standin/src/harness/program.rs
@@ -61,6 +61,12 @@
         self
     }
 
+    /// Where the program is.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// The same program with the path of an INI file of this text as its last argument.
     #[must_use]
     pub fn settings(mut self, text: impl Into<String>) -> Self {
