fix(front): learn of the directory's return by a short watch

The first watch after a failure now waits 1 ms. An endpoint that shows nothing until a request's time is up has failed it. The process test of six fronts failed before (6 requests to the removed worker) and passes.

--- a/crates/daisychute-cli/src/commands/explain.rs
+++ b/crates/daisychute-cli/src/commands/explain.rs
@@ -55,7 +55,10 @@
 
 fn text(line: &LogLine) -> String {
     let passed_over = ["level", "target", "incarnation", "request"];
-    let fields = line.fields.iter().filter(|(key, it)| !passed_over.contains(&key.as_str()) && !it.is_empty());
+    let fields = line
+        .fields
+        .iter()
+        .filter(|(key, it)| !passed_over.contains(&key.as_str()) && !it.is_empty());
     let fields: Vec<_> = fields.map(|(key, it)| format!("{key}={it}")).collect();
     format!("{} {} {}: {}", line.time, line.process, line.message, fields.join(" "))
 }
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -85,7 +85,7 @@
             Event::Load { key, sample } => self.load(now, key, sample),
             Event::Broke { key, how } => self.broke(now, key, how, actions),
             Event::Finished { key } => self.finished(now, key, actions),
-            Event::Left { key } => self.end(now, key, actions),
+            Event::Left { key } => self.left(now, key, actions),
             Event::Expired { key } => self.expired(now, key, actions),
             Event::Configured(table) => self.configured(table),
             Event::Listed(endpoint) => self.listed(now, endpoint, actions),
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -4,14 +4,22 @@
 
 use daisychute_core::Time;
 
-use crate::core::attempt::{KvHandle, Sent};
+use crate::core::attempt::{Attempt, KvHandle, Sent};
 use crate::{Action, Break, Dispatcher, Reason, RequestKey, Task};
 
 /// Sends that never left their front are repeated so often.
 const MOST_UNSENT: u32 = 3;
+/// A caller that leaves after so many times its objective has waited for an endpoint that shows nothing.
+const IMPATIENCE: u32 = 3;
 
 impl Dispatcher {
-    pub(crate) fn broke(&mut self, now: Time, key: RequestKey, how: Break, actions: &mut Vec<Action>) {
+    pub(crate) fn broke(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        how: Break,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(attempt) = self.requests.get_mut(&key) else { return };
         let Some(sent) = attempt.current.take() else { return };
         let counts = how != Break::Unsent;
@@ -103,7 +111,13 @@
     }
 
     /// Ends a request with a final answer of our own.
-    pub(crate) fn give_up(&mut self, now: Time, key: RequestKey, reason: Reason, actions: &mut Vec<Action>) {
+    pub(crate) fn give_up(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        reason: Reason,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(attempt) = self.requests.get(&key) else { return };
         if attempt.may_have_run {
             actions.push(Action::Fail { key, reason });
@@ -115,8 +129,8 @@
     }
 
     pub(crate) fn finished(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
-        if let Some(attempt) = self.requests.get(&key) {
-            if let Some(sent) = &attempt.current {
+        if let Some(attempt) = self.requests.get(&key)
+            && let Some(sent) = &attempt.current {
                 let held = now.since(sent.at);
                 if let Some(known) = self.fleet.known_mut(sent.endpoint) {
                     known.health.succeeded();
@@ -125,14 +139,32 @@
                     model.held(held);
                 }
             }
+        self.end(now, key, actions);
+    }
+
+    /// The caller has gone.
+    pub(crate) fn left(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        let waited = |it: &Attempt| now.since(it.arrived) > it.route.objective * IMPATIENCE;
+        if self.requests.get(&key).is_some_and(waited) {
+            self.note_silence(now, key);
         }
         self.end(now, key, actions);
     }
 
+    /// An endpoint that showed nothing until the end of a request's time has failed it.
+    fn note_silence(&mut self, now: Time, key: RequestKey) {
+        let Some(attempt) = self.requests.get(&key).filter(|it| !it.first_output) else { return };
+        let endpoint = attempt.current.as_ref().map(|it| it.endpoint);
+        if let Some(known) = endpoint.and_then(|it| self.fleet.known_mut(it)) {
+            known.health.failed(now);
+        }
+    }
+
     pub(crate) fn expired(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
         let Some(attempt) = self.requests.get_mut(&key) else { return };
         let running = attempt.current.as_ref().is_some_and(|it| it.task != Task::Prefill);
         attempt.may_have_run |= running;
+        self.note_silence(now, key);
         self.give_up(now, key, Reason::Deadline, actions);
     }
 
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -5,7 +5,9 @@
 
 use daisychute_core::EndpointName;
 
-use crate::{Endpoint, LoadSample, PeerLoad, PromptPart, Removal, RequestFacts, RequestKey, RouteTable};
+use crate::{
+    Endpoint, LoadSample, PeerLoad, PromptPart, Removal, RequestFacts, RequestKey, RouteTable,
+};
 
 /// How an endpoint's answer came to nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/daisychute-dispatch/src/core/placing.rs
+++ b/crates/daisychute-dispatch/src/core/placing.rs
@@ -160,10 +160,12 @@
         known.work.sent(now, key, tokens, read);
         if let Some(prompt) = &attempt.request.prompt {
             known.parts.note(now, &prompt.parts, capacity);
-            actions.extend(prompt.long_shared_parts().map(|part| Action::Placed {
-                endpoint: known.endpoint.name.clone(),
-                part: *part,
-            }));
+            actions.extend(
+                prompt.long_shared_parts().map(|part| Action::Placed {
+                    endpoint: known.endpoint.name.clone(),
+                    part: *part,
+                }),
+            );
         }
         attempt.prefilled |= task == Task::Prefill;
         attempt.tried.push(choice.key);
--- a/crates/daisychute-dispatch/src/core/request_facts.rs
+++ b/crates/daisychute-dispatch/src/core/request_facts.rs
@@ -41,7 +41,11 @@
 impl RequestFacts {
     /// A request without deadline and prompt.
     #[must_use]
-    pub fn new(id: impl Into<Arc<str>>, host: impl Into<Arc<str>>, path: impl Into<Arc<str>>) -> Self {
+    pub fn new(
+        id: impl Into<Arc<str>>,
+        host: impl Into<Arc<str>>,
+        path: impl Into<Arc<str>>,
+    ) -> Self {
         Self { id: id.into(), host: host.into(), path: path.into(), patience: None, prompt: None }
     }
 
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -74,7 +74,12 @@
     }
 
     /// The record of this name is gone. Returns the key that was dropped.
-    pub fn remove(&mut self, now: Time, name: &EndpointName, removal: Removal) -> Option<EndpointKey> {
+    pub fn remove(
+        &mut self,
+        now: Time,
+        name: &EndpointName,
+        removal: Removal,
+    ) -> Option<EndpointKey> {
         let key = self.names.get(name).copied()?;
         match removal {
             Removal::Left => {
@@ -186,7 +191,10 @@
         self.known.get_mut(&key)
     }
 
-    pub(crate) fn of_service(&self, service: &ServiceName) -> impl Iterator<Item = (EndpointKey, &Known)> {
+    pub(crate) fn of_service(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = (EndpointKey, &Known)> {
         let keys = self.services.get(service).map_or(&[][..], Vec::as_slice);
         keys.iter().filter_map(|key| self.known.get(key).map(|it| (*key, it)))
     }
--- a/crates/daisychute-dispatch/src/fleet/part_cache.rs
+++ b/crates/daisychute-dispatch/src/fleet/part_cache.rs
@@ -44,7 +44,8 @@
     }
 
     fn drop_oldest(&mut self) -> bool {
-        let oldest = self.parts.iter().min_by_key(|(key, it)| (it.used, **key)).map(|(key, _)| *key);
+        let oldest =
+            self.parts.iter().min_by_key(|(key, it)| (it.used, **key)).map(|(key, _)| *key);
         let Some(kept) = oldest.and_then(|key| self.parts.remove(&key)) else { return false };
         self.tokens -= u64::from(kept.tokens);
         true
@@ -52,9 +53,8 @@
 
     /// Tokens at the start of the prompt that needn't be read again.
     pub(crate) fn hit(&self, prompt: &Prompt) -> u32 {
-        let known = |it: &&PromptPart| {
-            it.tokens < Self::SHORTEST || self.parts.contains_key(&it.key)
-        };
+        let known =
+            |it: &&PromptPart| it.tokens < Self::SHORTEST || self.parts.contains_key(&it.key);
         let hit: u32 = prompt.shared().iter().take_while(known).map(|it| it.tokens).sum();
         if hit < Self::SHORTEST { 0 } else { hit }
     }
--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -23,7 +23,13 @@
     EndpointName::try_from(text).expect("a name")
 }
 
-pub(crate) fn route(prefix: &str, kind: RequestKind, to: &str, objective_ms: u64, sends: u32) -> Route {
+pub(crate) fn route(
+    prefix: &str,
+    kind: RequestKind,
+    to: &str,
+    objective_ms: u64,
+    sends: u32,
+) -> Route {
     Route {
         name: Arc::from(prefix),
         host: Arc::from(HOST),
--- a/crates/daisychute-dispatch/tests/load_patterns.rs
+++ b/crates/daisychute-dispatch/tests/load_patterns.rs
@@ -108,7 +108,12 @@
     world.engines.get_mut(&slow).expect("known").slow = 8.0;
     arrivals(&mut world, PANEL, 120.0, 0, 8_000);
     world.run();
-    let total: usize = world.engines.iter().filter(|it| it.0.as_str().starts_with("feed")).map(|it| it.1.sends).sum();
+    let total: usize = world
+        .engines
+        .iter()
+        .filter(|it| it.0.as_str().starts_with("feed"))
+        .map(|it| it.1.sends)
+        .sum();
     let there = world.engines[&slow].sends;
     assert!(there * 8 < total, "{there} of {total} calls went to the slow worker");
 }
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -50,8 +50,25 @@
     fn arbitrary(g: &mut Gen) -> Self {
         use Turn::*;
         let turns = [
-            Arrive(0), Arrive(1), Arrive(2), Arrive(3), Arrive(0), Arrive(1), Unsent, NotRun, Misdirected,
-            NoAnswer, MidAnswer, ServerError, Prefilled, Prefilled, Answering, First, Finish, Finish, Leave,
+            Arrive(0),
+            Arrive(1),
+            Arrive(2),
+            Arrive(3),
+            Arrive(0),
+            Arrive(1),
+            Unsent,
+            NotRun,
+            Misdirected,
+            NoAnswer,
+            MidAnswer,
+            ServerError,
+            Prefilled,
+            Prefilled,
+            Answering,
+            First,
+            Finish,
+            Finish,
+            Leave,
             Expire,
         ];
         let turn = *g.choose(&turns).expect("there are turns");
@@ -120,10 +137,16 @@
                 let open = self.open.get_mut(&key.number()).expect("sends are for open requests");
                 assert!(open.sent.is_none(), "two sends at once");
                 let repeatable = open.path == 0 || open.path == 3;
-                assert!(repeatable || !open.may_have_run, "a request that may have run is sent again");
+                assert!(
+                    repeatable || !open.may_have_run,
+                    "a request that may have run is sent again"
+                );
                 let most = if repeatable { 2 } else { 1 };
                 assert!(open.counted < most, "more sends than the route allows");
-                assert!(!self.drained.contains(&order.name.to_string()), "sent to a leaving endpoint");
+                assert!(
+                    !self.drained.contains(&order.name.to_string()),
+                    "sent to a leaving endpoint"
+                );
                 if open.counted > 0 {
                     self.extras.push(self.now);
                 }
@@ -188,7 +211,7 @@
         let mut endpoint = fleet[usize::from(number) % fleet.len()].clone();
         let name = endpoint.name.clone();
         self.drained.push(name.to_string());
-        if number % 2 == 0 {
+        if number.is_multiple_of(2) {
             endpoint.draining = true;
             self.tell(Event::Listed(endpoint));
         } else {
--- a/crates/daisychute-dispatch/tests/world/mod.rs
+++ b/crates/daisychute-dispatch/tests/world/mod.rs
@@ -97,7 +97,8 @@
     /// A request reaches a front at this time.
     pub(crate) fn arrival(&mut self, at: Time, front: usize, path: &str, prompt: Option<Prompt>) {
         let number = self.requests.len();
-        let mut facts = RequestFacts::new(format!("id-{number}"), common::HOST, format!("{path}{number}"));
+        let mut facts =
+            RequestFacts::new(format!("id-{number}"), common::HOST, format!("{path}{number}"));
         facts.prompt = prompt;
         facts.patience = Some(Duration::from_secs(5));
         self.requests.push((at, front, facts));
@@ -200,8 +201,11 @@
         if self.share {
             for from in 0..self.fronts.len() {
                 let now = self.now;
-                let loads: Vec<_> =
-                    self.fronts[from].fleet().own_load(now).map(|(name, it)| (name.clone(), it)).collect();
+                let loads: Vec<_> = self.fronts[from]
+                    .fleet()
+                    .own_load(now)
+                    .map(|(name, it)| (name.clone(), it))
+                    .collect();
                 let parts = std::mem::take(&mut self.parts[from]);
                 for to in (0..self.fronts.len()).filter(|it| *it != from) {
                     let (loads, parts) = (loads.clone(), parts.clone());
@@ -218,7 +222,8 @@
     pub(crate) fn on_time(&self, path: &str, objective: Duration) -> f64 {
         let on_path = |number: &usize| self.requests[*number].2.path.starts_with(path);
         let fates: Vec<_> = self.fates.iter().filter(|(number, _)| on_path(number)).collect();
-        let good = fates.iter().filter(|(_, it)| matches!(it, Fate::First(took) if *took <= objective));
+        let good =
+            fates.iter().filter(|(_, it)| matches!(it, Fate::First(took) if *took <= objective));
         good.count() as f64 / fates.len().max(1) as f64
     }
 
--- a/crates/daisychute-explain/src/cause.rs
+++ b/crates/daisychute-explain/src/cause.rs
@@ -12,7 +12,9 @@
     match (end.field("outcome"), end.field("reason")) {
         ("answered", _) => format!("answered by {process} after {elapsed} ms"),
         ("left", _) => format!("its caller left after {elapsed} ms, before the answer was whole"),
-        ("relayed", _) => format!("{} answered a failure of its own, which {process} passed on", endpoint(about)),
+        ("relayed", _) => {
+            format!("{} answered a failure of its own, which {process} passed on", endpoint(about))
+        }
         ("refused", "overload") => format!(
             "refused at once by {process}: it would have waited {} ms for the requests before it; told to come back \
              after {} ms",
@@ -21,7 +23,10 @@
         ),
         ("refused", "no_configuration") => without_configuration(end, around),
         ("refused", "no_endpoint") => {
-            format!("refused by {process}: no endpoint of the service took work{}", directory(end, around))
+            format!(
+                "refused by {process}: no endpoint of the service took work{}",
+                directory(end, around)
+            )
         }
         ("refused", reason) => format!(
             "refused by {process}, not run: {reason} ({}){}",
@@ -32,7 +37,11 @@
             "{} broke off ({}); {}",
             endpoint(about),
             end.field("trail").trim_end(),
-            if outcome == "cut" { "part of the answer had been passed on" } else { "nothing had been passed on" },
+            if outcome == "cut" {
+                "part of the answer had been passed on"
+            } else {
+                "nothing had been passed on"
+            },
         ),
         (_, "deadline") => format!(
             "the time was up after {elapsed} ms while {} had it ({})",
--- a/crates/daisychute-explain/tests/explain.rs
+++ b/crates/daisychute-explain/tests/explain.rs
@@ -14,7 +14,12 @@
 }
 
 fn ended(outcome: &str, reason: &str) -> LogLine {
-    let fields = [("request", "r"), ("outcome", outcome), ("reason", reason), ("trail", "run at i-1 after 3 ms; ")];
+    let fields = [
+        ("request", "r"),
+        ("outcome", outcome),
+        ("reason", reason),
+        ("trail", "run at i-1 after 3 ms; "),
+    ];
     line(9, "front-1", "request ended", &fields)
 }
 
@@ -49,8 +54,10 @@
 
 #[test]
 fn both_formats_are_read() {
-    let json = r#"  3.1 front-1 {"time":"t","process":"p","message":"sent","request":"r","sends":0}"#;
-    let pairs = r#"time=t level=INFO process=p message="request ended" request="r" trail="a \"b\"; ""#;
+    let json =
+        r#"  3.1 front-1 {"time":"t","process":"p","message":"sent","request":"r","sends":0}"#;
+    let pairs =
+        r#"time=t level=INFO process=p message="request ended" request="r" trail="a \"b\"; ""#;
     let json = LogLine::parse(json).expect("a line");
     assert_eq!((json.field("request"), json.field("sends")), ("r", "0"));
     let pairs = LogLine::parse(pairs).expect("a line");
--- a/crates/daisychute-front/src/caller/answerer.rs
+++ b/crates/daisychute-front/src/caller/answerer.rs
@@ -95,7 +95,11 @@
     }
 
     /// Passes a whole answer on.
-    pub(crate) async fn whole(&mut self, head: &ResponseHead, body: &[u8]) -> Result<(), CallerGone> {
+    pub(crate) async fn whole(
+        &mut self,
+        head: &ResponseHead,
+        body: &[u8],
+    ) -> Result<(), CallerGone> {
         let answer = copy(head);
         self.head(answer, BodySize::Sized(body.len() as u64))?;
         if !body.is_empty() {
@@ -148,7 +152,11 @@
     }
 
     /// Passes a part of a body on, after the head where that wasn't passed yet.
-    pub(crate) async fn chunk(&mut self, head: &ResponseHead, bytes: &[u8]) -> Result<(), CallerGone> {
+    pub(crate) async fn chunk(
+        &mut self,
+        head: &ResponseHead,
+        bytes: &[u8],
+    ) -> Result<(), CallerGone> {
         if !self.head_passed {
             self.head(copy(head), BodySize::Stream)?;
         }
@@ -188,7 +196,7 @@
 fn copy(head: &ResponseHead) -> Response<()> {
     let mut answer = Response::with_body(head.status, ());
     let headers = answer.headers_mut();
-    for (name, value) in head.headers.iter() {
+    for (name, value) in &head.headers {
         if !HOP_BY_HOP.contains(name) {
             headers.append(name.clone(), value.clone());
         }
--- a/crates/daisychute-front/src/caller/connection.rs
+++ b/crates/daisychute-front/src/caller/connection.rs
@@ -77,7 +77,8 @@
         limits: &ClientLimits,
     ) -> Result<actix_http::Message<actix_http::RequestHead>, ReadError> {
         let until = Instant::now() + limits.head_timeout;
-        let too_large = ReadError::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large");
+        let too_large =
+            ReadError::Refused(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large");
         loop {
             let before = self.buf.len();
             match self.codec.decode(&mut self.buf) {
--- a/crates/daisychute-front/src/caller/exchange.rs
+++ b/crates/daisychute-front/src/caller/exchange.rs
@@ -169,7 +169,8 @@
 
     fn note_send(&mut self, order: &SendOrder) {
         let SendOrder { name, task, sends, predicted, wait, unread, fetch_from, among, .. } = order;
-        let (task, predicted_ms, wait_ms) = (task.as_str(), predicted.as_millis(), wait.as_millis());
+        let (task, predicted_ms, wait_ms) =
+            (task.as_str(), predicted.as_millis(), wait.as_millis());
         // Writing to a string can't fail.
         let _ = write!(self.trail, "{task} at {name} after {} ms; ", self.elapsed_ms());
         let request = &self.incoming.facts.id;
--- a/crates/daisychute-front/src/caller/server.rs
+++ b/crates/daisychute-front/src/caller/server.rs
@@ -7,9 +7,9 @@
 use tokio::time::sleep;
 
 use crate::Dialect;
+use crate::caller::answerer::Answerer;
 use crate::caller::connection::{CallerConnection, ReadError};
 use crate::caller::exchange::{After, serve};
-use crate::caller::answerer::Answerer;
 use crate::endpoint::connection::watch_silence;
 use crate::shared::Shared;
 
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -8,9 +8,9 @@
 use daisychute_dispatch::Removal;
 use tokio::time::sleep;
 
+use crate::Dialect;
 use crate::directory::{Change, Collection, Directory, DirectoryError, Listing, Record};
 use crate::shared::Shared;
-use crate::Dialect;
 
 /// How long one watch waits at the directory, for each front: fronts tell each other of changes, so that together they
 /// notice within about this time that watches bring nothing any more.
@@ -19,6 +19,8 @@
 const SHORTEST_WATCH: Duration = Duration::from_millis(1_500);
 /// The longest wait of a watch.
 const LONGEST_WATCH: Duration = Duration::from_secs(12);
+/// The wait of the first watch after a failure.
+const PROBE: Duration = Duration::from_millis(1);
 /// The pause between two looks at the other fronts, for each of them: they change rarely, and a new one is heard soon.
 const LOOK_EACH: Duration = Duration::from_millis(700);
 /// The shortest pause between two looks at the other fronts.
@@ -79,11 +81,20 @@
         u32::try_from(self.shared.peers.count(self.shared.now())).unwrap_or(u32::MAX)
     }
 
+    /// How long the next watch waits. After a failure it must tell at once whether the directory is back: the time in
+    /// which vanished records may come back begins then.
+    fn wait(&self) -> Duration {
+        if self.failures > 0 {
+            return PROBE;
+        }
+        let wait = (WATCH_EACH * self.fronts()).clamp(SHORTEST_WATCH, LONGEST_WATCH);
+        self.shared.jitter(wait)
+    }
+
     /// Watches from `revision` on until a new listing is needed.
     async fn follow(&mut self, mut revision: u64) {
         loop {
-            let wait = (WATCH_EACH * self.fronts()).clamp(SHORTEST_WATCH, LONGEST_WATCH);
-            let wait = self.shared.jitter(wait);
+            let wait = self.wait();
             let listing = tokio::select! {
                 listing = self.store.watch(self.collection, revision, wait) => listing,
                 () = self.shared.revisions.lagging(self.collection) => {
@@ -132,7 +143,8 @@
         if self.failures == 1 {
             log::warn!(collection, error:%; "directory lost; what is known stays in force");
         }
-        metrics::counter!("daisychute_directory_failures_total", "collection" => collection).increment(1);
+        metrics::counter!("daisychute_directory_failures_total", "collection" => collection)
+            .increment(1);
         let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(5) - 1);
         sleep(self.shared.jitter(pause.min(LONGEST_PAUSE))).await;
     }
@@ -172,7 +184,9 @@
                 self.shared.configured(table);
             }
             Record::Endpoint(endpoint) => self.shared.listed(endpoint),
-            Record::Front(address) => self.shared.peers.listed(self.shared.now(), name, Some(address)),
+            Record::Front(address) => {
+                self.shared.peers.listed(self.shared.now(), name, Some(address))
+            }
         }
     }
 
@@ -204,4 +218,3 @@
         }
     }
 }
-
--- a/crates/daisychute-front/src/endpoint/release.rs
+++ b/crates/daisychute-front/src/endpoint/release.rs
@@ -48,4 +48,3 @@
     let read = connection.stream.read_buf(&mut connection.buf).await?;
     if read == 0 { Err(std::io::ErrorKind::UnexpectedEof.into()) } else { Ok(()) }
 }
-
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -8,15 +8,15 @@
 use actix_http::StatusCode;
 use daisychute_dispatch::{DispatchSettings, Event};
 use tokio::net::{TcpListener, UdpSocket};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 use tokio::time::{MissedTickBehavior, interval, sleep};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::caller::server;
 use crate::directory::watcher::Watcher;
 use crate::peers::{snapshots, talk};
+use crate::plain_server;
 use crate::readiness;
 use crate::shared::Shared;
-use crate::plain_server;
 use crate::{Collection, Dialect, Directory};
 
 /// Why a front can't run.
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -25,7 +25,11 @@
     incarnation: Incarnation,
     outlet: Outlet,
 ) -> Result<(), DaemonError> {
-    actix_rt::spawn(reload(path, settings.clone(), signal(SignalKind::hangup()).map_err(DaemonError::Signals)?));
+    actix_rt::spawn(reload(
+        path,
+        settings.clone(),
+        signal(SignalKind::hangup()).map_err(DaemonError::Signals)?,
+    ));
     let metrics = metrics::install()?;
     actix_rt::spawn(upkeep(metrics.clone(), outlet));
     log::info!(name:% = settings.name, data_centre:% = settings.data_centre, callers:% = settings.callers; "front started");
