refactor!: remove jobs, the key ledger and their frames, which no daemon embeds

On the users' platform each attempt of a client has its own id and workers check who is meant, so nothing of them is owed. No promise that a daemon speaks is lost.

--- a/crates/daisychute-cli/src/args.rs
+++ b/crates/daisychute-cli/src/args.rs
@@ -39,7 +39,7 @@
     /// Name of the region, for status, plan, drain and undrain
     #[arg(long, global = true, value_name = "NAME", env = "DAISYCHUTE_REGION", value_parser = region)]
     pub(crate) region: Option<RegionName>,
-    /// Admin address of an entry, for status and jobs; may be given several times
+    /// Admin address of an entry, for status; may be given several times
     #[arg(
         long = "entry",
         global = true,
@@ -109,11 +109,6 @@
     },
     /// Show the plan of the region
     Plan,
-    /// List the jobs, or show one of them
-    Jobs {
-        /// The job
-        id: Option<String>,
-    },
     /// Tell from the logs of several processes what became of a request, and why
     Explain {
         /// The id of the request, as its caller gave it
--- a/crates/daisychute-cli/src/commands/mod.rs
+++ b/crates/daisychute-cli/src/commands/mod.rs
@@ -5,7 +5,6 @@
 mod explain;
 mod get;
 mod history;
-mod jobs;
 mod plan;
 mod status;
 
@@ -32,8 +31,6 @@
         Command::Drain { endpoint } => drain::drain(&cx, endpoint, true).await,
         Command::Undrain { endpoint } => drain::drain(&cx, endpoint, false).await,
         Command::Plan => plan::plan(&cx).await,
-        Command::Jobs { id: None } => jobs::list(&cx).await,
-        Command::Jobs { id: Some(id) } => jobs::show(&cx, &id).await,
         Command::Explain { request, logs } => explain::explain(&cx, &request, &logs),
         Command::Completions { shell } => completions(shell),
     }
--- a/crates/daisychute-cli/src/commands/status/text.rs
+++ b/crates/daisychute-cli/src/commands/status/text.rs
@@ -1,11 +1,11 @@
 //! The text form of an overview.
 
 use std::fmt::Write;
+use std::time::Duration;
 
 use daisychute_core::{EndpointKind, EndpointState, ProcessRole, ProcessState};
 
 use super::overview::{EndpointRow, Overview, ProcessRow, Source};
-use crate::commands::jobs::whole_seconds;
 use crate::commands::plan;
 use crate::output::Answer;
 use crate::table::{lines, or_dash, table};
@@ -150,3 +150,8 @@
         EndpointState::Live => "live",
     }
 }
+
+/// A span as it is shown, in whole seconds.
+fn whole_seconds(span: Duration) -> String {
+    humantime::format_duration(Duration::from_secs(span.as_secs())).to_string()
+}
--- a/crates/daisychute-cli/src/context.rs
+++ b/crates/daisychute-cli/src/context.rs
@@ -64,11 +64,6 @@
         &self.shared.entries
     }
 
-    /// The first of the entries.
-    pub(crate) fn entry(&self) -> Result<SocketAddr, CliError> {
-        self.shared.entries.first().copied().ok_or(missing("entry", "DAISYCHUTE_ENTRIES"))
-    }
-
     pub(crate) const fn output(&self) -> Output {
         self.shared.output
     }
--- a/crates/daisychute-cli/src/error.rs
+++ b/crates/daisychute-cli/src/error.rs
@@ -140,13 +140,6 @@
     #[error("the call to the platform failed")]
     #[diagnostic(help("what is in force stays in force; nothing was changed by this command"))]
     Platform(#[source] CallError),
-    /// The entry knows no such job.
-    #[error("the entry knows no job {id}")]
-    #[diagnostic(help("`daisychute jobs` lists the jobs that it knows"))]
-    NoJob {
-        /// The job.
-        id: String,
-    },
     /// An entry failed or refused a call.
     #[error("{entry} gave no usable answer")]
     #[diagnostic(help("give the admin address of a running entry"))]
--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -20,7 +20,6 @@
 mod endpoint;
 mod error;
 mod incarnation;
-mod job;
 mod load;
 mod model;
 mod name;
@@ -39,7 +38,6 @@
 pub use crate::endpoint::{EndpointKind, EndpointRecord, EndpointState, EngineTarget, Role};
 pub use crate::error::NameError;
 pub use crate::incarnation::Incarnation;
-pub use crate::job::{JobState, JobStatus};
 pub use crate::load::LoadReport;
 pub use crate::model::Model;
 pub use crate::name::{
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -63,6 +63,12 @@
         self.requests.len()
     }
 
+    /// Extra sends in the present window, over all services.
+    #[must_use]
+    pub fn retries_used(&self) -> u32 {
+        self.budgets.values().map(RetryBudget::used).sum()
+    }
+
     /// The route of an open request.
     #[must_use]
     pub fn route(&self, key: RequestKey) -> Option<&Arc<crate::Route>> {
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -130,15 +130,16 @@
 
     pub(crate) fn finished(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
         if let Some(attempt) = self.requests.get(&key)
-            && let Some(sent) = &attempt.current {
-                let held = now.since(sent.at);
-                if let Some(known) = self.fleet.known_mut(sent.endpoint) {
-                    known.health.succeeded();
-                }
-                if let Some(model) = self.models.get_mut(&attempt.service) {
-                    model.held(held);
-                }
+            && let Some(sent) = &attempt.current
+        {
+            let held = now.since(sent.at);
+            if let Some(known) = self.fleet.known_mut(sent.endpoint) {
+                known.health.succeeded();
             }
+            if let Some(model) = self.models.get_mut(&attempt.service) {
+                model.held(held);
+            }
+        }
         self.end(now, key, actions);
     }
 
--- a/crates/daisychute-front/src/endpoint/pool.rs
+++ b/crates/daisychute-front/src/endpoint/pool.rs
@@ -97,6 +97,13 @@
         entries.get(&key).map_or(0, |it| it.open.get() + it.idle.len())
     }
 
+    /// Connections that are kept, and those in use.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let entries = self.entries.borrow();
+        let count = |(idle, busy), it: &Entry| (idle + it.idle.len(), busy + it.open.get());
+        entries.values().fold((0, 0), count)
+    }
+
     /// Closes the idle connections of an endpoint.
     pub(crate) fn drop_idle(&self, key: EndpointKey) {
         if let Some(entry) = self.entries.borrow_mut().get_mut(&key) {
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -172,5 +172,21 @@
         ticks.tick().await;
         shared.pool.sweep();
         shared.handle(Event::Tick);
+        tell(&shared);
     }
 }
+
+/// Sets the gauges of the front.
+fn tell<D: Dialect>(shared: &Shared<D>) {
+    let now = shared.now();
+    let (requests, endpoints, retries) =
+        shared.view(|it| (it.open_requests(), it.fleet().len(), it.retries_used()));
+    let (idle, busy) = shared.pool.counts();
+    metrics::gauge!("daisychute_open_requests").set(requests as f64);
+    metrics::gauge!("daisychute_endpoints").set(endpoints as f64);
+    metrics::gauge!("daisychute_fronts").set(shared.peers.count(now) as f64);
+    metrics::gauge!("daisychute_retries_in_window").set(f64::from(retries));
+    metrics::gauge!("daisychute_endpoint_connections", "state" => "idle").set(idle as f64);
+    metrics::gauge!("daisychute_endpoint_connections", "state" => "busy").set(busy as f64);
+    metrics::gauge!("daisychute_directory_age_seconds").set(shared.directory_age().as_secs_f64());
+}
--- a/crates/daisychute-front/src/shared.rs
+++ b/crates/daisychute-front/src/shared.rs
@@ -28,6 +28,8 @@
     pub(crate) pool: Pool,
     pub(crate) peers: Peers,
     pub(crate) revisions: Revisions,
+    /// When the directory last answered a call for configurations.
+    pub(crate) directory_heard: Cell<Time>,
     /// The directory hasn't answered the last call for configurations.
     pub(crate) directory_lost: Cell<bool>,
     pub(crate) stop: Stop,
@@ -52,6 +54,7 @@
             pool: Pool::default(),
             peers: Peers::new(inner),
             revisions: Revisions::default(),
+            directory_heard: Cell::new(Time::ZERO),
             directory_lost: Cell::new(true),
             stop: Stop::default(),
             http: ServiceConfig::default(),
@@ -125,6 +128,11 @@
         self.handle(Event::Unlisted { name, removal });
     }
 
+    /// How long ago the directory last answered a call for configurations.
+    pub(crate) fn directory_age(&self) -> Duration {
+        self.now().since(self.directory_heard.get())
+    }
+
     /// Whether a peer must tell what the directory doesn't: nothing is known yet, or calls fail.
     pub(crate) fn needs_snapshot(&self) -> bool {
         self.directory_lost.get()
--- a/crates/daisychute-platform/src/object.rs
+++ b/crates/daisychute-platform/src/object.rs
@@ -31,8 +31,6 @@
     Leases,
     /// Claims of non-repeatable calls.
     Claims,
-    /// Accepted work that may wait.
-    Jobs,
     /// Owners of idempotency keys.
     Owners,
     /// The platform's list of endpoints.
@@ -52,7 +50,6 @@
             Self::Plans => "plans",
             Self::Leases => "leases",
             Self::Claims => "claims",
-            Self::Jobs => "jobs",
             Self::Owners => "owners",
             Self::Instances => "instances",
             Self::Statuses => "statuses",
--- a/crates/daisychute-proto/src/frame.rs
+++ b/crates/daisychute-proto/src/frame.rs
@@ -5,9 +5,8 @@
 use serde::de::DeserializeOwned;
 
 use crate::{
-    Cancel, Chunk, Credit, DecodeError, Document, EncodeError, End, Goodbye, HandOver,
-    HandOverTaken, Head, Heartbeat, Hello, LeaseAnswer, LeaseQuestion, Probe, ProbeAnswer, Pull,
-    Refused, Resume, Start,
+    Cancel, Chunk, Credit, DecodeError, Document, EncodeError, End, Goodbye, Head, Heartbeat,
+    Hello, Probe, ProbeAnswer, Pull, Refused, Resume, Start,
 };
 
 /// The largest frame, in bytes: a platform object of 1 MiB and its envelope.
@@ -86,10 +85,6 @@
     21 ProbeAnswer "Agent to entry: answer to a probe.",
     30 Pull "Send me this document if yours is newer.",
     31 Document "A document that lives on the platform.",
-    40 LeaseQuestion "Agent to entry: has the lease of this owner been revoked by you.",
-    41 LeaseAnswer "Entry to agent: answer to a question.",
-    42 HandOver "Agent to agent: a part of what is known of the keys of one slot.",
-    43 HandOverTaken "Agent to agent: this part has been taken over.",
 }
 
 fn read<M: DeserializeOwned>(kind: u8, body: &[u8]) -> Result<M, DecodeError> {
