--- a/crates/daisychute-front/src/caller/exchange.rs
+++ b/crates/daisychute-front/src/caller/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
-use daisychute_dispatch::{Action, Break, Event, Reason, RequestKey, SendOrder};
+use daisychute_dispatch::{Action, Break, Event, Reason, RequestFacts, RequestKey, SendOrder};
 use tokio::time::sleep_until;
 
 use crate::Dialect;
@@ -42,7 +42,9 @@
     }
     let arrived = Event::arrived(key, incoming.facts.clone());
     let first = shared.handle(arrived);
-    let kind = shared.view(|it| it.route(key).map_or("unrouted", |route| route.kind.as_str()));
+    let RequestFacts { host, path, .. } = &incoming.facts;
+    let kind = shared.view(|it| it.table()?.find(host, path).map(|route| route.kind.as_str()));
+    let kind = kind.unwrap_or("unrouted");
     let config = shared.view(|it| it.table().map_or(0, |table| table.version()));
     let (failure, trail, wait) = (None, String::new(), Duration::ZERO);
     let mut exchange =
