--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -1,6 +1,7 @@
 //! The main job on embedded stand-ins, as separate processes on loopback.
 
 use awc::http::Method;
+use daisychute_platform_standin::{Act, Fleet, Paths, StandinError};
 use daisychute_standin::harness::{Client, Program};
 use daisychute_testbed::{Deployment, Plan};
 use serde_json::{Value, json};
@@ -14,9 +15,47 @@
 
 pub(crate) fn run() -> Result<(), XtaskError> {
     cargo(&["build", "--workspace", "--bins", "--locked"])?;
+    actix_rt::System::new().block_on(fronts())?;
     actix_rt::System::new().block_on(demo())
 }
 
+/// Two fronts before stand-ins of the users' platform: a stream whose prompt is read elsewhere, a call that runs once,
+/// and a refusal.
+async fn fronts() -> Result<(), XtaskError> {
+    let mut fleet = Fleet::start(2).await?;
+    println!("a store, 5 workers and 2 fronts are up\n");
+    let (id, answer) = fleet.call(0, "POST", Paths::DIGEST).await?;
+    println!("stream {id}: {} with {} events", answer.status, answer.body.matches("id:").count());
+    let prefills: u32 = fleet.workers.iter().map(|it| it.seen().prefills).sum();
+    if !(answer.status == 200 && answer.whole && prefills == 1) {
+        return Err(XtaskError::Demo("the stream is not whole, or its prompt was not read elsewhere"));
+    }
+    let (id, answer) = fleet.call(1, "POST", Paths::COUNT).await?;
+    println!("count {id}: {} ({} run)", answer.status, fleet.runs(&id));
+    if !(answer.status == 200 && fleet.runs(&id) == 1) {
+        return Err(XtaskError::Demo("the count did not run once"));
+    }
+    for worker in &fleet.workers {
+        worker.script.always(Some(Act::Full));
+    }
+    let (id, answer) = fleet.call(0, "POST", Paths::COUNT).await?;
+    let retry_after = answer.header("retry-after").unwrap_or_default();
+    println!("count {id} with full workers: {}, Retry-After {retry_after}", answer.status);
+    if !(answer.status == 503 && fleet.runs(&id) == 0) {
+        return Err(XtaskError::Demo("a full worker was not told truly"));
+    }
+    for front in &mut fleet.fronts {
+        front.process.terminate().map_err(StandinError::from)?;
+    }
+    for front in &mut fleet.fronts {
+        if !front.wait_end().await? {
+            return Err(XtaskError::Demo("a front did not stop well"));
+        }
+    }
+    println!("both fronts have stopped gracefully\n");
+    Ok(())
+}
+
 async fn demo() -> Result<(), XtaskError> {
     let plan = Plan::rabat_sale().engines(2).services(2).entries(2);
     let mut deployment = Deployment::start(plan).await?;
--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -58,6 +58,18 @@
         #[source]
         source: io::Error,
     },
+    /// A file can't be written.
+    #[error("can't write {}", path.display())]
+    Write {
+        /// The file.
+        path: PathBuf,
+        /// What the system said.
+        #[source]
+        source: io::Error,
+    },
+    /// A stand-in of the users' platform failed.
+    #[error("a stand-in of the platform failed")]
+    Platform(#[from] daisychute_platform_standin::StandinError),
     /// A frame can't be encoded.
     #[error(transparent)]
     Encode(#[from] EncodeError),
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod demo;
 mod error;
 mod measure;
+mod results;
 mod test;
 
 use std::error::Error as _;
@@ -25,6 +26,8 @@
     Demo,
     /// Builds every program, then runs every test.
     Test,
+    /// Writes the page of results from the journal of the users' bench.
+    Results,
     /// Measures and prints one line for each figure.
     #[command(subcommand)]
     Measure(measure::Measure),
@@ -44,6 +47,7 @@
     match chore {
         Chore::Demo => demo::run(),
         Chore::Test => test::run(),
+        Chore::Results => results::run(),
         Chore::Measure(it) => it.run(),
     }
 }
