--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -33,7 +33,6 @@
                 self.told.set(Some((known.max(revision), since)));
                 if now.since(since) >= PATIENCE {
                     self.checked.set(known.max(revision));
-                    self.told.set(None);
                     self.lagging.notify_one();
                 }
             }
@@ -78,6 +77,18 @@
         self.endpoints.told(now, endpoints);
     }
 
+    /// Whether a peer has told of later changes.
+    pub(crate) fn is_behind(&self) -> bool {
+        let behind = |it: &Progress| it.told.get().is_some_and(|told| told.0 > it.own.get());
+        behind(&self.configuration) || behind(&self.endpoints)
+    }
+
+    /// Takes note that a peer's snapshot brought all changes up to these revisions.
+    pub(crate) fn caught_up(&self, (configuration, endpoints): (u64, u64)) {
+        self.seen(Collection::Configuration, configuration);
+        self.seen(Collection::Endpoints, endpoints);
+    }
+
     /// Waits until a peer has been ahead for a while.
     pub(crate) async fn lagging(&self, collection: Collection) {
         self.of(collection).lagging.notified().await;
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -124,7 +124,8 @@
 
     fn answered(&mut self) {
         let collection = self.collection.as_str();
-        metrics::counter!("daisychute_directory_answers_total", "collection" => collection).increment(1);
+        metrics::counter!("daisychute_directory_answers_total", "collection" => collection)
+            .increment(1);
         if self.collection == Collection::Configuration {
             self.shared.directory_lost.set(false);
             self.shared.directory_heard.set(self.shared.now());
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -15,6 +15,10 @@
     services: Vec<ServiceSpec>,
     limits: ClientLimits,
     pub(crate) endpoints: Vec<Endpoint>,
+    /// The latest changes of configuration and endpoints that it holds, as revisions of the directory.
+    pub(crate) revisions: (u64, u64),
+    /// The directory answers the sender.
+    pub(crate) fresh: bool,
 }
 
 impl Snapshot {
@@ -27,6 +31,7 @@
             services: table.services().cloned().collect(),
             limits: *table.limits(),
             endpoints: dispatcher.fleet().endpoints().cloned().collect(),
+            ..Self::default()
         })
     }
 
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -62,7 +62,9 @@
 async fn send<D: Dialect>(shared: &Shared<D>, stream: TcpStream) -> Result<(), FetchError> {
     let socket = accept_async_with_config(stream, Some(config())).await;
     let mut socket = socket.map_err(Box::new)?;
-    let Some(snapshot) = shared.view(Snapshot::of) else { return Err(FetchError::Empty) };
+    let Some(mut snapshot) = shared.view(Snapshot::of) else { return Err(FetchError::Empty) };
+    snapshot.revisions = shared.revisions.own();
+    snapshot.fresh = !shared.directory_lost.get();
     let mut bytes = Vec::new();
     let written = ciborium::into_writer(&snapshot, &mut bytes);
     written.map_err(|e| FetchError::Unreadable(e.to_string()))?;
@@ -118,7 +120,8 @@
             let version = table.version();
             log::info!(peer:%, version, endpoints = snapshot.endpoints.len(); "snapshot taken from peer");
             shared.configured(table);
-            shared.learn_endpoints(&snapshot.endpoints);
+            shared.learn_endpoints(&snapshot.endpoints, snapshot.fresh);
+            shared.revisions.caught_up(snapshot.revisions);
         }
         Err(error) => log::warn!(peer:%, error:%; "faulty snapshot from peer"),
     }
--- a/crates/daisychute-front/src/shared.rs
+++ b/crates/daisychute-front/src/shared.rs
@@ -1,6 +1,7 @@
 //! What all tasks of a front share.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -133,14 +134,24 @@
         self.now().since(self.directory_heard.get())
     }
 
-    /// Whether a peer must tell what the directory doesn't: nothing is known yet, or calls fail.
+    /// Whether a peer must tell what the directory doesn't: its calls fail, and nothing is known yet or a peer has
+    /// seen later changes.
     pub(crate) fn needs_snapshot(&self) -> bool {
-        self.directory_lost.get()
+        let unknown = self.view(|it| it.table().is_none());
+        self.directory_lost.get() && (unknown || self.revisions.is_behind())
     }
 
-    /// Takes in endpoints that a peer knows. One that is known here changes only from ready to leaving: the
-    /// directory knows better what is back.
-    pub(crate) fn learn_endpoints(self: &Rc<Self>, endpoints: &[Endpoint]) {
+    /// Takes in endpoints that a peer knows. One that is known here changes only from ready to leaving, unless the
+    /// peer's list is `fresh`: then what it lacks is gone.
+    pub(crate) fn learn_endpoints(self: &Rc<Self>, endpoints: &[Endpoint], fresh: bool) {
+        if fresh {
+            let listed: BTreeSet<_> = endpoints.iter().map(|it| &it.name).collect();
+            let gone = |it: &&EndpointName| !listed.contains(it);
+            let gone: Vec<_> = self.view(|it| it.fleet().names().filter(gone).cloned().collect());
+            for name in gone {
+                self.unlisted(name, Removal::Left);
+            }
+        }
         for endpoint in endpoints {
             let known = self.view(|it| {
                 let key = it.fleet().key(&endpoint.name);
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -28,7 +28,9 @@
     println!("stream {id}: {} with {} events", answer.status, answer.body.matches("id:").count());
     let prefills: u32 = fleet.workers.iter().map(|it| it.seen().prefills).sum();
     if !(answer.status == 200 && answer.whole && prefills == 1) {
-        return Err(XtaskError::Demo("the stream is not whole, or its prompt was not read elsewhere"));
+        return Err(XtaskError::Demo(
+            "the stream is not whole, or its prompt was not read elsewhere",
+        ));
     }
     let (id, answer) = fleet.call(1, "POST", Paths::COUNT).await?;
     println!("count {id}: {} ({} run)", answer.status, fleet.runs(&id));
--- a/xtask/src/results.rs
+++ b/xtask/src/results.rs
@@ -115,7 +115,10 @@
         last.id,
         commit(last),
     )?;
-    writeln!(page, "| day | worth first | worth latest | one | served | refused | failed | lowest part | highest price |")?;
+    writeln!(
+        page,
+        "| day | worth first | worth latest | one | served | refused | failed | lowest part | highest price |"
+    )?;
     writeln!(page, "| --- | --- | --- | --- | --- | --- | --- | --- | --- |")?;
     for day in standard_days(last) {
         let before = standard_days(first).find(|it| it.name == day.name).and_then(|it| it.worth);
@@ -144,14 +147,24 @@
 }
 
 fn hunts(page: &mut String, entries: &[Entry]) -> std::fmt::Result {
-    writeln!(page, "\n## Hunts and sweeps\n\n| run | site | commit | result | why |\n| --- | --- | --- | --- | --- |")?;
+    writeln!(
+        page,
+        "\n## Hunts and sweeps\n\n| run | site | commit | result | why |\n| --- | --- | --- | --- | --- |"
+    )?;
     for entry in entries.iter().filter(|it| it.cmd == "hunt" || it.cmd == "sweep") {
         let site = entry.site.as_deref().unwrap_or_default();
         let result = entry.digest.lines().next().unwrap_or_default();
         let broken = entry.digest.lines().filter(|it| it.contains("BROKEN"));
         let broken: Vec<_> = broken.map(|it| it.split("  ").next().unwrap_or_default()).collect();
-        let broken = if broken.is_empty() { String::new() } else { format!(" ({})", broken.join(", ")) };
-        writeln!(page, "| {} | {site} | {} | {result}{broken} | {} |", entry.id, commit(entry), entry.why)?;
+        let broken =
+            if broken.is_empty() { String::new() } else { format!(" ({})", broken.join(", ")) };
+        writeln!(
+            page,
+            "| {} | {site} | {} | {result}{broken} | {} |",
+            entry.id,
+            commit(entry),
+            entry.why
+        )?;
     }
     Ok(())
 }
