--- a/crates/daisychute-agent/src/orders/mod.rs
+++ b/crates/daisychute-agent/src/orders/mod.rs
@@ -33,7 +33,7 @@
 mod shell;
 
 use daisychute_core::{Desired, EndpointKind, EngineTarget, Revision, Time};
-use daisychute_platform::Backoff;
+use daisychute_store::Backoff;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
--- a/crates/daisychute-cli/src/commands/apply.rs
+++ b/crates/daisychute-cli/src/commands/apply.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 
 use daisychute_core::{Configuration, DeploymentName, Revision};
-use daisychute_platform::{ConfigurationDocument, Object, ObjectClient, ObjectKind, WriteStamp};
 use daisychute_settings::{Ability, ConfigurationDiff, ConfigurationFile, unmeetable_targets};
+use daisychute_store::{ConfigurationDocument, Object, ObjectClient, ObjectKind, WriteStamp};
 use miette::Diagnostic;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
--- a/crates/daisychute-cli/src/commands/drain.rs
+++ b/crates/daisychute-cli/src/commands/drain.rs
@@ -1,7 +1,7 @@
 //! `drain` and `undrain`: what operators ask of an endpoint.
 
 use daisychute_core::{Drains, EndpointName, RegionName};
-use daisychute_platform::{Object, ObjectClient, ObjectKind};
+use daisychute_store::{Object, ObjectClient, ObjectKind};
 use serde::{Deserialize, Serialize};
 
 use crate::commit::{Committed, commit};
--- a/crates/daisychute-cli/src/commands/get.rs
+++ b/crates/daisychute-cli/src/commands/get.rs
@@ -3,8 +3,8 @@
 use std::path::Path;
 
 use daisychute_core::{Configuration, Revision};
-use daisychute_platform::ObjectKind;
 use daisychute_settings::{ConfigurationDiff, ConfigurationFile};
+use daisychute_store::ObjectKind;
 use serde::Serialize;
 
 use crate::context::{Context, read};
--- a/crates/daisychute-cli/src/commands/plan.rs
+++ b/crates/daisychute-cli/src/commands/plan.rs
@@ -1,7 +1,7 @@
 //! `plan`: what every endpoint of a region should be.
 
 use daisychute_core::{EngineTarget, Plan, RegionName};
-use daisychute_platform::ObjectKind;
+use daisychute_store::ObjectKind;
 use serde::Serialize;
 
 use crate::context::{Context, parse, read};
--- a/crates/daisychute-cli/src/commands/status/gather.rs
+++ b/crates/daisychute-cli/src/commands/status/gather.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use daisychute_core::{Plan, ProcessStatus, RegionName, Revision};
-use daisychute_platform::{CallError, ConfigurationDocument, Object, ObjectClient, ObjectKind};
+use daisychute_store::{CallError, ConfigurationDocument, Object, ObjectClient, ObjectKind};
 use serde::de::DeserializeOwned;
 
 use super::overview::{Found, Overview, Source};
--- a/crates/daisychute-cli/src/commit.rs
+++ b/crates/daisychute-cli/src/commit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_rt::time::sleep;
-use daisychute_platform::{CallError, Object, ObjectClient, PendingWrite, Settled, WriteStamp};
+use daisychute_store::{CallError, Object, ObjectClient, PendingWrite, Settled, WriteStamp};
 
 use crate::error::CliError;
 
--- a/crates/daisychute-cli/src/context.rs
+++ b/crates/daisychute-cli/src/context.rs
@@ -5,9 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use daisychute_core::{DeploymentName, RegionName};
-use daisychute_platform::{
-    CallError, ClientSettings, Object, ObjectClient, ObjectKind, WriteStamp,
-};
+use daisychute_store::{CallError, ClientSettings, Object, ObjectClient, ObjectKind, WriteStamp};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
--- a/crates/daisychute-cli/src/error.rs
+++ b/crates/daisychute-cli/src/error.rs
@@ -4,8 +4,8 @@
 use std::process::ExitCode;
 
 use daisychute_core::{DeploymentName, EndpointName, RegionName, Revision};
-use daisychute_platform::CallError;
 use daisychute_settings::{SettingsError, UnmeetableTarget};
+use daisychute_store::CallError;
 use miette::Diagnostic;
 use thiserror::Error;
 
--- a/crates/daisychute-cli/src/history.rs
+++ b/crates/daisychute-cli/src/history.rs
@@ -5,7 +5,7 @@
 //! the accepted configuration itself and is left out of the list.
 
 use daisychute_core::{Configuration, DeploymentName, Revision};
-use daisychute_platform::{ConfigurationDocument, Object, ObjectClient, ObjectKind, WriteStamp};
+use daisychute_store::{ConfigurationDocument, Object, ObjectClient, ObjectKind, WriteStamp};
 use serde::{Deserialize, Serialize};
 
 use crate::commit::{Committed, commit};
--- a/crates/daisychute-entry/src/core/config.rs
+++ b/crates/daisychute-entry/src/core/config.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisychute_platform::MemberSettings;
+use daisychute_store::MemberSettings;
 
 /// Limits of the entry's core.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -9,8 +9,8 @@
     EndpointName, Incarnation, Refusal, RefusalReason, RequestId, Revisions, Time, Verdict,
 };
 use daisychute_link::LinkId;
-use daisychute_platform::{MemberEvent, Membership};
 use daisychute_proto::{Cancel, Credit, Frame, Heartbeat};
+use daisychute_store::{MemberEvent, Membership};
 
 use super::{
     Action, Agents, EntryConfig, Event, Part, Request, RequestState, RetryBudget, Submission,
--- a/crates/daisychute-entry/src/core/entry_core/links.rs
+++ b/crates/daisychute-entry/src/core/entry_core/links.rs
@@ -4,8 +4,8 @@
 
 use daisychute_core::{EndpointName, EndpointRecord, Incarnation, RefusalReason, RequestId, Time};
 use daisychute_link::LinkId;
-use daisychute_platform::{MemberAction, MemberEvent, Standing};
 use daisychute_proto::{Hello, Resume};
+use daisychute_store::{MemberAction, MemberEvent, Standing};
 
 use super::EntryCore;
 use crate::Choose;
--- a/crates/daisychute-planner/examples/platform_calls.rs
+++ b/crates/daisychute-planner/examples/platform_calls.rs
@@ -9,9 +9,9 @@
     Configuration, Incarnation, ProcessName, ProcessRole, ProcessState, ProcessStatus, Revision,
 };
 use daisychute_planner::{Control, ControlOutput, ControlSettings};
-use daisychute_platform::{ClientSettings, ConfigurationDocument, ObjectClient};
 use daisychute_standin::Platform;
 use daisychute_standin::platform::{PlatformConfig, Seen};
+use daisychute_store::{ClientSettings, ConfigurationDocument, ObjectClient};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 const WARM_UP: Duration = Duration::from_secs(45);
--- a/crates/daisychute-planner/src/control/actions.rs
+++ b/crates/daisychute-planner/src/control/actions.rs
@@ -2,8 +2,8 @@
 
 use bytes::Bytes;
 use daisychute_core::{ProcessName, Revision};
-use daisychute_platform::{LeaseAction, LeaseEvent, ObjectKind, ReplicaAction, ReplicaEvent};
 use daisychute_proto::{Document, Frame, Pull};
+use daisychute_store::{LeaseAction, LeaseEvent, ObjectKind, ReplicaAction, ReplicaEvent};
 
 use super::{Control, ControlOutput, SHARED, calls, document_kind};
 use crate::{PlannerAction, PlannerEvent};
--- a/crates/daisychute-planner/src/control/calls.rs
+++ b/crates/daisychute-planner/src/control/calls.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use daisychute_core::{Drains, Plan, ProcessRole, ProcessState, ProcessStatus};
-use daisychute_platform::{
+use daisychute_store::{
     CallError, LeaseEvent, Listed, Object, ObjectClient, ObjectKind, ReadAnswer, ReplicaEvent,
     ResourceVersion, WatchEvent, WatchKind, WriteAnswer,
 };
--- a/crates/daisychute-planner/src/control/mod.rs
+++ b/crates/daisychute-planner/src/control/mod.rs
@@ -6,7 +6,7 @@
 //! ```no_run
 //! use daisychute_core::{Incarnation, ProcessName};
 //! use daisychute_planner::{Control, ControlOutput, ControlSettings};
-//! use daisychute_platform::{ClientSettings, ObjectClient};
+//! use daisychute_store::{ClientSettings, ObjectClient};
 //!
 //! # async fn example() -> Result<(), daisychute_core::NameError> {
 //! let settings = ControlSettings::entry(
@@ -53,8 +53,8 @@
     Configuration, EndpointName, EndpointRecord, Plan, ProcessName, ProcessState, ProcessStatus,
     Revisions, Term,
 };
-use daisychute_platform::{LeaseEvent, ObjectClient, ObjectKind, ReplicaEvent};
 use daisychute_proto::{DocumentKind, Frame};
+use daisychute_store::{LeaseEvent, ObjectClient, ObjectKind, ReplicaEvent};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 use self::state::State;
--- a/crates/daisychute-planner/src/control/output.rs
+++ b/crates/daisychute-planner/src/control/output.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use daisychute_core::{Configuration, Plan, ProcessName, Revision, Term};
-use daisychute_platform::DocumentError;
 use daisychute_proto::{DocumentKind, Frame};
+use daisychute_store::DocumentError;
 
 /// What the control shell tells the daemon, in the order in which it happened.
 #[derive(Debug)]
--- a/crates/daisychute-planner/src/control/settings.rs
+++ b/crates/daisychute-planner/src/control/settings.rs
@@ -5,7 +5,7 @@
 use daisychute_core::{
     DataCentreName, DeploymentName, Incarnation, ProcessName, ProcessRole, RegionName,
 };
-use daisychute_platform::{LeaseSettings, ReplicaSettings};
+use daisychute_store::{LeaseSettings, ReplicaSettings};
 
 use crate::PlannerSettings;
 
--- a/crates/daisychute-planner/src/control/state.rs
+++ b/crates/daisychute-planner/src/control/state.rs
@@ -6,11 +6,11 @@
 
 use actix_rt::task::JoinHandle;
 use daisychute_core::{Configuration, Plan, ProcessRole, Time};
-use daisychute_platform::{
+use daisychute_runtime::Clock;
+use daisychute_store::{
     Candidates, Holder, Lease, LeaseAction, LeaseEvent, ObjectClient, ObjectKind, Replica,
     ReplicaAction, ReplicaEvent, ResourceVersion, WriteStamp,
 };
-use daisychute_runtime::Clock;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use tokio::sync::Notify;
--- a/crates/daisychute-planner/src/lib.rs
+++ b/crates/daisychute-planner/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! ```
 //! use daisychute_core::{Term, Time};
-//! use daisychute_platform::WriteStamp;
+//! use daisychute_store::WriteStamp;
 //! use daisychute_planner::{Planner, PlannerAction, PlannerEvent, PlannerSettings};
 //!
 //! let region = "morocco".try_into()?;
--- a/crates/daisychute-planner/src/planner/event.rs
+++ b/crates/daisychute-planner/src/planner/event.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use daisychute_core::{EndpointName, EngineTarget, Revision, Term, Time};
-use daisychute_platform::{Object, ReadAnswer, WriteAnswer};
+use daisychute_store::{Object, ReadAnswer, WriteAnswer};
 
 use super::Wish;
 
--- a/crates/daisychute-planner/src/planner/mod.rs
+++ b/crates/daisychute-planner/src/planner/mod.rs
@@ -11,7 +11,7 @@
 mod wishes;
 
 use daisychute_core::{EndpointName, Plan, RegionName, Revision, Term, Time};
-use daisychute_platform::{
+use daisychute_store::{
     Backoff, Object, ObjectKind, PendingWrite, ReadAnswer, ResourceVersion, Settled, WriteAnswer,
     WriteStamp,
 };
--- a/crates/daisychute-planner/tests/control.rs
+++ b/crates/daisychute-planner/tests/control.rs
@@ -8,9 +8,9 @@
     ProcessStatus, Revision, Role, Term,
 };
 use daisychute_planner::{Control, ControlOutput, ControlSettings, Wish};
-use daisychute_platform::{ClientSettings, ConfigurationDocument, LeaseSettings, ObjectClient};
 use daisychute_standin::Platform;
 use daisychute_standin::platform::{Faults, PlatformConfig};
+use daisychute_store::{ClientSettings, ConfigurationDocument, LeaseSettings, ObjectClient};
 use serde_json::json;
 use tokio::sync::mpsc::UnboundedReceiver;
 
--- a/crates/daisychute-planner/tests/planner.rs
+++ b/crates/daisychute-planner/tests/planner.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::{Desired, EndpointName, EngineTarget, Plan, Revision, Role, Term, Time};
 use daisychute_planner::{Planner, PlannerAction, PlannerEvent, PlannerSettings, Wish};
-use daisychute_platform::{Object, ObjectKind, ReadAnswer, WriteAnswer, WriteStamp};
+use daisychute_store::{Object, ObjectKind, ReadAnswer, WriteAnswer, WriteStamp};
 
 use PlannerEvent::{DrainRequests, Gone, Observed, Read, Tick, Written};
 
--- a/crates/daisychute-planner/tests/world/acts.rs
+++ b/crates/daisychute-planner/tests/world/acts.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::{Class, ClassName, Configuration, Precedence, Revision};
 use daisychute_planner::{PlannerEvent, Wish};
-use daisychute_platform::{ConfigurationDocument, Object, ObjectKind, ReadAnswer, WriteStamp};
+use daisychute_store::{ConfigurationDocument, Object, ObjectKind, ReadAnswer, WriteStamp};
 use rand::Rng;
 
 use super::World;
--- a/crates/daisychute-planner/tests/world/agents.rs
+++ b/crates/daisychute-planner/tests/world/agents.rs
@@ -4,7 +4,7 @@
 
 use daisychute_agent::orders::{EngineState, Order, OrderAction, OrderAnswer, OrderEvent, Orders};
 use daisychute_core::Revision;
-use daisychute_platform::ObjectKind;
+use daisychute_store::ObjectKind;
 
 use super::World;
 use super::message::{Caller, Input, Msg, Op};
--- a/crates/daisychute-planner/tests/world/calls.rs
+++ b/crates/daisychute-planner/tests/world/calls.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use daisychute_core::{Plan, Revision};
 use daisychute_planner::PlannerEvent;
-use daisychute_platform::{LeaseEvent, Object, ObjectKind, ReadAnswer, WriteAnswer};
+use daisychute_store::{LeaseEvent, Object, ObjectKind, ReadAnswer, WriteAnswer};
 
 use super::World;
 use super::message::{Caller, Input, Msg, Op, Reply};
--- a/crates/daisychute-planner/tests/world/entries.rs
+++ b/crates/daisychute-planner/tests/world/entries.rs
@@ -2,7 +2,7 @@
 
 use daisychute_core::{EndpointName, EngineTarget, Term};
 use daisychute_planner::{PlannerAction, PlannerEvent};
-use daisychute_platform::{LeaseAction, LeaseEvent, ObjectKind};
+use daisychute_store::{LeaseAction, LeaseEvent, ObjectKind};
 
 use super::message::{Caller, Op};
 use super::node::{Cores, EntryCores};
--- a/crates/daisychute-planner/tests/world/message.rs
+++ b/crates/daisychute-planner/tests/world/message.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use daisychute_agent::orders::{EngineState, Order, OrderAnswer};
 use daisychute_core::{EndpointName, EngineTarget, Revision, Time};
-use daisychute_platform::{Object, ObjectKind, ReadAnswer, ResourceVersion, WriteAnswer};
+use daisychute_store::{Object, ObjectKind, ReadAnswer, ResourceVersion, WriteAnswer};
 
 use super::schedule::Act;
 
--- a/crates/daisychute-planner/tests/world/node.rs
+++ b/crates/daisychute-planner/tests/world/node.rs
@@ -5,7 +5,7 @@
     Configuration, EndpointKind, Incarnation, Plan, ProcessName, RegionName, Revision, Time,
 };
 use daisychute_planner::{Planner, PlannerSettings};
-use daisychute_platform::{Holder, Lease, LeaseSettings, Replica, ReplicaSettings, WriteStamp};
+use daisychute_store::{Holder, Lease, LeaseSettings, Replica, ReplicaSettings, WriteStamp};
 
 use super::schedule::ENTRIES;
 
--- a/crates/daisychute-planner/tests/world/replicas.rs
+++ b/crates/daisychute-planner/tests/world/replicas.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use daisychute_core::Revision;
 use daisychute_planner::PlannerEvent;
-use daisychute_platform::{ObjectKind, ReadAnswer, ReplicaAction, ReplicaEvent, ResourceVersion};
+use daisychute_store::{ObjectKind, ReadAnswer, ReplicaAction, ReplicaEvent, ResourceVersion};
 
 use super::message::{Caller, Frame, Input, Msg, Op};
 use super::node::Node;
--- a/crates/daisychute-planner/tests/world/store.rs
+++ b/crates/daisychute-planner/tests/world/store.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use daisychute_core::{EndpointName, EngineTarget, Plan, Revision};
-use daisychute_platform::{
+use daisychute_store::{
     ConfigurationDocument, LeaseRecord, Object, ObjectKind, ReadAnswer, ResourceVersion,
     WriteAnswer,
 };
--- a/crates/daisychute-platform/src/client/mod.rs
+++ b/crates/daisychute-store/src/client/mod.rs
@@ -24,8 +24,8 @@
 /// Calls the object API. Clones share the connections and the budget.
 ///
 /// ```no_run
-/// # async fn example() -> Result<(), daisychute_platform::CallError> {
-/// use daisychute_platform::{ClientSettings, ObjectClient, ObjectKind};
+/// # async fn example() -> Result<(), daisychute_store::CallError> {
+/// use daisychute_store::{ClientSettings, ObjectClient, ObjectKind};
 ///
 /// let client = ObjectClient::new(ClientSettings::new("http://127.0.0.1:8001"));
 /// let plan = client.read(ObjectKind::Plans, "morocco").await?;
--- a/crates/daisychute-platform/src/lib.rs
+++ b/crates/daisychute-store/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! ```
 //! use daisychute_core::{Configuration, Revision, Time};
-//! use daisychute_platform::{Replica, ReplicaAction, ReplicaEvent, ReplicaSettings};
+//! use daisychute_store::{Replica, ReplicaAction, ReplicaEvent, ReplicaSettings};
 //!
 //! let mut replica: Replica<Configuration> = Replica::new(ReplicaSettings::default(), 7);
 //! let mut out = Vec::new();
--- a/crates/daisychute-platform/tests/client.rs
+++ b/crates/daisychute-store/tests/client.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use daisychute_platform::{
+use daisychute_store::{
     BudgetSettings, CallError, ClientSettings, ObjectClient, ObjectKind, OutageCause,
     ResourceVersion, WatchKind,
 };
--- a/crates/daisychute-platform/tests/membership.rs
+++ b/crates/daisychute-store/tests/membership.rs
@@ -5,7 +5,7 @@
 use daisychute_core::{
     EndpointKind, EndpointName, EndpointRecord, EndpointState, Incarnation, Time,
 };
-use daisychute_platform::{MemberAction, MemberEvent, MemberSettings, Membership, Standing};
+use daisychute_store::{MemberAction, MemberEvent, MemberSettings, Membership, Standing};
 use quickcheck::{Gen, QuickCheck};
 
 use EndpointState::{Leaving, Live};
--- a/crates/daisychute-platform/tests/replica.rs
+++ b/crates/daisychute-store/tests/replica.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use daisychute_core::{ProcessName, Revision, Time};
-use daisychute_platform::{Replica, ReplicaAction, ReplicaEvent, ReplicaSettings};
+use daisychute_store::{Replica, ReplicaAction, ReplicaEvent, ReplicaSettings};
 
 use ReplicaEvent::{Changed, Document, ListFailed, Listed, PeerRevision, PullFrom, Tick, Watcher};
 
--- a/crates/daisychute-testbed/src/deployment.rs
+++ b/crates/daisychute-testbed/src/deployment.rs
@@ -7,8 +7,8 @@
     Configuration, EndpointKind, EndpointRecord, EndpointState, Incarnation, ProcessStatus,
     Revision,
 };
-use daisychute_platform::ConfigurationDocument;
 use daisychute_standin::harness::{Client, Process, Program, wait_for};
+use daisychute_store::ConfigurationDocument;
 use futures_util::future::join_all;
 use serde::Serialize;
 use serde_json::{Value, json};
--- a/crates/daisychuted/src/control.rs
+++ b/crates/daisychuted/src/control.rs
@@ -4,8 +4,8 @@
 
 use daisychute_core::{Incarnation, ProcessStatus, Revisions};
 use daisychute_planner::{Control, ControlOutput, ControlSettings};
-use daisychute_platform::{ClientSettings, LeaseSettings, ObjectClient};
 use daisychute_settings::Settings;
+use daisychute_store::{ClientSettings, LeaseSettings, ObjectClient};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::admin::Subject;
--- a/crates/daisychuted/src/discovery.rs
+++ b/crates/daisychuted/src/discovery.rs
@@ -5,7 +5,7 @@
 use daisychute_core::EndpointRecord;
 use daisychute_entry::core::Event;
 use daisychute_entry::shell::EntryHandle;
-use daisychute_platform::{CallError, ObjectClient, ObjectKind};
+use daisychute_store::{CallError, ObjectClient, ObjectKind};
 
 /// How often the list is read.
 const INTERVAL: Duration = Duration::from_secs(1);
