--- a/crates/daisychute-front/src/caller/server.rs
+++ b/crates/daisychute-front/src/caller/server.rs
@@ -1,28 +1,50 @@
 //! Accepts callers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::Dialect;
 use crate::caller::answerer::Answerer;
 use crate::caller::connection::{CallerConnection, ReadError};
 use crate::caller::exchange::{After, serve};
 use crate::endpoint::connection::watch_silence;
 use crate::shared::Shared;
+use crate::{Ceilings, Dialect};
 
 /// The pause after a failed accept: descriptors may have run out.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// The reason of a refusal for lack of memory.
+const FULL: &str = "front_full";
+/// When to come back to a full front: a second's worth of requests has ended by then.
+const COME_BACK: Duration = Duration::from_millis(500);
+
 /// Accepts callers for the life of the process.
-pub(crate) async fn accept<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener) {
+pub(crate) async fn accept<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    listener: TcpListener,
+    ceilings: Ceilings,
+) {
+    let open = Rc::new(Cell::new(0_usize));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
+                if open.get() >= ceilings.connections {
+                    log::warn!(open = open.get(); "caller's connection closed: too many are open");
+                    metrics::counter!("daisychute_connections_refused_total").increment(1);
+                    continue;
+                }
                 shared.stop.accept();
-                actix_rt::spawn(caller(Rc::clone(&shared), stream));
+                let (shared, open) = (Rc::clone(&shared), Rc::clone(&open));
+                open.set(open.get() + 1);
+                actix_rt::spawn(async move {
+                    caller(shared, stream, ceilings).await;
+                    open.set(open.get() - 1);
+                });
             }
             Err(error) => {
                 log::warn!(error:%; "can't accept a caller");
@@ -32,7 +54,7 @@
     }
 }
 
-async fn caller<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream) {
+async fn caller<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream, ceilings: Ceilings) {
     if watch_silence(&stream).is_err() {
         return;
     }
@@ -44,10 +66,22 @@
             Err(ReadError::Closed) => return,
             Err(ReadError::Refused(status, reason)) => {
                 log::warn!(reason, status = status.as_u16(); "request can't be read");
-                refuse(&mut connection, status, reason).await;
+                refuse(&mut connection, status, reason, None).await;
                 return connection.end().await;
             }
         };
+        if shared.stop.busy() >= ceilings.requests {
+            let request = &incoming.facts.id;
+            log::warn!(request:%, outcome = "refused", reason = FULL, elapsed_ms = 0; "request ended");
+            metrics::counter!("daisychute_front_requests_total", "outcome" => "refused", "reason" => FULL)
+                .increment(1);
+            if !refuse(&mut connection, StatusCode::SERVICE_UNAVAILABLE, FULL, Some(COME_BACK))
+                .await
+            {
+                return connection.end().await;
+            }
+            continue;
+        }
         shared.stop.begin();
         let after = serve(&shared, &mut connection, &incoming).await;
         shared.stop.end();
@@ -59,15 +93,19 @@
     }
 }
 
+/// Answers by ourselves. Returns whether the connection can carry another request.
 async fn refuse(
     connection: &mut CallerConnection,
-    status: actix_http::StatusCode,
+    status: StatusCode,
     reason: &'static str,
-) {
+    retry_after: Option<Duration>,
+) -> bool {
     let CallerConnection { stream, codec, .. } = connection;
     let (_, mut write) = stream.split();
     let mut answerer = Answerer::new(&mut write, codec);
-    answerer.close();
-    // The connection ends in any case.
-    let _ = answerer.own(status, reason, None).await;
+    if retry_after.is_none() {
+        answerer.close();
+    }
+    let written = answerer.own(status, reason, retry_after).await;
+    written.is_ok() && retry_after.is_some() && codec.keep_alive()
 }
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -17,7 +17,7 @@
 use crate::plain_server;
 use crate::readiness;
 use crate::shared::Shared;
-use crate::{Collection, Dialect, Directory};
+use crate::{Ceilings, Collection, Dialect, Directory};
 
 /// Why a front can't run.
 #[derive(Debug, thiserror::Error)]
@@ -52,6 +52,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Its name, unique among the fronts.
     pub name: String,
+    /// What its machine carries.
+    pub ceilings: Ceilings,
     /// What the deployment fixes.
     pub dispatch: DispatchSettings,
     /// How long a graceful stop may take.
@@ -102,7 +104,7 @@
             let watcher = Watcher::new(Rc::clone(&shared), store.clone(), collection);
             actix_rt::spawn(watcher.run());
         }
-        actix_rt::spawn(server::accept(Rc::clone(&shared), callers));
+        actix_rt::spawn(server::accept(Rc::clone(&shared), callers, self.ceilings));
         actix_rt::spawn(readiness::serve(Rc::clone(&shared), ready));
         let render = move |path: &str| match path {
             METRICS => (StatusCode::OK, metrics()),
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod answer_facts;
 mod caller;
+mod ceilings;
 mod dialect;
 mod directory;
 mod endpoint;
@@ -19,6 +20,7 @@
 mod stop;
 
 pub use crate::answer_facts::AnswerFacts;
+pub use crate::ceilings::Ceilings;
 pub use crate::dialect::{Dialect, Forward};
 pub use crate::directory::record::{Collection, Record};
 pub use crate::directory::{Change, Directory, DirectoryError, Listing};
--- a/crates/daisychute-front/tests/identity.rs
+++ b/crates/daisychute-front/tests/identity.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use daisychute_dispatch::DispatchSettings;
-use daisychute_front::Front;
+use daisychute_front::{Ceilings, Front};
 
 fn front(name: &str, incarnation: u64) -> Front {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -16,6 +16,7 @@
         snapshots: any,
         seeds: Vec::new(),
         name: name.to_owned(),
+        ceilings: Ceilings::of(256, 4_096),
         dispatch: DispatchSettings::default(),
         stop_within: Duration::from_secs(8),
         incarnation,
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -6,7 +6,7 @@
 use daisychute_adapter::{PlatformDialect, Store};
 use daisychute_core::Incarnation;
 use daisychute_dispatch::DispatchSettings;
-use daisychute_front::Front;
+use daisychute_front::{Ceilings, Front};
 use daisychute_settings::FrontSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
@@ -41,6 +41,7 @@
         seeds: settings.seeds.clone(),
         name: settings.name.to_string(),
         metrics: settings.metrics,
+        ceilings: Ceilings::of(settings.machine.memory_mib, settings.machine.descriptors),
         dispatch: dispatch(&settings),
         stop_within: settings.stop_within,
         incarnation: incarnation.get(),
