--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -1,9 +1,7 @@
 //! What a dispatcher is told.
 
-use std::sync::Arc;
-use std::time::Duration;
-
 use daisychute_core::EndpointName;
+use std::sync::Arc;
 
 use crate::{
     Endpoint, LoadSample, PeerLoad, PromptPart, Removal, RequestFacts, RequestKey, RouteTable,
@@ -133,10 +131,4 @@
     pub const fn arrived(key: RequestKey, request: RequestFacts) -> Self {
         Self::Arrived { key, request }
     }
-
-    /// A record vanished around an outage of the directory.
-    #[must_use]
-    pub const fn vanished(name: EndpointName, span: Duration) -> Self {
-        Self::Unlisted { name, removal: Removal::AfterOutage(span) }
-    }
 }
--- a/crates/daisychute-dispatch/src/settings.rs
+++ b/crates/daisychute-dispatch/src/settings.rs
@@ -15,8 +15,6 @@
     pub retry_window: Duration,
     /// Retries that a service bears in a window regardless of its requests, over all fronts together.
     pub retry_slack: f64,
-    /// How long an endpoint is kept whose record vanished while the directory was unreachable.
-    pub record_return: Duration,
 }
 
 impl Default for DispatchSettings {
@@ -26,7 +24,6 @@
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
-            record_return: Duration::from_secs(2),
         }
     }
 }
--- a/crates/daisychute-front/src/caller/answerer.rs
+++ b/crates/daisychute-front/src/caller/answerer.rs
@@ -5,31 +5,19 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
-use actix_http::header::{self, HeaderName, HeaderValue};
+use actix_http::header::{self, HeaderValue};
 use actix_http::{ConnectionType, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 use tokio_util::codec::Encoder;
 
-use crate::EventFramer;
+use crate::{EventFramer, HOP_BY_HOP};
 
 /// The caller can't be written to any more.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct CallerGone;
 
-/// Headers that concern one connection only.
-pub(crate) const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    header::PROXY_AUTHENTICATE,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::CONTENT_LENGTH,
-];
-
 /// The answer to one request, in whole or part by part.
 pub(crate) struct Answerer<'c> {
     write: &'c mut WriteHalf<'c>,
--- a/crates/daisychute-settings/src/document.rs
+++ b/crates/daisychute-settings/src/document.rs
@@ -5,12 +5,12 @@
 use ini::{Ini, ParseOption, Properties};
 use miette::SourceSpan;
 
-use crate::SectionKeys;
 use crate::field::Field;
 use crate::hint::Hint;
 use crate::keys::split_header;
 use crate::problem::{Problem, Problems};
 use crate::spans::{Spans, line_span};
+use crate::{SectionKeys, SettingsError, file};
 
 /// A file split into sections.
 #[derive(Debug)]
@@ -51,6 +51,24 @@
         }
     }
 
+    /// Reads a whole file by `read`; `sections` are those that it may have. `file` is named in errors.
+    pub(crate) fn check<T>(
+        file: &str,
+        text: &str,
+        sections: &[SectionKeys],
+        read: impl FnOnce(&Self) -> Result<T, Problems>,
+    ) -> Result<T, SettingsError> {
+        file::check_len(file, text)?;
+        let refused = |problems| SettingsError::refused(file, text, problems);
+        let document = Self::parse(text).map_err(|it| refused(it.into()))?;
+        let mut problems = Problems::default();
+        document.check_keys(sections, &[], &mut problems);
+        match problems.keep(read(&document)) {
+            Some(checked) if problems.is_empty() => Ok(checked),
+            _ => Err(refused(problems)),
+        }
+    }
+
     /// The section with this header, empty where the file lacks it.
     pub(crate) fn section<'a>(&'a self, header: &'a str) -> Section<'a> {
         Section { document: self, header, properties: self.ini.section(Some(header)) }
--- a/crates/daisychute-settings/src/front.rs
+++ b/crates/daisychute-settings/src/front.rs
@@ -167,15 +167,7 @@
     ///
     /// The text is too large or has faults; all of them are listed.
     pub fn parse(file: &str, text: &str) -> Result<Self, SettingsError> {
-        file::check_len(file, text)?;
-        let refused = |problems| SettingsError::refused(file, text, problems);
-        let document = Document::parse(text).map_err(|it| refused(it.into()))?;
-        let mut problems = Problems::default();
-        document.check_keys(Self::SECTIONS, &[], &mut problems);
-        match problems.keep(Self::try_from(&document)) {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => Err(refused(problems)),
-        }
+        Document::check(file, text, Self::SECTIONS, |it| Self::try_from(it))
     }
 }
 
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -57,7 +57,6 @@
         retry_ratio: settings.retries.ratio,
         retry_window: settings.retries.window,
         retry_slack: settings.retries.slack,
-        ..DispatchSettings::default()
     }
 }
 
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -23,6 +23,7 @@
 
 fn main() -> miette::Result<()> {
     let args = Args::parse();
+    // A file that can't be read is told by the loader below.
     let text = std::fs::read_to_string(&args.settings).unwrap_or_default();
     if FrontSettings::is_front(&text) {
         return run_front(&args);
