--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -1,6 +1,6 @@
 //! The daemon as a front on the users' platform.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use daisychute_adapter::{PlatformDialect, Store};
@@ -9,12 +9,14 @@
 use daisychute_front::{Ceilings, Front};
 use daisychute_settings::FrontSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::sleep;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{sleep, timeout};
 
 use crate::logging::Outlet;
 use crate::{DaemonError, metrics};
 
+/// The settings file is looked at this often.
+const LOOK: Duration = Duration::from_secs(5);
 /// Metrics are condensed, and lines that were left out of the log are told, this often.
 const UPKEEP: Duration = Duration::from_secs(2);
 
@@ -72,14 +74,17 @@
     }
 }
 
-/// Checks the settings again at each SIGHUP. What they hold of addresses and bounds is fixed for the life of a
-/// process, so a change is told and takes effect with the next start.
-async fn reload(
-    path: PathBuf,
-    mut current: FrontSettings,
-    mut hangups: tokio::signal::unix::Signal,
-) {
-    while hangups.recv().await.is_some() {
+/// Checks the settings again at each SIGHUP, and now and then, since the file may change without one. What they hold of
+/// addresses and bounds is fixed for the life of a process, so a change is told and takes effect with the next start.
+async fn reload(path: PathBuf, mut current: FrontSettings, mut hangups: Signal) {
+    let mut text = read(&path);
+    loop {
+        let asked = timeout(LOOK, hangups.recv()).await.is_ok();
+        let now = read(&path);
+        if !asked && now == text {
+            continue;
+        }
+        text = now;
         match FrontSettings::load(&path) {
             Ok(settings) if settings == current => log::info!("settings read again; no change"),
             Ok(settings) => {
@@ -90,3 +95,8 @@
         }
     }
 }
+
+/// The text of the settings; none where it can't be read, which counts as a change.
+fn read(path: &Path) -> Option<String> {
+    std::fs::read_to_string(path).ok()
+}
