fix(front): take nothing new in the last part of a stop

Cause: where all fronts stop within seconds, none is ready and the platform goes on sending clients to them. Ruled out: silent workers, SIGKILL. After 0.55 of the time the listener and idle connections are closed and requests that still come in are refused.

--- a/crates/daisychute-front/src/caller/server.rs
+++ b/crates/daisychute-front/src/caller/server.rs
@@ -13,6 +13,7 @@
 use crate::caller::exchange::{After, serve};
 use crate::endpoint::connection::watch_silence;
 use crate::shared::Shared;
+use crate::stop::Stop;
 use crate::{Ceilings, Dialect};
 
 /// The pause after a failed accept: descriptors may have run out.
@@ -20,6 +21,8 @@
 
 /// The reason of a refusal for lack of memory.
 const FULL: &str = "front_full";
+/// The reason of a refusal near the end of a stop; the connection ends with it.
+const STOPPING: &str = "stopping";
 /// When to come back to a full front: a second's worth of requests has ended by then.
 const COME_BACK: Duration = Duration::from_millis(500);
 
@@ -70,14 +73,13 @@
                 return connection.end().await;
             }
         };
-        if shared.stop.busy() >= ceilings.requests {
+        if let Some((reason, retry_after)) = no_room(&shared.stop, ceilings) {
             let request = &incoming.facts.id;
-            log::warn!(request:%, outcome = "refused", reason = FULL, elapsed_ms = 0; "request ended");
-            metrics::counter!("daisychute_front_requests_total", "outcome" => "refused", "reason" => FULL)
+            log::warn!(request:%, outcome = "refused", reason, elapsed_ms = 0; "request ended");
+            metrics::counter!("daisychute_front_requests_total", "outcome" => "refused", "reason" => reason)
                 .increment(1);
-            if !refuse(&mut connection, StatusCode::SERVICE_UNAVAILABLE, FULL, Some(COME_BACK))
-                .await
-            {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            if !refuse(&mut connection, status, reason, retry_after).await {
                 return connection.end().await;
             }
             continue;
@@ -93,6 +95,14 @@
     }
 }
 
+/// Why a request is refused before it takes anything, and when to come back to this front.
+fn no_room(stop: &Stop, ceilings: Ceilings) -> Option<(&'static str, Option<Duration>)> {
+    if stop.is_over() {
+        return Some((STOPPING, None));
+    }
+    (stop.busy() >= ceilings.requests).then_some((FULL, Some(COME_BACK)))
+}
+
 /// Answers by ourselves. Returns whether the connection can carry another request.
 async fn refuse(
     connection: &mut CallerConnection,
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -8,6 +8,7 @@
 use actix_http::StatusCode;
 use daisychute_dispatch::{DispatchSettings, Event};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -70,8 +71,10 @@
 const NOTICE: Duration = Duration::from_millis(3_200);
 /// No caller has connected for so long: none will.
 const QUIET: Duration = Duration::from_millis(1_200);
-/// Kept before the end of the stop for closing connections.
-const RESERVE: Duration = Duration::from_millis(1_200);
+/// The part of a stop's time in which callers are still taken; the rest is for what they sent.
+const ACCEPT_PART: f64 = 0.55;
+/// Kept before the end of a stop for closing connections and for the last lines of the log.
+const RESERVE: Duration = Duration::from_millis(500);
 
 impl Front {
     /// Serves until the process is asked to stop, and stops gracefully.
@@ -104,7 +107,7 @@
             let watcher = Watcher::new(Rc::clone(&shared), store.clone(), collection);
             actix_rt::spawn(watcher.run());
         }
-        actix_rt::spawn(server::accept(Rc::clone(&shared), callers, self.ceilings));
+        let accepting = actix_rt::spawn(server::accept(Rc::clone(&shared), callers, self.ceilings));
         actix_rt::spawn(readiness::serve(Rc::clone(&shared), ready));
         let render = move |path: &str| match path {
             METRICS => (StatusCode::OK, metrics()),
@@ -120,7 +123,7 @@
         let announce = talk::announce(Rc::clone(&shared), store, self.name.clone(), own);
         actix_rt::spawn(announce);
         daisychute_runtime::stop_requested().await.map_err(FrontError::Signals)?;
-        self.stop(&shared).await;
+        self.stop(&shared, accepting).await;
         Ok(())
     }
 
@@ -131,14 +134,14 @@
     }
 
     /// Waits until the platform sends no more callers and all requests have their answers.
-    async fn stop<D: Dialect>(&self, shared: &Rc<Shared<D>>) {
+    async fn stop<D: Dialect>(&self, shared: &Rc<Shared<D>>, accepting: JoinHandle<()>) {
         let started = Instant::now();
         let busy = shared.stop.busy();
         log::info!(busy; "stop requested");
         shared.stop.request();
-        let limit = self.stop_within.saturating_sub(RESERVE);
+        let last_accept = self.stop_within.mul_f64(ACCEPT_PART);
         let (mut accepted, mut since) = (shared.stop.accepted(), started);
-        while started.elapsed() < limit {
+        while started.elapsed() < last_accept {
             sleep(SWEEP).await;
             if shared.stop.accepted() != accepted {
                 (accepted, since) = (shared.stop.accepted(), Instant::now());
@@ -148,9 +151,11 @@
                 break;
             }
         }
+        // Where no other front is ready, the platform goes on sending callers: they are better off elsewhere now.
+        accepting.abort();
         shared.stop.close_idle();
-        let end = Instant::now() + RESERVE / 2;
-        while shared.stop.busy() > 0 && Instant::now() < end {
+        let limit = self.stop_within.saturating_sub(RESERVE);
+        while shared.stop.busy() > 0 && started.elapsed() < limit {
             sleep(SWEEP / 5).await;
         }
         let (left, took_ms) = (shared.stop.busy(), started.elapsed().as_millis());
--- a/crates/daisychute-front/src/stop.rs
+++ b/crates/daisychute-front/src/stop.rs
@@ -30,6 +30,11 @@
         self.closing.notify_waiters();
     }
 
+    /// Whether nothing new is taken any more.
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.get()
+    }
+
     /// Waits until idle connections must be closed.
     pub(crate) async fn idle_closed(&self) {
         if !self.over.get() {
