--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -88,7 +88,7 @@
         let Ok(bytes) = self.encode(&mut connection) else {
             return CallEnd::Broke(Break::Unsent, None);
         };
-        let EndpointConnection { mut stream, codec, mut buf, uses } = connection;
+        let EndpointConnection { mut stream, codec, mut buf } = connection;
         let (mut read, mut write) = stream.split();
         let Some(sent) = send_first(&mut write, &bytes).await else {
             return CallEnd::Broke(Break::Unsent, None);
@@ -104,7 +104,7 @@
         let reusable = head.reusable && all_sent && head.head.keep_alive();
         let end = self.pass(head, &mut reader).await;
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
-            let connection = EndpointConnection { stream, codec, buf, uses: uses + 1 };
+            let connection = EndpointConnection { stream, codec, buf };
             self.shared.pool.put(self.order.endpoint, connection, keep_alive);
         }
         end
--- a/crates/daisychute-front/src/endpoint/connection.rs
+++ b/crates/daisychute-front/src/endpoint/connection.rs
@@ -31,8 +31,6 @@
     pub(crate) stream: TcpStream,
     pub(crate) codec: ClientCodec,
     pub(crate) buf: BytesMut,
-    /// Requests that it has carried.
-    pub(crate) uses: u32,
 }
 
 impl EndpointConnection {
@@ -42,7 +40,7 @@
         let stream = connect.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         watch_silence(&stream)?;
         let codec = ClientCodec::new(http.clone());
-        Ok(Self { stream, codec, buf: BytesMut::new(), uses: 0 })
+        Ok(Self { stream, codec, buf: BytesMut::new() })
     }
 
     /// Whether the idle connection is open and nothing has come in on it.
