--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -19,6 +19,11 @@
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(1_500);
 /// Maximum wait time of a watch.
 const MAX_WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Time between the response to a watch that had changes and the next watch, multiplied by the number of fronts: all
+/// fronts together make at most a hundred calls a second for each collection, however often it changes.
+const COLLECT_TIME_PER_FRONT: Duration = Duration::from_millis(10);
+/// Maximum time between two watches. A front must know of a change within two seconds.
+const MAX_COLLECT_TIME: Duration = Duration::from_millis(800);
 /// Wait time of the first watch after a failure, so that it returns at once.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
 /// Interval between listings of the fronts, multiplied by their number: fronts change rarely, and a new one soon sends
@@ -31,12 +36,25 @@
 /// Maximum delay after failed calls: changes must be in force within two seconds of the directory's recovery.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// Time after the start in which the maximum applies: endpoints and other fronts start at the same time, and their number
+/// isn't known yet.
+const STARTUP_TIME: Duration = Duration::from_secs(6);
+
+/// Returns how long changes are collected in the directory before the next watch.
+pub(crate) fn collect_time<D: Dialect>(state: &FrontState<D>) -> Duration {
+    let uptime = state.now().since(Time::ZERO);
+    if uptime < STARTUP_TIME {
+        return MAX_COLLECT_TIME;
+    }
+    (COLLECT_TIME_PER_FRONT * state.front_count()).min(MAX_COLLECT_TIME)
+}
+
 /// Follows a collection and passes each change to the dispatcher.
 pub(crate) struct Watcher<D, S> {
     state: Rc<FrontState<D>>,
     directory: S,
     collection: Collection,
-    /// The names of the registered records.
+    /// The names of the registered records. Not used for endpoints, which snapshots of peers change as well.
     names: BTreeSet<String>,
     /// Consecutive failed calls.
     failures: u32,
@@ -66,6 +84,7 @@
                     self.record_success();
                     let revision = listing.revision;
                     self.replace(listing);
+                    self.state.revisions.record_covered(self.collection, revision);
                     if allow_stale {
                         self.wait_for_next_listing().await;
                     } else {
@@ -84,7 +103,7 @@
     }
 
     fn front_count(&self) -> u32 {
-        u32::try_from(self.state.peers.count(self.state.now())).unwrap_or(u32::MAX)
+        self.state.front_count()
     }
 
     /// Returns how long the next watch waits. After a failure it must show at once whether the directory is reachable
@@ -116,9 +135,14 @@
                     self.record_success();
                     revision = revision.max(listing.revision);
                     self.state.revisions.record_seen(self.collection, listing.latest);
+                    let changed = !listing.changes.is_empty();
                     for change in listing.changes {
                         self.apply(change);
                     }
+                    self.state.revisions.record_covered(self.collection, revision);
+                    if changed {
+                        sleep(self.state.jitter(collect_time(&self.state))).await;
+                    }
                 }
                 Err(DirectoryError::HistoryGone) => {
                     let collection = self.collection.as_str();
@@ -165,7 +189,8 @@
     fn replace(&mut self, listing: Listing) {
         self.state.revisions.record_seen(self.collection, listing.latest);
         let listed: BTreeSet<_> = listing.changes.iter().map(|it| it.name.clone()).collect();
-        let removed: Vec<_> = self.names.difference(&listed).cloned().collect();
+        let known = self.known_names();
+        let removed: Vec<_> = known.difference(&listed).cloned().collect();
         for name in removed {
             self.apply(Change { name, record: None });
         }
@@ -174,11 +199,20 @@
         }
     }
 
+    fn known_names(&self) -> BTreeSet<String> {
+        if self.collection != Collection::Endpoints {
+            return self.names.clone();
+        }
+        self.state.with_dispatcher(|it| it.fleet().names().map(ToString::to_string).collect())
+    }
+
     fn apply(&mut self, change: Change) {
         let Change { name, record } = change;
         match record {
             Some(Ok(record)) => {
-                self.names.insert(name.clone());
+                if self.collection != Collection::Endpoints {
+                    self.names.insert(name.clone());
+                }
                 self.upsert(name, record);
             }
             Some(Err(reason)) => {
@@ -203,15 +237,17 @@
     }
 
     fn remove(&mut self, name: String) {
-        if !self.names.remove(&name) {
-            return;
-        }
+        let was_registered = self.names.remove(&name);
         match self.collection {
             // The last configuration stays in force.
             Collection::Configuration => {}
+            Collection::Fronts if !was_registered => {}
             Collection::Fronts => self.state.peers.update(self.state.now(), name, None),
             Collection::Endpoints => {
                 let Ok(name) = EndpointName::try_from(name) else { return };
+                if self.state.with_dispatcher(|it| it.fleet().key(&name).is_none()) {
+                    return;
+                }
                 let removal = self.outage.removal(self.state.now());
                 self.state.remove_endpoint(name, removal);
             }
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -8,6 +8,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
+use crate::directory::watcher::collect_time;
 use crate::peers::peer_heartbeat::{Load, Part, PeerHeartbeat};
 use crate::state::FrontState;
 use crate::{Dialect, Directory};
@@ -76,7 +77,7 @@
             continue;
         };
         state.peers.record_heartbeat(state.now(), from);
-        state.revisions.record_reported(state.now(), revisions);
+        state.revisions.record_reported(state.now(), revisions, collect_time(&state));
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         state.handle(Event::PeerHeartbeat { peer, loads, parts });
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -17,8 +17,9 @@
     pub(crate) endpoints: Vec<Endpoint>,
     /// The directory revisions of the latest changes of configuration and endpoints that it contains.
     pub(crate) revisions: (u64, u64),
-    /// Whether the sender can reach the directory.
-    pub(crate) fresh: bool,
+    /// The store's revision up to which the sender has seen all changes of endpoints; 0 if unknown.
+    #[serde(default)]
+    pub(crate) covered: u64,
 }
 
 impl Snapshot {
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -14,9 +14,9 @@
 use tokio_tungstenite::tungstenite::{Error, Message};
 use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
-use crate::Dialect;
 use crate::peers::snapshot::Snapshot;
 use crate::state::FrontState;
+use crate::{Collection, Dialect};
 
 /// Time limit for a snapshot transfer; a peer that takes longer is skipped.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -66,7 +66,7 @@
         return Err(FetchError::Empty);
     };
     snapshot.revisions = state.revisions.latest_seen();
-    snapshot.fresh = !state.directory_unreachable.get();
+    snapshot.covered = state.revisions.endpoints_covered();
     let mut bytes = Vec::new();
     let written = ciborium::into_writer(&snapshot, &mut bytes);
     written.map_err(|e| FetchError::Codec(e.to_string()))?;
@@ -95,10 +95,8 @@
         }
         for peer in seeds.iter().copied().filter(|it| *it != own_address) {
             match fetch(peer).await {
-                Ok(snapshot) => {
-                    apply(&state, peer, &snapshot);
-                    break;
-                }
+                Ok(snapshot) if apply(&state, peer, &snapshot) => break,
+                Ok(_) => log::debug!(peer:%; "snapshot of a peer isn't newer"),
                 Err(error) => {
                     log::debug!(peer:%, error:%; "fetching a snapshot from a peer failed")
                 }
@@ -121,15 +119,36 @@
     ciborium::from_reader(&bytes[..]).map_err(|e| FetchError::Codec(e.to_string()))
 }
 
-fn apply<D: Dialect>(state: &Rc<FrontState<D>>, peer: SocketAddr, snapshot: &Snapshot) {
-    match snapshot.table() {
-        Ok(table) => {
-            let version = table.version();
-            log::info!(peer:%, version, endpoints = snapshot.endpoints.len(); "snapshot taken from peer");
-            state.apply_configuration(table);
-            state.merge_endpoints(&snapshot.endpoints, snapshot.fresh);
-            state.revisions.advance(snapshot.revisions);
+/// Applies what is newer in a snapshot. Returns whether anything was.
+///
+/// An older picture of the endpoints is ignored as a whole: it may lack endpoints that joined since, and contain ones
+/// that left.
+fn apply<D: Dialect>(state: &Rc<FrontState<D>>, peer: SocketAddr, snapshot: &Snapshot) -> bool {
+    let table = match snapshot.table() {
+        Ok(table) => table,
+        Err(error) => {
+            log::warn!(peer:%, error:%; "invalid snapshot from a peer");
+            return false;
         }
-        Err(error) => log::warn!(peer:%, error:%; "invalid snapshot from a peer"),
+    };
+    let version = table.version();
+    let known_version = state.with_dispatcher(|it| it.table().map(|it| it.version()));
+    let newer_table = known_version.is_none_or(|it| it < version);
+    let newer_endpoints = state.revisions.endpoints_covered() < snapshot.covered;
+    if !newer_table && !newer_endpoints {
+        return false;
+    }
+    let (endpoints, covered) = (snapshot.endpoints.len(), snapshot.covered);
+    log::info!(peer:%, version, endpoints, covered; "snapshot taken from peer");
+    let (configuration_revision, endpoints_revision) = snapshot.revisions;
+    if newer_table {
+        state.apply_configuration(table);
+        state.revisions.record_seen(Collection::Configuration, configuration_revision);
+    }
+    if newer_endpoints {
+        state.replace_endpoints(&snapshot.endpoints);
+        state.revisions.record_seen(Collection::Endpoints, endpoints_revision);
+        state.revisions.record_covered(Collection::Endpoints, covered);
     }
+    true
 }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -143,6 +143,11 @@
         self.handle(Event::EndpointRemoved { name, removal });
     }
 
+    /// Returns the number of live fronts, this one included.
+    pub(crate) fn front_count(&self) -> u32 {
+        u32::try_from(self.peers.count(self.now())).unwrap_or(u32::MAX)
+    }
+
     /// Returns the time since a call for configurations last succeeded.
     pub(crate) fn directory_age(&self) -> Duration {
         self.now().since(self.directory_last_seen.get())
@@ -155,24 +160,21 @@
         self.directory_unreachable.get() && (unknown || self.revisions.is_behind())
     }
 
-    /// Merges the endpoints of a peer's snapshot. Known endpoints change only from ready to draining. If the snapshot
-    /// is `fresh`, its sender can reach the directory, so endpoints that the snapshot lacks are removed.
-    pub(crate) fn merge_endpoints(self: &Rc<Self>, endpoints: &[Endpoint], fresh: bool) {
-        if fresh {
-            let listed: BTreeSet<_> = endpoints.iter().map(|it| &it.name).collect();
-            let is_missing = |it: &&EndpointName| !listed.contains(it);
-            let missing: Vec<_> =
-                self.with_dispatcher(|it| it.fleet().names().filter(is_missing).cloned().collect());
-            for name in missing {
-                self.remove_endpoint(name, Removal::Left);
-            }
+    /// Replaces the endpoints by those of a peer that has seen later changes.
+    pub(crate) fn replace_endpoints(self: &Rc<Self>, endpoints: &[Endpoint]) {
+        let listed: BTreeSet<_> = endpoints.iter().map(|it| &it.name).collect();
+        let is_missing = |it: &&EndpointName| !listed.contains(it);
+        let missing: Vec<_> =
+            self.with_dispatcher(|it| it.fleet().names().filter(is_missing).cloned().collect());
+        for name in missing {
+            self.remove_endpoint(name, Removal::Left);
         }
         for endpoint in endpoints {
-            let known_draining = self.with_dispatcher(|it| {
+            let is_known = self.with_dispatcher(|it| {
                 let key = it.fleet().key(&endpoint.name);
-                key.and_then(|key| it.fleet().endpoint(key)).map(|it| it.draining)
+                key.and_then(|key| it.fleet().endpoint(key)).is_some_and(|it| it == endpoint)
             });
-            if known_draining.is_none() || (known_draining == Some(false) && endpoint.draining) {
+            if !is_known {
                 self.upsert_endpoint(endpoint.clone());
             }
         }
