perf(dispatch): prefill on engines that generate while the others are behind

Cause: on the large deployment digests are late because of their prefill. Two reasons: a prefill beside outputs cost twice its time even where no output was in progress, and 103 fronts choose the same idle prefill engines before they hear of each other, a wait that nobody predicts. After a stop of everything each client that came first was refused for want of a configuration, which arrived 7 ms later; it could return only once, 300 ms later.

Change: a prefill beside outputs costs half of its time for each request there, twice at most. Each front learns how much later than predicted prefills ended in the last second or so, for each of the two ways, and adds it to the cost of that way. A starting front accepts its clients once it knows configuration and endpoints, after 400 ms at the latest.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -252,8 +252,7 @@
         self.place(now, key, Reason::NoEndpoint, actions);
     }
 
-    /// Reports the predicted and the measured time of a send attempt, and updates the service's cost model if the
-    /// endpoint was idle.
+    /// Reports the predicted and the measured time of a send attempt, and updates the service's cost model.
     fn record_latency(
         &mut self,
         now: Time,
@@ -270,7 +269,9 @@
             Task::Run => PrefillEngine::Combined,
             Task::Decode { .. } => return,
         };
-        if let (true, Some(model)) = (sent.endpoint_idle, self.cost_models.get_mut(service)) {
+        let Some(model) = self.cost_models.get_mut(service) else { return };
+        model.learn_delay(now, engine, predicted, took);
+        if sent.endpoint_idle {
             model.learn(engine, sent.prefill_work, took.saturating_sub(sent.fetch_time));
         }
     }
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::core::request_state::InFlightAttempt;
-use crate::fleet::cost_model::ServiceCostModel;
+use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::selection::{Candidate, SelectionQuery, cache_holders, select};
 use crate::{Action, Dispatcher, EngineStage, Reason, RequestKey, SendDecision, ServiceSpec, Task};
 
@@ -18,9 +18,11 @@
 /// A prefill predicted to take at least this long triggers an immediate heartbeat. Equals the usual age of the load
 /// data that other fronts have.
 const LONG_PREFILL: Duration = Duration::from_millis(20);
-/// A prefill on an engine that also generates delays the outputs of other requests; each ms of it adds this many ms to
-/// the cost.
-const PREFILL_INTERFERENCE: f64 = 2.0;
+/// A prefill on an engine that also generates delays the outputs of the other requests there; each ms of it adds this
+/// many ms to the cost for each of them.
+const PREFILL_INTERFERENCE: f64 = 0.5;
+/// Maximum of that cost per ms of prefill: most of the requests end before a long prefill does.
+const MAX_PREFILL_INTERFERENCE: f64 = 2.0;
 /// A request whose predicted latency exceeds the latency objective times this factor is refused: it would be late and
 /// would delay later requests.
 const MAX_OBJECTIVE_RATIO: f64 = 1.0;
@@ -148,7 +150,11 @@
         let Some(prompt) = query.prompt else { return best(query).map(Placement::run) };
         // A decode engine can also prefill; `combined` runs the whole request there.
         let combined = best(decode).map(|candidate| {
-            let cost_ms = candidate.predicted_ms + candidate.prefill_ms * PREFILL_INTERFERENCE;
+            let interference = (f64::from(candidate.requests) * PREFILL_INTERFERENCE)
+                .min(MAX_PREFILL_INTERFERENCE);
+            let cost_ms = candidate.predicted_ms
+                + candidate.prefill_ms * interference
+                + model.delay_ms(now, PrefillEngine::Combined);
             Placement { cost_ms, ..Placement::run(candidate) }
         });
         if state.prefill_tried {
@@ -158,8 +164,10 @@
             .map(|candidate| {
                 let transfer =
                     engine.map_or(Duration::ZERO, |it| it.transfer_time(prompt.tokens.into()));
-                let cost_ms =
-                    candidate.predicted_ms + SECOND_CALL_OVERHEAD_MS + transfer.as_secs_f64() * 1e3;
+                let cost_ms = candidate.predicted_ms
+                    + SECOND_CALL_OVERHEAD_MS
+                    + transfer.as_secs_f64() * 1e3
+                    + model.delay_ms(now, PrefillEngine::Dedicated);
                 Placement { candidate, task: Task::Prefill, cost_ms, wait_ms: candidate.wait_ms }
             });
         match (combined, disaggregated) {
--- a/crates/daisychute-dispatch/src/fleet/cost_model.rs
+++ b/crates/daisychute-dispatch/src/fleet/cost_model.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use daisychute_core::Time;
 use daisychute_policy::cost::{LeastSquares, RobustMean};
 
+use crate::RecentDelay;
+
 /// Kind of engine that prefills a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PrefillEngine {
@@ -71,6 +74,8 @@
 pub(crate) struct ServiceCostModel {
     dedicated: PrefillTime,
     combined: PrefillTime,
+    dedicated_delay: RecentDelay,
+    combined_delay: RecentDelay,
     /// Time that a request occupies its slot, in ms.
     slot_ms: RobustMean,
 }
@@ -89,6 +94,8 @@
         Self {
             dedicated: PrefillTime::new(Self::DEDICATED_PRIOR, Self::LATENCY_PRIOR_MS),
             combined: PrefillTime::new(Self::COMBINED_PRIOR, Self::LATENCY_PRIOR_MS),
+            dedicated_delay: RecentDelay::default(),
+            combined_delay: RecentDelay::default(),
             slot_ms: RobustMean::new(Self::SLOT_PRIOR_MS),
         }
     }
@@ -106,6 +113,29 @@
         model.learn(work, ms);
     }
 
+    /// Learns how much later than predicted a prefill ended.
+    pub(crate) fn learn_delay(
+        &mut self,
+        now: Time,
+        engine: PrefillEngine,
+        predicted: Duration,
+        took: Duration,
+    ) {
+        let delay = match engine {
+            PrefillEngine::Dedicated => &mut self.dedicated_delay,
+            PrefillEngine::Combined => &mut self.combined_delay,
+        };
+        delay.learn(now, predicted, took);
+    }
+
+    /// Returns how much later than predicted prefills ended lately, in ms.
+    pub(crate) fn delay_ms(&self, now: Time, engine: PrefillEngine) -> f64 {
+        match engine {
+            PrefillEngine::Dedicated => self.dedicated_delay.ms(now),
+            PrefillEngine::Combined => self.combined_delay.ms(now),
+        }
+    }
+
     const fn prefill_time(&self, engine: PrefillEngine) -> &PrefillTime {
         match engine {
             PrefillEngine::Dedicated => &self.dedicated,
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod load;
 pub(crate) mod prefix_cache;
 pub(crate) mod prompt;
+pub(crate) mod recent_delay;
 pub(crate) mod response_time;
 pub(crate) mod selection;
 
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -42,6 +42,8 @@
     pub(crate) wait_ms: f64,
     /// Part of `predicted_ms` for KV cache transfer and prefill of the prompt, in ms.
     pub(crate) prefill_ms: f64,
+    /// Number of other requests at the endpoint.
+    pub(crate) requests: u32,
     /// Whether the endpoint has no other prompt to prefill.
     pub(crate) idle: bool,
     /// Cached and uncached tokens of the prompt at this endpoint, after a fetch if there is one.
@@ -251,6 +253,7 @@
         predicted_ms,
         wait_ms,
         prefill_ms,
+        requests,
         idle,
         prefill_work,
         fetch_from,
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -39,6 +39,7 @@
 pub use crate::fleet::health::Health;
 pub use crate::fleet::load::{LoadSample, PeerLoad};
 pub use crate::fleet::prompt::{Prompt, PromptPart};
+pub use crate::fleet::recent_delay::RecentDelay;
 pub use crate::fleet::response_time::ResponseTime;
 pub use crate::fleet::{Fleet, Removal};
 pub use crate::settings::DispatchSettings;
--- a/crates/daisychute-dispatch/tests/load_patterns.rs
+++ b/crates/daisychute-dispatch/tests/load_patterns.rs
@@ -112,22 +112,40 @@
     assert!(median <= Duration::from_millis(15), "median error of a prediction: {median:?}");
 }
 
-/// Simulates long prompts at many fronts, which get each other's heartbeats three times a second. Returns the share
-/// on time.
-fn many_fronts(urgent_heartbeats: bool) -> f64 {
-    let mut sim = Simulation::new(28, true);
+/// Simulates long prompts at this many fronts. Returns the share on time.
+fn long_prompts(fronts: usize, per_s: f64, urgent_heartbeats: bool) -> f64 {
+    let mut sim = Simulation::new(fronts, true);
     sim.urgent_heartbeats = urgent_heartbeats;
-    arrivals(&mut sim, LONG, 50.0, 0, 10_000);
+    arrivals(&mut sim, LONG, per_s, 0, 10_000);
     sim.run();
     sim.on_time(LONG, LONG_OBJECTIVE)
 }
 
+/// Number of fronts that get each other's heartbeats three times a second.
+const MANY_FRONTS: usize = 28;
+
 #[test]
 fn long_prompts_at_many_fronts_do_not_herd_to_the_same_engine() {
-    let (urgent, delayed) = (many_fronts(true), many_fronts(false));
+    let (urgent, delayed) =
+        (long_prompts(MANY_FRONTS, 80.0, true), long_prompts(MANY_FRONTS, 80.0, false));
     assert!(urgent - delayed > 0.1, "on time: {urgent}, and {delayed} without urgent heartbeats");
 }
 
+/// Pattern: prompts wait at the prefill engines longer than predicted, while engines that also generate have time to
+/// prefill.
+#[test]
+fn engines_that_generate_prefill_while_the_others_are_behind() {
+    let on_time = long_prompts(FRONTS, 50.0, true);
+    assert!(on_time >= 0.9, "long prompts on time: {on_time}");
+}
+
+/// Pattern: the fronts of a large fleet choose the same idle engines before they hear of each other.
+#[test]
+fn many_fronts_serve_nearly_as_much_as_a_few() {
+    let (many, few) = (long_prompts(MANY_FRONTS, 50.0, true), long_prompts(FRONTS, 50.0, true));
+    assert!(many >= 0.9 * few, "on time: {many} at many fronts, {few} at a few");
+}
+
 /// Returns the shared tokens that are prefilled after all fronts restarted while the engines kept their caches.
 fn prefilled_after_a_restart(answers_cache_queries: bool) -> u64 {
     let mut sim = Simulation::new(FRONTS, true);
--- a/crates/daisychute-dispatch/tests/peers.rs
+++ b/crates/daisychute-dispatch/tests/peers.rs
@@ -75,13 +75,15 @@
     actions
 }
 
-/// Returns the actions for a long prompt if three peers report this load at every engine of these stages.
-fn arrive_behind(load: PeerLoad, stages: &[Role]) -> Vec<Action> {
+/// Returns the actions for a long prompt if three peers report these loads at every engine, by its stage.
+fn arrive_behind(prefill: PeerLoad, decode: PeerLoad) -> Vec<Action> {
     let mut front = front();
     for peer in 1..4 {
-        let engines = fleet().into_iter();
-        let engines = engines.filter(|it| it.stage.is_some_and(|stage| stages.contains(&stage)));
-        let loads = engines.map(|it| (it.name, load)).collect();
+        let load = |it: Endpoint| match it.stage? {
+            Role::Prefill => Some((it.name, prefill)),
+            _ => Some((it.name, decode)),
+        };
+        let loads = fleet().into_iter().filter_map(load).collect();
         front.handle(
             Time::ZERO,
             Event::PeerHeartbeat { peer, loads, parts: Vec::new() },
@@ -93,7 +95,7 @@
 
 /// Returns the predicted wait of a long prompt if three peers report this load at every engine.
 fn predicted_wait(load: PeerLoad) -> Duration {
-    let actions = arrive_behind(load, &[Role::Prefill, Role::Decode]);
+    let actions = arrive_behind(load, load);
     let wait = actions.iter().find_map(|it| match it {
         Action::Send { decision, .. } => Some(decision.wait),
         Action::Refuse { wait, .. } => Some(*wait),
@@ -123,11 +125,13 @@
     assert!(predicted_wait(load(2)) < Duration::from_millis(150));
 }
 
-/// Whether a long prompt goes to a dedicated prefill engine while each of those has a backlog of `ms`.
-fn is_disaggregated_behind(ms: u64) -> bool {
+/// Whether a long prompt goes to a dedicated prefill engine while each of those has a backlog of `ms`, and each engine
+/// that generates has this many outputs in progress.
+fn is_disaggregated_behind(ms: u64, outputs: u32) -> bool {
     let pending_prefill = Backlog::of(1, Duration::from_millis(ms / 3));
-    let load = PeerLoad { requests: 1, pending_prefill, ..PeerLoad::default() };
-    let actions = arrive_behind(load, &[Role::Prefill]);
+    let prefill = PeerLoad { requests: 1, pending_prefill, ..PeerLoad::default() };
+    let decode = PeerLoad { requests: outputs / 3, ..PeerLoad::default() };
+    let actions = arrive_behind(prefill, decode);
     actions
         .iter()
         .any(|it| matches!(it, Action::Send { decision, .. } if decision.task == Task::Prefill))
@@ -135,9 +139,15 @@
 
 #[test]
 fn long_prompts_wait_a_little_rather_than_delay_other_outputs() {
-    assert!(is_disaggregated_behind(0));
-    assert!(is_disaggregated_behind(135));
-    assert!(!is_disaggregated_behind(300));
+    assert!(is_disaggregated_behind(0, 9));
+    assert!(is_disaggregated_behind(135, 9));
+    assert!(!is_disaggregated_behind(300, 9));
+}
+
+#[test]
+fn long_prompts_do_not_wait_if_there_are_no_outputs_to_delay() {
+    assert!(is_disaggregated_behind(0, 0));
+    assert!(!is_disaggregated_behind(135, 0));
 }
 
 /// Upserts an engine's directory record. Returns its key if the dispatcher queries its cached parts.
--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use daisychute_core::Time;
+use daisychute_core::{Role, Time};
 use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, Event, Prompt, PromptPart, Reason, RequestInfo,
-    RequestKey, SendFailure, Task,
+    Action, DispatchSettings, Dispatcher, Endpoint, Event, PeerLoad, Prompt, PromptPart, Reason,
+    RequestInfo, RequestKey, SendFailure, Task,
 };
 
 use crate::common::{HOST, LONG, ONCE, SHORT};
@@ -42,6 +42,14 @@
         front
     }
 
+    /// Reports outputs in progress at every engine that generates, so that long prompts are prefilled elsewhere.
+    fn report_outputs(&mut self) {
+        let load = PeerLoad { requests: 9, ..PeerLoad::default() };
+        let generates = |it: &Endpoint| it.stage == Some(Role::Decode);
+        let loads = common::fleet().into_iter().filter(generates).map(|it| (it.name, load));
+        self.handle(Event::PeerHeartbeat { peer: 1, loads: loads.collect(), parts: Vec::new() });
+    }
+
     fn handle(&mut self, event: Event) -> Vec<Action> {
         let mut actions = Vec::new();
         self.dispatcher.handle(self.now, event, &mut actions);
@@ -187,6 +195,7 @@
 fn stop_in_the_middle(stop_at: Stage) -> Vec<Action> {
     let mut front = Front::new();
     front.serve(LONG, Duration::from_secs(4));
+    front.report_outputs();
     let (key, actions) = front.arrive(LONG);
     assert_eq!(sent_task(&actions), Some(Task::Prefill));
     let mut seen = Vec::new();
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -67,6 +67,11 @@
 const METRICS_PATH: &str = "/metrics";
 /// Interval at which expired connections are closed, the dispatcher is ticked and the gauges are set.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Maximum time after the start in which client connections wait for configuration and endpoints. They arrive from the
+/// directory in some milliseconds, while a refused client returns after some hundred.
+const MAX_STARTUP_WAIT: Duration = Duration::from_millis(400);
+/// Interval at which a starting front checks whether configuration and endpoints have arrived.
+const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Maximum time until the platform stops sending new client connections to a front that isn't ready.
 const READINESS_PROPAGATION: Duration = Duration::from_millis(3_200);
 /// Time without a new connection after which no more are expected.
@@ -110,7 +115,7 @@
             actix_rt::spawn(watcher.run());
         }
         let accept_task =
-            actix_rt::spawn(server::accept(Rc::clone(&state), client_listener, self.capacity));
+            actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener, self.capacity));
         actix_rt::spawn(readiness::serve(Rc::clone(&state), readiness_listener));
         let render = move |path: &str| match path {
             METRICS_PATH => (StatusCode::OK, metrics()),
@@ -175,6 +180,19 @@
     }
 }
 
+/// Accepts clients as soon as requests can be served, at the latest after [`MAX_STARTUP_WAIT`].
+async fn accept_when_ready<D: Dialect>(
+    state: Rc<FrontState<D>>,
+    listener: TcpListener,
+    capacity: CapacityLimits,
+) {
+    let started = Instant::now();
+    while !state.is_ready() && started.elapsed() < MAX_STARTUP_WAIT {
+        sleep(STARTUP_POLL_INTERVAL).await;
+    }
+    server::accept(state, listener, capacity).await;
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
     let bound = TcpListener::bind(address).await;
     bound.map_err(|source| FrontError::Listen { address, source })
