fix(front): notice clients that pipeline and leave; blame endpoints for their own silence only

An endpoint counted as unresponsive if the client had waited for long in all, even if it had got the request a moment before. The server of readiness and metrics buffered a request head without a limit.

Change: with a full buffer the connection is checked for its end every 100 ms, without reading on. The silence of an endpoint counts from its own attempt, also when the deadline passes. A head over 16 KiB closes the connection, with a line in the log.

No fault: ResponseReader::collect returns a body of one piece whatever its size; a piece is at most what one read buffers.

--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -9,8 +9,7 @@
 
 /// Maximum number of retries of a request of which no byte was sent so far.
 const MAX_UNSENT_RETRIES: u32 = 3;
-/// If a client disconnects after this multiple of the latency objective without an output, the endpoint counts as
-/// unresponsive.
+/// An endpoint that had a request for this multiple of the latency objective without an output counts as unresponsive.
 const SILENCE_OBJECTIVE_FACTOR: u32 = 3;
 
 impl Dispatcher {
@@ -163,20 +162,18 @@
         key: RequestKey,
         actions: &mut Vec<Action>,
     ) {
-        let waited_too_long = |it: &RequestState| {
-            now.since(it.arrived) > it.route.objective * SILENCE_OBJECTIVE_FACTOR
-        };
-        if self.requests.get(&key).is_some_and(waited_too_long) {
-            self.record_unresponsive(now, key);
-        }
+        self.record_unresponsive(now, key);
         self.record_response_time(now, key);
         self.end(key, actions);
     }
 
-    /// Counts a failure at the endpoint of a request that has no output yet.
+    /// Counts a failure at the endpoint of a request, if it has had the request for too long without an output. Time at
+    /// other endpoints before doesn't count.
     fn record_unresponsive(&mut self, now: Time, key: RequestKey) {
         let Some(state) = self.requests.get(&key).filter(|it| !it.has_output) else { return };
-        let endpoint = state.in_flight.as_ref().map(|it| it.endpoint);
+        let limit = state.route.objective * SILENCE_OBJECTIVE_FACTOR;
+        let silent = state.in_flight.as_ref().filter(|it| now.since(it.sent_at) > limit);
+        let endpoint = silent.map(|it| it.endpoint);
         if let Some(tracked) = endpoint.and_then(|it| self.fleet.tracked_mut(it)) {
             tracked.health.record_failure(now);
         }
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -6,10 +6,10 @@
 use actix_http::{ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
 use daisychute_dispatch::ClientLimits;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
 use crate::Dialect;
@@ -20,6 +20,8 @@
 const READ_BYTES: usize = 4 * 1024;
 /// Maximum number of bytes buffered from a client that pipelines requests during a response.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Interval at which the connection of a client with a full buffer is checked.
+const FULL_BUFFER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long unread bytes are drained after the last response: closing a socket with unread bytes resets the connection,
 /// and the client may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -161,7 +163,7 @@
 }
 
 /// Returns when the client has closed its connection. Bytes that it sends meanwhile are buffered; once the buffer is
-/// full, a disconnect goes unnoticed.
+/// full, the rest stays in the socket and the connection is checked from time to time.
 pub(crate) async fn client_disconnected(read: &mut ReadHalf<'_>, buf: &mut BytesMut) {
     while buf.len() < MAX_PIPELINED_BYTES {
         buf.reserve(READ_BYTES);
@@ -169,5 +171,10 @@
             return;
         }
     }
-    std::future::pending().await
+    loop {
+        match read.ready(Interest::READABLE).await {
+            Ok(ready) if !ready.is_read_closed() => sleep(FULL_BUFFER_CHECK_INTERVAL).await,
+            _ => return,
+        }
+    }
 }
--- a/crates/daisychute-front/src/plain_server.rs
+++ b/crates/daisychute-front/src/plain_server.rs
@@ -14,6 +14,8 @@
 
 /// Idle time after which a connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of a request head, in bytes. The platform's requests are a few hundred bytes long.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -53,6 +55,10 @@
         }
         let invalid_data = |_| std::io::Error::from(std::io::ErrorKind::InvalidData);
         let Some(Message::Item(req)) = codec.decode(&mut buf).map_err(invalid_data)? else {
+            if buf.len() > MAX_HEAD_BYTES {
+                log::warn!(bytes = buf.len(); "connection closed: request head too large");
+                return Ok(());
+            }
             continue;
         };
         let (status, body) = respond(req.path());
