--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::Time;
 
-use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
+use crate::core::request_state::{InFlightAttempt, KvHandle};
 use crate::{Action, Dispatcher, Reason, RequestKey, SendFailure, Task};
 
 /// Maximum number of retries of a request of which no byte was sent so far.
