feat(dispatch): refuse by what requests really waited

Those that were accepted at engines that generate were predicted to take 211 and 285 ms (median and 90th percentile) and took 94 and 186: a prompt waits for less than all work that is reported ahead of it, and the check counted the cost of delaying others as time of the request itself.

Ruled out: the age of the loads (predictions were too long, not too short).

Change: the front learns the ratio of measured to predicted waits, for both kinds of engine, and multiplies waits by it when it decides on a refusal. The cost for others counts for the choice only.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -271,6 +271,8 @@
         };
         let Some(model) = self.cost_models.get_mut(service) else { return };
         model.learn_delay(now, engine, predicted, took);
+        let own_time = predicted.saturating_sub(sent.wait);
+        model.learn_wait(engine, sent.work_ahead, took.saturating_sub(own_time));
         if sent.endpoint_idle {
             model.learn(engine, sent.prefill_work, took.saturating_sub(sent.fetch_time));
         }
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -6,7 +6,7 @@
 use daisychute_core::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::core::request_state::InFlightAttempt;
+use crate::core::request_state::{InFlightAttempt, RequestState};
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::selection::{Candidate, SelectionQuery, cache_holders, select};
 use crate::{Action, Dispatcher, EngineStage, Reason, RequestKey, SendDecision, ServiceSpec, Task};
@@ -38,7 +38,9 @@
     task: Task,
     /// Predicted time to the first output of the response, in ms, plus the cost of delaying other requests.
     cost_ms: f64,
-    /// Part of `cost_ms` for which the request waits for other requests, in ms.
+    /// Predicted time to the first output of the response, in ms.
+    latency_ms: f64,
+    /// Part of `latency_ms` for which the request waits for other requests, in ms.
     wait_ms: f64,
 }
 
@@ -48,6 +50,7 @@
             candidate,
             task: Task::Run,
             cost_ms: candidate.predicted_ms,
+            latency_ms: candidate.predicted_ms,
             wait_ms: candidate.wait_ms,
         }
     }
@@ -98,9 +101,10 @@
         }
         let objective_ms = state.route.objective.as_secs_f64() * 1e3;
         let elapsed_ms = now.since(state.arrived).as_secs_f64() * 1e3;
-        let own_ms = (placement.cost_ms - placement.wait_ms).min(objective_ms * MAX_OWN_TIME_SHARE);
-        let excess_ms =
-            placement.wait_ms + own_ms + elapsed_ms - objective_ms * MAX_OBJECTIVE_RATIO;
+        let own_ms =
+            (placement.latency_ms - placement.wait_ms).min(objective_ms * MAX_OWN_TIME_SHARE);
+        let wait_ms = placement.wait_ms * self.wait_factor(state, &placement.task);
+        let excess_ms = wait_ms + own_ms + elapsed_ms - objective_ms * MAX_OBJECTIVE_RATIO;
         if excess_ms <= 0.0 {
             return None;
         }
@@ -110,6 +114,15 @@
         Some(Duration::from_secs_f64(retry_ms / 1e3))
     }
 
+    /// Returns which share of the predicted waits requests with this task really waited lately.
+    fn wait_factor(&self, state: &RequestState, task: &Task) -> f64 {
+        let engine = match task {
+            Task::Prefill => PrefillEngine::Dedicated,
+            Task::Run | Task::Decode { .. } => PrefillEngine::Combined,
+        };
+        self.cost_models.get(&state.service).map_or(1.0, |it| it.wait_factor(engine))
+    }
+
     /// Compares, by cost, prefill and decode on one engine with prefill on a dedicated engine.
     fn choose_placement(&mut self, now: Time, key: RequestKey) -> Option<Placement> {
         let state = self.requests.get(&key)?;
@@ -152,10 +165,9 @@
         let combined = best(decode).map(|candidate| {
             let interference = (f64::from(candidate.requests) * PREFILL_INTERFERENCE)
                 .min(MAX_PREFILL_INTERFERENCE);
-            let cost_ms = candidate.predicted_ms
-                + candidate.prefill_ms * interference
-                + model.delay_ms(now, PrefillEngine::Combined);
-            Placement { cost_ms, ..Placement::run(candidate) }
+            let latency_ms = candidate.predicted_ms + model.delay_ms(now, PrefillEngine::Combined);
+            let cost_ms = latency_ms + candidate.prefill_ms * interference;
+            Placement { cost_ms, latency_ms, ..Placement::run(candidate) }
         });
         if state.prefill_tried {
             return combined;
@@ -168,7 +180,8 @@
                     + SECOND_CALL_OVERHEAD_MS
                     + transfer.as_secs_f64() * 1e3
                     + model.delay_ms(now, PrefillEngine::Dedicated);
-                Placement { candidate, task: Task::Prefill, cost_ms, wait_ms: candidate.wait_ms }
+                let task = Task::Prefill;
+                Placement { task, cost_ms, latency_ms: cost_ms, ..Placement::run(candidate) }
             });
         match (combined, disaggregated) {
             (Some(combined), Some(disaggregated)) if disaggregated.cost_ms < combined.cost_ms => {
@@ -196,6 +209,8 @@
         let Some(tracked) = self.fleet.tracked_mut(candidate.key) else { return };
         let prefill_time = Duration::from_secs_f64(candidate.prefill_ms.max(0.0) / 1e3);
         let predicted = Duration::from_secs_f64(candidate.predicted_ms.max(0.0) / 1e3);
+        let wait = Duration::from_secs_f64(candidate.wait_ms.max(0.0) / 1e3);
+        let work_ahead = Duration::from_secs_f64(candidate.work_ahead_ms.max(0.0) / 1e3);
         let endpoint_idle = candidate.idle;
         let tokens = state.request.prompt.as_ref().map_or(0, |it| it.tokens);
         actions.push(Action::Send {
@@ -242,6 +257,8 @@
             fetch_time,
             endpoint_idle,
             predicted,
+            wait,
+            work_ahead,
         });
     }
 
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -27,6 +27,10 @@
     pub(crate) endpoint_idle: bool,
     /// Predicted time from sending to the first output.
     pub(crate) predicted: Duration,
+    /// Part of `predicted` for which the request waits for other requests.
+    pub(crate) wait: Duration,
+    /// Work ahead of the request, from which `wait` was predicted.
+    pub(crate) work_ahead: Duration,
 }
 
 /// KV cache that was prefilled for a request and isn't fetched yet.
--- a/crates/daisychute-dispatch/src/fleet/cost_model.rs
+++ b/crates/daisychute-dispatch/src/fleet/cost_model.rs
@@ -5,7 +5,7 @@
 use daisychute_core::Time;
 use daisychute_policy::cost::{LeastSquares, RobustMean};
 
-use crate::RecentDelay;
+use crate::{RecentDelay, WaitFactor};
 
 /// Kind of engine that prefills a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -76,6 +76,8 @@
     combined: PrefillTime,
     dedicated_delay: RecentDelay,
     combined_delay: RecentDelay,
+    dedicated_wait: WaitFactor,
+    combined_wait: WaitFactor,
     /// Time that a request occupies its slot, in ms.
     slot_ms: RobustMean,
 }
@@ -96,6 +98,8 @@
             combined: PrefillTime::new(Self::COMBINED_PRIOR, Self::LATENCY_PRIOR_MS),
             dedicated_delay: RecentDelay::default(),
             combined_delay: RecentDelay::default(),
+            dedicated_wait: WaitFactor::default(),
+            combined_wait: WaitFactor::default(),
             slot_ms: RobustMean::new(Self::SLOT_PRIOR_MS),
         }
     }
@@ -128,6 +132,28 @@
         delay.learn(now, predicted, took);
     }
 
+    /// Learns how long a prompt waited, where `predicted` was expected without the wait factor.
+    pub(crate) fn learn_wait(
+        &mut self,
+        engine: PrefillEngine,
+        predicted: Duration,
+        measured: Duration,
+    ) {
+        let factor = match engine {
+            PrefillEngine::Dedicated => &mut self.dedicated_wait,
+            PrefillEngine::Combined => &mut self.combined_wait,
+        };
+        factor.learn(predicted, measured);
+    }
+
+    /// Returns the factor by which predicted waiting times of prompts are multiplied.
+    pub(crate) fn wait_factor(&self, engine: PrefillEngine) -> f64 {
+        match engine {
+            PrefillEngine::Dedicated => self.dedicated_wait.get(),
+            PrefillEngine::Combined => self.combined_wait.get(),
+        }
+    }
+
     /// Returns how much later than predicted prefills ended lately, in ms.
     pub(crate) fn delay_ms(&self, now: Time, engine: PrefillEngine) -> f64 {
         match engine {
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -40,6 +40,8 @@
     pub(crate) predicted_ms: f64,
     /// Part of `predicted_ms` for which the request waits for other requests, in ms.
     pub(crate) wait_ms: f64,
+    /// Part of `wait_ms` that is work ahead of the request; a request usually waits for less than all of it.
+    pub(crate) work_ahead_ms: f64,
     /// Part of `predicted_ms` for KV cache transfer and prefill of the prompt, in ms.
     pub(crate) prefill_ms: f64,
     /// Number of other requests at the endpoint.
@@ -236,14 +238,19 @@
     let slots = tracked.sample.map_or(tracked.endpoint.slots, |it| it.sample.slots).max(1);
     let is_remote = query.local_data_centre.is_some()
         && tracked.endpoint.data_centre.as_ref() != query.local_data_centre;
-    let mut wait_ms = prefill_wait.as_secs_f64() * 1e3;
+    let mut work_ahead_ms = prefill_wait.as_secs_f64() * 1e3;
+    if engine == PrefillEngine::Combined {
+        work_ahead_ms += model.slot_wait_ms(requests, slots);
+        work_ahead_ms +=
+            f64::from(requests) / f64::from(slots) * model.mean_slot_ms() * SLOT_CONTENTION;
+    }
+    let mut wait_ms = work_ahead_ms;
     if engine == PrefillEngine::Combined {
-        wait_ms += model.slot_wait_ms(requests, slots);
-        wait_ms += f64::from(requests) / f64::from(slots) * model.mean_slot_ms() * SLOT_CONTENTION;
         wait_ms += memory_pressure_ms(now, tracked, query);
     }
+    let is_prefilled_here = query.prompt.is_some() && query.source.is_none();
     let mut predicted_ms = wait_ms + prefill_ms;
-    if query.prompt.is_some() && query.source.is_none() {
+    if is_prefilled_here {
         predicted_ms += model.latency(engine).as_secs_f64() * 1e3;
     }
     predicted_ms += if is_remote { CROSS_DC_ROUND_TRIP_MS } else { 0.0 };
@@ -252,6 +259,7 @@
         key,
         predicted_ms,
         wait_ms,
+        work_ahead_ms,
         prefill_ms,
         requests,
         idle,
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -41,5 +41,6 @@
 pub use crate::fleet::prompt::{Prompt, PromptPart};
 pub use crate::fleet::recent_delay::RecentDelay;
 pub use crate::fleet::response_time::ResponseTime;
+pub use crate::fleet::wait_factor::WaitFactor;
 pub use crate::fleet::{Fleet, Removal};
 pub use crate::settings::DispatchSettings;
