refactor(dispatch): delay and wait factor beside the prefill time they belong to; one front for the tests

No behaviour changes: the four learners of a cost model are two fields of the prefill time of each kind of engine.

--- a/crates/daisychute-dispatch/src/fleet/cost_model.rs
+++ b/crates/daisychute-dispatch/src/fleet/cost_model.rs
@@ -40,6 +40,10 @@
     rate: LeastSquares<2>,
     /// Time from the end of the prefill to the first output, in ms. Doesn't delay other requests.
     latency: RobustMean,
+    /// How much later than predicted prefills ended lately.
+    delay: RecentDelay,
+    /// Which share of the predicted waits prompts really waited.
+    wait_factor: WaitFactor,
 }
 
 impl PrefillTime {
@@ -49,7 +53,12 @@
     const MIN_PREFILL_MS: f64 = 3.0;
 
     fn new(rate: [f64; 2], latency_ms: f64) -> Self {
-        Self { rate: LeastSquares::new(rate), latency: RobustMean::new(latency_ms) }
+        Self {
+            rate: LeastSquares::new(rate),
+            latency: RobustMean::new(latency_ms),
+            delay: RecentDelay::default(),
+            wait_factor: WaitFactor::default(),
+        }
     }
 
     fn learn(&mut self, work: PrefillWork, ms: f64) {
@@ -74,10 +83,6 @@
 pub(crate) struct ServiceCostModel {
     dedicated: PrefillTime,
     combined: PrefillTime,
-    dedicated_delay: RecentDelay,
-    combined_delay: RecentDelay,
-    dedicated_wait: WaitFactor,
-    combined_wait: WaitFactor,
     /// Time that a request occupies its slot, in ms.
     slot_ms: RobustMean,
 }
@@ -96,10 +101,6 @@
         Self {
             dedicated: PrefillTime::new(Self::DEDICATED_PRIOR, Self::LATENCY_PRIOR_MS),
             combined: PrefillTime::new(Self::COMBINED_PRIOR, Self::LATENCY_PRIOR_MS),
-            dedicated_delay: RecentDelay::default(),
-            combined_delay: RecentDelay::default(),
-            dedicated_wait: WaitFactor::default(),
-            combined_wait: WaitFactor::default(),
             slot_ms: RobustMean::new(Self::SLOT_PRIOR_MS),
         }
     }
@@ -110,11 +111,7 @@
             return;
         }
         let ms = elapsed.as_secs_f64() * 1e3;
-        let model = match engine {
-            PrefillEngine::Dedicated => &mut self.dedicated,
-            PrefillEngine::Combined => &mut self.combined,
-        };
-        model.learn(work, ms);
+        self.prefill_time_mut(engine).learn(work, ms);
     }
 
     /// Learns how much later than predicted a prefill ended.
@@ -125,11 +122,7 @@
         predicted: Duration,
         took: Duration,
     ) {
-        let delay = match engine {
-            PrefillEngine::Dedicated => &mut self.dedicated_delay,
-            PrefillEngine::Combined => &mut self.combined_delay,
-        };
-        delay.learn(now, predicted, took);
+        self.prefill_time_mut(engine).delay.learn(now, predicted, took);
     }
 
     /// Learns how long a prompt waited, where `predicted` was expected without the wait factor.
@@ -139,26 +132,23 @@
         predicted: Duration,
         measured: Duration,
     ) {
-        let factor = match engine {
-            PrefillEngine::Dedicated => &mut self.dedicated_wait,
-            PrefillEngine::Combined => &mut self.combined_wait,
-        };
-        factor.learn(predicted, measured);
+        self.prefill_time_mut(engine).wait_factor.learn(predicted, measured);
     }
 
     /// Returns the factor by which predicted waiting times of prompts are multiplied.
     pub(crate) fn wait_factor(&self, engine: PrefillEngine) -> f64 {
-        match engine {
-            PrefillEngine::Dedicated => self.dedicated_wait.get(),
-            PrefillEngine::Combined => self.combined_wait.get(),
-        }
+        self.prefill_time(engine).wait_factor.get()
     }
 
     /// Returns how much later than predicted prefills ended lately, in ms.
     pub(crate) fn delay_ms(&self, now: Time, engine: PrefillEngine) -> f64 {
+        self.prefill_time(engine).delay.ms(now)
+    }
+
+    const fn prefill_time_mut(&mut self, engine: PrefillEngine) -> &mut PrefillTime {
         match engine {
-            PrefillEngine::Dedicated => self.dedicated_delay.ms(now),
-            PrefillEngine::Combined => self.combined_delay.ms(now),
+            PrefillEngine::Dedicated => &mut self.dedicated,
+            PrefillEngine::Combined => &mut self.combined,
         }
     }
 
--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName};
+use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName, Time};
 use daisychute_dispatch::{
-    Backends, ClientLimits, Endpoint, EngineSpec, RequestKind, Route, RouteTable, ServiceSpec,
+    Action, Backends, ClientLimits, DispatchSettings, Dispatcher, Endpoint, EngineSpec, Event,
+    RequestKey, RequestKind, Route, RouteTable, ServiceSpec,
 };
 
 /// KV cache capacity of an engine, in tokens; large enough for all shared parts of a test.
@@ -102,3 +103,39 @@
     let engines = (0..12).map(|it| endpoint(it, "lm", stage(it)));
     engines.chain((0..4).map(|it| endpoint(it, "feed", None))).collect()
 }
+
+/// A dispatcher whose time the test sets.
+pub(crate) struct Front {
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) now: Time,
+    next_key: u64,
+}
+
+impl Front {
+    /// Creates a front that knows the routes of [`table`] and these endpoints.
+    pub(crate) fn new(endpoints: impl IntoIterator<Item = Endpoint>) -> Self {
+        let dispatcher = Dispatcher::new(DispatchSettings::default());
+        let mut front = Self { dispatcher, now: Time::ZERO, next_key: 1 };
+        front.handle(Event::Configured(table(1)));
+        for endpoint in endpoints {
+            front.handle(Event::EndpointUpserted(endpoint));
+        }
+        front
+    }
+
+    pub(crate) fn handle(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.dispatcher.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    pub(crate) fn wait(&mut self, time: Duration) {
+        self.now = self.now + time;
+    }
+
+    pub(crate) const fn next_key(&mut self) -> RequestKey {
+        let key = RequestKey::new(self.next_key);
+        self.next_key += 1;
+        key
+    }
+}
--- a/crates/daisychute-dispatch/tests/refusals.rs
+++ b/crates/daisychute-dispatch/tests/refusals.rs
@@ -7,13 +7,12 @@
 
 use std::time::Duration;
 
-use daisychute_core::{Role, Time};
+use daisychute_core::Role;
 use daisychute_dispatch::{
-    Action, Backlog, DispatchSettings, Dispatcher, Endpoint, Event, PeerLoad, Prompt, PromptPart,
-    Reason, RequestInfo, RequestKey,
+    Action, Backlog, Endpoint, Event, PeerLoad, Prompt, PromptPart, Reason, RequestInfo, RequestKey,
 };
 
-use crate::common::{HOST, SHORT};
+use crate::common::{Front, HOST, SHORT};
 
 /// Time from sending to the first output at an engine without other work: the prior of the cost model.
 const OWN_TIME: Duration = Duration::from_millis(70);
@@ -22,30 +21,7 @@
 /// Pending prefills that exceed the latency objective of 300 ms.
 const HEAVY_BACKLOG_MS: u64 = 400;
 
-struct Front {
-    dispatcher: Dispatcher,
-    now: Time,
-    next_key: u64,
-}
-
 impl Front {
-    fn new() -> Self {
-        let dispatcher = Dispatcher::new(DispatchSettings::default());
-        let mut front = Self { dispatcher, now: Time::ZERO, next_key: 1 };
-        front.handle(Event::Configured(common::table(1)));
-        let generates = |it: &Endpoint| it.stage != Some(Role::Prefill);
-        for endpoint in common::fleet().into_iter().filter(generates) {
-            front.handle(Event::EndpointUpserted(endpoint));
-        }
-        front
-    }
-
-    fn handle(&mut self, event: Event) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.dispatcher.handle(self.now, event, &mut actions);
-        actions
-    }
-
     /// A peer reports this backlog, of the priority of short prompts, at every engine.
     fn report_backlog(&mut self, ms: u64) {
         let pending_prefill = Backlog::of(0, Duration::from_millis(ms));
@@ -58,8 +34,7 @@
     /// Sends a short prompt behind this backlog. `None` if it is refused for overload.
     fn arrive_behind(&mut self, ms: u64) -> Option<RequestKey> {
         self.report_backlog(ms);
-        let key = RequestKey::new(self.next_key);
-        self.next_key += 1;
+        let key = self.next_key();
         let mut request = RequestInfo::new(format!("id-{}", key.number()), HOST, SHORT);
         let parts = vec![PromptPart { key: key.number(), tokens: 383 }];
         request.prompt = Some(Prompt { parts, tokens: 383, max_output: 20 });
@@ -74,7 +49,7 @@
         for _ in 0..200 {
             let key = self.arrive_behind(LIGHT_BACKLOG_MS).expect("the request is accepted");
             let wait = Duration::from_millis(LIGHT_BACKLOG_MS).mul_f64(waited_share);
-            self.now = self.now + OWN_TIME + wait;
+            self.wait(OWN_TIME + wait);
             self.handle(Event::ResponseStarted { key });
             self.handle(Event::FirstOutput { key });
             self.handle(Event::Finished { key });
@@ -84,7 +59,8 @@
 
 /// Whether a request is refused behind this backlog, after earlier ones waited for a share of theirs.
 fn is_refused(backlog_ms: u64, waited_share: Option<f64>) -> bool {
-    let mut front = Front::new();
+    let generates = |it: &Endpoint| it.stage != Some(Role::Prefill);
+    let mut front = Front::new(common::fleet().into_iter().filter(generates));
     if let Some(share) = waited_share {
         front.serve_many(share);
     }
--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -4,26 +4,19 @@
 
 use std::time::Duration;
 
-use daisychute_core::{Role, Time};
+use daisychute_core::Role;
 use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, Endpoint, Event, PeerLoad, Prompt, PromptPart, Reason,
-    RequestInfo, RequestKey, SendFailure, Task,
+    Action, Endpoint, Event, PeerLoad, Prompt, PromptPart, Reason, RequestInfo, RequestKey,
+    SendFailure, Task,
 };
 
-use crate::common::{HOST, LONG, ONCE, SHORT};
+use crate::common::{Front, HOST, LONG, ONCE, SHORT};
 
 /// Time from the request to stop until responses in progress are cut.
 const GRACE: Duration = Duration::from_millis(7_500);
 /// How long clients wait for a response.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A dispatcher with the usual fleet, whose time the test sets.
-struct Front {
-    dispatcher: Dispatcher,
-    now: Time,
-    next_key: u64,
-}
-
 /// What a front does with a request that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Admission {
@@ -32,16 +25,6 @@
 }
 
 impl Front {
-    fn new() -> Self {
-        let dispatcher = Dispatcher::new(DispatchSettings::default());
-        let mut front = Self { dispatcher, now: Time::ZERO, next_key: 1 };
-        front.handle(Event::Configured(common::table(1)));
-        for endpoint in common::fleet() {
-            front.handle(Event::EndpointUpserted(endpoint));
-        }
-        front
-    }
-
     /// Reports outputs in progress at every engine that generates, so that long prompts are prefilled elsewhere.
     fn report_outputs(&mut self) {
         let load = PeerLoad { requests: 9, ..PeerLoad::default() };
@@ -50,23 +33,12 @@
         self.handle(Event::PeerHeartbeat { peer: 1, loads: loads.collect(), parts: Vec::new() });
     }
 
-    fn handle(&mut self, event: Event) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.dispatcher.handle(self.now, event, &mut actions);
-        actions
-    }
-
-    fn wait(&mut self, time: Duration) {
-        self.now = self.now + time;
-    }
-
     fn request_stop(&mut self) {
         self.handle(Event::ShutdownRequested { deadline: self.now + GRACE });
     }
 
     fn arrive(&mut self, path: &str) -> (RequestKey, Vec<Action>) {
-        let key = RequestKey::new(self.next_key);
-        self.next_key += 1;
+        let key = self.next_key();
         let mut request = RequestInfo::new(format!("id-{}", key.number()), HOST, path);
         request.client_timeout = Some(CLIENT_TIMEOUT);
         request.prompt = match path {
@@ -120,7 +92,7 @@
 
 /// Whether a front, whose streams of one route took `took`, accepts another one `after` the request to stop.
 fn accepts(path: &str, took: Option<Duration>, after: Duration) -> bool {
-    let mut front = Front::new();
+    let mut front = Front::new(common::fleet());
     if let Some(time) = took {
         front.serve(path, time);
     }
@@ -153,7 +125,7 @@
 
 #[test]
 fn routes_are_judged_by_their_own_responses() {
-    let mut front = Front::new();
+    let mut front = Front::new(common::fleet());
     front.serve(LONG, Duration::from_secs(4));
     front.serve(SHORT, Duration::from_millis(300));
     front.request_stop();
@@ -164,7 +136,7 @@
 
 #[test]
 fn streams_cut_by_their_clients_count_as_long_ones() {
-    let mut front = Front::new();
+    let mut front = Front::new(common::fleet());
     let (key, _) = front.arrive(SHORT);
     front.handle(Event::ResponseStarted { key });
     front.handle(Event::FirstOutput { key });
@@ -177,7 +149,7 @@
 
 #[test]
 fn refusal_tells_the_client_to_return_at_once_and_frees_everything() {
-    let mut front = Front::new();
+    let mut front = Front::new(common::fleet());
     front.serve(SHORT, Duration::from_secs(4));
     front.request_stop();
     front.wait(Duration::from_secs(4));
@@ -193,7 +165,7 @@
 /// Plays a long prompt whose prefill and generation each take `stage`, with a request to stop at `stop_at`. Returns the
 /// actions after it.
 fn stop_in_the_middle(stop_at: Stage) -> Vec<Action> {
-    let mut front = Front::new();
+    let mut front = Front::new(common::fleet());
     front.serve(LONG, Duration::from_secs(4));
     front.report_outputs();
     let (key, actions) = front.arrive(LONG);
@@ -242,7 +214,7 @@
 
 #[test]
 fn refused_attempt_is_not_repeated_too_late_for_the_shutdown() {
-    let mut front = Front::new();
+    let mut front = Front::new(common::fleet());
     front.serve(LONG, Duration::from_secs(3));
     front.request_stop();
     front.wait(Duration::from_secs(3));
