--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -63,6 +63,10 @@
     pub uncached_tokens: u32,
     /// Engine from which cached parts of the prompt are fetched before the prefill; `None` if nothing is fetched.
     pub fetch_from: Option<SocketAddr>,
+    /// Maximum number of tokens that the request may generate; `None` without a prompt.
+    pub max_output: Option<u32>,
+    /// Time left until responses in progress are cut by a shutdown; `None` if none was requested.
+    pub shutdown_in: Option<Duration>,
     /// Number of endpoints that could have taken the request.
     pub candidates: usize,
     /// Age of the endpoint's latest load report; `None` if there is none.
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -202,6 +202,7 @@
         let Placement { candidate, task, cost_ms, .. } = placement;
         let capacity = self.service_spec(key).and_then(|it| it.engine).map(|it| it.kv_tokens);
         let max_connections = self.max_connections(key);
+        let shutdown_in = self.shutdown_deadline.map(|it| it.since(now));
         let fetch_from = candidate.fetch_from.and_then(|it| self.fleet.endpoint(it));
         let fetch_from = fetch_from.map(|it| it.address);
         self.record_retry(now, key);
@@ -228,6 +229,8 @@
                 wait: Duration::from_secs_f64(candidate.wait_ms.max(0.0) / 1e3),
                 uncached_tokens: candidate.prefill_work.uncached,
                 fetch_from,
+                max_output: state.request.prompt.as_ref().map(|it| it.max_output),
+                shutdown_in,
                 candidates: candidate.candidates,
                 load_age: tracked.sample.map(|it| now.since(it.received_at)),
                 max_connections,
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -70,12 +70,14 @@
     let ended = tokio::select! {
         biased;
         outcome = exchange.run(first_action) => Ok(outcome),
-        () = client_disconnected(&mut read, buf) => Err(Event::ClientDisconnected { key }),
-        () = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into()) => Err(Event::Expired { key }),
+        () = client_disconnected(&mut read, buf) => Err(Some(Event::ClientDisconnected { key })),
+        () = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into()) => Err(Some(Event::Expired { key })),
+        () = state.shutdown.wait_cut() => Err(None),
     };
     let outcome = match ended {
         Ok(outcome) => outcome,
-        Err(event) => exchange.interrupted(event).await,
+        Err(Some(event)) => exchange.interrupted(event).await,
+        Err(None) => exchange.cut_by_shutdown(),
     };
     if outcome == ConnectionOutcome::KeepAlive && !codec.keep_alive() {
         ConnectionOutcome::Close
@@ -164,6 +166,12 @@
         }
     }
 
+    /// Logs a request that the exit of the process ends.
+    fn cut_by_shutdown(&self) -> ConnectionOutcome {
+        self.log_end("cut", Reason::Stopping.as_str(), None);
+        ConnectionOutcome::Abort
+    }
+
     /// Writes the final response, unless the client already has the head of one.
     async fn finish(&mut self, final_action: Action) -> ConnectionOutcome {
         if self.response_writer.head_passed() {
@@ -204,6 +212,7 @@
             wait,
             uncached_tokens,
             fetch_from,
+            max_output,
             candidates,
             ..
         } = decision;
@@ -212,9 +221,10 @@
         let _ = write!(self.attempt_log, "{task} at {name} after {} ms; ", self.elapsed_ms());
         let request = &self.incoming.info.id;
         let load_age_ms = decision.load_age.map(|it| it.as_millis());
+        let shutdown_in_ms = decision.shutdown_in.map(|it| it.as_millis());
         log::info!(
             request:%, endpoint:% = name, task, sends = previous_attempts, predicted_ms, wait_ms,
-            unread = uncached_tokens, fetch_from:?, among = candidates, load_age_ms:?;
+            unread = uncached_tokens, max_output:?, fetch_from:?, among = candidates, load_age_ms:?, shutdown_in_ms:?;
             "sent"
         );
     }
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -80,6 +80,8 @@
 const ACCEPT_SHARE: f64 = 0.55;
 /// Time reserved at the end of a shutdown for closing connections and writing the last log lines.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
+/// Time in which the requests that are cut write their last log lines.
+const LAST_LOG_LINES_DELAY: Duration = Duration::from_millis(20);
 
 impl Front {
     /// Serves until the process is asked to stop, then shuts down gracefully.
@@ -175,7 +177,12 @@
         while state.shutdown.busy() > 0 && started.elapsed() < limit {
             sleep(SWEEP_INTERVAL / 5).await;
         }
-        let (left, took_ms) = (state.shutdown.busy(), started.elapsed().as_millis());
+        let left = state.shutdown.busy();
+        if left > 0 {
+            state.shutdown.cut();
+            sleep(LAST_LOG_LINES_DELAY).await;
+        }
+        let took_ms = started.elapsed().as_millis();
         log::info!(left, took_ms; "stopped");
     }
 }
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -12,6 +12,7 @@
     busy: Cell<usize>,
     accepted: Cell<u64>,
     closing_started: Notify,
+    deadline_passed: Notify,
 }
 
 impl ShutdownState {
@@ -42,6 +43,16 @@
         }
     }
 
+    /// Ends the requests in flight: the process exits.
+    pub(crate) fn cut(&self) {
+        self.deadline_passed.notify_waiters();
+    }
+
+    /// Waits until the requests in flight are ended.
+    pub(crate) async fn wait_cut(&self) {
+        self.deadline_passed.notified().await;
+    }
+
     pub(crate) fn begin_request(&self) {
         self.busy.set(self.busy.get() + 1);
     }
