--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -17,6 +17,9 @@
 /// How long clients wait for a response.
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Maximum number of output tokens of a request, unless the test says otherwise.
+const MAX_OUTPUT: u32 = 40;
+
 /// What a front does with a request that arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Admission {
@@ -38,12 +41,17 @@
     }
 
     fn arrive(&mut self, path: &str) -> (RequestKey, Vec<Action>) {
+        self.arrive_with(path, MAX_OUTPUT)
+    }
+
+    /// Plays the arrival of a request that asks for at most `max_output` tokens.
+    fn arrive_with(&mut self, path: &str, max_output: u32) -> (RequestKey, Vec<Action>) {
         let key = self.next_key();
         let mut request = RequestInfo::new(format!("id-{}", key.number()), HOST, path);
         request.client_timeout = Some(CLIENT_TIMEOUT);
         request.prompt = match path {
-            LONG => Some(prompt(9_000)),
-            SHORT => Some(prompt(300)),
+            LONG => Some(prompt(9_000, max_output)),
+            SHORT => Some(prompt(300, max_output)),
             _ => None,
         };
         (key, self.handle(Event::arrived(key, request)))
@@ -73,10 +81,10 @@
     }
 }
 
-fn prompt(tokens: u32) -> Prompt {
+fn prompt(tokens: u32, max_output: u32) -> Prompt {
     let parts =
         vec![PromptPart { key: 1, tokens: tokens - 200 }, PromptPart { key: 2, tokens: 200 }];
-    Prompt { parts, tokens, max_output: 40 }
+    Prompt { parts, tokens, max_output }
 }
 
 fn is_refused_for_shutdown(actions: &[Action]) -> bool {
@@ -225,3 +233,33 @@
     let actions = front.handle(Event::SendFailed { key, failure });
     assert!(is_refused_for_shutdown(&actions), "{actions:?}");
 }
+
+/// Guards against streams that are cut because their prompt was prefilled too late for the shutdown.
+#[test]
+fn request_prefilled_too_late_for_the_shutdown_is_refused() {
+    let mut front = Front::new(common::fleet());
+    front.serve(LONG, Duration::from_secs(2));
+    front.request_stop();
+    front.wait(Duration::from_millis(3_940));
+    front.report_outputs();
+    let (key, actions) = front.arrive(LONG);
+    assert_eq!(sent_task(&actions), Some(Task::Prefill));
+    front.wait(Duration::from_millis(2_530));
+    let actions = front.handle(Event::Prefilled { key, handle: "h".into() });
+    assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+    assert!(actions.iter().any(|it| matches!(it, Action::ReleaseKvCache { .. })), "{actions:?}");
+    assert_eq!(front.dispatcher.open_requests(), 0);
+}
+
+/// Guards against streams that are cut because they are longer than all recent ones of their route.
+#[test]
+fn request_is_judged_by_the_output_that_it_asks_for() {
+    let mut front = Front::new(common::fleet());
+    front.serve(SHORT, Duration::from_secs(1));
+    front.request_stop();
+    front.wait(Duration::from_millis(3_500));
+    let (_, actions) = front.arrive_with(SHORT, 5 * MAX_OUTPUT);
+    assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+    let (_, actions) = front.arrive_with(SHORT, MAX_OUTPUT);
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
+}
