--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -7,10 +7,12 @@
 use rustc_hash::FxHashMap;
 
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
+use crate::core::shutdown::Shutdown;
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
+use crate::fleet::stage_times::StageTimes;
 use crate::{
     Action, DispatchSettings, EndpointKey, Event, Fleet, LoadSample, PeerLoad, PromptPart, Reason,
-    RequestInfo, RequestKey, ResponseTime, RetryBudget, RouteTable, Task,
+    RequestInfo, RequestKey, RetryBudget, RouteTable, Task,
 };
 
 /// Selects the endpoint of each request, and decides which requests are retried, refused or failed.
@@ -28,10 +30,10 @@
     pub(crate) cost_models: FxHashMap<ServiceName, ServiceCostModel>,
     /// Number of fronts that share the endpoints, this one included.
     pub(crate) fronts: usize,
-    /// Recent response times per route, by its name.
-    pub(crate) response_times: FxHashMap<Arc<str>, ResponseTime>,
-    /// Time at which responses in progress are cut; `None` before a shutdown is requested.
-    pub(crate) shutdown_deadline: Option<Time>,
+    /// Longest recent times of the stages of requests, by the name of their route.
+    pub(crate) stage_times: FxHashMap<Arc<str>, StageTimes>,
+    /// `None` before a shutdown is requested.
+    pub(crate) shutdown: Option<Shutdown>,
 }
 
 impl Dispatcher {
@@ -51,8 +53,8 @@
             budgets: FxHashMap::default(),
             cost_models: FxHashMap::default(),
             fronts: 1,
-            response_times: FxHashMap::default(),
-            shutdown_deadline: None,
+            stage_times: FxHashMap::default(),
+            shutdown: None,
         }
     }
 
@@ -115,7 +117,10 @@
             }
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
             Event::FrontCount(count) => self.fronts = count.max(1),
-            Event::ShutdownRequested { deadline } => self.shutdown_deadline = Some(deadline),
+            Event::ShutdownRequested { deadline } => {
+                self.shutdown = Some(Shutdown { requested_at: now, deadline });
+            }
+            Event::ShutdownExpired { key } => self.shutdown_expired(key, actions),
             Event::Tick => {
                 let removed = self.fleet.expire(now);
                 actions.extend(
@@ -128,7 +133,7 @@
     /// Replaces the configuration, unless the new one isn't newer than the one in force.
     fn configured(&mut self, now: Time, table: Arc<RouteTable>) {
         // Routes that were removed have no recent responses.
-        self.response_times.retain(|_, it| it.longest(now).is_some());
+        self.stage_times.retain(|_, it| it.is_recent(now));
         if self.table.as_ref().is_none_or(|it| it.version() < table.version()) {
             self.table = Some(table);
         }
@@ -240,7 +245,7 @@
     ) {
         let Some(state) = self.requests.get_mut(&key) else { return };
         let Some(sent) = state.in_flight.take() else { return };
-        let service = state.service.clone();
+        let (service, route) = (state.service.clone(), Arc::clone(&state.route.name));
         let (endpoint, address) = (sent.endpoint, sent.address);
         state.kv_handle = Some(KvHandle { endpoint, address, handle });
         state.tried.clear();
@@ -249,6 +254,7 @@
             tracked.health.record_success();
         }
         self.record_latency(now, key, &service, &sent, actions);
+        self.record_prefill_time(now, &route, &sent);
         self.place(now, key, Reason::NoEndpoint, actions);
     }
 
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -140,7 +140,7 @@
     }
 
     pub(crate) fn finished(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
-        self.record_response_time(now, key);
+        self.record_run_time(now, key);
         if let Some(state) = self.requests.get(&key)
             && let Some(sent) = &state.in_flight
         {
@@ -163,7 +163,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_unresponsive(now, key);
-        self.record_response_time(now, key);
+        self.record_run_time(now, key);
         self.end(key, actions);
     }
 
@@ -184,7 +184,7 @@
         let running = state.in_flight.as_ref().is_some_and(|it| it.task != Task::Prefill);
         state.may_have_run |= running;
         self.record_unresponsive(now, key);
-        self.record_response_time(now, key);
+        self.record_run_time(now, key);
         self.fail_or_refuse(key, Reason::Deadline, actions);
     }
 
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -135,6 +135,11 @@
         /// Time at which responses in progress are cut.
         deadline: Time,
     },
+    /// The request is still open when responses in progress are cut.
+    ShutdownExpired {
+        /// Identifies the request.
+        key: RequestKey,
+    },
     /// Periodic event that removes endpoints whose pending removal is due.
     Tick,
 }
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -33,9 +33,9 @@
 
 /// Endpoint and task of a request's next send attempt.
 #[derive(Debug, Clone)]
-struct Placement {
+pub(crate) struct Placement {
     candidate: Candidate,
-    task: Task,
+    pub(crate) task: Task,
     /// Predicted time to the first output of the response, in ms, plus the cost of delaying other requests.
     cost_ms: f64,
     /// Predicted time to the first output of the response, in ms.
@@ -54,6 +54,21 @@
             wait_ms: candidate.wait_ms,
         }
     }
+
+    /// Returns the predicted time to the first output of the response.
+    pub(crate) fn latency(&self) -> Duration {
+        from_ms(self.latency_ms)
+    }
+
+    /// Returns the predicted time for which the request waits for other requests.
+    pub(crate) fn wait(&self) -> Duration {
+        from_ms(self.wait_ms)
+    }
+}
+
+/// Converts a prediction in ms; negative ones count as zero.
+fn from_ms(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms.max(0.0) / 1e3)
 }
 
 impl Dispatcher {
@@ -66,22 +81,16 @@
         reason: Reason,
         actions: &mut Vec<Action>,
     ) {
-        if self.refuse_for_shutdown(now, key, actions) {
-            return;
-        }
         let Some(placement) = self.choose_placement(now, key) else {
             self.fail_or_refuse(key, reason, actions);
             return;
         };
+        if self.end_for_shutdown(now, key, &placement, actions) {
+            return;
+        }
         if let Some(retry_after) = self.overload_retry_after(now, key, &placement) {
-            let from_ms = |ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3);
-            self.refuse(
-                key,
-                from_ms(placement.cost_ms),
-                from_ms(placement.wait_ms),
-                retry_after,
-                actions,
-            );
+            let cost = from_ms(placement.cost_ms);
+            self.refuse(key, cost, placement.wait(), retry_after, actions);
             return;
         }
         self.send(now, key, placement, actions);
@@ -202,16 +211,16 @@
         let Placement { candidate, task, cost_ms, .. } = placement;
         let capacity = self.service_spec(key).and_then(|it| it.engine).map(|it| it.kv_tokens);
         let max_connections = self.max_connections(key);
-        let shutdown_in = self.shutdown_deadline.map(|it| it.since(now));
+        let shutdown_in = self.shutdown.map(|it| it.deadline.since(now));
         let fetch_from = candidate.fetch_from.and_then(|it| self.fleet.endpoint(it));
         let fetch_from = fetch_from.map(|it| it.address);
         self.record_retry(now, key);
         let Some(state) = self.requests.get_mut(&key) else { return };
         let Some(tracked) = self.fleet.tracked_mut(candidate.key) else { return };
-        let prefill_time = Duration::from_secs_f64(candidate.prefill_ms.max(0.0) / 1e3);
-        let predicted = Duration::from_secs_f64(candidate.predicted_ms.max(0.0) / 1e3);
-        let wait = Duration::from_secs_f64(candidate.wait_ms.max(0.0) / 1e3);
-        let work_ahead = Duration::from_secs_f64(candidate.work_ahead_ms.max(0.0) / 1e3);
+        let prefill_time = from_ms(candidate.prefill_ms);
+        let predicted = from_ms(candidate.predicted_ms);
+        let wait = from_ms(candidate.wait_ms);
+        let work_ahead = from_ms(candidate.work_ahead_ms);
         let endpoint_idle = candidate.idle;
         let tokens = state.request.prompt.as_ref().map_or(0, |it| it.tokens);
         actions.push(Action::Send {
@@ -225,8 +234,8 @@
                 kind: state.route.kind,
                 priority: state.route.priority,
                 previous_attempts: state.counted_attempts,
-                cost: Duration::from_secs_f64(cost_ms.max(0.0) / 1e3),
-                wait: Duration::from_secs_f64(candidate.wait_ms.max(0.0) / 1e3),
+                cost: from_ms(cost_ms),
+                wait,
                 uncached_tokens: candidate.prefill_work.uncached,
                 fetch_from,
                 max_output: state.request.prompt.as_ref().map(|it| it.max_output),
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -72,3 +72,10 @@
     /// Whether the first output for the client arrived.
     pub(crate) has_output: bool,
 }
+
+impl RequestState {
+    /// Returns the maximum number of tokens that the request may generate; 0 without a prompt.
+    pub(crate) fn max_output(&self) -> u32 {
+        self.request.prompt.as_ref().map_or(0, |it| it.max_output)
+    }
+}
--- a/crates/daisychute-dispatch/src/core/shutdown.rs
+++ b/crates/daisychute-dispatch/src/core/shutdown.rs
@@ -1,52 +1,118 @@
-//! Admission of requests during a graceful shutdown.
+//! Requests during a graceful shutdown.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::Time;
 
-use crate::core::request_state::RequestState;
-use crate::{Action, Dispatcher, Reason, RequestKey};
+use crate::core::placement::Placement;
+use crate::core::request_state::{InFlightAttempt, RequestState};
+use crate::{Action, Dispatcher, Reason, RequestKey, Task};
 
-/// Factor on the longest recent response time of a route, for responses that take longer than all recent ones.
-const RESPONSE_TIME_MARGIN: f64 = 1.25;
+/// Time after the request to stop in which clients are still sent to this front, since readiness checks haven't failed
+/// often enough yet.
+const NOTICE_PERIOD: Duration = Duration::from_secs(3);
+/// Factor on the longest recent times for requests that arrive within the notice period.
+const MARGIN: f64 = 1.25;
+/// Factor on the longest recent times for requests that arrive later, of which none may be cut: a front sees too few
+/// responses to know how long the rare ones take.
+const LATE_MARGIN: f64 = 2.5;
 /// Retry delay of a request that is refused because of the shutdown: the client reaches another front at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// A shutdown in progress.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Shutdown {
+    pub(crate) requested_at: Time,
+    /// Time at which responses in progress are cut.
+    pub(crate) deadline: Time,
+}
+
 impl Dispatcher {
-    /// Refuses a request whose response may not end before the process does. Returns whether it was refused.
+    /// Ends a request whose response may not end before the process does. Returns whether it was ended.
     ///
-    /// Requests that may have run, or whose prompt is prefilled, go on: they were accepted.
-    pub(crate) fn refuse_for_shutdown(
+    /// Asked before each send, as waiting for a prefill or for a failed attempt takes time. A response of which the
+    /// client has a part goes on.
+    pub(crate) fn end_for_shutdown(
         &mut self,
         now: Time,
         key: RequestKey,
+        placement: &Placement,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(deadline) = self.shutdown_deadline else { return false };
-        let Some(state) = self.requests.get(&key) else { return false };
-        let accepted = state.may_have_run || state.kv_handle.is_some();
-        if accepted || now + self.longest_response(now, state) <= deadline {
+        let Some(shutdown) = self.shutdown else { return false };
+        let Some(state) = self.requests.get(&key).filter(|it| !it.has_output) else { return false };
+        if now + self.time_needed(now, shutdown, state, placement) <= shutdown.deadline {
             return false;
         }
-        let (reason, retry_after) = (Reason::Stopping, Some(STOPPING_RETRY_AFTER));
-        actions.push(Action::refuse_without_prediction(key, reason, retry_after));
-        self.end(key, actions);
+        self.fail_or_refuse_for_shutdown(key, actions);
         true
     }
 
-    /// Returns the longest time that a response may take from now on, by the recent responses of its route. Without
-    /// any, this is the time until the request's deadline.
-    fn longest_response(&self, now: Time, state: &RequestState) -> Duration {
+    /// Ends a request that is still open when the process exits.
+    pub(crate) fn shutdown_expired(&mut self, key: RequestKey, actions: &mut Vec<Action>) {
+        let Some(state) = self.requests.get_mut(&key) else { return };
+        state.may_have_run |= state.in_flight.as_ref().is_some_and(|it| it.task != Task::Prefill);
+        self.fail_or_refuse_for_shutdown(key, actions);
+    }
+
+    fn fail_or_refuse_for_shutdown(&mut self, key: RequestKey, actions: &mut Vec<Action>) {
+        let may_have_run = self.requests.get(&key).is_some_and(|it| it.may_have_run);
+        let reason = Reason::Stopping;
+        actions.push(if may_have_run {
+            Action::Fail { key, reason }
+        } else {
+            Action::refuse_without_prediction(key, reason, Some(STOPPING_RETRY_AFTER))
+        });
+        self.end(key, actions);
+    }
+
+    /// Returns the longest time that a response may take from now on: by the recent ones of its route, the output that
+    /// the request asks for and the present wait, and at most until the request's deadline, at which it is ended. Without
+    /// recent ones, until the deadline.
+    fn time_needed(
+        &self,
+        now: Time,
+        shutdown: Shutdown,
+        state: &RequestState,
+        placement: &Placement,
+    ) -> Duration {
         let time_left = state.deadline.since(now);
-        let recent = self.response_times.get(&state.route.name).and_then(|it| it.longest(now));
-        recent.map_or(time_left, |it| it.mul_f64(RESPONSE_TIME_MARGIN).min(time_left))
+        let times = self.stage_times.get(&state.route.name);
+        let Some((times, run)) =
+            times.and_then(|it| Some((it, it.longest_run(now, state.max_output())?)))
+        else {
+            return time_left;
+        };
+        let prefill = match placement.task {
+            Task::Prefill => times.longest_prefill(now).max(Some(placement.latency())),
+            Task::Run | Task::Decode { .. } => None,
+        };
+        let is_late = state.arrived > shutdown.requested_at + NOTICE_PERIOD;
+        let margin = if is_late { LATE_MARGIN } else { MARGIN };
+        let stages = (run + prefill.unwrap_or_default()).mul_f64(margin);
+        (stages + placement.wait()).min(time_left)
+    }
+
+    /// Records the time of the run of a request that ends.
+    pub(crate) fn record_run_time(&mut self, now: Time, key: RequestKey) {
+        let Some(state) = self.requests.get(&key) else { return };
+        let Some(sent) = state.in_flight.as_ref().filter(|it| it.task != Task::Prefill) else {
+            return;
+        };
+        let (took, max_output) = (now.since(sent.sent_at), state.max_output());
+        let name = Arc::clone(&state.route.name);
+        self.stage_times.entry(name).or_default().record_run(now, took, max_output);
     }
 
-    /// Records the response time of a request that ends, if its response has started.
-    pub(crate) fn record_response_time(&mut self, now: Time, key: RequestKey) {
-        let Some(state) = self.requests.get(&key).filter(|it| it.has_output) else { return };
-        let response_time = self.response_times.entry(Arc::clone(&state.route.name)).or_default();
-        response_time.record(now, now.since(state.arrived));
+    /// Records the time of a prefill that ended.
+    pub(crate) fn record_prefill_time(
+        &mut self,
+        now: Time,
+        route: &Arc<str>,
+        sent: &InFlightAttempt,
+    ) {
+        let took = now.since(sent.sent_at);
+        self.stage_times.entry(Arc::clone(route)).or_default().record_prefill(now, took);
     }
 }
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod recent_delay;
 pub(crate) mod response_time;
 pub(crate) mod selection;
+pub(crate) mod stage_times;
 pub(crate) mod wait_factor;
 
 use std::collections::BTreeMap;
--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -50,8 +50,8 @@
         let mut request = RequestInfo::new(format!("id-{}", key.number()), HOST, path);
         request.client_timeout = Some(CLIENT_TIMEOUT);
         request.prompt = match path {
-            LONG => Some(prompt(9_000, max_output)),
-            SHORT => Some(prompt(300, max_output)),
+            LONG => Some(prompt(key, 9_000, max_output)),
+            SHORT => Some(prompt(key, 300, max_output)),
             _ => None,
         };
         (key, self.handle(Event::arrived(key, request)))
@@ -69,7 +69,11 @@
     /// Serves a request whose response ends after this time.
     fn serve(&mut self, path: &str, took: Duration) {
         let (key, actions) = self.arrive(path);
-        assert!(sent_task(&actions).is_some(), "{actions:?}");
+        if sent_task(&actions) == Some(Task::Prefill) {
+            self.handle(Event::Prefilled { key, handle: "h".into() });
+        } else {
+            assert!(sent_task(&actions).is_some(), "{actions:?}");
+        }
         self.run_to_the_end(key, took);
     }
 
@@ -81,10 +85,10 @@
     }
 }
 
-fn prompt(tokens: u32, max_output: u32) -> Prompt {
-    let parts =
-        vec![PromptPart { key: 1, tokens: tokens - 200 }, PromptPart { key: 2, tokens: 200 }];
-    Prompt { parts, tokens, max_output }
+/// Returns a prompt that shares no part with those of other requests.
+fn prompt(key: RequestKey, tokens: u32, max_output: u32) -> Prompt {
+    let part = |number, tokens| PromptPart { key: 2 * key.number() + number, tokens };
+    Prompt { parts: vec![part(0, tokens - 200), part(1, 200)], tokens, max_output }
 }
 
 fn is_refused_for_shutdown(actions: &[Action]) -> bool {
@@ -227,30 +231,72 @@
     front.request_stop();
     front.wait(Duration::from_secs(3));
     let (key, actions) = front.arrive(LONG);
-    assert!(sent_task(&actions).is_some());
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
     front.wait(Duration::from_millis(1_500));
     let failure = SendFailure::NotRun { misdirected: false };
     let actions = front.handle(Event::SendFailed { key, failure });
     assert!(is_refused_for_shutdown(&actions), "{actions:?}");
 }
 
-/// Guards against streams that are cut because their prompt was prefilled too late for the shutdown.
-#[test]
-fn request_prefilled_too_late_for_the_shutdown_is_refused() {
+/// Plays the arrival of a long prompt `after` the request to stop, whose prefill takes `prefill`, at a front where runs
+/// of its route took up to two seconds. Returns the actions after the prefill, or those of the arrival if it isn't sent.
+fn prefill_after_stop(after: Duration, prefill: Duration) -> (Front, Vec<Action>) {
     let mut front = Front::new(common::fleet());
     front.serve(LONG, Duration::from_secs(2));
     front.request_stop();
-    front.wait(Duration::from_millis(3_940));
+    front.wait(after);
     front.report_outputs();
     let (key, actions) = front.arrive(LONG);
+    if sent_task(&actions).is_none() {
+        return (front, actions);
+    }
     assert_eq!(sent_task(&actions), Some(Task::Prefill));
-    front.wait(Duration::from_millis(2_530));
+    front.wait(prefill);
     let actions = front.handle(Event::Prefilled { key, handle: "h".into() });
+    (front, actions)
+}
+
+/// Guards against streams that are cut because their prompt was prefilled too late for the shutdown.
+#[test]
+fn request_prefilled_too_late_for_the_shutdown_is_refused() {
+    let (after, prefill) = (Duration::from_millis(2_900), Duration::from_millis(2_530));
+    let (front, actions) = prefill_after_stop(after, prefill);
     assert!(is_refused_for_shutdown(&actions), "{actions:?}");
     assert!(actions.iter().any(|it| matches!(it, Action::ReleaseKvCache { .. })), "{actions:?}");
     assert_eq!(front.dispatcher.open_requests(), 0);
 }
 
+/// Guards against streams that are cut because they were accepted long after the request to stop: the times of two
+/// requests that were.
+#[test]
+fn request_long_after_the_stop_is_refused_unless_it_surely_fits() {
+    for (after_ms, prefill_ms) in [(3_940, 2_530), (3_332, 1_596)] {
+        let prefill = Duration::from_millis(prefill_ms);
+        let (front, actions) = prefill_after_stop(Duration::from_millis(after_ms), prefill);
+        assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+        assert_eq!(front.dispatcher.open_requests(), 0);
+    }
+}
+
+/// Guards against streams that are cut because they wait longer at their engine than the run itself takes.
+#[test]
+fn wait_at_the_engine_counts() {
+    let mut front = Front::new(common::fleet());
+    front.serve(SHORT, Duration::from_millis(500));
+    front.request_stop();
+    // Now there is time for a run, but not after the waits that follow.
+    front.wait(Duration::from_millis(2_000));
+    let (key, actions) = front.arrive(SHORT);
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
+    front.handle(Event::ResponseStarted { key });
+    front.wait(Duration::from_millis(2_100));
+    front.handle(Event::FirstOutput { key });
+    front.wait(Duration::from_millis(200));
+    front.handle(Event::Finished { key });
+    let (_, actions) = front.arrive(SHORT);
+    assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+}
+
 /// Guards against streams that are cut because they are longer than all recent ones of their route.
 #[test]
 fn request_is_judged_by_the_output_that_it_asks_for() {
@@ -263,3 +309,32 @@
     let (_, actions) = front.arrive_with(SHORT, MAX_OUTPUT);
     assert!(sent_task(&actions).is_some(), "{actions:?}");
 }
+
+/// Plays the end of the shutdown while a request is at an engine. Returns the actions.
+fn shutdown_expires_during(path: &str, task: &Task) -> Vec<Action> {
+    let mut front = Front::new(common::fleet());
+    if *task == Task::Prefill {
+        front.report_outputs();
+    }
+    let (key, actions) = front.arrive(path);
+    assert_eq!(sent_task(&actions).as_ref(), Some(task));
+    front.request_stop();
+    front.wait(GRACE);
+    let actions = front.handle(Event::ShutdownExpired { key });
+    assert_eq!(front.dispatcher.open_requests(), 0);
+    actions
+}
+
+/// Guards against clients that get no response at all when the process exits.
+#[test]
+fn request_that_may_run_fails_when_the_shutdown_expires() {
+    let actions = shutdown_expires_during(SHORT, &Task::Run);
+    assert!(matches!(actions[..], [Action::Fail { reason: Reason::Stopping, .. }]), "{actions:?}");
+}
+
+/// Guards against clients that aren't told that their request hasn't run when the process exits.
+#[test]
+fn request_in_prefill_is_refused_when_the_shutdown_expires() {
+    let actions = shutdown_expires_during(LONG, &Task::Prefill);
+    assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+}
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -70,14 +70,13 @@
     let ended = tokio::select! {
         biased;
         outcome = exchange.run(first_action) => Ok(outcome),
-        () = client_disconnected(&mut read, buf) => Err(Some(Event::ClientDisconnected { key })),
-        () = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into()) => Err(Some(Event::Expired { key })),
-        () = state.shutdown.wait_cut() => Err(None),
+        () = client_disconnected(&mut read, buf) => Err(Event::ClientDisconnected { key }),
+        () = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into()) => Err(Event::Expired { key }),
+        () = state.shutdown.wait_cut() => Err(Event::ShutdownExpired { key }),
     };
     let outcome = match ended {
         Ok(outcome) => outcome,
-        Err(Some(event)) => exchange.interrupted(event).await,
-        Err(None) => exchange.cut_by_shutdown(),
+        Err(event) => exchange.interrupted(event).await,
     };
     if outcome == ConnectionOutcome::KeepAlive && !codec.keep_alive() {
         ConnectionOutcome::Close
@@ -152,7 +151,7 @@
         call.run().await
     }
 
-    /// Handles a disconnect of the client or the expiry of the deadline. The send attempt in flight has been dropped.
+    /// Handles a disconnect of the client, the expiry of the deadline or the exit of the process. The send attempt in flight has been dropped.
     async fn interrupted(&mut self, event: Event) -> ConnectionOutcome {
         let disconnected = matches!(event, Event::ClientDisconnected { .. });
         let action = self.state.handle(event);
@@ -166,12 +165,6 @@
         }
     }
 
-    /// Logs a request that the exit of the process ends.
-    fn cut_by_shutdown(&self) -> ConnectionOutcome {
-        self.log_end("cut", Reason::Stopping.as_str(), None);
-        ConnectionOutcome::Abort
-    }
-
     /// Writes the final response, unless the client already has the head of one.
     async fn finish(&mut self, final_action: Action) -> ConnectionOutcome {
         if self.response_writer.head_passed() {
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use daisychute_dispatch::Reason;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -104,9 +103,6 @@
     shutdown: &ShutdownState,
     capacity: CapacityLimits,
 ) -> Option<(&'static str, Option<Duration>)> {
-    if shutdown.is_closing() {
-        return Some((Reason::Stopping.as_str(), None));
-    }
     (shutdown.busy() >= capacity.requests).then_some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
 }
 
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -80,8 +80,8 @@
 const ACCEPT_SHARE: f64 = 0.55;
 /// Time reserved at the end of a shutdown for closing connections and writing the last log lines.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
-/// Time in which the requests that are cut write their last log lines.
-const LAST_LOG_LINES_DELAY: Duration = Duration::from_millis(20);
+/// Time for the error responses and last log lines of the requests that the shutdown ends.
+const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
 
 impl Front {
     /// Serves until the process is asked to stop, then shuts down gracefully.
@@ -180,7 +180,7 @@
         let left = state.shutdown.busy();
         if left > 0 {
             state.shutdown.cut();
-            sleep(LAST_LOG_LINES_DELAY).await;
+            sleep(LAST_RESPONSES_TIME).await;
         }
         let took_ms = started.elapsed().as_millis();
         log::info!(left, took_ms; "stopped");
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -25,17 +25,12 @@
         self.requested.get()
     }
 
-    /// From now on idle connections are closed and new requests are refused.
+    /// From now on idle connections are closed.
     pub(crate) fn close_idle(&self) {
         self.closing.set(true);
         self.closing_started.notify_waiters();
     }
 
-    /// Whether idle connections are closed and new requests refused.
-    pub(crate) fn is_closing(&self) -> bool {
-        self.closing.get()
-    }
-
     /// Waits until idle connections must be closed.
     pub(crate) async fn wait_closing(&self) {
         if !self.closing.get() {
