feat(dispatch): clients that a stopping front refuses return when enough fronts are back

Callers whose front was stopping were told to return after 50 ms, also while most fronts were stopping: a client of a route with one retry used it up on another front that was stopping, and was refused in the end.

Fronts tell each other with their heartbeats in how many ms they exit. While at least half of the fronts are ready, load balancers avoid the others, and the client returns at once as before. Otherwise it returns when enough of them should be back, after 1.2 s at most: fronts exit well before their deadlines.

Test: clients_return_when_enough_fronts_are_back.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -34,6 +34,8 @@
     pub(crate) stage_times: FxHashMap<Arc<str>, StageTimes>,
     /// `None` before a shutdown is requested.
     pub(crate) shutdown: Option<Shutdown>,
+    /// Fronts that shut down, by incarnation, and when each will have exited.
+    pub(crate) stopping_peers: FxHashMap<u64, Time>,
 }
 
 impl Dispatcher {
@@ -55,6 +57,7 @@
             fronts: 1,
             stage_times: FxHashMap::default(),
             shutdown: None,
+            stopping_peers: FxHashMap::default(),
         }
     }
 
@@ -115,12 +118,13 @@
             Event::PeerHeartbeat { peer, loads, parts } => {
                 self.peer_heartbeat(now, peer, &loads, &parts)
             }
+            Event::PeerStopping { peer, exits_in } => self.peer_stopping(now, peer, exits_in),
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
             Event::FrontCount(count) => self.fronts = count.max(1),
             Event::ShutdownRequested { deadline } => {
                 self.shutdown = Some(Shutdown { requested_at: now, deadline });
             }
-            Event::ShutdownExpired { key } => self.shutdown_expired(key, actions),
+            Event::ShutdownExpired { key } => self.shutdown_expired(now, key, actions),
             Event::Tick => {
                 let removed = self.fleet.expire(now);
                 actions.extend(
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -2,6 +2,7 @@
 
 use daisychute_core::{EndpointName, Time};
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::{
     Endpoint, EndpointKey, LoadSample, PeerLoad, PromptPart, Removal, RequestInfo, RequestKey,
@@ -120,6 +121,13 @@
         /// Shared prompt parts that it sent recently, each with the endpoint that now caches it.
         parts: Vec<(EndpointName, PromptPart)>,
     },
+    /// Another front shuts down.
+    PeerStopping {
+        /// Identifies the other front's incarnation.
+        peer: u64,
+        /// Time until it has exited.
+        exits_in: Duration,
+    },
     /// An engine reported the prompt parts in its prefix cache, as asked by
     /// [`Action::QueryCache`](crate::Action::QueryCache).
     CacheReported {
--- a/crates/daisychute-dispatch/src/core/shutdown.rs
+++ b/crates/daisychute-dispatch/src/core/shutdown.rs
@@ -19,6 +19,10 @@
 const LATE_MARGIN: f64 = 2.5;
 /// Retry delay of a request that is refused because of the shutdown: the client reaches another front at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Limits that delay while most fronts shut down: they usually exit well before their deadlines.
+const MAX_STOPPING_RETRY_AFTER: Duration = Duration::from_millis(1_200);
+/// Time from the exit of a front until its successor is ready.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 
 /// A shutdown in progress.
 #[derive(Debug, Clone, Copy)]
@@ -45,28 +49,64 @@
         if now + self.time_needed(now, shutdown, state, placement) <= shutdown.deadline {
             return false;
         }
-        self.fail_or_refuse_for_shutdown(key, actions);
+        self.fail_or_refuse_for_shutdown(now, key, actions);
         true
     }
 
     /// Ends a request that is still open when the process exits.
-    pub(crate) fn shutdown_expired(&mut self, key: RequestKey, actions: &mut Vec<Action>) {
+    pub(crate) fn shutdown_expired(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(state) = self.requests.get_mut(&key) else { return };
         state.may_have_run |= state.in_flight.as_ref().is_some_and(|it| it.task != Task::Prefill);
-        self.fail_or_refuse_for_shutdown(key, actions);
+        self.fail_or_refuse_for_shutdown(now, key, actions);
     }
 
-    fn fail_or_refuse_for_shutdown(&mut self, key: RequestKey, actions: &mut Vec<Action>) {
+    fn fail_or_refuse_for_shutdown(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        actions: &mut Vec<Action>,
+    ) {
         let may_have_run = self.requests.get(&key).is_some_and(|it| it.may_have_run);
         let reason = Reason::Stopping;
         actions.push(if may_have_run {
             Action::Fail { key, reason }
         } else {
-            Action::refuse_without_prediction(key, reason, Some(STOPPING_RETRY_AFTER))
+            Action::refuse_without_prediction(key, reason, Some(self.stopping_retry_after(now)))
         });
         self.end(key, actions);
     }
 
+    /// Records that another front shuts down.
+    pub(crate) fn peer_stopping(&mut self, now: Time, peer: u64, exits_in: Duration) {
+        self.stopping_peers.retain(|_, exits_at| now < *exits_at + RESTART_TIME);
+        self.stopping_peers.insert(peer, now + exits_in);
+    }
+
+    /// Returns when a client that is refused because of the shutdown should return.
+    ///
+    /// Load balancers avoid fronts that aren't ready as long as enough others are. If fewer than half of the fronts are,
+    /// the client would likely reach another one that shuts down, so it waits until enough are back.
+    fn stopping_retry_after(&self, now: Time) -> Duration {
+        let own_exit = self.shutdown.map(|it| it.deadline);
+        let exits = self.stopping_peers.values().copied().chain(own_exit);
+        let mut returns: Vec<_> =
+            exits.map(|it| it + RESTART_TIME).filter(|it| now < *it).collect();
+        returns.sort_unstable();
+        let missing = if self.stopping_peers.is_empty() {
+            0
+        } else {
+            returns.len().saturating_sub(self.fronts / 2)
+        };
+        let enough = missing.checked_sub(1).and_then(|it| returns.get(it));
+        let wait = enough.map_or(STOPPING_RETRY_AFTER, |it| it.since(now));
+        wait.clamp(STOPPING_RETRY_AFTER, MAX_STOPPING_RETRY_AFTER)
+    }
+
     /// Returns the longest time that a response may take from now on: by the recent ones of its route, the output that
     /// the request asks for and the present wait, and at most until the request's deadline, at which it is ended. Without
     /// recent ones, until the deadline.
--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -338,3 +338,34 @@
     let actions = shutdown_expires_during(LONG, &Task::Prefill);
     assert!(is_refused_for_shutdown(&actions), "{actions:?}");
 }
+
+/// Returns the retry delay of a request that one of ten fronts refuses while `stopping_peers` others shut down as well.
+/// These are back a second after each other, the first of them in 300 ms.
+fn retry_delay(stopping_peers: u64) -> Duration {
+    let mut front = Front::new(common::fleet());
+    front.serve(SHORT, Duration::from_secs(4));
+    front.handle(Event::FrontCount(10));
+    front.request_stop();
+    front.wait(Duration::from_secs(4));
+    for peer in 0..stopping_peers {
+        // A front needs half a second for its restart, so the first one has exited 200 ms ago.
+        let exited_at = front.now + Duration::from_millis(peer * 1_000);
+        front.handle(Event::PeerStopping { peer, exits_in: exited_at.since(front.now) });
+    }
+    front.wait(Duration::from_millis(200));
+    let (_, actions) = front.arrive(SHORT);
+    match actions[..] {
+        [Action::Refuse { reason: Reason::Stopping, retry_after: Some(delay), .. }] => delay,
+        _ => panic!("{actions:?}"),
+    }
+}
+
+/// Guards against clients that use up their attempts on fronts that all shut down.
+#[test]
+fn clients_return_when_enough_fronts_are_back() {
+    for few in [0, 4] {
+        assert!(retry_delay(few) <= Duration::from_millis(50), "{few}: {:?}", retry_delay(few));
+    }
+    assert_eq!(retry_delay(5), Duration::from_millis(300));
+    assert!(retry_delay(9) >= Duration::from_secs(1), "{:?}", retry_delay(9));
+}
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -154,9 +154,11 @@
         let started = Instant::now();
         let busy = state.shutdown.busy();
         log::info!(busy; "stop requested");
-        state.shutdown.request();
         let limit = self.shutdown_timeout.saturating_sub(SHUTDOWN_RESERVE);
-        state.handle(Event::ShutdownRequested { deadline: state.now() + limit });
+        let deadline = state.now() + limit;
+        state.shutdown.request(deadline);
+        state.peers.request_heartbeat();
+        state.handle(Event::ShutdownRequested { deadline });
         let accept_time = self.shutdown_timeout.mul_f64(ACCEPT_SHARE);
         let (mut accepted, mut last_change) = (state.shutdown.accepted(), started);
         while started.elapsed() < accept_time {
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -50,9 +50,17 @@
 fn encode<D: Dialect>(state: &FrontState<D>) -> Option<Vec<u8>> {
     let now = state.now();
     let parts: Vec<Part> = state.peers.take_parts().into_iter().map(Part::from).collect();
+    let exits_in = state.shutdown.ends_in(now);
+    let exits_in_ms = exits_in.map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX));
     let heartbeat = state.with_dispatcher(|it| {
         let loads: Vec<Load> = it.fleet().own_load(now).map(Load::from).collect();
-        PeerHeartbeat(state.incarnation_id, state.revisions.latest_seen(), loads, parts)
+        PeerHeartbeat(
+            state.incarnation_id,
+            state.revisions.latest_seen(),
+            loads,
+            parts,
+            exits_in_ms,
+        )
     });
     let mut bytes = Vec::with_capacity(512);
     let written = ciborium::into_writer(&heartbeat, &mut bytes);
@@ -72,7 +80,7 @@
             continue;
         };
         let heartbeat: Result<PeerHeartbeat, _> = ciborium::from_reader(&buf[..len]);
-        let Ok(PeerHeartbeat(peer, revisions, loads, parts)) = heartbeat else {
+        let Ok(PeerHeartbeat(peer, revisions, loads, parts, exits_in_ms)) = heartbeat else {
             log::debug!(from:%; "malformed heartbeat datagram dropped");
             continue;
         };
@@ -81,6 +89,10 @@
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         state.handle(Event::PeerHeartbeat { peer, loads, parts });
+        if let Some(ms) = exits_in_ms {
+            let exits_in = Duration::from_millis(ms.into());
+            state.handle(Event::PeerStopping { peer, exits_in });
+        }
     }
 }
 
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -17,6 +17,8 @@
     pub(crate) Vec<Load>,
     /// Prompt parts that endpoints now cache.
     pub(crate) Vec<Part>,
+    /// Milliseconds until the sender exits, if it shuts down.
+    pub(crate) Option<u32>,
 );
 
 /// The load of a front at one endpoint: its name, requests in flight, pending prefill by priority in microseconds,
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -1,13 +1,16 @@
 //! The graceful shutdown of a front.
 
 use std::cell::Cell;
+use std::time::Duration;
 
+use daisychute_core::Time;
 use tokio::sync::Notify;
 
 /// The stage of the shutdown, and counts of what is in flight.
 #[derive(Debug, Default)]
 pub(crate) struct ShutdownState {
-    requested: Cell<bool>,
+    /// Time at which the requests in flight are ended; `None` before a shutdown is requested.
+    deadline: Cell<Option<Time>>,
     closing: Cell<bool>,
     busy: Cell<usize>,
     accepted: Cell<u64>,
@@ -16,13 +19,18 @@
 }
 
 impl ShutdownState {
-    /// Records that a shutdown was requested.
-    pub(crate) fn request(&self) {
-        self.requested.set(true);
+    /// Records that a shutdown was requested, and when it ends the requests in flight.
+    pub(crate) fn request(&self, deadline: Time) {
+        self.deadline.set(Some(deadline));
     }
 
     pub(crate) fn requested(&self) -> bool {
-        self.requested.get()
+        self.deadline.get().is_some()
+    }
+
+    /// Returns the time until the requests in flight are ended; `None` before a shutdown is requested.
+    pub(crate) fn ends_in(&self, now: Time) -> Option<Duration> {
+        self.deadline.get().map(|it| it.since(now))
     }
 
     /// From now on idle connections are closed.
