fix(dispatch): don't repeat a call of whose response the client has a part

A caller of an idempotent call with a response over 256 KiB could get a second response inside the first one: if the worker truncated it, the call was sent to another worker, whose head and body were written into the chunked body. The dispatcher was told that the head had been passed on and didn't use it. Found by a review of the shutdown, older than it; the second send is shown by the test, which failed before, the bytes were not seen on a connection.

Streams go on after their last event as before; other calls fail, and the connection is closed.

--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -81,6 +81,11 @@
         if now >= state.deadline {
             return false;
         }
+        let head_passed = failure == SendFailure::MidAnswer { head_passed: true };
+        // Only streams can go on after the part that the client has.
+        if head_passed && !state.route.kind.is_stream() {
+            return false;
+        }
         if failure == SendFailure::Unsent && state.counted_attempts == 0 {
             return state.unsent_attempts <= MAX_UNSENT_RETRIES;
         }
