fix(dispatch): judge requests of a shutdown by their stages, and count those in progress

A process that exits waits 100 ms also if no request is left, for releases of KV caches and closing connections.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -30,8 +30,8 @@
     pub(crate) cost_models: FxHashMap<ServiceName, ServiceCostModel>,
     /// Number of fronts that share the endpoints, this one included.
     pub(crate) fronts: usize,
-    /// Longest recent times of the stages of requests, by the name of their route.
-    pub(crate) stage_times: FxHashMap<Arc<str>, StageTimes>,
+    /// Longest recent times of the stages of requests, by their service and the name of their route.
+    pub(crate) stage_times: FxHashMap<(ServiceName, Arc<str>), StageTimes>,
     /// `None` before a shutdown is requested.
     pub(crate) shutdown: Option<Shutdown>,
     /// Fronts that shut down, by incarnation, and when each will have exited.
@@ -199,7 +199,8 @@
             may_have_run: false,
             kv_handle: None,
             prefill_tried: false,
-            has_output: false,
+            has_error_response: false,
+            first_output_at: None,
         };
         self.requests.insert(key, state);
         self.place(now, key, Reason::NoEndpoint, actions);
@@ -249,7 +250,7 @@
     ) {
         let Some(state) = self.requests.get_mut(&key) else { return };
         let Some(sent) = state.in_flight.take() else { return };
-        let (service, route) = (state.service.clone(), Arc::clone(&state.route.name));
+        let (service, times) = (state.service.clone(), state.stage_times_key());
         let (endpoint, address) = (sent.endpoint, sent.address);
         state.kv_handle = Some(KvHandle { endpoint, address, handle });
         state.tried.clear();
@@ -258,7 +259,8 @@
             tracked.health.record_success();
         }
         self.record_latency(now, key, &service, &sent, actions);
-        self.record_prefill_time(now, &route, &sent);
+        let took = now.since(sent.sent_at);
+        self.stage_times.entry(times).or_default().record_prefill(now, took);
         self.place(now, key, Reason::NoEndpoint, actions);
     }
 
@@ -307,16 +309,18 @@
 
     fn first_output(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.get_mut(&key) else { return };
-        if state.has_output {
+        if state.has_output() {
             return;
         }
-        state.has_output = true;
-        let service = state.service.clone();
+        state.first_output_at = Some(now);
+        let (service, times) = (state.service.clone(), state.stage_times_key());
         let Some(sent) = state.in_flight.clone() else { return };
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
             tracked.in_flight.prefill_done(key);
         }
         self.record_latency(now, key, &service, &sent, actions);
+        let took = now.since(sent.sent_at);
+        self.stage_times.entry(times).or_default().record_first_output(now, took);
     }
 
     fn load_reported(&mut self, now: Time, key: RequestKey, sample: LoadSample) {
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -29,6 +29,7 @@
             state.unsent_attempts += 1;
         }
         let may_have_run = !matches!(failure, SendFailure::Unsent | SendFailure::NotRun { .. });
+        state.has_error_response = failure == SendFailure::ServerError;
         let prefill_only = sent.task == Task::Prefill;
         state.may_have_run |= may_have_run && !prefill_only;
         // It isn't known whether the KV cache was fetched: the next attempt prefills the prompt again.
@@ -145,7 +146,7 @@
     }
 
     pub(crate) fn finished(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
-        self.record_run_time(now, key);
+        self.record_output_time(now, key);
         if let Some(state) = self.requests.get(&key)
             && let Some(sent) = &state.in_flight
         {
@@ -168,14 +169,14 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_unresponsive(now, key);
-        self.record_run_time(now, key);
+        self.record_output_time(now, key);
         self.end(key, actions);
     }
 
     /// Counts a failure at the endpoint of a request, if it has had the request for too long without an output. Time at
     /// other endpoints before doesn't count.
     fn record_unresponsive(&mut self, now: Time, key: RequestKey) {
-        let Some(state) = self.requests.get(&key).filter(|it| !it.has_output) else { return };
+        let Some(state) = self.requests.get(&key).filter(|it| !it.has_output()) else { return };
         let limit = state.route.objective * SILENCE_OBJECTIVE_FACTOR;
         let silent = state.in_flight.as_ref().filter(|it| now.since(it.sent_at) > limit);
         let endpoint = silent.map(|it| it.endpoint);
@@ -189,7 +190,7 @@
         let running = state.in_flight.as_ref().is_some_and(|it| it.task != Task::Prefill);
         state.may_have_run |= running;
         self.record_unresponsive(now, key);
-        self.record_run_time(now, key);
+        self.record_output_time(now, key);
         self.fail_or_refuse(key, Reason::Deadline, actions);
     }
 
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -69,13 +69,36 @@
     pub(crate) kv_handle: Option<KvHandle>,
     /// Whether the prompt was sent to a prefill engine; it is done at most once.
     pub(crate) prefill_tried: bool,
-    /// Whether the first output for the client arrived.
-    pub(crate) has_output: bool,
+    /// Whether the last failed attempt brought a complete error response, which can be passed on.
+    pub(crate) has_error_response: bool,
+    /// When the first output for the client arrived.
+    pub(crate) first_output_at: Option<Time>,
 }
 
 impl RequestState {
+    /// Whether the first output for the client arrived.
+    pub(crate) const fn has_output(&self) -> bool {
+        self.first_output_at.is_some()
+    }
+
     /// Returns the maximum number of tokens that the request may generate; 0 without a prompt.
     pub(crate) fn max_output(&self) -> u32 {
         self.request.prompt.as_ref().map_or(0, |it| it.max_output)
     }
+
+    /// Returns the key under which the times of requests like this one are kept.
+    pub(crate) fn stage_times_key(&self) -> (ServiceName, Arc<str>) {
+        (self.service.clone(), Arc::clone(&self.route.name))
+    }
+
+    /// Returns for how long the present attempt has sent outputs; `None` before the first one.
+    pub(crate) fn output_time(&self, now: Time) -> Option<Duration> {
+        let sent_at = self.in_flight.as_ref()?.sent_at;
+        Some(now.since(self.first_output_at?.max(sent_at)))
+    }
+
+    /// Whether the other request is for the same route and service.
+    pub(crate) fn is_like(&self, other: &Self) -> bool {
+        self.route.name == other.route.name && self.service == other.service
+    }
 }
--- a/crates/daisychute-dispatch/src/core/shutdown.rs
+++ b/crates/daisychute-dispatch/src/core/shutdown.rs
@@ -1,12 +1,12 @@
 //! Requests during a graceful shutdown.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::Time;
 
 use crate::core::placement::Placement;
-use crate::core::request_state::{InFlightAttempt, RequestState};
+use crate::core::request_state::RequestState;
+use crate::fleet::stage_times::LongestStages;
 use crate::{Action, Dispatcher, Reason, RequestKey, Task};
 
 /// Time after the request to stop in which clients are still sent to this front, since readiness checks haven't failed
@@ -35,8 +35,8 @@
 impl Dispatcher {
     /// Ends a request whose response may not end before the process does. Returns whether it was ended.
     ///
-    /// Asked before each send, as waiting for a prefill or for a failed attempt takes time. A response of which the
-    /// client has a part goes on.
+    /// Asked before each send, as waiting for a prefill or for a failed attempt takes time. A stream of which the client
+    /// has a part goes on.
     pub(crate) fn end_for_shutdown(
         &mut self,
         now: Time,
@@ -45,7 +45,11 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let Some(shutdown) = self.shutdown else { return false };
-        let Some(state) = self.requests.get(&key).filter(|it| !it.has_output) else { return false };
+        let Some(state) = self.requests.get(&key) else { return false };
+        // What arrived of another response is dropped with its attempt.
+        if state.has_output() && state.route.kind.is_stream() {
+            return false;
+        }
         if now + self.time_needed(now, shutdown, state, placement) <= shutdown.deadline {
             return false;
         }
@@ -71,9 +75,11 @@
         key: RequestKey,
         actions: &mut Vec<Action>,
     ) {
-        let may_have_run = self.requests.get(&key).is_some_and(|it| it.may_have_run);
+        let Some(state) = self.requests.get(&key) else { return };
         let reason = Reason::Stopping;
-        actions.push(if may_have_run {
+        actions.push(if state.has_error_response {
+            Action::RelayErrorResponse { key }
+        } else if state.may_have_run {
             Action::Fail { key, reason }
         } else {
             Action::refuse_without_prediction(key, reason, Some(self.stopping_retry_after(now)))
@@ -107,9 +113,9 @@
         wait.clamp(STOPPING_RETRY_AFTER, MAX_STOPPING_RETRY_AFTER)
     }
 
-    /// Returns the longest time that a response may take from now on: by the recent ones of its route, the output that
-    /// the request asks for and the present wait, and at most until the request's deadline, at which it is ended. Without
-    /// recent ones, until the deadline.
+    /// Returns the longest time that a response may take from now on: by others of its route, the output that the request
+    /// asks for and the present wait, and at most until the request's deadline, at which it is ended. Until the deadline
+    /// if no other response ended recently.
     fn time_needed(
         &self,
         now: Time,
@@ -118,41 +124,44 @@
         placement: &Placement,
     ) -> Duration {
         let time_left = state.deadline.since(now);
-        let times = self.stage_times.get(&state.route.name);
-        let Some((times, run)) =
-            times.and_then(|it| Some((it, it.longest_run(now, state.max_output())?)))
-        else {
-            return time_left;
-        };
+        let Some(longest) = self.longest_stages(now, state) else { return time_left };
         let prefill = match placement.task {
-            Task::Prefill => times.longest_prefill(now).max(Some(placement.latency())),
-            Task::Run | Task::Decode { .. } => None,
+            Task::Prefill => longest.prefill,
+            Task::Run | Task::Decode { .. } => Duration::ZERO,
         };
         let is_late = state.arrived > shutdown.requested_at + NOTICE_PERIOD;
         let margin = if is_late { LATE_MARGIN } else { MARGIN };
-        let stages = (run + prefill.unwrap_or_default()).mul_f64(margin);
-        (stages + placement.wait()).min(time_left)
+        let stages = prefill + longest.first_output + longest.output;
+        let by_others = stages.mul_f64(margin) + placement.wait();
+        let predicted = placement.latency() + longest.output;
+        by_others.max(predicted).min(time_left)
     }
 
-    /// Records the time of the run of a request that ends.
-    pub(crate) fn record_run_time(&mut self, now: Time, key: RequestKey) {
-        let Some(state) = self.requests.get(&key) else { return };
-        let Some(sent) = state.in_flight.as_ref().filter(|it| it.task != Task::Prefill) else {
-            return;
-        };
-        let (took, max_output) = (now.since(sent.sent_at), state.max_output());
-        let name = Arc::clone(&state.route.name);
-        self.stage_times.entry(name).or_default().record_run(now, took, max_output);
+    /// Returns the longest times of the stages of requests like this one, those in progress included. `None` if no
+    /// response ended recently.
+    fn longest_stages(&self, now: Time, state: &RequestState) -> Option<LongestStages> {
+        let times = self.stage_times.get(&state.stage_times_key())?;
+        let mut longest = times.longest(now, state.max_output())?;
+        for other in self.requests.values().filter(|it| it.is_like(state)) {
+            match (&other.in_flight, other.output_time(now)) {
+                (_, Some(took)) => {
+                    longest.include_output(took, other.max_output(), state.max_output());
+                }
+                (Some(sent), None) if sent.task != Task::Prefill => {
+                    longest.include_first_output(now.since(sent.sent_at));
+                }
+                _ => {}
+            }
+        }
+        Some(longest)
     }
 
-    /// Records the time of a prefill that ended.
-    pub(crate) fn record_prefill_time(
-        &mut self,
-        now: Time,
-        route: &Arc<str>,
-        sent: &InFlightAttempt,
-    ) {
-        let took = now.since(sent.sent_at);
-        self.stage_times.entry(Arc::clone(route)).or_default().record_prefill(now, took);
+    /// Records the time from the first output of a request that ends. One that ends before tells nothing: its client
+    /// may have given it up at once.
+    pub(crate) fn record_output_time(&mut self, now: Time, key: RequestKey) {
+        let Some(state) = self.requests.get(&key) else { return };
+        let Some(took) = state.output_time(now) else { return };
+        let (times, max_output) = (state.stage_times_key(), state.max_output());
+        self.stage_times.entry(times).or_default().record_output(now, took, max_output);
     }
 }
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod prefix_cache;
 pub(crate) mod prompt;
 pub(crate) mod recent_delay;
-pub(crate) mod response_time;
+pub(crate) mod recent_maximum;
 pub(crate) mod selection;
 pub(crate) mod stage_times;
 pub(crate) mod wait_factor;
--- a/crates/daisychute-dispatch/src/fleet/response_time.rs
+++ b/crates/daisychute-dispatch/src/fleet/recent_maximum.rs
@@ -1,10 +1,10 @@
-//! Longest recent response time of a route.
+//! Maximum of recent durations.
 
 use std::time::Duration;
 
 use daisychute_core::Time;
 
-/// Longest time from the arrival of a request to the end of its response, in a sliding window.
+/// Maximum of the durations recorded in a sliding window.
 ///
 /// The window consists of two halves, so that the maximum covers at least half a window.
 ///
@@ -12,16 +12,16 @@
 /// use std::time::Duration;
 ///
 /// use daisychute_core::Time;
-/// use daisychute_dispatch::ResponseTime;
+/// use daisychute_dispatch::RecentMaximum;
 ///
-/// let mut response_time = ResponseTime::default();
-/// assert_eq!(response_time.longest(Time::ZERO), None);
-/// response_time.record(Time::ZERO, Duration::from_secs(2));
-/// assert_eq!(response_time.longest(Time::from_millis(5_000)), Some(Duration::from_secs(2)));
-/// assert_eq!(response_time.longest(Time::from_millis(90_000)), None);
+/// let mut maximum = RecentMaximum::default();
+/// assert_eq!(maximum.get(Time::ZERO), None);
+/// maximum.record(Time::ZERO, Duration::from_secs(2));
+/// assert_eq!(maximum.get(Time::from_millis(5_000)), Some(Duration::from_secs(2)));
+/// assert_eq!(maximum.get(Time::from_millis(90_000)), None);
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ResponseTime {
+pub struct RecentMaximum {
     /// Number of the half window that `current` covers.
     half: u64,
     current: Option<Duration>,
@@ -29,19 +29,19 @@
     previous: Option<Duration>,
 }
 
-impl ResponseTime {
+impl RecentMaximum {
     /// Half of the window. A front of the usual load ends some hundred responses of a route in it.
     const HALF_WINDOW: Duration = Duration::from_secs(20);
 
-    /// Records a response that ended, or was cut, this long after its request arrived.
+    /// Records a duration.
     pub fn record(&mut self, now: Time, took: Duration) {
         self.advance(now);
         self.current = self.current.max(Some(took));
     }
 
-    /// Returns the longest response time in the window; `None` if no response ended in it.
+    /// Returns the longest duration in the window; `None` if there is none.
     #[must_use]
-    pub fn longest(mut self, now: Time) -> Option<Duration> {
+    pub fn get(mut self, now: Time) -> Option<Duration> {
         self.advance(now);
         self.current.max(self.previous)
     }
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -40,7 +40,7 @@
 pub use crate::fleet::load::{LoadSample, PeerLoad};
 pub use crate::fleet::prompt::{Prompt, PromptPart};
 pub use crate::fleet::recent_delay::RecentDelay;
-pub use crate::fleet::response_time::ResponseTime;
+pub use crate::fleet::recent_maximum::RecentMaximum;
 pub use crate::fleet::wait_factor::WaitFactor;
 pub use crate::fleet::{Fleet, Removal};
 pub use crate::settings::DispatchSettings;
--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -2,15 +2,16 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::Role;
 use daisychute_dispatch::{
-    Action, Endpoint, Event, PeerLoad, Prompt, PromptPart, Reason, RequestInfo, RequestKey,
-    SendFailure, Task,
+    Action, ClientLimits, Endpoint, Event, PeerLoad, Prompt, PromptPart, Reason, RequestInfo,
+    RequestKey, RequestKind, RouteTable, SendFailure, Task,
 };
 
-use crate::common::{Front, HOST, LONG, ONCE, SHORT};
+use crate::common::{Front, HOST, LONG, ONCE, PANEL, SHORT};
 
 /// Time from the request to stop until responses in progress are cut.
 const GRACE: Duration = Duration::from_millis(7_500);
@@ -369,3 +370,132 @@
     assert_eq!(retry_delay(5), Duration::from_millis(300));
     assert!(retry_delay(9) >= Duration::from_secs(1), "{:?}", retry_delay(9));
 }
+
+/// Guards against streams that are cut because their long prompt is prefilled by the engine that generates the output.
+#[test]
+fn prompt_of_a_short_output_counts() {
+    let generates = |it: &Endpoint| it.stage == Some(Role::Decode);
+    let mut front = Front::new(common::fleet().into_iter().filter(generates));
+    let (key, actions) = front.arrive_with(SHORT, 400);
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
+    front.run_to_the_end(key, Duration::from_secs(1));
+    front.request_stop();
+    front.wait(Duration::from_millis(7_390));
+    let key = front.next_key();
+    let mut request = RequestInfo::new(format!("id-{}", key.number()), HOST, SHORT);
+    request.client_timeout = Some(CLIENT_TIMEOUT);
+    request.prompt = Some(prompt(key, 9_000, 16));
+    let actions = front.handle(Event::arrived(key, request));
+    assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+}
+
+/// Guards against streams that are cut because the only recent one of their route was left by its client at once.
+#[test]
+fn client_that_left_at_once_tells_nothing_about_its_route() {
+    let mut front = Front::new(common::fleet());
+    let (key, _) = front.arrive(SHORT);
+    front.wait(Duration::from_millis(20));
+    front.handle(Event::ClientDisconnected { key });
+    front.request_stop();
+    front.wait(Duration::from_secs(7));
+    assert_eq!(front.admit(SHORT), Admission::Stopping);
+}
+
+/// Guards against streams that are cut because the only recent one of their route expired after a short client timeout.
+#[test]
+fn short_client_timeout_tells_nothing_about_its_route() {
+    let mut front = Front::new(common::fleet());
+    let (key, _) = front.arrive(SHORT);
+    front.wait(Duration::from_millis(100));
+    front.handle(Event::Expired { key });
+    front.request_stop();
+    front.wait(Duration::from_secs(7));
+    assert_eq!(front.admit(SHORT), Admission::Stopping);
+}
+
+/// Guards against streams that are cut although others of their route that are still running took longer already.
+#[test]
+fn responses_in_progress_count() {
+    let mut front = Front::new(common::fleet());
+    front.serve(SHORT, Duration::from_millis(150));
+    front.request_stop();
+    let (key, _) = front.arrive(SHORT);
+    front.handle(Event::ResponseStarted { key });
+    front.handle(Event::FirstOutput { key });
+    front.wait(Duration::from_secs(4));
+    front.wait(Duration::from_secs(3));
+    assert_eq!(front.admit(SHORT), Admission::Stopping);
+}
+
+/// Guards against requests that are sent again too late because part of a response that was never passed on came back.
+#[test]
+fn truncated_response_that_was_not_passed_on_is_not_repeated_too_late() {
+    let mut front = Front::new(common::fleet());
+    front.serve(PANEL, Duration::from_secs(1));
+    front.request_stop();
+    front.wait(Duration::from_millis(5_000));
+    let (key, actions) = front.arrive(PANEL);
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
+    front.wait(Duration::from_millis(2_000));
+    front.handle(Event::ResponseStarted { key });
+    let failure = SendFailure::MidAnswer { head_passed: false };
+    let actions = front.handle(Event::SendFailed { key, failure });
+    assert_eq!(sent_task(&actions), None, "{actions:?}");
+}
+
+/// Guards against endpoints' error responses that are replaced by the front's own.
+#[test]
+fn error_response_is_relayed_if_there_is_no_time_for_another_attempt() {
+    let mut front = Front::new(common::fleet());
+    front.serve(PANEL, Duration::from_secs(1));
+    front.request_stop();
+    front.wait(Duration::from_millis(4_900));
+    let (key, actions) = front.arrive(PANEL);
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
+    front.wait(Duration::from_millis(1_000));
+    let actions = front.handle(Event::SendFailed { key, failure: SendFailure::ServerError });
+    assert!(matches!(actions[..], [Action::RelayErrorResponse { .. }]), "{actions:?}");
+}
+
+/// Guards against streams that are cut because their route has just been moved to a slower service.
+#[test]
+fn times_of_another_service_do_not_count() {
+    let mut front = Front::new(common::fleet());
+    front.serve(PANEL, Duration::from_millis(20));
+    let routes = vec![common::route(PANEL, RequestKind::Idempotent, "lm", 100, 2)];
+    let table = RouteTable::new(2, routes, common::services(), ClientLimits::default());
+    front.handle(Event::Configured(Arc::new(table.expect("one route"))));
+    front.request_stop();
+    front.wait(Duration::from_secs(7));
+    assert_eq!(front.admit(PANEL), Admission::Stopping);
+}
+
+/// Guards against streams that are cut because the recent ones of their route ended long before their limit.
+#[test]
+fn output_that_ended_early_is_no_measure() {
+    let mut front = Front::new(common::fleet());
+    let (key, _) = front.arrive_with(SHORT, 400);
+    front.run_to_the_end(key, Duration::from_millis(60));
+    front.request_stop();
+    front.wait(Duration::from_secs(7));
+    let (_, actions) = front.arrive_with(SHORT, 400);
+    assert!(is_refused_for_shutdown(&actions), "{actions:?}");
+}
+
+/// Guards against needless refusals at once after the request to stop: the time to the first output isn't per token.
+#[test]
+fn time_to_the_first_output_is_not_multiplied() {
+    let mut front = Front::new(common::fleet());
+    for (max_output, took_ms) in [(16, 500), (400, 1_000)] {
+        let (key, _) = front.arrive_with(SHORT, max_output);
+        front.handle(Event::ResponseStarted { key });
+        front.wait(Duration::from_millis(450));
+        front.handle(Event::FirstOutput { key });
+        front.wait(Duration::from_millis(took_ms - 450));
+        front.handle(Event::Finished { key });
+    }
+    front.request_stop();
+    front.wait(Duration::from_millis(2_600));
+    let (_, actions) = front.arrive_with(SHORT, 400);
+    assert!(sent_task(&actions).is_some(), "{actions:?}");
+}
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -80,7 +80,7 @@
 const ACCEPT_SHARE: f64 = 0.55;
 /// Time reserved at the end of a shutdown for closing connections and writing the last log lines.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
-/// Time for the error responses and last log lines of the requests that the shutdown ends.
+/// Time for the responses of the requests that the shutdown ends, the release of their KV caches, and the last log lines.
 const LAST_RESPONSES_TIME: Duration = Duration::from_millis(100);
 
 impl Front {
@@ -180,10 +180,8 @@
             sleep(SWEEP_INTERVAL / 5).await;
         }
         let left = state.shutdown.busy();
-        if left > 0 {
-            state.shutdown.cut();
-            sleep(LAST_RESPONSES_TIME).await;
-        }
+        state.shutdown.cut();
+        sleep(LAST_RESPONSES_TIME).await;
         let took_ms = started.elapsed().as_millis();
         log::info!(left, took_ms; "stopped");
     }
