--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -72,7 +72,7 @@
         outcome = exchange.run(first_action) => Ok(outcome),
         () = client_disconnected(&mut read, buf) => Err(Event::ClientDisconnected { key }),
         () = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into()) => Err(Event::Expired { key }),
-        () = state.shutdown.wait_cut() => Err(Event::ShutdownExpired { key }),
+        () = state.shutdown.wait_exit() => Err(Event::ShutdownExpired { key }),
     };
     let outcome = match ended {
         Ok(outcome) => outcome,
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use daisychute_dispatch::Reason;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
@@ -103,6 +104,9 @@
     shutdown: &ShutdownState,
     capacity: CapacityLimits,
 ) -> Option<(&'static str, Option<Duration>)> {
+    if shutdown.is_exiting() {
+        return Some((Reason::Stopping.as_str(), None));
+    }
     (shutdown.busy() >= capacity.requests).then_some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
 }
 
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -180,7 +180,7 @@
             sleep(SWEEP_INTERVAL / 5).await;
         }
         let left = state.shutdown.busy();
-        state.shutdown.cut();
+        state.shutdown.exit();
         sleep(LAST_RESPONSES_TIME).await;
         let took_ms = started.elapsed().as_millis();
         log::info!(left, took_ms; "stopped");
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -15,7 +15,8 @@
     busy: Cell<usize>,
     accepted: Cell<u64>,
     closing_started: Notify,
-    deadline_passed: Notify,
+    exiting: Cell<bool>,
+    exit_started: Notify,
 }
 
 impl ShutdownState {
@@ -46,14 +47,20 @@
         }
     }
 
-    /// Ends the requests in flight: the process exits.
-    pub(crate) fn cut(&self) {
-        self.deadline_passed.notify_waiters();
+    /// Ends the requests in flight. From now on every request is refused: the process exits.
+    pub(crate) fn exit(&self) {
+        self.exiting.set(true);
+        self.exit_started.notify_waiters();
+    }
+
+    /// Whether the process exits.
+    pub(crate) fn is_exiting(&self) -> bool {
+        self.exiting.get()
     }
 
     /// Waits until the requests in flight are ended.
-    pub(crate) async fn wait_cut(&self) {
-        self.deadline_passed.notified().await;
+    pub(crate) async fn wait_exit(&self) {
+        self.exit_started.notified().await;
     }
 
     pub(crate) fn begin_request(&self) {
