feat(front): compare positions of the directory by era and revision

Callers would see requests at workers that were removed, and routes that stay away, after the store came back from a copy: revisions that were given out again counted as seen, and a front without its store took itself for ahead of its peers for good. Fronts whose records were written since the copy were found by no other front.

An era that rose, seen by any watcher, by the registration or told by a peer, makes every watcher list again at once and the front register again, spread over time. An answer from an earlier era is dropped. `Directory` returns `Answer`, which carries the era of failed calls.

--- a/crates/daisychute-front/src/directory/directory_outage.rs
+++ b/crates/daisychute-front/src/directory/directory_outage.rs
@@ -48,13 +48,17 @@
     /// Records a successful call. Returns whether the directory was unreachable before.
     pub fn record_success(&mut self, now: Time) -> bool {
         let Some(unreachable_at) = self.unreachable_at.take() else { return false };
-        self.uncertain_until = Some(
-            (now + Self::RECOVERY_WINDOW)
-                .min(unreachable_at + Self::RECOVERY_WINDOW + Self::MAX_EXTENSION),
-        );
+        let until = (now + Self::RECOVERY_WINDOW)
+            .min(unreachable_at + Self::RECOVERY_WINDOW + Self::MAX_EXTENSION);
+        self.uncertain_until = self.uncertain_until.max(Some(until));
         true
     }
 
+    /// Records that the directory was found restored from a copy, which may lack records that are written again soon.
+    pub fn record_restored(&mut self, now: Time) {
+        self.uncertain_until = self.uncertain_until.max(Some(now + Self::RECOVERY_WINDOW));
+    }
+
     /// Returns whether a record that is removed now may come back.
     #[must_use]
     pub fn removal(&self, now: Time) -> Removal {
--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -1,19 +1,26 @@
 //! The directory that registers configurations, endpoints and fronts.
 
+pub(crate) mod answer;
+pub(crate) mod continuity;
 pub(crate) mod directory_outage;
+pub(crate) mod position;
 pub(crate) mod record;
 pub(crate) mod revisions;
+pub(crate) mod store_era;
 pub(crate) mod watcher;
 
 use std::time::Duration;
 
+use crate::directory::answer::Answer;
+use crate::directory::position::Position;
 use crate::directory::record::{Collection, Record};
 
 /// Why a call of the directory failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum DirectoryError {
-    /// The directory no longer has the changes since the requested revision; a new listing is needed.
-    #[error("the directory no longer has the changes since that revision")]
+    /// The directory doesn't have the changes since the requested position, or was restored while it was listed; a new
+    /// listing is needed.
+    #[error("the directory doesn't have the changes since that position")]
     HistoryGone,
     /// The directory refused the call with this HTTP status; it may accept it later.
     #[error("the directory refused the call with status {0}")]
@@ -35,15 +42,15 @@
     pub record: Option<Result<Record, String>>,
 }
 
-/// The records of a collection, or the changes since a revision.
+/// The records of a collection, or the changes since a position.
 #[derive(Debug, Clone, Default)]
 pub struct Listing {
     /// The records or changes.
     pub changes: Vec<Change>,
-    /// The revision of the directory at which it was taken; a watch continues from here.
-    pub revision: u64,
-    /// The revision of the latest change among the records; 0 if there are none.
-    pub latest: u64,
+    /// The position of the directory at which it was taken; a watch continues from here.
+    pub position: Position,
+    /// The position of the latest change among the records; revision 0 if there are none.
+    pub latest: Position,
 }
 
 /// Access to a store of records with revisions. It makes no decisions.
@@ -53,20 +60,21 @@
         &self,
         collection: Collection,
         allow_stale: bool,
-    ) -> impl Future<Output = Result<Listing, DirectoryError>>;
+    ) -> impl Future<Output = Answer<Listing>>;
 
-    /// Waits up to `wait` for changes after `revision`. The listing is empty if there are none.
+    /// Waits up to `wait` for changes after `position`. The listing is empty if there are none. A directory that was
+    /// restored since answers in another era; its listing doesn't continue from `position`.
     fn watch(
         &self,
         collection: Collection,
-        revision: u64,
+        position: Position,
         wait: Duration,
-    ) -> impl Future<Output = Result<Listing, DirectoryError>>;
+    ) -> impl Future<Output = Answer<Listing>>;
 
     /// Writes the record by which other fronts find this one, replacing any existing record.
     fn announce(
         &self,
         name: &str,
         address: std::net::SocketAddr,
-    ) -> impl Future<Output = Result<(), DirectoryError>>;
+    ) -> impl Future<Output = Answer<()>>;
 }
--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -1,4 +1,4 @@
-//! Which directory revisions this front and its peers have seen.
+//! Which positions of the directory this front and its peers have seen.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -6,23 +6,23 @@
 use daisychute_core::Time;
 use tokio::sync::Notify;
 
-use crate::Collection;
+use crate::{Collection, Position};
 
 /// How long a peer may be ahead of a pending watch before that counts as lagging: it should have delivered the change by
 /// then.
 const LAG_GRACE: Duration = Duration::from_millis(350);
 
-/// Which revisions of one collection were seen.
+/// Which positions of one collection were seen.
 #[derive(Debug, Default)]
 struct Progress {
-    // The revision of the latest change that this front has seen.
-    latest_seen: Cell<u64>,
-    // The store's revision up to which this front has seen all changes; the latest change may be older.
-    covered: Cell<u64>,
-    // The latest revision that a peer has reported, and when a peer was first found ahead.
-    reported: Cell<Option<(u64, Time)>>,
-    // Peers that are ahead up to this revision don't replace the watch again.
-    checked: Cell<u64>,
+    // The position of the latest change that this front has seen.
+    latest_seen: Cell<Position>,
+    // The store's position up to which this front has seen all changes; the latest change may be older.
+    covered: Cell<Position>,
+    // The latest position that a peer has reported, and when a peer was first found ahead.
+    reported: Cell<Option<(Position, Time)>>,
+    // Peers that are ahead up to this position don't replace the watch again.
+    checked: Cell<Position>,
     lagging: Notify,
 }
 
@@ -31,19 +31,24 @@
         self.reported.get().is_some_and(|reported| reported.0 > self.latest_seen.get())
     }
 
-    fn record_reported(&self, now: Time, revision: u64, grace: Duration) {
-        if revision <= self.latest_seen.get().max(self.checked.get()) {
-            return;
+    fn record_reported(&self, now: Time, position: Position, grace: Duration) -> bool {
+        if position <= self.latest_seen.get().max(self.checked.get()) {
+            return false;
         }
         match self.reported.get() {
             Some((latest, since)) if latest > self.latest_seen.get() => {
-                self.reported.set(Some((latest.max(revision), since)));
-                if now.since(since) >= grace {
-                    self.checked.set(latest.max(revision));
-                    self.lagging.notify_one();
+                self.reported.set(Some((latest.max(position), since)));
+                if now.since(since) < grace {
+                    return false;
                 }
+                self.checked.set(latest.max(position));
+                self.lagging.notify_one();
+                true
+            }
+            _ => {
+                self.reported.set(Some((position, now)));
+                false
             }
-            _ => self.reported.set(Some((revision, now))),
         }
     }
 }
@@ -54,7 +59,7 @@
 /// report to each other the latest change that they have seen, so that a front with a working watch makes the others
 /// replace theirs. The more fronts there are, the longer each watch may wait.
 #[derive(Debug, Default)]
-pub(crate) struct Revisions {
+pub struct Revisions {
     configuration: Progress,
     endpoints: Progress,
 }
@@ -68,47 +73,53 @@
     }
 
     /// Records a change that this front has seen.
-    pub(crate) fn record_seen(&self, collection: Collection, revision: u64) {
+    pub fn record_seen(&self, collection: Collection, position: Position) {
         let latest_seen = &self.of(collection).latest_seen;
-        latest_seen.set(latest_seen.get().max(revision));
+        latest_seen.set(latest_seen.get().max(position));
     }
 
-    /// Records that this front has seen all changes up to a revision of the store.
-    pub(crate) fn record_covered(&self, collection: Collection, revision: u64) {
+    /// Records that this front has seen all changes up to a position of the store.
+    pub fn record_covered(&self, collection: Collection, position: Position) {
         let covered = &self.of(collection).covered;
-        covered.set(covered.get().max(revision));
+        covered.set(covered.get().max(position));
     }
 
-    /// Returns the store's revision up to which all changes of endpoints were seen here; 0 if none were.
-    pub(crate) fn endpoints_covered(&self) -> u64 {
+    /// Returns the store's position up to which all changes of endpoints were seen here.
+    #[must_use]
+    pub fn endpoints_covered(&self) -> Position {
         self.endpoints.covered.get()
     }
 
-    /// Returns the latest revisions seen here of configuration and endpoints, for heartbeats and snapshots.
-    pub(crate) fn latest_seen(&self) -> (u64, u64) {
+    /// Returns the latest positions seen here of configuration and endpoints, for heartbeats and snapshots.
+    #[must_use]
+    pub fn latest_seen(&self) -> (Position, Position) {
         (self.configuration.latest_seen.get(), self.endpoints.latest_seen.get())
     }
 
-    /// Records the revisions of configuration and endpoints that a peer has reported. `collect_time` is the time
-    /// between two watches, in which peers may be ahead.
-    pub(crate) fn record_reported(
+    /// Records the positions of configuration and endpoints that a peer has reported. `collect_time` is the time
+    /// between two watches, in which peers may be ahead. Returns for which of the two the pending watch now counts as
+    /// lagging.
+    pub fn record_reported(
         &self,
         now: Time,
-        (configuration, endpoints): (u64, u64),
+        (configuration, endpoints): (Position, Position),
         collect_time: Duration,
-    ) {
+    ) -> (bool, bool) {
         let grace = LAG_GRACE + collect_time;
-        self.configuration.record_reported(now, configuration, grace);
-        self.endpoints.record_reported(now, endpoints, grace);
+        (
+            self.configuration.record_reported(now, configuration, grace),
+            self.endpoints.record_reported(now, endpoints, grace),
+        )
     }
 
     /// Whether a peer has reported later changes than this front has seen.
-    pub(crate) fn is_behind(&self) -> bool {
+    #[must_use]
+    pub fn is_behind(&self) -> bool {
         self.configuration.is_behind() || self.endpoints.is_behind()
     }
 
     /// Waits until a peer has been ahead for too long.
-    pub(crate) async fn wait_until_lagging(&self, collection: Collection) {
+    pub async fn wait_until_lagging(&self, collection: Collection) {
         let progress = self.of(collection);
         loop {
             progress.lagging.notified().await;
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -7,10 +7,10 @@
 use daisychute_core::{EndpointName, Time};
 use tokio::time::sleep;
 
-use crate::Dialect;
 use crate::directory::directory_outage::DirectoryOutage;
-use crate::directory::{Change, Collection, Directory, DirectoryError, Listing, Record};
+use crate::directory::{Change, Collection, Directory, DirectoryError, Listing, Position, Record};
 use crate::state::FrontState;
+use crate::{Continuity, Dialect};
 
 /// Wait time of one watch, multiplied by the number of fronts. Fronts report changes to each other, so together they
 /// notice within about this time that watches deliver nothing any more.
@@ -49,6 +49,11 @@
     (COLLECT_TIME_PER_FRONT * state.front_count()).min(MAX_COLLECT_TIME)
 }
 
+/// Returns the delay after this many consecutive calls without a result, at least one.
+fn retry_delay(calls: u32) -> Duration {
+    (INITIAL_RETRY_DELAY * 2_u32.pow(calls.clamp(1, 5) - 1)).min(MAX_RETRY_DELAY)
+}
+
 /// Follows a collection and passes each change to the dispatcher.
 pub(crate) struct Watcher<D, S> {
     state: Rc<FrontState<D>>,
@@ -58,7 +63,12 @@
     names: BTreeSet<String>,
     /// Consecutive failed calls.
     failures: u32,
+    /// Consecutive answers from before a return of the directory.
+    outdated: u32,
     outage: DirectoryOutage,
+    /// Latest era in which the directory answered this watcher. 0 before the first answer.
+    era: u64,
+    era_is_known: bool,
 }
 
 impl<D: Dialect, S: Directory> Watcher<D, S> {
@@ -70,7 +80,10 @@
             collection,
             names,
             failures: 0,
+            outdated: 0,
             outage: DirectoryOutage::default(),
+            era: 0,
+            era_is_known: false,
         }
     }
 
@@ -79,16 +92,21 @@
         loop {
             let allow_stale = self.collection == Collection::Fronts;
             let deadline = self.state.now();
-            match self.directory.list(self.collection, allow_stale).await {
+            let answer = self.directory.list(self.collection, allow_stale).await;
+            self.record_era(answer.era);
+            match answer.result {
+                Ok(it) if self.continuity(None, &it) != Continuity::Continues => {
+                    self.drop_outdated(it.position).await;
+                }
                 Ok(listing) => {
                     self.record_success();
-                    let revision = listing.revision;
+                    let position = listing.position;
                     self.replace(listing);
-                    self.state.revisions.record_covered(self.collection, revision);
+                    self.state.revisions.record_covered(self.collection, position);
                     if allow_stale {
-                        self.wait_for_next_listing().await;
+                        self.wait_for_next_listing(position).await;
                     } else {
-                        self.follow(revision).await;
+                        self.follow(position).await;
                     }
                 }
                 Err(e) => self.handle_failure(&e, deadline).await,
@@ -96,10 +114,49 @@
         }
     }
 
-    /// Waits until the next listing of the fronts.
-    async fn wait_for_next_listing(&self) {
+    /// Records the era of an answer.
+    fn record_era(&mut self, era: Option<u64>) {
+        let Some(era) = era else { return };
+        self.state.record_era(era, "directory");
+        if era > self.era {
+            // The era of the first answer tells nothing about a return.
+            if self.era_is_known {
+                self.outage.record_restored(self.state.now());
+            }
+            self.era = era;
+        }
+        self.era_is_known = true;
+    }
+
+    /// Returns how a listing relates to the known era and to the position `after` from which it was asked for.
+    fn continuity(&self, after: Option<Position>, listing: &Listing) -> Continuity {
+        self.state.era.continuity(after, listing.position)
+    }
+
+    /// Drops a listing of an earlier era, and waits before the next call.
+    async fn drop_outdated(&mut self, position: Position) {
+        self.outdated += 1;
+        let collection = self.collection.as_str();
+        let (era, latest) = (position.era(), self.state.era.latest());
+        log::info!(collection, era, latest; "answer from before the return of the directory dropped");
+        sleep(self.state.jitter(retry_delay(self.outdated))).await;
+    }
+
+    /// Waits until the next listing of the fronts: at the next interval, or after a return of the directory.
+    async fn wait_for_next_listing(&self, position: Position) {
         let delay = LISTING_INTERVAL_PER_FRONT * self.front_count();
-        sleep(self.state.jitter(delay.max(MIN_LISTING_INTERVAL))).await;
+        let delay = self.state.jitter(delay.max(MIN_LISTING_INTERVAL));
+        tokio::select! {
+            () = sleep(delay) => {}
+            () = self.wait_until_restored(position) => {}
+        }
+    }
+
+    /// Waits until the directory was restored after `position`, and then for a random share of the time in which all
+    /// fronts list again.
+    async fn wait_until_restored(&self, position: Position) {
+        self.state.era.wait_until_after(position.era()).await;
+        sleep(self.state.spread(collect_time(&self.state))).await;
     }
 
     fn front_count(&self) -> u32 {
@@ -117,35 +174,45 @@
         self.state.jitter(wait)
     }
 
-    /// Watches for changes after `revision` until a new listing is needed.
-    async fn follow(&mut self, mut revision: u64) {
+    /// Watches for changes after `position` until a new listing is needed.
+    async fn follow(&mut self, mut position: Position) {
         loop {
             let wait = self.watch_wait();
             let deadline = self.state.now() + wait;
-            let listing = tokio::select! {
-                listing = self.directory.watch(self.collection, revision, wait) => listing,
+            let answer = tokio::select! {
+                answer = self.directory.watch(self.collection, position, wait) => answer,
                 () = self.state.revisions.wait_until_lagging(self.collection) => {
-                    let collection = self.collection.as_str();
+                    let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::info!(collection, revision; "a peer has seen a newer revision; watch restarted");
                     continue;
                 }
+                () = self.wait_until_restored(position) => return,
             };
-            match listing {
+            self.record_era(answer.era);
+            match answer.result {
                 Ok(listing) => {
+                    match self.continuity(Some(position), &listing) {
+                        Continuity::Continues => {}
+                        Continuity::Outdated => {
+                            self.drop_outdated(listing.position).await;
+                            continue;
+                        }
+                        Continuity::Restored => return,
+                    }
                     self.record_success();
-                    revision = revision.max(listing.revision);
+                    position = position.max(listing.position);
                     self.state.revisions.record_seen(self.collection, listing.latest);
                     let changed = !listing.changes.is_empty();
                     for change in listing.changes {
                         self.apply(change);
                     }
-                    self.state.revisions.record_covered(self.collection, revision);
+                    self.state.revisions.record_covered(self.collection, position);
                     if changed {
                         sleep(self.state.jitter(collect_time(&self.state))).await;
                     }
                 }
                 Err(DirectoryError::HistoryGone) => {
-                    let collection = self.collection.as_str();
+                    let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::warn!(collection, revision; "the directory no longer has the changes since this revision; listing again");
                     return;
                 }
@@ -166,6 +233,7 @@
             log::info!(collection, failures = self.failures; "directory regained");
         }
         self.failures = 0;
+        self.outdated = 0;
     }
 
     /// Records a failed call that should have been answered by `deadline`, and waits before the next one.
@@ -181,8 +249,7 @@
         }
         metrics::counter!("daisychute_directory_failures_total", "collection" => collection)
             .increment(1);
-        let delay = INITIAL_RETRY_DELAY * 2_u32.pow(self.failures.min(5) - 1);
-        sleep(self.state.jitter(delay.min(MAX_RETRY_DELAY))).await;
+        sleep(self.state.jitter(retry_delay(self.failures))).await;
     }
 
     /// Applies a complete listing: records that it lacks are removed.
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -22,8 +22,13 @@
 
 pub use crate::capacity_limits::CapacityLimits;
 pub use crate::dialect::{Dialect, ForwardParams};
+pub use crate::directory::answer::Answer;
+pub use crate::directory::continuity::Continuity;
 pub use crate::directory::directory_outage::DirectoryOutage;
+pub use crate::directory::position::Position;
 pub use crate::directory::record::{Collection, Record};
+pub use crate::directory::revisions::Revisions;
+pub use crate::directory::store_era::StoreEra;
 pub use crate::directory::{Change, Directory, DirectoryError, Listing};
 pub use crate::event_framer::EventFramer;
 pub use crate::front::{Front, FrontError};
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::directory::watcher::collect_time;
-use crate::peers::peer_heartbeat::{Load, Part, PeerHeartbeat};
+use crate::peers::peer_heartbeat::{Eras, Load, Part, PeerHeartbeat};
 use crate::state::FrontState;
 use crate::{Dialect, Directory};
 
@@ -24,6 +24,10 @@
 const MAX_DATAGRAM_BYTES: usize = 5_600;
 /// Delay before another attempt to register this front in the directory.
 const REGISTRATION_RETRY_DELAY: Duration = Duration::from_millis(800);
+/// Time over which the fronts register again after a return of the directory, multiplied by their number.
+const REGISTRATION_TIME_PER_FRONT: Duration = Duration::from_millis(15);
+/// Maximum time until a front registers again after a return of the directory, in which peers keep its record.
+pub(crate) const MAX_REGISTRATION_TIME: Duration = Duration::from_secs(5);
 
 /// Sends heartbeats with this front's load to its peers, for the life of the process.
 pub(crate) async fn send_heartbeats<D: Dialect>(state: Rc<FrontState<D>>, socket: Rc<UdpSocket>) {
@@ -52,7 +56,8 @@
     let parts: Vec<Part> = state.peers.take_parts().into_iter().map(Part::from).collect();
     let heartbeat = state.with_dispatcher(|it| {
         let loads: Vec<Load> = it.fleet().own_load(now).map(Load::from).collect();
-        PeerHeartbeat(state.incarnation_id, state.revisions.latest_seen(), loads, parts)
+        let (era, positions) = (state.era.latest(), state.revisions.latest_seen());
+        PeerHeartbeat::new(state.incarnation_id, era, positions, loads, parts)
     });
     let mut bytes = Vec::with_capacity(512);
     let written = ciborium::into_writer(&heartbeat, &mut bytes);
@@ -72,28 +77,46 @@
             continue;
         };
         let heartbeat: Result<PeerHeartbeat, _> = ciborium::from_reader(&buf[..len]);
-        let Ok(PeerHeartbeat(peer, revisions, loads, parts)) = heartbeat else {
+        let Ok(heartbeat) = heartbeat else {
             log::debug!(from:%; "malformed heartbeat datagram dropped");
             continue;
         };
+        let positions = heartbeat.positions();
+        let PeerHeartbeat(peer, _, loads, parts, Eras(era, ..)) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
-        state.revisions.record_reported(state.now(), revisions, collect_time(&state));
+        state.record_era(era, from);
+        state.revisions.record_reported(state.now(), positions, collect_time(&state));
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         state.handle(Event::PeerHeartbeat { peer, loads, parts });
     }
 }
 
-/// Registers this front in the directory, so that its peers find it.
+/// Registers this front in the directory, so that its peers find it, and again after each return of the directory, for
+/// the life of the process.
 pub(crate) async fn announce<D: Dialect>(
     state: Rc<FrontState<D>>,
     directory: impl Directory,
     name: String,
     own_address: SocketAddr,
 ) {
-    while let Err(error) = directory.announce(&name, own_address).await {
-        log::warn!(error:%; "registering this front in the directory failed");
-        sleep(state.jitter(REGISTRATION_RETRY_DELAY)).await;
+    loop {
+        let answer = directory.announce(&name, own_address).await;
+        if let Some(era) = answer.era {
+            state.record_era(era, "directory");
+        }
+        match answer.result {
+            Ok(()) => {
+                let era = answer.era.unwrap_or_default();
+                log::info!(name, address:% = own_address, era; "front registered in the directory");
+                state.era.wait_until_after(era).await;
+                let spread = REGISTRATION_TIME_PER_FRONT * state.front_count();
+                sleep(state.spread(spread.min(MAX_REGISTRATION_TIME))).await;
+            }
+            Err(error) => {
+                log::warn!(error:%; "registering this front in the directory failed");
+                sleep(state.jitter(REGISTRATION_RETRY_DELAY)).await;
+            }
+        }
     }
-    log::info!(name, address:% = own_address; "front registered in the directory");
 }
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -6,6 +6,8 @@
 use daisychute_dispatch::{Backlog, PeerLoad, PromptPart};
 use serde::{Deserialize, Serialize};
 
+use crate::Position;
+
 /// The requests of one front that are in flight. Fields are written without their names.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct PeerHeartbeat(
@@ -17,8 +19,15 @@
     pub(crate) Vec<Load>,
     /// Prompt parts that endpoints now cache.
     pub(crate) Vec<Part>,
+    /// The eras of the directory that the sender knows. Missing in heartbeats of older builds.
+    #[serde(default)]
+    pub(crate) Eras,
 );
 
+/// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Eras(pub(crate) u64, pub(crate) u64, pub(crate) u64);
+
 /// The load of a front at one endpoint: its name, requests in flight, pending prefill by priority in microseconds,
 /// microseconds since the oldest pending prefill was sent, and tokens.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +37,28 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Part(EndpointName, u64, u32);
 
+impl PeerHeartbeat {
+    /// Creates a heartbeat of the front that knows this era, and has seen changes of configuration and endpoints up to
+    /// these positions.
+    pub(crate) fn new(
+        incarnation_id: u64,
+        era: u64,
+        (configuration, endpoints): (Position, Position),
+        loads: Vec<Load>,
+        parts: Vec<Part>,
+    ) -> Self {
+        let revisions = (configuration.revision(), endpoints.revision());
+        let eras = Eras(era, configuration.era(), endpoints.era());
+        Self(incarnation_id, revisions, loads, parts, eras)
+    }
+
+    /// Returns the positions of the latest changes of configuration and endpoints that the sender has seen.
+    pub(crate) const fn positions(&self) -> (Position, Position) {
+        let Eras(_, configuration, endpoints) = self.4;
+        (Position::new(configuration, self.1.0), Position::new(endpoints, self.1.1))
+    }
+}
+
 impl From<(&EndpointName, PeerLoad)> for Load {
     fn from((name, load): (&EndpointName, PeerLoad)) -> Self {
         let micros = |duration: Duration| u32::try_from(duration.as_micros()).unwrap_or(u32::MAX);
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -7,6 +7,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::Position;
+
 /// The configuration in force at a front, and the endpoints in its fleet.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Snapshot {
@@ -16,10 +18,13 @@
     limits: ClientLimits,
     pub(crate) endpoints: Vec<Endpoint>,
     /// The directory revisions of the latest changes of configuration and endpoints that it contains.
-    pub(crate) revisions: (u64, u64),
+    revisions: (u64, u64),
     /// The store's revision up to which the sender has seen all changes of endpoints; 0 if unknown.
     #[serde(default)]
-    pub(crate) covered: u64,
+    covered: u64,
+    /// The eras of the two `revisions` and of `covered`. Missing in snapshots of older builds.
+    #[serde(default)]
+    eras: (u64, u64, u64),
 }
 
 impl Snapshot {
@@ -36,6 +41,32 @@
         })
     }
 
+    /// Adds the positions of the latest changes of configuration and endpoints that it contains, and the one up to which
+    /// the sender has seen all changes of endpoints.
+    pub(crate) fn with_positions(
+        self,
+        (configuration, endpoints): (Position, Position),
+        covered: Position,
+    ) -> Self {
+        Self {
+            revisions: (configuration.revision(), endpoints.revision()),
+            covered: covered.revision(),
+            eras: (configuration.era(), endpoints.era(), covered.era()),
+            ..self
+        }
+    }
+
+    /// Returns the positions of the latest changes of configuration and endpoints that it contains.
+    pub(crate) const fn positions(&self) -> (Position, Position) {
+        let (configuration, endpoints, _) = self.eras;
+        (Position::new(configuration, self.revisions.0), Position::new(endpoints, self.revisions.1))
+    }
+
+    /// Returns the position up to which the sender has seen all changes of endpoints.
+    pub(crate) const fn covered(&self) -> Position {
+        Position::new(self.eras.2, self.covered)
+    }
+
     /// Builds the route table and validates it again.
     pub(crate) fn table(&self) -> Result<Arc<RouteTable>, DuplicateRoute> {
         let (routes, services) = (self.routes.clone(), self.services.clone());
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -62,11 +62,11 @@
 async fn send<D: Dialect>(state: &FrontState<D>, stream: TcpStream) -> Result<(), FetchError> {
     let socket = accept_async_with_config(stream, Some(websocket_config())).await;
     let mut socket = socket.map_err(Box::new)?;
-    let Some(mut snapshot) = state.with_dispatcher(Snapshot::of) else {
+    let Some(snapshot) = state.with_dispatcher(Snapshot::of) else {
         return Err(FetchError::Empty);
     };
-    snapshot.revisions = state.revisions.latest_seen();
-    snapshot.covered = state.revisions.endpoints_covered();
+    let (positions, covered) = (state.revisions.latest_seen(), state.revisions.endpoints_covered());
+    let snapshot = snapshot.with_positions(positions, covered);
     let mut bytes = Vec::new();
     let written = ciborium::into_writer(&snapshot, &mut bytes);
     written.map_err(|e| FetchError::Codec(e.to_string()))?;
@@ -134,20 +134,22 @@
     let version = table.version();
     let known_version = state.with_dispatcher(|it| it.table().map(|it| it.version()));
     let newer_table = known_version.is_none_or(|it| it < version);
-    let newer_endpoints = state.revisions.endpoints_covered() < snapshot.covered;
+    let covered = snapshot.covered();
+    state.record_era(covered.era(), peer);
+    let newer_endpoints = state.revisions.endpoints_covered() < covered;
     if !newer_table && !newer_endpoints {
         return false;
     }
-    let (endpoints, covered) = (snapshot.endpoints.len(), snapshot.covered);
-    log::info!(peer:%, version, endpoints, covered; "snapshot taken from peer");
-    let (configuration_revision, endpoints_revision) = snapshot.revisions;
+    let (endpoints, era, revision) = (snapshot.endpoints.len(), covered.era(), covered.revision());
+    log::info!(peer:%, version, endpoints, era, covered = revision; "snapshot taken from peer");
+    let (configuration_position, endpoints_position) = snapshot.positions();
     if newer_table {
         state.apply_configuration(table);
-        state.revisions.record_seen(Collection::Configuration, configuration_revision);
+        state.revisions.record_seen(Collection::Configuration, configuration_position);
     }
     if newer_endpoints {
         state.replace_endpoints(&snapshot.endpoints);
-        state.revisions.record_seen(Collection::Endpoints, endpoints_revision);
+        state.revisions.record_seen(Collection::Endpoints, endpoints_position);
         state.revisions.record_covered(Collection::Endpoints, covered);
     }
     true
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -18,6 +19,7 @@
 
 use crate::Dialect;
 use crate::directory::revisions::Revisions;
+use crate::directory::store_era::StoreEra;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, release};
@@ -32,6 +34,8 @@
     /// Limits the cache queries to engines.
     pub(crate) cache_queries: CacheQueries,
     pub(crate) revisions: Revisions,
+    /// The latest known era of the directory.
+    pub(crate) era: StoreEra,
     /// When a call for configurations last succeeded; zero before the first success.
     pub(crate) directory_last_seen: Cell<Time>,
     /// Whether the last call for configurations failed; `true` before the first success.
@@ -59,6 +63,7 @@
             peers: Peers::new(peer_address),
             cache_queries: CacheQueries::default(),
             revisions: Revisions::default(),
+            era: StoreEra::default(),
             directory_last_seen: Cell::new(Time::ZERO),
             directory_unreachable: Cell::new(true),
             shutdown: ShutdownState::default(),
@@ -90,6 +95,19 @@
         duration.mul_f64(self.random.borrow_mut().random_range(0.75..1.25))
     }
 
+    /// Returns a random duration up to `limit`, so that processes share out their calls over that time.
+    pub(crate) fn spread(&self, limit: Duration) -> Duration {
+        limit.mul_f64(self.random.borrow_mut().random_range(0.0..1.0))
+    }
+
+    /// Records an era of the directory. `source` is who told it, for the log.
+    pub(crate) fn record_era(&self, era: u64, source: impl Display) {
+        let Some(previous) = self.era.record(self.now(), era) else { return };
+        log::warn!(era, previous, source:%; "era of the store has risen: it was restored from a copy");
+        metrics::counter!("daisychute_directory_restores_total").increment(era - previous);
+        self.peers.request_heartbeat();
+    }
+
     pub(crate) fn with_dispatcher<T>(&self, access: impl FnOnce(&Dispatcher) -> T) -> T {
         access(&self.dispatcher.borrow())
     }
