feat(front): keep endpoints gone that left before the directory was restored

Callers would get 421 or a cut response, and a leaving worker would get new requests, because a restored copy of the store still lists workers that drained or left since the copy. The last acknowledged state is now kept for each incarnation: one that left in an earlier era isn't used until 15 s after the return, whatever the copy says; an earlier incarnation in the copy doesn't replace the current one. Another incarnation is used at once. A worker that didn't leave after all is used again when the store is listed after the 15 s, counted anew after an outage, in which the store may keep records that nobody renews. Uncertain removals (those that may be undone after an outage) don't count as leaving. Records of fronts that the copy lacks are kept for 10 s, in which all fronts register again.

Before the change these tests of `store_restored` failed: worker_removed_since_the_copy_gets_nothing (128 requests at it), worker_draining_since_the_copy_gets_nothing (76), store_restored_twice (120), earlier_incarnation_of_a_worker_is_not_restored (37), worker_that_stays_registered_is_used_again (used after 1 s), record_of_a_front_that_cannot_register_is_kept (1 front counted instead of 2). Of `departures`, the seven that hold an endpoint back fail if every record is admitted.

--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -66,6 +66,16 @@
     pub started_at: Option<u64>,
 }
 
+impl Endpoint {
+    /// Whether both are records of the same start of an endpoint, given that their names are equal.
+    #[must_use]
+    pub fn is_same_incarnation(&self, other: &Self) -> bool {
+        self.started_at == other.started_at
+            && self.address == other.address
+            && self.service == other.service
+    }
+}
+
 /// An endpoint with the load, health and cached parts that this front knows of.
 #[derive(Debug, Clone)]
 pub(crate) struct TrackedEndpoint {
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -63,12 +63,7 @@
     }
 
     fn same_incarnation(&self, key: EndpointKey, endpoint: &Endpoint) -> bool {
-        self.tracked.get(&key).is_some_and(|it| {
-            let current = &it.endpoint;
-            current.started_at == endpoint.started_at
-                && current.address == endpoint.address
-                && current.service == endpoint.service
-        })
+        self.tracked.get(&key).is_some_and(|it| it.endpoint.is_same_incarnation(endpoint))
     }
 
     fn insert(&mut self, endpoint: Endpoint) -> EndpointKey {
--- a/crates/daisychute-front/src/directory/directory_outage.rs
+++ b/crates/daisychute-front/src/directory/directory_outage.rs
@@ -34,7 +34,7 @@
 
 impl DirectoryOutage {
     /// How long after the directory's recovery a removed record may still come back.
-    const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
+    pub const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
     /// Limits the recovery window, counted from when the directory was last found unreachable, to
     /// [`Self::RECOVERY_WINDOW`] plus this. A front counts as connected three seconds after it can reach the directory
     /// again, and must know by then which endpoints were removed.
--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -1,7 +1,9 @@
 //! The directory that registers configurations, endpoints and fronts.
 
+pub(crate) mod admission;
 pub(crate) mod answer;
 pub(crate) mod continuity;
+pub(crate) mod departures;
 pub(crate) mod directory_outage;
 pub(crate) mod position;
 pub(crate) mod record;
--- a/crates/daisychute-front/src/directory/store_era.rs
+++ b/crates/daisychute-front/src/directory/store_era.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Whether the directory was restored since this front first learned of its era.
+    #[must_use]
+    pub fn has_risen(&self) -> bool {
+        self.risen_at.get().is_some()
+    }
+
     /// Whether the directory was restored less than `time` ago, counted from when this front learned of it.
     #[must_use]
     pub fn has_risen_within(&self, now: Time, time: Duration) -> bool {
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -9,6 +9,7 @@
 
 use crate::directory::directory_outage::DirectoryOutage;
 use crate::directory::{Change, Collection, Directory, DirectoryError, Listing, Position, Record};
+use crate::peers::heartbeats::MAX_REGISTRATION_TIME;
 use crate::state::FrontState;
 use crate::{Continuity, Dialect};
 
@@ -31,6 +32,9 @@
 const LISTING_INTERVAL_PER_FRONT: Duration = Duration::from_millis(700);
 /// Minimum interval between listings of the fronts.
 const MIN_LISTING_INTERVAL: Duration = Duration::from_secs(2);
+/// Time after a return of the directory in which records of fronts that it lacks are kept: all fronts register again in
+/// half of it.
+const FRONTS_RETURN_TIME: Duration = MAX_REGISTRATION_TIME.saturating_mul(2);
 /// Delay after the first failed call; it doubles with each further one.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Maximum delay after failed calls: changes must be in force within two seconds of the directory's recovery.
@@ -187,6 +191,7 @@
                     continue;
                 }
                 () = self.wait_until_restored(position) => return,
+                () = self.wait_until_released() => return,
             };
             self.record_era(answer.era);
             match answer.result {
@@ -204,7 +209,7 @@
                     self.state.revisions.record_seen(self.collection, listing.latest);
                     let changed = !listing.changes.is_empty();
                     for change in listing.changes {
-                        self.apply(change);
+                        self.apply(change, position.era());
                     }
                     self.state.revisions.record_covered(self.collection, position);
                     if changed {
@@ -230,12 +235,34 @@
             self.state.directory_last_seen.set(self.state.now());
         }
         if self.outage.record_success(self.state.now()) {
+            self.extend_hold();
             log::info!(collection, failures = self.failures; "directory regained");
         }
         self.failures = 0;
         self.outdated = 0;
     }
 
+    /// Keeps endpoints that left before a return from being used: records that nobody renews aren't dropped during an
+    /// outage.
+    fn extend_hold(&self) {
+        let mut departures = self.state.departures.borrow_mut();
+        if departures.held_until().is_some() {
+            departures.hold(self.state.now());
+        }
+    }
+
+    /// Waits until endpoints that left before a return may be used again.
+    async fn wait_until_released(&self) {
+        let held_until = self.state.departures.borrow().held_until();
+        match held_until {
+            Some(it) if self.collection == Collection::Endpoints => {
+                let spread = self.state.spread(collect_time(&self.state));
+                sleep(it.since(self.state.now()) + spread).await;
+            }
+            _ => std::future::pending().await,
+        }
+    }
+
     /// Records a failed call that should have been answered by `deadline`, and waits before the next one.
     async fn handle_failure(&mut self, error: &DirectoryError, deadline: Time) {
         let collection = self.collection.as_str();
@@ -254,15 +281,22 @@
 
     /// Applies a complete listing: records that it lacks are removed.
     fn replace(&mut self, listing: Listing) {
+        let (now, era) = (self.state.now(), listing.position.era());
         self.state.revisions.record_seen(self.collection, listing.latest);
         let listed: BTreeSet<_> = listing.changes.iter().map(|it| it.name.clone()).collect();
         let known = self.known_names();
         let removed: Vec<_> = known.difference(&listed).cloned().collect();
-        for name in removed {
-            self.apply(Change { name, record: None });
+        // Fronts register again over some time after a return.
+        let fronts_return = self.collection == Collection::Fronts
+            && self.state.era.has_risen_within(now, FRONTS_RETURN_TIME);
+        for name in removed.into_iter().filter(|_| !fronts_return) {
+            self.apply(Change { name, record: None }, era);
         }
         for change in listing.changes {
-            self.apply(change);
+            self.apply(change, era);
+        }
+        if self.collection == Collection::Endpoints {
+            self.state.departures.borrow_mut().record_listed(now, era);
         }
     }
 
@@ -273,37 +307,41 @@
         self.state.with_dispatcher(|it| it.fleet().names().map(ToString::to_string).collect())
     }
 
-    fn apply(&mut self, change: Change) {
+    /// Applies a change that the directory told in this era.
+    fn apply(&mut self, change: Change, era: u64) {
         let Change { name, record } = change;
         match record {
             Some(Ok(record)) => {
                 if self.collection != Collection::Endpoints {
                     self.names.insert(name.clone());
                 }
-                self.upsert(name, record);
+                self.upsert(name, record, era);
             }
             Some(Err(reason)) => {
                 let collection = self.collection.as_str();
                 log::debug!(collection, name, reason; "invalid record treated as removed");
-                self.remove(name);
+                self.remove(name, era);
             }
-            None => self.remove(name),
+            None => self.remove(name, era),
         }
     }
 
-    fn upsert(&self, name: String, record: Record) {
+    fn upsert(&self, name: String, record: Record, era: u64) {
         match record {
             Record::Configuration(table) => {
                 self.state.apply_configuration(table);
             }
-            Record::Endpoint(endpoint) => self.state.upsert_endpoint(endpoint),
+            Record::Endpoint(endpoint) => {
+                let removal = self.outage.removal(self.state.now());
+                self.state.upsert_endpoint(endpoint, era, removal);
+            }
             Record::Front(address) => {
                 self.state.peers.update(self.state.now(), name, Some(address))
             }
         }
     }
 
-    fn remove(&mut self, name: String) {
+    fn remove(&mut self, name: String, era: u64) {
         let was_registered = self.names.remove(&name);
         match self.collection {
             // The last configuration stays in force.
@@ -312,11 +350,8 @@
             Collection::Fronts => self.state.peers.update(self.state.now(), name, None),
             Collection::Endpoints => {
                 let Ok(name) = EndpointName::try_from(name) else { return };
-                if self.state.with_dispatcher(|it| it.fleet().key(&name).is_none()) {
-                    return;
-                }
                 let removal = self.outage.removal(self.state.now());
-                self.state.remove_endpoint(name, removal);
+                self.state.remove_endpoint(name, era, removal);
             }
         }
     }
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -22,8 +22,10 @@
 
 pub use crate::capacity_limits::CapacityLimits;
 pub use crate::dialect::{Dialect, ForwardParams};
+pub use crate::directory::admission::Admission;
 pub use crate::directory::answer::Answer;
 pub use crate::directory::continuity::Continuity;
+pub use crate::directory::departures::Departures;
 pub use crate::directory::directory_outage::DirectoryOutage;
 pub use crate::directory::position::Position;
 pub use crate::directory::record::{Collection, Record};
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -148,7 +148,7 @@
         state.revisions.record_seen(Collection::Configuration, configuration_position);
     }
     if newer_endpoints {
-        state.replace_endpoints(&snapshot.endpoints);
+        state.replace_endpoints(&snapshot.endpoints, covered);
         state.revisions.record_seen(Collection::Endpoints, endpoints_position);
         state.revisions.record_covered(Collection::Endpoints, covered);
     }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -17,7 +17,6 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::Dialect;
 use crate::directory::revisions::Revisions;
 use crate::directory::store_era::StoreEra;
 use crate::endpoint::cache_query::CacheQueries;
@@ -25,6 +24,7 @@
 use crate::endpoint::{cache_query, release};
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
+use crate::{Admission, Departures, Dialect, DirectoryOutage, Position};
 
 /// The state of a front. It is used on one thread only.
 pub(crate) struct FrontState<D> {
@@ -36,6 +36,8 @@
     pub(crate) revisions: Revisions,
     /// The latest known era of the directory.
     pub(crate) era: StoreEra,
+    /// The endpoints that left lately, in case that the directory is restored.
+    pub(crate) departures: RefCell<Departures>,
     /// When a call for configurations last succeeded; zero before the first success.
     pub(crate) directory_last_seen: Cell<Time>,
     /// Whether the last call for configurations failed; `true` before the first success.
@@ -64,6 +66,7 @@
             cache_queries: CacheQueries::default(),
             revisions: Revisions::default(),
             era: StoreEra::default(),
+            departures: RefCell::default(),
             directory_last_seen: Cell::new(Time::ZERO),
             directory_unreachable: Cell::new(true),
             shutdown: ShutdownState::default(),
@@ -105,6 +108,7 @@
         let Some(previous) = self.era.record(self.now(), era) else { return };
         log::warn!(era, previous, source:%; "era of the store has risen: it was restored from a copy");
         metrics::counter!("daisychute_directory_restores_total").increment(era - previous);
+        self.departures.borrow_mut().hold(self.now());
         self.peers.request_heartbeat();
     }
 
@@ -150,17 +154,64 @@
         }
     }
 
-    pub(crate) fn upsert_endpoint(self: &Rc<Self>, endpoint: Endpoint) {
+    /// Applies a record that the directory listed in this era. `removal` says how another incarnation of that name is
+    /// removed if the listed one left before the directory was restored.
+    pub(crate) fn upsert_endpoint(
+        self: &Rc<Self>,
+        mut endpoint: Endpoint,
+        era: u64,
+        removal: Removal,
+    ) {
+        let now = self.now();
+        let admission = self.departures.borrow_mut().admit(now, era, &endpoint);
+        let current = self.registered(&endpoint.name);
+        let replaced = current.filter(|it| !it.is_same_incarnation(&endpoint));
+        if admission != Admission::AsListed {
+            let (name, address) = (&endpoint.name, &endpoint.address);
+            log::info!(endpoint:% = name, address:%, admission:?; "endpoint left before the return of the directory; its record isn't applied");
+        }
+        match admission {
+            Admission::AsListed if endpoint.draining => {
+                self.departures.borrow_mut().record_draining(now, era, &endpoint);
+            }
+            Admission::AsListed => {}
+            Admission::Draining => endpoint.draining = true,
+            Admission::Gone => {
+                if replaced.is_some() {
+                    self.remove_endpoint(endpoint.name, era, removal);
+                }
+                return;
+            }
+        }
+        if let Some(replaced) = replaced {
+            self.departures.borrow_mut().record_gone(now, now, era, &replaced);
+        }
         let Endpoint { name, service, address, stage, draining, started_at, .. } = &endpoint;
         log::info!(endpoint:% = name, service:%, address:%, stage:?, draining, born:? = started_at; "endpoint listed");
         self.handle(Event::EndpointUpserted(endpoint));
     }
 
-    pub(crate) fn remove_endpoint(self: &Rc<Self>, name: EndpointName, removal: Removal) {
+    /// Removes an endpoint that the directory doesn't list any more in this era.
+    pub(crate) fn remove_endpoint(self: &Rc<Self>, name: EndpointName, era: u64, removal: Removal) {
+        let now = self.now();
+        let Some(endpoint) = self.registered(&name) else {
+            self.departures.borrow_mut().confirm_gone(now, era, &name);
+            return;
+        };
         log::info!(endpoint:% = name, removal:?; "endpoint not listed any more");
+        let gone_at = match removal {
+            Removal::Left => now,
+            Removal::AfterOutage(delay) => now + delay,
+        };
+        self.departures.borrow_mut().record_gone(now, gone_at, era, &endpoint);
         self.handle(Event::EndpointRemoved { name, removal });
     }
 
+    /// Returns the record of the endpoint of this name that is in the fleet.
+    fn registered(&self, name: &EndpointName) -> Option<Endpoint> {
+        self.with_dispatcher(|it| it.fleet().endpoint(it.fleet().key(name)?).cloned())
+    }
+
     /// Returns the number of live fronts, this one included.
     pub(crate) fn front_count(&self) -> u32 {
         u32::try_from(self.peers.count(self.now())).unwrap_or(u32::MAX)
@@ -178,22 +229,26 @@
         self.directory_unreachable.get() && (unknown || self.revisions.is_behind())
     }
 
-    /// Replaces the endpoints by those of a peer that has seen later changes.
-    pub(crate) fn replace_endpoints(self: &Rc<Self>, endpoints: &[Endpoint]) {
+    /// Replaces the endpoints by those of a peer that has seen later changes, up to `covered`.
+    pub(crate) fn replace_endpoints(self: &Rc<Self>, endpoints: &[Endpoint], covered: Position) {
+        let era = covered.era();
+        // The peer may not have known endpoints that were registered since the copy.
+        let was_restored = era > self.revisions.endpoints_covered().era();
+        let removal = if was_restored && self.era.has_risen() {
+            Removal::AfterOutage(DirectoryOutage::RECOVERY_WINDOW)
+        } else {
+            Removal::Left
+        };
         let listed: BTreeSet<_> = endpoints.iter().map(|it| &it.name).collect();
         let is_missing = |it: &&EndpointName| !listed.contains(it);
         let missing: Vec<_> =
             self.with_dispatcher(|it| it.fleet().names().filter(is_missing).cloned().collect());
         for name in missing {
-            self.remove_endpoint(name, Removal::Left);
+            self.remove_endpoint(name, era, removal);
         }
         for endpoint in endpoints {
-            let is_known = self.with_dispatcher(|it| {
-                let key = it.fleet().key(&endpoint.name);
-                key.and_then(|key| it.fleet().endpoint(key)).is_some_and(|it| it == endpoint)
-            });
-            if !is_known {
-                self.upsert_endpoint(endpoint.clone());
+            if self.registered(&endpoint.name).as_ref() != Some(endpoint) {
+                self.upsert_endpoint(endpoint.clone(), era, removal);
             }
         }
     }
