--- a/crates/daisychute-front/src/directory/departures.rs
+++ b/crates/daisychute-front/src/directory/departures.rs
@@ -91,12 +91,10 @@
     /// Records that the directory was restored, or became reachable again within the hold time of an earlier return:
     /// it may have kept records in the meantime that nobody renewed.
     pub fn hold(&mut self, now: Time) {
-        if !self.by_name.is_empty() {
-            self.held_until = Some(now + Self::HOLD_TIME);
-        }
+        self.held_until = Some(now + Self::HOLD_TIME);
     }
 
-    /// Returns until when endpoints that left before a return aren't used. `None` if there are none.
+    /// Returns until when endpoints that left before a return aren't used. `None` without a return.
     #[must_use]
     pub const fn held_until(&self) -> Option<Time> {
         self.held_until
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -67,7 +67,7 @@
     names: BTreeSet<String>,
     /// Consecutive failed calls.
     failures: u32,
-    /// Consecutive answers from before a return of the directory.
+    /// Consecutive answers that were dropped because of a return of the directory.
     outdated: u32,
     outage: DirectoryOutage,
     /// Latest era in which the directory answered this watcher. 0 before the first answer.
@@ -113,6 +113,11 @@
                         self.follow(position).await;
                     }
                 }
+                Err(DirectoryError::HistoryGone) => {
+                    let collection = self.collection.as_str();
+                    log::info!(collection; "the directory was restored while it was listed");
+                    self.delay_next_listing().await;
+                }
                 Err(e) => self.handle_failure(&e, deadline).await,
             }
         }
@@ -139,10 +144,15 @@
 
     /// Drops a listing of an earlier era, and waits before the next call.
     async fn drop_outdated(&mut self, position: Position) {
-        self.outdated += 1;
         let collection = self.collection.as_str();
         let (era, latest) = (position.era(), self.state.era.latest());
         log::info!(collection, era, latest; "answer from before the return of the directory dropped");
+        self.delay_next_listing().await;
+    }
+
+    /// Waits after an answer that can't be applied.
+    async fn delay_next_listing(&mut self) {
+        self.outdated += 1;
         sleep(self.state.jitter(retry_delay(self.outdated))).await;
     }
 
@@ -198,10 +208,7 @@
                 Ok(listing) => {
                     match self.continuity(Some(position), &listing) {
                         Continuity::Continues => {}
-                        Continuity::Outdated => {
-                            self.drop_outdated(listing.position).await;
-                            continue;
-                        }
+                        Continuity::Outdated => return self.drop_outdated(listing.position).await,
                         Continuity::Restored => return,
                     }
                     self.record_success();
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -84,7 +84,7 @@
         let positions = heartbeat.positions();
         let PeerHeartbeat(peer, _, loads, parts, Eras(era, ..)) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
-        state.record_era(era, from);
+        state.record_peer_era(era, from);
         state.revisions.record_reported(state.now(), positions, collect_time(&state));
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -135,7 +135,7 @@
     let known_version = state.with_dispatcher(|it| it.table().map(|it| it.version()));
     let newer_table = known_version.is_none_or(|it| it < version);
     let covered = snapshot.covered();
-    state.record_era(covered.era(), peer);
+    state.record_peer_era(covered.era(), peer);
     let newer_endpoints = state.revisions.endpoints_covered() < covered;
     if !newer_table && !newer_endpoints {
         return false;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -112,6 +112,13 @@
         self.peers.request_heartbeat();
     }
 
+    /// Records the era that a peer told. Peers that don't know it yet, and those of older builds, tell 0.
+    pub(crate) fn record_peer_era(&self, era: u64, peer: SocketAddr) {
+        if era > 0 {
+            self.record_era(era, peer);
+        }
+    }
+
     pub(crate) fn with_dispatcher<T>(&self, access: impl FnOnce(&Dispatcher) -> T) -> T {
         access(&self.dispatcher.borrow())
     }
