fix(front): wait between registrations that the store answers in an earlier era

A front that had learned of a later era than the store answered in wrote its record again and again without pause: 352 calls in three seconds, printed by era_that_only_a_peer_tells_causes_few_calls before the change. It now waits as after a refused registration. heartbeats_of_older_builds_are_read shows that heartbeats without eras are read: their revisions count in a store that is in era 0, and not in one that has been restored since.

--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -109,6 +109,10 @@
             Ok(()) => {
                 let era = answer.era.unwrap_or_default();
                 log::info!(name, address:% = own_address, era; "front registered in the directory");
+                if era < state.era.latest() {
+                    // The directory was restored while it answered.
+                    sleep(state.jitter(REGISTRATION_RETRY_DELAY)).await;
+                }
                 state.era.wait_until_after(era).await;
                 let spread = REGISTRATION_TIME_PER_FRONT * state.front_count();
                 sleep(state.spread(spread.min(MAX_REGISTRATION_TIME))).await;
