fix(front): don't replace a worker by the earlier start that a restored copy lists

A front that had only seen the later start of a worker under the same id would have used the address of the earlier one, which may belong to another service by then, until the worker's record was written again. Within the 15 s after a return a record with an earlier `born` than the one in use is now ignored. an_earlier_start_in_the_copy_is_not_applied failed before (AsListed instead of Gone).

--- a/crates/daisychute-front/src/directory/departures.rs
+++ b/crates/daisychute-front/src/directory/departures.rs
@@ -30,7 +30,8 @@
 ///
 /// A directory that is restored from a copy may list endpoints that left since the copy as ready. What it told before
 /// stays valid: an incarnation that left in an earlier era isn't used again until [`Self::HOLD_TIME`] after the return.
-/// Another incarnation under the same name is used at once, and so is one that left and came back in the same era.
+/// Another incarnation under the same name is used at once, unless it started earlier than the one in use, and so is one
+/// that left and came back in the same era.
 ///
 /// An endpoint that didn't leave after all is used again if the directory lists it as ready after that time: by then the
 /// directory has dropped the records that no endpoint renews, and those that drain have said so again.
@@ -112,13 +113,24 @@
         });
     }
 
-    /// Returns how a record that the directory lists in this era is applied. An endpoint that is used again isn't
-    /// remembered any more.
-    pub fn admit(&mut self, now: Time, era: u64, endpoint: &Endpoint) -> Admission {
+    /// Returns how a record that the directory lists in this era is applied, while `current` is the record of this name
+    /// that is applied now. An endpoint that is used again isn't remembered any more.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        era: u64,
+        endpoint: &Endpoint,
+        current: Option<&Endpoint>,
+    ) -> Admission {
+        let is_held = self.held_until.is_some_and(|it| now < it);
+        let started_earlier =
+            |it: &Endpoint| endpoint.started_at.is_some() && endpoint.started_at < it.started_at;
+        if is_held && current.is_some_and(started_earlier) {
+            return Admission::Gone;
+        }
         let Some(departures) = self.by_name.get_mut(&endpoint.name) else {
             return Admission::AsListed;
         };
-        let is_held = self.held_until.is_some_and(|it| now < it);
         let departure = departures.iter().find(|it| it.endpoint.is_same_incarnation(endpoint));
         let admission = match departure {
             Some(it) if is_held && it.era < era && it.at <= now => match it.kind {
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -170,8 +170,8 @@
         removal: Removal,
     ) {
         let now = self.now();
-        let admission = self.departures.borrow_mut().admit(now, era, &endpoint);
         let current = self.registered(&endpoint.name);
+        let admission = self.departures.borrow_mut().admit(now, era, &endpoint, current.as_ref());
         let replaced = current.filter(|it| !it.is_same_incarnation(&endpoint));
         if admission != Admission::AsListed {
             let (name, address) = (&endpoint.name, &endpoint.address);
--- a/crates/daisychute-front/tests/departures.rs
+++ b/crates/daisychute-front/tests/departures.rs
@@ -62,7 +62,7 @@
                     }
                 }
                 let record = endpoint($started_at, $draining);
-                assert_eq!(departures.admit(at($now), $era, &record), $admission);
+                assert_eq!(departures.admit(at($now), $era, &record, None), $admission);
             }
         )*
     };
@@ -109,11 +109,24 @@
     assert_eq!(departures.held_until(), None);
 }
 
+/// Guards against replacing a restarted endpoint by the earlier start in the copy, which this front never knew.
+#[test]
+fn an_earlier_start_in_the_copy_is_not_applied() {
+    let mut departures = Departures::default();
+    let (earlier, current) = (endpoint(1, READY), endpoint(2, READY));
+    assert_eq!(departures.admit(at(50), 1, &earlier, Some(&current)), AsListed);
+    departures.hold(at(100));
+    assert_eq!(departures.admit(at(200), 2, &earlier, Some(&current)), Gone);
+    assert_eq!(departures.admit(at(200), 2, &current, Some(&earlier)), AsListed);
+    let after_hold = at(100) + Departures::HOLD_TIME;
+    assert_eq!(departures.admit(after_hold, 2, &earlier, Some(&current)), AsListed);
+}
+
 /// Guards against applying a record of an endpoint of which a peer said after the return that it had left before it.
 #[test]
 fn a_departure_that_is_learned_after_the_return_counts() {
     let mut departures = Departures::default();
     departures.hold(at(100));
     departures.record_gone(at(150), at(150), 1, &endpoint(1, READY));
-    assert_eq!(departures.admit(at(200), 2, &endpoint(1, READY)), Gone);
+    assert_eq!(departures.admit(at(200), 2, &endpoint(1, READY), None), Gone);
 }
