--- a/crates/daisychute-front/src/directory/directory_outage.rs
+++ b/crates/daisychute-front/src/directory/directory_outage.rs
@@ -34,7 +34,7 @@
 
 impl DirectoryOutage {
     /// How long after the directory's recovery a removed record may still come back.
-    const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
+    pub const RECOVERY_WINDOW: Duration = Duration::from_secs(2);
     /// Limits the recovery window, counted from when the directory was last found unreachable, to
     /// [`Self::RECOVERY_WINDOW`] plus this. A front counts as connected three seconds after it can reach the directory
     /// again, and must know by then which endpoints were removed.
@@ -48,13 +48,17 @@
     /// Records a successful call. Returns whether the directory was unreachable before.
     pub fn record_success(&mut self, now: Time) -> bool {
         let Some(unreachable_at) = self.unreachable_at.take() else { return false };
-        self.uncertain_until = Some(
-            (now + Self::RECOVERY_WINDOW)
-                .min(unreachable_at + Self::RECOVERY_WINDOW + Self::MAX_EXTENSION),
-        );
+        let until = (now + Self::RECOVERY_WINDOW)
+            .min(unreachable_at + Self::RECOVERY_WINDOW + Self::MAX_EXTENSION);
+        self.uncertain_until = self.uncertain_until.max(Some(until));
         true
     }
 
+    /// Records that the directory was found restored from a copy, which may lack records that are written again soon.
+    pub fn record_restored(&mut self, now: Time) {
+        self.uncertain_until = self.uncertain_until.max(Some(now + Self::RECOVERY_WINDOW));
+    }
+
     /// Returns whether a record that is removed now may come back.
     #[must_use]
     pub fn removal(&self, now: Time) -> Removal {
