feat(front): send nothing new to a worker that announces that it is leaving

Callers of a worker that leaves without the store saying so, or while the store is away, lost their requests when it exited: fronts read its leaving from the store alone.

The header `Server-Leaving` is now read at the head of every answer, of prefills, refusals, cache queries and releases too. The notice belongs to the incarnation of the endpoint, not to its record, so that a record that says ready, or comes back from a copy, doesn't end it; an endpoint that announced it after its removal is bound as well. Heartbeats tell peers. A health check ends the notice of a worker that stays.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -6,7 +6,7 @@
 
 use daisychute_core::{EndpointName, Time};
 
-use crate::{EndpointKey, PromptPart, Reason, RequestKey, RequestKind};
+use crate::{EndpointKey, Incarnation, PromptPart, Reason, RequestKey, RequestKind};
 
 /// Work that an endpoint is asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -137,6 +137,25 @@
         /// Prompt part that is cached.
         part: PromptPart,
     },
+    /// Tell the other fronts that an endpoint announced that it is leaving.
+    AnnounceLeaving {
+        /// Identity of the endpoint.
+        endpoint: Incarnation,
+    },
+    /// Check by a health check whether a leaving endpoint stays after all. If it does, the result comes back as
+    /// [`Event::StayingConfirmed`].
+    ///
+    /// [`Event::StayingConfirmed`]: crate::Event::StayingConfirmed
+    CheckLeaving {
+        /// Key of the endpoint's current incarnation.
+        endpoint: EndpointKey,
+        /// Name of the endpoint.
+        name: EndpointName,
+        /// Address that the endpoint listens on.
+        address: SocketAddr,
+        /// Path of the health check.
+        path: Arc<str>,
+    },
     /// Send the other fronts a heartbeat at once. They would otherwise select the engine that this front just made
     /// busy, since it still looks idle to them.
     SendHeartbeat,
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -114,6 +114,11 @@
                 self.peer_heartbeat(now, peer, &loads, &parts)
             }
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
+            Event::LeavingAnnounced { endpoint } => self.leaving_announced(now, endpoint, actions),
+            Event::LeavingReported { endpoints } => self.leaving_reported(now, endpoints, actions),
+            Event::StayingConfirmed { endpoint } => {
+                self.fleet.record_staying(endpoint);
+            }
             Event::FrontCount(count) => self.fronts = count.max(1),
             Event::ShutdownRequested { deadline } => self.shutdown_deadline = Some(deadline),
             Event::Tick => {
@@ -121,6 +126,7 @@
                 actions.extend(
                     removed.into_iter().map(|endpoint| Action::CloseIdleConnections { endpoint }),
                 );
+                self.check_leaving(now, actions);
             }
         }
     }
@@ -144,7 +150,8 @@
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
-        if is_engine && previous_key != Some(key) {
+        let is_leaving = self.fleet.is_leaving(key);
+        if is_engine && previous_key != Some(key) && !is_leaving {
             actions.push(Action::QueryCache { endpoint: key, name, address });
         }
         actions.extend(replaced.map(|endpoint| Action::CloseIdleConnections { endpoint }));
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crate::{
-    Endpoint, EndpointKey, LoadSample, PeerLoad, PromptPart, Removal, RequestInfo, RequestKey,
-    RouteTable,
+    Endpoint, EndpointKey, Incarnation, LoadSample, PeerLoad, PromptPart, Removal, RequestInfo,
+    RequestKey, RouteTable,
 };
 
 /// Why a send attempt failed.
@@ -128,6 +128,22 @@
         /// Cached parts, least recently used first if the engine reports the order.
         parts: Vec<PromptPart>,
     },
+    /// An endpoint announced in a response that it is leaving.
+    LeavingAnnounced {
+        /// Key of the incarnation that responded.
+        endpoint: EndpointKey,
+    },
+    /// Another front reported endpoints that announced to it that they are leaving.
+    LeavingReported {
+        /// Identities of the endpoints, which this front may not know yet.
+        endpoints: Vec<Incarnation>,
+    },
+    /// A leaving endpoint responded to a health check as one that stays, as asked by
+    /// [`Action::CheckLeaving`](crate::Action::CheckLeaving).
+    StayingConfirmed {
+        /// Key of the incarnation that responded.
+        endpoint: EndpointKey,
+    },
     /// The number of fronts that share the endpoints changed; this one is included.
     FrontCount(usize),
     /// The process was asked to stop. From now on requests are refused whose response may not end by `deadline`.
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -8,6 +8,7 @@
 
 use crate::fleet::in_flight::InFlight;
 use crate::fleet::load::TimedSample;
+use crate::fleet::notice::Notice;
 use crate::fleet::prefix_cache::PrefixCache;
 use crate::{Backlog, Health, LoadSample, PeerLoad};
 
@@ -83,6 +84,8 @@
     /// Whether the endpoint refused a request because it isn't the expected instance or runs another stage. Cleared by
     /// the next directory record.
     pub(crate) misdirected: bool,
+    /// What this incarnation announced in its responses. Directory records don't change it.
+    pub(crate) notice: Notice,
 }
 
 impl TrackedEndpoint {
@@ -91,7 +94,7 @@
     /// Age from which the load of a peer is ignored, since a live peer sends several heartbeats a second.
     const PEER_TTL: Duration = Duration::from_millis(1_500);
 
-    pub(crate) fn new(endpoint: Endpoint) -> Self {
+    pub(crate) fn new(endpoint: Endpoint, notice: Notice) -> Self {
         let lifecycle = Self::lifecycle_of(&endpoint);
         Self {
             endpoint,
@@ -102,6 +105,7 @@
             health: Health::default(),
             prefix_cache: PrefixCache::default(),
             misdirected: false,
+            notice,
         }
     }
 
@@ -120,6 +124,7 @@
         self.lifecycle != EndpointLifecycle::Draining
             && self.is_registered(now)
             && !self.misdirected
+            && !self.notice.is_leaving()
     }
 
     /// Whether the endpoint is registered, or its pending removal isn't due yet; it may be draining.
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -6,7 +6,9 @@
 pub(crate) mod cost_model;
 pub(crate) mod health;
 pub(crate) mod in_flight;
+pub(crate) mod incarnation;
 pub(crate) mod load;
+pub(crate) mod notice;
 pub(crate) mod prefix_cache;
 pub(crate) mod prompt;
 pub(crate) mod recent_delay;
@@ -15,13 +17,15 @@
 pub(crate) mod wait_factor;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
 use crate::fleet::endpoint::TrackedEndpoint;
-use crate::{Endpoint, EndpointKey, EndpointLifecycle, PeerLoad};
+use crate::fleet::notice::Notice;
+use crate::{Endpoint, EndpointKey, EndpointLifecycle, Incarnation, PeerLoad};
 
 /// How the directory record of an endpoint disappeared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,8 +48,13 @@
     reported: FxHashMap<u64, Vec<EndpointKey>>,
     // Keys of the endpoints of each service, in ascending order.
     services: FxHashMap<ServiceName, Vec<EndpointKey>>,
+    // Incarnations that aren't in `tracked`, with what they announced: a directory that is behind may list them again.
+    former: BTreeMap<EndpointKey, (Incarnation, Notice)>,
 }
 
+/// Maximum number of incarnations that are remembered after their removal.
+const MAX_FORMER: usize = 2_048;
+
 impl Fleet {
     /// Adds or updates a directory record. Returns its key and, if the endpoint restarted, the key that it replaces.
     pub fn upsert(&mut self, endpoint: Endpoint) -> (EndpointKey, Option<EndpointKey>) {
@@ -72,14 +81,29 @@
     }
 
     fn insert(&mut self, endpoint: Endpoint) -> EndpointKey {
-        let key = EndpointKey::new(self.next);
-        self.next += 1;
+        let key = self.next_key();
         self.names.insert(endpoint.name.clone(), key);
         self.services.entry(endpoint.service.clone()).or_default().push(key);
-        self.tracked.insert(key, TrackedEndpoint::new(endpoint));
+        let former = self.former.iter().rev().find(|(_, it)| it.0.is(&endpoint));
+        let former = former.map(|(key, _)| *key).and_then(|it| self.former.remove(&it));
+        let notice = former.map_or_else(Notice::default, |(_, notice)| notice);
+        self.tracked.insert(key, TrackedEndpoint::new(endpoint, notice));
+        key
+    }
+
+    const fn next_key(&mut self) -> EndpointKey {
+        let key = EndpointKey::new(self.next);
+        self.next += 1;
         key
     }
 
+    fn remember(&mut self, key: EndpointKey, incarnation: Incarnation, notice: Notice) {
+        self.former.insert(key, (incarnation, notice));
+        if self.former.len() > MAX_FORMER {
+            self.former.pop_first();
+        }
+    }
+
     /// Removes the endpoint of this name, or schedules its removal. Returns the key if it was removed at once.
     pub fn remove(
         &mut self,
@@ -116,6 +140,7 @@
 
     fn forget(&mut self, key: EndpointKey) {
         let Some(tracked) = self.tracked.remove(&key) else { return };
+        self.remember(key, Incarnation::from(&tracked.endpoint), tracked.notice);
         let Endpoint { name, service, .. } = tracked.endpoint;
         if self.names.get(&name) == Some(&key) {
             self.names.remove(&name);
@@ -140,6 +165,13 @@
         self.names.get(name).copied()
     }
 
+    /// Returns the key of the latest endpoint at an address.
+    #[must_use]
+    pub fn key_at(&self, address: SocketAddr) -> Option<EndpointKey> {
+        let at_address = |it: &(&EndpointKey, &TrackedEndpoint)| it.1.endpoint.address == address;
+        self.tracked.iter().rev().find(at_address).map(|(key, _)| *key)
+    }
+
     /// Returns the directory records of all endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.tracked.values().map(|it| &it.endpoint)
@@ -156,6 +188,64 @@
         self.tracked.get(&key).is_some_and(|it| it.takes_work(now))
     }
 
+    /// Records that an endpoint announced that it is leaving. Returns its identity if that is news.
+    pub fn record_leaving(&mut self, now: Time, key: EndpointKey) -> Option<Incarnation> {
+        if let Some(tracked) = self.tracked.get_mut(&key) {
+            let is_news = tracked.notice.record_leaving(now);
+            return is_news.then(|| Incarnation::from(&tracked.endpoint));
+        }
+        let (incarnation, notice) = self.former.get_mut(&key)?;
+        notice.record_leaving(now).then(|| incarnation.clone())
+    }
+
+    /// Records that an endpoint announced to another front that it is leaving. Returns its key if that is news about
+    /// a known endpoint.
+    pub fn record_reported_leaving(
+        &mut self,
+        now: Time,
+        incarnation: Incarnation,
+    ) -> Option<EndpointKey> {
+        let known = self.key(&incarnation.name).and_then(|it| self.tracked.get_mut(&it));
+        if let Some(tracked) = known
+            && incarnation.is(&tracked.endpoint)
+        {
+            let is_news = tracked.notice.record_leaving(now);
+            return self.key(&incarnation.name).filter(|_| is_news);
+        }
+        if let Some((_, notice)) = self.former.values_mut().find(|it| it.0 == incarnation) {
+            notice.record_leaving(now);
+            return None;
+        }
+        let (key, mut notice) = (self.next_key(), Notice::default());
+        notice.record_leaving(now);
+        self.remember(key, incarnation, notice);
+        None
+    }
+
+    /// Records that an endpoint responded to a health check that it stays. Returns whether it had announced to leave.
+    pub fn record_staying(&mut self, key: EndpointKey) -> bool {
+        self.tracked.get_mut(&key).is_some_and(|it| it.notice.record_staying())
+    }
+
+    /// Whether an endpoint announced that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, key: EndpointKey) -> bool {
+        self.tracked.get(&key).is_some_and(|it| it.notice.is_leaving())
+    }
+
+    /// Returns the leaving endpoints whose next health check is due, and schedules the one after that. Endpoints that
+    /// the directory lists as draining aren't checked.
+    pub(crate) fn due_checks(&mut self, now: Time) -> Vec<(EndpointKey, &Endpoint)> {
+        let is_due = |it: &mut TrackedEndpoint| {
+            it.lifecycle == EndpointLifecycle::Ready && it.notice.take_due_check(now)
+        };
+        let due = self
+            .tracked
+            .iter_mut()
+            .filter_map(|(key, it)| is_due(it).then_some((*key, &it.endpoint)));
+        due.collect()
+    }
+
     /// Replaces all loads that this peer reported before; endpoints that aren't in `loads` lose theirs.
     pub fn set_peer_load(&mut self, now: Time, peer: u64, loads: &[(EndpointName, PeerLoad)]) {
         let reported = self.reported.entry(peer).or_default();
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub use crate::fleet::budget::RetryBudget;
 pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage};
 pub use crate::fleet::health::Health;
+pub use crate::fleet::incarnation::Incarnation;
 pub use crate::fleet::load::{LoadSample, PeerLoad};
 pub use crate::fleet::prompt::{Prompt, PromptPart};
 pub use crate::fleet::recent_delay::RecentDelay;
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -176,6 +176,8 @@
             Action::ReleaseKvCache { .. } => self.held_caches -= 1,
             Action::AnnounceCachedPart { .. }
             | Action::QueryCache { .. }
+            | Action::AnnounceLeaving { .. }
+            | Action::CheckLeaving { .. }
             | Action::SendHeartbeat
             | Action::RecordLatency { .. }
             | Action::CloseIdleConnections { .. } => {}
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -44,6 +44,12 @@
     /// Builds the request that frees a KV cache.
     fn release_request(&self, handle: &str) -> RequestHead;
 
+    /// Builds a health check of an endpoint whose service has this health path.
+    fn health_check(&self, path: &str) -> RequestHead;
+
+    /// Whether the response to a health check states that this endpoint is healthy and isn't leaving.
+    fn is_staying(&self, head: &ResponseHead, endpoint: &EndpointName) -> bool;
+
     /// Builds the request for the prompt parts that an engine caches.
     fn cache_query(&self) -> RequestHead;
 
--- a/crates/daisychute-front/src/endpoint/cache_query.rs
+++ b/crates/daisychute-front/src/endpoint/cache_query.rs
@@ -68,7 +68,11 @@
         state.cache_queries.waiting.set(state.cache_queries.waiting.get() - 1);
         // `acquire` fails only on a closed semaphore, and this one is never closed.
         let Ok(_slot) = slot else { return };
-        let reported = timeout(QUERY_TIMEOUT, query(&state, address)).await;
+        if !state.takes_work(endpoint) {
+            log::debug!(endpoint:% = name; "cache query skipped: the engine takes no work");
+            return;
+        }
+        let reported = timeout(QUERY_TIMEOUT, query(&state, endpoint, address)).await;
         match reported.unwrap_or(Err(CacheQueryError::Timeout)) {
             Ok(parts) => {
                 log::info!(endpoint:% = name, parts = parts.len(); "engine told what it keeps");
@@ -82,10 +86,12 @@
 }
 
 async fn query<D: Dialect>(
-    state: &FrontState<D>,
+    state: &Rc<FrontState<D>>,
+    endpoint: EndpointKey,
     address: SocketAddr,
 ) -> Result<Vec<PromptPart>, CacheQueryError> {
-    let body =
-        control_call(state, address, state.dialect.cache_query(), MAX_RESPONSE_BYTES).await?;
+    let request = state.dialect.cache_query();
+    let (_, body) =
+        control_call(state, Some(endpoint), address, request, MAX_RESPONSE_BYTES).await?;
     state.dialect.parse_cache_report(&body).ok_or(CacheQueryError::Unreadable)
 }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -111,6 +111,7 @@
         let keep_alive = head.info.keep_alive;
         let reusable = head.reusable && all_sent && head.head.keep_alive();
         let end = self.pass_response(head, &mut reader).await;
+        let reusable = reusable && self.state.takes_work(self.decision.endpoint);
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
             let connection = EndpointConnection { stream, codec, buf };
             self.state.pool.put(self.decision.endpoint, connection, keep_alive);
@@ -161,6 +162,7 @@
         for late in 0..MAX_LATE_RESPONSES {
             let head = reader.head(is_head_request).await?;
             let info = self.state.dialect.parse_response(&head, &self.incoming.info.id);
+            self.state.record_notices(self.decision.endpoint, &info);
             if info.id_matches {
                 return Ok(ReceivedHead { head, info, reusable: late == 0 });
             }
--- a/crates/daisychute-front/src/endpoint/control_call.rs
+++ b/crates/daisychute-front/src/endpoint/control_call.rs
@@ -1,12 +1,14 @@
 //! Short requests that a front sends to an endpoint by itself, not on behalf of a client.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use actix_http::body::BodySize;
 use actix_http::h1::Message;
 use actix_http::header::{self, HeaderValue};
-use actix_http::{ConnectionType, RequestHead, RequestHeadType, StatusCode};
+use actix_http::{ConnectionType, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use daisychute_dispatch::EndpointKey;
 use tokio::io::AsyncWriteExt;
 use tokio_util::codec::Encoder;
 
@@ -34,14 +36,15 @@
     }
 }
 
-/// Sends a request without a body on a new connection. Returns the body of a successful response, up to `max_bytes`
-/// bytes.
+/// Sends a request without a body on a new connection. Returns the head and the body of a successful response, up to
+/// `max_bytes` bytes. `endpoint` is the endpoint at the address, if one is known there.
 pub(crate) async fn control_call<D: Dialect>(
-    state: &FrontState<D>,
+    state: &Rc<FrontState<D>>,
+    endpoint: Option<EndpointKey>,
     address: SocketAddr,
     mut head: RequestHead,
     max_bytes: usize,
-) -> Result<Bytes, ControlCallError> {
+) -> Result<(ResponseHead, Bytes), ControlCallError> {
     let connection = EndpointConnection::open(address, &state.http).await?;
     let EndpointConnection { mut stream, mut codec, mut buf } = connection;
     head.set_connection_type(ConnectionType::Close);
@@ -54,11 +57,14 @@
     write.write_all(&out).await?;
     let mut reader = ResponseReader::new(&mut read, &mut buf, codec);
     let head = reader.head(false).await?;
+    if let Some(endpoint) = endpoint {
+        state.record_notices(endpoint, &state.dialect.parse_response(&head, ""));
+    }
     if !head.status.is_success() {
         return Err(ControlCallError::Status(head.status));
     }
     match reader.collect(max_bytes).await? {
-        Collected::Whole(body) => Ok(body),
+        Collected::Whole(body) => Ok((head, body)),
         Collected::TooLong(_) => Err(ControlCallError::TooLong(max_bytes)),
     }
 }
--- a/crates/daisychute-front/src/endpoint/mod.rs
+++ b/crates/daisychute-front/src/endpoint/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod connection;
 pub(crate) mod cache_query;
 mod control_call;
+pub(crate) mod health_check;
 pub(crate) mod pool;
 pub(crate) mod release;
--- a/crates/daisychute-front/src/endpoint/release.rs
+++ b/crates/daisychute-front/src/endpoint/release.rs
@@ -20,12 +20,9 @@
 pub(crate) fn spawn<D: Dialect>(state: &Rc<FrontState<D>>, address: SocketAddr, handle: &Arc<str>) {
     let (state, handle) = (Rc::clone(state), Arc::clone(handle));
     actix_rt::spawn(async move {
-        let call = control_call(
-            &state,
-            address,
-            state.dialect.release_request(&handle),
-            MAX_RESPONSE_BYTES,
-        );
+        let endpoint = state.with_dispatcher(|it| it.fleet().key_at(address));
+        let request = state.dialect.release_request(&handle);
+        let call = control_call(&state, endpoint, address, request, MAX_RESPONSE_BYTES);
         let outcome = match timeout(RELEASE_TIMEOUT, call).await {
             Ok(Ok(_)) => "freed".to_owned(),
             Ok(Err(e)) => e.to_string(),
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::directory::watcher::collect_time;
-use crate::peers::peer_heartbeat::{Load, Part, PeerHeartbeat};
+use crate::peers::peer_heartbeat::{Leaving, Load, Part, PeerHeartbeat};
 use crate::state::FrontState;
 use crate::{Dialect, Directory};
 
@@ -50,9 +50,10 @@
 fn encode<D: Dialect>(state: &FrontState<D>) -> Option<Vec<u8>> {
     let now = state.now();
     let parts: Vec<Part> = state.peers.take_parts().into_iter().map(Part::from).collect();
+    let leaving: Vec<Leaving> = state.peers.take_leaving().into_iter().map(Leaving::from).collect();
     let heartbeat = state.with_dispatcher(|it| {
         let loads: Vec<Load> = it.fleet().own_load(now).map(Load::from).collect();
-        PeerHeartbeat(state.incarnation_id, state.revisions.latest_seen(), loads, parts)
+        PeerHeartbeat(state.incarnation_id, state.revisions.latest_seen(), loads, parts, leaving)
     });
     let mut bytes = Vec::with_capacity(512);
     let written = ciborium::into_writer(&heartbeat, &mut bytes);
@@ -72,12 +73,13 @@
             continue;
         };
         let heartbeat: Result<PeerHeartbeat, _> = ciborium::from_reader(&buf[..len]);
-        let Ok(PeerHeartbeat(peer, revisions, loads, parts)) = heartbeat else {
+        let Ok(PeerHeartbeat(peer, revisions, loads, parts, leaving)) = heartbeat else {
             log::debug!(from:%; "malformed heartbeat datagram dropped");
             continue;
         };
         state.peers.record_heartbeat(state.now(), from);
         state.revisions.record_reported(state.now(), revisions, collect_time(&state));
+        state.record_leaving_reported(leaving.into_iter().map(Into::into).collect());
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         state.handle(Event::PeerHeartbeat { peer, loads, parts });
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, Time};
-use daisychute_dispatch::PromptPart;
+use daisychute_dispatch::{Incarnation, PromptPart};
 use tokio::sync::Notify;
 
 /// A front without a heartbeat for this long isn't counted any more.
@@ -26,6 +26,14 @@
 /// Maximum number of prompt parts in one heartbeat, more than a front sends between two heartbeats.
 const MAX_PARTS_PER_HEARTBEAT: usize = 24;
 
+/// Number of heartbeats that announce a leaving endpoint. More than for a cached part: a front that misses it learns it by
+/// a request that the endpoint has to serve.
+const ANNOUNCEMENTS_PER_LEAVING: u32 = 8;
+/// Maximum number of leaving endpoints in one heartbeat, so that it fits into its datagram beside the loads.
+const MAX_LEAVING_PER_HEARTBEAT: usize = 8;
+/// Maximum number of leaving endpoints that wait to be announced.
+const MAX_LEAVING_QUEUED: usize = 256;
+
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     address: SocketAddr,
@@ -40,6 +48,8 @@
     records: RefCell<BTreeMap<String, Peer>>,
     // Cached parts by endpoint, with the number of heartbeats that still announce them.
     announcements: RefCell<VecDeque<(EndpointName, PromptPart, u32)>>,
+    // Leaving endpoints, with the number of heartbeats that still announce them.
+    leaving: RefCell<VecDeque<(Incarnation, u32)>>,
     early_heartbeat: Notify,
 }
 
@@ -50,6 +60,7 @@
             own_address,
             records: RefCell::default(),
             announcements: RefCell::default(),
+            leaving: RefCell::default(),
             early_heartbeat: Notify::new(),
         }
     }
@@ -94,6 +105,26 @@
         }
     }
 
+    /// Queues the announcement that an endpoint is leaving.
+    pub(crate) fn announce_leaving(&self, endpoint: Incarnation) {
+        let mut leaving = self.leaving.borrow_mut();
+        leaving.push_back((endpoint, ANNOUNCEMENTS_PER_LEAVING));
+        if leaving.len() > MAX_LEAVING_QUEUED {
+            leaving.pop_front();
+        }
+    }
+
+    /// Returns the leaving endpoints that the next heartbeat announces, and counts this announcement.
+    pub(crate) fn take_leaving(&self) -> Vec<Incarnation> {
+        let mut leaving = self.leaving.borrow_mut();
+        let count = leaving.len().min(MAX_LEAVING_PER_HEARTBEAT);
+        let announced: Vec<_> = leaving.drain(..count).collect();
+        // Those that are announced again go to the end of the queue, so that all get their turn.
+        let again = announced.iter().filter(|it| it.1 > 1);
+        leaving.extend(again.map(|(endpoint, left)| (endpoint.clone(), left - 1)));
+        announced.into_iter().map(|(endpoint, _)| endpoint).collect()
+    }
+
     /// Requests that the next heartbeat is sent early.
     pub(crate) fn request_heartbeat(&self) {
         self.early_heartbeat.notify_one();
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -1,9 +1,10 @@
 //! The heartbeat datagram between fronts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisychute_core::EndpointName;
-use daisychute_dispatch::{Backlog, PeerLoad, PromptPart};
+use daisychute_core::{EndpointName, ServiceName};
+use daisychute_dispatch::{Backlog, Incarnation, PeerLoad, PromptPart};
 use serde::{Deserialize, Serialize};
 
 /// The requests of one front that are in flight. Fields are written without their names.
@@ -17,6 +18,9 @@
     pub(crate) Vec<Load>,
     /// Prompt parts that endpoints now cache.
     pub(crate) Vec<Part>,
+    /// Endpoints that announced to the sender that they are leaving. Fronts of before this element don't send it.
+    #[serde(default)]
+    pub(crate) Vec<Leaving>,
 );
 
 /// The load of a front at one endpoint: its name, requests in flight, pending prefill by priority in microseconds,
@@ -28,6 +32,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Part(EndpointName, u64, u32);
 
+/// A leaving endpoint: its name, address, service, and start time in Unix milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Leaving(EndpointName, SocketAddr, ServiceName, Option<u64>);
+
+impl From<Incarnation> for Leaving {
+    fn from(Incarnation { name, address, service, started_at }: Incarnation) -> Self {
+        Self(name, address, service, started_at)
+    }
+}
+
+impl From<Leaving> for Incarnation {
+    fn from(Leaving(name, address, service, started_at): Leaving) -> Self {
+        Self { name, address, service, started_at }
+    }
+}
+
 impl From<(&EndpointName, PeerLoad)> for Load {
     fn from((name, load): (&EndpointName, PeerLoad)) -> Self {
         let micros = |duration: Duration| u32::try_from(duration.as_micros()).unwrap_or(u32::MAX);
--- a/crates/daisychute-front/src/response_info.rs
+++ b/crates/daisychute-front/src/response_info.rs
@@ -15,6 +15,8 @@
     pub not_run: bool,
     /// The request reached an endpoint other than the expected one, or one that doesn't serve this stage.
     pub misdirected: bool,
+    /// The endpoint announces that it is leaving.
+    pub leaving: bool,
     /// The body has a content encoding that wasn't requested.
     pub encoded: bool,
     /// The load report in the response headers, if there is one.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -10,19 +10,20 @@
 use actix_http::ServiceConfig;
 use daisychute_core::{EndpointName, Time};
 use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, Endpoint, Event, Removal, RequestKey, RouteTable,
+    Action, DispatchSettings, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Removal,
+    RequestKey, RouteTable,
 };
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::Dialect;
 use crate::directory::revisions::Revisions;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
-use crate::endpoint::{cache_query, release};
+use crate::endpoint::{cache_query, health_check, release};
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
+use crate::{Dialect, ResponseInfo};
 
 /// The state of a front. It is used on one thread only.
 pub(crate) struct FrontState<D> {
@@ -109,6 +110,15 @@
                     cache_query::spawn(self, endpoint, name, address);
                 }
                 Action::CloseIdleConnections { endpoint } => self.pool.drop_idle(endpoint),
+                Action::AnnounceLeaving { endpoint } => {
+                    let (name, address) = (&endpoint.name, endpoint.address);
+                    log::info!(endpoint:% = name, address:%; "endpoint announced that it is leaving");
+                    metrics::counter!("daisychute_leaving_endpoints_total").increment(1);
+                    self.peers.announce_leaving(endpoint);
+                }
+                Action::CheckLeaving { endpoint, name, address, path } => {
+                    health_check::spawn(self, endpoint, name, address, path);
+                }
                 Action::SendHeartbeat => self.peers.request_heartbeat(),
                 Action::AnnounceCachedPart { endpoint, part } => {
                     self.peers.announce_cached_part(endpoint, part)
@@ -122,6 +132,24 @@
         request_action
     }
 
+    /// Passes on what an endpoint announced in the head of a response.
+    pub(crate) fn record_notices(self: &Rc<Self>, endpoint: EndpointKey, info: &ResponseInfo) {
+        if info.leaving {
+            self.handle(Event::LeavingAnnounced { endpoint });
+        }
+    }
+
+    pub(crate) fn record_leaving_reported(self: &Rc<Self>, endpoints: Vec<Incarnation>) {
+        if !endpoints.is_empty() {
+            self.handle(Event::LeavingReported { endpoints });
+        }
+    }
+
+    /// Whether an endpoint takes new work.
+    pub(crate) fn takes_work(&self, endpoint: EndpointKey) -> bool {
+        self.with_dispatcher(|it| it.fleet().takes_work(self.now(), endpoint))
+    }
+
     pub(crate) fn apply_configuration(self: &Rc<Self>, table: Arc<RouteTable>) {
         let before = self.with_dispatcher(|it| it.table().map(|table| table.version()));
         let (version, routes) = (table.version(), table.len());
