feat(front): give workers the pause that they ask for with a 503

A worker that turned a request away and named a time got the next requests at once: it still looked the least busy, so that callers used up the retries of the service and were refused although other workers had room.

`Retry-After` in any 503 of a worker, of prefills, cache queries and releases too, is now a pause of that incarnation for this front. Nothing is sent to it from the answer on, releases and health checks included. The pause counts as no failure. Afterwards the requests without an output are limited, and the limit doubles. If pauses alone keep a service from a request, it is refused at once with the earliest return. Releases name the engine's key.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -113,6 +113,8 @@
     },
     /// Free a KV cache that no engine will fetch.
     ReleaseKvCache {
+        /// Key of the engine that holds the KV cache.
+        endpoint: EndpointKey,
         /// Address of the engine that holds the KV cache.
         address: SocketAddr,
         /// Handle under which the engine holds the KV cache.
@@ -142,6 +144,13 @@
         /// Identity of the endpoint.
         endpoint: Incarnation,
     },
+    /// Record that an endpoint gets no requests of this front for a time, as it asked.
+    RecordPause {
+        /// Name of the endpoint.
+        endpoint: EndpointName,
+        /// Duration of the pause, which may differ from the one asked for.
+        pause: Duration,
+    },
     /// Check by a health check whether a leaving endpoint stays after all. If it does, the result comes back as
     /// [`Event::StayingConfirmed`].
     ///
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -94,6 +94,12 @@
 
     /// Handles an event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        let first = actions.len();
+        self.handle_event(now, event, actions);
+        self.drop_requests_to_paused(now, first, actions);
+    }
+
+    fn handle_event(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Arrived { key, request } => self.arrived(now, key, request, actions),
             Event::Prefilled { key, handle } => self.prefilled(now, key, handle, actions),
@@ -115,6 +121,9 @@
             }
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
             Event::LeavingAnnounced { endpoint } => self.leaving_announced(now, endpoint, actions),
+            Event::PauseRequested { endpoint, pause, spread } => {
+                self.pause_requested(now, endpoint, pause, spread, actions)
+            }
             Event::LeavingReported { endpoints } => self.leaving_reported(now, endpoints, actions),
             Event::StayingConfirmed { endpoint } => {
                 self.fleet.record_staying(endpoint);
@@ -150,12 +159,12 @@
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
-        let is_leaving = self.fleet.is_leaving(key);
-        if is_engine && previous_key != Some(key) && !is_leaving {
+        let takes_work = self.fleet.takes_work(now, key);
+        if is_engine && previous_key != Some(key) && takes_work {
             actions.push(Action::QueryCache { endpoint: key, name, address });
         }
         actions.extend(replaced.map(|endpoint| Action::CloseIdleConnections { endpoint }));
-        if !self.fleet.takes_work(now, key) {
+        if !takes_work {
             actions.push(Action::CloseIdleConnections { endpoint: key });
         }
     }
@@ -254,6 +263,7 @@
         self.remove_in_flight(key, &sent);
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
             tracked.health.record_success();
+            tracked.notice.record_success(now);
         }
         self.record_latency(now, key, &service, &sent, actions);
         self.place(now, key, Reason::NoEndpoint, actions);
@@ -312,6 +322,7 @@
         let Some(sent) = state.in_flight.clone() else { return };
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
             tracked.in_flight.prefill_done(key);
+            tracked.notice.record_success(now);
         }
         self.record_latency(now, key, &service, &sent, actions);
     }
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -33,8 +33,10 @@
         state.may_have_run |= may_have_run && !prefill_only;
         // It isn't known whether the KV cache was fetched: the next attempt prefills the prompt again.
         let handle_spent = counted && matches!(sent.task, Task::Decode { .. });
-        if let Some(KvHandle { address, handle, .. }) = state.kv_handle.take_if(|_| handle_spent) {
-            actions.push(Action::ReleaseKvCache { address, handle });
+        if let Some(KvHandle { endpoint, address, handle }) =
+            state.kv_handle.take_if(|_| handle_spent)
+        {
+            actions.push(Action::ReleaseKvCache { endpoint, address, handle });
         }
         self.remove_in_flight(key, &sent);
         self.record_failure(now, &sent, failure);
@@ -47,6 +49,8 @@
             SendFailure::Unsent => tracked.health.record_unreachable(now),
             SendFailure::NotRun { misdirected: true } => tracked.misdirected = true,
             SendFailure::NotRun { misdirected: false } => {}
+            // An endpoint that asks for a pause isn't at fault, even if it doesn't say whether it ran the request.
+            SendFailure::NoAnswer if tracked.notice.is_paused(now) => {}
             SendFailure::NoAnswer | SendFailure::MidAnswer { .. } | SendFailure::ServerError => {
                 tracked.health.record_failure(now);
             }
@@ -194,8 +198,8 @@
         if let Some(sent) = &state.in_flight {
             self.remove_in_flight(key, sent);
         }
-        if let Some(KvHandle { address, handle, .. }) = state.kv_handle {
-            actions.push(Action::ReleaseKvCache { address, handle });
+        if let Some(KvHandle { endpoint, address, handle }) = state.kv_handle {
+            actions.push(Action::ReleaseKvCache { endpoint, address, handle });
         }
     }
 }
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -2,6 +2,7 @@
 
 use daisychute_core::{EndpointName, Time};
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::{
     Endpoint, EndpointKey, Incarnation, LoadSample, PeerLoad, PromptPart, Removal, RequestInfo,
@@ -133,6 +134,16 @@
         /// Key of the incarnation that responded.
         endpoint: EndpointKey,
     },
+    /// An endpoint refused a request and wants no more from this front for a time.
+    PauseRequested {
+        /// Key of the incarnation that responded.
+        endpoint: EndpointKey,
+        /// How long it wants none, from now on.
+        pause: Duration,
+        /// Random number from 0 to 1 that determines how much later this front returns than it could, so that not all
+        /// fronts return together.
+        spread: f64,
+    },
     /// Another front reported endpoints that announced to it that they are leaving.
     LeavingReported {
         /// Identities of the endpoints, which this front may not know yet.
--- a/crates/daisychute-dispatch/src/core/notices.rs
+++ b/crates/daisychute-dispatch/src/core/notices.rs
@@ -1,8 +1,19 @@
 //! Announcements that endpoints make in their responses.
 
+use std::time::Duration;
+
 use daisychute_core::Time;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::notice::Notice;
+use crate::{Action, Dispatcher, EndpointKey, EngineStage, Incarnation, Reason, RequestKey};
 
-use crate::{Action, Dispatcher, EndpointKey, Incarnation};
+/// Time over which the fronts return after a pause, multiplied by their number.
+const RETURN_SPREAD_PER_FRONT: Duration = Duration::from_millis(10);
+/// Maximum time over which the fronts return after a pause.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
+/// Time over which the clients return that were refused because of a pause.
+const CLIENT_RETURN_SPREAD: Duration = Duration::from_millis(500);
 
 impl Dispatcher {
     /// Sends an endpoint that announced to leave nothing new, and tells the other fronts.
@@ -41,4 +52,71 @@
             Some(Action::CheckLeaving { endpoint, name, address, path })
         }));
     }
+
+    /// Sends an endpoint that wants a pause nothing until it ends.
+    pub(crate) fn pause_requested(
+        &mut self,
+        now: Time,
+        endpoint: EndpointKey,
+        pause: Duration,
+        spread: f64,
+        actions: &mut Vec<Action>,
+    ) {
+        let fronts = u32::try_from(self.fronts).unwrap_or(u32::MAX);
+        let max_spread = RETURN_SPREAD_PER_FRONT.saturating_mul(fronts).min(MAX_RETURN_SPREAD);
+        let pause = pause.min(Notice::MAX_PAUSE);
+        if pause.is_zero() {
+            return;
+        }
+        let pause = pause + max_spread.mul_f64(spread.clamp(0.0, 1.0));
+        if !self.fleet.record_pause(now, endpoint, pause) {
+            return;
+        }
+        if let Some(record) = self.fleet.endpoint(endpoint) {
+            actions.push(Action::RecordPause { endpoint: record.name.clone(), pause });
+        }
+    }
+
+    /// Refuses a request if pauses keep all endpoints that could take it from doing so. Returns whether it was refused.
+    ///
+    /// Requests that may have run aren't refused: they fail.
+    pub(crate) fn refuse_for_pause(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(state) = self.requests.get(&key).filter(|it| !it.may_have_run) else {
+            return false;
+        };
+        let stage = state.request.prompt.is_some().then_some(EngineStage::Decode);
+        let Some(earliest) = self.fleet.earliest_return(now, &state.service, stage) else {
+            return false;
+        };
+        // Clients that are refused together return over a while, as the endpoints take more and more requests.
+        let share = (xxh3_64(state.request.id.as_bytes()) % 1_000) as f64 / 1e3;
+        let retry_after = earliest.since(now) + CLIENT_RETURN_SPREAD.mul_f64(share);
+        let reason = Reason::Paused;
+        actions.push(Action::refuse_without_prediction(key, reason, Some(retry_after)));
+        self.end(key, actions);
+        true
+    }
+
+    /// Removes the releases of KV caches at paused endpoints from the actions after the first `first` ones. Engines
+    /// drop an unused KV cache by themselves.
+    pub(crate) fn drop_requests_to_paused(
+        &self,
+        now: Time,
+        first: usize,
+        actions: &mut Vec<Action>,
+    ) {
+        let is_dropped = |it: &Action| match it {
+            Action::ReleaseKvCache { endpoint, .. } => self.fleet.is_paused(now, *endpoint),
+            _ => false,
+        };
+        if actions[first..].iter().any(is_dropped) {
+            let new = actions.split_off(first);
+            actions.extend(new.into_iter().filter(|it| !is_dropped(it)));
+        }
+    }
 }
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -66,7 +66,7 @@
         reason: Reason,
         actions: &mut Vec<Action>,
     ) {
-        if self.refuse_for_shutdown(now, key, actions) {
+        if self.refuse_for_shutdown(now, key, actions) || self.refuse_for_pause(now, key, actions) {
             return;
         }
         let Some(placement) = self.choose_placement(now, key) else {
--- a/crates/daisychute-dispatch/src/core/reason.rs
+++ b/crates/daisychute-dispatch/src/core/reason.rs
@@ -13,6 +13,8 @@
     Stopping,
     /// No endpoint of the service takes requests.
     NoEndpoint,
+    /// All endpoints of the service that could take the request asked for a pause.
+    Paused,
     /// The latency objective can't be met at the current load.
     Overload,
     /// The endpoint refused the request without running it, and no retry is left.
@@ -27,12 +29,13 @@
 
 impl Reason {
     /// All reasons, for metrics that are labelled by reason.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::NoId,
         Self::Stopping,
         Self::NoEndpoint,
+        Self::Paused,
         Self::Overload,
         Self::Rejected,
         Self::Unreachable,
@@ -49,6 +52,7 @@
             Self::NoId => "no_id",
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
+            Self::Paused => "paused",
             Self::Overload => "overload",
             Self::Rejected => "rejected",
             Self::Unreachable => "unreachable",
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -6,6 +6,7 @@
 use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
+use crate::fleet::availability::Availability;
 use crate::fleet::in_flight::InFlight;
 use crate::fleet::load::TimedSample;
 use crate::fleet::notice::Notice;
@@ -120,7 +121,21 @@
         self.endpoint = endpoint;
     }
 
+    /// Whether the endpoint takes new requests, as far as the number of those in flight doesn't matter.
     pub(crate) fn takes_work(&self, now: Time) -> bool {
+        self.is_open(now) && !self.notice.is_paused(now)
+    }
+
+    pub(crate) fn availability(&self, now: Time) -> Availability {
+        if !self.is_open(now) {
+            return Availability::Closed;
+        }
+        let unavailable_until = self.notice.unavailable_until(now, self.in_flight.unanswered());
+        unavailable_until.map_or(Availability::Now, Availability::After)
+    }
+
+    /// Whether the endpoint takes new requests, apart from pauses.
+    fn is_open(&self, now: Time) -> bool {
         self.lifecycle != EndpointLifecycle::Draining
             && self.is_registered(now)
             && !self.misdirected
--- a/crates/daisychute-dispatch/src/fleet/in_flight.rs
+++ b/crates/daisychute-dispatch/src/fleet/in_flight.rs
@@ -55,6 +55,11 @@
         self.requests
     }
 
+    /// Returns the number of requests without an output.
+    pub(crate) fn unanswered(&self) -> usize {
+        self.pending.len()
+    }
+
     pub(crate) const fn tokens(&self) -> u64 {
         self.tokens
     }
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Endpoints that a front knows, from the directory, its own requests and its peers.
 
+pub(crate) mod availability;
 pub(crate) mod backlog;
 pub(crate) mod budget;
 pub(crate) mod endpoint;
@@ -17,15 +18,15 @@
 pub(crate) mod wait_factor;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
+use crate::fleet::availability::Availability;
 use crate::fleet::endpoint::TrackedEndpoint;
 use crate::fleet::notice::Notice;
-use crate::{Endpoint, EndpointKey, EndpointLifecycle, Incarnation, PeerLoad};
+use crate::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage, Incarnation, PeerLoad};
 
 /// How the directory record of an endpoint disappeared.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -165,13 +166,6 @@
         self.names.get(name).copied()
     }
 
-    /// Returns the key of the latest endpoint at an address.
-    #[must_use]
-    pub fn key_at(&self, address: SocketAddr) -> Option<EndpointKey> {
-        let at_address = |it: &(&EndpointKey, &TrackedEndpoint)| it.1.endpoint.address == address;
-        self.tracked.iter().rev().find(at_address).map(|(key, _)| *key)
-    }
-
     /// Returns the directory records of all endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
         self.tracked.values().map(|it| &it.endpoint)
@@ -233,11 +227,52 @@
         self.tracked.get(&key).is_some_and(|it| it.notice.is_leaving())
     }
 
+    /// Records that an endpoint wants no requests of this front for a time. Returns whether that makes its pause longer.
+    pub fn record_pause(&mut self, now: Time, key: EndpointKey, pause: Duration) -> bool {
+        if let Some(tracked) = self.tracked.get_mut(&key) {
+            return tracked.notice.record_pause(now, pause);
+        }
+        self.former.get_mut(&key).is_some_and(|(_, notice)| notice.record_pause(now, pause))
+    }
+
+    /// Whether an endpoint wants no requests of this front now.
+    #[must_use]
+    pub fn is_paused(&self, now: Time, key: EndpointKey) -> bool {
+        let tracked = self.tracked.get(&key).map(|it| &it.notice);
+        tracked
+            .or_else(|| self.former.get(&key).map(|it| &it.1))
+            .is_some_and(|it| it.is_paused(now))
+    }
+
+    /// Returns the earliest time at which an endpoint of the service, of this stage if one is given, takes another
+    /// request. `None` if one does at `now`, or if pauses aren't what keeps them all from it.
+    pub(crate) fn earliest_return(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        stage: Option<EngineStage>,
+    ) -> Option<Time> {
+        let fits = |it: &TrackedEndpoint| stage.is_none() || it.endpoint.stage == stage;
+        let mut earliest = None;
+        for (_, tracked) in self.of_service(service).filter(|it| fits(it.1)) {
+            match tracked.availability(now) {
+                Availability::Now => return None,
+                Availability::After(at) => {
+                    earliest = Some(earliest.map_or(at, |it: Time| it.min(at)));
+                }
+                Availability::Closed => {}
+            }
+        }
+        earliest
+    }
+
     /// Returns the leaving endpoints whose next health check is due, and schedules the one after that. Endpoints that
     /// the directory lists as draining aren't checked.
     pub(crate) fn due_checks(&mut self, now: Time) -> Vec<(EndpointKey, &Endpoint)> {
         let is_due = |it: &mut TrackedEndpoint| {
-            it.lifecycle == EndpointLifecycle::Ready && it.notice.take_due_check(now)
+            it.lifecycle == EndpointLifecycle::Ready
+                && !it.notice.is_paused(now)
+                && it.notice.take_due_check(now)
         };
         let due = self
             .tracked
--- a/crates/daisychute-dispatch/src/fleet/notice.rs
+++ b/crates/daisychute-dispatch/src/fleet/notice.rs
@@ -9,9 +9,19 @@
 pub(crate) struct Notice {
     /// Time of the next health check of an endpoint that announced to leave; `None` if it didn't.
     leaving_check: Option<Time>,
+    /// End of the latest pause that the endpoint asked for; `None` if it never did.
+    paused_until: Option<Time>,
+    /// Responses since the end of the pause; each doubles the number of requests that may wait for their output.
+    successes: u32,
 }
 
 impl Notice {
+    /// Maximum duration of a pause. A longer wish can't be meant: an endpoint that is gone for so long leaves.
+    pub(crate) const MAX_PAUSE: Duration = Duration::from_secs(600);
+    /// After a pause, the number of requests that may wait for their output doubles at this interval at the latest.
+    const RETURN_STEP: Duration = Duration::from_millis(250);
+    /// Number of doublings after which the number of requests isn't limited any more.
+    const RETURN_STEPS: u32 = 6;
     /// Interval between the health checks that find out whether an endpoint stays after all. Longer than most endpoints
     /// serve on after their announcement.
     const LEAVING_CHECK_INTERVAL: Duration = Duration::from_secs(20);
@@ -42,4 +52,40 @@
         }
         is_due
     }
+
+    /// Records that the endpoint wants no requests for a time. A shorter wish doesn't shorten a longer one. Returns
+    /// whether the pause became longer.
+    pub(crate) fn record_pause(&mut self, now: Time, pause: Duration) -> bool {
+        let until = now + pause;
+        if pause.is_zero() || self.paused_until.is_some_and(|it| it >= until) {
+            return false;
+        }
+        self.paused_until = Some(until);
+        self.successes = 0;
+        true
+    }
+
+    /// Records a response with an output. Those of requests that were sent before the pause don't count while it lasts.
+    pub(crate) fn record_success(&mut self, now: Time) {
+        if !self.is_paused(now) {
+            self.successes = self.successes.saturating_add(1);
+        }
+    }
+
+    pub(crate) fn is_paused(&self, now: Time) -> bool {
+        self.paused_until.is_some_and(|it| now < it)
+    }
+
+    /// Returns when an endpoint with this many requests without an output takes another one; `None` if it does at
+    /// `now`.
+    pub(crate) fn unavailable_until(&self, now: Time, unanswered: usize) -> Option<Time> {
+        let until = self.paused_until?;
+        if now < until {
+            return Some(until);
+        }
+        let steps = now.since(until).as_micros() / Self::RETURN_STEP.as_micros();
+        let doublings = self.successes.saturating_add(u32::try_from(steps).unwrap_or(u32::MAX));
+        let is_full = doublings < Self::RETURN_STEPS && unanswered >= 1 << doublings;
+        is_full.then_some(now + Self::RETURN_STEP)
+    }
 }
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -4,6 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Fleet;
+use crate::fleet::availability::Availability;
 use crate::fleet::cost_model::{PrefillEngine, PrefillWork, ServiceCostModel};
 use crate::fleet::endpoint::TrackedEndpoint;
 use crate::{EndpointKey, EngineSpec, EngineStage, Prompt};
@@ -89,7 +90,7 @@
     cache_holders: &[CacheHolder<'_>],
 ) -> Option<Candidate> {
     let is_eligible = |it: &(EndpointKey, &TrackedEndpoint)| {
-        it.1.takes_work(now)
+        it.1.availability(now) == Availability::Now
             && !query.tried.contains(&it.0)
             && (query.stage.is_none() || it.1.endpoint.stage == query.stage)
     };
@@ -142,7 +143,7 @@
         })
     };
     let healthy = |it: &(EndpointKey, &TrackedEndpoint)| {
-        it.1.is_registered(now) && !it.1.health.is_ejected(now)
+        it.1.is_registered(now) && !it.1.notice.is_paused(now) && !it.1.health.is_ejected(now)
     };
     fleet.of_service(query.service).filter(healthy).filter_map(holder).collect()
 }
--- a/crates/daisychute-dispatch/tests/load_patterns.rs
+++ b/crates/daisychute-dispatch/tests/load_patterns.rs
@@ -196,6 +196,54 @@
     assert!(late * 10 < served.len(), "{late} of {} served requests are late", served.len());
 }
 
+/// What callers got, and what it cost, while workers pause in turn.
+struct PauseResult {
+    /// Share of the calls that were served.
+    served: f64,
+    /// Number of calls that reached a worker in its pause.
+    refused_sends: usize,
+    retries: usize,
+    calls: usize,
+}
+
+/// Simulates calls while a third of the workers, and one at least, pause for a second each, in turn.
+fn pauses_in_turn(tells_pauses: bool) -> PauseResult {
+    let mut sim = Simulation::new(FRONTS, true);
+    sim.tells_pauses = tells_pauses;
+    for second in 1..=16_u64 {
+        let workers = [format!("feed-{}", second % 4), format!("feed-{}", (second + 2) % 4)];
+        // With four workers, a third is one worker, and a second one in every third second.
+        let paused = if second.is_multiple_of(3) { 2 } else { 1 };
+        for worker in &workers[..paused] {
+            let from = Time::from_micros(second * 1_000_000);
+            let to = Time::from_micros((second + 1) * 1_000_000);
+            sim.pauses.push((name(worker), from, to));
+        }
+    }
+    arrivals(&mut sim, PANEL, 200.0, 0, 18_000);
+    sim.run();
+    let calls = sim.requests.len();
+    let served = sim.outcomes.values().filter(|it| matches!(it, Outcome::FirstOutput(_))).count();
+    let served = served as f64 / calls as f64;
+    PauseResult { served, refused_sends: sim.refused_sends, retries: sim.retries, calls }
+}
+
+/// Pattern: a third of a service's workers pause in turn. Fronts that ignore the pauses use up their retries and refuse
+/// calls that other workers could have served.
+#[test]
+fn calls_are_served_while_a_third_of_the_workers_pause_in_turn() {
+    let (heeded, ignored) = (pauses_in_turn(true), pauses_in_turn(false));
+    for (label, it) in [("heeded", &heeded), ("ignored", &ignored)] {
+        println!(
+            "{label}: {} calls, {:.4} served, {} sends to paused workers, {} retries",
+            it.calls, it.served, it.refused_sends, it.retries
+        );
+    }
+    assert!(heeded.served >= 0.995, "served: {}", heeded.served);
+    assert!(heeded.refused_sends * 10 < ignored.refused_sends);
+    assert!(heeded.retries * 10 < heeded.calls, "{} retries", heeded.retries);
+}
+
 #[test]
 fn small_calls_avoid_a_slow_worker() {
     let mut sim = Simulation::new(FRONTS, true);
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use daisychute_core::Time;
+use daisychute_core::{Role, Time};
 use daisychute_dispatch::{
     Action, DispatchSettings, Dispatcher, Event, PromptPart, Reason, Removal, RequestInfo,
     RequestKey, SendFailure, Task,
@@ -40,13 +40,14 @@
 }
 
 /// One step of a schedule: what happens, to which open request, and how long after the previous step. It may also
-/// drain or remove an endpoint.
+/// drain or remove an endpoint, or an endpoint may announce that it is leaving or wants a pause.
 #[derive(Debug, Clone, Copy)]
 struct Step {
     request_index: u8,
     change: Change,
     delay_ms: u16,
     drain: Option<u8>,
+    notice: Option<u8>,
 }
 
 impl Arbitrary for Step {
@@ -76,7 +77,14 @@
         ];
         let change = *g.choose(&changes).expect("there are changes");
         let drain = if u8::arbitrary(g) < 6 { Some(u8::arbitrary(g)) } else { None };
-        Self { request_index: u8::arbitrary(g), change, delay_ms: u16::arbitrary(g) % 400, drain }
+        let notice = if u8::arbitrary(g) < 20 { Some(u8::arbitrary(g)) } else { None };
+        Self {
+            request_index: u8::arbitrary(g),
+            change,
+            delay_ms: u16::arbitrary(g) % 400,
+            drain,
+            notice,
+        }
     }
 }
 
@@ -98,6 +106,8 @@
     open: HashMap<u64, OpenRequest>,
     next: u64,
     drained: Vec<String>,
+    // Endpoints that asked for a pause, with its end.
+    pauses: Vec<(String, Time)>,
     // Times at which retries were sent.
     retries: Vec<Time>,
     arrivals: Vec<Time>,
@@ -118,6 +128,7 @@
             open: HashMap::new(),
             next: 1,
             drained: Vec::new(),
+            pauses: Vec::new(),
             retries: Vec::new(),
             arrivals: Vec::new(),
             held_caches: 0,
@@ -153,6 +164,9 @@
                     !self.drained.contains(&decision.name.to_string()),
                     "sent to a draining endpoint"
                 );
+                let is_paused =
+                    |it: &(String, Time)| it.0 == decision.name.to_string() && self.now < it.1;
+                assert!(!self.pauses.iter().any(is_paused), "sent to a paused endpoint");
                 if open.counted_attempts > 0 {
                     self.retries.push(self.now);
                 }
@@ -178,6 +192,7 @@
             | Action::QueryCache { .. }
             | Action::AnnounceLeaving { .. }
             | Action::CheckLeaving { .. }
+            | Action::RecordPause { .. }
             | Action::SendHeartbeat
             | Action::RecordLatency { .. }
             | Action::CloseIdleConnections { .. } => {}
@@ -208,6 +223,9 @@
         if let Some(number) = step.drain {
             self.drain(number);
         }
+        if let Some(number) = step.notice {
+            self.announce(number);
+        }
         if let Change::Arrive(path) = step.change {
             self.arrive(path);
             return;
@@ -234,6 +252,22 @@
         }
     }
 
+    /// Makes an endpoint announce that it is leaving, or that it wants a pause. Prefill engines don't pause: the KV caches
+    /// that they hold wouldn't be freed.
+    fn announce(&mut self, number: u8) {
+        let mut fleet = common::fleet();
+        let endpoint = fleet.swap_remove(usize::from(number) % fleet.len());
+        let Some(key) = self.dispatcher.fleet().key(&endpoint.name) else { return };
+        if number < 64 {
+            self.drained.push(endpoint.name.to_string());
+            self.handle_event(Event::LeavingAnnounced { endpoint: key });
+        } else if endpoint.stage != Some(Role::Prefill) {
+            let pause = Duration::from_millis(u64::from(number) * 10);
+            self.pauses.push((endpoint.name.to_string(), self.now + pause));
+            self.handle_event(Event::PauseRequested { endpoint: key, pause, spread: 0.0 });
+        }
+    }
+
     fn apply(&mut self, number: u64, change: Change) {
         let key = RequestKey::new(number);
         let open = self.open.get_mut(&number).expect("an open request");
--- a/crates/daisychute-dispatch/tests/simulation/mod.rs
+++ b/crates/daisychute-dispatch/tests/simulation/mod.rs
@@ -13,7 +13,7 @@
 use daisychute_core::{EndpointName, Time};
 use daisychute_dispatch::{
     Action, DispatchSettings, Dispatcher, EndpointKey, Event, Prompt, PromptPart, RequestInfo,
-    RequestKey, SendDecision, Task,
+    RequestKey, SendDecision, SendFailure, Task,
 };
 
 use crate::common;
@@ -28,6 +28,8 @@
 const FETCH_LATENCY: Duration = Duration::from_millis(16);
 /// Prompt tokens that an engine prefills before it may switch to another prompt.
 const CHUNK_TOKENS: u64 = 4_096;
+/// Time to the refusal of a request by a paused endpoint.
+const REFUSAL_LATENCY: Duration = Duration::from_millis(3);
 /// Time from the first output to the end of a response.
 const GENERATION_TIME: Duration = Duration::from_millis(150);
 /// Prefill time per token of a dedicated prefill engine, in ms.
@@ -43,6 +45,7 @@
     Restart { front: usize },
     ChunkDone { engine: EndpointName },
     End { front: usize, key: u64 },
+    Refused { front: usize, key: u64, endpoint: EndpointKey, pause: Duration },
     Heartbeat { front: usize },
 }
 
@@ -99,6 +102,13 @@
     heartbeats: bool,
     /// Whether engines answer queries for their cached parts.
     pub(crate) answers_cache_queries: bool,
+    /// Endpoints that refuse all requests from the first time to the second.
+    pub(crate) pauses: Vec<(EndpointName, Time, Time)>,
+    /// Whether refusals in a pause tell its remaining time.
+    pub(crate) tells_pauses: bool,
+    /// Number of requests that were refused in a pause, and of sends after an attempt that counted.
+    pub(crate) refused_sends: usize,
+    pub(crate) retries: usize,
     /// Whether heartbeats are sent at once if the dispatcher requests it.
     pub(crate) urgent_heartbeats: bool,
     // Fronts whose dispatcher requested a heartbeat.
@@ -121,6 +131,10 @@
             sequence: 0,
             heartbeats,
             answers_cache_queries: true,
+            pauses: Vec::new(),
+            tells_pauses: true,
+            refused_sends: 0,
+            retries: 0,
             urgent_heartbeats: true,
             heartbeat_requested: vec![false; fronts],
             last_heartbeat: vec![Time::ZERO; fronts],
@@ -192,6 +206,15 @@
                 SimEvent::End { front, key } => {
                     self.handle_event(front, Event::Finished { key: RequestKey::new(key) });
                 }
+                SimEvent::Refused { front, key, endpoint, pause } => {
+                    if self.tells_pauses {
+                        let spread = 0.5;
+                        self.handle_event(front, Event::PauseRequested { endpoint, pause, spread });
+                    }
+                    let (key, failure) =
+                        (RequestKey::new(key), SendFailure::NotRun { misdirected: false });
+                    self.handle_event(front, Event::SendFailed { key, failure });
+                }
                 SimEvent::Heartbeat { front } => self.heartbeat(front),
             }
         }
@@ -251,6 +274,18 @@
     }
 
     fn send(&mut self, front: usize, key: RequestKey, decision: &SendDecision) {
+        self.retries += usize::from(decision.previous_attempts > 0);
+        let is_paused = |it: &&(EndpointName, Time, Time)| {
+            it.0 == decision.name && it.1 <= self.now && self.now < it.2
+        };
+        if let Some((_, _, until)) = self.pauses.iter().find(is_paused) {
+            let (key, endpoint) = (key.number(), decision.endpoint);
+            let at = self.now + REFUSAL_LATENCY;
+            let pause = until.since(at);
+            self.refused_sends += 1;
+            self.push(at, SimEvent::Refused { front, key, endpoint, pause });
+            return;
+        }
         let prompt = self.requests[self.arrived[&key.number()].0].2.prompt.clone();
         let fetched = decision.fetch_from.and_then(|it| self.cached_at(it)).unwrap_or_default();
         let engine = self.engines.get_mut(&decision.name).expect("the engine exists");
--- a/crates/daisychute-front/src/endpoint/cache_query.rs
+++ b/crates/daisychute-front/src/endpoint/cache_query.rs
@@ -91,7 +91,6 @@
     address: SocketAddr,
 ) -> Result<Vec<PromptPart>, CacheQueryError> {
     let request = state.dialect.cache_query();
-    let (_, body) =
-        control_call(state, Some(endpoint), address, request, MAX_RESPONSE_BYTES).await?;
+    let (_, body) = control_call(state, endpoint, address, request, MAX_RESPONSE_BYTES).await?;
     state.dialect.parse_cache_report(&body).ok_or(CacheQueryError::Unreadable)
 }
--- a/crates/daisychute-front/src/endpoint/control_call.rs
+++ b/crates/daisychute-front/src/endpoint/control_call.rs
@@ -37,10 +37,10 @@
 }
 
 /// Sends a request without a body on a new connection. Returns the head and the body of a successful response, up to
-/// `max_bytes` bytes. `endpoint` is the endpoint at the address, if one is known there.
+/// `max_bytes` bytes.
 pub(crate) async fn control_call<D: Dialect>(
     state: &Rc<FrontState<D>>,
-    endpoint: Option<EndpointKey>,
+    endpoint: EndpointKey,
     address: SocketAddr,
     mut head: RequestHead,
     max_bytes: usize,
@@ -57,9 +57,7 @@
     write.write_all(&out).await?;
     let mut reader = ResponseReader::new(&mut read, &mut buf, codec);
     let head = reader.head(false).await?;
-    if let Some(endpoint) = endpoint {
-        state.record_notices(endpoint, &state.dialect.parse_response(&head, ""));
-    }
+    state.record_notices(endpoint, &state.dialect.parse_response(&head, ""));
     if !head.status.is_success() {
         return Err(ControlCallError::Status(head.status));
     }
--- a/crates/daisychute-front/src/endpoint/health_check.rs
+++ b/crates/daisychute-front/src/endpoint/health_check.rs
@@ -31,8 +31,11 @@
     let state = Rc::clone(state);
     actix_rt::spawn(async move {
         sleep(state.jitter(MEAN_DELAY)).await;
+        if state.with_dispatcher(|it| it.fleet().is_paused(state.now(), endpoint)) {
+            return;
+        }
         let request = state.dialect.health_check(&path);
-        let call = control_call(&state, Some(endpoint), address, request, MAX_RESPONSE_BYTES);
+        let call = control_call(&state, endpoint, address, request, MAX_RESPONSE_BYTES);
         match timeout(CHECK_TIMEOUT, call).await {
             Ok(Ok((head, _))) if state.dialect.is_staying(&head, &name) => {
                 log::info!(endpoint:% = name; "endpoint stays after all");
--- a/crates/daisychute-front/src/endpoint/release.rs
+++ b/crates/daisychute-front/src/endpoint/release.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use daisychute_dispatch::EndpointKey;
 use tokio::time::timeout;
 
 use crate::Dialect;
@@ -17,10 +18,14 @@
 const MAX_RESPONSE_BYTES: usize = 4 * 1024;
 
 /// Frees a KV cache in a separate task and logs the outcome.
-pub(crate) fn spawn<D: Dialect>(state: &Rc<FrontState<D>>, address: SocketAddr, handle: &Arc<str>) {
+pub(crate) fn spawn<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    endpoint: EndpointKey,
+    address: SocketAddr,
+    handle: &Arc<str>,
+) {
     let (state, handle) = (Rc::clone(state), Arc::clone(handle));
     actix_rt::spawn(async move {
-        let endpoint = state.with_dispatcher(|it| it.fleet().key_at(address));
         let request = state.dialect.release_request(&handle);
         let call = control_call(&state, endpoint, address, request, MAX_RESPONSE_BYTES);
         let outcome = match timeout(RELEASE_TIMEOUT, call).await {
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -28,4 +28,4 @@
 pub use crate::event_framer::EventFramer;
 pub use crate::front::{Front, FrontError};
 pub use crate::hop_by_hop::HOP_BY_HOP;
-pub use crate::response_info::ResponseInfo;
+pub use crate::response_info::{PauseRequest, ResponseInfo};
--- a/crates/daisychute-front/src/response_info.rs
+++ b/crates/daisychute-front/src/response_info.rs
@@ -4,6 +4,15 @@
 
 use daisychute_dispatch::LoadSample;
 
+/// How long an endpoint wants no requests from this front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PauseRequest {
+    /// Duration of the pause.
+    pub duration: Duration,
+    /// Whether the endpoint's value can't be meant, and `duration` is a bound in its place.
+    pub bounded: bool,
+}
+
 /// The properties of a response that decide how it is handled.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ResponseInfo {
@@ -17,6 +26,8 @@
     pub misdirected: bool,
     /// The endpoint announces that it is leaving.
     pub leaving: bool,
+    /// How long the endpoint, which refused the request, wants no more of them from this front.
+    pub pause: Option<PauseRequest>,
     /// The body has a content encoding that wasn't requested.
     pub encoded: bool,
     /// The load report in the response headers, if there is one.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -23,7 +23,7 @@
 use crate::endpoint::{cache_query, health_check, release};
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
-use crate::{Dialect, ResponseInfo};
+use crate::{Dialect, PauseRequest, ResponseInfo};
 
 /// The state of a front. It is used on one thread only.
 pub(crate) struct FrontState<D> {
@@ -103,8 +103,8 @@
         let mut request_action = None;
         for action in actions {
             match action {
-                Action::ReleaseKvCache { address, handle } => {
-                    release::spawn(self, address, &handle)
+                Action::ReleaseKvCache { endpoint, address, handle } => {
+                    release::spawn(self, endpoint, address, &handle)
                 }
                 Action::QueryCache { endpoint, name, address } => {
                     cache_query::spawn(self, endpoint, name, address);
@@ -116,6 +116,11 @@
                     metrics::counter!("daisychute_leaving_endpoints_total").increment(1);
                     self.peers.announce_leaving(endpoint);
                 }
+                Action::RecordPause { endpoint, pause } => {
+                    let pause_ms = pause.as_millis();
+                    log::info!(endpoint:%, pause_ms; "endpoint asked for a pause");
+                    metrics::counter!("daisychute_endpoint_pauses_total").increment(1);
+                }
                 Action::CheckLeaving { endpoint, name, address, path } => {
                     health_check::spawn(self, endpoint, name, address, path);
                 }
@@ -137,6 +142,16 @@
         if info.leaving {
             self.handle(Event::LeavingAnnounced { endpoint });
         }
+        if let Some(PauseRequest { duration: pause, bounded }) = info.pause {
+            if bounded {
+                let endpoint = self
+                    .with_dispatcher(|it| it.fleet().endpoint(endpoint).map(|it| it.name.clone()));
+                let pause_ms = pause.as_millis();
+                log::warn!(endpoint:?, pause_ms; "Retry-After of an endpoint can't be meant");
+            }
+            let spread = self.random.borrow_mut().random_range(0.0..1.0);
+            self.handle(Event::PauseRequested { endpoint, pause, spread });
+        }
     }
 
     pub(crate) fn record_leaving_reported(self: &Rc<Self>, endpoints: Vec<Incarnation>) {
