feat(explain): explain requests that were refused because of pauses or leaving workers

The cause of a request refused as `paused` was told as for any other refusal: the reason alone. It now names the latest pauses that workers asked that front for, and the time that the client was given; a request without endpoint names the workers that had announced to leave, also those that peers told of.

Two new cases of the explain tests failed before ("refused by front-1, not run: paused (...)").

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -144,6 +144,13 @@
         /// Identity of the endpoint.
         endpoint: Incarnation,
     },
+    /// Record that an endpoint gets nothing new because it announced that it is leaving.
+    RecordLeaving {
+        /// Name of the endpoint.
+        endpoint: EndpointName,
+        /// Whether another front reported it; otherwise the endpoint announced it to this one.
+        by_peer: bool,
+    },
     /// Record that an endpoint gets no requests of this front for a time, as it asked.
     RecordPause {
         /// Name of the endpoint.
--- a/crates/daisychute-dispatch/src/core/notices.rs
+++ b/crates/daisychute-dispatch/src/core/notices.rs
@@ -25,6 +25,8 @@
     ) {
         let Some(incarnation) = self.fleet.record_leaving(now, endpoint) else { return };
         actions.push(Action::CloseIdleConnections { endpoint });
+        let name = incarnation.name.clone();
+        actions.push(Action::RecordLeaving { endpoint: name, by_peer: false });
         actions.push(Action::AnnounceLeaving { endpoint: incarnation });
         actions.push(Action::SendHeartbeat);
     }
@@ -37,8 +39,12 @@
         actions: &mut Vec<Action>,
     ) {
         for incarnation in endpoints {
-            let endpoint = self.fleet.record_reported_leaving(now, incarnation);
-            actions.extend(endpoint.map(|endpoint| Action::CloseIdleConnections { endpoint }));
+            let name = incarnation.name.clone();
+            let Some(endpoint) = self.fleet.record_reported_leaving(now, incarnation) else {
+                continue;
+            };
+            actions.push(Action::CloseIdleConnections { endpoint });
+            actions.push(Action::RecordLeaving { endpoint: name, by_peer: true });
         }
     }
 
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -192,6 +192,7 @@
             | Action::QueryCache { .. }
             | Action::AnnounceLeaving { .. }
             | Action::CheckLeaving { .. }
+            | Action::RecordLeaving { .. }
             | Action::RecordPause { .. }
             | Action::SendHeartbeat
             | Action::RecordLatency { .. }
--- a/crates/daisychute-explain/src/cause.rs
+++ b/crates/daisychute-explain/src/cause.rs
@@ -1,6 +1,7 @@
 //! Derives the cause of a request's end from its log lines.
 
 use crate::LogLine;
+use crate::explanation::{LEAVING, PAUSED};
 
 /// Why a request ended as it did, in one sentence.
 ///
@@ -32,10 +33,17 @@
         ("refused", "no_configuration") => no_configuration(end, context_lines),
         ("refused", "no_endpoint") => {
             format!(
-                "refused by {process}: no endpoint of the service accepted work{}",
+                "refused by {process}: no endpoint of the service accepted work{}{}",
+                leaving_endpoints(end, context_lines),
                 directory_state(end, context_lines)
             )
         }
+        ("refused", "paused") => format!(
+            "refused at once by {process}, not run: all endpoints that could take it had asked for a pause{}; \
+             Retry-After {} ms",
+            pauses(end, context_lines),
+            option_value(end.field("retry_after_ms")),
+        ),
         ("refused", reason) => format!(
             "refused by {process}, not run: {reason} ({}){}",
             end.field("trail").trim_end(),
@@ -79,6 +87,27 @@
     )
 }
 
+/// The latest pauses that endpoints asked the process for, in parentheses; empty if the log has none.
+fn pauses(end: &LogLine, context_lines: &[LogLine]) -> String {
+    let paused =
+        context_lines.iter().filter(|it| it.process == end.process && it.message == PAUSED);
+    let pauses: Vec<_> =
+        paused.map(|it| format!("{}, {} ms", it.field("endpoint"), it.field("pause_ms"))).collect();
+    if pauses.is_empty() { String::new() } else { format!(" (last: {})", pauses.join("; ")) }
+}
+
+/// Text on the endpoints that announced to the process that they are leaving; empty if the log has none.
+fn leaving_endpoints(end: &LogLine, context_lines: &[LogLine]) -> String {
+    let leaving =
+        context_lines.iter().filter(|it| it.process == end.process && it.message == LEAVING);
+    let names: Vec<_> = leaving.map(|it| it.field("endpoint")).collect();
+    if names.is_empty() {
+        String::new()
+    } else {
+        format!("; {} had announced to leave", names.join(", "))
+    }
+}
+
 /// Text on the directory, if the process could not reach it when the request ended; empty otherwise.
 fn directory_state(end: &LogLine, context_lines: &[LogLine]) -> String {
     let last = context_lines.iter().rev().find(|it| {
--- a/crates/daisychute-explain/src/explanation.rs
+++ b/crates/daisychute-explain/src/explanation.rs
@@ -8,7 +8,7 @@
 use crate::cause::cause;
 
 /// Messages about the state of a process that may explain the end of its requests.
-const CONTEXT_MESSAGES: [&str; 9] = [
+const CONTEXT_MESSAGES: [&str; 11] = [
     "directory lost; what is known stays in force",
     "directory regained",
     "configuration in force",
@@ -18,7 +18,13 @@
     "stop requested",
     "log lines left out",
     "endpoint not listed any more",
+    PAUSED,
+    LEAVING,
 ];
+/// Message about an endpoint that wants no requests for a time.
+pub(crate) const PAUSED: &str = "endpoint asked for a pause";
+/// Message about an endpoint that takes no new requests any more.
+pub(crate) const LEAVING: &str = "endpoint announced that it is leaving";
 /// Maximum number of context lines in an explanation; the latest are taken.
 const MAX_CONTEXT_LINES: usize = 12;
 
@@ -44,10 +50,16 @@
         let processes: BTreeSet<_> = request_lines.iter().map(|it| it.process.clone()).collect();
         let endpoints: BTreeSet<_> =
             request_lines.iter().map(|it| it.field("endpoint").to_owned()).collect();
+        // Any endpoint may be a reason why none took the request.
+        let lacked_endpoint =
+            request_lines.iter().any(|it| matches!(it.field("reason"), "paused" | "no_endpoint"));
         let is_context = |it: &&LogLine| {
             let known = CONTEXT_MESSAGES.contains(&it.message.as_str());
-            let endpoint_removed = it.message == "endpoint not listed any more";
-            let relevant = !endpoint_removed || endpoints.contains(it.field("endpoint"));
+            let relevant = match it.message.as_str() {
+                "endpoint not listed any more" => endpoints.contains(it.field("endpoint")),
+                PAUSED | LEAVING => lacked_endpoint || endpoints.contains(it.field("endpoint")),
+                _ => true,
+            };
             known && relevant && processes.contains(&it.process) && it.time <= last
         };
         let mut context_lines: Vec<_> = log.iter().filter(is_context).cloned().collect();
--- a/crates/daisychute-explain/tests/explain.rs
+++ b/crates/daisychute-explain/tests/explain.rs
@@ -20,6 +20,7 @@
         ("outcome", outcome),
         ("reason", reason),
         ("trail", "run at i-1 after 3 ms; "),
+        ("retry_after_ms", "Some(250)"),
     ];
     line(9, "front-1", "request ended", &fields)
 }
@@ -49,6 +50,16 @@
         line(3, "front-1", "directory regained", &[]),
         ended("refused", "no_endpoint"),
     ] => "no endpoint of the service accepted work",
+    paused: [
+        line(5, "front-1", "endpoint asked for a pause", &[("endpoint", "i-1"), ("pause_ms", "4000")]),
+        line(6, "front-1", "endpoint asked for a pause", &[("endpoint", "i-2"), ("pause_ms", "1500")]),
+        line(6, "front-2", "endpoint asked for a pause", &[("endpoint", "i-3"), ("pause_ms", "1500")]),
+        ended("refused", "paused"),
+    ] => "had asked for a pause (last: i-1, 4000 ms; i-2, 1500 ms); Retry-After 250 ms",
+    all_leaving: [
+        line(5, "front-1", "endpoint announced that it is leaving", &[("endpoint", "i-1")]),
+        ended("refused", "no_endpoint"),
+    ] => "no endpoint of the service accepted work; i-1 had announced to leave",
     deadline: [ended("failed", "deadline")] => "the deadline passed after",
     lost_with_the_process: [line(1, "front-1", "sent", &[("request", "r")])] => "hasn't ended",
 }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -110,12 +110,13 @@
                     cache_query::spawn(self, endpoint, name, address);
                 }
                 Action::CloseIdleConnections { endpoint } => self.pool.drop_idle(endpoint),
-                Action::AnnounceLeaving { endpoint } => {
-                    let (name, address) = (&endpoint.name, endpoint.address);
-                    log::info!(endpoint:% = name, address:%; "endpoint announced that it is leaving");
-                    metrics::counter!("daisychute_leaving_endpoints_total").increment(1);
-                    self.peers.announce_leaving(endpoint);
+                Action::RecordLeaving { endpoint, by_peer } => {
+                    let source = if by_peer { "peer" } else { "own" };
+                    log::info!(endpoint:%, source; "endpoint announced that it is leaving");
+                    metrics::counter!("daisychute_leaving_endpoints_total", "source" => source)
+                        .increment(1);
                 }
+                Action::AnnounceLeaving { endpoint } => self.peers.announce_leaving(endpoint),
                 Action::RecordPause { endpoint, pause } => {
                     let pause_ms = pause.as_millis();
                     log::info!(endpoint:%, pause_ms; "endpoint asked for a pause");
