--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -99,6 +99,12 @@
 
     /// Handles an event and appends the resulting actions to `actions`.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        let first = actions.len();
+        self.handle_event(now, event, actions);
+        self.drop_requests_to_paused(now, first, actions);
+    }
+
+    fn handle_event(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::Arrived { key, request } => self.arrived(now, key, request, actions),
             Event::Prefilled { key, handle } => self.prefilled(now, key, handle, actions),
@@ -120,6 +126,14 @@
             }
             Event::PeerStopping { peer, exits_in } => self.peer_stopping(now, peer, exits_in),
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
+            Event::LeavingAnnounced { endpoint } => self.leaving_announced(now, endpoint, actions),
+            Event::PauseRequested { endpoint, pause, spread } => {
+                self.pause_requested(now, endpoint, pause, spread, actions)
+            }
+            Event::LeavingReported { endpoints } => self.leaving_reported(now, endpoints, actions),
+            Event::StayingConfirmed { endpoint } => {
+                self.fleet.record_staying(endpoint);
+            }
             Event::FrontCount(count) => self.fronts = count.max(1),
             Event::ShutdownRequested { deadline } => {
                 self.shutdown = Some(Shutdown { requested_at: now, deadline });
@@ -130,6 +144,7 @@
                 actions.extend(
                     removed.into_iter().map(|endpoint| Action::CloseIdleConnections { endpoint }),
                 );
+                self.check_leaving(now, actions);
             }
         }
     }
@@ -153,11 +168,12 @@
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
-        if is_engine && previous_key != Some(key) {
+        let takes_work = self.fleet.takes_work(now, key);
+        if is_engine && previous_key != Some(key) && takes_work {
             actions.push(Action::QueryCache { endpoint: key, name, address });
         }
         actions.extend(replaced.map(|endpoint| Action::CloseIdleConnections { endpoint }));
-        if !self.fleet.takes_work(now, key) {
+        if !takes_work {
             actions.push(Action::CloseIdleConnections { endpoint: key });
         }
     }
@@ -257,6 +273,7 @@
         self.remove_in_flight(key, &sent);
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
             tracked.health.record_success();
+            tracked.notice.record_success(now);
         }
         self.record_latency(now, key, &service, &sent, actions);
         let took = now.since(sent.sent_at);
@@ -317,6 +334,7 @@
         let Some(sent) = state.in_flight.clone() else { return };
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
             tracked.in_flight.prefill_done(key);
+            tracked.notice.record_success(now);
         }
         self.record_latency(now, key, &service, &sent, actions);
         let took = now.since(sent.sent_at);
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -81,6 +81,9 @@
         reason: Reason,
         actions: &mut Vec<Action>,
     ) {
+        if self.refuse_for_pause(now, key, actions) {
+            return;
+        }
         let Some(placement) = self.choose_placement(now, key) else {
             self.fail_or_refuse(key, reason, actions);
             return;
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -6,8 +6,10 @@
 use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
+use crate::fleet::availability::Availability;
 use crate::fleet::in_flight::InFlight;
 use crate::fleet::load::TimedSample;
+use crate::fleet::notice::Notice;
 use crate::fleet::prefix_cache::PrefixCache;
 use crate::{Backlog, Health, LoadSample, PeerLoad};
 
@@ -93,6 +95,8 @@
     /// Whether the endpoint refused a request because it isn't the expected instance or runs another stage. Cleared by
     /// the next directory record.
     pub(crate) misdirected: bool,
+    /// What this incarnation announced in its responses. Directory records don't change it.
+    pub(crate) notice: Notice,
 }
 
 impl TrackedEndpoint {
@@ -101,7 +105,7 @@
     /// Age from which the load of a peer is ignored, since a live peer sends several heartbeats a second.
     const PEER_TTL: Duration = Duration::from_millis(1_500);
 
-    pub(crate) fn new(endpoint: Endpoint) -> Self {
+    pub(crate) fn new(endpoint: Endpoint, notice: Notice) -> Self {
         let lifecycle = Self::lifecycle_of(&endpoint);
         Self {
             endpoint,
@@ -112,6 +116,7 @@
             health: Health::default(),
             prefix_cache: PrefixCache::default(),
             misdirected: false,
+            notice,
         }
     }
 
@@ -126,10 +131,25 @@
         self.endpoint = endpoint;
     }
 
+    /// Whether the endpoint takes new requests, as far as the number of those in flight doesn't matter.
     pub(crate) fn takes_work(&self, now: Time) -> bool {
+        self.is_open(now) && !self.notice.is_paused(now)
+    }
+
+    pub(crate) fn availability(&self, now: Time) -> Availability {
+        if !self.is_open(now) {
+            return Availability::Closed;
+        }
+        let unavailable_until = self.notice.unavailable_until(now, self.in_flight.unanswered());
+        unavailable_until.map_or(Availability::Now, Availability::After)
+    }
+
+    /// Whether the endpoint takes new requests, apart from pauses.
+    fn is_open(&self, now: Time) -> bool {
         self.lifecycle != EndpointLifecycle::Draining
             && self.is_registered(now)
             && !self.misdirected
+            && !self.notice.is_leaving()
     }
 
     /// Whether the endpoint is registered, or its pending removal isn't due yet; it may be draining.
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -1,9 +1,10 @@
 //! The heartbeat datagram between fronts.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisychute_core::EndpointName;
-use daisychute_dispatch::{Backlog, PeerLoad, PromptPart};
+use daisychute_core::{EndpointName, ServiceName};
+use daisychute_dispatch::{Backlog, Incarnation, PeerLoad, PromptPart};
 use serde::{Deserialize, Serialize};
 
 use crate::Position;
@@ -25,6 +26,9 @@
     /// Milliseconds until the sender exits, if it shuts down. Missing in heartbeats of older builds.
     #[serde(default)]
     pub(crate) Option<u32>,
+    /// Endpoints that announced to the sender that they are leaving. Fronts of before this element don't send it.
+    #[serde(default)]
+    pub(crate) Vec<Leaving>,
 );
 
 /// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
@@ -40,6 +44,22 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Part(EndpointName, u64, u32);
 
+/// A leaving endpoint: its name, address, service, and start time in Unix milliseconds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Leaving(EndpointName, SocketAddr, ServiceName, Option<u64>);
+
+impl From<Incarnation> for Leaving {
+    fn from(Incarnation { name, address, service, started_at }: Incarnation) -> Self {
+        Self(name, address, service, started_at)
+    }
+}
+
+impl From<Leaving> for Incarnation {
+    fn from(Leaving(name, address, service, started_at): Leaving) -> Self {
+        Self { name, address, service, started_at }
+    }
+}
+
 impl PeerHeartbeat {
     /// Creates a heartbeat of the front that knows this era, and has seen changes of configuration and endpoints up to
     /// these positions.
@@ -52,7 +72,7 @@
     ) -> Self {
         let revisions = (configuration.revision(), endpoints.revision());
         let eras = Eras(era, configuration.era(), endpoints.era());
-        Self(incarnation_id, revisions, loads, parts, eras, None)
+        Self(incarnation_id, revisions, loads, parts, eras, None, Vec::new())
     }
 
     /// Sets the time until the sender exits; `None` if it doesn't shut down.
@@ -61,6 +81,12 @@
         self
     }
 
+    /// Sets the endpoints that announced that they are leaving.
+    pub(crate) fn leaving(mut self, leaving: Vec<Leaving>) -> Self {
+        self.6 = leaving;
+        self
+    }
+
     /// Returns the positions of the latest changes of configuration and endpoints that the sender has seen.
     pub(crate) const fn positions(&self) -> (Position, Position) {
         let Eras(_, configuration, endpoints) = self.4;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -11,7 +11,8 @@
 use actix_http::ServiceConfig;
 use daisychute_core::{EndpointName, Time};
 use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, Endpoint, Event, Removal, RequestKey, RouteTable,
+    Action, DispatchSettings, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Removal,
+    RequestKey, RouteTable,
 };
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
@@ -21,10 +22,12 @@
 use crate::directory::store_era::StoreEra;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
-use crate::endpoint::{cache_query, release};
+use crate::endpoint::{cache_query, health_check, release};
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
-use crate::{Admission, Departures, Dialect, DirectoryOutage, Position};
+use crate::{
+    Admission, Departures, Dialect, DirectoryOutage, PauseRequest, Position, ResponseInfo,
+};
 
 /// The state of a front. It is used on one thread only.
 pub(crate) struct FrontState<D> {
@@ -131,13 +134,28 @@
         let mut request_action = None;
         for action in actions {
             match action {
-                Action::ReleaseKvCache { address, handle } => {
-                    release::spawn(self, address, &handle)
+                Action::ReleaseKvCache { endpoint, address, handle } => {
+                    release::spawn(self, endpoint, address, &handle)
                 }
                 Action::QueryCache { endpoint, name, address } => {
                     cache_query::spawn(self, endpoint, name, address);
                 }
                 Action::CloseIdleConnections { endpoint } => self.pool.drop_idle(endpoint),
+                Action::RecordLeaving { endpoint, by_peer } => {
+                    let source = if by_peer { "peer" } else { "own" };
+                    log::info!(endpoint:%, source; "endpoint announced that it is leaving");
+                    metrics::counter!("daisychute_leaving_endpoints_total", "source" => source)
+                        .increment(1);
+                }
+                Action::AnnounceLeaving { endpoint } => self.peers.announce_leaving(endpoint),
+                Action::RecordPause { endpoint, pause } => {
+                    let pause_ms = pause.as_millis();
+                    log::info!(endpoint:%, pause_ms; "endpoint asked for a pause");
+                    metrics::counter!("daisychute_endpoint_pauses_total").increment(1);
+                }
+                Action::CheckLeaving { endpoint, name, address, path } => {
+                    health_check::spawn(self, endpoint, name, address, path);
+                }
                 Action::SendHeartbeat => self.peers.request_heartbeat(),
                 Action::AnnounceCachedPart { endpoint, part } => {
                     self.peers.announce_cached_part(endpoint, part)
@@ -151,6 +169,34 @@
         request_action
     }
 
+    /// Passes on what an endpoint announced in the head of a response.
+    pub(crate) fn record_notices(self: &Rc<Self>, endpoint: EndpointKey, info: &ResponseInfo) {
+        if info.leaving {
+            self.handle(Event::LeavingAnnounced { endpoint });
+        }
+        if let Some(PauseRequest { duration: pause, bounded }) = info.pause {
+            if bounded {
+                let endpoint = self
+                    .with_dispatcher(|it| it.fleet().endpoint(endpoint).map(|it| it.name.clone()));
+                let pause_ms = pause.as_millis();
+                log::warn!(endpoint:?, pause_ms; "Retry-After of an endpoint can't be meant");
+            }
+            let spread = self.random.borrow_mut().random_range(0.0..1.0);
+            self.handle(Event::PauseRequested { endpoint, pause, spread });
+        }
+    }
+
+    pub(crate) fn record_leaving_reported(self: &Rc<Self>, endpoints: Vec<Incarnation>) {
+        if !endpoints.is_empty() {
+            self.handle(Event::LeavingReported { endpoints });
+        }
+    }
+
+    /// Whether an endpoint takes new work.
+    pub(crate) fn takes_work(&self, endpoint: EndpointKey) -> bool {
+        self.with_dispatcher(|it| it.fleet().takes_work(self.now(), endpoint))
+    }
+
     pub(crate) fn apply_configuration(self: &Rc<Self>, table: Arc<RouteTable>) {
         let before = self.with_dispatcher(|it| it.table().map(|table| table.version()));
         let (version, routes) = (table.version(), table.len());
