fix(agent): refuse queued requests that may outlast the drain of a stop

Callers of a stopping agent saw `endpoint_lost`, "may have run", for calls that had waited in its queue until `[timing] drain` was over. Such calls may not be repeated, so they were lost although nothing of them had run.

Cause: on SIGTERM an agent refused what arrived later, but asked nothing of what it had queued. At the end of the drain its task was dropped, with neither refusals nor a goodbye; the entry waited for the connection, then gave up.

The core now gets the end of the drain. Queued requests whose deadline is later are refused as not run at once, so that their entry sends them to another agent; the others end by their own deadline before the process does. What runs longer is reported as "may have run" when the drain ends. A drain of the engine that ends during a stop no longer opens admission again.

--- a/crates/daisychute-agent/src/core/agent_core.rs
+++ b/crates/daisychute-agent/src/core/agent_core.rs
@@ -32,6 +32,8 @@
     links: BTreeSet<LinkId>,
     next_heartbeat: Time,
     heartbeats: u64,
+    /// When open requests end because the process shuts down; `None` before that was requested.
+    shutdown_deadline: Option<Time>,
     transition_log: Option<Vec<(RequestId, Transition)>>,
 }
 
@@ -51,6 +53,7 @@
             links: BTreeSet::new(),
             next_heartbeat: Time::ZERO,
             heartbeats: 0,
+            shutdown_deadline: None,
             transition_log: None,
         }
     }
@@ -107,7 +110,8 @@
     pub fn wake_at(&self) -> Time {
         let timer = self.timers.first().map(|it| it.0);
         let admission = self.admission.wake_at();
-        [timer, admission].into_iter().flatten().fold(self.next_heartbeat, Time::min)
+        let shutdown = self.shutdown_deadline.filter(|_| self.open_requests() > 0);
+        [timer, admission, shutdown].into_iter().flatten().fold(self.next_heartbeat, Time::min)
     }
 
     /// Handles one event and appends the resulting actions to `actions`.
@@ -128,6 +132,7 @@
                 self.announce(now, actions);
             }
             Event::Drain(drain) => self.on_drain(now, drain, actions),
+            Event::Shutdown { deadline } => self.on_shutdown(now, deadline, actions),
             Event::Revisions(revisions) => self.revisions = revisions,
             Event::Wake => self.on_wake(now, actions),
         }
@@ -362,10 +367,44 @@
     }
 
     fn on_drain(&mut self, now: Time, drain: bool, actions: &mut Vec<Action>) {
-        self.record.state = if drain { EndpointState::Leaving } else { EndpointState::Live };
+        let leaving = drain || self.shutdown_deadline.is_some();
+        self.record.state = if leaving { EndpointState::Leaving } else { EndpointState::Live };
         self.announce(now, actions);
     }
 
+    fn on_shutdown(&mut self, now: Time, deadline: Time, actions: &mut Vec<Action>) {
+        self.shutdown_deadline = Some(deadline);
+        self.on_drain(now, true, actions);
+        // Other queued requests end by their own deadlines, before the process does.
+        self.refuse_queued(now, |job| job.deadline > deadline, actions);
+    }
+
+    fn refuse_queued(
+        &mut self,
+        now: Time,
+        filter: impl Fn(&Job) -> bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let refused = |job: &Job| job.state == JobState::Queued && filter(job);
+        for id in self.jobs_where(refused) {
+            self.end_queued(now, id, Refusal::not_run(RefusalReason::Leaving), actions);
+        }
+    }
+
+    /// Ends all open requests, so that their entries learn which have not run before the connections close.
+    fn end_open_requests(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.refuse_queued(now, |_| true, actions);
+        for id in self.jobs_where(|it| it.state == JobState::Running) {
+            self.abort(id, actions);
+            let refusal = Refusal::unknown(RefusalReason::Leaving);
+            self.end_running(now, id, Ending::Refused(refusal), actions);
+        }
+    }
+
+    fn jobs_where(&self, filter: impl Fn(&Job) -> bool) -> Vec<RequestId> {
+        self.jobs.iter().filter(|(_, job)| filter(job)).map(|(id, _)| *id).collect()
+    }
+
     /// Sends a heartbeat with the endpoint's record to every connected entry at once.
     fn announce(&mut self, now: Time, actions: &mut Vec<Action>) {
         for link in self.links.clone() {
@@ -385,6 +424,9 @@
     }
 
     fn on_wake(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.shutdown_deadline.is_some_and(|it| it <= now) {
+            self.end_open_requests(now, actions);
+        }
         if now >= self.next_heartbeat {
             self.announce(now, actions);
             self.next_heartbeat = now + self.cfg.heartbeat_interval;
--- a/crates/daisychute-agent/src/core/event.rs
+++ b/crates/daisychute-agent/src/core/event.rs
@@ -1,7 +1,9 @@
 //! Events that the shell passes to the core.
 
 use bytes::Bytes;
-use daisychute_core::{EngineTarget, FinishReason, ModelVersion, RefusalReason, RequestId, Usage};
+use daisychute_core::{
+    EngineTarget, FinishReason, ModelVersion, RefusalReason, RequestId, Time, Usage,
+};
 use daisychute_link::LinkId;
 use daisychute_proto::{Frame, Revisions};
 
@@ -38,6 +40,12 @@
     Target(Option<EngineTarget>),
     /// Stop admitting requests (`true`), or admit them again (`false`).
     Drain(bool),
+    /// The process shuts down: stop admitting requests, for good. Queued requests that may not end by `deadline` are
+    /// refused at once, so that their entries send them to other agents.
+    Shutdown {
+        /// When all requests that are still open end.
+        deadline: Time,
+    },
     /// The revisions of the documents in force in this process have changed.
     Revisions(Revisions),
     /// The time returned by [`AgentCore::wake_at`](super::AgentCore::wake_at) has come.
--- a/crates/daisychute-agent/src/core/job.rs
+++ b/crates/daisychute-agent/src/core/job.rs
@@ -36,7 +36,7 @@
     pub(super) link: Option<LinkId>,
     pub(super) state: JobState,
     /// When it is refused because its deadline has passed.
-    deadline: Time,
+    pub(super) deadline: Time,
     /// When it is cancelled and removed unless an entry resumes or acknowledges it. `Time::MAX` while it runs with a
     /// connection.
     pub(super) abandon_at: Time,
--- a/crates/daisychute-agent/src/shell/agent_shell.rs
+++ b/crates/daisychute-agent/src/shell/agent_shell.rs
@@ -7,7 +7,7 @@
 
 use daisychute_core::{
     DataCentreName, EndpointStatus, ProcessName, ProcessRole, ProcessState, ProcessStatus,
-    RegionName, RequestId, Revisions,
+    RegionName, RequestId, Revisions, Time,
 };
 use daisychute_link::{Documents, Link, LinkConfig, LinkEvent, LinkId, accept};
 use daisychute_proto::{Frame, GoodbyeReason, Hello, PROTOCOL_VERSION};
@@ -58,7 +58,8 @@
     runs: BTreeMap<RequestId, JoinHandle<()>>,
     revisions: Revisions,
     next_link: u64,
-    shutting_down: bool,
+    /// When requests that are still open end because the process shuts down; `None` before that was requested.
+    shutdown_deadline: Option<Time>,
     tx: UnboundedSender<Input>,
     rx: UnboundedReceiver<Input>,
     link_tx: UnboundedSender<LinkEvent>,
@@ -98,7 +99,7 @@
             runs: BTreeMap::new(),
             revisions: Revisions::default(),
             next_link: 0,
-            shutting_down: false,
+            shutdown_deadline: None,
             tx,
             rx,
             link_tx,
@@ -114,13 +115,13 @@
 
     /// Serves until [`AgentHandle::shut_down`] was called and no request is left.
     pub async fn run(mut self) {
-        while !(self.shutting_down && self.core.jobs().is_empty()) {
+        while !(self.shutdown_deadline.is_some() && self.core.jobs().is_empty()) {
             let wake = Instant::from_std(self.clock.instant(self.core.wake_at()));
             tokio::select! {
                 Some(input) = self.rx.recv() => self.on_input(input),
                 Some(event) = self.link_rx.recv() => self.on_link_event(event),
                 accepted = self.listener.accept() => self.on_accept(accepted).await,
-                () = sleep_until(wake) => self.feed(Event::Wake),
+                () = sleep_until(wake) => self.on_wake(),
                 Some(output) = self.order_rx.recv() => self.on_order(output),
             }
             self.check_drained();
@@ -142,6 +143,15 @@
         }
     }
 
+    fn on_wake(&mut self) {
+        let is_past = self.shutdown_deadline.is_some_and(|it| it <= self.clock.now());
+        let open = self.core.open_requests();
+        if is_past && open > 0 {
+            log::warn!("{open} requests are still open at the end of the drain");
+        }
+        self.feed(Event::Wake);
+    }
+
     fn check_drained(&mut self) {
         if self.awaiting_drain && self.core.open_requests() == 0 {
             self.awaiting_drain = false;
@@ -201,10 +211,11 @@
                 // The requester may have stopped waiting.
                 let _ = tx.send(self.status());
             }
-            Input::Shutdown => {
-                self.shutting_down = true;
+            Input::Shutdown { drain } => {
+                let deadline = self.clock.now() + drain;
+                self.shutdown_deadline = Some(deadline);
                 self.orders.shut_down();
-                self.feed(Event::Drain(true));
+                self.feed(Event::Shutdown { deadline });
             }
         }
     }
@@ -312,7 +323,10 @@
             region: self.options.region.clone(),
             data_centre: self.options.data_centre.clone(),
             instance: record.instance.clone(),
-            state: if self.shutting_down { ProcessState::Leaving } else { ProcessState::Ready },
+            state: match self.shutdown_deadline {
+                Some(_) => ProcessState::Leaving,
+                None => ProcessState::Ready,
+            },
             duties: Vec::new(),
             revisions: self.revisions,
             platform_heard: None,
--- a/crates/daisychute-agent/src/shell/handle.rs
+++ b/crates/daisychute-agent/src/shell/handle.rs
@@ -1,6 +1,7 @@
 //! Handle for a running agent.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisychute_core::{Plan, ProcessName, ProcessStatus, Revision};
 use daisychute_proto::Frame;
@@ -41,9 +42,10 @@
         let _ = self.tx.send(Input::Send { peer, frame });
     }
 
-    /// Stops admission and ends the agent when no request is left.
-    pub fn shut_down(&self) {
-        let _ = self.tx.send(Input::Shutdown);
+    /// Stops admission and ends the agent when no request is left, or after `drain`. Queued requests that may not end
+    /// by then are refused at once, as not run; those that still run then are cut.
+    pub fn shut_down(&self, drain: Duration) {
+        let _ = self.tx.send(Input::Shutdown { drain });
     }
 
     /// The current status of the agent; `None` after it has stopped.
--- a/crates/daisychute-agent/src/shell/input.rs
+++ b/crates/daisychute-agent/src/shell/input.rs
@@ -1,6 +1,7 @@
 //! Inputs of the agent's task.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisychute_core::{Plan, ProcessName, ProcessStatus, Revision};
 use daisychute_proto::Frame;
@@ -27,5 +28,8 @@
     /// Reply with the current status of the agent.
     Status(oneshot::Sender<ProcessStatus>),
     /// Stop admission and end the task when no request is left.
-    Shutdown,
+    Shutdown {
+        /// How long running requests may take to end.
+        drain: Duration,
+    },
 }
--- a/crates/daisychuted/src/agent.rs
+++ b/crates/daisychuted/src/agent.rs
@@ -19,6 +19,9 @@
 use crate::shared_documents::SharedDocuments;
 use crate::{DaemonError, control, metrics};
 
+/// How long the entries may take to receive the last frames, after the end of the drain.
+const LAST_RESPONSES_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(1_500);
+
 pub(crate) async fn run(
     settings: Settings,
     role: AgentSettings,
@@ -57,9 +60,10 @@
     let task = actix_rt::spawn(shell.run());
     stop_requested().await.map_err(DaemonError::Signals)?;
     log::info!("agent {} is shutting down", settings.process.name);
-    handle.shut_down();
-    if timeout(settings.timing.drain, task).await.is_err() {
-        log::warn!("requests are still open after {:?}", settings.timing.drain);
+    let drain = settings.timing.drain;
+    handle.shut_down(drain);
+    if timeout(drain + LAST_RESPONSES_TIMEOUT, task).await.is_err() {
+        log::warn!("responses are still unread after {:?}", settings.timing.drain);
     }
     log::info!("agent {} has stopped", settings.process.name);
     Ok(())
