fix(entry): refuse what has not begun when a stop ends

Clients of a stopping entry saw a closed connection for calls that waited in the queue of an agent when `[timing] drain` was over, or that were accepted or retried during the stop although they could last longer than it.

Cause: a request was admitted until 0.5 s after SIGTERM, and sent to further agents, without a look at what was left; at the end the entry's task was dropped with all open requests.

The core now gets the end of the drain with the announcement. Each time a request that hasn't run is about to be sent, it is refused as not run unless its deadline is within the drain. At the end of the drain open requests are cancelled at their agents, which know what has not run, and the verdict goes to the client; after 250 ms without one the request may have run.

--- a/crates/daisychute-entry/src/core/config.rs
+++ b/crates/daisychute-entry/src/core/config.rs
@@ -17,6 +17,8 @@
     pub reconnect_delay: Duration,
     /// Settings of the membership, which tracks the endpoints of the region.
     pub membership: MemberSettings,
+    /// How long agents may take, at the end of a shutdown, to tell which requests have not run.
+    pub withdrawal_timeout: Duration,
     /// How long after its deadline the entry ends a request that its agent has not ended.
     pub deadline_grace: Duration,
     /// Flow control window: bytes of one response that may be buffered until the client reads them.
@@ -39,6 +41,7 @@
             resume_timeout: Duration::from_millis(1_500),
             reconnect_delay: Duration::from_millis(50),
             membership: MemberSettings::default(),
+            withdrawal_timeout: Duration::from_millis(250),
             deadline_grace: Duration::from_millis(250),
             window: 256 << 10,
             max_attempts: 4,
--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -2,6 +2,7 @@
 
 mod links;
 mod responses;
+mod shutdown;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -35,6 +36,10 @@
     retry_budget: RetryBudget,
     revisions: Revisions,
     shutting_down: bool,
+    /// When open requests are refused or cut because the process shuts down; `None` before that was announced.
+    shutdown_deadline: Option<Time>,
+    /// Whether the open requests were withdrawn from their agents.
+    withdrawn: bool,
     next_heartbeat_at: Time,
     heartbeat_seq: u64,
     transition_log: Option<Vec<(RequestId, Transition)>>,
@@ -57,6 +62,8 @@
             retry_budget: RetryBudget::default(),
             revisions: Revisions::default(),
             shutting_down: false,
+            shutdown_deadline: None,
+            withdrawn: false,
             next_heartbeat_at: Time::ZERO,
             heartbeat_seq: 0,
             transition_log: None,
@@ -105,13 +112,20 @@
         self.shutting_down
     }
 
+    /// Whether the requests that were open at the end of a shutdown were refused, cut or cancelled.
+    #[must_use]
+    pub const fn has_withdrawn(&self) -> bool {
+        self.withdrawn
+    }
+
     /// Returns when the shell must report [`Event::Wake`].
     #[must_use]
     pub fn wake_at(&self) -> Time {
         let timer = self.timers.first().map(|it| it.0);
         let reconnect = self.agents.next_reconnect_at();
+        let shutdown = self.shutdown_deadline.filter(|_| !self.withdrawn);
         let next = self.next_heartbeat_at.min(self.membership_wake_at);
-        [timer, reconnect].into_iter().flatten().fold(next, Time::min)
+        [timer, reconnect, shutdown].into_iter().flatten().fold(next, Time::min)
     }
 
     /// Handles one event and appends the resulting actions to `actions`.
@@ -127,6 +141,7 @@
             Event::LinkDown { link, end } => self.on_link_down(now, link, end, actions),
             Event::Frame { link, frame } => self.on_frame(now, link, *frame, actions),
             Event::Revisions(revisions) => self.revisions = revisions,
+            Event::ShutdownAnnounced { deadline } => self.shutdown_deadline = Some(deadline),
             Event::Shutdown => self.shutting_down = true,
             Event::Wake => self.on_wake(now, actions),
         }
@@ -169,6 +184,9 @@
 
     /// Sends the current run of a request to its agent, or opens a connection first.
     fn dispatch(&mut self, now: Time, id: RequestId, actions: &mut Vec<Action>) {
+        if self.refuse_for_shutdown(now, id, actions) {
+            return;
+        }
         let Some(request) = self.requests.get(&id) else { return };
         let endpoint = request.endpoint.clone();
         if let Some(agent) = self.agents.get_mut(&endpoint) {
@@ -188,6 +206,9 @@
     }
 
     fn send_start(&mut self, now: Time, id: RequestId, link: LinkId, actions: &mut Vec<Action>) {
+        if self.refuse_for_shutdown(now, id, actions) {
+            return;
+        }
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.sent_incarnation =
             self.agents.get(&request.endpoint).map(|it| it.record.incarnation);
@@ -267,6 +288,9 @@
             self.send_heartbeats(actions);
             self.next_heartbeat_at = now + self.cfg.heartbeat;
         }
+        if self.is_past_shutdown(now) && !self.withdrawn {
+            self.withdraw_requests(now, actions);
+        }
         while let Some(&(_, id)) = self.timers.first().filter(|it| it.0 <= now) {
             self.on_timer(now, id, actions);
         }
@@ -299,6 +323,9 @@
             let refusal = Refusal { verdict, reason: RefusalReason::Deadline, retry_after: None };
             return self.finish(id, refusal, actions);
         }
+        if self.withdrawn {
+            return self.finish(id, Refusal::unknown(RefusalReason::Leaving), actions);
+        }
         match request.state {
             RequestState::Connecting => {
                 self.retry_elsewhere(now, id, RefusalReason::EndpointLost, actions)
--- a/crates/daisychute-entry/src/core/entry_core/responses.rs
+++ b/crates/daisychute-entry/src/core/entry_core/responses.rs
@@ -116,6 +116,10 @@
         if self.current_request(endpoint, id, refused.attempt).is_none() {
             return;
         }
+        if self.withdrawn && refusal.reason == RefusalReason::Cancelled {
+            let refusal = Refusal { reason: RefusalReason::Leaving, ..refusal };
+            return self.finish(id, refusal, actions);
+        }
         match (refusal.verdict, refusal.reason) {
             (_, RefusalReason::Deadline | RefusalReason::KeyReused | RefusalReason::Cancelled) => {
                 self.finish(id, refusal, actions);
@@ -157,7 +161,7 @@
         self.selector.failed(now, &request.endpoint);
         let may_repeat = request.submission.repeatable()
             && (!request.response_started() || request.emitted.is_some());
-        if !may_repeat {
+        if !may_repeat || self.withdrawn {
             return self.finish(id, Refusal::unknown(reason), actions);
         }
         if !self.retry_budget.try_take() {
--- a/crates/daisychute-entry/src/core/event.rs
+++ b/crates/daisychute-entry/src/core/event.rs
@@ -1,6 +1,6 @@
 //! Events that the shell reports to the core.
 
-use daisychute_core::{EndpointRecord, RequestId, Revisions};
+use daisychute_core::{EndpointRecord, RequestId, Revisions, Time};
 use daisychute_link::LinkId;
 use daisychute_proto::{Frame, Hello};
 
@@ -53,6 +53,11 @@
     },
     /// Revisions of the shared documents that this process has in force, to be announced to agents.
     Revisions(Revisions),
+    /// The process will shut down: refuse requests that may not end by `deadline` as long as nothing of them has run.
+    ShutdownAnnounced {
+        /// When requests that are still open are refused or cut.
+        deadline: Time,
+    },
     /// The process shuts down: refuse new requests, finish those in flight.
     Shutdown,
     /// The time returned by [`EntryCore::wake_at`](super::EntryCore::wake_at) was reached.
--- a/crates/daisychute-entry/src/shell/entry_shell.rs
+++ b/crates/daisychute-entry/src/shell/entry_shell.rs
@@ -90,7 +90,7 @@
             tokio::select! {
                 Some(input) = self.rx.recv() => self.on_input(input),
                 Some(event) = self.link_rx.recv() => self.on_link_event(event),
-                () = sleep_until(wake) => self.feed(Event::Wake),
+                () = sleep_until(wake) => self.on_wake(),
             }
         }
         for (_, link) in self.links.values() {
@@ -98,6 +98,14 @@
         }
     }
 
+    fn on_wake(&mut self) {
+        let (open, was_withdrawn) = (self.core.requests().len(), self.core.has_withdrawn());
+        self.feed(Event::Wake);
+        if open > 0 && self.core.has_withdrawn() && !was_withdrawn {
+            log::warn!("{open} requests are still open at the end of the drain");
+        }
+    }
+
     fn on_input(&mut self, input: Input) {
         match input {
             Input::Event(event) => {
@@ -129,6 +137,10 @@
                 // The receiver may have been dropped.
                 let _ = tx.send(self.status());
             }
+            Input::PrepareShutdown { drain } => {
+                let deadline = self.clock.now() + drain;
+                self.feed(Event::ShutdownAnnounced { deadline });
+            }
             Input::Shutdown => self.feed(Event::Shutdown),
         }
     }
--- a/crates/daisychute-entry/src/shell/handle.rs
+++ b/crates/daisychute-entry/src/shell/handle.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisychute_core::{Configuration, ProcessName, ProcessStatus};
 use daisychute_proto::Frame;
@@ -55,14 +56,16 @@
         self.shared.shutdown_announced.get()
     }
 
-    /// Announces the shutdown: the entry stops being ready, but still accepts requests.
-    pub fn prepare_shutdown(&self) {
+    /// Announces the shutdown: the entry stops being ready, but still accepts requests that end within `drain`. After
+    /// that, requests that are still open are refused or cut.
+    pub fn prepare_shutdown(&self, drain: Duration) {
         self.shared.shutdown_announced.set(true);
+        let _ = self.tx.send(Input::PrepareShutdown { drain });
     }
 
-    /// Makes the entry refuse new requests and end once all requests are finished.
+    /// Makes the entry refuse new requests and end once all requests are finished, after
+    /// [`EntryHandle::prepare_shutdown`].
     pub fn shut_down(&self) {
-        self.prepare_shutdown();
         let _ = self.tx.send(Input::Shutdown);
     }
 
--- a/crates/daisychute-entry/src/shell/input.rs
+++ b/crates/daisychute-entry/src/shell/input.rs
@@ -1,6 +1,7 @@
 //! Messages to the entry's task.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use daisychute_core::{Configuration, ProcessName, ProcessStatus, RequestId};
 use daisychute_proto::Frame;
@@ -34,6 +35,11 @@
     },
     /// Requests the current status of the entry, which is sent to the channel.
     Status(oneshot::Sender<ProcessStatus>),
+    /// Announces the shutdown.
+    PrepareShutdown {
+        /// How long requests in progress may take to end.
+        drain: Duration,
+    },
     /// Refuses new requests and ends the task once all requests are finished.
     Shutdown,
 }
--- a/crates/daisychute-entry/tests/interleavings.rs
+++ b/crates/daisychute-entry/tests/interleavings.rs
@@ -47,8 +47,9 @@
 }
 
 schedules! {
-    cuts_kills_and_drains: Faults { duplicates: false, losses: false };
-    duplicated_frames: Faults { duplicates: true, losses: false };
-    lost_frames: Faults { duplicates: false, losses: true };
-    duplicated_and_lost_frames: Faults { duplicates: true, losses: true };
+    cuts_kills_and_drains: Faults { duplicates: false, losses: false, stops: false };
+    duplicated_frames: Faults { duplicates: true, losses: false, stops: false };
+    lost_frames: Faults { duplicates: false, losses: true, stops: false };
+    duplicated_and_lost_frames: Faults { duplicates: true, losses: true, stops: false };
+    stops: Faults { duplicates: true, losses: true, stops: true };
 }
--- a/crates/daisychute-entry/tests/world/mod.rs
+++ b/crates/daisychute-entry/tests/world/mod.rs
@@ -55,6 +55,8 @@
     pub(crate) duplicates: bool,
     /// Some frames are lost although their connection stays up.
     pub(crate) losses: bool,
+    /// Some entries and agents shut down with requests that may outlast their drain.
+    pub(crate) stops: bool,
 }
 
 pub(crate) struct World {
@@ -134,6 +136,9 @@
     }
 
     fn step(&mut self) {
+        if self.faults.stops && self.rng.random_bool(0.02) {
+            self.stop_any();
+        }
         match self.rng.random_range(0..100) {
             0..45 => self.deliver_any(),
             45..75 => self.endpoint_step(),
@@ -321,6 +326,23 @@
         self.agents[index] = Agent { last_link, ..self.new_agent(index) };
     }
 
+    /// Asks an entry or an agent to shut down. It stays as it is after its drain, until an agent is killed.
+    fn stop_any(&mut self) {
+        let deadline = self.now + Duration::from_millis(self.rng.random_range(0..3_000));
+        if self.rng.random_bool(0.2) {
+            let entry = self.rng.random_range(0..ENTRIES);
+            self.feed_entry(entry, Event::ShutdownAnnounced { deadline });
+            if self.rng.random_bool(0.5) {
+                self.feed_entry(entry, Event::Shutdown);
+            }
+            return;
+        }
+        let index = self.rng.random_range(0..AGENTS);
+        if self.agents[index].alive {
+            self.feed_agent(index, AgentEvent::Shutdown { deadline });
+        }
+    }
+
     fn drain_any(&mut self) {
         let index = self.rng.random_range(0..AGENTS);
         let drain = self.rng.random_bool(0.5);
--- a/crates/daisychuted/src/entry.rs
+++ b/crates/daisychuted/src/entry.rs
@@ -20,6 +20,9 @@
 /// Delay between reporting "not ready" and refusing new requests, so that the load balancer notices first.
 const READINESS_PROPAGATION: std::time::Duration = std::time::Duration::from_millis(500);
 
+/// How long the last requests may take to end, after the end of the drain.
+const LAST_RESPONSES_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+
 pub(crate) async fn run(
     settings: Settings,
     role: EntrySettings,
@@ -48,11 +51,12 @@
     let task = actix_rt::spawn(shell.run());
     stop_requested().await.map_err(DaemonError::Signals)?;
     log::info!("entry {} is shutting down", settings.process.name);
-    handle.prepare_shutdown();
+    let drain = settings.timing.drain;
+    handle.prepare_shutdown(READINESS_PROPAGATION + drain);
     control.release();
     actix_rt::time::sleep(READINESS_PROPAGATION).await;
     handle.shut_down();
-    if timeout(settings.timing.drain, task).await.is_err() {
+    if timeout(drain + LAST_RESPONSES_TIMEOUT, task).await.is_err() {
         log::warn!("requests are still open after {:?}", settings.timing.drain);
     }
     // Responses handed to the connection tasks still have to be written to the sockets.
--- a/crates/daisychuted/tests/long_requests.rs
+++ b/crates/daisychuted/tests/long_requests.rs
@@ -130,6 +130,13 @@
     Ok(())
 }
 
+async fn stop_entry(deployment: &mut Deployment, _: usize) -> Result<(), TestbedError> {
+    let process = deployment.entry_mut(0).process();
+    process.terminate()?;
+    process.wait_exit(EXIT_TIMEOUT).await?;
+    Ok(())
+}
+
 /// Guards against calls that waited in the queue of a stopping agent and are reported as if they might have run.
 #[test]
 fn calls_queued_at_a_stopping_agent_are_refused_as_not_run() -> Result<(), TestbedError> {
@@ -149,3 +156,13 @@
         Ok(())
     })
 }
+
+/// Guards against calls that waited at an agent when their entry ended and are reported as if they might have run.
+#[test]
+fn calls_queued_for_a_stopping_entry_are_refused_as_not_run() -> Result<(), TestbedError> {
+    actix_rt::System::new().block_on(async {
+        let counts = stop_under_load(1, stop_entry).await?;
+        assert_eq!(counts.get("not run"), Some(&QUEUED));
+        Ok(())
+    })
+}
