fix(dispatch): prefill again when a held KV cache may have lapsed

A request whose prompt was prefilled, and whose decode couldn't be sent for as long as engines hold a cache (`handle_s`), was sent on with a handle that is gone: the engine refuses it as not run, which spends an attempt, and a route with one attempt then refuses the client although nothing has run.

Cause: the handle was kept as accepted once; its age was not looked at again at the next attempt.

The dispatcher now notes when the engine may drop the cache, releases it from then on and runs the whole request at an engine that decodes. Requests that are late by then are still refused for the load, as any late one.

Evidence: `cache_that_lapsed_is_not_fetched` failed before with `SendDecision { .. task: Decode { source: 10.1.1.9:8080, handle: "h" } .. }` 5 s after the prefill. The other nine tests of `half_done` passed from the start: routes, timeouts and services that go while a prompt is prefilled, and engines that drain or leave in between, neither lose nor repeat a request.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -238,11 +238,13 @@
         handle: Arc<str>,
         actions: &mut Vec<Action>,
     ) {
+        let handle_ttl = self.service_spec(key).and_then(|it| it.engine).map(|it| it.handle_ttl);
+        let lapses_at = handle_ttl.filter(|it| !it.is_zero()).map(|it| now + it);
         let Some(state) = self.requests.get_mut(&key) else { return };
         let Some(sent) = state.in_flight.take() else { return };
         let service = state.service.clone();
         let (endpoint, address) = (sent.endpoint, sent.address);
-        state.kv_handle = Some(KvHandle { endpoint, address, handle });
+        state.kv_handle = Some(KvHandle { endpoint, address, handle, lapses_at });
         state.tried.clear();
         self.remove_in_flight(key, &sent);
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -8,4 +8,5 @@
 pub(crate) mod reason;
 pub(crate) mod request_info;
 pub(crate) mod request_state;
+mod kv_cache;
 mod shutdown;
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -66,6 +66,7 @@
         reason: Reason,
         actions: &mut Vec<Action>,
     ) {
+        self.release_lapsed_cache(now, key, actions);
         if self.refuse_for_shutdown(now, key, actions) {
             return;
         }
@@ -281,7 +282,7 @@
     }
 
     /// Returns the configuration of a request's service.
-    fn service_spec(&self, key: RequestKey) -> Option<&ServiceSpec> {
+    pub(crate) fn service_spec(&self, key: RequestKey) -> Option<&ServiceSpec> {
         let state = self.requests.get(&key)?;
         self.table.as_ref()?.service(&state.service)
     }
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -42,6 +42,8 @@
     pub(crate) address: SocketAddr,
     /// Handle under which the engine holds the KV cache.
     pub(crate) handle: Arc<str>,
+    /// Time from which the engine may have dropped it; `None` if the configuration doesn't say.
+    pub(crate) lapses_at: Option<Time>,
 }
 
 /// State of a request from its arrival to its final response, over all send attempts.
