fix(daisychuted): survive SIGHUP as an entry or agent

Callers of an entry that got SIGHUP saw closed connections; calls at an agent that got it were lost. Only fronts handled the signal; entries and agents ended at once, by its default action, without a drain.

They now log and ignore it. Their settings are read at the start only, as before.

Evidence: `planned_changes::hangups_end_no_process` failed before: no response came for 40 s after the signals, as all processes were gone.

--- a/crates/daisychute-runtime/src/lib.rs
+++ b/crates/daisychute-runtime/src/lib.rs
@@ -29,4 +29,4 @@
 pub use crate::labels::Labels;
 pub use crate::never_sent::never_sent;
 pub use crate::read_body::{BodyError, read_body};
-pub use crate::signal::stop_requested;
+pub use crate::signal::{ignore_hangups, stop_requested};
--- a/crates/daisychute-runtime/src/signal.rs
+++ b/crates/daisychute-runtime/src/signal.rs
@@ -1,4 +1,4 @@
-//! Shutdown signals.
+//! Signals to the process.
 
 use std::io;
 
@@ -18,3 +18,18 @@
     }
     Ok(())
 }
+
+/// Logs each SIGHUP, which would otherwise end the process at once, until the end of the process.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if the signal handler can't be installed.
+pub fn ignore_hangups() -> io::Result<()> {
+    let mut hangups = signal(SignalKind::hangup())?;
+    actix_rt::spawn(async move {
+        while hangups.recv().await.is_some() {
+            log::warn!("SIGHUP ignored; changed settings take effect at the next start");
+        }
+    });
+    Ok(())
+}
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -14,7 +14,7 @@
 
 use clap::Parser;
 use daisychute_core::Incarnation;
-use daisychute_runtime::Clock;
+use daisychute_runtime::{Clock, ignore_hangups};
 use daisychute_settings::{FrontSettings, RoleSettings, Settings};
 
 use crate::args::Args;
@@ -59,6 +59,7 @@
 }
 
 async fn run(settings: Settings, incarnation: Incarnation) -> Result<(), DaemonError> {
+    ignore_hangups().map_err(DaemonError::Signals)?;
     match settings.role.clone() {
         RoleSettings::Entry(role) => entry::run(settings, role, incarnation).await,
         RoleSettings::Agent(role) => agent::run(settings, role, incarnation).await,
--- a/crates/daisychuted/tests/planned_changes.rs
+++ b/crates/daisychuted/tests/planned_changes.rs
@@ -1,6 +1,7 @@
 //! Planned changes under load: no response is truncated, no request runs twice, and every refused request has indeed
 //! not run.
 
+use std::process::Command;
 use std::time::Duration;
 
 use daisychute_core::{DesiredState, EndpointState, EngineTarget, Role};
@@ -42,6 +43,7 @@
     all_processes_restart_in_turn => all_restart_in_turn_step,
     endpoint_is_drained_and_undrained => drain_step,
     engine_changes_its_version => change_version_step,
+    hangups_end_no_process => hang_up_step,
 }
 
 fn plan() -> DeploymentSpec {
@@ -66,6 +68,19 @@
     restart_entry(deployment, load, 0).await
 }
 
+/// Guards against processes that end at once, with all their requests, on a signal that others use for a reload.
+async fn hang_up_step(deployment: &mut Deployment, load: &Load) -> Result<(), TestbedError> {
+    let entries: Vec<_> =
+        (0..deployment.entries().len()).map(|it| deployment.entry_mut(it).process().id()).collect();
+    let agents: Vec<_> = deployment.agents_mut().iter_mut().map(|it| it.process().id()).collect();
+    for id in entries.into_iter().chain(agents) {
+        let status = Command::new("kill").args(["-HUP", &id.to_string()]).status();
+        assert!(status.is_ok_and(|it| it.success()));
+    }
+    load.wait_responses(RESPONSES).await?;
+    deployment.wait_ready().await
+}
+
 async fn all_restart_in_turn_step(
     deployment: &mut Deployment,
     load: &Load,
