test(soak): streams about as long as a shutdown, signals in series

Before, one in twenty requests of each client was a stream of 4.2 s, of one length, and each stop came alone. So a front's guess from recent responses was always right, and signals during a shutdown were not tried.

- Six clients send long streams only, of up to 7.2 s by the output that they ask for.
- A violation comes with what the fronts logged about its request.

--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -15,17 +15,28 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::checks::{RequestRecord, Violation, check};
-use crate::clients::{ClientPool, run_client};
+use crate::clients::{ClientPool, run_client, run_stream_client};
 use crate::faults::Fault;
 
 /// Number of simulated clients.
 const CLIENTS: u64 = 12;
+/// Number of simulated clients with long streams.
+const STREAM_CLIENTS: u64 = 6;
+/// Offsets from the seed of a run to those of its further generators.
+const STREAM_CLIENT_SEED: u64 = 1 << 62;
+const SERIES_SEED: u64 = 1 << 63;
+/// Maximum number of further signals and configurations after a planned stop or reload.
+const MAX_SERIES: u32 = 3;
+/// Maximum time from a planned stop or reload to each of them, in ms: longer than a shutdown takes.
+const MAX_SERIES_DELAY_MS: u64 = 9_000;
 /// An unplanned fault may disturb requests until this long after its end.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(3_500);
 /// Maximum time of the recovery check, in which all fronts become ready and calls succeed.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Pause between two checks whether a process has ended or cleanups are due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum number of log lines kept of fronts that have ended, the latest ones.
+const MAX_ENDED_LOG_LINES: usize = 100_000;
 /// Number of calls that must succeed after the last fault.
 const REQUIRED_SUCCESSES: usize = 20;
 
@@ -42,6 +53,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Report {
     pub(crate) violations: Vec<Violation>,
+    /// What the fronts logged about the requests with violations.
+    log_lines: Vec<String>,
     /// Number of recorded requests.
     requests: usize,
     /// Number of responses with status 200 and a complete body.
@@ -54,7 +67,7 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { requests, complete, faults, statuses, violations } = self;
+        let Self { requests, complete, faults, statuses, violations, log_lines } = self;
         write!(
             f,
             "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {} violations",
@@ -63,6 +76,9 @@
         for it in violations.iter().take(12) {
             write!(f, "\n  {it}")?;
         }
+        for it in log_lines.iter().take(48) {
+            write!(f, "\n    {it}")?;
+        }
         Ok(())
     }
 }
@@ -83,6 +99,11 @@
     version: u64,
     /// Number of faults injected so far.
     faults: usize,
+    /// Chooses the signals and configurations that follow a planned stop or reload; `None` if none do. It is a generator
+    /// of its own, so that the other faults of a seed stay as they are.
+    series: Option<Pcg64Mcg>,
+    /// Log lines of the fronts that have ended.
+    ended_logs: Vec<String>,
 }
 
 /// Ends a fault; the number is the index of the front or worker.
@@ -97,6 +118,8 @@
     Register(usize),
     /// Restart a front once it has ended.
     Restart(usize),
+    /// Inject a planned fault that follows another one.
+    Follow(Fault),
 }
 
 /// Runs one seed.
@@ -108,9 +131,14 @@
 ) -> Result<Report, SoakError> {
     let mut soak = Soak::start(fronts).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    soak.series = planned_only.then(|| Pcg64Mcg::seed_from_u64(seed ^ SERIES_SEED));
     for number in 0..CLIENTS {
         actix_rt::spawn(run_client(Rc::clone(&soak.pool), seed ^ (number << 32)));
     }
+    for number in 0..STREAM_CLIENTS {
+        let seed = seed ^ STREAM_CLIENT_SEED ^ (number << 32);
+        actix_rt::spawn(run_stream_client(Rc::clone(&soak.pool), seed));
+    }
     let end = Instant::now() + Duration::from_secs_f64(minutes * 60.0);
     while Instant::now() < end {
         let pause = Duration::from_millis(rng.random_range(50..600));
@@ -119,7 +147,8 @@
         while planned_only && !fault.is_planned() {
             fault = Fault::random(&mut rng, fronts, soak.relays.len());
         }
-        soak.inject(fault).await?;
+        soak.schedule_series(&fault);
+        soak.inject(fault)?;
     }
     soak.finish().await
 }
@@ -143,8 +172,18 @@
         let pool = Rc::new(ClientPool::default());
         let (disturbances, cleanups, version, faults) = (Vec::new(), Vec::new(), 1, 0);
         let restart_pending = vec![false; fronts];
-        let soak =
-            Self { fleet, relays, pool, disturbances, cleanups, restart_pending, version, faults };
+        let soak = Self {
+            fleet,
+            relays,
+            pool,
+            disturbances,
+            cleanups,
+            restart_pending,
+            version,
+            faults,
+            series: None,
+            ended_logs: Vec::new(),
+        };
         soak.publish_addresses();
         Ok(soak)
     }
@@ -172,7 +211,22 @@
         Ok(())
     }
 
-    async fn inject(&mut self, fault: Fault) -> Result<(), SoakError> {
+    /// Schedules signals and configurations that overlap with a stop or reload.
+    fn schedule_series(&mut self, fault: &Fault) {
+        let (Some(rng), Fault::Stop(front) | Fault::Reload(front)) = (&mut self.series, fault)
+        else {
+            return;
+        };
+        for _ in 0..rng.random_range(0..=MAX_SERIES) {
+            let at =
+                Instant::now() + Duration::from_millis(rng.random_range(0..MAX_SERIES_DELAY_MS));
+            let faults = [Fault::Stop(*front), Fault::Reload(*front), Fault::Configure];
+            let next = faults[rng.random_range(0..faults.len())].clone();
+            self.cleanups.push((at, FaultCleanup::Follow(next)));
+        }
+    }
+
+    fn inject(&mut self, fault: Fault) -> Result<(), SoakError> {
         self.faults += 1;
         let now = Instant::now();
         let mut until = now;
@@ -272,6 +326,7 @@
                 self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64))
             }
             FaultCleanup::Restart(front) => self.restart(front).await?,
+            FaultCleanup::Follow(fault) => self.inject(fault)?,
         }
         Ok(())
     }
@@ -283,6 +338,9 @@
             return Ok(());
         }
         self.restart_pending[front] = false;
+        self.ended_logs.extend(self.fleet.fronts[front].process.stdout());
+        let excess = self.ended_logs.len().saturating_sub(MAX_ENDED_LOG_LINES);
+        self.ended_logs.drain(..excess);
         self.fleet.fronts[front].restart().await?;
         self.publish_addresses();
         Ok(())
@@ -296,7 +354,7 @@
         self.pool.stopping.set(true);
         sleep(RECOVERY_PERIOD).await;
         let mut report = Report { faults: self.faults, ..Report::default() };
-        self.check_recovery(&mut report).await?;
+        self.check_recovery(&mut report).await;
         let records = self.pool.records.borrow().clone();
         for it in &records {
             self.check_request(it, &mut report);
@@ -304,12 +362,15 @@
         Ok(report)
     }
 
-    /// Waits until all fronts are ready, which is an error if they are not in time, and until enough calls have succeeded,
-    /// which is a violation if they have not by `RECOVERY_TIMEOUT`.
-    async fn check_recovery(&mut self, report: &mut Report) -> Result<(), SoakError> {
+    /// Waits until all fronts are ready and enough calls have succeeded; it is a violation if they are not, or have not, in
+    /// time.
+    async fn check_recovery(&mut self, report: &mut Report) {
         let until = Instant::now() + RECOVERY_TIMEOUT;
-        for number in 0..self.fleet.fronts.len() {
-            self.fleet.fronts[number].wait_ready(true).await?;
+        for (number, front) in self.fleet.fronts.iter().enumerate() {
+            if front.wait_ready(true).await.is_err() {
+                let text = format!("front {number} isn't ready after the last fault");
+                report.violations.push(Violation::new(text));
+            }
         }
         let mut successes = 0;
         while successes < REQUIRED_SUCCESSES && Instant::now() < until {
@@ -326,7 +387,6 @@
                 "only {successes} of {REQUIRED_SUCCESSES} calls succeeded after the last fault"
             )));
         }
-        Ok(())
     }
 
     /// Counts a request and reports its violations.
@@ -340,7 +400,18 @@
             record.sent_at < it.1 && record.ended_at + RECOVERY_PERIOD > it.0
         };
         let undisturbed = !self.disturbances.iter().any(overlaps);
-        report.violations.extend(check(record, self.fleet.runs(&record.id), undisturbed));
+        let violations = check(record, self.fleet.runs(&record.id), undisturbed);
+        if !violations.is_empty() {
+            report.log_lines.extend(self.log_lines(&record.id));
+        }
+        report.violations.extend(violations);
+    }
+
+    /// The lines that the fronts logged about a request.
+    fn log_lines(&self, id: &str) -> Vec<String> {
+        let running = self.fleet.fronts.iter().flat_map(|it| it.process.stdout());
+        let lines = self.ended_logs.iter().cloned().chain(running);
+        lines.filter(|it| it.contains(id)).collect()
     }
 }
 
