--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -34,7 +34,7 @@
         state.may_have_run |= may_have_run && !prefill_only;
         // It isn't known whether the KV cache was fetched: the next attempt prefills the prompt again.
         let handle_spent = counted && matches!(sent.task, Task::Decode { .. });
-        if let Some(KvHandle { endpoint, address, handle }) =
+        if let Some(KvHandle { endpoint, address, handle, .. }) =
             state.kv_handle.take_if(|_| handle_spent)
         {
             actions.push(Action::ReleaseKvCache { endpoint, address, handle });
@@ -204,7 +204,7 @@
         if let Some(sent) = &state.in_flight {
             self.remove_in_flight(key, sent);
         }
-        if let Some(KvHandle { endpoint, address, handle }) = state.kv_handle {
+        if let Some(KvHandle { endpoint, address, handle, .. }) = state.kv_handle {
             actions.push(Action::ReleaseKvCache { endpoint, address, handle });
         }
     }
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -9,4 +9,5 @@
 pub(crate) mod request_info;
 pub(crate) mod request_state;
 mod notices;
+mod kv_cache;
 mod shutdown;
