fix(entry): keep characters that a chunk splits whole

Streamed completions that aren't ASCII showed U+FFFD to clients that read slowly: an agent with less credit left than the next character is long sends a part of it, and the entry decoded each chunk on its own. A run that was lost at that point made the next one continue a text that ends with U+FFFD.

The core holds back the start of a character until the rest comes, so every part of a completion ends between characters. What is held belongs to the run: a lost run drops it, and the next one generates it again. At the end what is left goes out as it is, so that errors of engines pass unchanged. Calls of plain services aren't touched.

--- a/crates/daisychute-entry/src/core/entry_core/responses.rs
+++ b/crates/daisychute-entry/src/core/entry_core/responses.rs
@@ -62,7 +62,8 @@
             return;
         }
         let data = chunk.data.slice(usize::try_from(already_received).unwrap_or(usize::MAX)..);
-        let tokens = request.record_output(&data, chunk.tokens, max_emitted_bytes);
+        let output = request.record_output(data, chunk.tokens, max_emitted_bytes);
+        let Some((data, tokens)) = output else { return };
         actions.push(Action::Respond { id: chunk.id, part: ResponsePart::Data { data, tokens } });
     }
 
@@ -95,7 +96,13 @@
         if request.state != RequestState::Streaming || received != end.length {
             return self.request_missing_data(id, link, actions);
         }
+        let rest = std::mem::take(&mut request.split_character);
         actions.push(Action::send(link, Credit { id, received, window }));
+        if !rest.is_empty() {
+            // The text of the response is no valid UTF-8, or the response is an error of the engine.
+            let part = ResponsePart::Data { data: rest, tokens: 0 };
+            actions.push(Action::Respond { id, part });
+        }
         actions.push(Action::Respond {
             id,
             part: ResponsePart::End { finish: end.finish, usage: end.usage },
--- a/crates/daisychute-entry/src/core/mod.rs
+++ b/crates/daisychute-entry/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod link_end;
 mod request;
 mod retry_budget;
+mod split_character;
 mod submission;
 mod transition;
 
--- a/crates/daisychute-entry/src/core/request.rs
+++ b/crates/daisychute-entry/src/core/request.rs
@@ -3,11 +3,11 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use daisychute_core::{EndpointName, Incarnation, ModelVersion, RequestId, Time};
 use daisychute_proto::{Start, Work};
 
-use super::{EntryConfig, Submission};
+use super::{EntryConfig, Submission, split_character};
 
 /// Phase of a request between its submission and its final response part.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -62,6 +62,9 @@
     pub(super) tried: BTreeSet<EndpointName>,
     /// Response bytes received from the current run.
     pub(super) received: u64,
+    /// Start of a character at the end of what the current run sent, which the client gets with the rest of it.
+    // Invariant: empty for calls of plain services, shorter than one character otherwise.
+    pub(super) split_character: Bytes,
     /// Response bytes of the current run that the client has read.
     // Invariant: client_read <= received.
     pub(super) client_read: u64,
@@ -104,6 +107,7 @@
             may_have_run: false,
             tried: BTreeSet::new(),
             received: 0,
+            split_character: Bytes::new(),
             client_read: 0,
             run_tokens: 0,
             resume_requested: false,
@@ -132,20 +136,39 @@
         self.head_sent
     }
 
-    /// Records data that is sent to the client, and stores up to `max_emitted_bytes` of text for a continuation.
-    /// `run_tokens` is the cumulative output token count of the run at the end of `data`. Returns the tokens in `data`.
+    /// Records data of the current run, and stores up to `max_emitted_bytes` of text for a continuation. `run_tokens` is
+    /// the cumulative output token count of the run at the end of `data`. Returns what the client gets now and the number
+    /// of tokens in it; `None` if nothing, because the first character isn't complete.
     pub(super) fn record_output(
         &mut self,
-        data: &[u8],
+        data: Bytes,
         run_tokens: u32,
         max_emitted_bytes: usize,
-    ) -> u32 {
+    ) -> Option<(Bytes, u32)> {
+        self.received += data.len() as u64;
+        let data = self.complete_characters(data);
+        if data.is_empty() {
+            return None;
+        }
         let tokens = run_tokens.saturating_sub(self.run_tokens);
         self.run_tokens += tokens;
-        self.received += data.len() as u64;
         self.emitted_tokens += tokens;
-        self.store_emitted(data, max_emitted_bytes);
-        tokens
+        self.store_emitted(&data, max_emitted_bytes);
+        Some((data, tokens))
+    }
+
+    /// Prepends the start of a character that was held back to the text of a completion, and holds back the one at its
+    /// end. Data of plain services is returned unchanged.
+    fn complete_characters(&mut self, data: Bytes) -> Bytes {
+        if !matches!(self.submission.work, Work::Completion(_)) {
+            return data;
+        }
+        let mut text = match self.split_character.is_empty() {
+            true => data,
+            false => [&*self.split_character, &*data].concat().into(),
+        };
+        self.split_character = text.split_off(split_character::offset(&text));
+        text
     }
 
     fn store_emitted(&mut self, data: &[u8], max_emitted_bytes: usize) {
@@ -157,11 +180,13 @@
         }
     }
 
-    /// Resets the progress for a new run. What was sent to the client stays recorded, so the run continues from there.
+    /// Resets the progress for a new run. What was sent to the client stays recorded, so the run continues from there. A
+    /// character that the client got no part of is generated again.
     pub(super) fn next_attempt(&mut self) {
         self.attempt += 1;
         self.sent_incarnation = None;
         self.received = 0;
+        self.split_character.clear();
         self.client_read = 0;
         self.run_tokens = 0;
         self.resume_requested = false;
