fix(entry): bound what a slow client's request holds by one window over all runs

An entry could hold a window for each run and each connection of a request whose client reads slowly: four windows after three retries, and one more for each lost connection.

Cause: bytes that the client still read of an earlier run were counted as read of the current one, each Start and Resume named a whole window, and a Credit behind a Resume gave its window from the resumed offset.

Start, Resume and Credit now name what the unread bytes of all runs leave of the window, beyond what the entry has received. A credit follows after a quarter window was read, whichever run it belongs to, so a run that starts without a free window doesn't stall.

--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -200,15 +200,13 @@
 
     fn on_client_read(&mut self, id: RequestId, bytes: u64, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.client_read = (request.client_read + bytes).min(request.received);
-        let uncredited = request.client_read - request.credited_bytes;
-        if uncredited < u64::from(self.cfg.window / 4) {
+        request.record_read(bytes);
+        if request.read_since_credit < u64::from(self.cfg.window / 4) {
             return;
         }
-        request.credited_bytes = request.client_read;
-        let frame = Credit { id, received: request.client_read, window: self.cfg.window };
         if let Some(link) = self.agents.established_link(&request.endpoint) {
-            actions.push(Action::send(link, frame));
+            let window = request.take_window(self.cfg.window);
+            actions.push(Action::send(link, Credit { id, received: request.received, window }));
         }
     }
 
--- a/crates/daisychute-entry/src/core/entry_core/links.rs
+++ b/crates/daisychute-entry/src/core/entry_core/links.rs
@@ -168,9 +168,8 @@
     pub(super) fn send_resume(&mut self, id: RequestId, link: LinkId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get_mut(&id) else { return };
         let (attempt, offset, give_up_at) = (request.attempt, request.received, request.give_up_at);
-        request.credited_bytes = request.client_read;
         request.resume_requested = true;
-        let frame = Resume { id, attempt, offset, window: self.cfg.window };
+        let frame = Resume { id, attempt, offset, window: request.take_window(self.cfg.window) };
         actions.push(Action::send(link, frame));
         self.transition(id, RequestState::Sent);
         self.set_timer(id, give_up_at);
--- a/crates/daisychute-entry/src/core/entry_core/responses.rs
+++ b/crates/daisychute-entry/src/core/entry_core/responses.rs
@@ -74,10 +74,11 @@
         link: LinkId,
         actions: &mut Vec<Action>,
     ) {
-        let window = self.cfg.window;
+        let max_window = self.cfg.window;
         let Some(request) = self.requests.get_mut(&id) else { return };
         if !request.resume_requested {
             request.resume_requested = true;
+            let window = request.take_window(max_window);
             let (attempt, offset) = (request.attempt, request.received);
             actions.push(Action::send(link, Resume { id, attempt, offset, window }));
         }
--- a/crates/daisychute-entry/src/core/request.rs
+++ b/crates/daisychute-entry/src/core/request.rs
@@ -72,8 +72,10 @@
     pub(super) run_tokens: u32,
     /// Whether the agent was asked to resume the response and has not sent a head since.
     pub(super) resume_requested: bool,
-    /// Value of `client_read` that was last reported to the agent.
-    pub(super) credited_bytes: u64,
+    /// Bytes of earlier runs that the client hasn't read.
+    pub(super) unread_of_earlier_runs: u64,
+    /// Bytes that the client has read since the agent was last told a window.
+    pub(super) read_since_credit: u64,
     /// Whether the client was sent a response head, by any run.
     pub(super) head_sent: bool,
     /// Model version that generates the response; `None` until an agent reports one.
@@ -111,7 +113,8 @@
             client_read: 0,
             run_tokens: 0,
             resume_requested: false,
-            credited_bytes: 0,
+            unread_of_earlier_runs: 0,
+            read_since_credit: 0,
             head_sent: false,
             version: None,
             emitted,
@@ -185,16 +188,38 @@
     pub(super) fn next_attempt(&mut self) {
         self.attempt += 1;
         self.sent_incarnation = None;
+        self.unread_of_earlier_runs = self.unread();
         self.received = 0;
         self.split_character.clear();
         self.client_read = 0;
         self.run_tokens = 0;
         self.resume_requested = false;
-        self.credited_bytes = 0;
     }
 
-    /// Builds the frame that starts the current run.
-    pub(super) fn start(&self, now: Time, id: RequestId, window: u32) -> Start {
+    /// Records that the client has read `bytes` more, the oldest first.
+    pub(super) fn record_read(&mut self, bytes: u64) {
+        let of_earlier_runs = bytes.min(self.unread_of_earlier_runs);
+        self.unread_of_earlier_runs -= of_earlier_runs;
+        self.client_read = (self.client_read + bytes - of_earlier_runs).min(self.received);
+        self.read_since_credit += bytes;
+    }
+
+    /// Bytes of all runs that the client was sent and hasn't read.
+    fn unread(&self) -> u64 {
+        let sent = self.received - self.split_character.len() as u64;
+        self.unread_of_earlier_runs + sent.saturating_sub(self.client_read)
+    }
+
+    /// The part of the window `max` that is free now, in bytes: what the agent may send beyond `received`. To be told to
+    /// the agent.
+    pub(super) fn take_window(&mut self, max: u32) -> u32 {
+        self.read_since_credit = 0;
+        u32::try_from(u64::from(max).saturating_sub(self.unread())).unwrap_or(max)
+    }
+
+    /// Builds the frame that starts the current run. The client's unread bytes of earlier runs take a part of `max_window`.
+    pub(super) fn start(&mut self, now: Time, id: RequestId, max_window: u32) -> Start {
+        let window = self.take_window(max_window);
         let submission = &self.submission;
         let elapsed = now.since(self.arrived_at);
         let first_token = submission.first_token.filter(|_| !self.response_started());
