fix(planner): drop requests and drains at the loss of the lease

An entry that lost the planner's lease and regained it undid what another one had planned meanwhile: for up to two seconds an endpoint that an operator had drained took work again, and targets of policies, which no daemon requests yet, would have come back.

Cause: requests of policies and the operators' drains were kept for the life of the process and applied to every plan; drains whose read outlasted the lease were kept as well.

Seen before, in tests/planner.rs: targets_of_an_earlier_lease_… wrote "6/21 e-1=b@21 e-2=a@0" for "6/21 e-1=a@0 e-2=a@0", targets_of_a_lease_that_a_higher_term_ended_… the same, drains_known_from_an_earlier_lease_… and drains_that_arrive_after_the_lease_… "6/21 e-1=a@21 drained e-2=a@21" for "6/21 e-1=a@0 e-2=a@0 drained".

They now last for one lease, so whatever was planned since stays until it is asked for again: policies repeat their requests, and drains are read again under the new lease. random_schedules_1 to _4 pass as before.

--- a/crates/daisychute-planner/src/control/mod.rs
+++ b/crates/daisychute-planner/src/control/mod.rs
@@ -170,8 +170,8 @@
         actix_rt::spawn(calls::confirm_plan(self.clone()));
     }
 
-    /// Requests a change of the plan on behalf of a policy. Only the holder of the lease acts on it, so policies repeat
-    /// their requests.
+    /// Requests a change of the plan on behalf of a policy. Only the holder of the lease acts on it, and drops it when it
+    /// loses the lease, so policies repeat their requests.
     pub fn request_change(&self, change: PlanChange) {
         self.planner(PlannerEvent::PlanChangeRequested(change));
     }
--- a/crates/daisychute-planner/src/planner/event.rs
+++ b/crates/daisychute-planner/src/planner/event.rs
@@ -32,7 +32,7 @@
     RevisionSeen(Revision),
     /// A policy requests a change of the plan.
     PlanChangeRequested(PlanChange),
-    /// Complete set of endpoints that operators want drained; replaces the previous set.
+    /// Complete set of endpoints that operators want drained; replaces the previous set. Ignored without the lease.
     DrainRequests(BTreeSet<EndpointName>),
     /// An agent reported the state of its engine.
     Observed {
--- a/crates/daisychute-planner/src/planner/mod.rs
+++ b/crates/daisychute-planner/src/planner/mod.rs
@@ -79,6 +79,7 @@
     state: CallState,
     // Invariant: no lower than any plan revision that this process has seen or written.
     highest_revision: Revision,
+    // Invariant: nothing from before the loss of a lease.
     requested: RequestedChanges,
     observations: Observations,
     backoff: Backoff,
@@ -114,13 +115,15 @@
         match event {
             PlannerEvent::Acquired { term, until } => self.acquired(now, term, until),
             PlannerEvent::Renewed { until } => self.renewed(until),
-            PlannerEvent::Lost => self.lease = None,
+            PlannerEvent::Lost => self.lose_lease(),
             PlannerEvent::Read(outcome) => self.read(now, &outcome, out),
             PlannerEvent::Written(outcome) => self.written(now, outcome, out),
             PlannerEvent::RevisionSeen(revision) => {
                 self.highest_revision = self.highest_revision.max(revision)
             }
             PlannerEvent::PlanChangeRequested(change) => self.requested.add(change),
+            // A read that outlasted the lease may be old once it is held again.
+            PlannerEvent::DrainRequests(_) if self.valid_lease(now).is_none() => {}
             PlannerEvent::DrainRequests(drains) => self.requested.set_operator_drains(drains),
             PlannerEvent::Observed { endpoint, target } => {
                 self.observations.update(endpoint, target)
@@ -138,6 +141,13 @@
         }
     }
 
+    /// Ends the authority to write plans, and drops what was requested under it: another process may plan since, and its
+    /// plan must not be undone by what is known from before.
+    fn lose_lease(&mut self) {
+        self.lease = None;
+        self.requested = RequestedChanges::default();
+    }
+
     fn renewed(&mut self, until: Time) {
         if let Some(lease) = &mut self.lease {
             lease.until = until;
@@ -244,7 +254,7 @@
         self.highest_revision = self.highest_revision.max(base.plan.revision);
         let term = base.plan.term;
         if self.valid_lease(now).is_some_and(|it| it.term < term) {
-            self.lease = None;
+            self.lose_lease();
             self.state = CallState::Idle;
             out.push(PlannerAction::TermSeen(term));
         } else {
--- a/crates/daisychute-planner/src/planner/plan_change.rs
+++ b/crates/daisychute-planner/src/planner/plan_change.rs
@@ -3,7 +3,7 @@
 use daisychute_core::{EndpointName, EngineTarget};
 
 /// A plan change requested by a policy. The planner commits it once it holds the lease and the limit on weight loads
-/// allows it. A later request of the same kind for the same endpoint replaces it.
+/// allows it. A later request of the same kind for the same endpoint replaces it, and the loss of the lease drops it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PlanChange {
     /// Reconfigure an engine.
--- a/crates/daisychute-planner/src/planner/plan_changes.rs
+++ b/crates/daisychute-planner/src/planner/plan_changes.rs
@@ -13,14 +13,14 @@
     target: EngineTarget,
 }
 
-/// Requests of policies and operators, kept by endpoint and reapplied to every plan.
+/// Requests of policies and operators, kept by endpoint and reapplied to every plan of one lease.
 #[derive(Debug, Default)]
 pub(super) struct RequestedChanges {
     // Invariant: at most one per endpoint, oldest request first.
     targets: Vec<RequestedTarget>,
     /// Drains requested by policies.
     drains: BTreeMap<EndpointName, bool>,
-    /// Endpoints that operators want drained; `None` until the drain requests were first read.
+    /// Endpoints that operators want drained; `None` until the drain requests were first read under the lease.
     operator_drains: Option<BTreeSet<EndpointName>>,
 }
 
--- a/crates/daisychute-planner/tests/planner.rs
+++ b/crates/daisychute-planner/tests/planner.rs
@@ -6,7 +6,7 @@
 use daisychute_planner::{PlanChange, Planner, PlannerAction, PlannerEvent, PlannerSettings};
 use daisychute_store::{Object, ObjectKind, ReadOutcome, WriteId, WriteOutcome};
 
-use PlannerEvent::{DrainRequests, EndpointRemoved, Observed, Read, Tick, Written};
+use PlannerEvent::{DrainRequests, EndpointRemoved, Lost, Observed, Read, Tick, Written};
 
 fn endpoint(number: u64) -> EndpointName {
     EndpointName::try_from(format!("e-{number}")).unwrap()
@@ -33,9 +33,18 @@
 
 /// Result of reading a plan object with this term and revision and two engines of model `a`.
 fn plan_read(term: u64, revision: u64) -> PlannerEvent {
-    let desired =
-        DesiredState { target: Some(target("a", Role::Mixed)), ..DesiredState::default() };
-    let endpoints = (1..=2).map(|it| (endpoint(it), desired.clone())).collect();
+    plan_read_with_drains(term, revision, &[])
+}
+
+/// Like [`plan_read`], with these engines drained.
+fn plan_read_with_drains(term: u64, revision: u64, drained: &[u64]) -> PlannerEvent {
+    let target = Some(target("a", Role::Mixed));
+    let desired = |it| DesiredState {
+        target: target.clone(),
+        drain: drained.contains(&it),
+        since: Revision::ZERO,
+    };
+    let endpoints = (1..=2).map(|it| (endpoint(it), desired(it))).collect();
     let plan = Plan { term: Term::new(term), revision: Revision::new(revision), endpoints };
     let spec = serde_json::to_value(plan).unwrap();
     Read(ReadOutcome::Found(Object::new(ObjectKind::Plans, "r", spec).version(Some("7".into()))))
@@ -124,4 +133,26 @@
         => ["read", "write 4/10 e-1=a@0 e-2=a@10 drained", "committed 10",
             "write 4/11 e-1=a@0 e-2=a@11", "committed 11"],
     drains_stay_until_the_requests_are_known: [acquired(4, 60_000), plan_read(4, 9), Tick] => ["read"],
+    // Guards against a target of an earlier lease in place of what the planner since then wrote.
+    targets_of_an_earlier_lease_are_not_applied_again:
+        [acquired(4, 60_000), observed(1, "a"), observed(2, "a"), change(1, "b", Role::Mixed), plan_read(3, 9),
+         write_done("8"), Lost, acquired(6, 60_000), plan_read(5, 20), write_done("9"), Tick]
+        => ["read", "write 4/10 e-1=b@10 e-2=a@0", "committed 10",
+            "read", "write 6/21 e-1=a@0 e-2=a@0", "committed 21"],
+    // Guards against work for an endpoint that an operator drained while another process held the lease.
+    drains_known_from_an_earlier_lease_are_not_applied_again:
+        [acquired(4, 60_000), drain_requests(&[1]), plan_read(4, 9), write_done("8"), Lost, acquired(6, 60_000),
+         plan_read_with_drains(5, 20, &[2]), write_done("9"), Tick, drain_requests(&[2]), Tick]
+        => ["read", "write 4/10 e-1=a@10 drained e-2=a@0", "committed 10",
+            "read", "write 6/21 e-1=a@0 e-2=a@0 drained", "committed 21"],
+    // Guards against requests that outlive a lease that ended by the term in the plan.
+    targets_of_a_lease_that_a_higher_term_ended_are_not_applied_again:
+        [acquired(4, 60_000), observed(1, "a"), observed(2, "a"), change(1, "b", Role::Mixed), plan_read(5, 9),
+         acquired(6, 60_000), plan_read(5, 20), write_done("9"), Tick]
+        => ["read", "term 5", "read", "write 6/21 e-1=a@0 e-2=a@0", "committed 21"],
+    // Guards against drains whose read outlasted the lease.
+    drains_that_arrive_after_the_lease_are_ignored:
+        [acquired(4, 60_000), plan_read(4, 9), Lost, drain_requests(&[1]), acquired(6, 60_000),
+         plan_read_with_drains(5, 20, &[2]), write_done("9"), Tick]
+        => ["read", "read", "write 6/21 e-1=a@0 e-2=a@0 drained", "committed 21"],
 }
