fix(planner): log a plan or drains that can't be parsed

A holder of the lease that couldn't parse the plan read it again and again without a word, so that nobody planned and nobody was told; drains that can't be parsed were left out in the same way, and an operator's drain had no effect.

The planner says that it couldn't parse the plan, and the shell logs each such read, at most one in some seconds by its backoff; drains likewise.

A comment says so; no test can show it.

--- a/crates/daisychute-planner/src/control/actions.rs
+++ b/crates/daisychute-planner/src/control/actions.rs
@@ -166,6 +166,9 @@
                 actix_rt::spawn(calls::write_plan(self.clone(), object));
             }
             PlannerAction::Committed { revision } => log::info!("plan {revision} is committed"),
+            PlannerAction::MalformedPlan { error } => {
+                log::error!("the plan can't be parsed, nothing is planned: {error}");
+            }
             PlannerAction::TermSeen(term) => self.lease(LeaseEvent::TermSeen(term)),
             PlannerAction::WakeAt(at) => self.state.borrow_mut().wake_at(at),
         }
--- a/crates/daisychute-planner/src/control/calls.rs
+++ b/crates/daisychute-planner/src/control/calls.rs
@@ -145,7 +145,12 @@
 /// Reads the endpoints that operators want drained.
 pub(super) async fn read_drains(control: Control) {
     let drains = match control.read(ObjectKind::Drains).await {
-        ReadOutcome::Found(object) => object.parse::<Drains>().ok(),
+        ReadOutcome::Found(object) => object
+            .parse::<Drains>()
+            .inspect_err(|it| {
+                log::error!("the drains can't be parsed, those known stay in force: {it}")
+            })
+            .ok(),
         ReadOutcome::Missing => Some(Drains::default()),
         ReadOutcome::Failed => None,
     };
--- a/crates/daisychute-planner/src/planner/event.rs
+++ b/crates/daisychute-planner/src/planner/event.rs
@@ -59,6 +59,11 @@
         /// Revision of the committed plan.
         revision: Revision,
     },
+    /// The stored plan can't be parsed. It is read again later, and nothing is planned until it can be.
+    MalformedPlan {
+        /// Message of the parser.
+        error: String,
+    },
     /// The stored plan carries a higher term than the lease of this process; pass the term on to the lease.
     TermSeen(Term),
     /// Send [`PlannerEvent::Tick`] at this time or earlier.
--- a/crates/daisychute-planner/src/planner/mod.rs
+++ b/crates/daisychute-planner/src/planner/mod.rs
@@ -219,6 +219,7 @@
     }
 
     fn send(&mut self, plan_write: PlanWrite, out: &mut Vec<PlannerAction>) {
+        // Serialization can't fail: a plan contains only strings, numbers and booleans, and the keys of its map are names.
         let spec = serde_json::to_value(&plan_write.plan).unwrap_or_default();
         let object = Object::new(ObjectKind::Plans, self.region.as_str(), spec)
             .version(plan_write.write.base.clone())
@@ -242,7 +243,10 @@
             ReadOutcome::Missing => Base { version: None, plan: Plan::default() },
             ReadOutcome::Found(object) => match object.parse::<Plan>() {
                 Ok(plan) => Base { version: object.metadata.resource_version.clone(), plan },
-                Err(_) => return self.read_later(now),
+                Err(error) => {
+                    out.push(PlannerAction::MalformedPlan { error: error.to_string() });
+                    return self.read_later(now);
+                }
             },
         };
         self.backoff.reset();
--- a/crates/daisychute-planner/tests/planner.rs
+++ b/crates/daisychute-planner/tests/planner.rs
@@ -75,6 +75,7 @@
         PlannerAction::ReadPlan => "read".to_owned(),
         PlannerAction::WritePlan(object) => describe_write(&object.parse().unwrap()),
         PlannerAction::Committed { revision } => format!("committed {revision}"),
+        PlannerAction::MalformedPlan { .. } => "malformed plan".to_owned(),
         PlannerAction::TermSeen(term) => format!("term {term}"),
         PlannerAction::WakeAt(_) => return None,
     })
--- a/crates/daisychute-planner/tests/world/entries.rs
+++ b/crates/daisychute-planner/tests/world/entries.rs
@@ -92,6 +92,7 @@
             PlannerAction::Committed { revision } => {
                 self.note(|| format!("entry-{node} committed plan {revision}"));
             }
+            PlannerAction::MalformedPlan { error } => panic!("entry-{node}: {error}"),
             PlannerAction::TermSeen(term) => self.lease(node, LeaseEvent::TermSeen(term)),
             PlannerAction::WakeAt(at) => self.wake_at(node, at),
         }
