fix(cli): replace no configuration that the history didn't take

An operator who applied a configuration while others kept changing the history object was told that it is accepted, and couldn't go back to the replaced one: it was in no list.

Cause: after five lost attempts history::add trusted that the others had added the entry, without reading so.

Seen before: change::a_revision_that_the_history_does_not_take_is_not_replaced, where another writer empties the history every 5 ms, got exit 0 and "revision 2 is accepted".

The command now ends with code 3 and a line of its own, before it touches the configuration.

--- a/crates/daisychute-cli/src/error.rs
+++ b/crates/daisychute-cli/src/error.rs
@@ -88,6 +88,15 @@
         /// Number of attempts.
         attempts: u32,
     },
+    /// Other writers changed the history of the configuration at every attempt.
+    #[error("the history of {deployment} changed at each of {attempts} attempts")]
+    #[diagnostic(help("the configuration in force stays in force; try again"))]
+    HistoryContended {
+        /// Deployment whose history was to be extended.
+        deployment: DeploymentName,
+        /// Number of attempts.
+        attempts: u32,
+    },
     /// `drain` was given an endpoint that the platform does not list.
     #[error("the platform lists no endpoint {endpoint}, and it is not drained")]
     #[diagnostic(help("`daisychute status` shows the endpoints"))]
@@ -169,7 +178,9 @@
             Self::File(_) | Self::Unmeetable { .. } | Self::Platform(CallError::TooLarge) => {
                 Exit::Refused
             }
-            Self::Conflict(_) | Self::Contended { .. } => Exit::Conflict,
+            Self::Conflict(_) | Self::Contended { .. } | Self::HistoryContended { .. } => {
+                Exit::Conflict
+            }
             Self::AmbiguousWrite { .. } => Exit::NoAnswer,
             Self::Platform(error) if is_unavailable(error) => Exit::NoAnswer,
             Self::Entry { source: AdminError::NoAnswer, .. } | Self::NoFront { .. } => {
--- a/crates/daisychute-cli/src/history.rs
+++ b/crates/daisychute-cli/src/history.rs
@@ -17,7 +17,7 @@
 /// Maximum size of all entries as JSON; beyond it the oldest are dropped. The platform limits an object to 1 MiB.
 const MAX_BYTES: usize = 768 * 1024;
 /// Attempts to add an entry, each of which fails if another operator changes the history meanwhile.
-const MAX_ATTEMPTS: usize = 5;
+const MAX_ATTEMPTS: u32 = 5;
 
 /// An accepted configuration and who wrote it when.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -111,7 +111,8 @@
     }
 }
 
-/// Adds the configuration that is about to be replaced to the stored history.
+/// Adds the configuration that is about to be replaced to the stored history. Fails if other writers change the history
+/// at each attempt, as the configuration must not be replaced before.
 pub(crate) async fn add(
     client: &ObjectClient,
     deployment: &DeploymentName,
@@ -130,6 +131,5 @@
             return Ok(());
         }
     }
-    // At each attempt another operator added an entry, which is this one or a later one.
-    Ok(())
+    Err(CliError::HistoryContended { deployment: deployment.clone(), attempts: MAX_ATTEMPTS })
 }
--- a/crates/daisychute-cli/tests/cli/change.rs
+++ b/crates/daisychute-cli/tests/cli/change.rs
@@ -1,5 +1,9 @@
 //! Changes of the configuration and of drains, also with platform faults and concurrent operators.
 
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
 use daisychute_standin::Platform;
 use daisychute_standin::platform::Faults;
 use serde_json::json;
@@ -201,6 +205,32 @@
     }
 }
 
+async_tests! {
+    // Guards against a configuration that is replaced while the history doesn't hold it, and can't be gone back to.
+    async fn a_revision_that_the_history_does_not_take_is_not_replaced() {
+        let (platform, client) = platform().await;
+        assert_eq!(client.run(&["apply", &file("contended-1.ini", FIRST)]).await.code, 0);
+        platform.set_faults(Faults { delay_ms: 50, ..Faults::default() });
+        let platform = Rc::new(platform);
+        let other = platform.clone();
+        let others = actix_rt::spawn(async move {
+            loop {
+                other.put("histories", "rabat-sale", json!({"entries": []}));
+                sleep(Duration::from_millis(5)).await;
+            }
+        });
+        let run = client.run(&["apply", &file("contended-2.ini", SECOND)]).await;
+        others.abort();
+        platform.set_faults(Faults::default());
+        assert_eq!(run.code, 3, "{}", run.shown());
+        assert!(run.stderr.contains("the history of rabat-sale changed at each of 5 attempts"), "{}", run.shown());
+        assert_eq!(accepted_revision(&platform), Some(1));
+        let run = client.run(&["apply", &file("contended-2.ini", SECOND)]).await;
+        assert_eq!(run.code, 0, "{}", run.shown());
+        assert_eq!(client.run(&["history", "1"]).await.code, 0);
+    }
+}
+
 /// A configuration with `count` classes and long names. Configurations of the same size differ only in one deadline.
 fn large_configuration(count: usize, deadline: usize) -> String {
     let name = |it| format!("{it}-{}", "x".repeat(50));
