fix(cli): tell refusals and answers that are too large from no answer

daisychute status showed "no answer" for an entry that answered 503 or 404, and "no connection, or no answer in time" for one whose body is over 16 MiB; daisychute fronts gave no reason at all if it could read none, and exit code 4 though they answered. An operator looked for a process that is down.

The reason of each entry is kept in the overview (entry_errors beside silent_entries in JSON), a body over the limit is an error of its own, and the error of fronts lists each of them; it has exit code 4 only if none answered.

look::status_without_entries asked for ": no answer" from an entry that answers 404, which is the fault; it now asks for the whole reason, ": the address has no such path (HTTP 404)".

--- a/crates/daisychute-cli/src/admin.rs
+++ b/crates/daisychute-cli/src/admin.rs
@@ -4,16 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::error::PayloadError;
 use prometheus_parse::Scrape;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use crate::error::CliError;
-
 /// Timeout of one call, from connecting to the last byte of the body.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
-/// Largest response body that is read; a longer one counts as no answer.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+/// Largest response body that is read, in MiB.
+const MAX_RESPONSE_MIB: usize = 16;
 
 /// Why a call to a process failed.
 #[derive(Debug, Error)]
@@ -30,6 +29,9 @@
         /// HTTP status code of the response.
         status: u16,
     },
+    /// The body is longer than the client reads.
+    #[error("the response is larger than {MAX_RESPONSE_MIB} MiB")]
+    TooLarge,
     /// The body is not the expected JSON.
     #[error("the response is malformed")]
     Malformed(#[from] serde_json::Error),
@@ -42,8 +44,8 @@
 pub(crate) async fn get_json<T: DeserializeOwned>(
     address: SocketAddr,
     path: &str,
-) -> Result<T, CliError> {
-    fetch_json(address, path).await.map_err(|source| CliError::Entry { entry: address, source })
+) -> Result<T, AdminError> {
+    Ok(serde_json::from_slice(&fetch_body(address, path).await?)?)
 }
 
 /// Fetches the metrics of a process.
@@ -53,10 +55,6 @@
     Ok(Scrape::parse(text.lines().map(|it| Ok(it.to_owned())))?)
 }
 
-async fn fetch_json<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, AdminError> {
-    Ok(serde_json::from_slice(&fetch_body(address, path).await?)?)
-}
-
 async fn fetch_body(address: SocketAddr, path: &str) -> Result<Vec<u8>, AdminError> {
     let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
     let result = client.get(format!("http://{address}{path}")).send().await;
@@ -66,6 +64,9 @@
         404 => return Err(AdminError::NotFound),
         status => return Err(AdminError::Refused { status }),
     }
-    let body = response.body().limit(MAX_RESPONSE_BYTES).await.map_err(|_| AdminError::NoAnswer)?;
-    Ok(body.to_vec())
+    let body = response.body().limit(MAX_RESPONSE_MIB << 20).await;
+    body.map(|it| it.to_vec()).map_err(|error| match error {
+        PayloadError::Overflow => AdminError::TooLarge,
+        _ => AdminError::NoAnswer,
+    })
 }
--- a/crates/daisychute-cli/src/commands/fronts.rs
+++ b/crates/daisychute-cli/src/commands/fronts.rs
@@ -7,7 +7,7 @@
 
 use crate::admin;
 use crate::context::Context;
-use crate::error::{CliError, Exit};
+use crate::error::{CliError, Exit, FrontError};
 use crate::output::CommandOutput;
 use crate::table::{or_dash, render, table};
 
@@ -130,14 +130,21 @@
 /// Reads the metrics of each front. A front that does not respond is shown with its error; fails if none responds.
 pub(super) async fn fronts(cx: &Context, addresses: &[SocketAddr]) -> Result<Exit, CliError> {
     let mut reports = Vec::new();
+    let mut errors = Vec::new();
     for address in addresses {
-        let scrape = admin::get_metrics(*address).await;
-        let error = scrape.as_ref().err().map(ToString::to_string);
-        let state = scrape.as_ref().ok().map(FrontState::from);
-        reports.push(FrontReport { address: *address, behind: false, state, error });
+        let (address, behind) = (*address, false);
+        let (state, error) = match admin::get_metrics(address).await {
+            Ok(scrape) => (Some(FrontState::from(&scrape)), None),
+            Err(error) => {
+                let shown = error.to_string();
+                errors.push(FrontError { address, source: error });
+                (None, Some(shown))
+            }
+        };
+        reports.push(FrontReport { address, behind, state, error });
     }
-    if reports.iter().all(|it| it.state.is_none()) {
-        return Err(CliError::NoFront { asked: reports.len() });
+    if reports.len() == errors.len() {
+        return Err(CliError::NoFront { errors });
     }
     cx.show(&Fronts::new(reports))?;
     Ok(Exit::Done)
--- a/crates/daisychute-cli/src/commands/status/gather.rs
+++ b/crates/daisychute-cli/src/commands/status/gather.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 
 use super::overview::{CollectedState, Overview, SourceState};
-use crate::admin;
+use crate::admin::{self, AdminError};
 use crate::context::{Context, parse, read};
 use crate::error::CliError;
 
@@ -20,17 +20,20 @@
     }
     let mut collected = CollectedState::default();
     let platform = query_platform(cx, &mut collected).await;
-    let (unresponsive, last_error) = query_entries(cx.entries(), &mut collected).await;
-    let any_entry_responded = cx.entries().len() > unresponsive.len();
+    let mut failed = query_entries(cx.entries(), &mut collected).await;
+    let any_entry_responded = cx.entries().len() > failed.len();
     let source = match platform {
         Ok(source) => source,
         Err(_) if any_entry_responded => SourceState::Down,
         Err(error) => return Err(error),
     };
-    match last_error {
-        Some(error) if source == SourceState::NotAsked && !any_entry_responded => Err(error),
-        _ => Ok(collected.merge(source, unresponsive)),
+    if source == SourceState::NotAsked
+        && !any_entry_responded
+        && let Some((entry, source)) = failed.pop()
+    {
+        return Err(CliError::Entry { entry, source });
     }
+    Ok(collected.merge(source, &failed))
 }
 
 async fn query_platform(
@@ -85,21 +88,17 @@
     }
 }
 
-/// Returns the entries whose query failed, and the error of the last of them.
+/// Returns the errors of the entries whose query failed.
 async fn query_entries(
     entries: &[SocketAddr],
     collected: &mut CollectedState,
-) -> (Vec<SocketAddr>, Option<CliError>) {
-    let mut unresponsive = Vec::new();
-    let mut last_error = None;
+) -> Vec<(SocketAddr, AdminError)> {
+    let mut failed = Vec::new();
     for entry in entries {
         match admin::get_json::<ProcessStatus>(*entry, "/status").await {
             Ok(status) => collected.statuses.push(status),
-            Err(error) => {
-                unresponsive.push(*entry);
-                last_error = Some(error);
-            }
+            Err(error) => failed.push((*entry, error)),
         }
     }
-    (unresponsive, last_error)
+    failed
 }
--- a/crates/daisychute-cli/src/commands/status/overview.rs
+++ b/crates/daisychute-cli/src/commands/status/overview.rs
@@ -1,6 +1,7 @@
 //! A deployment's state, merged from all sources.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use daisychute_core::{
@@ -9,6 +10,8 @@
 };
 use serde::Serialize;
 
+use crate::admin::AdminError;
+
 /// State of one process, from the newest report of itself or of another process.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub(super) struct ProcessRow {
@@ -54,7 +57,10 @@
 pub(super) struct Overview {
     pub(super) platform: SourceState,
     /// Entries that did not respond, or with an error.
-    pub(super) silent_entries: Vec<std::net::SocketAddr>,
+    // Invariant: the keys of `entry_errors`, in the order in which they were asked.
+    pub(super) silent_entries: Vec<SocketAddr>,
+    /// Why each of them could not be read.
+    pub(super) entry_errors: BTreeMap<SocketAddr, String>,
     /// Revision of the accepted configuration, 0 before the first; `None` if it was not read.
     pub(super) accepted: Option<Revision>,
     /// Revision of the region's committed plan; `None` if there is none or it was not read.
@@ -83,12 +89,15 @@
     pub(super) fn merge(
         self,
         platform: SourceState,
-        silent_entries: Vec<std::net::SocketAddr>,
+        failed: &[(SocketAddr, AdminError)],
     ) -> Overview {
+        let silent_entries = failed.iter().map(|it| it.0).collect();
+        let entry_errors =
+            failed.iter().map(|(entry, error)| (*entry, error.to_string())).collect();
         let processes = self.process_rows();
         let endpoints = self.endpoint_rows();
         let Self { accepted, plan, .. } = self;
-        Overview { platform, silent_entries, accepted, plan, processes, endpoints }
+        Overview { platform, silent_entries, entry_errors, accepted, plan, processes, endpoints }
     }
 
     fn process_rows(&self) -> Vec<ProcessRow> {
--- a/crates/daisychute-cli/src/commands/status/text.rs
+++ b/crates/daisychute-cli/src/commands/status/text.rs
@@ -38,8 +38,8 @@
         };
         // Writing to a string can't fail.
         let _ = writeln!(text, "platform: {platform}");
-        for entry in &self.silent_entries {
-            let _ = writeln!(text, "entry {entry}: no answer");
+        for (entry, error) in &self.entry_errors {
+            let _ = writeln!(text, "entry {entry}: {error}");
         }
         if let Some(accepted) = self.accepted {
             let _ = writeln!(text, "configuration: revision {accepted} is accepted");
--- a/crates/daisychute-cli/src/error.rs
+++ b/crates/daisychute-cli/src/error.rs
@@ -159,17 +159,34 @@
         source: AdminError,
     },
     /// The metrics of none of the given fronts could be read.
-    #[error("the metrics of none of the {asked} fronts could be read")]
+    #[error("the metrics of none of the {} fronts could be read", errors.len())]
     #[diagnostic(help("give the address `metrics` of section [front] of running fronts"))]
     NoFront {
-        /// Number of given fronts.
-        asked: usize,
+        /// Error of each given front.
+        #[related]
+        errors: Vec<FrontError>,
     },
     /// Writing to the standard output failed.
     #[error("can't write to the standard output")]
     Write(#[from] std::io::Error),
 }
 
+/// Why the metrics of one front could not be read.
+#[derive(Debug, Error, Diagnostic)]
+#[error("the call to front {address} failed")]
+pub(crate) struct FrontError {
+    /// Metrics address that was called.
+    pub(crate) address: SocketAddr,
+    /// Cause of the failure.
+    pub(crate) source: AdminError,
+}
+
+impl FrontError {
+    const fn is_no_answer(&self) -> bool {
+        matches!(self.source, AdminError::NoAnswer)
+    }
+}
+
 impl CliError {
     /// Exit code that stands for the error.
     pub(crate) fn exit(&self) -> Exit {
@@ -183,7 +200,8 @@
             }
             Self::AmbiguousWrite { .. } => Exit::NoAnswer,
             Self::Platform(error) if is_unavailable(error) => Exit::NoAnswer,
-            Self::Entry { source: AdminError::NoAnswer, .. } | Self::NoFront { .. } => {
+            Self::Entry { source: AdminError::NoAnswer, .. } => Exit::NoAnswer,
+            Self::NoFront { errors } if errors.iter().all(FrontError::is_no_answer) => {
                 Exit::NoAnswer
             }
             _ => Exit::Failure,
--- a/crates/daisychute-cli/tests/cli/look.rs
+++ b/crates/daisychute-cli/tests/cli/look.rs
@@ -7,12 +7,15 @@
 use daisychute_standin::platform::Faults;
 use serde_json::{Value, json};
 
-use crate::support::{Client, entry, file, platform};
+use crate::support::{Client, entry, file, platform, refusing_entry};
 
 /// Widths of tables, in columns.
 const NARROW: usize = 60;
 const WIDE: usize = 120;
 
+/// Length of a body that the client reads at most, in bytes.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
 /// Bounds the wait for a condition.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -110,7 +113,52 @@
         let client = client.option("--entry", entry(vec![]));
         let run = client.run(&["status"]).await;
         assert_eq!(run.code, 0);
-        assert!(run.stdout.contains(": no answer"), "{}", run.stdout);
+        assert!(run.stdout.contains(": the address has no such path (HTTP 404)"), "{}", run.stdout);
+    }
+
+    // Guards against an entry that refuses and is taken for one that is down.
+    async fn status_tells_a_refusal_of_an_entry_from_no_answer() {
+        let (platform, client) = platform().await;
+        put_objects(&platform);
+        let (refusing, closed) = (refusing_entry("503 Service Unavailable"), "127.0.0.1:1");
+        let client = client.option("--entry", refusing).option("--entry", closed);
+        let run = client.run(&["status"]).await;
+        assert_eq!(run.code, 0, "{}", run.shown());
+        let lines = [
+            format!("entry {refusing}: the response has HTTP status 503"),
+            format!("entry {closed}: no connection, or no answer in time"),
+        ];
+        for line in lines {
+            assert!(run.stdout.lines().any(|it| it == line), "{line}: {}", run.stdout);
+        }
+        let json = client.clone().option("--output", "json").run(&["status"]).await.json();
+        assert_eq!(json["silent_entries"], json!([refusing, closed]));
+        let refused = &json["entry_errors"][refusing.to_string()];
+        assert_eq!(refused, "the response has HTTP status 503", "{json}");
+    }
+
+    // Guards against an entry or front that answers at length and is taken for one that is down.
+    async fn a_response_that_is_too_large_is_told_from_no_answer() {
+        let large = || Value::String("x".repeat(MAX_RESPONSE_BYTES));
+        let addr = entry(vec![("/status", large()), ("/metrics", large())]).to_string();
+        for args in [&["--entry", &addr, "status"][..], &["fronts", &addr]] {
+            let run = Client::new().run(args).await;
+            assert_eq!(run.code, 1, "{}", run.shown());
+            assert!(run.stderr.contains("the response is larger than 16 MiB"), "{}", run.shown());
+        }
+    }
+
+    // Guards against a front that refuses and is taken for one that is down.
+    async fn fronts_tell_refusals_from_no_answer() {
+        let refusing = refusing_entry("403 Forbidden").to_string();
+        let run = Client::new().run(&["fronts", &refusing, "127.0.0.1:1"]).await;
+        assert_eq!(run.code, 1, "{}", run.shown());
+        for reason in ["the response has HTTP status 403", "no connection, or no answer in time"] {
+            assert!(run.stderr.contains(reason), "{}", run.shown());
+        }
+        let run = Client::new().run(&["fronts", "127.0.0.1:1"]).await;
+        assert_eq!(run.code, 4, "{}", run.shown());
+        assert!(run.stderr.contains("no connection, or no answer in time"), "{}", run.shown());
     }
 
     async fn plan() {
--- a/crates/daisychute-cli/tests/cli/support.rs
+++ b/crates/daisychute-cli/tests/cli/support.rs
@@ -105,27 +105,37 @@
 
 /// Starts an entry that responds to each path with its JSON, and to others with 404.
 pub(crate) fn entry(responses: Vec<(&'static str, Value)>) -> SocketAddr {
+    serve(move |path| match responses.iter().find(|(it, _)| *it == path) {
+        Some((_, body)) => ("200 OK", body.to_string()),
+        None => ("404 Not Found", String::new()),
+    })
+}
+
+/// Starts an entry that responds to every path with this status.
+pub(crate) fn refusing_entry(status: &'static str) -> SocketAddr {
+    serve(move |_| (status, String::new()))
+}
+
+fn serve(respond_to: impl Fn(&str) -> (&'static str, String) + Send + 'static) -> SocketAddr {
     let listener = TcpListener::bind(ANY_PORT).expect("a port is free");
     let addr = listener.local_addr().expect("the listener has an address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             // The client may disconnect early, which is no failure of the entry.
-            let _ = respond(stream, &responses);
+            let _ = respond(stream, &respond_to);
         }
     });
     addr
 }
 
-fn respond(mut stream: TcpStream, responses: &[(&str, Value)]) -> std::io::Result<()> {
+fn respond(
+    mut stream: TcpStream,
+    respond_to: impl Fn(&str) -> (&'static str, String),
+) -> std::io::Result<()> {
     let mut lines = BufReader::new(stream.try_clone()?).lines();
     let request = lines.next().unwrap_or(Ok(String::new()))?;
     while lines.next().transpose()?.is_some_and(|it| !it.is_empty()) {}
-    let path = request.split(' ').nth(1).unwrap_or_default();
-    let found = responses.iter().find(|(it, _)| *it == path);
-    let (status, body) = match found {
-        Some((_, body)) => ("200 OK", body.to_string()),
-        None => ("404 Not Found", String::new()),
-    };
+    let (status, body) = respond_to(request.split(' ').nth(1).unwrap_or_default());
     let len = body.len();
     write!(stream, "HTTP/1.1 {status}\r\ncontent-length: {len}\r\nconnection: close\r\n\r\n{body}")
 }
