--- a/crates/daisychute-entry/tests/streamed_text.rs
+++ b/crates/daisychute-entry/tests/streamed_text.rs
@@ -10,14 +10,13 @@
 use daisychute_agent::shell::{AgentOptions, AgentShell};
 use daisychute_core::{
     Class, ClassName, Configuration, EndpointKind, EndpointRecord, EndpointState, EngineTarget,
-    Incarnation, Model, ModelName, Precedence, ProcessName, Revisions, Role, Tenant, TenantName,
+    Incarnation, Model, ModelName, Precedence, Role, Tenant, TenantName,
 };
 use daisychute_entry::LeastLoad;
 use daisychute_entry::clients::ClientApi;
 use daisychute_entry::core::{EntryConfig, EntryCore, Event};
 use daisychute_entry::shell::{EntryOptions, EntryShell};
-use daisychute_link::{Documents, LinkConfig};
-use daisychute_proto::Frame;
+use daisychute_link::LinkConfig;
 use daisychute_runtime::{Clock, HttpLimits, HttpServer};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -36,18 +35,6 @@
 /// Request line of the agent's state reads.
 const STATE_REQUEST_LINE: &str = "GET /state HTTP/1.1";
 
-/// No document replication, as the requests need none.
-#[derive(Debug)]
-struct NoDocuments;
-
-impl Documents for NoDocuments {
-    fn revisions_reported(&self, _: &ProcessName, _: Revisions) {}
-    fn peer_disconnected(&self, _: &ProcessName) {}
-    fn frame_received(&self, _: &ProcessName, _: Frame) {}
-    fn endpoint_observed(&self, _: &EndpointRecord) {}
-    fn confirm_plan(&self) {}
-}
-
 /// One test for each character and flow control window in bytes. The window isn't a multiple of the character's
 /// length, so that the agent has to end a chunk inside a character.
 macro_rules! streamed_texts {
@@ -169,8 +156,7 @@
         endpoint_url: format!("http://{engine}"),
         link: LinkConfig::default(),
     };
-    let shell =
-        AgentShell::new(options, core, Clock::start(), listener, NoDocuments).expect("a listener");
+    let shell = AgentShell::new(options, core, Clock::start(), listener, ()).expect("a listener");
     actix_rt::spawn(shell.run());
     record
 }
@@ -185,7 +171,7 @@
         region: "morocco".try_into().expect("a name"),
         link: LinkConfig::default(),
     };
-    let shell = EntryShell::new(options, core, Clock::start(), NoDocuments);
+    let shell = EntryShell::new(options, core, Clock::start(), ());
     let handle = shell.handle();
     actix_rt::spawn(shell.run());
     handle.configure(Arc::new(configuration()));
