--- a/crates/daisychute-planner/src/planner/event.rs
+++ b/crates/daisychute-planner/src/planner/event.rs
@@ -32,7 +32,7 @@
     RevisionSeen(Revision),
     /// A policy requests a change of the plan.
     PlanChangeRequested(PlanChange),
-    /// Complete set of endpoints that operators want drained; replaces the previous set.
+    /// Complete set of endpoints that operators want drained; replaces the previous set. Ignored without the lease.
     DrainRequests(BTreeSet<EndpointName>),
     /// An agent reported the state of its engine.
     Observed {
@@ -59,6 +59,11 @@
         /// Revision of the committed plan.
         revision: Revision,
     },
+    /// The stored plan can't be parsed. It is read again later, and nothing is planned until it can be.
+    MalformedPlan {
+        /// Message of the parser.
+        error: String,
+    },
     /// The stored plan carries a higher term than the lease of this process; pass the term on to the lease.
     TermSeen(Term),
     /// Send [`PlannerEvent::Tick`] at this time or earlier.
