feat(front): take over changed settings while serving, and name the faults of others

Operators see that a changed settings file (SIGHUP, or within 5 s without one) holds at once: seeds, machine limits, retry budget, length of a stop and log level. `settings changed` tells what is `applied` and what takes effect `at_next_start` (then as a warning). Faulty settings change nothing, as before, but their line now names each fault (`problems`); it said "has 1 problem".

Cause: the settings were copied into the front's tasks at its start, and a later file was only compared and logged. Now the values that may change stand in one place of the front's state, which the tasks read when they need them; a retry budget keeps what it has counted. Addresses, names and the log's format need a start, since listeners, registration and watches were made with them.

Retry budget with the conversion of its buckets off: `shorter_window_still_contains_them` and `longer_window_is_over` fail.

--- a/crates/daisychute-dispatch/src/fleet/budget.rs
+++ b/crates/daisychute-dispatch/src/fleet/budget.rs
@@ -37,6 +37,16 @@
         Self { ratio, slack, window, buckets: VecDeque::new() }
     }
 
+    /// Replaces the limits. Requests and retries of the old window keep their time.
+    pub fn configure(&mut self, ratio: f64, slack: f64, window: Duration) {
+        let (old_us, new_us) = (bucket_us(self.window), bucket_us(window));
+        for bucket in &mut self.buckets {
+            // Rounded up, so that a retry doesn't leave a shorter window too early.
+            bucket.index = (bucket.index.saturating_add(1).saturating_mul(old_us) - 1) / new_us;
+        }
+        (self.ratio, self.slack, self.window) = (ratio, slack, window);
+    }
+
     /// Counts a request that arrived.
     pub fn record_request(&mut self, now: Time) {
         self.current_bucket(now).requests += 1;
@@ -66,8 +76,7 @@
     }
 
     fn current_bucket(&mut self, now: Time) -> &mut Bucket {
-        let bucket_us = (self.window / Self::BUCKETS).as_micros().max(1) as u64;
-        let index = now.as_micros() / bucket_us;
+        let index = now.as_micros() / bucket_us(self.window);
         let oldest = index.saturating_sub(u64::from(Self::BUCKETS));
         while self.buckets.front().is_some_and(|it| it.index < oldest) {
             self.buckets.pop_front();
@@ -79,3 +88,8 @@
         &mut self.buckets[last]
     }
 }
+
+/// Length of a bucket in microseconds; never zero.
+fn bucket_us(window: Duration) -> u64 {
+    (window / RetryBudget::BUCKETS).as_micros().max(1) as u64
+}
--- a/crates/daisychute-dispatch/src/settings.rs
+++ b/crates/daisychute-dispatch/src/settings.rs
@@ -4,6 +4,8 @@
 
 use daisychute_core::DataCentreName;
 
+use crate::Dispatcher;
+
 /// Settings of a dispatcher. The retry settings are the same in all fronts, which share one retry budget per service.
 #[derive(Debug, Clone, PartialEq)]
 pub struct DispatchSettings {
@@ -27,3 +29,14 @@
         }
     }
 }
+
+impl Dispatcher {
+    /// Replaces the settings. What the retry budgets have counted so far still counts.
+    pub fn apply_settings(&mut self, settings: DispatchSettings) {
+        let DispatchSettings { retry_ratio, retry_slack, retry_window, .. } = settings;
+        for budget in self.budgets.values_mut() {
+            budget.configure(retry_ratio, retry_slack, retry_window);
+        }
+        self.settings = settings;
+    }
+}
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -26,16 +26,12 @@
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Accepts client connections for the life of the process.
-pub(crate) async fn accept<D: Dialect>(
-    state: Rc<FrontState<D>>,
-    listener: TcpListener,
-    capacity: CapacityLimits,
-) {
+pub(crate) async fn accept<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
     let open_connections = Rc::new(Cell::new(0_usize));
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if open_connections.get() >= capacity.connections {
+                if open_connections.get() >= state.capacity().connections {
                     log::warn!(open = open_connections.get(); "client connection closed: connection limit reached");
                     metrics::counter!("daisychute_connections_refused_total").increment(1);
                     continue;
@@ -44,7 +40,7 @@
                 let (state, open_connections) = (Rc::clone(&state), Rc::clone(&open_connections));
                 open_connections.set(open_connections.get() + 1);
                 actix_rt::spawn(async move {
-                    serve_client(state, stream, capacity).await;
+                    serve_client(state, stream).await;
                     open_connections.set(open_connections.get() - 1);
                 });
             }
@@ -56,11 +52,7 @@
     }
 }
 
-async fn serve_client<D: Dialect>(
-    state: Rc<FrontState<D>>,
-    stream: TcpStream,
-    capacity: CapacityLimits,
-) {
+async fn serve_client<D: Dialect>(state: Rc<FrontState<D>>, stream: TcpStream) {
     if detect_unresponsive_peer(&stream).is_err() {
         return;
     }
@@ -78,7 +70,7 @@
                 return connection.close().await;
             }
         };
-        if let Some((reason, retry_after)) = refusal(&state.shutdown, capacity) {
+        if let Some((reason, retry_after)) = refusal(&state.shutdown, state.capacity()) {
             let request = &incoming.info.id;
             log::warn!(request:%, outcome = "refused", reason, elapsed_ms = 0; "request ended");
             count_request("refused", reason);
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -8,17 +8,19 @@
 use actix_http::StatusCode;
 use daisychute_dispatch::{DispatchSettings, Event};
 use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::client::server;
 use crate::directory::watcher::Watcher;
+use crate::live_settings;
 use crate::peers::{heartbeats, snapshots};
 use crate::plain_server;
 use crate::readiness;
 use crate::state::FrontState;
-use crate::{CapacityLimits, Collection, Dialect, Directory};
+use crate::{CapacityLimits, Collection, Dialect, Directory, LiveSettings};
 
 /// Why a front can't start or keep running.
 #[derive(Debug, thiserror::Error)]
@@ -84,16 +86,17 @@
 const LAST_LOG_LINES_DELAY: Duration = Duration::from_millis(20);
 
 impl Front {
-    /// Serves until the process is asked to stop, then shuts down gracefully.
+    /// Serves until the process is asked to stop, then shuts down gracefully. `changes` replaces settings meanwhile.
     ///
     /// # Errors
     ///
     /// A listening address can't be bound, or the signal handlers can't be installed.
     pub async fn run(
-        self,
+        mut self,
         dialect: impl Dialect,
         directory: impl Directory,
         metrics: impl Fn() -> String + Clone + 'static,
+        changes: watch::Receiver<LiveSettings>,
     ) -> Result<(), FrontError> {
         let client_listener = listen(self.client_address).await?;
         let readiness_listener = listen(self.readiness_address).await?;
@@ -111,13 +114,13 @@
         );
         let peer_socket = Rc::new(peer_socket);
         let state =
-            FrontState::new(dialect, self.dispatch.clone(), self.incarnation_id(), own_address);
+            FrontState::new(dialect, LiveSettings::from(&self), self.incarnation_id(), own_address);
+        actix_rt::spawn(live_settings::follow(Rc::clone(&state), changes));
         for collection in [Collection::Configuration, Collection::Endpoints, Collection::Fronts] {
             let watcher = Watcher::new(Rc::clone(&state), directory.clone(), collection);
             actix_rt::spawn(watcher.run());
         }
-        let accept_task =
-            actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener, self.capacity));
+        let accept_task = actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener));
         actix_rt::spawn(readiness::serve(Rc::clone(&state), readiness_listener));
         let render = move |path: &str| match path {
             METRICS_PATH => (StatusCode::OK, metrics()),
@@ -126,11 +129,7 @@
         actix_rt::spawn(plain_server::serve(state.http.clone(), metrics_listener, render));
         actix_rt::spawn(sweep(Rc::clone(&state)));
         actix_rt::spawn(snapshots::serve(Rc::clone(&state), snapshot_listener));
-        let fetch_snapshots = snapshots::fetch_when_needed(
-            Rc::clone(&state),
-            self.seeds.clone(),
-            own_snapshot_address,
-        );
+        let fetch_snapshots = snapshots::fetch_when_needed(Rc::clone(&state), own_snapshot_address);
         actix_rt::spawn(fetch_snapshots);
         actix_rt::spawn(heartbeats::send_heartbeats(Rc::clone(&state), Rc::clone(&peer_socket)));
         actix_rt::spawn(heartbeats::receive_heartbeats(Rc::clone(&state), peer_socket));
@@ -138,6 +137,7 @@
             heartbeats::announce(Rc::clone(&state), directory, self.name.clone(), own_address);
         actix_rt::spawn(announce);
         daisychute_runtime::stop_requested().await.map_err(FrontError::Signals)?;
+        self.shutdown_timeout = state.shutdown_timeout();
         self.shut_down(&state, accept_task).await;
         Ok(())
     }
@@ -188,16 +188,12 @@
 }
 
 /// Accepts clients as soon as requests can be served, at the latest after [`MAX_STARTUP_WAIT`].
-async fn accept_when_ready<D: Dialect>(
-    state: Rc<FrontState<D>>,
-    listener: TcpListener,
-    capacity: CapacityLimits,
-) {
+async fn accept_when_ready<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
     let started = Instant::now();
     while !state.is_ready() && started.elapsed() < MAX_STARTUP_WAIT {
         sleep(STARTUP_POLL_INTERVAL).await;
     }
-    server::accept(state, listener, capacity).await;
+    server::accept(state, listener).await;
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, FrontError> {
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -85,7 +85,6 @@
 /// is in force or a peer is ahead.
 pub(crate) async fn fetch_when_needed<D: Dialect>(
     state: Rc<FrontState<D>>,
-    seeds: Vec<SocketAddr>,
     own_address: SocketAddr,
 ) {
     loop {
@@ -93,7 +92,7 @@
         if !state.needs_snapshot() {
             continue;
         }
-        for peer in seeds.iter().copied().filter(|it| *it != own_address) {
+        for peer in state.seeds().into_iter().filter(|it| *it != own_address) {
             match fetch(peer).await {
                 Ok(snapshot) if apply(&state, peer, &snapshot) => break,
                 Ok(_) => log::debug!(peer:%; "snapshot of a peer isn't newer"),
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -9,20 +9,18 @@
 
 use actix_http::ServiceConfig;
 use daisychute_core::{EndpointName, Time};
-use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, Endpoint, Event, Removal, RequestKey, RouteTable,
-};
+use daisychute_dispatch::{Action, Dispatcher, Endpoint, Event, Removal, RequestKey, RouteTable};
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::Dialect;
 use crate::directory::revisions::Revisions;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, release};
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
+use crate::{CapacityLimits, Dialect, LiveSettings};
 
 /// The state of a front. It is used on one thread only.
 pub(crate) struct FrontState<D> {
@@ -41,6 +39,7 @@
     /// Identifies this start of this front; also seeds its random choices.
     pub(crate) incarnation_id: u64,
     clock: Clock,
+    settings: RefCell<LiveSettings>,
     dispatcher: RefCell<Dispatcher>,
     next_key: Cell<u64>,
     random: RefCell<Pcg64Mcg>,
@@ -49,7 +48,7 @@
 impl<D: Dialect> FrontState<D> {
     pub(crate) fn new(
         dialect: D,
-        settings: DispatchSettings,
+        settings: LiveSettings,
         incarnation_id: u64,
         peer_address: SocketAddr,
     ) -> Rc<Self> {
@@ -65,7 +64,8 @@
             http: ServiceConfig::default(),
             incarnation_id,
             clock: Clock::start(),
-            dispatcher: RefCell::new(Dispatcher::new(settings)),
+            dispatcher: RefCell::new(Dispatcher::new(settings.dispatch.clone())),
+            settings: RefCell::new(settings),
             next_key: Cell::new(1),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(incarnation_id)),
         })
@@ -79,6 +79,27 @@
         self.clock.instant(time)
     }
 
+    /// Replaces the settings that may change while the front serves.
+    pub(crate) fn apply_settings(&self, settings: LiveSettings) {
+        self.dispatcher.borrow_mut().apply_settings(settings.dispatch.clone());
+        *self.settings.borrow_mut() = settings;
+    }
+
+    /// Returns how many requests and client connections the machine can handle.
+    pub(crate) fn capacity(&self) -> CapacityLimits {
+        self.settings.borrow().capacity
+    }
+
+    /// Returns the snapshot addresses of the fronts that are asked when the directory is unreachable.
+    pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
+        self.settings.borrow().seeds.clone()
+    }
+
+    /// Returns the time limit for a graceful shutdown.
+    pub(crate) fn shutdown_timeout(&self) -> Duration {
+        self.settings.borrow().shutdown_timeout
+    }
+
     pub(crate) fn next_key(&self) -> RequestKey {
         let key = self.next_key.get();
         self.next_key.set(key + 1);
--- a/crates/daisychute-standin/src/harness/process.rs
+++ b/crates/daisychute-standin/src/harness/process.rs
@@ -21,7 +21,7 @@
     child: Child,
     stdout: Output,
     stderr: Output,
-    _settings: Option<SettingsFile>,
+    settings: Option<SettingsFile>,
 }
 
 impl Process {
@@ -32,7 +32,7 @@
         stderr: Output,
         settings: Option<SettingsFile>,
     ) -> Self {
-        Self { name, child, stdout, stderr, _settings: settings }
+        Self { name, child, stdout, stderr, settings }
     }
 
     /// Process id of the child.
@@ -89,6 +89,24 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Tells the process that its settings file has changed (`SIGHUP`).
+    ///
+    /// # Errors
+    ///
+    /// The process has exited already, or the signal can't be sent.
+    pub fn hang_up(&mut self) -> Result<(), HarnessError> {
+        self.signal(Signal::SIGHUP)
+    }
+
+    /// Replaces the text of the settings file that the process was started with, if it has one. The process isn't told.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be written.
+    pub fn replace_settings(&self, text: &str) -> Result<(), HarnessError> {
+        self.settings.as_ref().map_or(Ok(()), |it| it.replace(text))
+    }
+
     /// Exit status of the process; `None` while it runs.
     ///
     /// # Errors
--- a/crates/daisychute-standin/src/harness/program.rs
+++ b/crates/daisychute-standin/src/harness/program.rs
@@ -121,6 +121,12 @@
     fn path(&self) -> &Path {
         &self.path
     }
+
+    /// Replaces the text of the file.
+    pub(super) fn replace(&self, text: &str) -> Result<(), HarnessError> {
+        let written = fs::write(&self.path, text);
+        written.map_err(|source| HarnessError::Settings { path: self.path.clone(), source })
+    }
 }
 
 impl Drop for SettingsFile {
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -1,22 +1,22 @@
 //! The front role of the daemon, with the dialect and the store of the users' platform.
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use daisychute_adapter::{PlatformDialect, Store};
 use daisychute_core::Incarnation;
 use daisychute_dispatch::DispatchSettings;
-use daisychute_front::{CapacityLimits, Front};
+use daisychute_front::{CapacityLimits, Front, LiveSettings};
 use daisychute_settings::FrontSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::{sleep, timeout};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::logging::LogWriter;
+use crate::reload::Reloader;
 use crate::{DaemonError, metrics};
 
-/// Interval between checks of the settings file for changes.
-const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval between runs of the metrics upkeep and reports of dropped log lines.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -27,11 +27,7 @@
     incarnation: Incarnation,
     log_writer: LogWriter,
 ) -> Result<(), DaemonError> {
-    actix_rt::spawn(reload(
-        path,
-        settings.clone(),
-        signal(SignalKind::hangup()).map_err(DaemonError::Signals)?,
-    ));
+    let hangups = signal(SignalKind::hangup()).map_err(DaemonError::Signals)?;
     let metrics = metrics::install()?;
     actix_rt::spawn(upkeep(metrics.clone(), log_writer));
     log::info!(name:% = settings.name, data_centre:% = settings.data_centre, callers:% = settings.callers; "front started");
@@ -43,20 +39,23 @@
         seeds: settings.seeds.clone(),
         name: settings.name.to_string(),
         metrics_address: settings.metrics,
-        capacity: CapacityLimits::for_machine(
-            settings.machine.memory_mib,
-            settings.machine.descriptors,
-        ),
+        capacity: capacity_limits(&settings),
         dispatch: dispatch_settings(&settings),
         shutdown_timeout: settings.stop_within,
         incarnation: incarnation.get(),
     };
-    let render = move || metrics.render();
-    front.run(PlatformDialect, Store::new(settings.store), render).await?;
+    let (tx, changes) = watch::channel(LiveSettings::from(&front));
+    let (store, render) = (Store::new(settings.store), move || metrics.render());
+    actix_rt::spawn(Reloader::new(path, settings, tx).run(hangups));
+    front.run(PlatformDialect, store, render, changes).await?;
     Ok(())
 }
 
-fn dispatch_settings(settings: &FrontSettings) -> DispatchSettings {
+pub(crate) const fn capacity_limits(settings: &FrontSettings) -> CapacityLimits {
+    CapacityLimits::for_machine(settings.machine.memory_mib, settings.machine.descriptors)
+}
+
+pub(crate) fn dispatch_settings(settings: &FrontSettings) -> DispatchSettings {
     DispatchSettings {
         data_centre: Some(settings.data_centre.clone()),
         retry_ratio: settings.retries.ratio,
@@ -76,30 +75,3 @@
         }
     }
 }
-
-/// Reloads the settings file on SIGHUP, and when a periodic check finds that it has changed without one. Addresses and
-/// limits are fixed for the life of the process, so a change is only logged and takes effect with the next start.
-async fn reload(path: PathBuf, mut current: FrontSettings, mut hangups: Signal) {
-    let mut text = read_text(&path);
-    loop {
-        let hangup = timeout(SETTINGS_POLL_INTERVAL, hangups.recv()).await.is_ok();
-        let new_text = read_text(&path);
-        if !hangup && new_text == text {
-            continue;
-        }
-        text = new_text;
-        match FrontSettings::load(&path) {
-            Ok(settings) if settings == current => log::info!("settings read again; no change"),
-            Ok(settings) => {
-                log::info!(settings:?; "settings changed; the change takes effect at the next start");
-                current = settings;
-            }
-            Err(error) => log::error!(error:%; "settings are invalid; the old ones stay in force"),
-        }
-    }
-}
-
-/// The text of the settings file; `None` if it can't be read, which counts as a change.
-fn read_text(path: &Path) -> Option<String> {
-    std::fs::read_to_string(path).ok()
-}
--- a/crates/daisychuted/src/logging/mod.rs
+++ b/crates/daisychuted/src/logging/mod.rs
@@ -80,12 +80,13 @@
     settings: &LogSettings,
     identity: Identity,
 ) -> Result<LogWriter, DaemonError> {
-    let (format, level) = (settings.format, level_filter(settings.level));
+    let format = settings.format;
     let identity = Arc::new(identity);
     let writer = LogWriter::start();
     let (gate, sink) = (writer.clone(), writer.clone());
+    // The level is that of the macros alone, so that it can change.
     Dispatch::new()
-        .level(level)
+        .level(LevelFilter::Trace)
         .filter(move |it| it.target().starts_with(OWN_TARGET_PREFIX) || it.level() <= LIBRARY_LEVEL)
         .chain(fern::Output::call(move |record| {
             if !gate.admits(record) {
@@ -98,10 +99,11 @@
             });
         }))
         .apply()?;
+    log::set_max_level(level_filter(settings.level));
     Ok(writer)
 }
 
-const fn level_filter(level: LogLevel) -> LevelFilter {
+pub(crate) const fn level_filter(level: LogLevel) -> LevelFilter {
     match level {
         LogLevel::Error => LevelFilter::Error,
         LogLevel::Warn => LevelFilter::Warn,
--- a/crates/daisychuted/src/main.rs
+++ b/crates/daisychuted/src/main.rs
@@ -10,6 +10,7 @@
 mod front;
 mod logging;
 mod metrics;
+mod reload;
 mod shared_documents;
 
 use clap::Parser;
