fix(policy): the expected wait for a decode engine counts live engines only

An entry refuses a request, or sends it on, by the wait it expects between prefill and decode. A leaving engine still counted: the free streams of a leaving decode engine let requests in that then wait, and the queue of a leaving prefill engine refused requests that the others could take.

Cause: the totals over the load reports took each engine of the model, live or not; every other estimate asks `live`.

Evidence: `free_streams_of_a_leaving_engine_do_not_count` (left 140ms, right 360ms) and `queue_of_a_leaving_engine_does_not_count` (left 186.36s, right 360ms) failed before; with the engine counted only while it is live, its report changes nothing.

--- a/crates/daisychute-policy/src/selection/estimate.rs
+++ b/crates/daisychute-policy/src/selection/estimate.rs
@@ -81,7 +81,9 @@
         let current_wait = self.decode_wait(query, index);
         let Some(target) = query.between_tokens else { return current_wait };
         let mut pipeline = Pipeline::default();
-        for entry in self.endpoints.iter().filter(|it| it.candidate.model.as_ref() == query.model) {
+        let is_counted =
+            |it: &&EndpointEntry| it.candidate.live && it.candidate.model.as_ref() == query.model;
+        for entry in self.endpoints.iter().filter(is_counted) {
             let prefill_time = entry.prompt_token().mul_f64(f64::from(query.prompt_tokens));
             pipeline.add(entry.candidate.role, &entry.report, prefill_time, target);
         }
--- a/crates/daisychute-policy/tests/choice.rs
+++ b/crates/daisychute-policy/tests/choice.rs
@@ -238,3 +238,39 @@
     }
     QuickCheck::new().tests(300).quickcheck(property as fn(Vec<u8>, u64) -> bool);
 }
+
+/// Expected wait for a decode engine of a request that is sent now.
+fn kv_transfer_wait(selector: &mut Selector) -> Duration {
+    let model = model();
+    let target = Some(Duration::from_millis(20));
+    let query = SelectionQuery::model(&model).prompt(1_000, &BLOCKS).between_tokens(target);
+    selector.select(NOW, &query, &mut rng()).expect("an engine is live").kv_transfer_wait
+}
+
+macro_rules! leaving_engine_cases {
+    ($($name:ident: $role:expr, $report:expr;)*) => {$(
+        // Guards against a refusal, or a wait, that goes by the load of an engine that takes no more requests.
+        #[test]
+        fn $name() {
+            let full = LoadReport {
+                between_tokens: Duration::from_millis(18),
+                running: 10,
+                pending_output_tokens: 1_000,
+                ..idle()
+            };
+            let mut selector = selector(&[Role::Prefill, Role::Decode, $role]);
+            selector.update_load(NOW, &name(1), full);
+            selector.remove(&name(2));
+            let expected = kv_transfer_wait(&mut selector.clone());
+            assert!(expected > Duration::ZERO);
+            selector.upsert(NOW, Candidate::engine(name(2), data_centre(2), model()).role($role).live(false));
+            selector.update_load(NOW, &name(2), $report);
+            assert_eq!(kv_transfer_wait(&mut selector), expected);
+        }
+    )*};
+}
+
+leaving_engine_cases! {
+    free_streams_of_a_leaving_engine_do_not_count: Role::Decode, idle();
+    queue_of_a_leaving_engine_does_not_count: Role::Prefill, busy(60_000);
+}
