fix(load): count a request once in the demand, and time repeated transfers from the prefill engine

What replays showed wrongly: after a lost engine the demand that the roles are planned by was too high, and a decode that was refused in another data centre got its KV cache at the speed of its own data centre the next time.

Causes: an arrival was counted while the request had no failed attempt, which a lost engine and a missing decode engine don't count; now the request itself tells whether it is counted. After a refusal the transfer was timed from the engine that refused, which never had the KV cache; now the request remembers the engine that prefilled it.

--- a/crates/daisychute-load/src/replay/report.rs
+++ b/crates/daisychute-load/src/replay/report.rs
@@ -44,6 +44,8 @@
     pub p95_between_tokens: Duration,
     /// Share of the requests that were refused for good or never ended.
     pub refused: f64,
+    /// Completions that the entries counted in the demand; a request that is routed again counts once.
+    pub counted_completions: u32,
     /// Share of the prompt tokens that engines found in their prefix cache.
     pub cached: f64,
     /// Roles and load over time, one sample every [`Report::SAMPLE`] seconds.
--- a/crates/daisychute-load/src/replay/request_state.rs
+++ b/crates/daisychute-load/src/replay/request_state.rs
@@ -22,6 +22,10 @@
     pub(super) attempts: u32,
     /// Index of the endpoint where the request is queued or runs.
     pub(super) assigned_endpoint: Option<usize>,
+    /// Index of the engine that prefilled the prompt last and holds its KV cache.
+    pub(super) prefill_endpoint: Option<usize>,
+    /// Whether the request is counted in the demand.
+    pub(super) counted: bool,
     pub(super) first_token_at: Option<Time>,
     last_token_at: Time,
     /// Tokens that the client has received.
@@ -43,6 +47,8 @@
             excluded: Vec::new(),
             attempts: 0,
             assigned_endpoint: None,
+            prefill_endpoint: None,
+            counted: false,
             first_token_at: None,
             last_token_at: Time::ZERO,
             emitted_tokens: 0,
--- a/crates/daisychute-load/src/replay/world.rs
+++ b/crates/daisychute-load/src/replay/world.rs
@@ -58,6 +58,7 @@
     // Number of open requests.
     open_requests: usize,
     role_changes: u32,
+    counted_completions: u32,
     prompt_tokens: u64,
     cached_tokens: u64,
     samples: Vec<Sample>,
@@ -101,6 +102,7 @@
             rng,
             token_gaps: histogram(),
             role_changes: 0,
+            counted_completions: 0,
             prompt_tokens: 0,
             cached_tokens: 0,
             samples: Vec::new(),
@@ -134,6 +136,7 @@
         }
         let mut report = Report::new(self.trace, &self.states, &self.token_gaps);
         report.role_changes = self.role_changes;
+        report.counted_completions = self.counted_completions;
         report.cached = self.cached_tokens as f64 / (self.prompt_tokens as f64).max(1.0);
         report.samples = self.samples;
         report.fill_samples(self.trace, &self.states);
--- a/crates/daisychute-load/src/replay/world/agents.rs
+++ b/crates/daisychute-load/src/replay/world/agents.rs
@@ -54,9 +54,11 @@
     ) {
         self.states[request_index].assigned_endpoint = None;
         if phase == RequestPhase::Decode && now < self.deadline(request_index) {
+            let prefill_endpoint = self.states[request_index].prefill_endpoint;
+            let source_endpoint = prefill_endpoint.unwrap_or(endpoint_index);
             self.queue.push(
                 now + DECODE_RETRY_DELAY,
-                Event::SelectDecode { request: request_index, source_endpoint: endpoint_index },
+                Event::SelectDecode { request: request_index, source_endpoint },
             );
             return;
         }
--- a/crates/daisychute-load/src/replay/world/endpoints.rs
+++ b/crates/daisychute-load/src/replay/world/endpoints.rs
@@ -101,6 +101,7 @@
         if phase == RequestPhase::Prefill
             && self.states[request_index].emitted_tokens < request.output_tokens
         {
+            self.states[request_index].prefill_endpoint = Some(endpoint_index);
             self.select_decode(now, request_index, endpoint_index);
             return;
         }
--- a/crates/daisychute-load/src/replay/world/entries.rs
+++ b/crates/daisychute-load/src/replay/world/entries.rs
@@ -19,7 +19,7 @@
         if self.states[request_index].end.is_some() {
             return;
         }
-        if self.states[request_index].attempts == 0 {
+        if !std::mem::replace(&mut self.states[request_index].counted, true) {
             self.record_arrival(request_index);
         }
         if !self.options.probes {
@@ -48,6 +48,7 @@
         let request = self.trace.requests[request_index];
         let class = &self.trace.header.classes[usize::from(request.class)];
         if class.work == Work::Completion {
+            self.counted_completions += 1;
             let model = &self.trace.header.deployment.model;
             let meter = &mut self.meters[self.states[request_index].entry];
             let (name, precedence) = (&class.class.name, class.class.precedence);
@@ -94,7 +95,7 @@
     }
 
     /// Selects the decode engine of a request. The KV cache transfer is timed from the data centre of
-    /// `source_endpoint`: the prefill engine or, after a refusal, the decode engine that refused.
+    /// `source_endpoint`, the engine that prefilled the prompt.
     pub(super) fn select_decode(
         &mut self,
         now: Time,
--- a/crates/daisychute-load/src/replay/world/event.rs
+++ b/crates/daisychute-load/src/replay/world/event.rs
@@ -22,7 +22,7 @@
         cached: u32,
     },
     /// A decode engine is selected again after a refusal. The KV cache transfer is timed from `source_endpoint`, the
-    /// decode engine that refused.
+    /// engine that prefilled the prompt.
     SelectDecode {
         request: usize,
         source_endpoint: usize,
--- a/crates/daisychute-load/tests/replay.rs
+++ b/crates/daisychute-load/tests/replay.rs
@@ -2,7 +2,7 @@
 
 use daisychute_load::generate::{Scenario, generate};
 use daisychute_load::replay::{PolicyName, Report, bound, replay};
-use daisychute_load::trace::{Fault, SampleDeployment, Trace};
+use daisychute_load::trace::{Fault, SampleDeployment, Trace, Work};
 
 /// The first seconds of a trace, with its faults at a tenth of their time.
 fn beginning(deployment: SampleDeployment, scenario: Scenario, seconds: u32) -> Trace {
@@ -69,3 +69,57 @@
     let trace = beginning(SampleDeployment::Budapest, Scenario::Steady, 0);
     assert!((bound(&trace) - 1.0).abs() < f64::EPSILON);
 }
+
+macro_rules! demand_cases {
+    ($($name:ident: $policy:ident;)*) => {$(
+        // Guards against role changes for a demand that lost engines only seem to raise.
+        #[test]
+        fn $name() {
+            let trace = beginning(SampleDeployment::RabatSale, Scenario::EngineLoss, 30);
+            let classes = &trace.header.classes;
+            let is_completion = |class: u8| classes[usize::from(class)].work == Work::Completion;
+            let completions = trace.requests.iter().filter(|it| is_completion(it.class)).count();
+            let report = replay(&trace, PolicyName::$policy);
+            assert_eq!(report.counted_completions as usize, completions);
+        }
+    )*};
+}
+
+demand_cases! {
+    requests_of_a_lost_engine_count_once: Ours;
+    requests_without_a_decode_engine_count_once: RoundRobin;
+}
+
+/// A trace of one request with a prompt of 1,000 tokens and two output tokens. Two engines of one data centre prefill,
+/// and two of another one decode; `lost_engine` is lost while the KV cache is under way. A transfer takes a second.
+fn refused_decode(lost_engine: usize) -> Trace {
+    let mut trace = beginning(SampleDeployment::RabatSale, Scenario::Steady, 30);
+    let header = &mut trace.header;
+    let position = header.classes.iter().position(|it| it.class.targets.between_tokens.is_some());
+    let class = position.expect("a class has a target between tokens");
+    header.classes[class].class.targets.first_token = None;
+    header.deployment.engines.truncate(4);
+    header.deployment.data_centres.truncate(2);
+    for (i, engine) in header.deployment.engines.iter_mut().enumerate() {
+        engine.data_centre = header.deployment.data_centres[i / 2].clone();
+    }
+    header.deployment.speed.far_transfer_tokens = 1_000.0;
+    let endpoint = header.deployment.engines[lost_engine].endpoint.clone();
+    header.faults = vec![Fault::EngineLost { at_ms: 700, endpoint }];
+    trace.requests.truncate(1);
+    let request = &mut trace.requests[0];
+    (request.at_ms, request.class) = (0, class as u8);
+    (request.prompt_tokens, request.prefix_tokens) = (1_000, 0);
+    (request.output_tokens, request.max_tokens) = (2, 2);
+    trace
+}
+
+// Guards against a repeated transfer that is timed from the engine that refused, where the KV cache never was.
+#[test]
+fn transfer_after_a_refused_decode_starts_at_the_prefill_engine() {
+    let gap = |lost| replay(&refused_decode(lost), PolicyName::RoundRobin).p95_between_tokens;
+    let mut gaps = [gap(2), gap(3)];
+    gaps.sort_unstable();
+    assert!(gaps[0].as_secs_f64() > 1.0 && gaps[0].as_secs_f64() < 1.2, "{gaps:?}");
+    assert!(gaps[1].as_secs_f64() > 2.0 && gaps[1].as_secs_f64() < 2.3, "{gaps:?}");
+}
