fix(log): a burst of failures below their rate keeps its lines

A front whose requests under way all failed at once left out lines of failures though it logs up to 2,000 a second and somebody read its output: the buffer of 512 KiB was written out only every 200 ms. Now the writer is woken when an eighth of the buffer is full.

platform/tests/log_volume.rs starts real fronts with pipes, at 600 requests a second and unpaced, with a fixed seed: outcomes and the count of requests are those of a front whose log is read, a stop isn't held up, ordinary lines stay under 1,200 a second, each failure has its line below 2,000 a second, and beyond that lines and left-out lines (`daisychute_log_lines_dropped_total`) add up to the failures.

The others pass before and after; with the mechanisms off they fail: log written by the caller ("Timeout: a response"), no limit on ordinary lines (nothing left out of 4,800 requests), one limit for all lines (219 of 242 failures without a line), left-out lines not counted (left 2000, right 4800).

--- a/crates/daisychuted/src/logging/log_writer.rs
+++ b/crates/daisychuted/src/logging/log_writer.rs
@@ -1,12 +1,13 @@
 //! Writes log lines to standard output without ever blocking the process.
 //!
-//! Lines go into a bounded buffer, which a dedicated thread writes out several times a second. While standard output is
-//! blocked, lines that don't fit are dropped and counted. Ordinary lines are rate limited, so that the log volume
-//! doesn't grow with the load. Warnings and errors, which report failed requests, have a higher limit of their own.
+//! Lines go into a bounded buffer, which a dedicated thread writes out several times a second, and before it is full.
+//! While standard output is blocked, lines that don't fit are dropped and counted. Ordinary lines are rate limited, so
+//! that the log volume doesn't grow with the load. Warnings and errors, which report failed requests, have a higher
+//! limit of their own.
 
 use std::collections::BTreeMap;
 use std::io::Write;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -14,7 +15,9 @@
 
 /// Maximum size of the buffer: some seconds of log lines of a busy front.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
-/// Interval between writes of the buffer.
+/// Size of the buffer at which it is written out at once, so that a burst of lines fits in.
+const WAKE_BYTES: usize = MAX_BUFFERED_BYTES / 8;
+/// Maximum time between writes of the buffer.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 /// Maximum ordinary lines per second: four for each request that a front with 0.2 processors serves at its peak.
 const MAX_ORDINARY_PER_SECOND: u32 = 1_200;
@@ -38,6 +41,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct LogWriter {
     state: Arc<Mutex<State>>,
+    /// Notified when the buffer reaches [`WAKE_BYTES`].
+    nearly_full: Arc<Condvar>,
 }
 
 impl LogWriter {
@@ -51,7 +56,7 @@
             warnings: 0,
             writing: false,
         };
-        let writer = Self { state: Arc::new(Mutex::new(state)) };
+        let writer = Self { state: Arc::new(Mutex::new(state)), nearly_full: Arc::default() };
         let thread_writer = writer.clone();
         thread::spawn(move || thread_writer.run());
         writer
@@ -85,6 +90,9 @@
         let mut state = self.lock();
         state.buf.extend_from_slice(line.as_bytes());
         state.buf.push(b'\n');
+        if state.buf.len() >= WAKE_BYTES {
+            self.nearly_full.notify_one();
+        }
     }
 
     /// Removes and returns the number of lines dropped since the last call, by message.
@@ -108,9 +116,12 @@
     fn run(&self) {
         let mut out = std::io::stdout();
         loop {
-            thread::sleep(WRITE_INTERVAL);
             let buf = {
-                let mut state = self.lock();
+                let waited =
+                    self.nearly_full.wait_timeout_while(self.lock(), WRITE_INTERVAL, |it| {
+                        it.buf.len() < WAKE_BYTES
+                    });
+                let (mut state, _) = waited.unwrap_or_else(PoisonError::into_inner);
                 state.writing = !state.buf.is_empty();
                 std::mem::take(&mut state.buf)
             };
