test(entry): Retry-After of a refusal is in whole seconds

Entries round up to whole seconds already (RFC 9110, 10.2.3); no test showed it. No fault, so no change of the product.

--- a/crates/daisychuted/tests/bad_input/callers.rs
+++ b/crates/daisychuted/tests/bad_input/callers.rs
@@ -170,3 +170,24 @@
         assert_serves(deployment.entry(0), "a slow body").await;
     });
 }
+
+// Guards against a client that drops a `Retry-After` with a fraction, and returns at once or never (RFC 9110, 10.2.3).
+#[test]
+fn refusal_names_whole_seconds() {
+    actix_rt::System::new().block_on(async {
+        let mut deployment = deployment().await;
+        for agent in deployment.agents_mut() {
+            agent.stop().await.expect("the agent stops");
+        }
+        let mut raw = Raw::open(deployment.entry(0).client_addr()).await;
+        raw.send(completion(VALID_COMPLETION).as_bytes()).await;
+        let reply = raw.reply().await;
+        assert_eq!(reply.status(), Some(503), "{}", reply.text);
+        let value = reply.header("retry-after").expect("a refusal names a delay");
+        assert!(value.bytes().all(|it| it.is_ascii_digit()), "{}", reply.text);
+        let seconds: u64 = value.parse().expect("a number");
+        let delay_ms = reply.error().unwrap_or_default()["retry_after_ms"].as_u64();
+        let delay_ms = delay_ms.expect("the body names the delay, too");
+        assert!(seconds > 0 && seconds * 1_000 >= delay_ms, "{}", reply.text);
+    });
+}
--- a/crates/daisychuted/tests/bad_input/raw.rs
+++ b/crates/daisychuted/tests/bad_input/raw.rs
@@ -86,6 +86,11 @@
         self.text.split_whitespace().nth(1)?.parse().ok()
     }
 
+    /// The value of a header; `None` if it is missing.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        header(self.text.split_once(HEAD_END)?.0, name)
+    }
+
     /// The `error` object in the JSON body; `None` if the body isn't JSON.
     pub(crate) fn error(&self) -> Option<Value> {
         let (_, body) = self.text.split_once(HEAD_END)?;
