fix(settings): processor-share has no effect and says so

`[machine] processor-share` was checked, kept and printed, but nothing used it: operators who changed it changed nothing. Files that contain it stay valid, with their value checked as before.

Evidence: `processor_share_is_accepted_without_effect` failed before (0.19 against 1.0 in settings that mean the same); `faulty_processor_share_is_named` passes before and after.

--- a/crates/daisychute-settings/src/front.rs
+++ b/crates/daisychute-settings/src/front.rs
@@ -96,8 +96,6 @@
 /// Resources that one process may use on its machine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct MachineSettings {
-    /// Share of one processor; 1.0 is a whole one.
-    pub processor_share: f64,
     /// Memory limit in MiB.
     pub memory_mib: u32,
     /// Maximum number of open file descriptors.
@@ -117,7 +115,7 @@
 
 impl Default for MachineSettings {
     fn default() -> Self {
-        Self { processor_share: 1.0, memory_mib: 512, descriptors: 4_096 }
+        Self { memory_mib: 512, descriptors: 4_096 }
     }
 }
 
@@ -225,7 +223,8 @@
         let raw = RawMachine::read(document.section("machine"));
         let mut problems = Problems::default();
         let mut checked = Self::default();
-        problems.set(&mut checked.processor_share, raw.processor_share.optional(&PositiveNumber));
+        // Without effect; older files contain it.
+        problems.record(raw.processor_share.optional(&PositiveNumber));
         problems.set(&mut checked.memory_mib, raw.memory_mib.optional(&FrontSettings::MEMORY_MIB));
         let descriptors = raw.descriptors.optional(&FrontSettings::DESCRIPTORS);
         problems.set(&mut checked.descriptors, descriptors);
--- /dev/null
+++ b/crates/daisychute-settings/tests/front.rs
@@ -0,0 +1,29 @@
+//! Settings files of fronts from before a key lost its effect.
+
+use daisychute_settings::{FrontSettings, SettingsError};
+
+/// Parses the settings of a front with these lines in `[machine]`.
+fn with_machine(lines: &str) -> Result<FrontSettings, SettingsError> {
+    let text = format!(
+        "[front]\nname = a\nregion = r\ndata-centre = d\ncallers = 127.0.0.1:1\n\
+         ready = 127.0.0.1:2\ninner = 127.0.0.1:3\nsnapshots = 127.0.0.1:4\n\
+         metrics = 127.0.0.1:5\n[store]\naddress = 127.0.0.1:6\n[machine]\n{lines}"
+    );
+    FrontSettings::parse("test.ini", &text)
+}
+
+// Guards against a setting that operators change in vain, and against an old file that no longer starts a front.
+#[test]
+fn processor_share_is_accepted_without_effect() {
+    let without = with_machine("memory-mib = 260\n").expect("valid settings");
+    let with = with_machine("processor-share = 0.19\nmemory-mib = 260\n");
+    assert_eq!(with.expect("an old file stays valid"), without);
+}
+
+// Guards against a faulty value that goes unnoticed.
+#[test]
+fn faulty_processor_share_is_named() {
+    let error = with_machine("processor-share = much\n").expect_err("this is no number");
+    let SettingsError::Invalid { problems, .. } = error else { panic!("{error}") };
+    assert!(problems[0].to_string().contains("processor-share"), "{}", problems[0]);
+}
