fix(settings): report an unknown class of a route, and a path listed twice, where they stand

`daisychute apply` and `diff` named `class` for an unknown class in `repeatable` or `non-repeatable`, though the section had no such key, and marked the section's header; a path twice in `repeatable` was reported at `non-repeatable`. Now the key and the place are those of the list that contains it.

Cause: the place was chosen by the kind of error alone; the section is now looked up for the class or the path.

Evidence: `class_of_non_repeatable_route` and `path_twice_in_one_list` printed "class in section" and "non-repeatable in section" at the header before. `class_of_service` is as before.

--- a/crates/daisychute-settings/src/configuration/consistency.rs
+++ b/crates/daisychute-settings/src/configuration/consistency.rs
@@ -1,10 +1,11 @@
 //! Consistency checks across the sections of a configuration, with the locations of problems in the file.
 
-use daisychute_core::{Configuration, ConfigurationError, TargetError};
+use daisychute_core::{ClassName, Configuration, ConfigurationError, TargetError};
 
-use crate::document::Document;
+use crate::document::{Document, Section};
 use crate::hint::{Hint, Remedy};
 use crate::problem::{Problem, Problems};
+use crate::rule::{Name, RoutePaths};
 
 /// Returns an error if sections of the configuration contradict each other.
 pub(super) fn check(configuration: &Configuration, document: &Document) -> Result<(), Problems> {
@@ -23,6 +24,11 @@
     let (kind, name, key) = error_location(&error);
     let remedy = remedy(&error, configuration);
     let found = document.named_sections(kind).into_iter().find(|(it, _)| *it == name);
+    let key = match (&error, found) {
+        (ConfigurationError::RouteClass { class, .. }, Some((_, it))) => class_key(it, class),
+        (ConfigurationError::DuplicateRoute { path, .. }, Some((_, it))) => path_key(it, path),
+        _ => key,
+    };
     let section = found.map_or_else(String::new, |(_, it)| it.header().to_owned());
     let at = found.and_then(|(_, it)| it.field(key).at());
     Problem::Inconsistent { section, key, error: Box::new(error), remedy, at }
@@ -46,6 +52,27 @@
     }
 }
 
+/// Returns the key of a service's section that names a class.
+fn class_key(section: Section<'_>, class: &ClassName) -> &'static str {
+    let names_class = |key| {
+        let paths = section.field(key).optional_or(Vec::new(), &RoutePaths).unwrap_or_default();
+        paths.iter().any(|(_, it)| it.as_ref() == Some(class))
+    };
+    let default_class = section.field("class").optional(&Name::<ClassName>::new());
+    match default_class {
+        Ok(Some(it)) if it == *class => "class",
+        _ if names_class("repeatable") => "repeatable",
+        _ => "non-repeatable",
+    }
+}
+
+/// Returns the key of a service's section that has a path for the second time.
+fn path_key(section: Section<'_>, path: &str) -> &'static str {
+    let paths = section.field("non-repeatable").optional_or(Vec::new(), &RoutePaths);
+    let is_listed = paths.unwrap_or_default().iter().any(|(it, _)| it == path);
+    if is_listed { "non-repeatable" } else { "repeatable" }
+}
+
 fn target_key(error: TargetError) -> &'static str {
     match error {
         TargetError::FirstTokenAfterDeadline | TargetError::MayWaitWithFirstToken => "first-token",
--- a/crates/daisychute-settings/tests/refused.rs
+++ b/crates/daisychute-settings/tests/refused.rs
@@ -150,6 +150,9 @@
     model_without_version: "[model clerk-lm]\ncontext-tokens = 0\n",
     relative_path: "[service sign-feed]\nrepeatable = panels\n",
     class_of_route: "[class a]\n[service sign-feed]\nrepeatable = /panels b\n",
+    class_of_non_repeatable_route: "[class a]\n[service sign-feed]\nrepeatable = /panels a\nnon-repeatable = /counts b\n",
+    class_of_service: "[class a]\n[service sign-feed]\nrepeatable = /panels a, /counts\nclass = b\n",
+    path_twice_in_one_list: "[service sign-feed]\nrepeatable = /a, /b, /a\n",
     path_twice: "[service sign-feed]\nrepeatable = /a\nnon-repeatable = /a\n",
 }
 
