perf(front): count peers only when a heartbeat tells of later revisions

For every heartbeat received a front walked all peers to know how long it collects changes between two watches, though it needs that time only if the heartbeat's revisions are ahead of its own. The time is now asked for when it is needed.

The saving was not measured.

--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -31,14 +31,14 @@
         self.reported.get().is_some_and(|reported| reported.0 > self.latest_seen.get())
     }
 
-    fn record_reported(&self, now: Time, revision: u64, grace: Duration) {
+    fn record_reported(&self, now: Time, revision: u64, grace: impl Fn() -> Duration) {
         if revision <= self.latest_seen.get().max(self.checked.get()) {
             return;
         }
         match self.reported.get() {
             Some((latest, since)) if latest > self.latest_seen.get() => {
                 self.reported.set(Some((latest.max(revision), since)));
-                if now.since(since) >= grace {
+                if now.since(since) >= grace() {
                     self.checked.set(latest.max(revision));
                     self.lagging.notify_one();
                 }
@@ -89,15 +89,15 @@
         (self.configuration.latest_seen.get(), self.endpoints.latest_seen.get())
     }
 
-    /// Records the revisions of configuration and endpoints that a peer has reported. `collect_time` is the time
-    /// between two watches, in which peers may be ahead.
+    /// Records the revisions of configuration and endpoints that a peer has reported. `collect_time` returns the
+    /// time between two watches, in which peers may be ahead; it is called only if a peer is ahead.
     pub(crate) fn record_reported(
         &self,
         now: Time,
         (configuration, endpoints): (u64, u64),
-        collect_time: Duration,
+        collect_time: impl Fn() -> Duration,
     ) {
-        let grace = LAG_GRACE + collect_time;
+        let grace = || LAG_GRACE + collect_time();
         self.configuration.record_reported(now, configuration, grace);
         self.endpoints.record_reported(now, endpoints, grace);
     }
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -77,7 +77,7 @@
             continue;
         };
         state.peers.record_heartbeat(state.now(), from);
-        state.revisions.record_reported(state.now(), revisions, collect_time(&state));
+        state.revisions.record_reported(state.now(), revisions, || collect_time(&state));
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         state.handle(Event::PeerHeartbeat { peer, loads, parts });
