--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -31,14 +31,14 @@
         self.reported.get().is_some_and(|reported| reported.0 > self.latest_seen.get())
     }
 
-    fn record_reported(&self, now: Time, position: Position, grace: Duration) -> bool {
+    fn record_reported(&self, now: Time, position: Position, grace: impl Fn() -> Duration) -> bool {
         if position <= self.latest_seen.get().max(self.checked.get()) {
             return false;
         }
         match self.reported.get() {
             Some((latest, since)) if latest > self.latest_seen.get() => {
                 self.reported.set(Some((latest.max(position), since)));
-                if now.since(since) < grace {
+                if now.since(since) < grace() {
                     return false;
                 }
                 self.checked.set(latest.max(position));
@@ -96,16 +96,16 @@
         (self.configuration.latest_seen.get(), self.endpoints.latest_seen.get())
     }
 
-    /// Records the positions of configuration and endpoints that a peer has reported. `collect_time` is the time
-    /// between two watches, in which peers may be ahead. Returns for which of the two the pending watch now counts as
-    /// lagging.
+    /// Records the positions of configuration and endpoints that a peer has reported. `collect_time` returns the time
+    /// between two watches, in which peers may be ahead; it is called only if a peer is ahead. Returns for which of the
+    /// two the pending watch now counts as lagging.
     pub fn record_reported(
         &self,
         now: Time,
         (configuration, endpoints): (Position, Position),
-        collect_time: Duration,
+        collect_time: impl Fn() -> Duration,
     ) -> (bool, bool) {
-        let grace = LAG_GRACE + collect_time;
+        let grace = || LAG_GRACE + collect_time();
         (
             self.configuration.record_reported(now, configuration, grace),
             self.endpoints.record_reported(now, endpoints, grace),
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -89,7 +89,7 @@
         let PeerHeartbeat(peer, _, loads, parts, Eras(era, ..), exits_in_ms, leaving) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
         state.record_peer_era(era, from);
-        state.revisions.record_reported(state.now(), positions, collect_time(&state));
+        state.revisions.record_reported(state.now(), positions, || collect_time(&state));
         state.record_leaving_reported(leaving.into_iter().map(Into::into).collect());
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
--- a/crates/daisychute-front/tests/positions.rs
+++ b/crates/daisychute-front/tests/positions.rs
@@ -26,7 +26,7 @@
                 for (number, reported) in $reported.into_iter().enumerate() {
                     let now = at(500 * number as u64);
                     let reported = (Position::default(), position(reported));
-                    lagging |= revisions.record_reported(now, reported, Duration::ZERO).1;
+                    lagging |= revisions.record_reported(now, reported, || Duration::ZERO).1;
                 }
                 assert_eq!((revisions.is_behind(), lagging), $expected);
             }
