feat(soak): drills: the store restored from copies, workers that leave or ask for pauses

--drills adds them to the other faults, from a generator of its own, so that earlier seeds keep their schedules. All count as planned: no request may fail for them. What the operator and the workers wrote since the copy is written again within 1.5 s.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -30,5 +30,8 @@
         /// Inject planned changes only, such as stops, under which no request may be cut
         #[arg(long)]
         planned_only: bool,
+        /// Also restore the store from copies, and make workers announce that they leave or ask for pauses
+        #[arg(long)]
+        drills: bool,
     },
 }
--- a/crates/daisychute-soak/src/faults.rs
+++ b/crates/daisychute-soak/src/faults.rs
@@ -33,6 +33,11 @@
     Drain(usize, Duration),
     /// The configuration gets a new version.
     Configure,
+    /// The store is restored from a copy that is at least this old. What the operator and the workers wrote since is
+    /// written again.
+    Restore(Duration),
+    /// A worker announces in its responses that it is leaving, and after this long is registered as newly started.
+    Leave(usize, Duration),
 }
 
 impl Fault {
@@ -78,8 +83,28 @@
         }
     }
 
+    /// Chooses a random fault that a platform's drill plays, for a fleet of this many workers.
+    pub(crate) fn random_drill(rng: &mut Pcg64Mcg, workers: usize) -> Self {
+        let worker = rng.random_range(0..workers);
+        let span = Duration::from_millis(rng.random_range(200..8_000));
+        match rng.random_range(0..3) {
+            0 => Self::Restore(span),
+            1 => Self::Leave(worker, span),
+            _ => Self::Worker(worker, Act::Pause((span.as_secs_f64() / 4.0).to_string()), 1),
+        }
+    }
+
     /// Whether it is planned maintenance, during which no request may fail.
     pub(crate) const fn is_planned(&self) -> bool {
-        matches!(self, Self::Stop(_) | Self::Reload(_) | Self::Configure | Self::Drain(..))
+        matches!(
+            self,
+            Self::Stop(_)
+                | Self::Reload(_)
+                | Self::Configure
+                | Self::Drain(..)
+                | Self::Restore(_)
+                | Self::Leave(..)
+                | Self::Worker(_, Act::Pause(_), _)
+        )
     }
 }
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -16,11 +16,11 @@
 use crate::args::{Args, Command};
 
 fn main() -> ExitCode {
-    let Command::Run { seed, minutes, seeds, fronts, planned_only } = Args::parse().command;
+    let Command::Run { seed, minutes, seeds, fronts, planned_only, drills } = Args::parse().command;
     let mut failed = 0;
     for seed in seed..seed + seeds {
         let outcome =
-            actix_rt::System::new().block_on(run::run(seed, minutes, fronts, planned_only));
+            actix_rt::System::new().block_on(run::run(seed, minutes, fronts, planned_only, drills));
         match outcome {
             Ok(report) => {
                 println!("seed {seed}: {report}");
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -1,11 +1,13 @@
 //! Runs one seed: starts fronts, workers and clients, injects faults, and reports the violations.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_platform_standin::{Answer, Fleet, FrontProcess, Paths, StandinError, Worker};
+use daisychute_platform_standin::{
+    Answer, Fleet, FrontProcess, Paths, StandinError, StoreCopy, Worker,
+};
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
 use daisychute_standin::relay::{Mode, Relay};
@@ -25,6 +27,13 @@
 /// Offsets from the seed of a run to those of its further generators.
 const STREAM_CLIENT_SEED: u64 = 1 << 62;
 const SERIES_SEED: u64 = 1 << 63;
+const DRILL_SEED: u64 = 1 << 61;
+/// One step in this many also injects a drill.
+const DRILL_INTERVAL: u32 = 4;
+/// How long copies of the store are kept.
+const COPY_AGE: Duration = Duration::from_secs(10);
+/// Maximum time after a return of the store until what the operator and the workers wrote is there again, in ms.
+const MAX_REWRITE_DELAY_MS: u64 = 1_500;
 /// Maximum number of further signals and configurations after a planned stop or reload.
 const MAX_SERIES: u32 = 3;
 /// Maximum time from a planned stop or reload to each of them, in ms: longer than a shutdown takes.
@@ -102,6 +111,12 @@
     /// Chooses the signals and configurations that follow a planned stop or reload; `None` if none do. It is a generator
     /// of its own, so that the other faults of a seed stay as they are.
     series: Option<Pcg64Mcg>,
+    /// Chooses the drills; `None` without any. A generator of its own, like `series`.
+    drills: Option<Pcg64Mcg>,
+    /// Copies of the store with the times at which they were taken, oldest first.
+    copies: VecDeque<(Instant, StoreCopy)>,
+    /// Latest record of each worker.
+    records: Vec<serde_json::Value>,
     /// Log lines of the fronts that have ended.
     ended_logs: Vec<String>,
 }
@@ -120,6 +135,8 @@
     Restart(usize),
     /// Inject a planned fault that follows another one.
     Follow(Fault),
+    /// Write again what the operator and the workers wrote, after a return of the store.
+    Rewrite,
 }
 
 /// Runs one seed.
@@ -128,10 +145,12 @@
     minutes: f64,
     fronts: usize,
     planned_only: bool,
+    drills: bool,
 ) -> Result<Report, SoakError> {
     let mut soak = Soak::start(fronts).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     soak.series = planned_only.then(|| Pcg64Mcg::seed_from_u64(seed ^ SERIES_SEED));
+    soak.drills = drills.then(|| Pcg64Mcg::seed_from_u64(seed ^ DRILL_SEED));
     for number in 0..CLIENTS {
         actix_rt::spawn(run_client(Rc::clone(&soak.pool), seed ^ (number << 32)));
     }
@@ -149,6 +168,7 @@
         }
         soak.schedule_series(&fault);
         soak.inject(fault)?;
+        soak.inject_drill()?;
     }
     soak.finish().await
 }
@@ -156,11 +176,12 @@
 impl Soak {
     async fn start(fronts: usize) -> Result<Self, SoakError> {
         let mut fleet = Fleet::without_fronts().await?;
-        let mut relays = Vec::new();
+        let (mut relays, mut records) = (Vec::new(), Vec::new());
         let any_port = ([127, 0, 0, 1], 0).into();
         for worker in &fleet.workers {
             let relay = Relay::start(any_port, worker.address(), any_port).await?;
-            fleet.store.put("servers", worker.id(), record(worker, &relay, "ready", None));
+            records.push(record(worker, &relay, "ready", None));
+            fleet.store.put("servers", worker.id(), records[relays.len()].clone());
             relays.push(relay);
         }
         for _ in 0..fronts {
@@ -182,6 +203,9 @@
             version,
             faults,
             series: None,
+            drills: None,
+            copies: VecDeque::new(),
+            records,
             ended_logs: Vec::new(),
         };
         soak.publish_addresses();
@@ -226,6 +250,28 @@
         }
     }
 
+    /// Takes a copy of the store, and injects a drill in some of the steps.
+    fn inject_drill(&mut self) -> Result<(), SoakError> {
+        let Some(rng) = &mut self.drills else { return Ok(()) };
+        let drill = (rng.random_range(0..DRILL_INTERVAL) == 0)
+            .then(|| Fault::random_drill(rng, self.relays.len()));
+        let now = Instant::now();
+        self.copies.retain(|it| now.duration_since(it.0) < COPY_AGE);
+        self.copies.push_back((now, self.fleet.store.copy()));
+        drill.map_or(Ok(()), |it| self.inject(it))
+    }
+
+    /// Restores the store from the newest copy that is at least this old, or from the oldest one.
+    fn restore_store(&mut self, age: Duration) {
+        let now = Instant::now();
+        let old = self.copies.iter().rev().find(|it| now.duration_since(it.0) >= age);
+        let Some((_, copy)) = old.or_else(|| self.copies.front()) else { return };
+        self.fleet.store.restore(copy);
+        let Some(rng) = &mut self.drills else { return };
+        let delay = Duration::from_millis(rng.random_range(0..MAX_REWRITE_DELAY_MS));
+        self.cleanups.push((now + delay, FaultCleanup::Rewrite));
+    }
+
     fn inject(&mut self, fault: Fault) -> Result<(), SoakError> {
         self.faults += 1;
         let now = Instant::now();
@@ -271,6 +317,11 @@
                 self.version += 1;
                 self.fleet.configure(self.version, &json!([]));
             }
+            Fault::Restore(age) => self.restore_store(age),
+            Fault::Leave(worker, span) => {
+                self.fleet.workers[worker].set_leaving(true);
+                self.cleanups.push((now + span, FaultCleanup::Register(worker)));
+            }
         }
         if !planned {
             self.disturbances.push((now, until + RECOVERY_PERIOD));
@@ -307,9 +358,18 @@
     }
 
     /// Writes the record of a worker to the store, with this state.
-    fn put_record(&self, worker: usize, state: &str, started_at: Option<u64>) {
-        let (worker, relay) = (&self.fleet.workers[worker], &self.relays[worker]);
-        self.fleet.store.put("servers", worker.id(), record(worker, relay, state, started_at));
+    fn put_record(&mut self, number: usize, state: &str, started_at: Option<u64>) {
+        let (worker, relay) = (&self.fleet.workers[number], &self.relays[number]);
+        self.records[number] = record(worker, relay, state, started_at);
+        self.fleet.store.put("servers", worker.id(), self.records[number].clone());
+    }
+
+    /// Writes again what the operator and the workers wrote.
+    fn rewrite(&self) {
+        self.fleet.configure(self.version, &json!([]));
+        for (worker, record) in self.fleet.workers.iter().zip(&self.records) {
+            self.fleet.store.put("servers", worker.id(), record.clone());
+        }
     }
 
     async fn clean_up(&mut self, cleanup: FaultCleanup) -> Result<(), SoakError> {
@@ -323,10 +383,12 @@
             }
             FaultCleanup::Reconnect(worker) => self.relays[worker].set_mode(Mode::Open),
             FaultCleanup::Register(worker) => {
+                self.fleet.workers[worker].set_leaving(false);
                 self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64))
             }
             FaultCleanup::Restart(front) => self.restart(front).await?,
             FaultCleanup::Follow(fault) => self.inject(fault)?,
+            FaultCleanup::Rewrite => self.rewrite(),
         }
         Ok(())
     }
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -45,3 +45,10 @@
     assert!(status.success(), "{}", soak.stdout().join("\n"));
     Ok(())
 }
+
+/// A store that is restored from a copy, workers that leave and workers that ask for pauses cost no request.
+#[test]
+fn drills_cost_no_request() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "29", "--minutes", "0.3", "--planned-only", "--drills"];
+    actix_rt::System::new().block_on(run(&args))
+}
