test(soak): returns of the store from a copy

Beside its other faults the soak restores the store from a copy 1 to 10 s old; after 1.2 s the operator and the workers write again what was lost. A return counts as no disturbance: no request near it may fail. A seed keeps its other faults. The soak doesn't check which worker a request reached.

--- a/crates/daisychute-soak/src/faults.rs
+++ b/crates/daisychute-soak/src/faults.rs
@@ -6,6 +6,9 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
+/// How likely a return of the store is injected after another fault.
+const RETURN_PROBABILITY: f64 = 0.06;
+
 /// A fault with its parameters; the `usize` that comes first is the index of the front or worker that it hits.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Fault {
@@ -21,6 +24,8 @@
     Store(usize, StoreFault, Duration),
     /// The store discards its change history and ends the pending watches.
     Compact,
+    /// The store is restored from a copy of this age; what the operator and the workers wrote since is written again.
+    Return(Duration),
     /// A worker does this with its next requests, as many as the last number says.
     Worker(usize, Act, usize),
     /// The open connections of a worker are reset.
@@ -78,6 +83,13 @@
         }
     }
 
+    /// Chooses at random whether the store returns from a copy, and the age of the copy. Separate from [`Self::random`], so
+    /// that a seed keeps its other faults.
+    pub(crate) fn random_return(rng: &mut Pcg64Mcg) -> Option<Self> {
+        let age = Duration::from_millis(rng.random_range(1_000..10_000));
+        rng.random_bool(RETURN_PROBABILITY).then_some(Self::Return(age))
+    }
+
     /// Whether it is planned maintenance, during which no request may fail.
     pub(crate) const fn is_planned(&self) -> bool {
         matches!(self, Self::Stop(_) | Self::Reload(_) | Self::Configure | Self::Drain(..))
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -5,7 +5,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_platform_standin::{Answer, Fleet, FrontProcess, Paths, StandinError, Worker};
+use daisychute_platform_standin::{
+    Answer, Fleet, FrontProcess, Paths, StandinError, StoreCopy, Worker,
+};
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
 use daisychute_standin::relay::{Mode, Relay};
@@ -26,6 +28,8 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Pause between two checks whether a process has ended or cleanups are due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time after a return of the store until the operator and the workers write again what was lost.
+const WRITE_AGAIN_DELAY: Duration = Duration::from_millis(1_200);
 /// Number of calls that must succeed after the last fault.
 const REQUIRED_SUCCESSES: usize = 20;
 
@@ -83,6 +87,8 @@
     version: u64,
     /// Number of faults injected so far.
     faults: usize,
+    /// The copy from which the store will be restored, or was restored if what was lost isn't written again yet.
+    copy: Option<StoreCopy>,
 }
 
 /// Ends a fault; the number is the index of the front or worker.
@@ -97,6 +103,10 @@
     Register(usize),
     /// Restart a front once it has ended.
     Restart(usize),
+    /// Restore the store from its copy.
+    Return,
+    /// Write again what the store had lost.
+    WriteAgain(StoreCopy),
 }
 
 /// Runs one seed.
@@ -108,6 +118,7 @@
 ) -> Result<Report, SoakError> {
     let mut soak = Soak::start(fronts).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut return_rng = Pcg64Mcg::seed_from_u64(!seed);
     for number in 0..CLIENTS {
         actix_rt::spawn(run_client(Rc::clone(&soak.pool), seed ^ (number << 32)));
     }
@@ -120,6 +131,9 @@
             fault = Fault::random(&mut rng, fronts, soak.relays.len());
         }
         soak.inject(fault).await?;
+        if !planned_only && let Some(fault) = Fault::random_return(&mut return_rng) {
+            soak.inject(fault).await?;
+        }
     }
     soak.finish().await
 }
@@ -143,8 +157,17 @@
         let pool = Rc::new(ClientPool::default());
         let (disturbances, cleanups, version, faults) = (Vec::new(), Vec::new(), 1, 0);
         let restart_pending = vec![false; fronts];
-        let soak =
-            Self { fleet, relays, pool, disturbances, cleanups, restart_pending, version, faults };
+        let soak = Self {
+            fleet,
+            relays,
+            pool,
+            disturbances,
+            cleanups,
+            restart_pending,
+            version,
+            faults,
+            copy: None,
+        };
         soak.publish_addresses();
         Ok(soak)
     }
@@ -176,7 +199,8 @@
         self.faults += 1;
         let now = Instant::now();
         let mut until = now;
-        let planned = fault.is_planned();
+        // A return of the store disturbs no request.
+        let disturbs = !fault.is_planned() && !matches!(fault, Fault::Return(_));
         match fault {
             Fault::Stop(front) => self.end_front(front, Process::terminate)?,
             Fault::Kill(front) => self.end_front(front, Process::kill)?,
@@ -195,6 +219,11 @@
                 self.cleanups.push((until, FaultCleanup::RestoreStore(front)));
             }
             Fault::Compact => self.fleet.store.compact(),
+            Fault::Return(age) if self.copy.is_none() => {
+                self.copy = Some(self.fleet.store.copy());
+                self.cleanups.push((now + age, FaultCleanup::Return));
+            }
+            Fault::Return(_) => {}
             Fault::Worker(worker, act, count) => {
                 for _ in 0..count {
                     self.fleet.workers[worker].script.push(act.clone());
@@ -218,7 +247,7 @@
                 self.fleet.configure(self.version, &json!([]));
             }
         }
-        if !planned {
+        if disturbs {
             self.disturbances.push((now, until + RECOVERY_PERIOD));
         }
         Ok(())
@@ -272,6 +301,21 @@
                 self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64))
             }
             FaultCleanup::Restart(front) => self.restart(front).await?,
+            FaultCleanup::Return => {
+                if let Some(copy) = &self.copy {
+                    let lost = self.fleet.store.copy();
+                    self.fleet.store.restore(copy);
+                    let at = Instant::now() + WRITE_AGAIN_DELAY;
+                    self.cleanups.push((at, FaultCleanup::WriteAgain(lost)));
+                }
+            }
+            FaultCleanup::WriteAgain(lost) => {
+                if let Some(copy) = self.copy.take() {
+                    for kind in ["config", "servers"] {
+                        self.fleet.store.write_again(kind, &lost, &copy);
+                    }
+                }
+            }
         }
         Ok(())
     }
