fix(front): only outages of the list of endpoints extend the hold after a return

A store that refuses a front now and then for its list of fronts or configurations would have kept a worker out that didn't leave, as long as that goes on. Not covered by a test of its own.

--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -250,10 +250,10 @@
     }
 
     /// Keeps endpoints that left before a return from being used: records that nobody renews aren't dropped during an
-    /// outage.
+    /// outage. Refused calls for other collections say nothing about that.
     fn extend_hold(&self) {
         let mut departures = self.state.departures.borrow_mut();
-        if departures.held_until().is_some() {
+        if self.collection == Collection::Endpoints && departures.held_until().is_some() {
             departures.hold(self.state.now());
         }
     }
