--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -125,9 +125,7 @@
                 self.pause_requested(now, endpoint, pause, spread, actions)
             }
             Event::LeavingReported { endpoints } => self.leaving_reported(now, endpoints, actions),
-            Event::StayingConfirmed { endpoint } => {
-                self.fleet.record_staying(endpoint);
-            }
+            Event::StayingConfirmed { endpoint } => self.fleet.record_staying(endpoint),
             Event::FrontCount(count) => self.fronts = count.max(1),
             Event::ShutdownRequested { deadline } => self.shutdown_deadline = Some(deadline),
             Event::Tick => {
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -126,6 +126,7 @@
         self.is_open(now) && !self.notice.is_paused(now)
     }
 
+    /// Returns whether and when the endpoint takes another request; after a pause it takes more and more.
     pub(crate) fn availability(&self, now: Time) -> Availability {
         if !self.is_open(now) {
             return Availability::Closed;
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -183,7 +183,7 @@
     }
 
     /// Records that an endpoint announced that it is leaving. Returns its identity if that is news.
-    pub fn record_leaving(&mut self, now: Time, key: EndpointKey) -> Option<Incarnation> {
+    pub(crate) fn record_leaving(&mut self, now: Time, key: EndpointKey) -> Option<Incarnation> {
         if let Some(tracked) = self.tracked.get_mut(&key) {
             let is_news = tracked.notice.record_leaving(now);
             return is_news.then(|| Incarnation::from(&tracked.endpoint));
@@ -194,7 +194,7 @@
 
     /// Records that an endpoint announced to another front that it is leaving. Returns its key if that is news about
     /// a known endpoint.
-    pub fn record_reported_leaving(
+    pub(crate) fn record_reported_leaving(
         &mut self,
         now: Time,
         incarnation: Incarnation,
@@ -216,19 +216,15 @@
         None
     }
 
-    /// Records that an endpoint responded to a health check that it stays. Returns whether it had announced to leave.
-    pub fn record_staying(&mut self, key: EndpointKey) -> bool {
-        self.tracked.get_mut(&key).is_some_and(|it| it.notice.record_staying())
-    }
-
-    /// Whether an endpoint announced that it is leaving.
-    #[must_use]
-    pub fn is_leaving(&self, key: EndpointKey) -> bool {
-        self.tracked.get(&key).is_some_and(|it| it.notice.is_leaving())
+    /// Records that a leaving endpoint responded to a health check that it stays.
+    pub(crate) fn record_staying(&mut self, key: EndpointKey) {
+        if let Some(tracked) = self.tracked.get_mut(&key) {
+            tracked.notice.record_staying();
+        }
     }
 
     /// Records that an endpoint wants no requests of this front for a time. Returns whether that makes its pause longer.
-    pub fn record_pause(&mut self, now: Time, key: EndpointKey, pause: Duration) -> bool {
+    pub(crate) fn record_pause(&mut self, now: Time, key: EndpointKey, pause: Duration) -> bool {
         if let Some(tracked) = self.tracked.get_mut(&key) {
             return tracked.notice.record_pause(now, pause);
         }
--- a/crates/daisychute-dispatch/src/fleet/notice.rs
+++ b/crates/daisychute-dispatch/src/fleet/notice.rs
@@ -35,9 +35,9 @@
         is_news
     }
 
-    /// Records that the endpoint stays. Returns whether it had announced to leave.
-    pub(crate) const fn record_staying(&mut self) -> bool {
-        self.leaving_check.take().is_some()
+    /// Records that the endpoint stays after all.
+    pub(crate) const fn record_staying(&mut self) {
+        self.leaving_check = None;
     }
 
     pub(crate) const fn is_leaving(&self) -> bool {
