test(soak): workers that announce to leave or ask for a pause

`--notices` adds both to the faults of a seed, drawn from a generator of their own, so that a seed's other faults stay. The check takes from each worker what it announced in the answer to which request, and by the clients' records the front that had it: in a pause nothing of that front may arrive from 0.5 s on, and after a passed-on notice to leave nothing that a client sent over 1 s later. Stand-ins end both at a restart, and for 2 s after one under the same name announcements don't count: fronts that haven't read its record take them for those of the start before.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -30,5 +30,8 @@
         /// Inject planned changes only, such as stops, under which no request may be cut
         #[arg(long)]
         planned_only: bool,
+        /// Also let workers announce that they leave or want a pause, and check that fronts heed it
+        #[arg(long)]
+        notices: bool,
     },
 }
--- a/crates/daisychute-soak/src/checks.rs
+++ b/crates/daisychute-soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! Checks the recorded requests against the guarantees to clients.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use daisychute_platform_standin::{Answer, Paths};
@@ -11,6 +12,8 @@
 pub(crate) struct RequestRecord {
     pub(crate) id: String,
     pub(crate) path: &'static str,
+    /// Address of the front that it was sent to, which changes when the front restarts.
+    pub(crate) front: SocketAddr,
     /// `None` if the connection ended before a response head.
     pub(crate) response: Option<Answer>,
     /// When the client began to send the request.
--- a/crates/daisychute-soak/src/clients.rs
+++ b/crates/daisychute-soak/src/clients.rs
@@ -42,7 +42,7 @@
 /// Runs one client: sends random requests to random fronts until the pool is stopping.
 pub(crate) async fn run_client(pool: Rc<ClientPool>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut idle: Option<Connection> = None;
+    let mut idle: Option<(SocketAddr, Connection)> = None;
     while !pool.stopping.get() {
         sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
         if idle.is_none() {
@@ -50,9 +50,9 @@
                 let addresses = pool.front_addresses.borrow();
                 addresses[rng.random_range(0..addresses.len())]
             };
-            idle = Connection::open(address).await.ok();
+            idle = Connection::open(address).await.ok().map(|it| (address, it));
         }
-        let Some(mut connection) = idle.take() else { continue };
+        let Some((front, mut connection)) = idle.take() else { continue };
         // Rarely, since a client has one request at a time.
         let is_patient = rng.random_range(0..PATIENT_INTERVAL) == 0;
         let paths = [
@@ -80,12 +80,13 @@
         pool.records.borrow_mut().push(RequestRecord {
             id,
             path,
+            front,
             response,
             sent_at,
             ended_at: Instant::now(),
         });
         if !must_close && rng.random_range(0..10) > 0 {
-            idle = Some(connection);
+            idle = Some((front, connection));
         }
     }
 }
--- a/crates/daisychute-soak/src/faults.rs
+++ b/crates/daisychute-soak/src/faults.rs
@@ -31,6 +31,10 @@
     Unreachable(usize, Duration),
     /// A worker drains, and after this long is registered again as newly started.
     Drain(usize, Duration),
+    /// A worker announces that it is leaving, and after this long is registered again as newly started.
+    Leave(usize, Duration),
+    /// A worker refuses its next request and asks for a pause of this many seconds.
+    AskForPause(usize, String),
     /// The configuration gets a new version.
     Configure,
 }
@@ -78,8 +82,25 @@
         }
     }
 
+    /// Chooses a random announcement of one of this many workers.
+    pub(crate) fn random_notice(rng: &mut Pcg64Mcg, workers: usize) -> Self {
+        let worker = rng.random_range(0..workers);
+        if rng.random_range(0..3) == 0 {
+            return Self::Leave(worker, Duration::from_millis(rng.random_range(1_500..5_000)));
+        }
+        Self::AskForPause(worker, format!("{:.2}", rng.random_range(0.3..3.0)))
+    }
+
     /// Whether it is planned maintenance, during which no request may fail.
     pub(crate) const fn is_planned(&self) -> bool {
-        matches!(self, Self::Stop(_) | Self::Reload(_) | Self::Configure | Self::Drain(..))
+        matches!(
+            self,
+            Self::Stop(_)
+                | Self::Reload(_)
+                | Self::Configure
+                | Self::Drain(..)
+                | Self::Leave(..)
+                | Self::AskForPause(..)
+        )
     }
 }
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -7,6 +7,7 @@
 mod checks;
 mod clients;
 mod faults;
+mod notices;
 mod run;
 
 use std::process::ExitCode;
@@ -14,13 +15,15 @@
 use clap::Parser;
 
 use crate::args::{Args, Command};
+use crate::run::RunOptions;
 
 fn main() -> ExitCode {
-    let Command::Run { seed, minutes, seeds, fronts, planned_only } = Args::parse().command;
+    let Command::Run { seed, minutes, seeds, fronts, planned_only, notices } =
+        Args::parse().command;
     let mut failed = 0;
     for seed in seed..seed + seeds {
-        let outcome =
-            actix_rt::System::new().block_on(run::run(seed, minutes, fronts, planned_only));
+        let options = RunOptions { minutes, fronts, planned_only, notices };
+        let outcome = actix_rt::System::new().block_on(run::run(seed, options));
         match outcome {
             Ok(report) => {
                 println!("seed {seed}: {report}");
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_platform_standin::{Answer, Fleet, FrontProcess, Paths, StandinError, Worker};
+use daisychute_platform_standin::{Act, Answer, Fleet, FrontProcess, Paths, StandinError, Worker};
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
 use daisychute_standin::relay::{Mode, Relay};
@@ -17,6 +17,7 @@
 use crate::checks::{RequestRecord, Violation, check};
 use crate::clients::{ClientPool, run_client};
 use crate::faults::Fault;
+use crate::notices::check_notices;
 
 /// Number of simulated clients.
 const CLIENTS: u64 = 12;
@@ -26,6 +27,8 @@
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 /// Pause between two checks whether a process has ended or cleanups are due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// One in this many steps has a worker announce something.
+const NOTICE_INTERVAL: u32 = 2;
 /// Number of calls that must succeed after the last fault.
 const REQUIRED_SUCCESSES: usize = 20;
 
@@ -93,21 +96,31 @@
     RestoreStore(usize),
     /// Accept connections to a worker again.
     Reconnect(usize),
-    /// Register a drained worker again, as newly started.
+    /// Register a worker that drained or announced to leave again, as newly started.
     Register(usize),
     /// Restart a front once it has ended.
     Restart(usize),
 }
 
+/// What a run of a seed consists of.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunOptions {
+    /// How long faults are injected, in minutes.
+    pub(crate) minutes: f64,
+    /// Number of fronts.
+    pub(crate) fronts: usize,
+    /// Whether only planned changes are injected.
+    pub(crate) planned_only: bool,
+    /// Whether workers also announce that they leave or want a pause.
+    pub(crate) notices: bool,
+}
+
 /// Runs one seed.
-pub(crate) async fn run(
-    seed: u64,
-    minutes: f64,
-    fronts: usize,
-    planned_only: bool,
-) -> Result<Report, SoakError> {
+pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
+    let RunOptions { minutes, fronts, planned_only, notices } = options;
     let mut soak = Soak::start(fronts).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut notice_rng = Pcg64Mcg::seed_from_u64(!seed);
     for number in 0..CLIENTS {
         actix_rt::spawn(run_client(Rc::clone(&soak.pool), seed ^ (number << 32)));
     }
@@ -120,6 +133,10 @@
             fault = Fault::random(&mut rng, fronts, soak.relays.len());
         }
         soak.inject(fault).await?;
+        // Another generator keeps the other faults of a seed the same with and without notices.
+        if notices && notice_rng.random_range(0..NOTICE_INTERVAL) == 0 {
+            soak.inject(Fault::random_notice(&mut notice_rng, soak.relays.len())).await?;
+        }
     }
     soak.finish().await
 }
@@ -213,6 +230,13 @@
                 self.put_record(worker, "draining", None);
                 self.cleanups.push((now + span, FaultCleanup::Register(worker)));
             }
+            Fault::Leave(worker, span) => {
+                self.fleet.workers[worker].set_leaving(true);
+                self.cleanups.push((now + span, FaultCleanup::Register(worker)));
+            }
+            Fault::AskForPause(worker, seconds) => {
+                self.fleet.workers[worker].script.push(Act::Pause(seconds));
+            }
             Fault::Configure => {
                 self.version += 1;
                 self.fleet.configure(self.version, &json!([]));
@@ -269,7 +293,8 @@
             }
             FaultCleanup::Reconnect(worker) => self.relays[worker].set_mode(Mode::Open),
             FaultCleanup::Register(worker) => {
-                self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64))
+                self.fleet.workers[worker].restart();
+                self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64));
             }
             FaultCleanup::Restart(front) => self.restart(front).await?,
         }
@@ -301,6 +326,8 @@
         for it in &records {
             self.check_request(it, &mut report);
         }
+        let is_disturbed = |from, to| self.disturbances.iter().any(|it| from < it.1 && to > it.0);
+        report.violations.extend(check_notices(&self.fleet.workers, &records, is_disturbed));
         Ok(report)
     }
 
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -34,6 +34,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Fronts sent requests to workers that had announced to leave, or asked for a pause.
+#[test]
+fn announcements_of_workers_are_heeded() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "1", "--minutes", "0.2", "--planned-only", "--notices"];
+    actix_rt::System::new().block_on(run(&args))
+}
+
 async fn run_seed(seed: u64) -> Result<(), HarnessError> {
     run(&["run", "--seed", &seed.to_string(), "--minutes", "0.08"]).await
 }
