--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -30,8 +30,11 @@
         /// Inject planned changes only, such as stops, under which no request may be cut
         #[arg(long)]
         planned_only: bool,
-        /// Also restore the store from copies, and make workers announce that they leave or ask for pauses
+        /// Also let workers announce that they leave or want a pause, and check that fronts heed it
         #[arg(long)]
-        drills: bool,
+        notices: bool,
+        /// Also restore the store from copies that are some seconds old
+        #[arg(long)]
+        restores: bool,
     },
 }
--- a/crates/daisychute-soak/src/clients.rs
+++ b/crates/daisychute-soak/src/clients.rs
@@ -50,6 +50,7 @@
     /// Sends a request and records its response. Returns whether the connection may carry another one.
     async fn call(
         &self,
+        front: SocketAddr,
         connection: &mut Connection,
         id: String,
         path: &'static str,
@@ -65,7 +66,14 @@
             .as_ref()
             .is_some_and(|it| it.whole && it.header("connection") != Some("close"));
         let ended_at = Instant::now();
-        self.records.borrow_mut().push(RequestRecord { id, path, response, sent_at, ended_at });
+        self.records.borrow_mut().push(RequestRecord {
+            id,
+            path,
+            front,
+            response,
+            sent_at,
+            ended_at,
+        });
         may_continue
     }
 }
@@ -73,13 +81,14 @@
 /// Runs one client: sends random requests to random fronts until the pool is stopping.
 pub(crate) async fn run_client(pool: Rc<ClientPool>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    let mut idle: Option<Connection> = None;
+    let mut idle: Option<(SocketAddr, Connection)> = None;
     while !pool.stopping.get() {
         sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
         if idle.is_none() {
-            idle = Connection::open(pool.random_address(&mut rng)).await.ok();
+            let address = pool.random_address(&mut rng);
+            idle = Connection::open(address).await.ok().map(|it| (address, it));
         }
-        let Some(mut connection) = idle.take() else { continue };
+        let Some((front, mut connection)) = idle.take() else { continue };
         let paths = [
             ("POST", Paths::DIGEST),
             ("POST", Paths::TAG),
@@ -89,9 +98,9 @@
         let (method, path) = paths[rng.random_range(0..paths.len())];
         let id = pool.next_id();
         let text = request_text(&id, method, path, [Paths::DIGEST, Paths::TAG].contains(&path));
-        let open = pool.call(&mut connection, id, path, &text).await;
+        let open = pool.call(front, &mut connection, id, path, &text).await;
         if open && rng.random_range(0..10) > 0 {
-            idle = Some(connection);
+            idle = Some((front, connection));
         }
     }
 }
@@ -102,13 +111,12 @@
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     while !pool.stopping.get() {
         sleep(Duration::from_millis(rng.random_range(1..MAX_STREAM_PAUSE_MS))).await;
-        let Ok(mut connection) = Connection::open(pool.random_address(&mut rng)).await else {
-            continue;
-        };
+        let front = pool.random_address(&mut rng);
+        let Ok(mut connection) = Connection::open(front).await else { continue };
         let id = pool.next_id();
         let output_tokens = rng.random_range(1..=MAX_OUTPUT_TOKENS);
         let text = request_text(&id, "POST", Paths::PATIENT, true)
             .replace(&format!(",{OUTPUT_TOKENS}\r\n"), &format!(",{output_tokens}\r\n"));
-        pool.call(&mut connection, id, Paths::PATIENT, &text).await;
+        pool.call(front, &mut connection, id, Paths::PATIENT, &text).await;
     }
 }
--- a/crates/daisychute-soak/src/faults.rs
+++ b/crates/daisychute-soak/src/faults.rs
@@ -31,13 +31,15 @@
     Unreachable(usize, Duration),
     /// A worker drains, and after this long is registered again as newly started.
     Drain(usize, Duration),
+    /// A worker announces that it is leaving, and after this long is registered again as newly started.
+    Leave(usize, Duration),
+    /// A worker refuses its next request and asks for a pause of this many seconds.
+    AskForPause(usize, String),
     /// The configuration gets a new version.
     Configure,
     /// The store is restored from a copy that is at least this old. What the operator and the workers wrote since is
     /// written again.
     Restore(Duration),
-    /// A worker announces in its responses that it is leaving, and after this long is registered as newly started.
-    Leave(usize, Duration),
 }
 
 impl Fault {
@@ -83,15 +85,13 @@
         }
     }
 
-    /// Chooses a random fault that a platform's drill plays, for a fleet of this many workers.
-    pub(crate) fn random_drill(rng: &mut Pcg64Mcg, workers: usize) -> Self {
+    /// Chooses a random announcement of one of this many workers.
+    pub(crate) fn random_notice(rng: &mut Pcg64Mcg, workers: usize) -> Self {
         let worker = rng.random_range(0..workers);
-        let span = Duration::from_millis(rng.random_range(200..8_000));
-        match rng.random_range(0..3) {
-            0 => Self::Restore(span),
-            1 => Self::Leave(worker, span),
-            _ => Self::Worker(worker, Act::Pause((span.as_secs_f64() / 4.0).to_string()), 1),
+        if rng.random_range(0..3) == 0 {
+            return Self::Leave(worker, Duration::from_millis(rng.random_range(1_500..5_000)));
         }
+        Self::AskForPause(worker, format!("{:.2}", rng.random_range(0.3..3.0)))
     }
 
     /// Whether it is planned maintenance, during which no request may fail.
@@ -104,7 +104,7 @@
                 | Self::Drain(..)
                 | Self::Restore(_)
                 | Self::Leave(..)
-                | Self::Worker(_, Act::Pause(_), _)
+                | Self::AskForPause(..)
         )
     }
 }
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Answer, Fleet, FrontProcess, Paths, StandinError, StoreCopy, Worker,
+    Act, Answer, Fleet, FrontProcess, Paths, StandinError, StoreCopy, Worker,
 };
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
@@ -19,6 +19,7 @@
 use crate::checks::{RequestRecord, Violation, check};
 use crate::clients::{ClientPool, run_client, run_stream_client};
 use crate::faults::Fault;
+use crate::notices::check_notices;
 
 /// Number of simulated clients.
 const CLIENTS: u64 = 12;
@@ -27,9 +28,11 @@
 /// Offsets from the seed of a run to those of its further generators.
 const STREAM_CLIENT_SEED: u64 = 1 << 62;
 const SERIES_SEED: u64 = 1 << 63;
-const DRILL_SEED: u64 = 1 << 61;
-/// One step in this many also injects a drill.
-const DRILL_INTERVAL: u32 = 4;
+const RESTORE_SEED: u64 = 1 << 61;
+/// One step in this many also restores the store.
+const RESTORE_INTERVAL: u32 = 8;
+/// Maximum age of the copy that it is restored from, in ms.
+const MAX_RESTORE_AGE_MS: u64 = 9_000;
 /// How long copies of the store are kept.
 const COPY_AGE: Duration = Duration::from_secs(10);
 /// Maximum time after a return of the store until what the operator and the workers wrote is there again, in ms.
@@ -46,6 +49,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of log lines kept of fronts that have ended, the latest ones.
 const MAX_ENDED_LOG_LINES: usize = 100_000;
+/// One in this many steps has a worker announce something.
+const NOTICE_INTERVAL: u32 = 2;
 /// Number of calls that must succeed after the last fault.
 const REQUIRED_SUCCESSES: usize = 20;
 
@@ -111,8 +116,8 @@
     /// Chooses the signals and configurations that follow a planned stop or reload; `None` if none do. It is a generator
     /// of its own, so that the other faults of a seed stay as they are.
     series: Option<Pcg64Mcg>,
-    /// Chooses the drills; `None` without any. A generator of its own, like `series`.
-    drills: Option<Pcg64Mcg>,
+    /// Chooses the returns of the store from a copy; `None` without any. A generator of its own, like `series`.
+    restores: Option<Pcg64Mcg>,
     /// Copies of the store with the times at which they were taken, oldest first.
     copies: VecDeque<(Instant, StoreCopy)>,
     /// Latest record of each worker.
@@ -129,7 +134,7 @@
     RestoreStore(usize),
     /// Accept connections to a worker again.
     Reconnect(usize),
-    /// Register a drained worker again, as newly started.
+    /// Register a worker that drained or announced to leave again, as newly started.
     Register(usize),
     /// Restart a front once it has ended.
     Restart(usize),
@@ -139,18 +144,29 @@
     Rewrite,
 }
 
+/// What a run of a seed consists of.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct RunOptions {
+    /// How long faults are injected, in minutes.
+    pub(crate) minutes: f64,
+    /// Number of fronts.
+    pub(crate) fronts: usize,
+    /// Whether only planned changes are injected.
+    pub(crate) planned_only: bool,
+    /// Whether workers also announce that they leave or want a pause.
+    pub(crate) notices: bool,
+    /// Whether the store is also restored from copies.
+    pub(crate) restores: bool,
+}
+
 /// Runs one seed.
-pub(crate) async fn run(
-    seed: u64,
-    minutes: f64,
-    fronts: usize,
-    planned_only: bool,
-    drills: bool,
-) -> Result<Report, SoakError> {
+pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
+    let RunOptions { minutes, fronts, planned_only, notices, restores } = options;
     let mut soak = Soak::start(fronts).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut notice_rng = Pcg64Mcg::seed_from_u64(!seed);
     soak.series = planned_only.then(|| Pcg64Mcg::seed_from_u64(seed ^ SERIES_SEED));
-    soak.drills = drills.then(|| Pcg64Mcg::seed_from_u64(seed ^ DRILL_SEED));
+    soak.restores = restores.then(|| Pcg64Mcg::seed_from_u64(seed ^ RESTORE_SEED));
     for number in 0..CLIENTS {
         actix_rt::spawn(run_client(Rc::clone(&soak.pool), seed ^ (number << 32)));
     }
@@ -168,7 +184,11 @@
         }
         soak.schedule_series(&fault);
         soak.inject(fault)?;
-        soak.inject_drill()?;
+        // Other generators keep the other faults of a seed the same with and without notices and restores.
+        if notices && notice_rng.random_range(0..NOTICE_INTERVAL) == 0 {
+            soak.inject(Fault::random_notice(&mut notice_rng, soak.relays.len()))?;
+        }
+        soak.inject_restore()?;
     }
     soak.finish().await
 }
@@ -203,7 +223,7 @@
             version,
             faults,
             series: None,
-            drills: None,
+            restores: None,
             copies: VecDeque::new(),
             records,
             ended_logs: Vec::new(),
@@ -250,15 +270,15 @@
         }
     }
 
-    /// Takes a copy of the store, and injects a drill in some of the steps.
-    fn inject_drill(&mut self) -> Result<(), SoakError> {
-        let Some(rng) = &mut self.drills else { return Ok(()) };
-        let drill = (rng.random_range(0..DRILL_INTERVAL) == 0)
-            .then(|| Fault::random_drill(rng, self.relays.len()));
+    /// Takes a copy of the store, and restores an older one in some of the steps.
+    fn inject_restore(&mut self) -> Result<(), SoakError> {
+        let Some(rng) = &mut self.restores else { return Ok(()) };
+        let is_due = rng.random_range(0..RESTORE_INTERVAL) == 0;
+        let age = Duration::from_millis(rng.random_range(0..MAX_RESTORE_AGE_MS));
         let now = Instant::now();
         self.copies.retain(|it| now.duration_since(it.0) < COPY_AGE);
         self.copies.push_back((now, self.fleet.store.copy()));
-        drill.map_or(Ok(()), |it| self.inject(it))
+        if is_due { self.inject(Fault::Restore(age)) } else { Ok(()) }
     }
 
     /// Restores the store from the newest copy that is at least this old, or from the oldest one.
@@ -267,7 +287,7 @@
         let old = self.copies.iter().rev().find(|it| now.duration_since(it.0) >= age);
         let Some((_, copy)) = old.or_else(|| self.copies.front()) else { return };
         self.fleet.store.restore(copy);
-        let Some(rng) = &mut self.drills else { return };
+        let Some(rng) = &mut self.restores else { return };
         let delay = Duration::from_millis(rng.random_range(0..MAX_REWRITE_DELAY_MS));
         self.cleanups.push((now + delay, FaultCleanup::Rewrite));
     }
@@ -313,15 +333,18 @@
                 self.put_record(worker, "draining", None);
                 self.cleanups.push((now + span, FaultCleanup::Register(worker)));
             }
+            Fault::Leave(worker, span) => {
+                self.fleet.workers[worker].set_leaving(true);
+                self.cleanups.push((now + span, FaultCleanup::Register(worker)));
+            }
+            Fault::AskForPause(worker, seconds) => {
+                self.fleet.workers[worker].script.push(Act::Pause(seconds));
+            }
             Fault::Configure => {
                 self.version += 1;
                 self.fleet.configure(self.version, &json!([]));
             }
             Fault::Restore(age) => self.restore_store(age),
-            Fault::Leave(worker, span) => {
-                self.fleet.workers[worker].set_leaving(true);
-                self.cleanups.push((now + span, FaultCleanup::Register(worker)));
-            }
         }
         if !planned {
             self.disturbances.push((now, until + RECOVERY_PERIOD));
@@ -383,8 +406,8 @@
             }
             FaultCleanup::Reconnect(worker) => self.relays[worker].set_mode(Mode::Open),
             FaultCleanup::Register(worker) => {
-                self.fleet.workers[worker].set_leaving(false);
-                self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64))
+                self.fleet.workers[worker].restart();
+                self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64));
             }
             FaultCleanup::Restart(front) => self.restart(front).await?,
             FaultCleanup::Follow(fault) => self.inject(fault)?,
@@ -421,6 +444,8 @@
         for it in &records {
             self.check_request(it, &mut report);
         }
+        let is_disturbed = |from, to| self.disturbances.iter().any(|it| from < it.1 && to > it.0);
+        report.violations.extend(check_notices(&self.fleet.workers, &records, is_disturbed));
         Ok(report)
     }
 
