fix(entry): don't take resumed calls for not run when their agent leaves

A call that must run at most once could run twice: its connection is lost together with the refusal of a run that broke off, the entry reconnects and asks to resume, and the agent is stopped before it reads that. The entry took the goodbye for the word that nothing ran and started the call elsewhere.

An agent sends the outcome of every run on the connection that it was started on, in order, before it says goodbye there. So only a run that was started on that connection and has no head is known not to have run; the others are lost runs, which go elsewhere if they may be repeated and are refused as unknown if not.

--- a/crates/daisychute-entry/src/core/entry_core.rs
+++ b/crates/daisychute-entry/src/core/entry_core.rs
@@ -191,6 +191,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         request.sent_incarnation =
             self.agents.get(&request.endpoint).map(|it| it.record.incarnation);
+        request.started_on = Some(link);
         let start = request.start(now, id, self.cfg.window);
         let give_up_at = request.give_up_at;
         actions.push(Action::send(link, start));
--- a/crates/daisychute-entry/src/core/entry_core/links.rs
+++ b/crates/daisychute-entry/src/core/entry_core/links.rs
@@ -187,7 +187,7 @@
         match end {
             LinkEnd::ConnectionLost => {}
             LinkEnd::AgentTerminated => self.handle_lost_runs(now, &endpoint, actions),
-            LinkEnd::AgentShutDown => self.retry_requests_elsewhere(now, &endpoint, actions),
+            LinkEnd::AgentShutDown => self.on_agent_left(now, link, &endpoint, actions),
         }
         self.suspend_requests(now, &endpoint, actions);
         let Some(agent) = self.agents.get_mut(&endpoint) else { return };
@@ -210,15 +210,22 @@
         }
     }
 
-    /// Retries all requests elsewhere that a cleanly shut down agent has not run.
-    pub(super) fn retry_requests_elsewhere(
+    /// Retries the requests elsewhere that an agent which said goodbye on `link` has not run, and treats the others as lost
+    /// runs.
+    pub(super) fn on_agent_left(
         &mut self,
         now: Time,
+        link: LinkId,
         endpoint: &EndpointName,
         actions: &mut Vec<Action>,
     ) {
         for id in self.requests_at(endpoint) {
-            self.retry_elsewhere(now, id, RefusalReason::Leaving, actions);
+            let Some(request) = self.requests.get(&id) else { continue };
+            if request.is_unstarted_at_goodbye(link) {
+                self.retry_elsewhere(now, id, RefusalReason::Leaving, actions);
+            } else {
+                self.on_run_lost(now, id, RefusalReason::Leaving, actions);
+            }
         }
     }
 
--- a/crates/daisychute-entry/src/core/link_end.rs
+++ b/crates/daisychute-entry/src/core/link_end.rs
@@ -7,7 +7,8 @@
     ConnectionLost,
     /// The agent process no longer exists. How far its requests were executed is unknown.
     AgentTerminated,
-    /// The agent shut down cleanly after it had responded to every request that it accepted. Requests without a
-    /// response were not run and never will be.
+    /// The agent shut down cleanly after it had sent the outcome of every request that it accepted. Requests that were
+    /// started on this connection and have no response were not run and never will be. Those that were resumed on it may
+    /// have been run, as their outcome may have been lost with an earlier connection.
     AgentShutDown,
 }
--- a/crates/daisychute-entry/src/core/request.rs
+++ b/crates/daisychute-entry/src/core/request.rs
@@ -5,6 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use daisychute_core::{EndpointName, Incarnation, ModelVersion, RequestId, Time};
+use daisychute_link::LinkId;
 use daisychute_proto::{Start, Work};
 
 use super::{EntryConfig, Submission, split_character};
@@ -56,6 +57,8 @@
     /// Incarnation of the agent when the current run was sent to it.
     // Invariant: `None` exactly while the state is `Connecting`.
     pub(super) sent_incarnation: Option<Incarnation>,
+    /// Connection on which the current run was started; `None` if it wasn't.
+    pub(super) started_on: Option<LinkId>,
     /// Whether an earlier run may have been executed, at least in part.
     pub(super) may_have_run: bool,
     /// Endpoints of earlier runs, which are not selected again.
@@ -106,6 +109,7 @@
             overload_refusals: 0,
             endpoint,
             sent_incarnation: None,
+            started_on: None,
             may_have_run: false,
             tried: BTreeSet::new(),
             received: 0,
@@ -134,6 +138,17 @@
         &self.submission
     }
 
+    /// Whether the current run was not executed, given that its agent said on connection `link` that it leaves. An agent
+    /// leaves once it has sent the outcome of every run that it took, but can't have repeated one that was lost with an
+    /// earlier connection.
+    pub(super) fn is_unstarted_at_goodbye(&self, link: LinkId) -> bool {
+        match self.state {
+            RequestState::Connecting => true,
+            RequestState::Sent => self.started_on == Some(link),
+            RequestState::Streaming | RequestState::Resuming => false,
+        }
+    }
+
     /// Whether any part of the response was sent to the client.
     pub(super) const fn response_started(&self) -> bool {
         self.head_sent
@@ -188,6 +203,7 @@
     pub(super) fn next_attempt(&mut self) {
         self.attempt += 1;
         self.sent_incarnation = None;
+        self.started_on = None;
         self.unread_of_earlier_runs = self.unread();
         self.received = 0;
         self.split_character.clear();
--- a/crates/daisychute-entry/tests/runs.rs
+++ b/crates/daisychute-entry/tests/runs.rs
@@ -1,11 +1,11 @@
-//! Requests that take several runs, event by event.
+//! Requests that take several runs or connections, event by event.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use daisychute_core::{
     EndpointKind, EndpointRecord, EndpointState, EngineTarget, FinishReason, Incarnation,
-    Precedence, RequestId, Revisions, Role, Time, Usage,
+    Precedence, Refusal, RequestId, Revisions, Role, Time, Usage, Verdict,
 };
 use daisychute_entry::LeastLoad;
 use daisychute_entry::core::{
@@ -13,15 +13,17 @@
 };
 use daisychute_link::LinkId;
 use daisychute_proto::{
-    Chunk, Completion, End, Frame, Head, Hello, PROTOCOL_VERSION, ProcessRole, Prompt, Start, Work,
+    Call, Chunk, Completion, End, Frame, Head, Hello, PROTOCOL_VERSION, ProcessRole, Prompt, Start,
+    Work,
 };
 
 /// Flow control window of the entry in bytes.
 const WINDOW: u32 = 1_000;
 const ENGINES: u16 = 3;
+const SERVICES: u16 = 3;
 const FIRST_PORT: u16 = 4_000;
 
-/// An entry with one completion, whose agents answer as a test tells.
+/// An entry with one request, whose agents answer as a test tells.
 struct Entry {
     core: EntryCore<LeastLoad>,
     now: Time,
@@ -37,10 +39,11 @@
     /// Number of bytes of `text` that the client read.
     read: u64,
     ended: bool,
+    refusal: Option<Refusal>,
 }
 
 impl Entry {
-    fn submit() -> Self {
+    fn submit(work: Work) -> Self {
         let cfg = EntryConfig { window: WINDOW, ..EntryConfig::default() };
         let mut core = EntryCore::new(cfg, LeastLoad::default(), Incarnation::new(9));
         let id = core.next_id();
@@ -55,9 +58,10 @@
             text: Vec::new(),
             read: 0,
             ended: false,
+            refusal: None,
         };
-        entry.handle(Event::Endpoints((0..ENGINES).map(record).collect()));
-        entry.handle(Event::Submit { id, submission: Box::new(submission()) });
+        entry.handle(Event::Endpoints((0..ENGINES + SERVICES).map(record).collect()));
+        entry.handle(Event::Submit { id, submission: Box::new(submission(work)) });
         entry
     }
 
@@ -93,7 +97,7 @@
                 ResponsePart::Data { data, .. } => self.text.extend_from_slice(&data),
                 ResponsePart::End { .. } => self.ended = true,
                 ResponsePart::Head { .. } => {}
-                ResponsePart::Refused(refusal) => panic!("refused: {refusal}"),
+                ResponsePart::Refused(refusal) => self.refusal = Some(refusal),
             },
             _ => {}
         }
@@ -151,7 +155,12 @@
         self.now = self.now + Duration::from_millis(100);
         self.handle(Event::Wake);
         assert_ne!(self.run().0, link, "another connection");
-        self.head(200);
+    }
+
+    /// Lets the agent of the current run say that it leaves.
+    fn agent_leaves(&mut self) {
+        let link = self.run().0;
+        self.handle(Event::LinkDown { link, end: LinkEnd::AgentShutDown });
     }
 
     /// Ends the agent of the current run, so that another run starts elsewhere.
@@ -171,20 +180,23 @@
 }
 
 fn record(index: u16) -> EndpointRecord {
+    let is_engine = index < ENGINES;
+    let target = EngineTarget {
+        role: Role::Mixed,
+        model: "clerk-lm".try_into().unwrap(),
+        version: "1".try_into().unwrap(),
+        adapter: None,
+    };
+    let service = EndpointKind::Service("sign-feed".try_into().unwrap());
     EndpointRecord {
-        endpoint: format!("clerk-lm-{index}").as_str().try_into().unwrap(),
+        endpoint: format!("e-{index}").as_str().try_into().unwrap(),
         instance: format!("i-{index}").as_str().try_into().unwrap(),
         data_centre: "agdal".try_into().unwrap(),
-        kind: EndpointKind::Engine,
+        kind: if is_engine { EndpointKind::Engine } else { service },
         agent: ([127, 0, 0, 1], FIRST_PORT + index).into(),
         incarnation: Incarnation::new(1),
         state: EndpointState::Live,
-        target: Some(EngineTarget {
-            role: Role::Mixed,
-            model: "clerk-lm".try_into().unwrap(),
-            version: "1".try_into().unwrap(),
-            adapter: None,
-        }),
+        target: is_engine.then_some(target),
     }
 }
 
@@ -202,7 +214,7 @@
     }
 }
 
-fn submission() -> Submission {
+fn submission(work: Work) -> Submission {
     Submission {
         tenant: "clerks".try_into().unwrap(),
         class: "desk".try_into().unwrap(),
@@ -210,26 +222,43 @@
         deadline: Duration::from_secs(20),
         first_token: None,
         between_tokens: None,
-        work: Work::Completion(Completion {
-            model: "clerk-lm".try_into().unwrap(),
-            adapter: None,
-            version: None,
-            prompt: Prompt::Text("Bonjour".to_owned()),
-            max_tokens: 8,
-            options: String::new(),
-            emitted: String::new(),
-            emitted_tokens: 0,
-        }),
-        continuable: true,
+        continuable: matches!(work, Work::Completion(_)),
+        work,
     }
 }
 
+fn completion() -> Work {
+    Work::Completion(Completion {
+        model: "clerk-lm".try_into().unwrap(),
+        adapter: None,
+        version: None,
+        prompt: Prompt::Text("Bonjour".to_owned()),
+        max_tokens: 8,
+        options: String::new(),
+        emitted: String::new(),
+        emitted_tokens: 0,
+    })
+}
+
+/// A call that must run at most once.
+fn call() -> Work {
+    Work::Call(Call {
+        service: "sign-feed".try_into().unwrap(),
+        method: "POST".to_owned(),
+        path: "/counts".to_owned(),
+        content_type: None,
+        body: Bytes::new(),
+        key: None,
+        repeatable: false,
+    })
+}
+
 macro_rules! cases {
-    ($($(#[doc = $guards:literal])+ $name:ident: |$entry:ident| $check:block)*) => {$(
+    ($($(#[doc = $guards:literal])+ $name:ident: $work:expr => |$entry:ident| $check:block)*) => {$(
         $(#[doc = $guards])+
         #[test]
         fn $name() {
-            let mut $entry = Entry::submit();
+            let mut $entry = Entry::submit($work);
             $check
         }
     )*};
@@ -237,7 +266,7 @@
 
 cases! {
     /// Guards against half a character, followed by the whole one, when a run is lost inside a character.
-    character_that_a_lost_run_began_is_whole: |entry| {
+    character_that_a_lost_run_began_is_whole: completion() => |entry| {
         entry.head(200);
         entry.chunk(0, b"caf");
         entry.chunk(3, &"\u{e9}".as_bytes()[..1]);
@@ -251,7 +280,7 @@
     }
 
     /// Guards against an error of an engine that loses its last bytes because they aren't UTF-8.
-    error_that_is_not_utf8_arrives_unchanged: |entry| {
+    error_that_is_not_utf8_arrives_unchanged: completion() => |entry| {
         let body = b"caf\xc3";
         entry.head(400);
         entry.chunk(0, body);
@@ -261,7 +290,7 @@
     }
 
     /// Guards against an entry that holds a window for each run of a slow client.
-    client_that_reads_slowly_over_two_runs_holds_one_window: |entry| {
+    client_that_reads_slowly_over_two_runs_holds_one_window: completion() => |entry| {
         entry.head(200);
         entry.fill();
         entry.client_reads(300);
@@ -276,15 +305,53 @@
     }
 
     /// Guards against an entry that holds another window for each connection that is lost.
-    client_that_reads_slowly_over_two_connections_holds_one_window: |entry| {
+    client_that_reads_slowly_over_two_connections_holds_one_window: completion() => |entry| {
         entry.head(200);
         entry.fill();
         entry.client_reads(100);
         entry.cut_connection();
+        entry.head(200);
         for _ in 0..100 {
             entry.fill();
             entry.client_reads(30);
         }
         assert!(entry.read > 2 * u64::from(WINDOW), "stalled after {} bytes", entry.read);
     }
+
+    /// Guards against a second run of a call whose outcome was lost with its connection, when the agent leaves before it
+    /// can repeat the outcome.
+    resumed_call_at_an_agent_that_leaves_may_have_run: call() => |entry| {
+        entry.cut_connection();
+        entry.agent_leaves();
+        assert_eq!(entry.run().1, 1, "no other run");
+        assert_eq!(entry.refusal.map(|it| it.verdict), Some(Verdict::Unknown));
+    }
+
+    /// Guards against a second run of a call whose response has begun.
+    call_in_mid_response_at_an_agent_that_leaves_may_have_run: call() => |entry| {
+        entry.head(200);
+        entry.agent_leaves();
+        assert_eq!(entry.run().1, 1, "no other run");
+        assert_eq!(entry.refusal.map(|it| it.verdict), Some(Verdict::Unknown));
+    }
+
+    /// Guards against a refusal of a call that an agent didn't take any more.
+    call_that_a_leaving_agent_did_not_take_runs_elsewhere: call() => |entry| {
+        entry.agent_leaves();
+        assert_eq!((entry.run().1, entry.refusal), (2, None));
+    }
+
+    /// Guards against a completion that ends with its agent, though another one can go on with it.
+    resumed_completion_at_an_agent_that_leaves_continues_elsewhere: completion() => |entry| {
+        entry.head(200);
+        entry.chunk(0, b"caf");
+        entry.cut_connection();
+        entry.agent_leaves();
+        assert_eq!((entry.run().1, entry.continued_text()), (2, "caf"));
+        entry.head(200);
+        entry.chunk(0, "\u{e9}".as_bytes());
+        entry.end(2);
+        assert!(entry.ended);
+        assert_eq!(str::from_utf8(&entry.text), Ok("caf\u{e9}"));
+    }
 }
