test(entry): random schedules with agents that say goodbye

A new set of 5,000 schedules lets agents without jobs say goodbye, after their frames have arrived; the other sets draw the same numbers as before.

--- a/crates/daisychute-entry/tests/interleavings.rs
+++ b/crates/daisychute-entry/tests/interleavings.rs
@@ -47,8 +47,9 @@
 }
 
 schedules! {
-    cuts_kills_and_drains: Faults { duplicates: false, losses: false };
-    duplicated_frames: Faults { duplicates: true, losses: false };
-    lost_frames: Faults { duplicates: false, losses: true };
-    duplicated_and_lost_frames: Faults { duplicates: true, losses: true };
+    cuts_kills_and_drains: Faults { duplicates: false, losses: false, goodbyes: false };
+    cuts_kills_drains_and_goodbyes: Faults { duplicates: false, losses: false, goodbyes: true };
+    duplicated_frames: Faults { duplicates: true, losses: false, goodbyes: false };
+    lost_frames: Faults { duplicates: false, losses: true, goodbyes: false };
+    duplicated_and_lost_frames: Faults { duplicates: true, losses: true, goodbyes: false };
 }
--- a/crates/daisychute-entry/tests/world/mod.rs
+++ b/crates/daisychute-entry/tests/world/mod.rs
@@ -55,6 +55,8 @@
     pub(crate) duplicates: bool,
     /// Some frames are lost although their connection stays up.
     pub(crate) losses: bool,
+    /// Some agents without jobs leave, after their frames have arrived on the connections that are up.
+    pub(crate) goodbyes: bool,
 }
 
 pub(crate) struct World {
@@ -134,6 +136,9 @@
     }
 
     fn step(&mut self) {
+        if self.faults.goodbyes && self.rng.random_bool(0.02) {
+            return self.leave_any();
+        }
         match self.rng.random_range(0..100) {
             0..45 => self.deliver_any(),
             45..75 => self.endpoint_step(),
@@ -307,6 +312,34 @@
         }
     }
 
+    /// Lets an agent without jobs say goodbye and exit.
+    fn leave_any(&mut self) {
+        let index = self.rng.random_range(0..AGENTS);
+        if !self.agents[index].alive || !self.agents[index].core.jobs().is_empty() {
+            return;
+        }
+        self.agents[index].alive = false;
+        self.agents[index].endpoint.stop();
+        for at in 0..self.wires.len() {
+            if self.wires[at].agent != index || !self.wires[at].agent_up {
+                continue;
+            }
+            self.wires[at].agent_up = false;
+            self.wires[at].to_agent.clear();
+            while self.wires[at].entry_up
+                && let Some(frame) = self.wires[at].to_entry.pop_front()
+            {
+                self.handle_frame(at, false, frame);
+            }
+            let Wire { entry, entry_link, entry_up, .. } = self.wires[at];
+            if entry_up {
+                self.wires[at].entry_up = false;
+                let end = LinkEnd::AgentShutDown;
+                self.feed_entry(entry, Event::LinkDown { link: entry_link, end });
+            }
+        }
+    }
+
     fn restart_any(&mut self) {
         let index = self.rng.random_range(0..AGENTS);
         if self.agents[index].alive {
