--- a/crates/daisychute-entry/tests/interleavings.rs
+++ b/crates/daisychute-entry/tests/interleavings.rs
@@ -47,9 +47,10 @@
 }
 
 schedules! {
-    cuts_kills_and_drains: Faults { duplicates: false, losses: false, stops: false };
-    duplicated_frames: Faults { duplicates: true, losses: false, stops: false };
-    lost_frames: Faults { duplicates: false, losses: true, stops: false };
-    duplicated_and_lost_frames: Faults { duplicates: true, losses: true, stops: false };
-    stops: Faults { duplicates: true, losses: true, stops: true };
+    cuts_kills_and_drains: Faults::default();
+    cuts_kills_drains_and_goodbyes: Faults { goodbyes: true, ..Faults::default() };
+    duplicated_frames: Faults { duplicates: true, ..Faults::default() };
+    lost_frames: Faults { losses: true, ..Faults::default() };
+    duplicated_and_lost_frames: Faults { duplicates: true, losses: true, ..Faults::default() };
+    stops: Faults { duplicates: true, losses: true, stops: true, goodbyes: false };
 }
--- a/crates/daisychute-entry/tests/world/mod.rs
+++ b/crates/daisychute-entry/tests/world/mod.rs
@@ -49,7 +49,7 @@
 }
 
 /// Kinds of frame faults that a schedule injects, besides lost connections and killed agents.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Faults {
     /// Some frames are delivered twice.
     pub(crate) duplicates: bool,
@@ -57,6 +57,8 @@
     pub(crate) losses: bool,
     /// Some entries and agents shut down with requests that may outlast their drain.
     pub(crate) stops: bool,
+    /// Some agents without jobs leave, after their frames have arrived on the connections that are up.
+    pub(crate) goodbyes: bool,
 }
 
 pub(crate) struct World {
@@ -139,6 +141,9 @@
         if self.faults.stops && self.rng.random_bool(0.02) {
             self.stop_any();
         }
+        if self.faults.goodbyes && self.rng.random_bool(0.02) {
+            return self.leave_any();
+        }
         match self.rng.random_range(0..100) {
             0..45 => self.deliver_any(),
             45..75 => self.endpoint_step(),
@@ -312,6 +317,34 @@
         }
     }
 
+    /// Lets an agent without jobs say goodbye and exit.
+    fn leave_any(&mut self) {
+        let index = self.rng.random_range(0..AGENTS);
+        if !self.agents[index].alive || !self.agents[index].core.jobs().is_empty() {
+            return;
+        }
+        self.agents[index].alive = false;
+        self.agents[index].endpoint.stop();
+        for at in 0..self.wires.len() {
+            if self.wires[at].agent != index || !self.wires[at].agent_up {
+                continue;
+            }
+            self.wires[at].agent_up = false;
+            self.wires[at].to_agent.clear();
+            while self.wires[at].entry_up
+                && let Some(frame) = self.wires[at].to_entry.pop_front()
+            {
+                self.handle_frame(at, false, frame);
+            }
+            let Wire { entry, entry_link, entry_up, .. } = self.wires[at];
+            if entry_up {
+                self.wires[at].entry_up = false;
+                let end = LinkEnd::AgentShutDown;
+                self.feed_entry(entry, Event::LinkDown { link: entry_link, end });
+            }
+        }
+    }
+
     fn restart_any(&mut self) {
         let index = self.rng.random_range(0..AGENTS);
         if self.agents[index].alive {
