fix(front): a record without a start time in a restored copy is of an earlier start

Cause: after a return, a front takes no earlier start of a worker from the copy, but a record without a start time didn't count as earlier; a front that had started since never knew that start, so it took it for a new one, without the pause. A worker that announced that it is leaving would have been used again the same way.

--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -151,7 +151,8 @@
         call.run().await
     }
 
-    /// Handles a disconnect of the client, the expiry of the deadline or the exit of the process. The send attempt in flight has been dropped.
+    /// Handles a disconnect of the client, the expiry of the deadline or the exit of the process. The send attempt in
+    /// flight has been dropped.
     async fn interrupted(&mut self, event: Event) -> ConnectionOutcome {
         let disconnected = matches!(event, Event::ClientDisconnected { .. });
         let action = self.state.handle(event);
--- a/crates/daisychute-front/src/directory/departures.rs
+++ b/crates/daisychute-front/src/directory/departures.rs
@@ -123,8 +123,8 @@
         current: Option<&Endpoint>,
     ) -> Admission {
         let is_held = self.held_until.is_some_and(|it| now < it);
-        let started_earlier =
-            |it: &Endpoint| endpoint.started_at.is_some() && endpoint.started_at < it.started_at;
+        // A record without a start time is from before the endpoint had one.
+        let started_earlier = |it: &Endpoint| endpoint.started_at < it.started_at;
         if is_held && current.is_some_and(started_earlier) {
             return Admission::Gone;
         }
--- a/crates/daisychute-front/tests/departures.rs
+++ b/crates/daisychute-front/tests/departures.rs
@@ -122,6 +122,17 @@
     assert_eq!(departures.admit(after_hold, 2, &earlier, Some(&current)), AsListed);
 }
 
+/// Guards against replacing a restarted endpoint by an earlier start in the copy whose record had no start time yet.
+#[test]
+fn a_start_without_a_time_in_the_copy_is_an_earlier_one() {
+    let mut departures = Departures::default();
+    let current = endpoint(2, READY);
+    let earlier = Endpoint { started_at: None, ..endpoint(1, READY) };
+    departures.hold(at(100));
+    assert_eq!(departures.admit(at(200), 2, &earlier, Some(&current)), Gone);
+    assert_eq!(departures.admit(at(200), 2, &current, Some(&earlier)), AsListed);
+}
+
 /// Guards against applying a record of an endpoint of which a peer said after the return that it had left before it.
 #[test]
 fn a_departure_that_is_learned_after_the_return_counts() {
