fix(front): don't take endpoints for up to date whose removal is pending at the peer

A front that the store turns away went on sending requests to a worker that had left.

Ruled out: load (it never learned in 5 s).

--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -167,6 +167,14 @@
         self.tracked.values().map(|it| &it.endpoint)
     }
 
+    /// Whether endpoints are known whose records are missing, and which aren't removed yet.
+    #[must_use]
+    pub fn has_pending_removals(&self) -> bool {
+        let is_pending =
+            |it: &TrackedEndpoint| matches!(it.lifecycle, EndpointLifecycle::RemovalPending { .. });
+        self.tracked.values().any(is_pending)
+    }
+
     /// Returns the names of all endpoints.
     pub fn names(&self) -> impl Iterator<Item = &EndpointName> {
         self.names.keys()
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -22,6 +22,9 @@
     /// The store's revision up to which the sender has seen all changes of endpoints; 0 if unknown.
     #[serde(default)]
     covered: u64,
+    /// Whether removals are pending at the sender, so that some of the endpoints may have left.
+    #[serde(default)]
+    pub(crate) unsettled: bool,
     /// The eras of the two `revisions` and of `covered`. Missing in snapshots of older builds.
     #[serde(default)]
     eras: (u64, u64, u64),
@@ -37,6 +40,7 @@
             services: table.services().cloned().collect(),
             limits: *table.limits(),
             endpoints: dispatcher.fleet().endpoints().cloned().collect(),
+            unsettled: dispatcher.fleet().has_pending_removals(),
             ..Self::default()
         })
     }
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -120,6 +120,7 @@
 
 /// Applies what is newer in a snapshot. Returns whether anything was.
 ///
+/// While removals are pending at the peer, its endpoints are taken only by a front that knows none, which then asks again.
 /// An older picture of the endpoints is ignored as a whole: it may lack endpoints that joined since, and contain ones
 /// that left.
 fn apply<D: Dialect>(state: &Rc<FrontState<D>>, peer: SocketAddr, snapshot: &Snapshot) -> bool {
@@ -135,7 +136,9 @@
     let newer_table = known_version.is_none_or(|it| it < version);
     let covered = snapshot.covered();
     state.record_peer_era(covered.era(), peer);
-    let newer_endpoints = state.revisions.endpoints_covered() < covered;
+    let knows_none = state.with_dispatcher(|it| it.fleet().is_empty());
+    let newer_endpoints =
+        state.revisions.endpoints_covered() < covered && (!snapshot.unsettled || knows_none);
     if !newer_table && !newer_endpoints {
         return false;
     }
@@ -148,6 +151,8 @@
     }
     if newer_endpoints {
         state.replace_endpoints(&snapshot.endpoints, covered);
+    }
+    if newer_endpoints && !snapshot.unsettled {
         state.revisions.record_seen(Collection::Endpoints, endpoints_position);
         state.revisions.record_covered(Collection::Endpoints, covered);
     }
