feat(front): log streams that end inside an event, and how their end was found

One line now says that it ended inside an event, whether its body had a length or chunks or ended with the connection, and how many bytes were held. What is passed on doesn't change.

--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -85,6 +85,11 @@
         if self.head_passed { self.framer.last_id() } else { None }
     }
 
+    /// Returns the length of the incomplete event that is held back, in bytes.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.framer.partial_bytes()
+    }
+
     /// Drops an incomplete event: the next attempt sends it again.
     pub(crate) fn discard_partial(&mut self) {
         self.framer.discard_partial();
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -310,12 +310,24 @@
                 }
             }
         }
+        self.log_end_inside_event(reader);
         match self.response_writer.write_partial_event(head).await {
             Ok(()) => self.finish().await,
             Err(disconnected) => disconnected.into(),
         }
     }
 
+    /// Logs a stream whose last event lacks its end.
+    fn log_end_inside_event(&self, reader: &ResponseReader<'_, '_>) {
+        let bytes = self.response_writer.partial_bytes();
+        if bytes == 0 {
+            return;
+        }
+        let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+        let framing = reader.framing().as_str();
+        log::warn!(request:%, endpoint:%, framing, bytes; "stream ended inside an event");
+    }
+
     async fn finish(&mut self) -> CallEnd {
         match self.response_writer.finish().await {
             Ok(()) => CallEnd::Finished,
--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -21,6 +21,25 @@
     Closed,
 }
 
+/// How the end of a response's body is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// By a length, by chunks, or by a status without a body.
+    Explicit,
+    /// By the close of the connection, after which the body may lack its end.
+    UntilClose,
+}
+
+impl Framing {
+    /// Returns the name used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Explicit => "explicit",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// The response is truncated or malformed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ResponseError;
@@ -38,6 +57,7 @@
     read: &'a mut ReadHalf<'b>,
     buf: &'a mut BytesMut,
     body: Body,
+    framing: Framing,
 }
 
 /// Buffer space reserved for each read from the socket, in bytes: fits a typical response or several events.
@@ -50,7 +70,7 @@
         buf: &'a mut BytesMut,
         codec: ClientCodec,
     ) -> Self {
-        Self { read, buf, body: Body::Complete(codec) }
+        Self { read, buf, body: Body::Complete(codec), framing: Framing::Explicit }
     }
 
     /// Reads the head of the next response. The body of the previous one must have been read to its end. With
@@ -71,9 +91,18 @@
             }
         };
         self.body = Self::body_of(&head, codec, is_head_request)?;
+        self.framing = match self.body {
+            Body::UntilClose => Framing::UntilClose,
+            _ => Framing::Explicit,
+        };
         Ok(head)
     }
 
+    /// How the end of the present response's body is found.
+    pub(crate) const fn framing(&self) -> Framing {
+        self.framing
+    }
+
     fn body_of(
         head: &ResponseHead,
         codec: ClientCodec,
--- a/crates/daisychute-front/src/event_framer.rs
+++ b/crates/daisychute-front/src/event_framer.rs
@@ -42,6 +42,12 @@
         (!partial.is_empty()).then_some(partial)
     }
 
+    /// Returns the length of the incomplete event, in bytes.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Drops the incomplete event.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
