fix(front): a stream that ends inside an event has been broken off

A caller that parses events drops the last one without a word.

Cause: when the body of a stream had ended, the front wrote what it held of an incomplete event and then the last chunk of its own response. It took the end of the body, by the close of the connection or by a last chunk, for the end of the stream, although it knew from its framing of events that one was open.

Now a stream that ends inside an event, and one without a length that brings no event at all, count as truncated: taken up at another worker if the route allows it, else 502 or a response without its last chunk. This works whatever framed the body, since the event is what a caller uses. Lines may end with CR, LF or both, so that a whole stream in any of these forms isn't taken for a broken one; comments and blank lines after the last event are passed on as before. A stream without a length that stops between two events can't be told from a whole one.

--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -90,6 +90,11 @@
         self.framer.partial_bytes()
     }
 
+    /// Whether the stream so far ends inside an event.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        self.framer.is_inside_event()
+    }
+
     /// Drops an incomplete event: the next attempt sends it again.
     pub(crate) fn discard_partial(&mut self) {
         self.framer.discard_partial();
@@ -131,20 +136,20 @@
         self.flush().await
     }
 
-    /// Writes the events of a stream that are complete with these bytes, and keeps the rest.
+    /// Writes the events of a stream that are complete with these bytes, and keeps the rest. Returns whether there are
+    /// any.
     pub(crate) async fn write_events(
         &mut self,
         head: &ResponseHead,
         bytes: &[u8],
-    ) -> Result<(), ClientDisconnected> {
-        match self.framer.push(bytes) {
-            Some(events) => self.write_chunk(head, &events).await,
-            None => Ok(()),
-        }
+    ) -> Result<bool, ClientDisconnected> {
+        let Some(events) = self.framer.push(bytes) else { return Ok(false) };
+        self.write_chunk(head, &events).await?;
+        Ok(true)
     }
 
-    /// Writes what follows the last complete event, once the endpoint has ended its stream.
-    pub(crate) async fn write_partial_event(
+    /// Writes the blank lines and comments after the last event, once the endpoint has ended its stream.
+    pub(crate) async fn write_rest(
         &mut self,
         head: &ResponseHead,
     ) -> Result<(), ClientDisconnected> {
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -18,7 +18,7 @@
 use crate::dialect::ForwardParams;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
-use crate::endpoint::response_reader::{Collected, ResponseError, ResponseReader};
+use crate::endpoint::response_reader::{Collected, Framing, ResponseError, ResponseReader};
 use crate::state::FrontState;
 use crate::{Dialect, ResponseInfo};
 
@@ -294,40 +294,51 @@
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
         self.response_writer.discard_partial();
+        let mut has_events = false;
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
                     self.state.handle(Event::FirstOutput { key: self.key });
-                    if let Err(disconnected) = self.response_writer.write_events(head, &bytes).await
-                    {
-                        return disconnected.into();
+                    match self.response_writer.write_events(head, &bytes).await {
+                        Ok(written) => has_events |= written,
+                        Err(disconnected) => return disconnected.into(),
                     }
                 }
                 Ok(None) => break,
-                Err(_) => {
-                    let head_passed = self.response_writer.head_passed();
-                    return CallEnd::Failed(SendFailure::MidAnswer { head_passed }, None);
-                }
+                Err(_) => return self.broken_stream(),
             }
         }
-        self.log_end_inside_event(reader);
-        match self.response_writer.write_partial_event(head).await {
+        if self.is_broken_off(reader.framing(), has_events) {
+            return self.broken_stream();
+        }
+        match self.response_writer.write_rest(head).await {
             Ok(()) => self.finish().await,
             Err(disconnected) => disconnected.into(),
         }
     }
 
-    /// Logs a stream whose last event lacks its end.
-    fn log_end_inside_event(&self, reader: &ResponseReader<'_, '_>) {
-        let bytes = self.response_writer.partial_bytes();
-        if bytes == 0 {
-            return;
+    /// Whether a stream whose body has ended lacks its last events.
+    fn is_broken_off(&self, framing: Framing, has_events: bool) -> bool {
+        let inside_event = self.response_writer.is_inside_event();
+        if inside_event {
+            self.log_end_inside_event(framing);
         }
+        // An endpoint that stops before its first event closes the connection in the same way.
+        let may_lack_events = framing == Framing::UntilClose && !has_events;
+        inside_event || may_lack_events
+    }
+
+    fn log_end_inside_event(&self, framing: Framing) {
         let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
-        let framing = reader.framing().as_str();
+        let (framing, bytes) = (framing.as_str(), self.response_writer.partial_bytes());
         log::warn!(request:%, endpoint:%, framing, bytes; "stream ended inside an event");
     }
 
+    fn broken_stream(&self) -> CallEnd {
+        let head_passed = self.response_writer.head_passed();
+        CallEnd::Failed(SendFailure::MidAnswer { head_passed }, None)
+    }
+
     async fn finish(&mut self) -> CallEnd {
         match self.response_writer.finish().await {
             Ok(()) => CallEnd::Finished,
--- a/crates/daisychute-front/src/event_framer.rs
+++ b/crates/daisychute-front/src/event_framer.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Returns complete events and buffers an incomplete one, so that another endpoint can continue the stream after the
-/// last complete event.
+/// last complete event. Lines end as the format allows: with a line feed, a carriage return, or both.
 ///
 /// ```
 /// use daisychute_front::EventFramer;
@@ -48,6 +48,13 @@
         self.partial.len()
     }
 
+    /// Whether the bytes so far end inside an event. Blank lines and comments after the last event belong to none.
+    #[must_use]
+    pub fn is_inside_event(&self) -> bool {
+        let mut lines = self.partial.split_inclusive(|it| is_line_end(*it));
+        lines.any(|it| !is_blank(it) && !is_whole_comment(it))
+    }
+
     /// Drops the incomplete event.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
@@ -68,12 +75,28 @@
     (1..bytes.len()).rev().find(|at| ends_event(&bytes[..=*at])).map(|at| at + 1)
 }
 
+/// Whether the bytes end with a line end and a blank line.
 fn ends_event(bytes: &[u8]) -> bool {
-    bytes.ends_with(b"\n\n") || bytes.ends_with(LONGEST_END)
+    let without_blank_line = bytes
+        .strip_suffix(b"\r\n")
+        .or_else(|| bytes.split_last().filter(|it| is_line_end(*it.0)).map(|it| it.1));
+    without_blank_line.and_then(<[u8]>::last).is_some_and(|it| is_line_end(*it))
+}
+
+const fn is_line_end(byte: u8) -> bool {
+    matches!(byte, b'\n' | b'\r')
+}
+
+fn is_blank(line: &[u8]) -> bool {
+    line.iter().all(|it| is_line_end(*it))
+}
+
+fn is_whole_comment(line: &[u8]) -> bool {
+    line.starts_with(b":") && line.last().is_some_and(|it| is_line_end(*it))
 }
 
 fn last_id(events: &[u8]) -> Option<Arc<str>> {
-    let lines = events.rsplit(|it| *it == b'\n');
+    let lines = events.rsplit(|it| is_line_end(*it));
     let value = lines.filter_map(|it| it.strip_prefix(b"id:")).next()?;
     let text = std::str::from_utf8(value).ok()?;
     Some(Arc::from(text.trim()))
