feat(front): log the software version of endpoints and what a send continues

The logs couldn't tell whether a client or the front itself took up a stream at another software version (ORDER): records of endpoints were read without their version, and no line named the stream that a request continues. Now endpoint listed and sent carry version, and sent carries resumes (the attempt that brought the first event, unknown if the client doesn't say) and after_event (set if the front itself goes on after an event that it has passed on). A record whose version isn't text or no valid name names no worker to use, like those with other bad fields. Nothing is decided by it.

--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -42,7 +42,7 @@
 pub use crate::model::Model;
 pub use crate::name::{
     AdapterName, ClassName, DataCentreName, DeploymentName, EndpointName, InstanceName, ModelName,
-    ModelVersion, ProcessName, RegionName, ServiceName, TenantName,
+    ModelVersion, ProcessName, RegionName, ServiceName, SoftwareVersion, TenantName,
 };
 pub use crate::outcome::{FinishReason, Refusal, RefusalReason, Usage, Verdict};
 pub use crate::plan::{DesiredState, Plan};
--- a/crates/daisychute-core/src/name.rs
+++ b/crates/daisychute-core/src/name.rs
@@ -120,6 +120,8 @@
     RegionName,
     /// Name of a plain service.
     ServiceName,
+    /// Version of the software that an endpoint runs. Versions have no order.
+    SoftwareVersion,
     /// Name of a tenant.
     TenantName,
 }
--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{EndpointName, Time};
+use daisychute_core::{EndpointName, SoftwareVersion, Time};
 
 use crate::{EndpointKey, Incarnation, PromptPart, Reason, RequestKey, RequestKind};
 
@@ -69,6 +69,8 @@
     pub shutdown_in: Option<Duration>,
     /// Number of endpoints that could have taken the request.
     pub candidates: usize,
+    /// Version of the endpoint's software; `None` if the directory doesn't say.
+    pub software_version: Option<SoftwareVersion>,
     /// Age of the endpoint's latest load report; `None` if there is none.
     pub load_age: Option<Duration>,
     /// Maximum number of connections that this front may have to the endpoint.
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -245,6 +245,7 @@
                 max_output: state.request.prompt.as_ref().map(|it| it.max_output),
                 shutdown_in,
                 candidates: candidate.candidates,
+                software_version: tracked.endpoint.software_version.clone(),
                 load_age: tracked.sample.map(|it| now.since(it.received_at)),
                 max_connections,
             }),
--- a/crates/daisychute-dispatch/src/core/request_info.rs
+++ b/crates/daisychute-dispatch/src/core/request_info.rs
@@ -36,6 +36,15 @@
     pub client_timeout: Option<Duration>,
     /// Prompt of a generation request; `None` for other requests.
     pub prompt: Option<Prompt>,
+    /// Set if the client resumes a stream of which it has the first events.
+    pub resumption: Option<Resumption>,
+}
+
+/// What a client says of the stream that it resumes.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Resumption {
+    /// Id of the request that brought the first event; `None` if the client doesn't say.
+    pub first_attempt: Option<Arc<str>>,
 }
 
 impl RequestInfo {
@@ -52,6 +61,7 @@
             path: path.into(),
             client_timeout: None,
             prompt: None,
+            resumption: None,
         }
     }
 
@@ -62,6 +72,13 @@
         self
     }
 
+    /// Sets that the client resumes a stream.
+    #[must_use]
+    pub fn resumption(mut self, resumption: Resumption) -> Self {
+        self.resumption = Some(resumption);
+        self
+    }
+
     /// Sets the prompt of a generation request.
     #[must_use]
     pub fn prompt(mut self, prompt: Prompt) -> Self {
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName, Time};
+use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName, SoftwareVersion, Time};
 use rustc_hash::FxHashMap;
 
 use crate::fleet::availability::Availability;
@@ -66,6 +66,9 @@
     /// Start time of the endpoint, in Unix milliseconds; `None` if the directory doesn't say.
     #[serde(rename = "born")]
     pub started_at: Option<u64>,
+    /// Version of the endpoint's software; `None` if the directory doesn't say.
+    #[serde(default)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl Endpoint {
--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -94,6 +94,7 @@
         stage,
         draining: false,
         started_at: None,
+        software_version: None,
     }
 }
 
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
+use daisychute_core::SoftwareVersion;
 use daisychute_dispatch::{
     Action, Event, Reason, RequestInfo, RequestKey, SendDecision, SendFailure,
 };
@@ -208,6 +209,7 @@
             fetch_from,
             max_output,
             candidates,
+            software_version,
             ..
         } = decision;
         let (task, predicted_ms, wait_ms) = (task.as_str(), cost.as_millis(), wait.as_millis());
@@ -216,9 +218,14 @@
         let request = &self.incoming.info.id;
         let load_age_ms = decision.load_age.map(|it| it.as_millis());
         let shutdown_in_ms = decision.shutdown_in.map(|it| it.as_millis());
+        let version = software_version.as_ref().map_or("", SoftwareVersion::as_str);
+        let resumption = self.incoming.info.resumption.as_ref();
+        let resumes = resumption.map(|it| it.first_attempt.as_deref().unwrap_or("unknown"));
+        let after_event = self.response_writer.last_event_id();
         log::info!(
             request:%, endpoint:% = name, task, sends = previous_attempts, predicted_ms, wait_ms,
-            unread = uncached_tokens, max_output:?, fetch_from:?, among = candidates, load_age_ms:?, shutdown_in_ms:?;
+            unread = uncached_tokens, max_output:?, fetch_from:?, among = candidates, load_age_ms:?, shutdown_in_ms:?,
+            version, resumes:?, after_event:?;
             "sent"
         );
     }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
-use daisychute_core::{EndpointName, Time};
+use daisychute_core::{EndpointName, SoftwareVersion, Time};
 use daisychute_dispatch::{
     Action, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Removal, RequestKey, RouteTable,
 };
@@ -262,8 +262,11 @@
         if let Some(replaced) = replaced {
             self.departures.borrow_mut().record_gone(now, now, era, &replaced);
         }
-        let Endpoint { name, service, address, stage, draining, started_at, .. } = &endpoint;
-        log::info!(endpoint:% = name, service:%, address:%, stage:?, draining, born:? = started_at; "endpoint listed");
+        let Endpoint {
+            name, service, address, stage, draining, started_at, software_version, ..
+        } = &endpoint;
+        let version = software_version.as_ref().map_or("", SoftwareVersion::as_str);
+        log::info!(endpoint:% = name, service:%, address:%, stage:?, draining, born:? = started_at, version; "endpoint listed");
         self.handle(Event::EndpointUpserted(endpoint));
     }
 
--- a/crates/daisychute-front/tests/departures.rs
+++ b/crates/daisychute-front/tests/departures.rs
@@ -22,6 +22,7 @@
         stage: None,
         draining,
         started_at: Some(started_at),
+        software_version: None,
     }
 }
 
