fix(front): streams go on only at the software version that began them

Cause: nothing bound a stream to where it began. A front chose the worker that goes on by cost alone, whether it took the stream up itself or a client brought it back; in the second case it could not know, as Resumes was not read and fronts didn't tell each other.

The first whole event binds the request to the version in its worker's record. The front tells the others (a hash of the attempt's id, the version, the time for which the client may return) in three heartbeats, at once where several versions serve. A client that resumes is bound in the same way; if no front told the version, it goes on only if all endpoints had one version for two timeouts of the route, those that left included. Else 503, not run: origin_unknown, or version_gone if no worker of the version takes requests, without a prefill in vain. A resumed stream isn't refused for the objective of its first event, which the client has; only if it can't go on before its deadline.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -6,7 +6,7 @@
 
 use daisychute_core::{EndpointName, SoftwareVersion, Time};
 
-use crate::{EndpointKey, Incarnation, PromptPart, Reason, RequestKey, RequestKind};
+use crate::{EndpointKey, Incarnation, PromptPart, Reason, RequestKey, RequestKind, StreamOrigin};
 
 /// Work that an endpoint is asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -146,6 +146,11 @@
         /// Identity of the endpoint.
         endpoint: Incarnation,
     },
+    /// Tell the other fronts where a stream began.
+    AnnounceOrigin {
+        /// The stream and the software version that began it.
+        origin: StreamOrigin,
+    },
     /// Record that an endpoint gets nothing new because it announced that it is leaving.
     RecordLeaving {
         /// Name of the endpoint.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -8,8 +8,10 @@
 
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
 use crate::core::shutdown::Shutdown;
+use crate::core::stream_origins::StreamOrigins;
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::stage_times::StageTimes;
+use crate::fleet::version_history::VersionHistory;
 use crate::{
     Action, DispatchSettings, EndpointKey, Event, Fleet, LoadSample, PeerLoad, PromptPart, Reason,
     RequestInfo, RequestKey, RetryBudget, RouteTable, Task,
@@ -36,13 +38,17 @@
     pub(crate) shutdown: Option<Shutdown>,
     /// Fronts that shut down, by incarnation, and when each will have exited.
     pub(crate) stopping_peers: FxHashMap<u64, Time>,
+    /// Software versions that began the streams which clients may resume.
+    pub(crate) stream_origins: StreamOrigins,
+    /// Software versions of the endpoints in the fleet, and of those that left it.
+    pub(crate) versions: VersionHistory,
 }
 
 impl Dispatcher {
     /// Retry delay sent to a client whose request is refused for a reason other than overload.
     pub(crate) const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(300);
     /// Client timeout assumed for a request that states none; the timeout of the route applies as well.
-    const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(600);
+    pub(crate) const DEFAULT_CLIENT_TIMEOUT: Duration = Duration::from_secs(600);
 
     /// Creates a dispatcher without a configuration and without endpoints.
     #[must_use]
@@ -58,6 +64,8 @@
             stage_times: FxHashMap::default(),
             shutdown: None,
             stopping_peers: FxHashMap::default(),
+            stream_origins: StreamOrigins::default(),
+            versions: VersionHistory::default(),
         }
     }
 
@@ -118,6 +126,7 @@
             Event::Configured(table) => self.configured(now, table),
             Event::EndpointUpserted(endpoint) => self.endpoint_upserted(now, endpoint, actions),
             Event::EndpointRemoved { name, removal } => {
+                self.record_version(now, &name);
                 let removed = self.fleet.remove(now, &name, removal);
                 actions.extend(removed.map(|endpoint| Action::CloseIdleConnections { endpoint }));
             }
@@ -132,12 +141,19 @@
             }
             Event::LeavingReported { endpoints } => self.leaving_reported(now, endpoints, actions),
             Event::StayingConfirmed { endpoint } => self.fleet.record_staying(endpoint),
+            Event::OriginsReported { origins } => {
+                for origin in origins {
+                    self.stream_origins.record(now, origin);
+                }
+            }
             Event::FrontCount(count) => self.fronts = count.max(1),
             Event::ShutdownRequested { deadline } => {
                 self.shutdown = Some(Shutdown { requested_at: now, deadline });
             }
             Event::ShutdownExpired { key } => self.shutdown_expired(now, key, actions),
             Event::Tick => {
+                self.stream_origins.expire(now);
+                self.record_versions_of_pending_removals(now);
                 let removed = self.fleet.expire(now);
                 actions.extend(
                     removed.into_iter().map(|endpoint| Action::CloseIdleConnections { endpoint }),
@@ -163,6 +179,8 @@
         actions: &mut Vec<Action>,
     ) {
         let (name, address) = (endpoint.name.clone(), endpoint.address);
+        self.record_version(now, &name);
+        self.versions.record(now, &endpoint);
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
@@ -176,6 +194,22 @@
         }
     }
 
+    /// Records that an endpoint had the software version of its present record until now.
+    fn record_version(&mut self, now: Time, name: &EndpointName) {
+        let known = self.fleet.key(name).and_then(|it| self.fleet.endpoint(it));
+        if let Some(endpoint) = known {
+            self.versions.record(now, endpoint);
+        }
+    }
+
+    fn record_versions_of_pending_removals(&mut self, now: Time) {
+        if self.fleet.has_pending_removals() {
+            for endpoint in self.fleet.endpoints() {
+                self.versions.record(now, endpoint);
+            }
+        }
+    }
+
     fn arrived(
         &mut self,
         now: Time,
@@ -215,8 +249,12 @@
             prefill_tried: false,
             has_error_response: false,
             first_output_at: None,
+            stream_version: None,
         };
         self.requests.insert(key, state);
+        if self.refuse_unknown_origin(now, key, actions) {
+            return;
+        }
         self.place(now, key, Reason::NoEndpoint, actions);
     }
 
@@ -330,6 +368,8 @@
             return;
         }
         state.first_output_at = Some(now);
+        self.record_origin(now, key, actions);
+        let Some(state) = self.requests.get(&key) else { return };
         let (service, times) = (state.service.clone(), state.stage_times_key());
         let Some(sent) = state.in_flight.clone() else { return };
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     Endpoint, EndpointKey, Incarnation, LoadSample, PeerLoad, PromptPart, Removal, RequestInfo,
-    RequestKey, RouteTable,
+    RequestKey, RouteTable, StreamOrigin,
 };
 
 /// Why a send attempt failed.
@@ -162,6 +162,11 @@
         /// Key of the incarnation that responded.
         endpoint: EndpointKey,
     },
+    /// Another front reported where streams began.
+    OriginsReported {
+        /// The streams that clients may resume.
+        origins: Vec<StreamOrigin>,
+    },
     /// The number of fronts that share the endpoints changed; this one is included.
     FrontCount(usize),
     /// The process was asked to stop. From now on requests are refused whose response may not end by `deadline`.
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -8,6 +8,8 @@
 pub(crate) mod reason;
 pub(crate) mod request_info;
 pub(crate) mod request_state;
+pub(crate) mod stream_origins;
 mod notices;
 mod kv_cache;
+mod resumption;
 mod shutdown;
--- a/crates/daisychute-dispatch/src/core/notices.rs
+++ b/crates/daisychute-dispatch/src/core/notices.rs
@@ -96,7 +96,9 @@
             return false;
         };
         let stage = state.request.prompt.is_some().then_some(EngineStage::Decode);
-        let Some(earliest) = self.fleet.earliest_return(now, &state.service, stage) else {
+        let Some(earliest) =
+            self.fleet.earliest_return(now, &state.service, stage, state.stream_version.as_ref())
+        else {
             return false;
         };
         // Clients that are refused together return over a while, as the endpoints take more and more requests.
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -86,6 +86,9 @@
             return;
         }
         let Some(placement) = self.choose_placement(now, key) else {
+            let is_bound = self.requests.get(&key).is_some_and(|it| it.stream_version.is_some());
+            let is_gone = is_bound && reason == Reason::NoEndpoint;
+            let reason = if is_gone { Reason::VersionGone } else { reason };
             self.fail_or_refuse(key, reason, actions);
             return;
         };
@@ -112,12 +115,19 @@
         if state.request.prompt.is_none() || state.kv_handle.is_some() || state.may_have_run {
             return None;
         }
+        // The objective is for the first event, which a client that resumes its stream has.
+        let limit = if state.resumes() {
+            state.deadline.since(state.arrived)
+        } else {
+            state.route.objective
+        };
+        let limit_ms = limit.as_secs_f64() * 1e3;
         let objective_ms = state.route.objective.as_secs_f64() * 1e3;
         let elapsed_ms = now.since(state.arrived).as_secs_f64() * 1e3;
         let own_ms =
             (placement.latency_ms - placement.wait_ms).min(objective_ms * MAX_OWN_TIME_SHARE);
         let wait_ms = placement.wait_ms * self.wait_factor(state, &placement.task);
-        let excess_ms = wait_ms + own_ms + elapsed_ms - objective_ms * MAX_OBJECTIVE_RATIO;
+        let excess_ms = wait_ms + own_ms + elapsed_ms - limit_ms * MAX_OBJECTIVE_RATIO;
         if excess_ms <= 0.0 {
             return None;
         }
@@ -151,6 +161,7 @@
             prompt: state.request.prompt.as_ref(),
             source: None,
             priority: state.route.priority,
+            version: state.stream_version.as_ref(),
             tried: &state.tried,
             local_data_centre: self.settings.data_centre.as_ref(),
             seed: xxh3_64(state.request.id.as_bytes()),
@@ -182,20 +193,23 @@
             let cost_ms = latency_ms + candidate.prefill_ms * interference;
             Placement { cost_ms, latency_ms, ..Placement::run(candidate) }
         });
-        if state.prefill_tried {
+        // Without an engine that may go on with the stream, a prefill would be in vain.
+        if state.prefill_tried || (combined.is_none() && state.stream_version.is_some()) {
             return combined;
         }
-        let disaggregated = best(SelectionQuery { stage: Some(EngineStage::Prefill), ..query })
-            .map(|candidate| {
-                let transfer =
-                    engine.map_or(Duration::ZERO, |it| it.transfer_time(prompt.tokens.into()));
-                let cost_ms = candidate.predicted_ms
-                    + SECOND_CALL_OVERHEAD_MS
-                    + transfer.as_secs_f64() * 1e3
-                    + model.delay_ms(now, PrefillEngine::Dedicated);
-                let task = Task::Prefill;
-                Placement { task, cost_ms, latency_ms: cost_ms, ..Placement::run(candidate) }
-            });
+        let disaggregated =
+            best(SelectionQuery { stage: Some(EngineStage::Prefill), version: None, ..query }).map(
+                |candidate| {
+                    let transfer =
+                        engine.map_or(Duration::ZERO, |it| it.transfer_time(prompt.tokens.into()));
+                    let cost_ms = candidate.predicted_ms
+                        + SECOND_CALL_OVERHEAD_MS
+                        + transfer.as_secs_f64() * 1e3
+                        + model.delay_ms(now, PrefillEngine::Dedicated);
+                    let task = Task::Prefill;
+                    Placement { task, cost_ms, latency_ms: cost_ms, ..Placement::run(candidate) }
+                },
+            );
         match (combined, disaggregated) {
             (Some(combined), Some(disaggregated)) if disaggregated.cost_ms < combined.cost_ms => {
                 Some(disaggregated)
@@ -275,6 +289,7 @@
             endpoint_idle,
             predicted,
             wait,
+            software_version: tracked.endpoint.software_version.clone(),
             work_ahead,
         });
     }
--- a/crates/daisychute-dispatch/src/core/reason.rs
+++ b/crates/daisychute-dispatch/src/core/reason.rs
@@ -13,6 +13,10 @@
     Stopping,
     /// No endpoint of the service takes requests.
     NoEndpoint,
+    /// The client resumes a stream, and it isn't known which software version began it.
+    OriginUnknown,
+    /// No endpoint of the software version that began the stream takes requests.
+    VersionGone,
     /// All endpoints of the service that could take the request asked for a pause.
     Paused,
     /// The latency objective can't be met at the current load.
@@ -29,12 +33,14 @@
 
 impl Reason {
     /// All reasons, for metrics that are labelled by reason.
-    pub const ALL: [Self; 11] = [
+    pub const ALL: [Self; 13] = [
         Self::NoConfiguration,
         Self::NoRoute,
         Self::NoId,
         Self::Stopping,
         Self::NoEndpoint,
+        Self::OriginUnknown,
+        Self::VersionGone,
         Self::Paused,
         Self::Overload,
         Self::Rejected,
@@ -52,6 +58,8 @@
             Self::NoId => "no_id",
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
+            Self::OriginUnknown => "origin_unknown",
+            Self::VersionGone => "version_gone",
             Self::Paused => "paused",
             Self::Overload => "overload",
             Self::Rejected => "rejected",
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{ServiceName, Time};
+use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::fleet::cost_model::PrefillWork;
 use crate::{EndpointKey, RequestInfo, Route, Task};
@@ -29,6 +29,8 @@
     pub(crate) predicted: Duration,
     /// Part of `predicted` for which the request waits for other requests.
     pub(crate) wait: Duration,
+    /// Version of the endpoint's software, as far as the directory says.
+    pub(crate) software_version: Option<SoftwareVersion>,
     /// Work ahead of the request, from which `wait` was predicted.
     pub(crate) work_ahead: Duration,
 }
@@ -75,6 +77,9 @@
     pub(crate) has_error_response: bool,
     /// When the first output for the client arrived.
     pub(crate) first_output_at: Option<Time>,
+    /// Software version that all endpoints must have which send events of the stream; itself `None` if the directory
+    /// doesn't say it. `None` before the first event, if the client has none either.
+    pub(crate) stream_version: Option<Option<SoftwareVersion>>,
 }
 
 impl RequestState {
@@ -83,6 +88,11 @@
         self.first_output_at.is_some()
     }
 
+    /// Whether the client resumes a stream of which it has the first events.
+    pub(crate) fn resumes(&self) -> bool {
+        self.request.resumption.is_some() && self.route.kind.is_stream()
+    }
+
     /// Returns the maximum number of tokens that the request may generate; 0 without a prompt.
     pub(crate) fn max_output(&self) -> u32 {
         self.request.prompt.as_ref().map_or(0, |it| it.max_output)
--- /dev/null
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -0,0 +1,78 @@
+//! Streams that go on after events which the client already has.
+
+use daisychute_core::{SoftwareVersion, Time};
+
+use crate::core::request_state::RequestState;
+use crate::{Action, Dispatcher, Reason, RequestKey, Resumption, StreamOrigin};
+
+/// Multiple of a route's timeout within which a stream is resumed for the last time. Each attempt of a client ends with
+/// the timeout, and few clients wait longer than that for all of them.
+const MAX_STREAM_AGE_FACTOR: u32 = 2;
+
+impl Dispatcher {
+    /// Restricts a request that resumes a stream to the software version that began it. Refuses it if that version
+    /// isn't known, and returns whether it was refused.
+    pub(crate) fn refuse_unknown_origin(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(state) = self.requests.get(&key).filter(|it| it.resumes()) else { return false };
+        let Some(version) = self.origin_version(now, state) else {
+            self.fail_or_refuse(key, Reason::OriginUnknown, actions);
+            return true;
+        };
+        if let Some(state) = self.requests.get_mut(&key) {
+            state.stream_version = Some(version);
+        }
+        false
+    }
+
+    /// Returns the version that began the stream: as this front or another one saw it, or the only one that the service
+    /// had since.
+    fn origin_version(&self, now: Time, state: &RequestState) -> Option<Option<SoftwareVersion>> {
+        let Resumption { first_attempt } = state.request.resumption.as_ref()?;
+        let attempt = first_attempt.as_deref().map(StreamOrigin::attempt);
+        let known = attempt.and_then(|it| self.stream_origins.version(now, it));
+        let only = || {
+            let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
+            let present = self.fleet.of_service(&state.service);
+            let present = present.map(|(_, it)| &it.endpoint.software_version);
+            self.versions.only_version(now, &state.service, age, present)
+        };
+        known.or_else(only).cloned()
+    }
+
+    /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts.
+    pub(crate) fn record_origin(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        let Some(state) = self.requests.get_mut(&key) else { return };
+        let Some(sent) = state.in_flight.as_ref().filter(|_| state.route.kind.is_stream()) else {
+            return;
+        };
+        let version = sent.software_version.clone();
+        state.stream_version = Some(version.clone());
+        if !state.route.kind.repeatable() {
+            return;
+        }
+        let first_attempt =
+            state.request.resumption.as_ref().and_then(|it| it.first_attempt.as_ref());
+        let attempt = StreamOrigin::attempt(first_attempt.unwrap_or(&state.request.id));
+        let client_timeout = state.request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
+        let time_left = (state.arrived + client_timeout).since(now);
+        let service = state.service.clone();
+        let origin = StreamOrigin { attempt, version, time_left };
+        self.stream_origins.record(now, origin.clone());
+        actions.push(Action::AnnounceOrigin { origin });
+        if self.has_several_versions(&service) {
+            actions.push(Action::SendHeartbeat);
+        }
+    }
+
+    fn has_several_versions(&self, service: &daisychute_core::ServiceName) -> bool {
+        let mut versions =
+            self.fleet.of_service(service).map(|(_, it)| &it.endpoint.software_version);
+        let first = versions.next();
+        versions.any(|it| Some(it) != first)
+    }
+}
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -16,12 +16,13 @@
 pub(crate) mod recent_maximum;
 pub(crate) mod selection;
 pub(crate) mod stage_times;
+pub(crate) mod version_history;
 pub(crate) mod wait_factor;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use daisychute_core::{EndpointName, ServiceName, Time};
+use daisychute_core::{EndpointName, ServiceName, SoftwareVersion, Time};
 use rustc_hash::FxHashMap;
 
 use crate::fleet::availability::Availability;
@@ -244,15 +245,19 @@
             .is_some_and(|it| it.is_paused(now))
     }
 
-    /// Returns the earliest time at which an endpoint of the service, of this stage if one is given, takes another
-    /// request. `None` if one does at `now`, or if pauses aren't what keeps them all from it.
+    /// Returns the earliest time at which an endpoint of the service, of this stage and software version if they are
+    /// given, takes another request. `None` if one does at `now`, or if pauses aren't what keeps them all from it.
     pub(crate) fn earliest_return(
         &self,
         now: Time,
         service: &ServiceName,
         stage: Option<EngineStage>,
+        version: Option<&Option<SoftwareVersion>>,
     ) -> Option<Time> {
-        let fits = |it: &TrackedEndpoint| stage.is_none() || it.endpoint.stage == stage;
+        let fits = |it: &TrackedEndpoint| {
+            (stage.is_none() || it.endpoint.stage == stage)
+                && version.is_none_or(|version| it.endpoint.software_version == *version)
+        };
         let mut earliest = None;
         for (_, tracked) in self.of_service(service).filter(|it| fits(it.1)) {
             match tracked.availability(now) {
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -1,6 +1,6 @@
 //! Selection of the endpoint with the lowest predicted time to the first output.
 
-use daisychute_core::{DataCentreName, ServiceName, Time};
+use daisychute_core::{DataCentreName, ServiceName, SoftwareVersion, Time};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Fleet;
@@ -24,6 +24,8 @@
     pub(crate) source: Option<Option<&'a DataCentreName>>,
     /// Priority of the route; 0 is the most urgent. Mixed engines prefill more urgent prompts first.
     pub(crate) priority: u8,
+    /// Software version that the endpoint must have; `None` if any fits.
+    pub(crate) version: Option<&'a Option<SoftwareVersion>>,
     /// Endpoints that the request was sent to before; they are excluded.
     pub(crate) tried: &'a [EndpointKey],
     /// Data centre of this front; `None` if it isn't known.
@@ -93,6 +95,7 @@
         it.1.availability(now) == Availability::Now
             && !query.tried.contains(&it.0)
             && (query.stage.is_none() || it.1.endpoint.stage == query.stage)
+            && query.version.is_none_or(|version| it.1.endpoint.software_version == *version)
     };
     let eligible: Vec<_> = fleet.of_service(query.service).filter(is_eligible).collect();
     let healthy = eligible.iter().filter(|it| !it.1.health.is_ejected(now)).count();
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -33,6 +33,7 @@
 pub use crate::core::event::{Event, SendFailure};
 pub use crate::core::reason::Reason;
 pub use crate::core::request_info::{RequestInfo, RequestKey, Resumption};
+pub use crate::core::stream_origins::StreamOrigin;
 pub use crate::fleet::backlog::Backlog;
 pub use crate::fleet::budget::RetryBudget;
 pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage};
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -5,10 +5,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use daisychute_core::{Role, Time};
+use daisychute_core::{Role, SoftwareVersion, Time};
 use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, Event, PromptPart, Reason, Removal, RequestInfo,
-    RequestKey, SendFailure, Task,
+    Action, DispatchSettings, Dispatcher, Endpoint, Event, PromptPart, Reason, Removal,
+    RequestInfo, RequestKey, Resumption, SendFailure, Task,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
@@ -21,6 +21,29 @@
 /// Retry budget: retries per window in addition to the ratio.
 const SLACK: f64 = 5.0;
 
+/// Number of software versions in the fleet.
+const VERSIONS: usize = 3;
+/// How long clients wait for a response, over all their attempts.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Returns the endpoints of the tests, with software versions in turn.
+fn fleet() -> Vec<Endpoint> {
+    let versioned = |(index, it): (usize, Endpoint)| Endpoint {
+        software_version: Some(format!("v{}", index % VERSIONS).try_into().expect("a valid name")),
+        ..it
+    };
+    common::fleet().into_iter().enumerate().map(versioned).collect()
+}
+
+/// A stream of which a client has the first events.
+#[derive(Debug, Clone)]
+struct BegunStream {
+    /// Id of the request that brought the first event.
+    first_attempt: String,
+    arrived: Time,
+    version: SoftwareVersion,
+}
+
 /// What happens next: a new request arrives on one of four paths, or something happens to an open request.
 #[derive(Debug, Clone, Copy)]
 enum Change {
@@ -97,6 +120,10 @@
     may_have_run: bool,
     responding: bool,
     handle: bool,
+    /// Version of the endpoint that has the request.
+    sent_version: Option<SoftwareVersion>,
+    /// The stream of which the client has events.
+    stream: Option<BegunStream>,
 }
 
 /// Plays a schedule and checks every action of the dispatcher.
@@ -111,6 +138,8 @@
     // Times at which retries were sent.
     retries: Vec<Time>,
     arrivals: Vec<Time>,
+    // Streams that were broken off and may be resumed.
+    broken: Vec<BegunStream>,
     // KV caches that were prefilled and neither used nor freed yet.
     held_caches: i64,
 }
@@ -131,10 +160,11 @@
             pauses: Vec::new(),
             retries: Vec::new(),
             arrivals: Vec::new(),
+            broken: Vec::new(),
             held_caches: 0,
         };
         checker.handle_event(Event::Configured(common::table(1)));
-        for endpoint in common::fleet() {
+        for endpoint in fleet() {
             checker.handle_event(Event::EndpointUpserted(endpoint));
         }
         checker
@@ -176,19 +206,27 @@
                         "a KV cache is used that was not prefilled for the request"
                     );
                 }
+                let version = decision.software_version;
+                if let (Some(stream), Task::Run | Task::Decode { .. }) =
+                    (&open.stream, &decision.task)
+                {
+                    assert_eq!(version.as_ref(), Some(&stream.version), "a stream of two versions");
+                }
+                open.sent_version = version;
                 open.sent = Some(decision.task);
             }
             Action::Refuse { key, reason, .. } => {
-                let open = self.open.remove(&key.number()).expect("one final response");
+                let open = self.close(key.number()).expect("one final response");
                 assert!(!open.may_have_run, "refused though it may have run");
                 let runs = matches!(open.sent, Some(Task::Run | Task::Decode { .. }));
                 assert!(!(runs && reason == Reason::Deadline), "refused while it may run");
             }
             Action::Fail { key, .. } | Action::RelayErrorResponse { key } => {
-                self.open.remove(&key.number()).expect("one final response");
+                self.close(key.number()).expect("one final response");
             }
             Action::ReleaseKvCache { .. } => self.held_caches -= 1,
             Action::AnnounceCachedPart { .. }
+            | Action::AnnounceOrigin { .. }
             | Action::QueryCache { .. }
             | Action::AnnounceLeaving { .. }
             | Action::CheckLeaving { .. }
@@ -200,12 +238,27 @@
         }
     }
 
+    /// Removes a request that ends, and keeps its stream for a client that resumes it.
+    fn close(&mut self, number: u64) -> Option<OpenRequest> {
+        let open = self.open.remove(&number)?;
+        self.broken.extend(open.stream.clone().filter(|_| open.path == 0));
+        Some(open)
+    }
+
+    /// Returns a stream that a new request resumes, for every third one.
+    fn stream_to_resume(&mut self, number: u64, path: u8) -> Option<BegunStream> {
+        if path != 0 || !number.is_multiple_of(3) {
+            return None;
+        }
+        self.broken.pop().filter(|it| self.now.since(it.arrived) < CLIENT_TIMEOUT)
+    }
+
     fn arrive(&mut self, path: u8) {
         let key = self.next;
         self.next += 1;
         let prefix = [LONG, SHORT, ONCE, PANEL][usize::from(path)];
         let mut info = RequestInfo::new(format!("{key}"), HOST, format!("{prefix}{key}"))
-            .client_timeout(Duration::from_secs(3));
+            .client_timeout(CLIENT_TIMEOUT);
         if path < 2 {
             let tokens = if path == 0 { 17_000 } else { 300 };
             let parts = vec![
@@ -214,7 +267,12 @@
             ];
             info = info.prompt(daisychute_dispatch::Prompt { parts, tokens, max_output: 50 });
         }
-        self.open.insert(key, OpenRequest { path, ..OpenRequest::default() });
+        let stream = self.stream_to_resume(key, path);
+        if let Some(stream) = &stream {
+            let first_attempt = Some(stream.first_attempt.as_str().into());
+            info = info.resumption(Resumption { first_attempt });
+        }
+        self.open.insert(key, OpenRequest { path, stream, ..OpenRequest::default() });
         self.arrivals.push(self.now);
         self.handle_event(Event::Arrived { key: RequestKey::new(key), request: info });
     }
@@ -241,7 +299,7 @@
     }
 
     fn drain(&mut self, number: u8) {
-        let fleet = common::fleet();
+        let fleet = fleet();
         let mut endpoint = fleet[usize::from(number) % fleet.len()].clone();
         let name = endpoint.name.clone();
         self.drained.push(name.to_string());
@@ -314,13 +372,23 @@
                 }
                 self.handle_event(Event::ResponseStarted { key });
             }
-            Change::FirstOutput if open.responding => self.handle_event(Event::FirstOutput { key }),
+            Change::FirstOutput if open.responding => {
+                if let (0 | 1, None, Some(version)) = (open.path, &open.stream, &open.sent_version)
+                {
+                    open.stream = Some(BegunStream {
+                        first_attempt: number.to_string(),
+                        arrived: self.now,
+                        version: version.clone(),
+                    });
+                }
+                self.handle_event(Event::FirstOutput { key });
+            }
             Change::Finish if open.responding => {
                 self.open.remove(&number);
                 self.handle_event(Event::Finished { key });
             }
             Change::Disconnect => {
-                self.open.remove(&number);
+                self.close(number);
                 self.handle_event(Event::ClientDisconnected { key });
             }
             Change::Expire => self.handle_event(Event::Expired { key }),
--- /dev/null
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -0,0 +1,282 @@
+//! Streams that go on after events which their clients have, in a service of several software versions.
+
+mod common;
+
+use std::time::Duration;
+
+use daisychute_core::{Role, SoftwareVersion};
+use daisychute_dispatch::{
+    Action, Endpoint, Event, Prompt, PromptPart, Reason, Removal, RequestInfo, RequestKey,
+    Resumption, SendDecision, SendFailure, StreamOrigin, Task,
+};
+
+use crate::common::{Front, HOST, LONG, SHORT, endpoint, name};
+
+/// Time after which a front knows of all versions that may have begun a stream of [`LONG`].
+const HISTORY: Duration = Duration::from_secs(10);
+/// Id of the attempt that brought the first event of a stream.
+const FIRST_ATTEMPT: &str = "first";
+
+fn version(text: &str) -> SoftwareVersion {
+    text.try_into().expect("a valid name")
+}
+
+fn with_version(endpoint: Endpoint, text: &str) -> Endpoint {
+    Endpoint { software_version: Some(version(text)), ..endpoint }
+}
+
+/// Returns one prefill engine, and decode engines of these versions.
+fn engines(versions: &[&str]) -> Vec<Endpoint> {
+    let prefill = with_version(endpoint(0, "lm", Some(Role::Prefill)), "v1");
+    let decode = |(index, text): (usize, &&str)| {
+        with_version(endpoint(index + 1, "lm", Some(Role::Decode)), text)
+    };
+    std::iter::once(prefill).chain(versions.iter().enumerate().map(decode)).collect()
+}
+
+fn request(id: &str, path: &str) -> RequestInfo {
+    let parts = vec![PromptPart { key: 1, tokens: 100 }];
+    let prompt = Prompt { parts, tokens: 100, max_output: 50 };
+    RequestInfo::new(id, HOST, path).client_timeout(Duration::from_secs(5)).prompt(prompt)
+}
+
+fn resumption(first_attempt: Option<&str>) -> RequestInfo {
+    let first_attempt = first_attempt.map(Into::into);
+    request("resumed", LONG).resumption(Resumption { first_attempt })
+}
+
+fn arrive(front: &mut Front, request: RequestInfo) -> (RequestKey, Vec<Action>) {
+    let key = front.next_key();
+    (key, front.handle(Event::arrived(key, request)))
+}
+
+fn sent(actions: &[Action]) -> Option<&SendDecision> {
+    actions.iter().find_map(|it| match it {
+        Action::Send { decision, .. } => Some(&**decision),
+        _ => None,
+    })
+}
+
+fn refused(actions: &[Action]) -> Option<Reason> {
+    actions.iter().find_map(|it| match it {
+        Action::Refuse { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
+
+fn announced(actions: &[Action]) -> Vec<&StreamOrigin> {
+    let origin = |it| match it {
+        &Action::AnnounceOrigin { ref origin } => Some(origin),
+        _ => None,
+    };
+    actions.iter().filter_map(origin).collect()
+}
+
+fn report_origin(front: &mut Front, text: &str, time_left: Duration) {
+    let attempt = StreamOrigin::attempt(FIRST_ATTEMPT);
+    let origin = StreamOrigin { attempt, version: Some(version(text)), time_left };
+    front.handle(Event::OriginsReported { origins: vec![origin] });
+}
+
+/// Starts a stream and plays its first event. Returns the version that sent it, and the actions.
+fn begin(front: &mut Front, request: RequestInfo) -> (RequestKey, SoftwareVersion, Vec<Action>) {
+    let (key, actions) = arrive(front, request);
+    let decision = sent(&actions).expect("a send attempt");
+    assert_ne!(decision.task, Task::Prefill);
+    let version = decision.software_version.clone().expect("a version");
+    front.handle(Event::ResponseStarted { key });
+    (key, version, front.handle(Event::FirstOutput { key }))
+}
+
+/// Guards against streams that a front takes up, after a worker broke them off, at another software version.
+#[test]
+fn broken_stream_goes_on_at_the_version_that_began_it() {
+    for id in 0..20 {
+        let mut front = Front::new(engines(&["v1", "v2", "v1", "v2", "v3"]));
+        let (key, begun_at, _) = begin(&mut front, request(&format!("id-{id}"), LONG));
+        let failure = SendFailure::MidAnswer { head_passed: true };
+        let actions = front.handle(Event::SendFailed { key, failure });
+        match sent(&actions) {
+            Some(decision) => assert_eq!(decision.software_version, Some(begun_at)),
+            None => assert_eq!(begun_at, version("v3"), "{actions:?}"),
+        }
+    }
+}
+
+/// Guards against streams that a client resumes, after its front has told where they began, at another version.
+#[test]
+fn stream_goes_on_at_the_version_that_a_peer_reported() {
+    for text in ["v1", "v2"] {
+        let mut front = Front::new(engines(&["v1", "v2", "v1", "v2"]));
+        report_origin(&mut front, text, Duration::from_secs(3));
+        let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+        let decision = sent(&actions).expect("a send attempt");
+        assert_eq!(decision.software_version, Some(version(text)));
+    }
+}
+
+#[test]
+fn stream_that_began_here_goes_on_at_its_version() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    let (key, begun_at, _) = begin(&mut front, request(FIRST_ATTEMPT, LONG));
+    front.handle(Event::ClientDisconnected { key });
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(sent(&actions).expect("a send attempt").software_version, Some(begun_at));
+}
+
+/// Guards against a stream whose first attempt is known to the front that resumed it, and not to others.
+#[test]
+fn front_that_resumes_a_stream_announces_its_first_attempt() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    report_origin(&mut front, "v2", Duration::from_secs(3));
+    let (_, _, actions) = begin(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let origins = announced(&actions);
+    assert_eq!(origins.len(), 1);
+    assert_eq!(origins[0].attempt, StreamOrigin::attempt(FIRST_ATTEMPT));
+    assert_eq!(origins[0].version, Some(version("v2")));
+}
+
+#[test]
+fn origin_is_announced_once_and_at_once_among_several_versions() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    front.wait(Duration::from_millis(10));
+    let (key, begun_at, actions) = begin(&mut front, request(FIRST_ATTEMPT, LONG));
+    let origin = StreamOrigin {
+        attempt: StreamOrigin::attempt(FIRST_ATTEMPT),
+        version: Some(begun_at),
+        time_left: Duration::from_secs(5),
+    };
+    assert_eq!(announced(&actions), [&origin]);
+    assert!(actions.contains(&Action::SendHeartbeat));
+    assert!(announced(&front.handle(Event::FirstOutput { key })).is_empty());
+}
+
+#[test]
+fn origin_of_a_stream_that_cannot_be_resumed_is_not_announced() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    let (_, _, actions) = begin(&mut front, request(FIRST_ATTEMPT, SHORT));
+    assert!(announced(&actions).is_empty());
+}
+
+/// Guards against streams of an unknown version that go on at any.
+#[test]
+fn stream_of_unknown_version_is_refused_among_several() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    front.wait(HISTORY);
+    for first_attempt in [Some(FIRST_ATTEMPT), None] {
+        let (_, actions) = arrive(&mut front, resumption(first_attempt));
+        assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+        assert!(sent(&actions).is_none());
+    }
+}
+
+#[test]
+fn stream_of_unknown_version_goes_on_if_there_was_only_one() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(HISTORY);
+    for first_attempt in [Some(FIRST_ATTEMPT), None] {
+        let (_, actions) = arrive(&mut front, resumption(first_attempt));
+        assert!(sent(&actions).is_some(), "{actions:?}");
+    }
+}
+
+/// Guards against a front that has just started, and takes the only version that it knows for the only one there was.
+#[test]
+fn stream_of_unknown_version_is_refused_by_a_front_that_knows_the_service_for_a_moment() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(Duration::from_secs(1));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
+}
+
+/// Defines a test for each way in which the endpoints of a version leave the fleet.
+macro_rules! versions_that_left {
+    ($($name:ident: $left:expr,)*) => {$(
+        /// Guards against streams that go on at a version which has just replaced theirs.
+        #[test]
+        fn $name() {
+            let mut front = Front::new(engines(&["v1", "v1"]));
+            let second = endpoint(2, "lm", Some(Role::Decode));
+            front.handle(Event::EndpointUpserted(with_version(second.clone(), "v2")));
+            front.wait(HISTORY);
+            for event in $left(second) {
+                front.handle(event);
+            }
+            front.wait(HISTORY - Duration::from_secs(1));
+            front.handle(Event::Tick);
+            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+            assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+            front.wait(HISTORY);
+            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+            assert!(sent(&actions).is_some(), "{actions:?}");
+        }
+    )*};
+}
+
+versions_that_left! {
+    version_that_was_removed_counts_for_a_while: |it: Endpoint| {
+        [Event::EndpointRemoved { name: it.name, removal: Removal::Left }]
+    },
+    version_that_was_updated_counts_for_a_while: |it: Endpoint| {
+        [Event::EndpointUpserted(with_version(it, "v1"))]
+    },
+    version_that_was_started_again_counts_for_a_while: |it: Endpoint| {
+        [Event::EndpointUpserted(with_version(Endpoint { started_at: Some(7), ..it }, "v1"))]
+    },
+    version_removed_after_an_outage_counts_for_a_while: |it: Endpoint| {
+        let removal = Removal::AfterOutage(Duration::from_secs(2));
+        [Event::EndpointRemoved { name: it.name, removal }]
+    },
+}
+
+/// Guards against prompts that are prefilled for a stream which no engine may go on with.
+#[test]
+fn stream_whose_version_is_gone_is_refused_without_a_prefill() {
+    let mut front = Front::new(engines(&["v2", "v2"]));
+    report_origin(&mut front, "v1", Duration::from_secs(3));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::VersionGone), "{actions:?}");
+    assert!(sent(&actions).is_none());
+}
+
+#[test]
+fn stream_whose_version_pauses_waits_for_the_pause_to_end() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    report_origin(&mut front, "v1", Duration::from_secs(3));
+    let paused = front.dispatcher.fleet().key(&name("lm-1")).expect("a known engine");
+    let pause = Duration::from_secs(2);
+    front.handle(Event::PauseRequested { endpoint: paused, pause, spread: 0.0 });
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::Paused), "{actions:?}");
+}
+
+#[test]
+fn origin_that_no_client_waits_for_is_forgotten() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    report_origin(&mut front, "v1", Duration::from_secs(3));
+    front.wait(Duration::from_secs(3));
+    front.handle(Event::Tick);
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
+}
+
+/// Guards against refusals for a late first event, which a client that resumes its stream has already.
+#[test]
+fn resumed_stream_is_not_refused_for_the_latency_objective() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    report_origin(&mut front, "v1", Duration::from_secs(5));
+    let long_prompt = |id: &str| {
+        let parts = vec![PromptPart { key: 1, tokens: 20_000 }];
+        let prompt = Prompt { parts, tokens: 20_000, max_output: 50 };
+        request(id, LONG).prompt(prompt)
+    };
+    // Requests are sent until the wait at both engines exceeds the objective.
+    let is_refused = |number: &u32| {
+        let (_, actions) = arrive(&mut front, long_prompt(&format!("id-{number}")));
+        refused(&actions) == Some(Reason::Overload)
+    };
+    let admitted = (0..200).find(is_refused).expect("an overload");
+    let resumption = Resumption { first_attempt: Some(FIRST_ATTEMPT.into()) };
+    let (_, actions) = arrive(&mut front, long_prompt("resumed").resumption(resumption));
+    assert!(sent(&actions).is_some(), "after {admitted} requests: {actions:?}");
+}
--- a/crates/daisychute-explain/src/cause.rs
+++ b/crates/daisychute-explain/src/cause.rs
@@ -44,6 +44,14 @@
             pauses(end, context_lines),
             option_value(end.field("retry_after_ms")),
         ),
+        ("refused", "origin_unknown") => format!(
+            "refused by {process}, not run: the client resumed a stream, and {process} didn't know which software version \
+             had begun it",
+        ),
+        ("refused", "version_gone") => format!(
+            "refused by {process}, not run: the client resumed a stream, and no endpoint of the software version that had \
+             begun it accepted work",
+        ),
         ("refused", reason) => format!(
             "refused by {process}, not run: {reason} ({}){}",
             end.field("trail").trim_end(),
--- a/crates/daisychute-explain/tests/explain.rs
+++ b/crates/daisychute-explain/tests/explain.rs
@@ -60,6 +60,8 @@
         line(5, "front-1", "endpoint announced that it is leaving", &[("endpoint", "i-1")]),
         ended("refused", "no_endpoint"),
     ] => "no endpoint of the service accepted work; i-1 had announced to leave",
+    origin_unknown: [ended("refused", "origin_unknown")] => "didn't know which software version",
+    version_gone: [ended("refused", "version_gone")] => "no endpoint of the software version",
     deadline: [ended("failed", "deadline")] => "the deadline passed after",
     lost_with_the_process: [line(1, "front-1", "sent", &[("request", "r")])] => "hasn't ended",
 }
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -136,16 +136,9 @@
         self.flush().await
     }
 
-    /// Writes the events of a stream that are complete with these bytes, and keeps the rest. Returns whether there are
-    /// any.
-    pub(crate) async fn write_events(
-        &mut self,
-        head: &ResponseHead,
-        bytes: &[u8],
-    ) -> Result<bool, ClientDisconnected> {
-        let Some(events) = self.framer.push(bytes) else { return Ok(false) };
-        self.write_chunk(head, &events).await?;
-        Ok(true)
+    /// Returns the events of a stream that are complete with these bytes, and keeps the rest. `None` if there are none.
+    pub(crate) fn complete_events(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        self.framer.push(bytes)
     }
 
     /// Writes the blank lines and comments after the last event, once the endpoint has ended its stream.
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -298,10 +298,14 @@
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
+                    let Some(events) = self.response_writer.complete_events(&bytes) else {
+                        continue;
+                    };
+                    has_events = true;
                     self.state.handle(Event::FirstOutput { key: self.key });
-                    match self.response_writer.write_events(head, &bytes).await {
-                        Ok(written) => has_events |= written,
-                        Err(disconnected) => return disconnected.into(),
+                    let written = self.response_writer.write_chunk(head, &events).await;
+                    if let Err(disconnected) = written {
+                        return disconnected.into();
                     }
                 }
                 Ok(None) => break,
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -9,7 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::directory::watcher::collect_time;
-use crate::peers::peer_heartbeat::{Eras, Leaving, Load, Part, PeerHeartbeat};
+use crate::peers::peer_heartbeat::{Eras, Leaving, Load, Origins, Part, PeerHeartbeat};
 use crate::state::FrontState;
 use crate::{Dialect, Directory};
 
@@ -54,6 +54,7 @@
 fn encode<D: Dialect>(state: &FrontState<D>) -> Option<Vec<u8>> {
     let now = state.now();
     let parts: Vec<Part> = state.peers.take_parts().into_iter().map(Part::from).collect();
+    let origins = Origins::group(state.peers.take_origins());
     let leaving: Vec<Leaving> = state.peers.take_leaving().into_iter().map(Leaving::from).collect();
     let heartbeat = state.with_dispatcher(|it| {
         let loads: Vec<Load> = it.fleet().own_load(now).map(Load::from).collect();
@@ -62,6 +63,7 @@
         PeerHeartbeat::new(state.incarnation_id, era, positions, loads, parts)
             .exits_in(exits_in)
             .leaving(leaving)
+            .origins(origins)
     });
     let mut bytes = Vec::with_capacity(512);
     let written = ciborium::into_writer(&heartbeat, &mut bytes);
@@ -86,11 +88,16 @@
             continue;
         };
         let positions = heartbeat.positions();
-        let PeerHeartbeat(peer, _, loads, parts, Eras(era, ..), exits_in_ms, leaving) = heartbeat;
+        let PeerHeartbeat(peer, _, loads, parts, Eras(era, ..), exits_in_ms, leaving, origins) =
+            heartbeat;
         state.peers.record_heartbeat(state.now(), from);
         state.record_peer_era(era, from);
         state.revisions.record_reported(state.now(), positions, || collect_time(&state));
         state.record_leaving_reported(leaving.into_iter().map(Into::into).collect());
+        let origins: Vec<_> = origins.into_iter().flat_map(Origins::into_origins).collect();
+        if !origins.is_empty() {
+            state.handle(Event::OriginsReported { origins });
+        }
         let loads = loads.into_iter().map(Into::into).collect();
         let parts = parts.into_iter().map(Into::into).collect();
         state.handle(Event::PeerHeartbeat { peer, loads, parts });
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, Time};
-use daisychute_dispatch::{Incarnation, PromptPart};
+use daisychute_dispatch::{Incarnation, PromptPart, StreamOrigin};
 use tokio::sync::Notify;
 
 /// A front without a heartbeat for this long isn't counted any more.
@@ -34,6 +34,13 @@
 /// Maximum number of leaving endpoints that wait to be announced.
 const MAX_LEAVING_QUEUED: usize = 256;
 
+/// Number of heartbeats that announce where a stream began.
+const ANNOUNCEMENTS_PER_ORIGIN: u32 = 3;
+/// Maximum number of origins in one heartbeat, more than a front begins streams between two heartbeats.
+const MAX_ORIGINS_PER_HEARTBEAT: usize = 96;
+/// Maximum number of origins that wait to be announced.
+const MAX_ORIGINS_QUEUED: usize = 1_024;
+
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     address: SocketAddr,
@@ -50,6 +57,8 @@
     announcements: RefCell<VecDeque<(EndpointName, PromptPart, u32)>>,
     // Leaving endpoints, with the number of heartbeats that still announce them.
     leaving: RefCell<VecDeque<(Incarnation, u32)>>,
+    // Origins of streams, with the number of heartbeats that still announce them.
+    origins: RefCell<VecDeque<(StreamOrigin, u32)>>,
     early_heartbeat: Notify,
 }
 
@@ -61,6 +70,7 @@
             records: RefCell::default(),
             announcements: RefCell::default(),
             leaving: RefCell::default(),
+            origins: RefCell::default(),
             early_heartbeat: Notify::new(),
         }
     }
@@ -125,6 +135,26 @@
         announced.into_iter().map(|(endpoint, _)| endpoint).collect()
     }
 
+    /// Queues the announcement of where a stream began.
+    pub(crate) fn announce_origin(&self, origin: StreamOrigin) {
+        let mut origins = self.origins.borrow_mut();
+        // The latest come first: their streams are the ones that still run.
+        origins.push_front((origin, ANNOUNCEMENTS_PER_ORIGIN));
+        origins.truncate(MAX_ORIGINS_QUEUED);
+    }
+
+    /// Returns the origins that the next heartbeat announces, and counts this announcement.
+    pub(crate) fn take_origins(&self) -> Vec<StreamOrigin> {
+        let mut origins = self.origins.borrow_mut();
+        let mut announced = Vec::new();
+        for (origin, announcements_left) in origins.iter_mut().take(MAX_ORIGINS_PER_HEARTBEAT) {
+            announced.push(origin.clone());
+            *announcements_left -= 1;
+        }
+        origins.retain(|it| it.1 > 0);
+        announced
+    }
+
     /// Requests that the next heartbeat is sent early.
     pub(crate) fn request_heartbeat(&self) {
         self.early_heartbeat.notify_one();
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use daisychute_core::{EndpointName, ServiceName};
-use daisychute_dispatch::{Backlog, Incarnation, PeerLoad, PromptPart};
+use daisychute_core::{EndpointName, ServiceName, SoftwareVersion};
+use daisychute_dispatch::{Backlog, Incarnation, PeerLoad, PromptPart, StreamOrigin};
 use serde::{Deserialize, Serialize};
 
 use crate::Position;
@@ -29,6 +29,9 @@
     /// Endpoints that announced to the sender that they are leaving. Fronts of before this element don't send it.
     #[serde(default)]
     pub(crate) Vec<Leaving>,
+    /// Where streams began. Fronts of before this element don't send it.
+    #[serde(default)]
+    pub(crate) Vec<Origins>,
 );
 
 /// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
@@ -48,6 +51,36 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Leaving(EndpointName, SocketAddr, ServiceName, Option<u64>);
 
+/// Streams that began at one software version: the version, and for each stream the hash of its first attempt's id and
+/// the milliseconds for which its client may resume it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Origins(Option<SoftwareVersion>, Vec<(u64, u32)>);
+
+impl Origins {
+    /// Groups origins by version.
+    pub(crate) fn group(origins: impl IntoIterator<Item = StreamOrigin>) -> Vec<Self> {
+        let mut groups: Vec<Self> = Vec::new();
+        for StreamOrigin { attempt, version, time_left } in origins {
+            let stream = (attempt, u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX));
+            match groups.iter_mut().find(|it| it.0 == version) {
+                Some(group) => group.1.push(stream),
+                None => groups.push(Self(version, vec![stream])),
+            }
+        }
+        groups
+    }
+
+    /// Returns the origins of the group.
+    pub(crate) fn into_origins(self) -> impl Iterator<Item = StreamOrigin> {
+        let Self(version, streams) = self;
+        streams.into_iter().map(move |(attempt, ms)| StreamOrigin {
+            attempt,
+            version: version.clone(),
+            time_left: Duration::from_millis(ms.into()),
+        })
+    }
+}
+
 impl From<Incarnation> for Leaving {
     fn from(Incarnation { name, address, service, started_at }: Incarnation) -> Self {
         Self(name, address, service, started_at)
@@ -72,7 +105,7 @@
     ) -> Self {
         let revisions = (configuration.revision(), endpoints.revision());
         let eras = Eras(era, configuration.era(), endpoints.era());
-        Self(incarnation_id, revisions, loads, parts, eras, None, Vec::new())
+        Self(incarnation_id, revisions, loads, parts, eras, None, Vec::new(), Vec::new())
     }
 
     /// Sets the time until the sender exits; `None` if it doesn't shut down.
@@ -87,6 +120,12 @@
         self
     }
 
+    /// Sets where streams began.
+    pub(crate) fn origins(mut self, origins: Vec<Origins>) -> Self {
+        self.7 = origins;
+        self
+    }
+
     /// Returns the positions of the latest changes of configuration and endpoints that the sender has seen.
     pub(crate) const fn positions(&self) -> (Position, Position) {
         let Eras(_, configuration, endpoints) = self.4;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -180,6 +180,7 @@
                     health_check::spawn(self, endpoint, name, address, path);
                 }
                 Action::SendHeartbeat => self.peers.request_heartbeat(),
+                Action::AnnounceOrigin { origin } => self.peers.announce_origin(origin),
                 Action::AnnounceCachedPart { endpoint, part } => {
                     self.peers.announce_cached_part(endpoint, part)
                 }
