--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -65,11 +65,13 @@
 }
 
 fn announced(actions: &[Action]) -> Vec<&StreamOrigin> {
-    let origin = |it| match it {
-        &Action::AnnounceOrigin { ref origin } => Some(origin),
-        _ => None,
-    };
-    actions.iter().filter_map(origin).collect()
+    let mut origins = Vec::new();
+    for action in actions {
+        if let Action::AnnounceOrigin { origin } = action {
+            origins.push(origin);
+        }
+    }
+    origins
 }
 
 fn report_origin(front: &mut Front, text: &str, time_left: Duration) {
