fix(front): give up responses that go on without getting nearer to their end

What callers saw: a worker in trouble that sends bytes without end held a request until its deadline, also one that another worker could have served; with interim responses (100) the front stood still: no deadline, no other client was served.

Cause: what is read and dropped had no limit: interim responses, chunk headers with extensions, trailers, an event that doesn't end, the body of a late response. And a read that is always ready is polled before the timers beside it in one select, so that they starve.

Evidence: nine tests of the commit before failed and pass now: given up within 1.5 s (deadline 2.5 s), the worker's connection closed, peak memory under 96 MiB, the front serves on, and a call that may be repeated is served by another worker. Ruled out: heads (the codec's limit), bodies of errors, refusals and prefills (collected up to a limit). A plain body without length or end is passed on as it comes and cut at the deadline, since any of its bytes may be the worker's; its test passed before.

Each of these parts now has a limit in bytes or number. With them no loop of the reader runs without bytes that go to the client or a limit that is used up, so the timers are polled again.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -27,6 +27,10 @@
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
 /// Maximum size of the response to a prefill request, which is usually far shorter.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 64 * 1024;
+/// Maximum size of an event. An endpoint that sends more without ending the event is in trouble.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum size of the body of a late response, which is dropped.
+const MAX_LATE_BODY_BYTES: usize = 256 * 1024;
 /// Maximum number of responses read in search of the one that matches the request. Late responses to earlier requests
 /// are dropped.
 const MAX_LATE_RESPONSES: u32 = 3;
@@ -58,12 +62,6 @@
     }
 }
 
-impl From<ResponseError> for CallEnd {
-    fn from(_: ResponseError) -> Self {
-        Self::Failed(SendFailure::NoAnswer, None)
-    }
-}
-
 /// A send attempt in flight.
 pub(crate) struct Call<'a, 'c, D> {
     pub(crate) state: &'a Rc<FrontState<D>>,
@@ -106,7 +104,10 @@
         .await;
         let (head, all_sent) = match head {
             (Ok(head), all_sent) => (head, all_sent),
-            (Err(e), _) => return e.into(),
+            (Err(e), _) => {
+                self.log_endless(e);
+                return CallEnd::Failed(SendFailure::NoAnswer, None);
+            }
         };
         let keep_alive = head.info.keep_alive;
         let reusable = head.reusable && all_sent && head.head.keep_alive();
@@ -167,9 +168,9 @@
                 return Ok(ReceivedHead { head, info, reusable: late == 0 });
             }
             self.log_late_response(&head);
-            while reader.next().await?.is_some() {}
+            reader.skip(MAX_LATE_BODY_BYTES).await?;
         }
-        Err(ResponseError)
+        Err(ResponseError::Broken)
     }
 
     fn log_late_response(&self, head: &ResponseHead) {
@@ -274,7 +275,10 @@
                 };
             }
             Ok(Collected::TooLong(part)) => Some(part),
-            Err(_) => return truncated(false),
+            Err(e) => {
+                self.log_endless(e);
+                return truncated(false);
+            }
         };
         while let Some(bytes) = part {
             if let Err(disconnected) = self.response_writer.write_chunk(head, &bytes).await {
@@ -282,7 +286,10 @@
             }
             part = match reader.next().await {
                 Ok(part) => part,
-                Err(_) => return truncated(true),
+                Err(e) => {
+                    self.log_endless(e);
+                    return truncated(true);
+                }
             };
         }
         self.finish().await
@@ -299,6 +306,9 @@
             match reader.next().await {
                 Ok(Some(bytes)) => {
                     let Some(events) = self.response_writer.complete_events(&bytes) else {
+                        if self.response_writer.partial_bytes() > MAX_EVENT_BYTES {
+                            return self.broken_stream(ResponseError::Endless);
+                        }
                         continue;
                     };
                     has_events = true;
@@ -309,11 +319,11 @@
                     }
                 }
                 Ok(None) => break,
-                Err(_) => return self.broken_stream(),
+                Err(e) => return self.broken_stream(e),
             }
         }
         if self.is_broken_off(reader.framing(), has_events) {
-            return self.broken_stream();
+            return self.broken_stream(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
             Ok(()) => self.finish().await,
@@ -338,11 +348,19 @@
         log::warn!(request:%, endpoint:%, framing, bytes; "stream ended inside an event");
     }
 
-    fn broken_stream(&self) -> CallEnd {
+    fn broken_stream(&self, error: ResponseError) -> CallEnd {
+        self.log_endless(error);
         let head_passed = self.response_writer.head_passed();
         CallEnd::Failed(SendFailure::MidAnswer { head_passed }, None)
     }
 
+    fn log_endless(&self, error: ResponseError) {
+        if error == ResponseError::Endless {
+            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+            log::warn!(request:%, endpoint:%; "endpoint sends bytes without end; connection closed");
+        }
+    }
+
     async fn finish(&mut self) -> CallEnd {
         match self.response_writer.finish().await {
             Ok(()) => CallEnd::Finished,
--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -40,9 +40,14 @@
     }
 }
 
-/// The response is truncated or malformed.
+/// Why a response can't be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ResponseError;
+pub(crate) enum ResponseError {
+    /// It is truncated or malformed.
+    Broken,
+    /// It goes on without getting nearer to its end.
+    Endless,
+}
 
 /// A response body read up to a size limit.
 pub(crate) enum Collected {
@@ -58,10 +63,16 @@
     buf: &'a mut BytesMut,
     body: Body,
     framing: Framing,
+    /// Bytes of chunk headers and trailers since the last bytes of the body.
+    framing_bytes: usize,
 }
 
 /// Buffer space reserved for each read from the socket, in bytes: fits a typical response or several events.
 const READ_BYTES: usize = 8 * 1024;
+/// Maximum number of interim responses (1xx) before the final one; servers send one at most.
+const MAX_INTERIM_RESPONSES: u32 = 8;
+/// Maximum size of a chunk header with its extensions, or of the trailers, in bytes: as much as of a response head.
+const MAX_FRAMING_BYTES: usize = 128 * 1024;
 
 impl<'a, 'b> ResponseReader<'a, 'b> {
     /// Creates a reader that expects the head of a response next.
@@ -70,7 +81,13 @@
         buf: &'a mut BytesMut,
         codec: ClientCodec,
     ) -> Self {
-        Self { read, buf, body: Body::Complete(codec), framing: Framing::Explicit }
+        Self {
+            read,
+            buf,
+            body: Body::Complete(codec),
+            framing: Framing::Explicit,
+            framing_bytes: 0,
+        }
     }
 
     /// Reads the head of the next response. The body of the previous one must have been read to its end. With
@@ -80,16 +97,23 @@
         is_head_request: bool,
     ) -> Result<ResponseHead, ResponseError> {
         let Body::Complete(mut codec) = std::mem::replace(&mut self.body, Body::Closed) else {
-            return Err(ResponseError);
+            return Err(ResponseError::Broken);
         };
+        let mut interim_responses = 0;
         let head = loop {
             match codec.decode(self.buf) {
-                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {}
+                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {
+                    interim_responses += 1;
+                    if interim_responses > MAX_INTERIM_RESPONSES {
+                        return Err(ResponseError::Endless);
+                    }
+                }
                 Ok(Some(head)) => break head,
-                Ok(None) => read_more(self.read, self.buf).await?,
-                Err(_) => return Err(ResponseError),
+                Ok(None) => _ = read_more(self.read, self.buf).await?,
+                Err(_) => return Err(ResponseError::Broken),
             }
         };
+        self.framing_bytes = 0;
         self.body = Self::body_of(&head, codec, is_head_request)?;
         self.framing = match self.body {
             Body::UntilClose => Framing::UntilClose,
@@ -111,7 +135,7 @@
         let has_length = head.headers.contains_key(header::CONTENT_LENGTH);
         let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         if has_length && is_chunked {
-            return Err(ResponseError);
+            return Err(ResponseError::Broken);
         }
         let bodyless_status =
             matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
@@ -140,15 +164,19 @@
                 Body::UntilClose => return self.next_until_close().await,
                 Body::Framed(mut codec) => match codec.decode(self.buf) {
                     Ok(Some(Some(bytes))) => {
+                        self.framing_bytes = 0;
                         self.body = Body::Framed(codec);
                         return Ok(Some(bytes));
                     }
                     Ok(Some(None)) => self.body = Body::Complete(codec.into_message_codec()),
                     Ok(None) => {
+                        self.framing_bytes += read_more(self.read, self.buf).await?;
+                        if self.framing_bytes > MAX_FRAMING_BYTES {
+                            return Err(ResponseError::Endless);
+                        }
                         self.body = Body::Framed(codec);
-                        read_more(self.read, self.buf).await?;
                     }
-                    Err(_) => return Err(ResponseError),
+                    Err(_) => return Err(ResponseError::Broken),
                 },
             }
         }
@@ -171,10 +199,22 @@
         Ok(Collected::Whole(all.freeze()))
     }
 
+    /// Reads the rest of the body and drops it, up to `limit` bytes.
+    pub(crate) async fn skip(&mut self, limit: usize) -> Result<(), ResponseError> {
+        let mut skipped = 0;
+        while let Some(bytes) = self.next().await? {
+            skipped += bytes.len();
+            if skipped > limit {
+                return Err(ResponseError::Endless);
+            }
+        }
+        Ok(())
+    }
+
     async fn next_until_close(&mut self) -> Result<Option<Bytes>, ResponseError> {
         if self.buf.is_empty() {
             self.buf.reserve(READ_BYTES);
-            let count = self.read.read_buf(self.buf).await.map_err(|_| ResponseError)?;
+            let count = self.read.read_buf(self.buf).await.map_err(|_| ResponseError::Broken)?;
             if count == 0 {
                 return Ok(None);
             }
@@ -192,10 +232,11 @@
     }
 }
 
-async fn read_more(read: &mut ReadHalf<'_>, buf: &mut BytesMut) -> Result<(), ResponseError> {
+/// Reads what has arrived, at least one byte. Returns the number of bytes.
+async fn read_more(read: &mut ReadHalf<'_>, buf: &mut BytesMut) -> Result<usize, ResponseError> {
     buf.reserve(READ_BYTES);
     match read.read_buf(buf).await {
-        Ok(0) | Err(_) => Err(ResponseError),
-        Ok(_) => Ok(()),
+        Ok(0) | Err(_) => Err(ResponseError::Broken),
+        Ok(count) => Ok(count),
     }
 }
