fix(agent): give up engines that send an event without end

What callers saw: an engine in trouble that streams bytes without ending an event stopped its agent: memory grew, and the agent answered nobody, so that entries lost their connection to it.

Cause: the parser of events keeps an event until it ends, without a limit, and reads it from its start with each chunk, so that the time grows with the square of what came.

--- a/crates/daisychute-agent/src/shell/completion_run.rs
+++ b/crates/daisychute-agent/src/shell/completion_run.rs
@@ -1,5 +1,7 @@
 //! Runs completions on an engine.
 
+use std::cell::Cell;
+
 use awc::ClientResponse;
 use awc::error::PayloadError;
 use awc::http::StatusCode;
@@ -16,6 +18,9 @@
 use crate::core::EndpointReport;
 
 const DONE_EVENT: &str = "[DONE]";
+/// Maximum number of bytes until the end of an event, which holds one token. The parser reads an event from its start with
+/// each chunk that arrives, so that a longer one would also take its time.
+const MAX_EVENT_BYTES: usize = 64 * 1024;
 
 pub(super) async fn run_completion(
     endpoint: &EndpointClient,
@@ -120,10 +125,12 @@
 where
     S: Stream<Item = Result<Bytes, PayloadError>> + Unpin,
 {
-    let mut events = response.eventsource();
+    let pending_bytes = Cell::new(0);
+    let mut events = bounded(response, &pending_bytes).eventsource();
     let mut finish: Option<FinishReason> = None;
     let mut usage = Usage::default();
     while let Some(event) = events.next().await {
+        pending_bytes.set(0);
         let Ok(event) = event else {
             return reporter.report(EndpointReport::Broken(RefusalReason::EndpointLost));
         };
@@ -149,6 +156,18 @@
     reporter.report(EndpointReport::Broken(RefusalReason::EndpointLost));
 }
 
+/// Passes on a body, and fails once `pending_bytes`, to which each chunk is added, exceeds [`MAX_EVENT_BYTES`].
+fn bounded(
+    body: impl Stream<Item = Result<Bytes, PayloadError>>,
+    pending_bytes: &Cell<usize>,
+) -> impl Stream<Item = Result<Bytes, PayloadError>> {
+    body.map(|chunk| {
+        let chunk = chunk?;
+        pending_bytes.set(pending_bytes.get() + chunk.len());
+        if pending_bytes.get() > MAX_EVENT_BYTES { Err(PayloadError::Overflow) } else { Ok(chunk) }
+    })
+}
+
 /// Reports a response with an error status. An engine that is being reconfigured (503) or is full (429) has run
 /// nothing; any other status is passed on as the response.
 async fn report_error_response<S>(reporter: &Reporter, mut response: ClientResponse<S>)
--- a/crates/daisychute-agent/tests/whole_answers.rs
+++ b/crates/daisychute-agent/tests/whole_answers.rs
@@ -1,7 +1,7 @@
 //! A response that is truncated between endpoint and agent is never reported as complete.
 
 use std::net::{SocketAddr, TcpListener as StdListener};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use daisychute_agent::Fifo;
@@ -26,6 +26,11 @@
 /// Body of each request. A service has read the whole request when it has received this.
 const BODY: &str = "passed=1";
 
+/// Head of a stream in chunks.
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+/// Part of the path by which an agent reads a stream again that broke off; the endpoint doesn't keep any.
+const RESUME_PATH: &str = "/stream?from=";
 /// Request line of the agent's state reads.
 const STATE_REQUEST_LINE: &str = "GET /state HTTP/1.1";
 
@@ -69,6 +74,19 @@
     )*};
 }
 
+macro_rules! engine_streams_without_end {
+    ($($name:ident: $unit:expr,)*) => {$(
+        /// Guards against memory that grows with an event which doesn't end, and a request that waits for it.
+        #[test]
+        fn $name() {
+            let asked_at = Instant::now();
+            let ended = actix_rt::System::new().block_on(run_with(STREAM_HEAD, $unit, &completion()));
+            assert_eq!(ended, ENDPOINT_LOST);
+            assert!(asked_at.elapsed() < TIMEOUT / 2);
+        }
+    )*};
+}
+
 macro_rules! engine_refusals {
     ($($name:ident: $bytes:expr => $ended:expr,)*) => {$(
         #[test]
@@ -104,6 +122,12 @@
     end_marked_only_by_the_close: "HTTP/1.1 200 OK\r\n\r\nhello" => BAD_RESPONSE,
 }
 
+engine_streams_without_end! {
+    line_without_end: "40\r\nyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyyy\r\n",
+    event_of_many_lines_without_end: "8\r\ndata: y\n\r\n",
+    comments_without_end: "4\r\n: y\n\r\n",
+}
+
 engine_refusals! {
     whole_refusal_of_an_engine:
         "HTTP/1.1 400 Bad Request\r\ncontent-length: 9\r\n\r\n{\"no\": 1}" => complete(400, "{\"no\": 1}"),
@@ -119,9 +143,15 @@
 
 /// Runs one request on an endpoint that responds with these bytes and closes the connection.
 async fn run(response: &'static str, work: &Work) -> Outcome {
+    run_with(response, "", work).await
+}
+
+/// Runs one request on an endpoint that responds with these bytes, and then with `unit` again and again, unless it is
+/// empty, until the connection is closed.
+async fn run_with(response: &'static str, unit: &'static str, work: &Work) -> Outcome {
     let service = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let service_addr = service.local_addr().expect("an address");
-    actix_rt::spawn(serve(service, response));
+    actix_rt::spawn(serve(service, response, unit));
     let agent_addr = start_agent(service_addr, work);
     let (tx, mut rx) = unbounded_channel();
     connect(agent_addr, LinkId::new(1), hello(), LinkConfig::default(), tx);
@@ -129,17 +159,19 @@
     ended.expect("the call ends in time")
 }
 
-async fn serve(service: TcpListener, response: &'static str) {
+async fn serve(service: TcpListener, response: &'static str, unit: &'static str) {
     while let Ok((mut stream, _)) = service.accept().await {
         actix_rt::spawn(async move {
             if read_request(&mut stream).await {
                 stream.write_all(response.as_bytes()).await.expect("the agent reads");
+                let block = unit.repeat(1_000);
+                while !unit.is_empty() && stream.write_all(block.as_bytes()).await.is_ok() {}
             }
         });
     }
 }
 
-/// Returns whether a whole request arrived. State reads, which an engine gets before, are answered.
+/// Returns whether a whole request arrived that the endpoint runs. State reads, which an engine gets before, are answered.
 async fn read_request(stream: &mut TcpStream) -> bool {
     let mut received = Vec::new();
     loop {
@@ -147,6 +179,9 @@
         if text.contains(BODY) {
             return true;
         }
+        if text.contains(RESUME_PATH) {
+            return false;
+        }
         if text.contains(STATE_REQUEST_LINE) {
             stream.write_all(state_response().as_bytes()).await.expect("the agent reads");
             received.clear();
