perf(front): tell other fronts at once where a stream began, among several versions

A client that comes back quickly to another front was refused (origin_unknown): between heartbeats, 40 ms at few fronts and 400 at many, the news of the first event had not arrived.

The early heartbeat of long prompts waits 40 ms since the last one; this one 4 ms, which bounds the datagrams and is less than a client needs to come back. Only with several versions in the service, as the origin isn't needed otherwise."

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -150,6 +150,9 @@
     AnnounceOrigin {
         /// The stream and the software version that began it.
         origin: StreamOrigin,
+        /// Whether the service has several versions, so that a front that doesn't know the origin refuses the client
+        /// that resumes the stream.
+        at_once: bool,
     },
     /// Record that an endpoint gets nothing new because it announced that it is leaving.
     RecordLeaving {
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -1,6 +1,6 @@
 //! Streams that go on after events which the client already has.
 
-use daisychute_core::{SoftwareVersion, Time};
+use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
 use crate::{Action, Dispatcher, Reason, RequestKey, Resumption, StreamOrigin};
@@ -63,13 +63,11 @@
         let service = state.service.clone();
         let origin = StreamOrigin { attempt, version, time_left };
         self.stream_origins.record(now, origin.clone());
-        actions.push(Action::AnnounceOrigin { origin });
-        if self.has_several_versions(&service) {
-            actions.push(Action::SendHeartbeat);
-        }
+        let at_once = self.has_several_versions(&service);
+        actions.push(Action::AnnounceOrigin { origin, at_once });
     }
 
-    fn has_several_versions(&self, service: &daisychute_core::ServiceName) -> bool {
+    fn has_several_versions(&self, service: &ServiceName) -> bool {
         let mut versions =
             self.fleet.of_service(service).map(|(_, it)| &it.endpoint.software_version);
         let first = versions.next();
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -67,7 +67,7 @@
 fn announced(actions: &[Action]) -> Vec<&StreamOrigin> {
     let mut origins = Vec::new();
     for action in actions {
-        if let Action::AnnounceOrigin { origin } = action {
+        if let Action::AnnounceOrigin { origin, .. } = action {
             origins.push(origin);
         }
     }
@@ -149,7 +149,7 @@
         time_left: Duration::from_secs(5),
     };
     assert_eq!(announced(&actions), [&origin]);
-    assert!(actions.contains(&Action::SendHeartbeat));
+    assert!(actions.contains(&Action::AnnounceOrigin { origin, at_once: true }));
     assert!(announced(&front.handle(Event::FirstOutput { key })).is_empty());
 }
 
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -6,7 +6,7 @@
 
 use daisychute_dispatch::Event;
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::directory::watcher::collect_time;
 use crate::peers::peer_heartbeat::{Eras, Leaving, Load, Origins, Part, PeerHeartbeat};
@@ -15,6 +15,8 @@
 
 /// Minimum interval between heartbeats: a prefill takes an engine tens of milliseconds.
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
+/// Minimum interval before a heartbeat that is needed at once: a client takes longer to come back to another front.
+const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(4);
 /// Maximum interval between heartbeats: older load reports say little about an engine.
 const MAX_INTERVAL: Duration = Duration::from_millis(400);
 /// Interval per peer, so that a front without urgent heartbeats sends fewer than a hundred datagrams a second.
@@ -39,8 +41,16 @@
             sleep(MIN_INTERVAL).await;
             state.peers.heartbeat_requested().await;
         };
+        let needed_at_once = async {
+            sleep(MIN_URGENT_INTERVAL).await;
+            state.peers.urgent_heartbeat_requested().await;
+        };
         // A heartbeat that wasn't requested reports what has ended, and that the front is alive.
-        let _ = timeout(interval, requested).await;
+        tokio::select! {
+            () = requested => {}
+            () = needed_at_once => {}
+            () = sleep(interval) => {}
+        }
         let fronts = state.peers.count(state.now());
         state.handle(Event::FrontCount(fronts));
         let Some(bytes) = encode(&state) else { continue };
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -60,6 +60,7 @@
     // Origins of streams, with the number of heartbeats that still announce them.
     origins: RefCell<VecDeque<(StreamOrigin, u32)>>,
     early_heartbeat: Notify,
+    urgent_heartbeat: Notify,
 }
 
 impl Peers {
@@ -72,6 +73,7 @@
             leaving: RefCell::default(),
             origins: RefCell::default(),
             early_heartbeat: Notify::new(),
+            urgent_heartbeat: Notify::new(),
         }
     }
 
@@ -135,8 +137,11 @@
         announced.into_iter().map(|(endpoint, _)| endpoint).collect()
     }
 
-    /// Queues the announcement of where a stream began.
-    pub(crate) fn announce_origin(&self, origin: StreamOrigin) {
+    /// Queues the announcement of where a stream began. With `at_once` it doesn't wait for the next heartbeat.
+    pub(crate) fn announce_origin(&self, origin: StreamOrigin, at_once: bool) {
+        if at_once {
+            self.urgent_heartbeat.notify_one();
+        }
         let mut origins = self.origins.borrow_mut();
         // The latest come first: their streams are the ones that still run.
         origins.push_front((origin, ANNOUNCEMENTS_PER_ORIGIN));
@@ -165,6 +170,11 @@
         self.early_heartbeat.notified().await;
     }
 
+    /// Waits until a heartbeat is needed at once. A request made before the call counts.
+    pub(crate) async fn urgent_heartbeat_requested(&self) {
+        self.urgent_heartbeat.notified().await;
+    }
+
     /// Returns the parts that the next heartbeat announces, and counts this announcement.
     pub(crate) fn take_parts(&self) -> Vec<(EndpointName, PromptPart)> {
         let mut announcements = self.announcements.borrow_mut();
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -180,7 +180,9 @@
                     health_check::spawn(self, endpoint, name, address, path);
                 }
                 Action::SendHeartbeat => self.peers.request_heartbeat(),
-                Action::AnnounceOrigin { origin } => self.peers.announce_origin(origin),
+                Action::AnnounceOrigin { origin, at_once } => {
+                    self.peers.announce_origin(origin, at_once)
+                }
                 Action::AnnounceCachedPart { endpoint, part } => {
                     self.peers.announce_cached_part(endpoint, part)
                 }
