test(soak): clients that resume streams in a service of two software versions

Checked: events of one version, in order and once, nothing looks whole that isn't; and, away from unplanned faults and at fronts that have run for 3.5 s, that resumed streams go on at least half as often as new ones begin.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -33,6 +33,9 @@
         /// Also let workers announce that they leave or want a pause, and check that fronts heed it
         #[arg(long)]
         notices: bool,
+        /// Run workers of two software versions, and check that no stream holds events of both
+        #[arg(long)]
+        versions: bool,
         /// Also restore the store from copies that are some seconds old
         #[arg(long)]
         restores: bool,
--- a/crates/daisychute-soak/src/clients.rs
+++ b/crates/daisychute-soak/src/clients.rs
@@ -1,22 +1,30 @@
 //! Simulated clients, each with a persistent connection to a front.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_platform_standin::{Connection, OUTPUT_TOKENS, Paths, request_text};
+use daisychute_platform_standin::{
+    BREAK_HEADER, Connection, OUTPUT_TOKENS, Paths, TELL_VERSION_HEADER, request_text,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::time::{Instant, sleep};
 
 use crate::checks::RequestRecord;
+use crate::versions::{is_whole, last_event};
 
 /// Upper bound of the random pause of a client before each request, in ms.
 const MAX_PAUSE_MS: u64 = 40;
 
 /// Upper bound of the random pause of a client of long streams before each of them, in ms.
 const MAX_STREAM_PAUSE_MS: u64 = 1_000;
+/// Upper bound of the random pause of a client that resumes its streams before each of them, in ms.
+const MAX_RESUMING_PAUSE_MS: u64 = 300;
+/// Maximum number of attempts at a stream.
+const MAX_STREAM_ATTEMPTS: usize = 3;
 /// Output tokens of the longest streams. They take 7.2 s at the pace of the stand-ins; a front that shuts down gives its
 /// requests 7.5 s.
 const MAX_OUTPUT_TOKENS: u32 = 138;
@@ -26,8 +34,12 @@
 pub(crate) struct ClientPool {
     /// The current client address of each front.
     pub(crate) front_addresses: RefCell<Vec<SocketAddr>>,
+    /// When each front, by its client address, was started.
+    pub(crate) front_starts: RefCell<HashMap<SocketAddr, Instant>>,
     /// The finished requests of all clients, in the order in which they ended.
     pub(crate) records: RefCell<Vec<RequestRecord>>,
+    /// The streams of the clients that resume them: the attempts of each.
+    pub(crate) streams: RefCell<Vec<Vec<RequestRecord>>>,
     /// Set to make every client stop after its current request.
     pub(crate) stopping: Cell<bool>,
     /// Number of request ids given out.
@@ -120,3 +132,54 @@
         pool.call(front, &mut connection, id, Paths::PATIENT, &text).await;
     }
 }
+
+/// Runs one client that resumes its streams at any front, until they are whole or have been tried often enough.
+pub(crate) async fn run_resuming_client(pool: Rc<ClientPool>, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    while !pool.stopping.get() {
+        sleep(Duration::from_millis(rng.random_range(1..MAX_RESUMING_PAUSE_MS))).await;
+        let breaks = if rng.random_range(0..3) == 0 { "2,4" } else { "" };
+        let mut attempts: Vec<RequestRecord> = Vec::new();
+        while attempts.len() < MAX_STREAM_ATTEMPTS && !is_whole(&attempts) {
+            let Some(attempt) = pool.attempt_stream(&attempts, breaks, &mut rng).await else {
+                break;
+            };
+            attempts.push(attempt);
+            sleep(Duration::from_millis(rng.random_range(1..MAX_PAUSE_MS))).await;
+        }
+        pool.streams.borrow_mut().push(attempts);
+    }
+}
+
+impl ClientPool {
+    /// Sends the first attempt at a stream, or the next one after others. `None` if the front can't be reached.
+    async fn attempt_stream(
+        &self,
+        earlier: &[RequestRecord],
+        breaks: &str,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<RequestRecord> {
+        let front = self.random_address(rng);
+        let id = self.next_id();
+        let mut headers = format!("{TELL_VERSION_HEADER}: 1\r\n");
+        if !breaks.is_empty() {
+            headers.push_str(&format!("{BREAK_HEADER}: {breaks}\r\n"));
+        }
+        let first = earlier.iter().find(|it| last_event(std::slice::from_ref(it)) > 0);
+        if let Some(first) = first {
+            let last = last_event(earlier);
+            headers.push_str(&format!("Last-Event-Id: {last}\r\nResumes: {}\r\n", first.id));
+        }
+        let text = request_text(&id, "POST", Paths::DIGEST, true).replacen(
+            "X-Model",
+            &format!("{headers}X-Model"),
+            1,
+        );
+        let mut connection = Connection::open(front).await.ok()?;
+        let sent_at = Instant::now();
+        connection.send(&text).await.ok()?;
+        let response = connection.answer().await.ok();
+        let ended_at = Instant::now();
+        Some(RequestRecord { id, path: Paths::DIGEST, front, response, sent_at, ended_at })
+    }
+}
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod notices;
 mod run;
+mod versions;
 
 use std::process::ExitCode;
 
@@ -18,11 +19,11 @@
 use crate::run::RunOptions;
 
 fn main() -> ExitCode {
-    let Command::Run { seed, minutes, seeds, fronts, planned_only, notices, restores } =
+    let Command::Run { seed, minutes, seeds, fronts, planned_only, notices, versions, restores } =
         Args::parse().command;
     let mut failed = 0;
     for seed in seed..seed + seeds {
-        let options = RunOptions { minutes, fronts, planned_only, notices, restores };
+        let options = RunOptions { minutes, fronts, planned_only, notices, versions, restores };
         let outcome = actix_rt::System::new().block_on(run::run(seed, options));
         match outcome {
             Ok(report) => {
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Act, Answer, Fleet, FrontProcess, Paths, StandinError, StoreCopy, Worker,
+    Act, Answer, Fleet, FrontProcess, Paths, StandinError, StoreCopy, Worker, WorkerKind,
 };
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
@@ -17,16 +17,20 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::checks::{RequestRecord, Violation, check};
-use crate::clients::{ClientPool, run_client, run_stream_client};
+use crate::clients::{ClientPool, run_client, run_resuming_client, run_stream_client};
 use crate::faults::Fault;
 use crate::notices::check_notices;
+use crate::versions::{Resumed, check_streams};
 
 /// Number of simulated clients.
 const CLIENTS: u64 = 12;
 /// Number of simulated clients with long streams.
 const STREAM_CLIENTS: u64 = 6;
+/// Number of simulated clients that resume broken streams.
+const RESUMING_CLIENTS: u64 = 6;
 /// Offsets from the seed of a run to those of its further generators.
 const STREAM_CLIENT_SEED: u64 = 1 << 62;
+const RESUMING_CLIENT_SEED: u64 = 1 << 60;
 const SERIES_SEED: u64 = 1 << 63;
 const RESTORE_SEED: u64 = 1 << 61;
 /// One step in this many also restores the store.
@@ -77,14 +81,16 @@
     faults: usize,
     /// Number of responses by status.
     statuses: BTreeMap<u16, usize>,
+    /// The streams that clients resumed.
+    resumed: Resumed,
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { requests, complete, faults, statuses, violations, log_lines } = self;
+        let Self { requests, complete, faults, statuses, resumed, violations, log_lines } = self;
         write!(
             f,
-            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {} violations",
+            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {resumed}, {} violations",
             violations.len()
         )?;
         for it in violations.iter().take(12) {
@@ -155,14 +161,16 @@
     pub(crate) planned_only: bool,
     /// Whether workers also announce that they leave or want a pause.
     pub(crate) notices: bool,
+    /// Whether workers of two software versions serve, and clients resume broken streams.
+    pub(crate) versions: bool,
     /// Whether the store is also restored from copies.
     pub(crate) restores: bool,
 }
 
 /// Runs one seed.
 pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
-    let RunOptions { minutes, fronts, planned_only, notices, restores } = options;
-    let mut soak = Soak::start(fronts).await?;
+    let RunOptions { minutes, fronts, planned_only, notices, versions, restores } = options;
+    let mut soak = Soak::start(fronts, versions).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut notice_rng = Pcg64Mcg::seed_from_u64(!seed);
     soak.series = planned_only.then(|| Pcg64Mcg::seed_from_u64(seed ^ SERIES_SEED));
@@ -174,6 +182,10 @@
         let seed = seed ^ STREAM_CLIENT_SEED ^ (number << 32);
         actix_rt::spawn(run_stream_client(Rc::clone(&soak.pool), seed));
     }
+    for number in 0..if versions { RESUMING_CLIENTS } else { 0 } {
+        let seed = seed ^ RESUMING_CLIENT_SEED ^ (number << 32);
+        actix_rt::spawn(run_resuming_client(Rc::clone(&soak.pool), seed));
+    }
     let end = Instant::now() + Duration::from_secs_f64(minutes * 60.0);
     while Instant::now() < end {
         let pause = Duration::from_millis(rng.random_range(50..600));
@@ -194,8 +206,16 @@
 }
 
 impl Soak {
-    async fn start(fronts: usize) -> Result<Self, SoakError> {
+    async fn start(fronts: usize, versions: bool) -> Result<Self, SoakError> {
         let mut fleet = Fleet::without_fronts().await?;
+        if versions {
+            for _ in 0..2 {
+                fleet.add_worker(WorkerKind::Decode).await?;
+            }
+            for (number, worker) in fleet.workers.iter().enumerate() {
+                worker.set_version(["v1", "v2"][number % 2]);
+            }
+        }
         let (mut relays, mut records) = (Vec::new(), Vec::new());
         let any_port = ([127, 0, 0, 1], 0).into();
         for worker in &fleet.workers {
@@ -234,7 +254,12 @@
 
     /// Gives the clients the current addresses of the fronts.
     fn publish_addresses(&self) {
-        let addresses = self.fleet.fronts.iter().map(FrontProcess::client_address).collect();
+        let addresses: Vec<_> =
+            self.fleet.fronts.iter().map(FrontProcess::client_address).collect();
+        let mut starts = self.pool.front_starts.borrow_mut();
+        for address in &addresses {
+            starts.entry(*address).or_insert_with(Instant::now);
+        }
         *self.pool.front_addresses.borrow_mut() = addresses;
     }
 
@@ -445,6 +470,18 @@
             self.check_request(it, &mut report);
         }
         let is_disturbed = |from, to| self.disturbances.iter().any(|it| from < it.1 && to > it.0);
+        let streams = self.pool.streams.borrow();
+        let starts = self.pool.front_starts.borrow();
+        // Other fronts learn of a front that was started from the store.
+        let is_new = |it: &RequestRecord| {
+            starts.get(&it.front).is_none_or(|at| it.sent_at < *at + RECOVERY_PERIOD)
+        };
+        let in_touch = |from, attempt: &RequestRecord| {
+            !is_new(attempt) && !is_disturbed(from, attempt.ended_at)
+        };
+        let (violations, resumed) = check_streams(&streams, in_touch);
+        report.violations.extend(violations);
+        report.resumed = resumed;
         report.violations.extend(check_notices(&self.fleet.workers, &records, is_disturbed));
         Ok(report)
     }
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -41,6 +41,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Streams went on at workers of another software version, within a response and when clients resumed them.
+#[test]
+fn resumed_streams_keep_their_software_version() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "11", "--minutes", "0.2", "--planned-only", "--versions"];
+    actix_rt::System::new().block_on(run(&args))
+}
+
 async fn run_seed(seed: u64) -> Result<(), HarnessError> {
     run(&["run", "--seed", &seed.to_string(), "--minutes", "0.08"]).await
 }
