fix(front): don't go on with streams of unknown version while cut off from all fronts

A front that is cut off from store and fronts, and still reached by clients, knows one version while the others send streams to workers of a new one. Noticed by reading; the new test failed before: the stream was sent.

The rule that a service has only one version now needs a heartbeat of another front in the last 1.5 s, or that none was ever heard. Streams whose origin is known aren't concerned.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -38,6 +38,8 @@
     pub(crate) shutdown: Option<Shutdown>,
     /// Fronts that shut down, by incarnation, and when each will have exited.
     pub(crate) stopping_peers: FxHashMap<u64, Time>,
+    /// When another front was last heard; `None` if none ever was.
+    pub(crate) peer_heard_at: Option<Time>,
     /// Software versions that began the streams which clients may resume.
     pub(crate) stream_origins: StreamOrigins,
     /// Software versions of the endpoints in the fleet, and of those that left it.
@@ -64,6 +66,7 @@
             stage_times: FxHashMap::default(),
             shutdown: None,
             stopping_peers: FxHashMap::default(),
+            peer_heard_at: None,
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
         }
@@ -271,6 +274,7 @@
         loads: &[(EndpointName, PeerLoad)],
         parts: &[(EndpointName, PromptPart)],
     ) {
+        self.peer_heard_at = Some(now);
         self.fleet.set_peer_load(now, peer, loads);
         for (name, part) in parts {
             if let Some(key) = self.fleet.key(name) {
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -1,5 +1,7 @@
 //! Streams that go on after events which the client already has.
 
+use std::time::Duration;
+
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
@@ -9,6 +11,9 @@
 /// the timeout, and few clients wait longer than that for all of them.
 const MAX_STREAM_AGE_FACTOR: u32 = 2;
 
+/// Time without a heartbeat of any other front after which this one may be cut off: live fronts send several a second.
+const MAX_SILENCE: Duration = Duration::from_millis(1_500);
+
 impl Dispatcher {
     /// Restricts a request that resumes a stream to the software version that began it. Refuses it if that version
     /// isn't known, and returns whether it was refused.
@@ -41,7 +46,12 @@
             let present = present.map(|(_, it)| &it.endpoint.software_version);
             self.versions.only_version(now, &state.service, age, present)
         };
-        known.or_else(only).cloned()
+        known.or_else(|| self.is_in_contact(now).then(only)?).cloned()
+    }
+
+    /// Whether this front would know of new versions: it hears another front, or there never was one.
+    fn is_in_contact(&self, now: Time) -> bool {
+        self.peer_heard_at.is_none_or(|at| now.since(at) < MAX_SILENCE)
     }
 
     /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts.
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -191,6 +191,21 @@
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
 }
 
+/// Guards against a front that is cut off from all others while they send streams to workers of a new version.
+#[test]
+fn stream_of_unknown_version_is_refused_by_a_front_that_hears_no_other() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    let heartbeat = || Event::PeerHeartbeat { peer: 1, loads: Vec::new(), parts: Vec::new() };
+    front.wait(HISTORY);
+    front.handle(heartbeat());
+    front.wait(Duration::from_secs(2));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    front.handle(heartbeat());
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+}
+
 /// Defines a test for each way in which the endpoints of a version leave the fleet.
 macro_rules! versions_that_left {
     ($($name:ident: $left:expr,)*) => {$(
