--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -86,10 +86,7 @@
             return;
         }
         let Some(placement) = self.choose_placement(now, key) else {
-            let is_bound = self.requests.get(&key).is_some_and(|it| it.stream_version.is_some());
-            let is_gone = is_bound && reason == Reason::NoEndpoint;
-            let reason = if is_gone { Reason::VersionGone } else { reason };
-            self.fail_or_refuse(key, reason, actions);
+            self.fail_or_refuse(key, self.reason_without_endpoint(key, reason), actions);
             return;
         };
         if self.end_for_shutdown(now, key, &placement, actions) {
@@ -103,6 +100,13 @@
         self.send(now, key, placement, actions);
     }
 
+    /// Returns why a request can't be placed: for `reason`, unless no endpoint of the version that began its stream is left.
+    fn reason_without_endpoint(&self, key: RequestKey, reason: Reason) -> Reason {
+        let state = self.requests.get(&key);
+        let is_bound = state.is_some_and(|it| it.stream_version.is_some());
+        if is_bound && reason == Reason::NoEndpoint { Reason::VersionGone } else { reason }
+    }
+
     /// Returns the retry delay for a request whose latency objective can't be met; `None` if it isn't refused.
     fn overload_retry_after(
         &self,
