fix(dispatch): resume streams at the service of a split route that began them

A client that resumes a stream sends it with a new id, and a route that is split by weights chose the service by that id: the stream could go on at another service, whose events fit even less than those of another version. The new test failed before (for some of 40 streams the service changed).

The service is chosen by the id of the attempt that began the stream, which Resumes names, so that it stays the same while the weights do.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -233,7 +233,7 @@
             actions.push(Action::Fail { key, reason: Reason::NoId });
             return;
         }
-        let service = route.backends.pick(&request.id).clone();
+        let service = route.backends.pick(request.first_attempt()).clone();
         let client_timeout = request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
         let deadline = now + client_timeout.min(route.timeout);
         self.budget(&service).record_request(now);
--- a/crates/daisychute-dispatch/src/core/request_info.rs
+++ b/crates/daisychute-dispatch/src/core/request_info.rs
@@ -65,6 +65,13 @@
         }
     }
 
+    /// Returns the id of the attempt that began the response: its own one, unless the client resumes a stream.
+    #[must_use]
+    pub fn first_attempt(&self) -> &Arc<str> {
+        let resumed = self.resumption.as_ref().and_then(|it| it.first_attempt.as_ref());
+        resumed.unwrap_or(&self.id)
+    }
+
     /// Sets how long the client waits for the response.
     #[must_use]
     pub const fn client_timeout(mut self, client_timeout: Duration) -> Self {
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -65,9 +65,7 @@
         if !state.route.kind.repeatable() {
             return;
         }
-        let first_attempt =
-            state.request.resumption.as_ref().and_then(|it| it.first_attempt.as_ref());
-        let attempt = StreamOrigin::attempt(first_attempt.unwrap_or(&state.request.id));
+        let attempt = StreamOrigin::attempt(state.request.first_attempt());
         let client_timeout = state.request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
         let time_left = (state.arrived + client_timeout).since(now);
         let service = state.service.clone();
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -2,15 +2,17 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::{Role, SoftwareVersion};
 use daisychute_dispatch::{
-    Action, Endpoint, Event, Prompt, PromptPart, Reason, Removal, RequestInfo, RequestKey,
-    Resumption, SendDecision, SendFailure, StreamOrigin, Task,
+    Action, Backend, Backends, ClientLimits, Endpoint, Event, Prompt, PromptPart, Reason, Removal,
+    RequestInfo, RequestKey, RequestKind, Resumption, Route, RouteTable, SendDecision, SendFailure,
+    ServiceSpec, StreamOrigin, Task,
 };
 
-use crate::common::{Front, HOST, LONG, SHORT, endpoint, name};
+use crate::common::{Front, HOST, LONG, SHORT, endpoint, name, route, service, services};
 
 /// Time after which a front knows of all versions that may have begun a stream of [`LONG`].
 const HISTORY: Duration = Duration::from_secs(10);
@@ -277,6 +279,35 @@
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
 }
 
+/// Guards against a stream that goes on at another service of its route, as its attempts have different ids.
+#[test]
+fn stream_of_a_split_route_goes_on_at_the_service_that_began_it() {
+    let backend = |text: &str| Backend { service: service(text), weight: 1 };
+    let backends = Backends::weighted(vec![backend("lm"), backend("other")]).expect("weights");
+    let stream = RequestKind::Stream { resumable: true };
+    let split = Route { backends, ..route(LONG, stream, "lm", 600, 2) };
+    let other = ServiceSpec { name: service("other"), ..services().swap_remove(0) };
+    let services: Vec<_> = services().into_iter().chain([other]).collect();
+    let table = RouteTable::new(2, vec![split], services, ClientLimits::default());
+    let others = (0..2).map(|it| with_version(endpoint(it, "other", Some(Role::Decode)), "v1"));
+    let mut front = Front::new(engines(&["v1", "v1"]).into_iter().chain(others));
+    front.handle(Event::Configured(Arc::new(table.expect("routes differ"))));
+    front.wait(HISTORY);
+    let service_of = |front: &mut Front, request| {
+        let (key, actions) = arrive(front, request);
+        let name = sent(&actions).expect("a send attempt").name.to_string();
+        front.handle(Event::ClientDisconnected { key });
+        name.starts_with("lm")
+    };
+    for number in 0..40 {
+        let first = format!("first-{number}");
+        let begun = service_of(&mut front, request(&first, LONG));
+        let resumption = Resumption { first_attempt: Some(first.into()) };
+        let resumed = request(&format!("resumed-{number}"), LONG).resumption(resumption);
+        assert_eq!(service_of(&mut front, resumed), begun);
+    }
+}
+
 /// Guards against refusals for a late first event, which a client that resumes its stream has already.
 #[test]
 fn resumed_stream_is_not_refused_for_the_latency_objective() {
