refactor(front): end truncated plain responses and streams in one place

The end of an attempt whose response lacks its end was written twice: for streams, which ask the writer whether the head was passed on, and for plain responses, with a closure and the two literals that the writer's answer has there: not passed while the body is collected, passed once a chunk was written. Both call one function now, which also logs bytes without end. Behaviour stays as it is.

Checked: clippy and the process tests of requests, broken streams, bytes without end, versions and corrupted responses.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -266,7 +266,6 @@
         head: &ResponseHead,
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
-        let truncated = |head_passed| CallEnd::Failed(SendFailure::MidAnswer { head_passed }, None);
         let mut part = match reader.collect(MAX_BUFFERED_BYTES).await {
             Ok(Collected::Whole(body)) => {
                 return match self.response_writer.write_response(head, &body).await {
@@ -275,10 +274,7 @@
                 };
             }
             Ok(Collected::TooLong(part)) => Some(part),
-            Err(e) => {
-                self.log_endless(e);
-                return truncated(false);
-            }
+            Err(e) => return self.truncated(e),
         };
         while let Some(bytes) = part {
             if let Err(disconnected) = self.response_writer.write_chunk(head, &bytes).await {
@@ -286,10 +282,7 @@
             }
             part = match reader.next().await {
                 Ok(part) => part,
-                Err(e) => {
-                    self.log_endless(e);
-                    return truncated(true);
-                }
+                Err(e) => return self.truncated(e),
             };
         }
         self.finish().await
@@ -307,7 +300,7 @@
                 Ok(Some(bytes)) => {
                     let Some(events) = self.response_writer.complete_events(&bytes) else {
                         if self.response_writer.partial_bytes() > MAX_EVENT_BYTES {
-                            return self.broken_stream(ResponseError::Endless);
+                            return self.truncated(ResponseError::Endless);
                         }
                         continue;
                     };
@@ -319,11 +312,11 @@
                     }
                 }
                 Ok(None) => break,
-                Err(e) => return self.broken_stream(e),
+                Err(e) => return self.truncated(e),
             }
         }
         if self.is_broken_off(reader.framing(), has_events) {
-            return self.broken_stream(ResponseError::Broken);
+            return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
             Ok(()) => self.finish().await,
@@ -348,7 +341,8 @@
         log::warn!(request:%, endpoint:%, framing, bytes; "stream ended inside an event");
     }
 
-    fn broken_stream(&self, error: ResponseError) -> CallEnd {
+    /// The end of an attempt whose response lacks its end.
+    fn truncated(&self, error: ResponseError) -> CallEnd {
         self.log_endless(error);
         let head_passed = self.response_writer.head_passed();
         CallEnd::Failed(SendFailure::MidAnswer { head_passed }, None)
