feat(front): log the fingerprint and path of requests with each failed send

The fingerprint covers caller (by Authorization, where there is one), method, host, path, query and body.

--- a/crates/daisychute-dispatch/src/core/request_info.rs
+++ b/crates/daisychute-dispatch/src/core/request_info.rs
@@ -1,5 +1,6 @@
 //! Properties of a request that routing depends on.
 
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +24,30 @@
     }
 }
 
+/// Identifies what a client asked for: requests with the same fingerprint are the same request, sent again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(u64);
+
+impl Fingerprint {
+    /// Creates a fingerprint. The number must be the same at all fronts, and hard to find for another request.
+    #[must_use]
+    pub const fn new(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the number of the fingerprint.
+    #[must_use]
+    pub const fn number(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// Properties of a request, as received from its client.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RequestInfo {
@@ -38,6 +63,8 @@
     pub prompt: Option<Prompt>,
     /// Set if the client resumes a stream of which it has the first events.
     pub resumption: Option<Resumption>,
+    /// Fingerprint of the request; `None` if it isn't known whether another request is the same.
+    pub fingerprint: Option<Fingerprint>,
 }
 
 /// What a client says of the stream that it resumes.
@@ -62,6 +89,7 @@
             client_timeout: None,
             prompt: None,
             resumption: None,
+            fingerprint: None,
         }
     }
 
@@ -86,6 +114,13 @@
         self
     }
 
+    /// Sets the fingerprint of the request.
+    #[must_use]
+    pub const fn fingerprint(mut self, fingerprint: Fingerprint) -> Self {
+        self.fingerprint = Some(fingerprint);
+        self
+    }
+
     /// Sets the prompt of a generation request.
     #[must_use]
     pub fn prompt(mut self, prompt: Prompt) -> Self {
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -34,7 +34,7 @@
 pub use crate::core::limits::LimitNews;
 pub use crate::core::part_quarantine::{PartNews, Quarantine, SuspectPart};
 pub use crate::core::reason::Reason;
-pub use crate::core::request_info::{RequestInfo, RequestKey, Resumption};
+pub use crate::core::request_info::{Fingerprint, RequestInfo, RequestKey, Resumption};
 pub use crate::core::stream_origins::StreamOrigin;
 pub use crate::fleet::backlog::Backlog;
 pub use crate::fleet::budget::RetryBudget;
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -13,6 +13,7 @@
 use tokio_util::codec::Decoder;
 
 use crate::Dialect;
+use crate::client::fingerprint::fingerprint;
 use crate::client::incoming::Incoming;
 use crate::shutdown::ShutdownState;
 
@@ -62,7 +63,8 @@
             self.write_continue().await?;
         }
         let body = self.read_body(limits).await?;
-        let info = dialect.parse_request(&head);
+        let mut info = dialect.parse_request(&head);
+        info.fingerprint = Some(fingerprint(&head, &info, dialect.caller(&head), &body));
         Ok(Incoming { head, body, info })
     }
 
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -236,7 +236,12 @@
             (&self.incoming.info.id, &decision.name, decision.task.as_str());
         let parts = self.state.dialect.prompt_part_ids(&self.incoming.head).join(",");
         let first_ms = self.first_output_ms();
-        log::warn!(request:%, endpoint:%, task, how:? = failure, parts, first_ms:?; "send failed");
+        let fingerprint = self.incoming.info.fingerprint.map(|it| it.to_string());
+        let path = &self.incoming.info.path;
+        log::warn!(
+            request:%, endpoint:%, task, how:? = failure, parts, fingerprint:?, path:%, first_ms:?;
+            "send failed"
+        );
         metrics::counter!("daisychute_sends_failed_total", "how" => failure.as_str()).increment(1);
     }
 
--- a/crates/daisychute-front/src/client/mod.rs
+++ b/crates/daisychute-front/src/client/mod.rs
@@ -3,5 +3,6 @@
 pub(crate) mod response_writer;
 pub(crate) mod connection;
 pub(crate) mod exchange;
+pub(crate) mod fingerprint;
 pub(crate) mod incoming;
 pub(crate) mod server;
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -32,6 +32,9 @@
     /// Reads the properties of a client's request.
     fn parse_request(&self, head: &RequestHead) -> RequestInfo;
 
+    /// Returns what tells the client account of a request from others; `None` if the request doesn't say.
+    fn caller<'a>(&self, client: &'a RequestHead) -> Option<&'a [u8]>;
+
     /// Returns the ids of the parts of a request's prompt as the client named them, in the order of
     /// [`Prompt::parts`](daisychute_dispatch::Prompt::parts). Empty if the prompt has no parts.
     fn prompt_part_ids<'a>(&self, client: &'a RequestHead) -> Vec<&'a str>;
