--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -7,7 +7,7 @@
 use daisychute_core::{EndpointName, SoftwareVersion, Time};
 
 use crate::{
-    EndpointKey, Incarnation, LimitNews, PartNews, PromptPart, Quarantine, Reason, RequestKey,
+    CrashNews, EndpointKey, Incarnation, LimitNews, PromptPart, Quarantine, Reason, RequestKey,
     RequestKind, RequestRate, StreamOrigin,
 };
 
@@ -200,9 +200,9 @@
         path: Arc<str>,
     },
     /// Tell the other fronts at once what was learned about a prompt part.
-    AnnouncePartNews {
+    AnnounceCrashNews {
         /// What they are told.
-        news: PartNews,
+        news: CrashNews,
     },
     /// Record that a prompt part is quarantined, or for longer than before.
     RecordQuarantine {
--- a/crates/daisychute-dispatch/src/core/part_quarantine.rs
+++ b/crates/daisychute-dispatch/src/core/crash_quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! A prompt can end the engine that responds to it; with each retry and each further request like it, one engine after
 //! the other. What such prompts have in common is a part. Each front tells the others under which prompts engines ended
-//! ([`PartNews`]), so that all come to the same verdict after a few ends, wherever the requests arrive.
+//! ([`CrashNews`]), so that all come to the same verdict after a few ends, wherever the requests arrive.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,13 +15,13 @@
 
 /// What a front tells the others about prompt parts under which engines end.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PartNews {
+pub enum CrashNews {
     /// An engine ended before it had responded to a request.
     EngineEnded {
         /// Identifies the start of the engine among the fronts, as [`Incarnation::id`](crate::Incarnation::id) computes it.
         engine: u64,
         /// Shared parts of the request's prompt, in order.
-        parts: Arc<[SuspectPart]>,
+        parts: Arc<[Suspect]>,
         /// Whether the engine had begun to respond to the request.
         begun: bool,
         /// When the front lost the engine.
@@ -40,7 +40,7 @@
 
 /// Part of a prompt under which an engine ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SuspectPart {
+pub struct Suspect {
     /// Key of the part.
     pub key: u64,
     /// Whether the front that lost the engine knows of a complete response to an earlier request with the part.
@@ -132,7 +132,7 @@
     /// Whether enough engines ended under the part to quarantine it.
     fn is_suspect(&self) -> bool {
         let limit =
-            if self.was_sound { PartQuarantine::ENDS_AFTER_SOUND } else { PartQuarantine::ENDS };
+            if self.was_sound { CrashQuarantine::ENDS_AFTER_SOUND } else { CrashQuarantine::ENDS };
         self.ends.len() >= limit && self.weight() >= 2 * limit
     }
 
@@ -144,7 +144,7 @@
         let (mut total, mut first) = (0, None::<EngineEnd>);
         for end in ends {
             match &mut first {
-                Some(first) if end.at.since(first.at) < PartQuarantine::SEPARATION => {
+                Some(first) if end.at.since(first.at) < CrashQuarantine::SEPARATION => {
                     total += end.weight().saturating_sub(first.weight());
                     first.begun |= end.begun;
                 }
@@ -176,7 +176,7 @@
 
 /// Whether a request with some parts may be sent to engines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum PartAdmission {
+pub(crate) enum CrashAdmission {
     /// No part is quarantined.
     Admitted,
     /// The quarantine of a part has expired, and the request is the trial of it.
@@ -198,7 +198,7 @@
 
 /// Records under which prompt parts engines ended, and which parts are quarantined.
 #[derive(Debug, Default)]
-pub(crate) struct PartQuarantine {
+pub(crate) struct CrashQuarantine {
     /// At most `MAX_RECORDS`, by the keys of the parts.
     records: FxHashMap<u64, PartRecord>,
     /// At most `MAX_QUARANTINES`, by the keys of the parts.
@@ -212,7 +212,7 @@
     cleanup_at: Time,
 }
 
-impl PartQuarantine {
+impl CrashQuarantine {
     /// Number of engines that have to end under a part until it is quarantined, if they had begun to respond to it; twice
     /// as many if they had not. Two can have ended for reasons of their own: an engine takes what it has in flight with it,
     /// and a retry may meet the next one that ends.
@@ -262,19 +262,19 @@
         now: Time,
         parts: &[PromptPart],
         trial_of: Option<u64>,
-    ) -> PartAdmission {
+    ) -> CrashAdmission {
         if self.held.is_empty() {
-            return PartAdmission::Admitted;
+            return CrashAdmission::Admitted;
         }
         let others = parts.iter().filter(|it| Some(it.key) != trial_of);
         let held: Vec<_> = others.filter_map(|it| self.held.get(&it.key)).copied().collect();
         if let Some(refused) = held.iter().find(|it| it.quarantine.is_active(now)) {
-            return PartAdmission::Refused(refused.quarantine);
+            return CrashAdmission::Refused(refused.quarantine);
         }
-        let Some(expired) = held.first() else { return PartAdmission::Admitted };
+        let Some(expired) = held.first() else { return CrashAdmission::Admitted };
         let quarantine = Quarantine { until: now + Self::TRIAL_TIME, ..expired.quarantine };
         self.held.insert(quarantine.part, Held { quarantine, on_trial: true, ..*expired });
-        PartAdmission::Trial(quarantine)
+        CrashAdmission::Trial(quarantine)
     }
 
     /// Records that an engine ended under a request with these shared parts. Returns the longer quarantine that follows at
@@ -283,7 +283,7 @@
         &mut self,
         now: Time,
         end: EngineEnd,
-        parts: &[SuspectPart],
+        parts: &[Suspect],
         by_peer: bool,
     ) -> Option<Quarantine> {
         let parts = &parts[..parts.len().min(Self::MAX_PARTS)];
@@ -332,7 +332,7 @@
 
     /// Returns the parts of these that this front knows to have been sound while the one that lost an engine doesn't, with
     /// the times of their latest complete responses. Each is returned for its first end only.
-    pub(crate) fn rebuttals(&self, parts: &[SuspectPart]) -> Vec<(u64, Time)> {
+    pub(crate) fn rebuttals(&self, parts: &[Suspect]) -> Vec<(u64, Time)> {
         let doubted = parts.iter().filter(|it| !it.was_sound);
         let known = doubted.filter_map(|it| Some((it.key, self.records.get(&it.key)?)));
         let first = known.filter(|(_, it)| it.ends.len() == 1);
@@ -340,10 +340,10 @@
     }
 
     /// Returns these parts with what is known about them.
-    pub(crate) fn suspects(&self, parts: &[PromptPart]) -> Arc<[SuspectPart]> {
+    pub(crate) fn suspects(&self, parts: &[PromptPart]) -> Arc<[Suspect]> {
         let was_sound = |part: u64| self.records.get(&part).is_some_and(|it| it.was_sound);
         let considered = parts.iter().take(Self::MAX_PARTS);
-        considered.map(|it| SuspectPart { key: it.key, was_sound: was_sound(it.key) }).collect()
+        considered.map(|it| Suspect { key: it.key, was_sound: was_sound(it.key) }).collect()
     }
 
     /// Returns the part that the ends of engines speak against most; several if nothing tells them apart, and none as long
--- a/crates/daisychute-dispatch/src/core/crashing_prompts.rs
+++ b/crates/daisychute-dispatch/src/core/crashes.rs
@@ -6,10 +6,10 @@
 
 use daisychute_core::Time;
 
-use crate::core::part_quarantine::{EngineEnd, PartAdmission, PartQuarantine, Soundness};
+use crate::core::crash_quarantine::{CrashAdmission, CrashQuarantine, EngineEnd, Soundness};
 use crate::core::request_state::InFlightAttempt;
 use crate::{
-    Action, Dispatcher, PartNews, PromptPart, Quarantine, Reason, RequestKey, SendFailure,
+    Action, CrashNews, Dispatcher, PromptPart, Quarantine, Reason, RequestKey, SendFailure,
 };
 
 /// An engine that ends later than this after the first output of a request didn't end under that request.
@@ -19,19 +19,19 @@
     /// Returns the quarantine of the first of these shared prompt parts that is quarantined.
     #[must_use]
     pub fn quarantined_part(&self, now: Time, shared: &[PromptPart]) -> Option<Quarantine> {
-        self.part_quarantine.active(now, shared)
+        self.crash_quarantine.active(now, shared)
     }
 
     /// Returns the number of prompt parts that are quarantined.
     #[must_use]
     pub fn quarantined_parts(&self, now: Time) -> usize {
-        self.part_quarantine.all_active(now).count()
+        self.crash_quarantine.all_active(now).count()
     }
 
     /// Returns the quarantines that last longest, at most `limit`.
     #[must_use]
     pub fn quarantines(&self, now: Time, limit: usize) -> Vec<Quarantine> {
-        let mut active: Vec<_> = self.part_quarantine.all_active(now).collect();
+        let mut active: Vec<_> = self.crash_quarantine.all_active(now).collect();
         active.sort_unstable_by_key(|it| (Reverse(it.until), it.part));
         active.truncate(limit);
         active
@@ -49,14 +49,15 @@
         self.decide_quarantines(now, actions);
         let Some(state) = self.requests.get_mut(&key) else { return false };
         let Some(prompt) = &state.request.prompt else { return false };
-        match self.part_quarantine.admit(now, prompt.shared(), state.trial_of) {
-            PartAdmission::Admitted => false,
-            PartAdmission::Trial(quarantine) => {
+        match self.crash_quarantine.admit(now, prompt.shared(), state.trial_of) {
+            CrashAdmission::Admitted => false,
+            CrashAdmission::Trial(quarantine) => {
                 state.trial_of = Some(quarantine.part);
-                actions.push(Action::AnnouncePartNews { news: PartNews::Quarantined(quarantine) });
+                actions
+                    .push(Action::AnnounceCrashNews { news: CrashNews::Quarantined(quarantine) });
                 false
             }
-            PartAdmission::Refused(quarantine) => {
+            CrashAdmission::Refused(quarantine) => {
                 let retry_after = quarantine.until.since(now);
                 self.fail_or_refuse_for(key, Reason::Quarantined, retry_after, actions);
                 true
@@ -82,22 +83,22 @@
             return;
         };
         let Some(incarnation) = self.fleet.incarnation(sent.endpoint) else { return };
-        let parts = self.part_quarantine.suspects(prompt.shared());
+        let parts = self.crash_quarantine.suspects(prompt.shared());
         if parts.is_empty() {
             return;
         }
         let engine = incarnation.id();
         let begun = matches!(failure, SendFailure::MidAnswer { .. });
-        let news = PartNews::EngineEnded { engine, parts: Arc::clone(&parts), begun, at: now };
-        actions.push(Action::AnnouncePartNews { news });
+        let news = CrashNews::EngineEnded { engine, parts: Arc::clone(&parts), begun, at: now };
+        actions.push(Action::AnnounceCrashNews { news });
         let end = EngineEnd { engine, at: now, begun };
-        let longer = self.part_quarantine.record_end(now, end, &parts, false);
+        let longer = self.crash_quarantine.record_end(now, end, &parts, false);
         push_verdicts(longer, actions);
     }
 
     /// Quarantines the prompt parts that the ends of engines speak against, if a verdict is due.
     pub(crate) fn decide_quarantines(&mut self, now: Time, actions: &mut Vec<Action>) {
-        push_verdicts(self.part_quarantine.decide(now), actions);
+        push_verdicts(self.crash_quarantine.decide(now), actions);
     }
 
     /// Records that the prompt parts of a request don't end engines, since it was answered completely.
@@ -110,11 +111,11 @@
         let Some(prompt) = self.requests.get(&key).and_then(|it| it.request.prompt.as_ref()) else {
             return;
         };
-        for part in prompt.shared().iter().take(PartQuarantine::MAX_PARTS) {
-            let soundness = self.part_quarantine.record_sound(now, part.key, now);
+        for part in prompt.shared().iter().take(CrashQuarantine::MAX_PARTS) {
+            let soundness = self.crash_quarantine.record_sound(now, part.key, now);
             if soundness != Soundness::Known {
-                let news = PartNews::Sound { part: part.key, at: now };
-                actions.push(Action::AnnouncePartNews { news });
+                let news = CrashNews::Sound { part: part.key, at: now };
+                actions.push(Action::AnnounceCrashNews { news });
             }
             if soundness == Soundness::Released {
                 actions.push(Action::RecordRelease { part: part.key, by_peer: false });
@@ -123,36 +124,36 @@
     }
 
     /// Records what other fronts told about prompt parts.
-    pub(crate) fn part_news_reported(
+    pub(crate) fn crash_news_reported(
         &mut self,
         now: Time,
-        news: Vec<PartNews>,
+        news: Vec<CrashNews>,
         actions: &mut Vec<Action>,
     ) {
         for it in news {
             match it {
-                PartNews::EngineEnded { engine, parts, begun, at } => {
+                CrashNews::EngineEnded { engine, parts, begun, at } => {
                     let end = EngineEnd { engine, at, begun };
                     // The front that lost the engine prolongs the quarantine as well, and announces it.
-                    let longer = self.part_quarantine.record_end(now, end, &parts, true);
+                    let longer = self.crash_quarantine.record_end(now, end, &parts, true);
                     actions.extend(
                         longer.map(|quarantine| Action::RecordQuarantine {
                             quarantine,
                             by_peer: true,
                         }),
                     );
-                    let rebuttals = self.part_quarantine.rebuttals(&parts).into_iter();
-                    actions.extend(rebuttals.map(|(part, at)| Action::AnnouncePartNews {
-                        news: PartNews::Sound { part, at },
+                    let rebuttals = self.crash_quarantine.rebuttals(&parts).into_iter();
+                    actions.extend(rebuttals.map(|(part, at)| Action::AnnounceCrashNews {
+                        news: CrashNews::Sound { part, at },
                     }));
                 }
-                PartNews::Quarantined(quarantine) => {
-                    if self.part_quarantine.adopt(now, quarantine) {
+                CrashNews::Quarantined(quarantine) => {
+                    if self.crash_quarantine.adopt(now, quarantine) {
                         actions.push(Action::RecordQuarantine { quarantine, by_peer: true });
                     }
                 }
-                PartNews::Sound { part, at } => {
-                    if self.part_quarantine.record_sound(now, part, at) == Soundness::Released {
+                CrashNews::Sound { part, at } => {
+                    if self.crash_quarantine.record_sound(now, part, at) == Soundness::Released {
                         actions.push(Action::RecordRelease { part, by_peer: true });
                     }
                 }
@@ -163,10 +164,10 @@
     /// Announces quarantines again, for fronts that have started since.
     pub(crate) fn announce_quarantines(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.decide_quarantines(now, actions);
-        self.part_quarantine.expire(now);
-        let due = self.part_quarantine.due_announcements(now, self.fronts);
-        let news = due.into_iter().map(PartNews::Quarantined);
-        actions.extend(news.map(|news| Action::AnnouncePartNews { news }));
+        self.crash_quarantine.expire(now);
+        let due = self.crash_quarantine.due_announcements(now, self.fronts);
+        let news = due.into_iter().map(CrashNews::Quarantined);
+        actions.extend(news.map(|news| Action::AnnounceCrashNews { news }));
     }
 }
 
@@ -174,7 +175,7 @@
 fn push_verdicts(verdicts: impl IntoIterator<Item = Quarantine>, actions: &mut Vec<Action>) {
     for quarantine in verdicts {
         actions.push(Action::RecordQuarantine { quarantine, by_peer: false });
-        let news = PartNews::Quarantined(quarantine);
-        actions.push(Action::AnnouncePartNews { news });
+        let news = CrashNews::Quarantined(quarantine);
+        actions.push(Action::AnnounceCrashNews { news });
     }
 }
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -6,7 +6,7 @@
 use daisychute_core::{EndpointName, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
-use crate::core::part_quarantine::PartQuarantine;
+use crate::core::crash_quarantine::CrashQuarantine;
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
 use crate::core::shutdown::Shutdown;
 use crate::core::stream_origins::StreamOrigins;
@@ -46,7 +46,7 @@
     /// Software versions of the endpoints in the fleet, and of those that left it.
     pub(crate) versions: VersionHistory,
     /// Prompt parts under which engines ended.
-    pub(crate) part_quarantine: PartQuarantine,
+    pub(crate) crash_quarantine: CrashQuarantine,
 }
 
 impl Dispatcher {
@@ -72,7 +72,7 @@
             peer_heard_at: None,
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
-            part_quarantine: PartQuarantine::default(),
+            crash_quarantine: CrashQuarantine::default(),
         }
     }
 
@@ -157,7 +157,7 @@
                     self.stream_origins.record(now, origin);
                 }
             }
-            Event::PartNewsReported { news } => self.part_news_reported(now, news, actions),
+            Event::CrashNewsReported { news } => self.crash_news_reported(now, news, actions),
             Event::LimitsReported { limits } => self.limits_reported(now, limits, actions),
             Event::FrontsCounted(position) => {
                 self.fronts = position.count;
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::{
-    Endpoint, EndpointKey, FrontPosition, Incarnation, LimitNews, LoadSample, PartNews, PeerLoad,
+    CrashNews, Endpoint, EndpointKey, FrontPosition, Incarnation, LimitNews, LoadSample, PeerLoad,
     PromptPart, Removal, RequestInfo, RequestKey, RequestRate, RouteTable, StreamOrigin,
 };
 
@@ -180,9 +180,9 @@
         origins: Vec<StreamOrigin>,
     },
     /// Another front reported prompt parts under which engines ended or didn't end.
-    PartNewsReported {
+    CrashNewsReported {
         /// What it told, with times of this process.
-        news: Vec<PartNews>,
+        news: Vec<CrashNews>,
     },
     /// Another front reported limits that endpoints named to it.
     LimitsReported {
--- a/crates/daisychute-dispatch/tests/crashing_prompts.rs
+++ b/crates/daisychute-dispatch/tests/crashing_prompts.rs
@@ -7,8 +7,8 @@
 
 use daisychute_core::{EndpointName, Role};
 use daisychute_dispatch::{
-    Action, Event, FrontPosition, PartNews, Prompt, PromptPart, Quarantine, Reason, Removal,
-    RequestInfo, RequestKey, SendDecision, SendFailure, SuspectPart, Task,
+    Action, CrashNews, Event, FrontPosition, Prompt, PromptPart, Quarantine, Reason, Removal,
+    RequestInfo, RequestKey, SendDecision, SendFailure, Suspect, Task,
 };
 use quickcheck::quickcheck;
 
@@ -115,18 +115,18 @@
     fn handle(&mut self, front: usize, event: Event) -> Vec<Action> {
         let mut others = Vec::new();
         for action in self.fronts[front].handle(event) {
-            let Action::AnnouncePartNews { news } = action else {
+            let Action::AnnounceCrashNews { news } = action else {
                 others.push(action);
                 continue;
             };
             self.news[match &news {
-                PartNews::EngineEnded { .. } => 0,
-                PartNews::Quarantined(_) => 1,
-                PartNews::Sound { .. } => 2,
+                CrashNews::EngineEnded { .. } => 0,
+                CrashNews::Quarantined(_) => 1,
+                CrashNews::Sound { .. } => 2,
             }] += 1;
             for other in (0..self.fronts.len()).filter(|it| *it != front) {
                 let news = vec![news.clone()];
-                self.handle(other, Event::PartNewsReported { news });
+                self.handle(other, Event::CrashNewsReported { news });
             }
         }
         others
@@ -256,8 +256,8 @@
 }
 
 /// Returns parts of which no complete response is known.
-fn suspects(keys: [u64; 2]) -> Arc<[SuspectPart]> {
-    keys.into_iter().map(|key| SuspectPart { key, was_sound: false }).collect()
+fn suspects(keys: [u64; 2]) -> Arc<[Suspect]> {
+    keys.into_iter().map(|key| Suspect { key, was_sound: false }).collect()
 }
 
 fn engine_of(outcome: &Outcome) -> EndpointName {
@@ -340,8 +340,8 @@
             let (engine, parts) = (number % 2, suspects([COMMON, POISON]));
             let at = world.fronts[0].now;
             world.wait(PAUSE);
-            let news = vec![PartNews::EngineEnded { engine, parts, begun: true, at }];
-            world.handle(0, Event::PartNewsReported { news });
+            let news = vec![CrashNews::EngineEnded { engine, parts, begun: true, at }];
+            world.handle(0, Event::CrashNewsReported { news });
         }
         assert!(world.quarantine(0, POISON).is_none());
     }
@@ -415,7 +415,7 @@
         let at = world.fronts[0].now;
         world.wait(PAUSE);
         assert!(world.sound(0, &[COMMON, 100]));
-        let ends = (0..5).map(|engine| PartNews::EngineEnded {
+        let ends = (0..5).map(|engine| CrashNews::EngineEnded {
             engine,
             parts: suspects([COMMON, 100]),
             begun: true,
@@ -423,8 +423,8 @@
         });
         let until = world.fronts[0].now + QUARANTINE;
         let verdict = Quarantine { part: COMMON, since: at, until, strikes: 1 };
-        let news = ends.chain([PartNews::Quarantined(verdict)]).collect();
-        world.handle(0, Event::PartNewsReported { news });
+        let news = ends.chain([CrashNews::Quarantined(verdict)]).collect();
+        world.handle(0, Event::CrashNewsReported { news });
         assert!(world.sound(0, &[COMMON, 100]));
     }
 
@@ -570,8 +570,8 @@
         for (part, strikes) in [(COMMON, 1), (POISON, 1), (100, 2)] {
             let until = since + QUARANTINE;
             let verdict = Quarantine { part, since, until, strikes };
-            let news = vec![PartNews::Quarantined(verdict)];
-            world.handle(0, Event::PartNewsReported { news });
+            let news = vec![CrashNews::Quarantined(verdict)];
+            world.handle(0, Event::CrashNewsReported { news });
         }
         let held = |part| world.quarantine(0, part).is_some();
         assert_eq!([COMMON, POISON, 100].map(held), [false, true, true]);
@@ -671,7 +671,7 @@
         let failure = SendFailure::NoAnswer;
         let actions = world.fronts[0].handle(Event::SendFailed { key: sent.key, failure });
         let longest = actions.iter().find_map(|it| match it {
-            Action::AnnouncePartNews { news: PartNews::EngineEnded { parts, .. } } => {
+            Action::AnnounceCrashNews { news: CrashNews::EngineEnded { parts, .. } } => {
                 Some(parts.len())
             }
             _ => None,
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -232,7 +232,7 @@
             | Action::CheckLeaving { .. }
             | Action::RecordLeaving { .. }
             | Action::RecordPause { .. }
-            | Action::AnnouncePartNews { .. }
+            | Action::AnnounceCrashNews { .. }
             | Action::RecordQuarantine { .. }
             | Action::RecordLimit { .. }
             | Action::AnnounceLimit { .. }
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_dispatch::{Event, PartNews};
+use daisychute_dispatch::{CrashNews, Event};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -71,7 +71,7 @@
     let origins = Origins::group(state.peers.origins.borrow_mut().take(now));
     let leaving = state.peers.leaving.borrow_mut().take(now);
     let leaving: Vec<Leaving> = leaving.into_iter().map(Leaving::from).collect();
-    let part_reports = PartReports::new(now, state.peers.part_news.borrow_mut().take(now));
+    let part_reports = PartReports::new(now, state.peers.crash_news.borrow_mut().take(now));
     let limits = state.peers.limits.borrow_mut().take(now);
     let limits = limits.into_iter().map(|it| LimitReport::new(now, it)).collect();
     let heartbeat = state.with_dispatcher(|it| {
@@ -145,7 +145,7 @@
         }
         let news = part_reports.into_news(state.now());
         if !news.is_empty() {
-            state.handle(Event::PartNewsReported { news });
+            state.handle(Event::CrashNewsReported { news });
         }
         let limits: Vec<_> = limits.into_iter().map(|it| it.into_news(state.now())).collect();
         if !limits.is_empty() {
@@ -168,7 +168,7 @@
     if quarantines.is_empty() {
         return;
     }
-    let reports = PartReports::new(now, quarantines.into_iter().map(PartNews::Quarantined));
+    let reports = PartReports::new(now, quarantines.into_iter().map(CrashNews::Quarantined));
     let greeting = state.with_dispatcher(|it| {
         let loads = it.fleet().own_load(now).map(Load::from).collect();
         heartbeat(state, loads, Vec::new()).part_reports(reports)
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -19,7 +19,7 @@
 
 use daisychute_core::{EndpointName, Time};
 use daisychute_dispatch::{
-    FrontPosition, Incarnation, LimitNews, PartNews, PromptPart, StreamOrigin,
+    CrashNews, FrontPosition, Incarnation, LimitNews, PromptPart, StreamOrigin,
 };
 use tokio::sync::Notify;
 
@@ -53,7 +53,7 @@
 };
 
 /// Announcements of what was learned about prompt parts. A lost one costs engines.
-const PART_NEWS: AnnouncementPolicy = AnnouncementPolicy {
+const CRASH_NEWS: AnnouncementPolicy = AnnouncementPolicy {
     repetitions: 4,
     per_heartbeat: 6,
     capacity: 128,
@@ -87,7 +87,7 @@
     /// Where streams began.
     pub(crate) origins: RefCell<Announcements<StreamOrigin>>,
     /// What was learned about prompt parts under which engines end.
-    pub(crate) part_news: RefCell<Announcements<PartNews>>,
+    pub(crate) crash_news: RefCell<Announcements<CrashNews>>,
     /// Limits that endpoints name.
     pub(crate) limits: RefCell<Announcements<LimitNews>>,
     /// Incarnations of which a heartbeat arrived; at most `MAX_INCARNATIONS`.
@@ -105,7 +105,7 @@
             cached_parts: RefCell::new(Announcements::new(CACHED_PARTS)),
             leaving: RefCell::new(Announcements::new(LEAVING)),
             origins: RefCell::new(Announcements::new(ORIGINS)),
-            part_news: RefCell::new(Announcements::new(PART_NEWS)),
+            crash_news: RefCell::new(Announcements::new(CRASH_NEWS)),
             limits: RefCell::new(Announcements::new(LIMITS)),
             incarnations: RefCell::default(),
             early_heartbeat: Notify::new(),
--- a/crates/daisychute-front/src/peers/part_reports.rs
+++ b/crates/daisychute-front/src/peers/part_reports.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use daisychute_core::Time;
-use daisychute_dispatch::{PartNews, Quarantine, SuspectPart};
+use daisychute_dispatch::{CrashNews, Quarantine, Suspect};
 use serde::{Deserialize, Serialize};
 
 /// News about prompt parts, by kind. Fields are written without their names, times as ages or remaining times.
@@ -25,36 +25,36 @@
 
 impl PartReports {
     /// Encodes news that are sent at `now`.
-    pub(crate) fn new(now: Time, news: impl IntoIterator<Item = PartNews>) -> Self {
+    pub(crate) fn new(now: Time, news: impl IntoIterator<Item = CrashNews>) -> Self {
         let age = |at: Time| millis(now.since(at));
         let mut reports = Self::default();
         for it in news {
             match it {
-                PartNews::EngineEnded { engine, parts, begun, at } => {
+                CrashNews::EngineEnded { engine, parts, begun, at } => {
                     let parts = parts.iter().map(|it| (it.key, it.was_sound)).collect();
                     reports.0.push(Ended(engine, parts, age(at), begun))
                 }
-                PartNews::Quarantined(Quarantine { part, since, until, strikes }) => {
+                CrashNews::Quarantined(Quarantine { part, since, until, strikes }) => {
                     let left = millis(until.since(now));
                     reports.1.push(Quarantined(part, age(since), left, strikes));
                 }
-                PartNews::Sound { part, at } => reports.2.push(Sound(part, age(at))),
+                CrashNews::Sound { part, at } => reports.2.push(Sound(part, age(at))),
             }
         }
         reports
     }
 
     /// Decodes news that were received at `now`.
-    pub(crate) fn into_news(self, now: Time) -> Vec<PartNews> {
+    pub(crate) fn into_news(self, now: Time) -> Vec<CrashNews> {
         let Self(ended, quarantined, sound) = self;
         let before = |ms: u32| now - Duration::from_millis(ms.into());
         let ended =
-            ended.into_iter().map(|Ended(engine, parts, age, begun)| PartNews::EngineEnded {
+            ended.into_iter().map(|Ended(engine, parts, age, begun)| CrashNews::EngineEnded {
                 begun,
                 engine,
                 parts: parts
                     .into_iter()
-                    .map(|(key, was_sound)| SuspectPart { key, was_sound })
+                    .map(|(key, was_sound)| Suspect { key, was_sound })
                     .collect(),
                 at: before(age),
             });
@@ -66,8 +66,8 @@
                 strikes,
             });
         let sound =
-            sound.into_iter().map(|Sound(part, age)| PartNews::Sound { part, at: before(age) });
-        ended.chain(quarantined.map(PartNews::Quarantined)).chain(sound).collect()
+            sound.into_iter().map(|Sound(part, age)| CrashNews::Sound { part, at: before(age) });
+        ended.chain(quarantined.map(CrashNews::Quarantined)).chain(sound).collect()
     }
 }
 
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -194,8 +194,8 @@
                         self.peers.request_urgent_heartbeat();
                     }
                 }
-                Action::AnnouncePartNews { news } => {
-                    self.peers.part_news.borrow_mut().push(now, news);
+                Action::AnnounceCrashNews { news } => {
+                    self.peers.crash_news.borrow_mut().push(now, news);
                     self.peers.request_heartbeat();
                 }
                 Action::RecordQuarantine { quarantine, by_peer } => {
