test(dispatch): requests that end each endpoint which runs them

The world of fronts and endpoints moves to a module that both test files use; the stand-in's workers can be ended by a path.

--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Routes, services and endpoints for tests.
 #![allow(dead_code)]
 
+pub(crate) mod crash_world;
+
 use std::sync::Arc;
 use std::time::Duration;
 
