--- a/crates/daisychute-dispatch/src/core/crash_quarantine.rs
+++ b/crates/daisychute-dispatch/src/core/crash_quarantine.rs
@@ -2,7 +2,7 @@
 //!
 //! A prompt can end the engine that responds to it; with each retry and each further request like it, one engine after
 //! the other. What such prompts have in common is a part. Each front tells the others under which prompts engines ended
-//! ([`CrashNews`]), so that all come to the same verdict after a few ends, wherever the requests arrive.
+//! ([`CrashNews`](crate::CrashNews)), so that all come to the same verdict after a few ends, wherever the requests arrive.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,158 +11,8 @@
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::PromptPart;
-
-/// What a front tells the others about prompt parts under which engines end.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum CrashNews {
-    /// An engine ended before it had responded to a request.
-    EngineEnded {
-        /// Identifies the start of the engine among the fronts, as [`Incarnation::id`](crate::Incarnation::id) computes it.
-        engine: u64,
-        /// Shared parts of the request's prompt, in order.
-        parts: Arc<[Suspect]>,
-        /// Whether the engine had begun to respond to the request.
-        begun: bool,
-        /// When the front lost the engine.
-        at: Time,
-    },
-    /// Requests with a part aren't sent to engines.
-    Quarantined(Quarantine),
-    /// A request with a part was answered completely.
-    Sound {
-        /// Key of the part.
-        part: u64,
-        /// When the response ended.
-        at: Time,
-    },
-}
-
-/// Part of a prompt under which an engine ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Suspect {
-    /// Key of the part.
-    pub key: u64,
-    /// Whether the front that lost the engine knows of a complete response to an earlier request with the part.
-    pub was_sound: bool,
-}
-
-/// Quarantine of a prompt part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Quarantine {
-    /// Key of the part.
-    pub part: u64,
-    /// When the latest engine ended under the part. A complete response that ended later lifts the quarantine.
-    pub since: Time,
-    /// When a request with the part is sent to an engine again, as a trial.
-    pub until: Time,
-    /// Number of times that the part was quarantined without a complete response in between; each doubles the duration.
-    pub strikes: u32,
-}
-
-impl Quarantine {
-    /// Duration of a first quarantine.
-    const FIRST_DURATION: Duration = Duration::from_secs(60);
-    /// Maximum duration, after which a part that was mended is in use again.
-    const MAX_DURATION: Duration = Duration::from_secs(3_600);
-
-    fn new(part: u64, now: Time, since: Time, strikes: u32) -> Self {
-        let doublings = strikes.saturating_sub(1).min(16);
-        let duration = (Self::FIRST_DURATION * (1 << doublings)).min(Self::MAX_DURATION);
-        Self { part, since, until: now + duration, strikes }
-    }
-
-    /// Whether requests with the part are refused at `now`.
-    #[must_use]
-    pub fn is_active(&self, now: Time) -> bool {
-        now < self.until
-    }
-}
-
-/// End of an engine that had a request with a part.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct EngineEnd {
-    /// Identifies the start of the engine among the fronts.
-    pub(crate) engine: u64,
-    pub(crate) at: Time,
-    /// Whether the engine had begun to respond to the request. One that had not may only have been in line.
-    pub(crate) begun: bool,
-}
-
-impl EngineEnd {
-    /// Returns how much the end says against the part.
-    const fn weight(self) -> usize {
-        if self.begun { 2 } else { 1 }
-    }
-}
-
-/// What is known about one part.
-#[derive(Debug, Clone, Default)]
-struct PartRecord {
-    /// Engines that ended under the part since its last complete response. At most `MAX_ENDS`, each once.
-    ends: Vec<EngineEnd>,
-    /// Latest place of the part in a prompt under which an engine ended.
-    place: usize,
-    /// When the latest complete response to a request with the part ended, as far as that is known.
-    sound_at: Option<Time>,
-    /// Whether any front knows of a complete response.
-    was_sound: bool,
-    /// When the record last changed.
-    changed_at: Time,
-}
-
-impl PartRecord {
-    /// Maximum number of ends that are kept.
-    const MAX_ENDS: usize = 16;
-
-    /// Records the end of an engine, unless a complete response came later.
-    fn record_end(&mut self, end: EngineEnd) {
-        if let Some(known) = self.ends.iter_mut().find(|it| it.engine == end.engine) {
-            known.begun |= end.begun;
-        } else if !self.is_sound_since(end.at) && self.ends.len() < Self::MAX_ENDS {
-            self.ends.push(end);
-        }
-    }
-
-    /// Whether a complete response ended at this time or later.
-    fn is_sound_since(&self, at: Time) -> bool {
-        self.sound_at.is_some_and(|it| it >= at)
-    }
-
-    /// Whether enough engines ended under the part to quarantine it.
-    fn is_suspect(&self) -> bool {
-        let limit =
-            if self.was_sound { CrashQuarantine::ENDS_AFTER_SOUND } else { CrashQuarantine::ENDS };
-        self.ends.len() >= limit && self.weight() >= 2 * limit
-    }
-
-    /// Returns how much all ends say against the part. Of ends that may have had a common cause, since little time passed
-    /// between them, the one that says most counts.
-    fn weight(&self) -> usize {
-        let mut ends = self.ends.clone();
-        ends.sort_unstable_by_key(|it| it.at);
-        let (mut total, mut first) = (0, None::<EngineEnd>);
-        for end in ends {
-            match &mut first {
-                Some(first) if end.at.since(first.at) < CrashQuarantine::SEPARATION => {
-                    total += end.weight().saturating_sub(first.weight());
-                    first.begun |= end.begun;
-                }
-                _ => {
-                    total += end.weight();
-                    first = Some(end);
-                }
-            }
-        }
-        total
-    }
-
-    /// Returns the order of suspects: one that was never answered goes before others, then the weight of the ends counts,
-    /// then a later place in the prompt, where fewer requests share it.
-    fn suspicion(&self) -> (bool, usize, usize) {
-        (!self.was_sound, self.weight(), self.place)
-    }
-}
+use crate::core::crash_record::{EngineEnd, PartRecord};
+use crate::{PromptPart, Quarantine, Suspect};
 
 /// A quarantine, kept after it has expired until a trial has shown the part to be sound.
 #[derive(Debug, Clone, Copy)]
@@ -216,7 +66,7 @@
     /// Number of engines that have to end under a part until it is quarantined, if they had begun to respond to it; twice
     /// as many if they had not. Two can have ended for reasons of their own: an engine takes what it has in flight with it,
     /// and a retry may meet the next one that ends.
-    const ENDS: usize = 3;
+    pub(crate) const ENDS: usize = 3;
     /// Number of ends from which all suspects are quarantined that nothing tells apart.
     const ENDS_WITHOUT_DOUBT: usize = 5;
     /// Time from the end that makes a part suspect to the verdict, in which sound parts are answered elsewhere.
@@ -224,9 +74,9 @@
     /// The same for a front that learned of the end from another one, which announces its verdict first.
     const VERDICT_DELAY_OF_PEERS: Duration = Duration::from_millis(400);
     /// The same number for a part that was in use before without ending engines.
-    const ENDS_AFTER_SOUND: usize = 6;
+    pub(crate) const ENDS_AFTER_SOUND: usize = 6;
     /// Engines that end within this time of each other count as one: a rack or a switch may have failed.
-    const SEPARATION: Duration = Duration::from_millis(150);
+    pub(crate) const SEPARATION: Duration = Duration::from_millis(150);
     /// Maximum number of parts of one prompt that are considered.
     pub(crate) const MAX_PARTS: usize = 16;
     /// Maximum time that a trial may take before another request is one.
--- a/crates/daisychute-dispatch/src/core/crashes.rs
+++ b/crates/daisychute-dispatch/src/core/crashes.rs
@@ -6,7 +6,8 @@
 
 use daisychute_core::Time;
 
-use crate::core::crash_quarantine::{CrashAdmission, CrashQuarantine, EngineEnd, Soundness};
+use crate::core::crash_quarantine::{CrashAdmission, CrashQuarantine, Soundness};
+use crate::core::crash_record::EngineEnd;
 use crate::core::request_state::InFlightAttempt;
 use crate::{
     Action, CrashNews, Dispatcher, PromptPart, Quarantine, Reason, RequestKey, SendFailure,
