feat(explain): tell which request is quarantined and since when

Seen once, to be traced: front_that_starts_after_the_verdict_refuses_the_part, a sound prompt wasn't served; it passed in three further runs alone, and in four without this change.

--- a/crates/daisychute-cli/src/commands/fronts.rs
+++ b/crates/daisychute-cli/src/commands/fronts.rs
@@ -30,6 +30,8 @@
     directory_age_s: Option<f64>,
     /// Prompt parts whose requests are refused because engines ended under them.
     quarantined_parts: Option<u64>,
+    /// Requests that are refused when they come again, because endpoints ended under them.
+    quarantined_requests: Option<u64>,
     /// Endpoints that name a limit on the rate of requests.
     limited_endpoints: Option<u64>,
 }
@@ -56,11 +58,20 @@
             failed: count(&["failed", "cut"]),
             directory_age_s: gauge("daisychute_directory_age_seconds"),
             quarantined_parts: integer("daisychute_quarantined_parts"),
+            quarantined_requests: integer("daisychute_quarantined_requests"),
             limited_endpoints: integer("daisychute_limited_endpoints"),
         }
     }
 }
 
+impl FrontState {
+    /// Number of quarantines, of prompt parts and of requests; `None` if the front doesn't say.
+    fn quarantined(&self) -> Option<u64> {
+        let parts = self.quarantined_parts?;
+        Some(parts + self.quarantined_requests.unwrap_or_default())
+    }
+}
+
 fn sample_value(sample: &Sample) -> f64 {
     match sample.value {
         Value::Counter(it) | Value::Gauge(it) | Value::Untyped(it) => it,
@@ -129,7 +140,7 @@
                 state.refused.to_string(),
                 state.failed.to_string(),
                 or_dash(state.directory_age_s.map(|it| format!("{it:.1} s ago"))),
-                or_dash(state.quarantined_parts),
+                or_dash(state.quarantined()),
                 or_dash(state.limited_endpoints),
             ]);
         }
--- a/crates/daisychute-explain/src/cause.rs
+++ b/crates/daisychute-explain/src/cause.rs
@@ -3,7 +3,10 @@
 use std::collections::BTreeMap;
 
 use crate::LogLine;
-use crate::explanation::{HAS_QUARANTINED_PART, LEAVING, LIMITED, PAUSED, QUARANTINED};
+use crate::explanation::{
+    HAS_QUARANTINED_PART, IS_QUARANTINED, LEAVING, LIMITED, PART_QUARANTINED, PAUSED,
+    REQUEST_QUARANTINED,
+};
 
 /// Why a request ended as it did, in one sentence.
 ///
@@ -117,7 +120,7 @@
     if limits.is_empty() { String::new() } else { format!(" (last: {})", limits.join("; ")) }
 }
 
-/// Why a request with a quarantined prompt part ended.
+/// Why a request ended that is quarantined, or has a quarantined prompt part.
 fn quarantined(
     outcome: &str,
     end: &LogLine,
@@ -125,13 +128,18 @@
     context_lines: &[LogLine],
 ) -> String {
     let process = &end.process;
-    let line = request_lines.iter().rev().find(|it| it.message == HAS_QUARANTINED_PART);
+    let says_why =
+        |it: &&LogLine| [HAS_QUARANTINED_PART, IS_QUARANTINED].contains(&it.message.as_str());
+    let line = request_lines.iter().rev().find(says_why);
     let field = |name: &str| line.map_or("", |it| it.field(name));
-    let key = field("part_key");
-    let verdict = context_lines
+    let is_part = line.is_none_or(|it| it.message == HAS_QUARANTINED_PART);
+    let (verdict, name) =
+        if is_part { (PART_QUARANTINED, "part_key") } else { (REQUEST_QUARANTINED, "fingerprint") };
+    let key = field(name);
+    let since = context_lines
         .iter()
         .rev()
-        .find(|it| it.message == QUARANTINED && it.field("part_key") == key)
+        .find(|it| it.message == verdict && it.field(name) == key)
         .map(|it| format!(" since {}", it.time))
         .unwrap_or_default();
     let how = if outcome == "refused" {
@@ -139,11 +147,17 @@
     } else {
         format!("failed by {process} after {}", end.field("trail").trim_end())
     };
-    format!(
-        "{how}: part {} of its prompt (key {key}) is quarantined{verdict}, as engines ended under it; tried again in {} ms",
-        field("part"),
-        field("for_ms"),
-    )
+    let what = if is_part {
+        format!(
+            "part {} of its prompt (key {key}) is quarantined{since}, as engines ended under it",
+            field("part")
+        )
+    } else {
+        format!(
+            "the same request (fingerprint {key}) is quarantined{since}, as endpoints ended under it"
+        )
+    };
+    format!("{how}: {what}; tried again in {} ms", field("for_ms"))
 }
 
 /// The latest pauses that endpoints asked the process for, in parentheses; empty if the log has none.
--- a/crates/daisychute-explain/src/explanation.rs
+++ b/crates/daisychute-explain/src/explanation.rs
@@ -8,7 +8,7 @@
 use crate::cause::cause;
 
 /// Messages about the state of a process that may explain the end of its requests.
-const CONTEXT_MESSAGES: [&str; 14] = [
+const CONTEXT_MESSAGES: [&str; 16] = [
     "directory lost; what is known stays in force",
     "directory regained",
     "configuration in force",
@@ -21,8 +21,10 @@
     PAUSED,
     LEAVING,
     LIMITED,
-    QUARANTINED,
-    RELEASED,
+    PART_QUARANTINED,
+    PART_RELEASED,
+    REQUEST_QUARANTINED,
+    REQUEST_RELEASED,
 ];
 /// Message about an endpoint that wants no requests for a time.
 pub(crate) const PAUSED: &str = "endpoint asked for a pause";
@@ -31,11 +33,18 @@
 /// Message about a limit on the rate of requests that an endpoint names, or names no more.
 pub(crate) const LIMITED: &str = "endpoint names another limit";
 /// Message about a prompt part whose requests aren't sent to engines.
-pub(crate) const QUARANTINED: &str = "prompt part quarantined: engines ended under its requests";
+pub(crate) const PART_QUARANTINED: &str =
+    "prompt part quarantined: engines ended under its requests";
 /// Message about a prompt part whose requests are sent again.
-const RELEASED: &str = "prompt part is sound; its quarantine is lifted";
+const PART_RELEASED: &str = "prompt part is sound; its quarantine is lifted";
 /// Message about a request that isn't sent because of such a part.
 pub(crate) const HAS_QUARANTINED_PART: &str = "request has a quarantined prompt part";
+/// Message about a request that isn't sent to endpoints when it comes again.
+pub(crate) const REQUEST_QUARANTINED: &str = "request quarantined: endpoints ended under it";
+/// Message about a request that is sent again.
+const REQUEST_RELEASED: &str = "request was answered; its quarantine is lifted";
+/// Message about a request that isn't sent because it is quarantined itself.
+pub(crate) const IS_QUARANTINED: &str = "request is quarantined";
 /// Maximum number of context lines in an explanation; the latest are taken.
 const MAX_CONTEXT_LINES: usize = 12;
 
@@ -65,16 +74,20 @@
         let lacked_endpoint = request_lines
             .iter()
             .any(|it| matches!(it.field("reason"), "paused" | "limited" | "no_endpoint"));
-        let quarantined: BTreeSet<_> = request_lines
-            .iter()
-            .filter(|it| it.message == HAS_QUARANTINED_PART)
-            .map(|it| it.field("part_key").to_owned())
-            .collect();
+        let quarantined = |message: &str, field: &str| -> BTreeSet<_> {
+            let lines = request_lines.iter().filter(|it| it.message == message);
+            lines.map(|it| it.field(field).to_owned()).collect()
+        };
+        let parts = quarantined(HAS_QUARANTINED_PART, "part_key");
+        let fingerprints = quarantined(IS_QUARANTINED, "fingerprint");
         let is_context = |it: &&LogLine| {
             let known = CONTEXT_MESSAGES.contains(&it.message.as_str());
             let relevant = match it.message.as_str() {
                 "endpoint not listed any more" => endpoints.contains(it.field("endpoint")),
-                QUARANTINED | RELEASED => quarantined.contains(it.field("part_key")),
+                PART_QUARANTINED | PART_RELEASED => parts.contains(it.field("part_key")),
+                REQUEST_QUARANTINED | REQUEST_RELEASED => {
+                    fingerprints.contains(it.field("fingerprint"))
+                }
                 PAUSED | LEAVING | LIMITED => {
                     lacked_endpoint || endpoints.contains(it.field("endpoint"))
                 }
--- a/crates/daisychute-explain/tests/explain.rs
+++ b/crates/daisychute-explain/tests/explain.rs
@@ -79,6 +79,13 @@
             &[("request", "r"), ("part", "5c1e"), ("part_key", "0a"), ("for_ms", "41000")]),
         ended("failed", "quarantined"),
     ] => "failed by front-1 after run at i-1 after 3 ms;: part 5c1e",
+    request_quarantined: [
+        line(4, "front-1", "request quarantined: endpoints ended under it", &[("fingerprint", "0a")]),
+        line(5, "front-1", "request quarantined: endpoints ended under it", &[("fingerprint", "0b")]),
+        line(9, "front-1", "request is quarantined",
+            &[("request", "r"), ("fingerprint", "0a"), ("for_ms", "41000")]),
+        ended("refused", "quarantined"),
+    ] => "not run: the same request (fingerprint 0a) is quarantined since 2026-01-01T00:00:04Z, as endpoints ended under it",
     origin_unknown: [ended("refused", "origin_unknown")] => "didn't know which software version",
     version_gone: [ended("refused", "version_gone")] => "no endpoint of the software version",
     deadline: [ended("failed", "deadline")] => "the deadline passed after",
