test(soak): calls that end each worker which runs them

--crashing-requests, with the bounds of the rule: three ends, then at most three late arrivals; half of the sound calls beside it served.

--- a/crates/daisychute-soak/src/clients.rs
+++ b/crates/daisychute-soak/src/clients.rs
@@ -25,7 +25,9 @@
 const MAX_RESUMING_PAUSE_MS: u64 = 300;
 /// Prompt part that ends workers.
 pub(crate) const POISON: &str = "bad0";
-/// Upper bound of the random pause of a client of prompts that may have it before each of them, in ms.
+/// Path of the call that ends workers.
+pub(crate) const CRASHING: &str = "/panel/crash";
+/// Upper bound of the random pause of a client of requests that may end workers before each of them, in ms.
 const MAX_POISONING_PAUSE_MS: u64 = 250;
 /// Maximum number of attempts at a stream.
 const MAX_STREAM_ATTEMPTS: usize = 3;
@@ -44,7 +46,7 @@
     pub(crate) records: RefCell<Vec<RequestRecord>>,
     /// The streams of the clients that resume them: the attempts of each.
     pub(crate) streams: RefCell<Vec<Vec<RequestRecord>>>,
-    /// The requests of the clients that send prompts with [`POISON`], and of those beside them without it.
+    /// The requests with [`POISON`] or the path [`CRASHING`], and those that the same clients sent beside them.
     pub(crate) poisoned: RefCell<Vec<RequestRecord>>,
     pub(crate) sound: RefCell<Vec<RequestRecord>>,
     /// Set to make every client stop after its current request.
@@ -169,20 +171,46 @@
         let id = pool.next_id();
         let text = request_text(&id, "POST", Paths::TAG, true)
             .replace(&format!("a{id}:100,"), &format!("c0:60,{second}:40,"));
-        let Ok(mut connection) = Connection::open(front).await else { continue };
+        pool.send_beside_poison(front, id, Paths::TAG, &text, is_poisoned).await;
+    }
+}
+
+/// Runs one client of calls that differ, but for a third of them, which are the one with the path [`CRASHING`].
+pub(crate) async fn run_crashing_client(pool: Rc<ClientPool>, seed: u64) {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    while !pool.stopping.get() {
+        sleep(Duration::from_millis(rng.random_range(1..MAX_POISONING_PAUSE_MS))).await;
+        let front = pool.random_address(&mut rng);
+        let is_crashing = rng.random_range(0..3) == 0;
+        let id = pool.next_id();
+        let path = if is_crashing { CRASHING.to_owned() } else { format!("/panel/{id}") };
+        let text = request_text(&id, "GET", Paths::PANEL, false).replacen("/panel/x", &path, 1);
+        pool.send_beside_poison(front, id, Paths::PANEL, &text, is_crashing).await;
+    }
+}
+
+impl ClientPool {
+    /// Sends a request of a client some of whose requests end workers, and records it.
+    async fn send_beside_poison(
+        &self,
+        front: SocketAddr,
+        id: String,
+        path: &'static str,
+        text: &str,
+        is_poisoned: bool,
+    ) {
+        let Ok(mut connection) = Connection::open(front).await else { return };
         let sent_at = Instant::now();
-        if connection.send(&text).await.is_err() {
-            continue;
+        if connection.send(text).await.is_err() {
+            return;
         }
         let response = connection.answer().await.ok();
         let ended_at = Instant::now();
-        let record = RequestRecord { id, path: Paths::TAG, front, response, sent_at, ended_at };
-        let records = if is_poisoned { &pool.poisoned } else { &pool.sound };
+        let record = RequestRecord { id, path, front, response, sent_at, ended_at };
+        let records = if is_poisoned { &self.poisoned } else { &self.sound };
         records.borrow_mut().push(record);
     }
-}
 
-impl ClientPool {
     /// Sends the first attempt at a stream, or the next one after others. `None` if the front can't be reached.
     async fn attempt_stream(
         &self,
--- a/crates/daisychute-soak/src/limits.rs
+++ b/crates/daisychute-soak/src/limits.rs
@@ -33,6 +33,13 @@
     largest_share: f64,
 }
 
+impl Limited {
+    /// Whether anything was checked.
+    pub(crate) const fn has_cases(&self) -> bool {
+        self.windows > 0
+    }
+}
+
 impl fmt::Display for Limited {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { windows, largest_share } = self;
--- a/crates/daisychute-soak/src/poison.rs
+++ b/crates/daisychute-soak/src/poison.rs
@@ -1,4 +1,4 @@
-//! Checks that a prompt part which ends workers is refused, and that other prompts aren't.
+//! Checks that a prompt part or a request which ends workers is refused, and that others aren't.
 
 use std::collections::{BTreeMap, HashSet};
 use std::fmt;
@@ -9,21 +9,25 @@
 
 use crate::checks::{RequestRecord, Violation};
 
-/// Number of ends under the part after which it has to be refused.
-const ALLOWED_ENDS: usize = 5;
-/// Time from the last of them in which fronts may still send the part.
+/// Number of ends under a part after which it has to be refused.
+pub(crate) const ALLOWED_ENDS_OF_PART: usize = 5;
+/// The same for a request.
+pub(crate) const ALLOWED_ENDS_OF_REQUEST: usize = 3;
+/// Number of requests of each kind without which the check says nothing.
+const MIN_CASES: usize = 10;
+/// Time from the last of them in which fronts may still send it.
 const STABLE: Duration = Duration::from_secs(3);
-/// Number of requests with the part that may reach workers later.
+/// Number of such requests that may reach workers later.
 const ALLOWED_ARRIVALS: usize = 3;
 
-/// What came of the prompts with a part that ends workers, and of those beside them.
+/// What came of the requests that end workers, and of those beside them.
 #[derive(Debug, Default)]
 pub(crate) struct Poisoned {
     ends: usize,
-    /// Requests with the part that were sent after the bound, and how many of them reached workers.
+    /// Requests that end workers and were sent after the bound, and how many of them reached workers.
     late: usize,
     arrivals: usize,
-    /// Requests without the part that were sent after the bound, and how many of them were served.
+    /// Requests beside them that were sent after the bound, and how many of them were served.
     sound: usize,
     served: usize,
     /// What the others were told, with their number.
@@ -40,10 +44,11 @@
     }
 }
 
-/// Checks the requests with the part and those beside them. Only those count at whose front nothing else went wrong, by
+/// Checks the requests that end workers, of which `allowed_ends` may, and those beside them. Only those count at whose front nothing else went wrong, by
 /// `in_touch`.
 pub(crate) fn check_poison(
     workers: &[Worker],
+    allowed_ends: usize,
     ends: &[Instant],
     poisoned: &[RequestRecord],
     sound: &[RequestRecord],
@@ -51,7 +56,8 @@
 ) -> (Vec<Violation>, Poisoned) {
     let mut result = Poisoned { ends: ends.len(), ..Poisoned::default() };
     let mut violations = Vec::new();
-    let Some(last) = ends.get(ALLOWED_ENDS - 1).or(ends.last()) else {
+    let Some(last) = ends.get(allowed_ends - 1).or(ends.last()) else {
+        violations.push(Violation::new("no worker ended under the requests meant to".to_owned()));
         return (violations, result);
     };
     let arrived: HashSet<_> =
@@ -75,16 +81,22 @@
             None => {}
         }
     }
-    let Poisoned { arrivals, sound, served, .. } = result;
+    let Poisoned { late, arrivals, sound, served, .. } = result;
+    if late < MIN_CASES || sound < MIN_CASES {
+        let text = format!(
+            "too few cases of requests that end workers: {late} late ones, {sound} sound ones later"
+        );
+        violations.push(Violation::new(text));
+    }
     if arrivals > ALLOWED_ARRIVALS {
         let ends = ends.len();
         let text =
-            format!("{arrivals} prompts that end workers were sent late; {ends} workers ended");
+            format!("{arrivals} requests that end workers were sent late; {ends} workers ended");
         violations.push(Violation::new(text));
     }
     if served * 2 < sound {
         let text =
-            format!("only {served} of {sound} prompts were served beside one that ends workers");
+            format!("only {served} of {sound} requests were served beside those that end workers");
         violations.push(Violation::new(text));
     }
     (violations, result)
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -18,12 +18,13 @@
 
 use crate::checks::{RequestRecord, Violation, check};
 use crate::clients::{
-    ClientPool, POISON, run_client, run_poisoning_client, run_resuming_client, run_stream_client,
+    CRASHING, ClientPool, POISON, run_client, run_crashing_client, run_poisoning_client,
+    run_resuming_client, run_stream_client,
 };
 use crate::faults::Fault;
 use crate::limits::{LimitPeriod, Limited, check_limits};
 use crate::notices::check_notices;
-use crate::poison::{Poisoned, check_poison};
+use crate::poison::{ALLOWED_ENDS_OF_PART, ALLOWED_ENDS_OF_REQUEST, Poisoned, check_poison};
 use crate::versions::{Resumed, check_streams};
 
 /// Number of simulated clients.
@@ -95,7 +96,7 @@
     statuses: BTreeMap<u16, usize>,
     /// The streams that clients resumed.
     resumed: Resumed,
-    /// The prompts with a part that ends workers.
+    /// The requests that end workers.
     poisoned: Poisoned,
     /// The limits that workers named.
     limited: Limited,
@@ -208,6 +209,9 @@
     /// Also send prompts with a part that ends each worker which responds to it, and check that it is refused
     #[arg(long)]
     pub(crate) poison: bool,
+    /// Also send a call that ends each worker which runs it, again and again, and check that it is refused
+    #[arg(long, conflicts_with = "poison")]
+    pub(crate) crashing_requests: bool,
     /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
     #[arg(long)]
     pub(crate) limits: bool,
@@ -215,8 +219,17 @@
 
 /// Runs one seed.
 pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
-    let RunOptions { minutes, fronts, planned_only, notices, versions, restores, poison, limits } =
-        options;
+    let RunOptions {
+        minutes,
+        fronts,
+        planned_only,
+        notices,
+        versions,
+        restores,
+        poison,
+        crashing_requests,
+        limits,
+    } = options;
     let mut limit_rng = Pcg64Mcg::seed_from_u64(seed ^ LIMIT_SEED);
     let mut soak = Soak::start(fronts, versions).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -241,6 +254,13 @@
         let seed = seed ^ POISONING_CLIENT_SEED ^ (number << 32);
         actix_rt::spawn(run_poisoning_client(Rc::clone(&soak.pool), seed));
     }
+    if crashing_requests {
+        soak.fleet.poison.set_path(Some(CRASHING));
+    }
+    for number in 0..if crashing_requests { POISONING_CLIENTS } else { 0 } {
+        let seed = seed ^ POISONING_CLIENT_SEED ^ (number << 32);
+        actix_rt::spawn(run_crashing_client(Rc::clone(&soak.pool), seed));
+    }
     let end = Instant::now() + Duration::from_secs_f64(minutes * 60.0);
     while Instant::now() < end {
         let pause = Duration::from_millis(rng.random_range(50..600));
@@ -261,7 +281,17 @@
         }
         soak.inject_restore()?;
     }
-    soak.finish().await
+    let allowed_ends = if poison {
+        Some(ALLOWED_ENDS_OF_PART)
+    } else {
+        crashing_requests.then_some(ALLOWED_ENDS_OF_REQUEST)
+    };
+    let mut report = soak.finish(allowed_ends).await?;
+    if limits && !report.limited.has_cases() {
+        let text = "too few cases of limits: no window was checked".to_owned();
+        report.violations.push(Violation::new(text));
+    }
+    Ok(report)
 }
 
 impl Soak {
@@ -548,7 +578,7 @@
     }
 
     /// Ends all faults, checks that the fleet recovers, and checks every recorded request.
-    async fn finish(mut self) -> Result<Report, SoakError> {
+    async fn finish(mut self, allowed_ends: Option<usize>) -> Result<Report, SoakError> {
         self.schedule_starts_of_ended_workers();
         while !self.cleanups.is_empty() {
             self.run_cleanups_until(Instant::now() + POLL_INTERVAL).await?;
@@ -556,7 +586,9 @@
         self.pool.stopping.set(true);
         sleep(RECOVERY_PERIOD).await;
         let mut report = Report { faults: self.faults, ..Report::default() };
-        self.check_poison(&mut report);
+        if let Some(allowed_ends) = allowed_ends {
+            self.check_poison(allowed_ends, &mut report);
+        }
         self.check_recovery(&mut report).await;
         let records = self.pool.records.borrow().clone();
         for it in &records {
@@ -577,12 +609,13 @@
         Ok(report)
     }
 
-    /// Checks the prompts that end workers. The ends then count as disturbances for all other requests.
-    fn check_poison(&mut self, report: &mut Report) {
+    /// Checks the requests that end workers. The ends then count as disturbances for all other requests.
+    fn check_poison(&mut self, allowed_ends: usize, report: &mut Report) {
         let ends = self.fleet.poison.ends();
         let is_in_touch = |it: &RequestRecord| self.is_in_touch(it.sent_at, it);
         let (violations, poisoned) = check_poison(
             &self.fleet.workers,
+            allowed_ends,
             &ends,
             &self.pool.poisoned.borrow(),
             &self.pool.sound.borrow(),
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -55,6 +55,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// A call that its client sent again and again ended each worker that ran it.
+#[test]
+fn calls_that_end_workers_are_refused() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "4", "--minutes", "0.35", "--planned-only", "--crashing-requests"];
+    actix_rt::System::new().block_on(run(&args))
+}
+
 /// Fronts sent workers that named a limit as many requests as others, whatever the limit and the number of fronts.
 #[test]
 fn limits_of_workers_hold() -> Result<(), HarnessError> {
