--- a/crates/daisychute-front/examples/announcement_cost.rs
+++ b/crates/daisychute-front/examples/announcement_cost.rs
@@ -57,6 +57,9 @@
     report(kind("origins of streams", 1_100.0, 3, 96), &(key, 4_000_u32));
     let ended = (key, vec![(key, true), (key, false)], 40_u32);
     report(kind("prompt parts", 30.0, 4, 6), &ended);
+    // Those of one endpoint are joined in a heartbeat, which makes them shorter.
+    let lost = (key, vec![(key, false)], 40_u32, true);
+    report(kind("requests", 30.0, 4, 16), &lost);
     let limit = (endpoint.to_owned(), Some(1_u64 << 40), Some(5_400_u64), 40_u32);
     report(kind("limits", 10.0, 6, 12), &limit);
 }
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -94,6 +94,8 @@
     faults: usize,
     /// Number of responses by status.
     statuses: BTreeMap<u16, usize>,
+    /// Number of refusals by their bodies, which tell the reason.
+    refusals: BTreeMap<String, usize>,
     /// The streams that clients resumed.
     resumed: Resumed,
     /// The requests that end workers.
@@ -109,6 +111,7 @@
             complete,
             faults,
             statuses,
+            refusals,
             resumed,
             poisoned,
             limited,
@@ -117,7 +120,7 @@
         } = self;
         write!(
             f,
-            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {resumed}, {poisoned}, {limited}, {} violations",
+            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {refusals:?}, {resumed}, {poisoned}, {limited}, {} violations",
             violations.len()
         )?;
         for it in violations.iter().take(12) {
@@ -671,6 +674,9 @@
         report.requests += 1;
         if let Some(response) = &record.response {
             *report.statuses.entry(response.status).or_default() += 1;
+            if response.status == 503 {
+                *report.refusals.entry(response.body.clone()).or_default() += 1;
+            }
             report.complete += usize::from(response.status == 200 && response.whole);
         }
         let overlaps = |it: &(Instant, Instant)| {
