refactor(dispatch): drop the ends of other requests in place

A quarantined request's record was cloned, cleared with all others and put back; CrashRecords now passes over it. Behaviour as before; the tests of the crate and clippy pass.

--- a/crates/daisychute-dispatch/src/core/crash_quarantine.rs
+++ b/crates/daisychute-dispatch/src/core/crash_quarantine.rs
@@ -110,7 +110,7 @@
     const QUARANTINE_TTL: Duration = Duration::from_secs(7_200);
     /// Maximum number of records of parts, about a megabyte.
     const MAX_PART_RECORDS: usize = 8_192;
-    /// Maximum number of records of requests, about a hundred kilobytes.
+    /// Maximum number of records of requests: what several dozen endpoints have in flight.
     const MAX_REQUEST_RECORDS: usize = 1_024;
     /// Maximum number of quarantines of requests, and of parts. Each costs several endpoints.
     const MAX_QUARANTINES: usize = 256;
@@ -314,7 +314,8 @@
             record.map_or(&[][..], |it| &it.ends).iter().map(|it| it.endpoint).collect();
         match cause {
             Cause::Part(_) => self.explain(now, &endpoints),
-            Cause::Request(_) => self.clear_other_requests(cause, &endpoints),
+            // The ends of parts stay: requests that have a part in common may each end some.
+            Cause::Request(_) => self.requests.drop_ends_of_others(cause, &endpoints),
         }
         self.make_room_for(cause);
         let next_announcement = now + Self::ANNOUNCEMENT_INTERVAL;
@@ -344,16 +345,6 @@
         self.explained.extend(endpoints.iter().map(|it| (*it, now)));
     }
 
-    /// Drops the ends of these endpoints from the records of all requests but one. Those of parts stay: requests that have
-    /// a part in common may each end some.
-    fn clear_other_requests(&mut self, cause: Cause, endpoints: &[u64]) {
-        let own = self.requests.get(cause).cloned();
-        self.requests.drop_ends(endpoints);
-        if let (Some(record), Some(own)) = (self.requests.get_mut(cause), own) {
-            *record = own;
-        }
-    }
-
     /// Applies a quarantine that another front told of. Returns whether it is news.
     pub(crate) fn adopt(&mut self, now: Time, quarantine: Quarantine) -> bool {
         let cause = quarantine.cause;
--- a/crates/daisychute-dispatch/src/core/crash_record.rs
+++ b/crates/daisychute-dispatch/src/core/crash_record.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Drops the ends of these endpoints.
+    pub(crate) fn drop_ends(&mut self, endpoints: &[u64]) {
+        self.ends.retain(|it| !endpoints.contains(&it.endpoint));
+    }
+
     /// Records that a complete response ended at this time. Returns the number of ends that it refutes.
     pub(crate) fn record_sound(&mut self, at: Time) -> usize {
         self.sound_at = self.sound_at.max(Some(at));
--- a/crates/daisychute-dispatch/src/core/crash_records.rs
+++ b/crates/daisychute-dispatch/src/core/crash_records.rs
@@ -25,10 +25,6 @@
         self.records.get(&cause)
     }
 
-    pub(crate) fn get_mut(&mut self, cause: Cause) -> Option<&mut CrashRecord> {
-        self.records.get_mut(&cause)
-    }
-
     pub(crate) fn iter(&self) -> impl Iterator<Item = (Cause, &CrashRecord)> {
         self.records.iter().map(|(cause, it)| (*cause, it))
     }
@@ -50,7 +46,14 @@
     /// Drops the ends of these endpoints.
     pub(crate) fn drop_ends(&mut self, endpoints: &[u64]) {
         for record in self.records.values_mut() {
-            record.ends.retain(|it| !endpoints.contains(&it.endpoint));
+            record.drop_ends(endpoints);
+        }
+    }
+
+    /// Drops the ends of these endpoints from all records but that of `cause`.
+    pub(crate) fn drop_ends_of_others(&mut self, cause: Cause, endpoints: &[u64]) {
+        for (_, record) in self.records.iter_mut().filter(|it| *it.0 != cause) {
+            record.drop_ends(endpoints);
         }
     }
 
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -168,7 +168,8 @@
     }
 }
 
-/// Tells a front that has just started which requests and prompt parts are quarantined, before it learns them at the cost of endpoints.
+/// Tells a front that has just started which requests and prompt parts are quarantined, before it learns them at the cost
+/// of endpoints.
 fn greet<D: Dialect>(state: &FrontState<D>, socket: &UdpSocket, newcomer: SocketAddr) {
     let now = state.now();
     let quarantines = state.with_dispatcher(|it| it.quarantines(now, MAX_GREETING_QUARANTINES));
