refactor(soak): give options and report files of their own, and name which requests end workers once

Target, client and allowed ends of the two options were chosen in three places by the same conditions; PoisonKind holds them.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -2,7 +2,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::run::RunOptions;
+use crate::run_options::RunOptions;
 
 /// Runs fronts under random faults and checks responses and executions.
 #[derive(Debug, Parser)]
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -10,7 +10,9 @@
 mod limits;
 mod notices;
 mod poison;
+mod report;
 mod run;
+mod run_options;
 mod versions;
 
 use std::process::ExitCode;
--- a/crates/daisychute-soak/src/poison.rs
+++ b/crates/daisychute-soak/src/poison.rs
@@ -9,10 +9,25 @@
 
 use crate::checks::{RequestRecord, Violation};
 
-/// Number of ends under a part after which it has to be refused.
-pub(crate) const ALLOWED_ENDS_OF_PART: usize = 5;
-/// The same for a request.
-pub(crate) const ALLOWED_ENDS_OF_REQUEST: usize = 3;
+/// Which requests end workers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PoisonKind {
+    /// Those with a part in their prompts.
+    Part,
+    /// One that comes again.
+    Request,
+}
+
+impl PoisonKind {
+    /// Number of ends after which they have to be refused.
+    const fn allowed_ends(self) -> usize {
+        match self {
+            Self::Part => 5,
+            Self::Request => 3,
+        }
+    }
+}
+
 /// Number of requests of each kind without which the check says nothing.
 const MIN_CASES: usize = 10;
 /// Time from the last of them in which fronts may still send it.
@@ -44,11 +59,11 @@
     }
 }
 
-/// Checks the requests that end workers, of which `allowed_ends` may, and those beside them. Only those count at whose front nothing else went wrong, by
+/// Checks the requests that end workers, and those beside them. Only those count at whose front nothing else went wrong, by
 /// `in_touch`.
 pub(crate) fn check_poison(
     workers: &[Worker],
-    allowed_ends: usize,
+    kind: PoisonKind,
     ends: &[Instant],
     poisoned: &[RequestRecord],
     sound: &[RequestRecord],
@@ -56,7 +71,7 @@
 ) -> (Vec<Violation>, Poisoned) {
     let mut result = Poisoned { ends: ends.len(), ..Poisoned::default() };
     let mut violations = Vec::new();
-    let Some(last) = ends.get(allowed_ends - 1).or(ends.last()) else {
+    let Some(last) = ends.get(kind.allowed_ends() - 1).or(ends.last()) else {
         violations.push(Violation::new("no worker ended under the requests meant to".to_owned()));
         return (violations, result);
     };
--- /dev/null
+++ b/crates/daisychute-soak/src/report.rs
@@ -0,0 +1,62 @@
+//! The report on one seed.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use crate::checks::Violation;
+use crate::limits::Limited;
+use crate::poison::Poisoned;
+use crate::versions::Resumed;
+
+/// The counts and violations of one seed.
+#[derive(Debug, Default)]
+pub(crate) struct Report {
+    pub(crate) violations: Vec<Violation>,
+    /// What the fronts logged about the requests with violations.
+    pub(crate) log_lines: Vec<String>,
+    /// Number of recorded requests.
+    pub(crate) requests: usize,
+    /// Number of responses with status 200 and a complete body.
+    pub(crate) complete: usize,
+    /// Number of injected faults.
+    pub(crate) faults: usize,
+    /// Number of responses by status.
+    pub(crate) statuses: BTreeMap<u16, usize>,
+    /// Number of refusals by their bodies, which tell the reason.
+    pub(crate) refusals: BTreeMap<String, usize>,
+    /// The streams that clients resumed.
+    pub(crate) resumed: Resumed,
+    /// The requests that end workers.
+    pub(crate) poisoned: Poisoned,
+    /// The limits that workers named.
+    pub(crate) limited: Limited,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            requests,
+            complete,
+            faults,
+            statuses,
+            refusals,
+            resumed,
+            poisoned,
+            limited,
+            violations,
+            log_lines,
+        } = self;
+        write!(
+            f,
+            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {refusals:?}, {resumed}, {poisoned}, {limited}, {} violations",
+            violations.len()
+        )?;
+        for it in violations.iter().take(12) {
+            write!(f, "\n  {it}")?;
+        }
+        for it in log_lines.iter().take(48) {
+            write!(f, "\n    {it}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -1,7 +1,6 @@
 //! Runs one seed: starts fronts, workers and clients, injects faults, and reports the violations.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::fmt;
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,10 +21,12 @@
     run_resuming_client, run_stream_client,
 };
 use crate::faults::Fault;
-use crate::limits::{LimitPeriod, Limited, check_limits};
+use crate::limits::{LimitPeriod, check_limits};
 use crate::notices::check_notices;
-use crate::poison::{ALLOWED_ENDS_OF_PART, ALLOWED_ENDS_OF_REQUEST, Poisoned, check_poison};
-use crate::versions::{Resumed, check_streams};
+use crate::poison::{PoisonKind, check_poison};
+use crate::report::Report;
+use crate::run_options::RunOptions;
+use crate::versions::check_streams;
 
 /// Number of simulated clients.
 const CLIENTS: u64 = 12;
@@ -80,59 +81,6 @@
     Relay(#[from] RelayError),
 }
 
-/// The counts and violations of one seed.
-#[derive(Debug, Default)]
-pub(crate) struct Report {
-    pub(crate) violations: Vec<Violation>,
-    /// What the fronts logged about the requests with violations.
-    log_lines: Vec<String>,
-    /// Number of recorded requests.
-    requests: usize,
-    /// Number of responses with status 200 and a complete body.
-    complete: usize,
-    /// Number of injected faults.
-    faults: usize,
-    /// Number of responses by status.
-    statuses: BTreeMap<u16, usize>,
-    /// Number of refusals by their bodies, which tell the reason.
-    refusals: BTreeMap<String, usize>,
-    /// The streams that clients resumed.
-    resumed: Resumed,
-    /// The requests that end workers.
-    poisoned: Poisoned,
-    /// The limits that workers named.
-    limited: Limited,
-}
-
-impl fmt::Display for Report {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            requests,
-            complete,
-            faults,
-            statuses,
-            refusals,
-            resumed,
-            poisoned,
-            limited,
-            violations,
-            log_lines,
-        } = self;
-        write!(
-            f,
-            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {refusals:?}, {resumed}, {poisoned}, {limited}, {} violations",
-            violations.len()
-        )?;
-        for it in violations.iter().take(12) {
-            write!(f, "\n  {it}")?;
-        }
-        for it in log_lines.iter().take(48) {
-            write!(f, "\n    {it}")?;
-        }
-        Ok(())
-    }
-}
-
 /// The running fleet of one seed, with its clients and active faults.
 struct Soak {
     fleet: Fleet,
@@ -188,51 +136,11 @@
     LiftLimit(usize),
 }
 
-/// What a run of a seed consists of.
-#[derive(Debug, Clone, Copy, clap::Args)]
-pub(crate) struct RunOptions {
-    /// How long faults are injected, in minutes
-    #[arg(long, default_value_t = 0.2)]
-    pub(crate) minutes: f64,
-    /// Number of fronts to start
-    #[arg(long, default_value_t = 3)]
-    pub(crate) fronts: usize,
-    /// Inject planned changes only, such as stops, under which no request may be cut
-    #[arg(long)]
-    pub(crate) planned_only: bool,
-    /// Also let workers announce that they leave or want a pause, and check that fronts heed it
-    #[arg(long)]
-    pub(crate) notices: bool,
-    /// Run workers of two software versions, and check that no stream holds events of both
-    #[arg(long)]
-    pub(crate) versions: bool,
-    /// Also restore the store from copies that are some seconds old
-    #[arg(long)]
-    pub(crate) restores: bool,
-    /// Also send prompts with a part that ends each worker which responds to it, and check that it is refused
-    #[arg(long)]
-    pub(crate) poison: bool,
-    /// Also send a call that ends each worker which runs it, again and again, and check that it is refused
-    #[arg(long, conflicts_with = "poison")]
-    pub(crate) crashing_requests: bool,
-    /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
-    #[arg(long)]
-    pub(crate) limits: bool,
-}
-
 /// Runs one seed.
 pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
-    let RunOptions {
-        minutes,
-        fronts,
-        planned_only,
-        notices,
-        versions,
-        restores,
-        poison,
-        crashing_requests,
-        limits,
-    } = options;
+    let RunOptions { minutes, fronts, planned_only, notices, versions, restores, limits, .. } =
+        options;
+    let poison_kind = options.poison_kind();
     let mut limit_rng = Pcg64Mcg::seed_from_u64(seed ^ LIMIT_SEED);
     let mut soak = Soak::start(fronts, versions).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -250,19 +158,8 @@
         let seed = seed ^ RESUMING_CLIENT_SEED ^ (number << 32);
         actix_rt::spawn(run_resuming_client(Rc::clone(&soak.pool), seed));
     }
-    if poison {
-        soak.fleet.poison.set(Some(POISON));
-    }
-    for number in 0..if poison { POISONING_CLIENTS } else { 0 } {
-        let seed = seed ^ POISONING_CLIENT_SEED ^ (number << 32);
-        actix_rt::spawn(run_poisoning_client(Rc::clone(&soak.pool), seed));
-    }
-    if crashing_requests {
-        soak.fleet.poison.set_path(Some(CRASHING));
-    }
-    for number in 0..if crashing_requests { POISONING_CLIENTS } else { 0 } {
-        let seed = seed ^ POISONING_CLIENT_SEED ^ (number << 32);
-        actix_rt::spawn(run_crashing_client(Rc::clone(&soak.pool), seed));
+    if let Some(kind) = poison_kind {
+        soak.start_poisoning(kind, seed);
     }
     let end = Instant::now() + Duration::from_secs_f64(minutes * 60.0);
     while Instant::now() < end {
@@ -284,12 +181,7 @@
         }
         soak.inject_restore()?;
     }
-    let allowed_ends = if poison {
-        Some(ALLOWED_ENDS_OF_PART)
-    } else {
-        crashing_requests.then_some(ALLOWED_ENDS_OF_REQUEST)
-    };
-    let mut report = soak.finish(allowed_ends).await?;
+    let mut report = soak.finish(poison_kind).await?;
     if limits && !report.limited.has_cases() {
         let text = "too few cases of limits: no window was checked".to_owned();
         report.violations.push(Violation::new(text));
@@ -580,8 +472,24 @@
         Ok(())
     }
 
+    /// Lets requests of this kind end workers, and starts the clients that send them beside others.
+    fn start_poisoning(&self, kind: PoisonKind, seed: u64) {
+        match kind {
+            PoisonKind::Part => self.fleet.poison.set(Some(POISON)),
+            PoisonKind::Request => self.fleet.poison.set_path(Some(CRASHING)),
+        }
+        for number in 0..POISONING_CLIENTS {
+            let (pool, seed) =
+                (Rc::clone(&self.pool), seed ^ POISONING_CLIENT_SEED ^ (number << 32));
+            match kind {
+                PoisonKind::Part => actix_rt::spawn(run_poisoning_client(pool, seed)),
+                PoisonKind::Request => actix_rt::spawn(run_crashing_client(pool, seed)),
+            };
+        }
+    }
+
     /// Ends all faults, checks that the fleet recovers, and checks every recorded request.
-    async fn finish(mut self, allowed_ends: Option<usize>) -> Result<Report, SoakError> {
+    async fn finish(mut self, poison_kind: Option<PoisonKind>) -> Result<Report, SoakError> {
         self.schedule_starts_of_ended_workers();
         while !self.cleanups.is_empty() {
             self.run_cleanups_until(Instant::now() + POLL_INTERVAL).await?;
@@ -589,8 +497,8 @@
         self.pool.stopping.set(true);
         sleep(RECOVERY_PERIOD).await;
         let mut report = Report { faults: self.faults, ..Report::default() };
-        if let Some(allowed_ends) = allowed_ends {
-            self.check_poison(allowed_ends, &mut report);
+        if let Some(kind) = poison_kind {
+            self.check_poison(kind, &mut report);
         }
         self.check_recovery(&mut report).await;
         let records = self.pool.records.borrow().clone();
@@ -613,12 +521,12 @@
     }
 
     /// Checks the requests that end workers. The ends then count as disturbances for all other requests.
-    fn check_poison(&mut self, allowed_ends: usize, report: &mut Report) {
+    fn check_poison(&mut self, kind: PoisonKind, report: &mut Report) {
         let ends = self.fleet.poison.ends();
         let is_in_touch = |it: &RequestRecord| self.is_in_touch(it.sent_at, it);
         let (violations, poisoned) = check_poison(
             &self.fleet.workers,
-            allowed_ends,
+            kind,
             &ends,
             &self.pool.poisoned.borrow(),
             &self.pool.sound.borrow(),
--- /dev/null
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -0,0 +1,46 @@
+//! What a run of a seed consists of.
+
+use crate::poison::PoisonKind;
+
+/// What a run of a seed consists of.
+#[derive(Debug, Clone, Copy, clap::Args)]
+pub(crate) struct RunOptions {
+    /// How long faults are injected, in minutes
+    #[arg(long, default_value_t = 0.2)]
+    pub(crate) minutes: f64,
+    /// Number of fronts to start
+    #[arg(long, default_value_t = 3)]
+    pub(crate) fronts: usize,
+    /// Inject planned changes only, such as stops, under which no request may be cut
+    #[arg(long)]
+    pub(crate) planned_only: bool,
+    /// Also let workers announce that they leave or want a pause, and check that fronts heed it
+    #[arg(long)]
+    pub(crate) notices: bool,
+    /// Run workers of two software versions, and check that no stream holds events of both
+    #[arg(long)]
+    pub(crate) versions: bool,
+    /// Also restore the store from copies that are some seconds old
+    #[arg(long)]
+    pub(crate) restores: bool,
+    /// Also send prompts with a part that ends each worker which responds to it, and check that it is refused
+    #[arg(long)]
+    pub(crate) poison: bool,
+    /// Also send a call that ends each worker which runs it, again and again, and check that it is refused
+    #[arg(long, conflicts_with = "poison")]
+    pub(crate) crashing_requests: bool,
+    /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
+    #[arg(long)]
+    pub(crate) limits: bool,
+}
+
+impl RunOptions {
+    /// Returns which requests end workers; `None` if none do.
+    pub(crate) const fn poison_kind(&self) -> Option<PoisonKind> {
+        match (self.poison, self.crashing_requests) {
+            (true, _) => Some(PoisonKind::Part),
+            (false, true) => Some(PoisonKind::Request),
+            (false, false) => None,
+        }
+    }
+}
