feat(dispatch): check the keys of client accounts, and tell endpoints the tenant

Cause: a configuration with tenants was read as one without.

Change: the configuration in force carries the accounts with hashes of their keys. A request without a known key ends with 401 unless its route is public. Endpoints get the name of the tenant in place of the key, whatever the client sent, and a tenant's priority goes before that of its route. Deployments without tenants are served as before.

--- a/crates/daisychute-dispatch/src/config/mod.rs
+++ b/crates/daisychute-dispatch/src/config/mod.rs
@@ -1,5 +1,6 @@
 //! Configuration that a dispatcher works by: routes, services and client limits.
 
+pub(crate) mod accounts;
 pub(crate) mod backends;
 pub(crate) mod client_limits;
 pub(crate) mod engine_spec;
--- a/crates/daisychute-dispatch/src/config/route.rs
+++ b/crates/daisychute-dispatch/src/config/route.rs
@@ -25,6 +25,9 @@
     /// Priority of the requests; 0 is the most urgent.
     #[serde(rename = "rank")]
     pub priority: u8,
+    /// Whether requests need no key, in a deployment with client accounts.
+    #[serde(default)]
+    pub public: bool,
     /// Maximum number of send attempts per request; at least 1. Attempts of which no byte was sent don't count, nor
     /// does a successful prefill.
     pub max_sends: u32,
--- a/crates/daisychute-dispatch/src/config/route_table.rs
+++ b/crates/daisychute-dispatch/src/config/route_table.rs
@@ -5,7 +5,7 @@
 use daisychute_core::ServiceName;
 use rustc_hash::FxHashMap;
 
-use crate::{ClientLimits, Route, ServiceSpec};
+use crate::{Accounts, ClientLimits, Route, ServiceSpec};
 
 /// Error for two routes with the same host and prefix.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -30,6 +30,7 @@
     hosts: FxHashMap<Arc<str>, RoutesByPrefix>,
     services: FxHashMap<ServiceName, ServiceSpec>,
     limits: ClientLimits,
+    accounts: Option<Accounts>,
     len: usize,
 }
 
@@ -53,6 +54,13 @@
         Ok(table)
     }
 
+    /// Sets the client accounts. With accounts, even an empty set, requests need a key unless their route is public.
+    #[must_use]
+    pub fn with_accounts(mut self, accounts: impl Into<Option<Accounts>>) -> Self {
+        self.accounts = accounts.into();
+        self
+    }
+
     fn add(&mut self, route: Route) -> Result<(), DuplicateRoute> {
         let prefixes = self.hosts.entry(Arc::clone(&route.host)).or_default();
         let route = Arc::new(route);
@@ -96,6 +104,12 @@
         self.len == 0
     }
 
+    /// Returns the client accounts; `None` if the deployment has none, so that requests need no key.
+    #[must_use]
+    pub const fn accounts(&self) -> Option<&Accounts> {
+        self.accounts.as_ref()
+    }
+
     /// Returns the limits on client requests and connections.
     #[must_use]
     pub const fn limits(&self) -> &ClientLimits {
--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -7,8 +7,8 @@
 use daisychute_core::{EndpointName, SoftwareVersion, Time};
 
 use crate::{
-    Cause, CrashNews, EndpointKey, Incarnation, LimitNews, PromptPart, Quarantine, Reason,
-    RequestKey, RequestKind, RequestRate, StreamOrigin,
+    Cause, CrashNews, EndpointKey, ForwardedIdentity, Incarnation, LimitNews, PromptPart,
+    Quarantine, Reason, RequestKey, RequestKind, RequestRate, StreamOrigin,
 };
 
 /// Work that an endpoint is asked to do.
@@ -54,8 +54,10 @@
     pub deadline: Time,
     /// Whether the request may run more than once, and whether its response is a stream.
     pub kind: RequestKind,
-    /// Priority of the request's route; 0 is the most urgent.
+    /// Priority of the request, from its client account or its route; 0 is the most urgent.
     pub priority: u8,
+    /// Whose request the endpoint is told that it runs.
+    pub identity: ForwardedIdentity,
     /// Failed send attempts before this one; those of which no byte was sent don't count.
     pub previous_attempts: u32,
     /// Predicted time to the first output of the response, penalties included.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -14,8 +14,8 @@
 use crate::fleet::stage_times::StageTimes;
 use crate::fleet::version_history::VersionHistory;
 use crate::{
-    Action, DispatchSettings, EndpointKey, Event, Fleet, LoadSample, PeerLoad, PromptPart, Reason,
-    RequestInfo, RequestKey, RetryBudget, RouteTable, Task,
+    Account, Action, Credentials, DispatchSettings, EndpointKey, Event, Fleet, LoadSample,
+    PeerLoad, PromptPart, Reason, RequestInfo, RequestKey, RetryBudget, Route, RouteTable, Task,
 };
 
 /// Selects the endpoint of each request, and decides which requests are retried, refused or failed.
@@ -102,7 +102,7 @@
 
     /// Returns the route of an open request.
     #[must_use]
-    pub fn route(&self, key: RequestKey) -> Option<&Arc<crate::Route>> {
+    pub fn route(&self, key: RequestKey) -> Option<&Arc<Route>> {
         self.requests.get(&key).map(|it| &it.route)
     }
 
@@ -247,6 +247,14 @@
             actions.push(Action::Fail { key, reason: Reason::NoId });
             return;
         }
+        let account = match account_of(table, &route, request.credentials) {
+            Ok(account) => account,
+            Err(reason) => {
+                actions.push(Action::Fail { key, reason });
+                return;
+            }
+        };
+        let has_accounts = table.accounts().is_some();
         let service = route.backends.pick(request.first_attempt()).clone();
         let client_timeout = request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
         let deadline = now + client_timeout.min(route.timeout);
@@ -254,6 +262,8 @@
         let state = RequestState {
             request,
             route,
+            account,
+            has_accounts,
             service,
             arrived: now,
             deadline,
@@ -408,3 +418,22 @@
         }
     }
 }
+
+/// Returns the client account of a request; `None` if the deployment has no accounts, or for a public route without a
+/// known key.
+///
+/// # Errors
+///
+/// The route isn't public, and the request carries no key of an account.
+fn account_of(
+    table: &RouteTable,
+    route: &Route,
+    credentials: Credentials,
+) -> Result<Option<Arc<Account>>, Reason> {
+    let Some(accounts) = table.accounts() else { return Ok(None) };
+    let account = match credentials {
+        Credentials::Key(key) => accounts.find(&key).cloned(),
+        Credentials::Missing | Credentials::Malformed => None,
+    };
+    if account.is_none() && !route.public { Err(Reason::UnknownKey) } else { Ok(account) }
+}
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -167,7 +167,7 @@
             stage: None,
             prompt: state.request.prompt.as_ref(),
             source: None,
-            priority: state.route.priority,
+            priority: state.priority(),
             version: state.stream_version.as_ref(),
             tried: &state.tried,
             local_data_centre: self.settings.data_centre.as_ref(),
@@ -257,7 +257,8 @@
                 task: task.clone(),
                 deadline: state.deadline,
                 kind: state.route.kind,
-                priority: state.route.priority,
+                priority: state.priority(),
+                identity: state.forwarded_identity(),
                 previous_attempts: state.counted_attempts,
                 cost: from_ms(cost_ms),
                 wait,
@@ -274,7 +275,7 @@
         if prefill_time >= LONG_PREFILL {
             actions.push(Action::SendHeartbeat);
         }
-        tracked.in_flight.add(now, key, state.route.priority, tokens, prefill_time);
+        tracked.in_flight.add(now, key, state.priority(), tokens, prefill_time);
         tracked.notice.record_send(now);
         if let Some(prompt) = &state.request.prompt {
             tracked.prefix_cache.record(now, &prompt.parts, capacity);
--- a/crates/daisychute-dispatch/src/core/reason.rs
+++ b/crates/daisychute-dispatch/src/core/reason.rs
@@ -7,6 +7,8 @@
     NoConfiguration,
     /// No route matches the host and path.
     NoRoute,
+    /// The request carries no key of the client accounts in force.
+    UnknownKey,
     /// The request has no id.
     NoId,
     /// The front shuts down, and the response may not end before that.
@@ -37,9 +39,10 @@
 
 impl Reason {
     /// All reasons, for metrics that are labelled by reason.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoConfiguration,
         Self::NoRoute,
+        Self::UnknownKey,
         Self::NoId,
         Self::Stopping,
         Self::NoEndpoint,
@@ -61,6 +64,7 @@
         match self {
             Self::NoConfiguration => "no_configuration",
             Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
             Self::NoId => "no_id",
             Self::Stopping => "stopping",
             Self::NoEndpoint => "no_endpoint",
--- a/crates/daisychute-dispatch/src/core/request_info.rs
+++ b/crates/daisychute-dispatch/src/core/request_info.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::{Cause, Prompt};
+use crate::{Cause, Credentials, Prompt};
 
 /// Identifies a request within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -63,6 +63,8 @@
     pub prompt: Option<Prompt>,
     /// Set if the client resumes a stream of which it has the first events.
     pub resumption: Option<Resumption>,
+    /// What the request says of its client account.
+    pub credentials: Credentials,
     /// Fingerprint of the request; `None` if it isn't known whether another request is the same.
     pub fingerprint: Option<Fingerprint>,
 }
@@ -89,6 +91,7 @@
             client_timeout: None,
             prompt: None,
             resumption: None,
+            credentials: Credentials::Missing,
             fingerprint: None,
         }
     }
@@ -125,6 +128,13 @@
         self
     }
 
+    /// Sets what the request says of its client account.
+    #[must_use]
+    pub const fn credentials(mut self, credentials: Credentials) -> Self {
+        self.credentials = credentials;
+        self
+    }
+
     /// Sets the fingerprint of the request.
     #[must_use]
     pub const fn fingerprint(mut self, fingerprint: Fingerprint) -> Self {
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -7,7 +7,7 @@
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::fleet::cost_model::PrefillWork;
-use crate::{Cause, EndpointKey, RequestInfo, Route, Task};
+use crate::{Account, Cause, EndpointKey, ForwardedIdentity, RequestInfo, Route, Task};
 
 /// A send attempt that hasn't ended.
 #[derive(Debug, Clone)]
@@ -53,6 +53,10 @@
 pub(crate) struct RequestState {
     pub(crate) request: RequestInfo,
     pub(crate) route: Arc<Route>,
+    /// Client account of the request; `None` without accounts, or for a public route without a known key.
+    pub(crate) account: Option<Arc<Account>>,
+    /// Whether the configuration in force at the arrival had accounts, so that the endpoint must not see the key.
+    pub(crate) has_accounts: bool,
     /// Service of the route that was selected for the request.
     pub(crate) service: ServiceName,
     /// Time of arrival, from which the latency objective counts.
@@ -85,6 +89,21 @@
 }
 
 impl RequestState {
+    /// Returns the priority of the request: that of its account, if it has one, goes before that of its route.
+    pub(crate) fn priority(&self) -> u8 {
+        let of_account = self.account.as_ref().and_then(|it| it.priority);
+        of_account.unwrap_or(self.route.priority)
+    }
+
+    /// Returns whose request an endpoint is told that it runs.
+    pub(crate) fn forwarded_identity(&self) -> ForwardedIdentity {
+        if self.has_accounts {
+            ForwardedIdentity::Tenant(self.account.as_ref().map(|it| it.name.clone()))
+        } else {
+            ForwardedIdentity::AsSent
+        }
+    }
+
     /// Whether the first output for the client arrived.
     pub(crate) const fn has_output(&self) -> bool {
         self.first_output_at.is_some()
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -21,6 +21,9 @@
 mod fleet;
 mod settings;
 
+pub use crate::config::accounts::{
+    Account, Accounts, AccountsError, Credentials, ForwardedIdentity, KeyHash,
+};
 pub use crate::config::backends::{Backend, Backends, ZeroWeightError};
 pub use crate::config::client_limits::ClientLimits;
 pub use crate::config::engine_spec::EngineSpec;
--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -48,6 +48,7 @@
         objective: Duration::from_millis(objective_ms),
         pause: None,
         priority: 1,
+        public: false,
         max_sends: attempts,
         backends: Backends::single(service(backend)),
     }
@@ -72,6 +73,11 @@
 
 /// Returns a table with the routes `LONG`, `SHORT`, `ONCE` and `PANEL`.
 pub(crate) fn table(version: u64) -> Arc<RouteTable> {
+    Arc::new(unshared_table(version))
+}
+
+/// Returns the same table, for tests that add to it.
+pub(crate) fn unshared_table(version: u64) -> RouteTable {
     let stream = |resumable| RequestKind::Stream { resumable };
     let routes = vec![
         route(LONG, stream(true), "lm", 600, 2),
@@ -79,8 +85,7 @@
         route(ONCE, RequestKind::NonIdempotent, "feed", 100, 1),
         route(PANEL, RequestKind::Idempotent, "feed", 100, 2),
     ];
-    let table = RouteTable::new(version, routes, services(), ClientLimits::default());
-    Arc::new(table.expect("routes differ"))
+    RouteTable::new(version, routes, services(), ClientLimits::default()).expect("routes differ")
 }
 
 pub(crate) fn endpoint(number: usize, of: &str, stage: Option<Role>) -> Endpoint {
--- a/crates/daisychute-explain/src/cause.rs
+++ b/crates/daisychute-explain/src/cause.rs
@@ -91,6 +91,11 @@
             end.field("path"),
             end.field("config"),
         ),
+        (_, "unknown_key") => format!(
+            "refused by {process} with 401, not run: the route isn't public, and the request had no key of an account in \
+             version {} of the configuration",
+            end.field("config"),
+        ),
         (outcome, reason) => format!("{outcome} by {process}: {reason}"),
     }
 }
--- a/crates/daisychute-explain/tests/explain.rs
+++ b/crates/daisychute-explain/tests/explain.rs
@@ -88,6 +88,7 @@
     ] => "not run: the same request (fingerprint 0a) is quarantined since 2026-01-01T00:00:04Z, as endpoints ended under it",
     origin_unknown: [ended("refused", "origin_unknown")] => "didn't know which software version",
     version_gone: [ended("refused", "version_gone")] => "no endpoint of the software version",
+    unknown_key: [ended("failed", "unknown_key")] => "no key of an account in version",
     deadline: [ended("failed", "deadline")] => "the deadline passed after",
     lost_with_the_process: [line(1, "front-1", "sent", &[("request", "r")])] => "hasn't ended",
 }
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -326,6 +326,7 @@
 const fn status_of(reason: Reason) -> StatusCode {
     match reason {
         Reason::NoRoute => StatusCode::NOT_FOUND,
+        Reason::UnknownKey => StatusCode::UNAUTHORIZED,
         Reason::NoId => StatusCode::BAD_REQUEST,
         Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -6,7 +6,7 @@
 
 use actix_http::{RequestHead, ResponseHead};
 use daisychute_core::EndpointName;
-use daisychute_dispatch::{PromptPart, RequestInfo, Task};
+use daisychute_dispatch::{ForwardedIdentity, PromptPart, RequestInfo, Task};
 
 use crate::ResponseInfo;
 
@@ -21,6 +21,8 @@
     pub remaining: Duration,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
+    /// Whose request the endpoint is told that it runs.
+    pub identity: &'a ForwardedIdentity,
     /// Address of an engine from which the endpoint fetches cached prompt parts first, if any.
     pub fetch_from: Option<SocketAddr>,
     /// Id of the last event that was passed on, if an interrupted stream continues after it.
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -143,6 +143,7 @@
             task: &self.decision.task,
             remaining: self.decision.deadline.since(self.state.now()),
             priority: self.decision.priority,
+            identity: &self.decision.identity,
             fetch_from: self.decision.fetch_from,
             last_event_id: last_event_id.as_deref(),
         };
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use daisychute_dispatch::{
-    ClientLimits, Dispatcher, DuplicateRoute, Endpoint, Route, RouteTable, ServiceSpec,
+    Account, Accounts, AccountsError, ClientLimits, Dispatcher, DuplicateRoute, Endpoint, Route,
+    RouteTable, ServiceSpec,
 };
 use serde::{Deserialize, Serialize};
 
@@ -28,6 +29,21 @@
     /// The eras of the two `revisions` and of `covered`. Missing in snapshots of older builds.
     #[serde(default)]
     eras: (u64, u64, u64),
+    /// The client accounts with the hashes of their keys; `None` if the deployment has none. Missing in snapshots of older
+    /// builds, which don't check keys.
+    #[serde(default)]
+    accounts: Option<Vec<Account>>,
+}
+
+/// Why the configuration of a snapshot is invalid.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum SnapshotError {
+    /// Two routes match the same requests.
+    #[error(transparent)]
+    Routes(#[from] DuplicateRoute),
+    /// The client accounts are ambiguous.
+    #[error(transparent)]
+    Accounts(#[from] AccountsError),
 }
 
 impl Snapshot {
@@ -39,6 +55,7 @@
             routes: table.routes().cloned().collect(),
             services: table.services().cloned().collect(),
             limits: *table.limits(),
+            accounts: table.accounts().map(|it| it.iter().cloned().collect()),
             endpoints: dispatcher.fleet().endpoints().cloned().collect(),
             unsettled: dispatcher.fleet().has_pending_removals(),
             ..Self::default()
@@ -72,8 +89,10 @@
     }
 
     /// Builds the route table and validates it again.
-    pub(crate) fn table(&self) -> Result<Arc<RouteTable>, DuplicateRoute> {
+    pub(crate) fn table(&self) -> Result<Arc<RouteTable>, SnapshotError> {
         let (routes, services) = (self.routes.clone(), self.services.clone());
-        RouteTable::new(self.version, routes, services, self.limits).map(Arc::new)
+        let accounts = self.accounts.clone().map(Accounts::try_from).transpose()?;
+        let table = RouteTable::new(self.version, routes, services, self.limits)?;
+        Ok(Arc::new(table.with_accounts(accounts)))
     }
 }
