feat(dispatch): send idempotent requests elsewhere whose response is overdue

Nothing decided to try again before the deadline.

Change: an attempt of an idempotent request is overdue after twice the objective, or three times the predicted time, if a further attempt is allowed and has its objective left. It is then replaced, within the retry budget and only if another endpoint takes it; otherwise it goes on.

Result: with the mechanism off the process test gets 504 in place of 200, and the dispatcher's test no second attempt.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -80,6 +80,9 @@
     pub load_age: Option<Duration>,
     /// Maximum number of connections that this front may have to the endpoint.
     pub max_connections: usize,
+    /// Time after which the response is overdue, to be reported as
+    /// [`Event::ResponseOverdue`](crate::Event::ResponseOverdue); `None` if it never is.
+    pub overdue_after: Option<Duration>,
 }
 
 /// Something that the I/O shell has to do.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -128,6 +128,7 @@
             Event::FirstOutput { key } => self.first_output(now, key, actions),
             Event::LoadReported { key, sample } => self.load_reported(now, key, sample),
             Event::SendFailed { key, failure } => self.send_failed(now, key, failure, actions),
+            Event::ResponseOverdue { key } => self.response_overdue(now, key, actions),
             Event::Finished { key } => self.finished(now, key, actions),
             Event::ClientDisconnected { key } => self.client_disconnected(now, key, actions),
             Event::Expired { key } => self.expired(now, key, actions),
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -56,7 +56,8 @@
             SendFailure::NoAnswer
             | SendFailure::Unusable
             | SendFailure::MidAnswer { .. }
-            | SendFailure::ServerError => {
+            | SendFailure::ServerError
+            | SendFailure::TimedOut => {
                 tracked.health.record_failure(now);
             }
         }
@@ -75,7 +76,8 @@
             SendFailure::NoAnswer
             | SendFailure::Unusable
             | SendFailure::MidAnswer { .. }
-            | SendFailure::ServerError => Reason::Broken,
+            | SendFailure::ServerError
+            | SendFailure::TimedOut => Reason::Broken,
         };
         if self.may_retry(now, key, failure) {
             self.place(now, key, reason, actions);
@@ -85,7 +87,7 @@
     }
 
     /// Whether the request may be sent again: in time, without the risk of a second run, and within limit and budget.
-    fn may_retry(&mut self, now: Time, key: RequestKey, failure: SendFailure) -> bool {
+    pub(crate) fn may_retry(&mut self, now: Time, key: RequestKey, failure: SendFailure) -> bool {
         let fronts = self.fronts;
         let Some(state) = self.requests.get(&key) else { return false };
         if now >= state.deadline {
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -30,6 +30,8 @@
     },
     /// The endpoint sent an error response.
     ServerError,
+    /// No response began in time, and the request is sent to another endpoint.
+    TimedOut,
 }
 
 impl SendFailure {
@@ -44,6 +46,7 @@
             Self::Unusable => "unusable",
             Self::MidAnswer { .. } => "mid_answer",
             Self::ServerError => "server_error",
+            Self::TimedOut => "timed_out",
         }
     }
 }
@@ -89,6 +92,12 @@
         /// Cause of the failure; decides whether the request may be retried.
         failure: SendFailure,
     },
+    /// The response of a send attempt is overdue by [`SendDecision::overdue_after`](crate::SendDecision::overdue_after).
+    /// The attempt is replaced if an [`Action::Send`](crate::Action::Send) is the answer; otherwise it goes on.
+    ResponseOverdue {
+        /// Identifies the request.
+        key: RequestKey,
+    },
     /// The whole response was passed on to the client.
     Finished {
         /// Identifies the request.
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod stream_origins;
 mod crashes;
 mod notices;
+pub(crate) mod overdue;
 mod kv_cache;
 mod resumption;
 mod shutdown;
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -6,6 +6,7 @@
 use daisychute_core::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::core::overdue::overdue_after;
 use crate::core::request_state::{InFlightAttempt, RequestState};
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::selection::{Candidate, SelectionQuery, cache_holders, select};
@@ -154,7 +155,7 @@
     }
 
     /// Compares, by cost, prefill and decode on one engine with prefill on a dedicated engine.
-    fn choose_placement(&mut self, now: Time, key: RequestKey) -> Option<Placement> {
+    pub(crate) fn choose_placement(&mut self, now: Time, key: RequestKey) -> Option<Placement> {
         let state = self.requests.get(&key)?;
         let engine = self.service_spec(key).and_then(|it| it.engine);
         let service = state.service.clone();
@@ -270,6 +271,7 @@
                 software_version: tracked.endpoint.software_version.clone(),
                 load_age: tracked.sample.map(|it| now.since(it.received_at)),
                 max_connections,
+                overdue_after: overdue_after(now, state, &task, predicted),
             }),
         });
         if prefill_time >= LONG_PREFILL {
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -9,7 +9,7 @@
 use daisychute_dispatch::{
     Action, Cause, Event, Reason, RequestInfo, RequestKey, SendDecision, SendFailure,
 };
-use tokio::time::sleep_until;
+use tokio::time::{sleep_until, timeout};
 
 use crate::Dialect;
 use crate::client::connection::{ClientConnection, client_disconnected};
@@ -89,6 +89,13 @@
 /// Time limit for a request without a deadline.
 const MAX_DURATION: Duration = Duration::from_secs(600);
 
+/// How a send attempt went.
+enum Attempt {
+    Ended(CallEnd),
+    /// Its response was overdue, and this is done in its place.
+    Replaced(Action),
+}
+
 struct Exchange<'a, 'c, D> {
     state: &'a Rc<FrontState<D>>,
     key: RequestKey,
@@ -115,20 +122,25 @@
         loop {
             action = match action {
                 Some(Action::Send { decision, .. }) => match self.send(&decision).await {
-                    CallEnd::Finished => {
+                    Attempt::Replaced(action) => {
+                        self.log_send_failure(&decision, SendFailure::TimedOut);
+                        self.error_response = None;
+                        Some(action)
+                    }
+                    Attempt::Ended(CallEnd::Finished) => {
                         self.state.handle(Event::Finished { key: self.key });
                         self.log_end("answered", "", None);
                         return ConnectionOutcome::KeepAlive;
                     }
-                    CallEnd::ClientDisconnected => {
+                    Attempt::Ended(CallEnd::ClientDisconnected) => {
                         self.state.handle(Event::ClientDisconnected { key: self.key });
                         self.log_end("left", "", None);
                         return ConnectionOutcome::Abort;
                     }
-                    CallEnd::Prefilled(handle) => {
+                    Attempt::Ended(CallEnd::Prefilled(handle)) => {
                         self.state.handle(Event::Prefilled { key: self.key, handle })
                     }
-                    CallEnd::Failed(failure, error_response) => {
+                    Attempt::Ended(CallEnd::Failed(failure, error_response)) => {
                         self.log_send_failure(&decision, failure);
                         self.error_response = error_response;
                         self.state.handle(Event::SendFailed { key: self.key, failure })
@@ -140,7 +152,9 @@
         }
     }
 
-    async fn send(&mut self, decision: &SendDecision) -> CallEnd {
+    /// Makes one send attempt. An attempt whose response is overdue is dropped if the dispatcher sends the request
+    /// elsewhere.
+    async fn send(&mut self, decision: &SendDecision) -> Attempt {
         self.log_send(decision);
         let call = Call {
             state: self.state,
@@ -149,7 +163,17 @@
             decision,
             response_writer: &mut self.response_writer,
         };
-        call.run().await
+        let Some(overdue_after) = decision.overdue_after else {
+            return Attempt::Ended(call.run().await);
+        };
+        let mut call = std::pin::pin!(call.run());
+        if let Ok(end) = timeout(overdue_after, &mut call).await {
+            return Attempt::Ended(end);
+        }
+        match self.state.handle(Event::ResponseOverdue { key: self.key }) {
+            Some(action) => Attempt::Replaced(action),
+            None => Attempt::Ended(call.await),
+        }
     }
 
     /// Handles a disconnect of the client, the expiry of the deadline or the exit of the process. The send attempt in
