feat(dispatch): let tenants beyond their share yield when a service is short of room

Cause: endpoints queue the requests of all tenants together and fronts refuse by the predicted wait, so that one tenant that floods a service has all others refused with it. The fair shares of policy were used by agents only.

Change: FairShare counts for any class, and may remember tenants for a time; agents use it as before. Once a tenant within its share is refused for overload, tenants beyond theirs are refused at 0.6 of the objective for 2 s.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -7,6 +7,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::core::crash_quarantine::CrashQuarantine;
+use crate::core::fairness::Fairness;
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
 use crate::core::shutdown::Shutdown;
 use crate::core::stream_origins::StreamOrigins;
@@ -47,6 +48,8 @@
     pub(crate) versions: VersionHistory,
     /// Requests and prompt parts under which endpoints ended.
     pub(crate) crash_quarantine: CrashQuarantine,
+    /// Shares of the tenants in the room of each service.
+    pub(crate) fairness: Fairness,
 }
 
 impl Dispatcher {
@@ -73,6 +76,7 @@
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
             crash_quarantine: CrashQuarantine::default(),
+            fairness: Fairness::default(),
         }
     }
 
@@ -170,6 +174,7 @@
             Event::ShutdownExpired { key } => self.shutdown_expired(now, key, actions),
             Event::Tick => {
                 self.stream_origins.expire(now);
+                self.fairness.expire(now);
                 self.record_versions_of_pending_removals(now);
                 let removed = self.fleet.expire(now);
                 actions.extend(
@@ -280,6 +285,7 @@
             first_output_at: None,
             stream_version: None,
         };
+        self.fairness.record_arrival(&state);
         self.requests.insert(key, state);
         if self.refuse_unknown_origin(now, key, actions) {
             return;
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -220,6 +220,7 @@
     /// Removes a request, and releases its place at the endpoint and its KV cache.
     pub(crate) fn end(&mut self, key: RequestKey, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.remove(&key) else { return };
+        self.fairness.record_end(&state);
         if let Some(sent) = &state.in_flight {
             self.remove_in_flight(key, sent);
         }
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod dispatcher;
 pub(crate) mod ending;
 pub(crate) mod event;
+pub(crate) mod fairness;
 pub(crate) mod limits;
 pub(crate) mod answered_requests;
 pub(crate) mod cause;
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -97,6 +97,7 @@
             return;
         }
         if let Some(retry_after) = self.overload_retry_after(now, key, &placement) {
+            self.record_overload_refusal(now, key);
             let cost = from_ms(placement.cost_ms);
             self.refuse(key, cost, placement.wait(), retry_after, actions);
             return;
@@ -135,7 +136,8 @@
         let own_ms =
             (placement.latency_ms - placement.wait_ms).min(objective_ms * MAX_OWN_TIME_SHARE);
         let wait_ms = placement.wait_ms * self.wait_factor(state, &placement.task);
-        let excess_ms = wait_ms + own_ms + elapsed_ms - limit_ms * MAX_OBJECTIVE_RATIO;
+        let max_ratio = MAX_OBJECTIVE_RATIO * self.fairness.objective_ratio(now, state);
+        let excess_ms = wait_ms + own_ms + elapsed_ms - limit_ms * max_ratio;
         if excess_ms <= 0.0 {
             return None;
         }
@@ -286,6 +288,7 @@
                 part: *part,
             }));
         }
+        self.fairness.record_send(state, prefill_time);
         state.prefill_tried |= task == Task::Prefill;
         state.tried.push(candidate.key);
         let fetch_time = if fetch_from.is_some() { prefill_time / 2 } else { Duration::ZERO };
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{ServiceName, SoftwareVersion, Time};
+use daisychute_core::{ServiceName, SoftwareVersion, TenantName, Time};
 
 use crate::fleet::cost_model::PrefillWork;
 use crate::{Account, Cause, EndpointKey, ForwardedIdentity, RequestInfo, Route, Task};
@@ -95,10 +95,15 @@
         of_account.unwrap_or(self.route.priority)
     }
 
+    /// Returns the tenant that the request belongs to; `None` without accounts, or on a public route without a known key.
+    pub(crate) fn tenant(&self) -> Option<&TenantName> {
+        self.account.as_ref().map(|it| &it.name)
+    }
+
     /// Returns whose request an endpoint is told that it runs.
     pub(crate) fn forwarded_identity(&self) -> ForwardedIdentity {
         if self.has_accounts {
-            ForwardedIdentity::Tenant(self.account.as_ref().map(|it| it.name.clone()))
+            ForwardedIdentity::Tenant(self.tenant().cloned())
         } else {
             ForwardedIdentity::AsSent
         }
