feat(cli): where a request would go now, and why, without sending it

Cause: operators could see where requests went, by the logs, but not where the next one would go and what holds the other endpoints back.

Change: a dispatcher previews a request by a copy of itself, which takes the decision by the code that every request takes, and lists what it knows of each endpoint. A front answers at its metrics address, and daisychute where asks it.

Result: in eight cases the preview is what the dispatcher then does, and leaves it as it was; in a process test the worker that was named gets the request, and no worker has seen the question.

--- a/crates/daisychute-cli/src/admin.rs
+++ b/crates/daisychute-cli/src/admin.rs
@@ -5,10 +5,15 @@
 use std::time::Duration;
 
 use awc::error::PayloadError;
+use awc::http::header::HOST;
+use awc::{Client, ClientRequest};
+use daisychute_dispatch::Preview;
 use prometheus_parse::Scrape;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
+use crate::args::Header;
+
 /// Timeout of one call, from connecting to the last byte of the body.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest response body that is read, in MiB.
@@ -55,10 +60,32 @@
     Ok(Scrape::parse(text.lines().map(|it| Ok(it.to_owned())))?)
 }
 
+/// Fetches the preview of a request from a front.
+pub(crate) async fn get_preview(
+    address: SocketAddr,
+    path: &str,
+    host: &str,
+    headers: Vec<Header>,
+) -> Result<Preview, AdminError> {
+    let mut req = client().get(format!("http://{address}/where{path}"));
+    for Header { name, value } in headers {
+        req = req.append_header((name, value));
+    }
+    let body = send(req.insert_header((HOST, host))).await?;
+    Ok(serde_json::from_slice(&body)?)
+}
+
+fn client() -> Client {
+    Client::builder().timeout(CALL_TIMEOUT).finish()
+}
+
 async fn fetch_body(address: SocketAddr, path: &str) -> Result<Vec<u8>, AdminError> {
-    let client = awc::Client::builder().timeout(CALL_TIMEOUT).finish();
-    let result = client.get(format!("http://{address}{path}")).send().await;
-    let mut response = result.map_err(|_| AdminError::NoAnswer)?;
+    send(client().get(format!("http://{address}{path}"))).await
+}
+
+/// Sends a request and reads the body of its response.
+async fn send(req: ClientRequest) -> Result<Vec<u8>, AdminError> {
+    let mut response = req.send().await.map_err(|_| AdminError::NoAnswer)?;
     match response.status().as_u16() {
         200 => {}
         404 => return Err(AdminError::NotFound),
--- a/crates/daisychute-cli/src/args.rs
+++ b/crates/daisychute-cli/src/args.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use awc::http::header::{HeaderName, HeaderValue, InvalidHeaderName, InvalidHeaderValue};
 use clap::{Parser, Subcommand};
 use clap_complete::Shell;
 use daisychute_core::{DeploymentName, EndpointName, RegionName, Revision};
@@ -101,6 +102,20 @@
         #[arg(required = true, value_name = "ADDR")]
         fronts: Vec<SocketAddr>,
     },
+    /// Show where a request would go now, and why, without sending it
+    Where {
+        /// Metrics address of the front that is asked
+        #[arg(value_name = "ADDR")]
+        front: SocketAddr,
+        /// Path and query of the request
+        path: String,
+        /// Host that the request names
+        #[arg(long, value_name = "NAME")]
+        host: String,
+        /// Header of the request, as NAME: VALUE; may be given several times
+        #[arg(long = "header", value_name = "HEADER", value_parser = parse_header)]
+        headers: Vec<Header>,
+    },
     /// Let an endpoint finish its requests and send it no new ones
     Drain {
         /// Name of the endpoint
@@ -129,6 +144,32 @@
     },
 }
 
+/// Name and value of a header of a request that is asked about.
+#[derive(Debug, Clone)]
+pub(crate) struct Header {
+    pub(crate) name: HeaderName,
+    pub(crate) value: HeaderValue,
+}
+
+/// Why an argument is no header.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum HeaderError {
+    /// There is no colon.
+    #[error("a header has the form NAME: VALUE")]
+    NoColon,
+    /// The name has characters that are not allowed.
+    #[error("the name is not valid in a header")]
+    Name(#[from] InvalidHeaderName),
+    /// The value has characters that are not allowed.
+    #[error("the value is not valid in a header")]
+    Value(#[from] InvalidHeaderValue),
+}
+
+fn parse_header(raw: &str) -> Result<Header, HeaderError> {
+    let (name, value) = raw.split_once(':').ok_or(HeaderError::NoColon)?;
+    Ok(Header { name: name.trim().try_into()?, value: value.trim().try_into()? })
+}
+
 /// The width in `COLUMNS`, which some shells export, or the default.
 fn terminal_width() -> u16 {
     let columns = env::var("COLUMNS").ok().and_then(|it| it.parse().ok());
--- a/crates/daisychute-cli/src/commands/mod.rs
+++ b/crates/daisychute-cli/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod get;
 mod history;
 mod plan;
+mod preview;
 mod status;
 
 use clap::CommandFactory;
@@ -30,6 +31,9 @@
         Command::Status { watch: false, .. } => status::once(&cx).await,
         Command::Status { watch: true, interval } => status::watch(&cx, interval).await,
         Command::Fronts { fronts } => fronts::fronts(&cx, &fronts).await,
+        Command::Where { front, path, host, headers } => {
+            preview::preview(&cx, front, &path, &host, headers).await
+        }
         Command::Drain { endpoint } => drain::drain(&cx, endpoint, true).await,
         Command::Undrain { endpoint } => drain::drain(&cx, endpoint, false).await,
         Command::Plan => plan::plan(&cx).await,
--- a/crates/daisychute-dispatch/src/core/crash_quarantine.rs
+++ b/crates/daisychute-dispatch/src/core/crash_quarantine.rs
@@ -50,7 +50,7 @@
 }
 
 /// Records under which requests and prompt parts endpoints ended, and which are quarantined.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct CrashQuarantine {
     /// At most `MAX_PART_RECORDS`.
     parts: CrashRecords,
--- a/crates/daisychute-dispatch/src/core/crash_records.rs
+++ b/crates/daisychute-dispatch/src/core/crash_records.rs
@@ -9,7 +9,7 @@
 use crate::core::crash_record::CrashRecord;
 
 /// A limited number of records.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct CrashRecords {
     /// At most `limit` records.
     records: FxHashMap<Cause, CrashRecord>,
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -20,7 +20,7 @@
 };
 
 /// Selects the endpoint of each request, and decides which requests are retried, refused or failed.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Dispatcher {
     pub(crate) settings: DispatchSettings,
     /// Configuration in force: routes and services; `None` before the first configuration.
@@ -245,46 +245,14 @@
             actions.push(Action::refuse_without_prediction(key, reason, retry_after));
             return;
         };
-        let Some(route) = table.find(&request.host, &request.path).cloned() else {
-            actions.push(Action::Fail { key, reason: Reason::NoRoute });
-            return;
-        };
-        if request.id.is_empty() {
-            actions.push(Action::Fail { key, reason: Reason::NoId });
-            return;
-        }
-        let account = match account_of(table, &route, request.credentials) {
-            Ok(account) => account,
+        let state = match new_state(table, now, request) {
+            Ok(state) => state,
             Err(reason) => {
                 actions.push(Action::Fail { key, reason });
                 return;
             }
         };
-        let has_accounts = table.accounts().is_some();
-        let service = route.backends.pick(request.first_attempt()).clone();
-        let client_timeout = request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
-        let deadline = now + client_timeout.min(route.timeout);
-        self.budget(&service).record_request(now);
-        let state = RequestState {
-            request,
-            route,
-            account,
-            has_accounts,
-            service,
-            arrived: now,
-            deadline,
-            counted_attempts: 0,
-            unsent_attempts: 0,
-            tried: Vec::new(),
-            in_flight: None,
-            may_have_run: false,
-            kv_handle: None,
-            prefill_tried: false,
-            has_error_response: false,
-            trial_of: None,
-            first_output_at: None,
-            stream_version: None,
-        };
+        self.budget(&state.service.clone()).record_request(now);
         self.fairness.record_arrival(&state);
         self.requests.insert(key, state);
         if self.refuse_unknown_origin(now, key, actions) {
@@ -293,6 +261,11 @@
         self.place(now, key, Reason::NoEndpoint, actions);
     }
 
+    /// Returns the state of a request that arrives now; `None` if it has no route or isn't accepted for its key.
+    pub(crate) fn state_of(&self, now: Time, request: RequestInfo) -> Option<RequestState> {
+        new_state(self.table.as_ref()?, now, request).ok()
+    }
+
     pub(crate) fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let DispatchSettings { retry_ratio, retry_slack, retry_window, .. } = self.settings;
         let new_budget = || RetryBudget::new(retry_ratio, retry_slack, retry_window);
@@ -426,6 +399,42 @@
     }
 }
 
+/// Returns the state of a request that arrives under this configuration.
+///
+/// # Errors
+///
+/// The request has no route, no id or no key of an account.
+fn new_state(table: &RouteTable, now: Time, request: RequestInfo) -> Result<RequestState, Reason> {
+    let route = table.find(&request.host, &request.path).cloned().ok_or(Reason::NoRoute)?;
+    if request.id.is_empty() {
+        return Err(Reason::NoId);
+    }
+    let account = account_of(table, &route, request.credentials)?;
+    let service = route.backends.pick(request.first_attempt()).clone();
+    let client_timeout = request.client_timeout.unwrap_or(Dispatcher::DEFAULT_CLIENT_TIMEOUT);
+    let deadline = now + client_timeout.min(route.timeout);
+    Ok(RequestState {
+        request,
+        route,
+        account,
+        has_accounts: table.accounts().is_some(),
+        service,
+        arrived: now,
+        deadline,
+        counted_attempts: 0,
+        unsent_attempts: 0,
+        tried: Vec::new(),
+        in_flight: None,
+        may_have_run: false,
+        kv_handle: None,
+        prefill_tried: false,
+        has_error_response: false,
+        trial_of: None,
+        first_output_at: None,
+        stream_version: None,
+    })
+}
+
 /// Returns the client account of a request; `None` if the deployment has no accounts, or for a public route without a
 /// known key.
 ///
--- a/crates/daisychute-dispatch/src/core/fairness.rs
+++ b/crates/daisychute-dispatch/src/core/fairness.rs
@@ -23,7 +23,7 @@
 const OVER_SHARE_OBJECTIVE_RATIO: f64 = 0.6;
 
 /// Which tenants get more than their share of a service, and which services are short of room.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Fairness {
     shares: FairShare<ServiceName>,
     contended_until: FxHashMap<ServiceName, Time>,
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod crash_records;
 pub(crate) mod quarantine;
 pub(crate) mod placement;
+pub(crate) mod preview;
 pub(crate) mod reason;
 pub(crate) mod request_info;
 pub(crate) mod request_state;
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -10,7 +10,10 @@
 use crate::core::request_state::{InFlightAttempt, RequestState};
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::selection::{Candidate, SelectionQuery, cache_holders, select};
-use crate::{Action, Dispatcher, EngineStage, Reason, RequestKey, SendDecision, ServiceSpec, Task};
+use crate::{
+    Action, Dispatcher, EngineSpec, EngineStage, Reason, RequestKey, SendDecision, ServiceSpec,
+    Task,
+};
 
 /// Share of an endpoint's connections that the known fronts use; the rest is for fronts that aren't known yet.
 const CONNECTION_SHARE: f64 = 0.7;
@@ -164,18 +167,7 @@
         self.cost_models.entry(service).or_insert_with(ServiceCostModel::new);
         let state = self.requests.get(&key)?;
         let model = &self.cost_models[&state.service];
-        let query = SelectionQuery {
-            service: &state.service,
-            engine: engine.as_ref(),
-            stage: None,
-            prompt: state.request.prompt.as_ref(),
-            source: None,
-            priority: state.priority(),
-            version: state.stream_version.as_ref(),
-            tried: &state.tried,
-            local_data_centre: self.settings.data_centre.as_ref(),
-            seed: xxh3_64(state.request.id.as_bytes()),
-        };
+        let query = self.selection_query(state, engine.as_ref());
         let cache_holders = match &state.kv_handle {
             // The KV cache of the whole prompt is fetched; cached parts don't matter.
             Some(_) => Vec::new(),
@@ -229,6 +221,26 @@
         }
     }
 
+    /// Returns the query for endpoints of any stage that prefill the prompt themselves.
+    pub(crate) fn selection_query<'a>(
+        &'a self,
+        state: &'a RequestState,
+        engine: Option<&'a EngineSpec>,
+    ) -> SelectionQuery<'a> {
+        SelectionQuery {
+            service: &state.service,
+            engine,
+            stage: None,
+            prompt: state.request.prompt.as_ref(),
+            source: None,
+            priority: state.priority(),
+            version: state.stream_version.as_ref(),
+            tried: &state.tried,
+            local_data_centre: self.settings.data_centre.as_ref(),
+            seed: xxh3_64(state.request.id.as_bytes()),
+        }
+    }
+
     fn send(
         &mut self,
         now: Time,
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -49,7 +49,7 @@
 }
 
 /// State of a request from its arrival to its final response, over all send attempts.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct RequestState {
     pub(crate) request: RequestInfo,
     pub(crate) route: Arc<Route>,
--- a/crates/daisychute-dispatch/src/core/stream_origins.rs
+++ b/crates/daisychute-dispatch/src/core/stream_origins.rs
@@ -30,14 +30,14 @@
     }
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Entry {
     version: Option<SoftwareVersion>,
     expires_at: Time,
 }
 
 /// The origins of the streams that clients may still resume, at this front and others.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct StreamOrigins {
     entries: FxHashMap<u64, Entry>,
     /// Keys of `entries` in the order in which they were recorded first.
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -47,7 +47,7 @@
 }
 
 /// All known endpoints. Keys are never reused.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Fleet {
     next: u32,
     tracked: BTreeMap<EndpointKey, TrackedEndpoint>,
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -217,7 +217,7 @@
 }
 
 /// Predicts the time to the first output if the request is sent to this endpoint.
-fn predict(
+pub(crate) fn predict(
     now: Time,
     model: &ServiceCostModel,
     endpoint: (EndpointKey, &TrackedEndpoint),
--- a/crates/daisychute-dispatch/src/fleet/version_history.rs
+++ b/crates/daisychute-dispatch/src/fleet/version_history.rs
@@ -11,7 +11,7 @@
 type Version = Option<SoftwareVersion>;
 
 /// The versions of one service.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct ServiceHistory {
     first_seen_at: Time,
     /// When an endpoint of each version was last listed or removed.
@@ -19,7 +19,7 @@
 }
 
 /// When endpoints of each version were known. Endpoints in the fleet count as known at any later time.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct VersionHistory {
     services: FxHashMap<ServiceName, ServiceHistory>,
 }
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::StatusCode;
+use actix_http::{RequestHead, StatusCode};
 use daisychute_dispatch::{DispatchSettings, Event};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
@@ -18,6 +18,7 @@
 use crate::live_settings;
 use crate::peers::{heartbeats, snapshots};
 use crate::plain_server;
+use crate::preview;
 use crate::readiness;
 use crate::state::FrontState;
 use crate::{CapacityLimits, Collection, Dialect, Directory, LiveSettings};
@@ -122,9 +123,14 @@
         }
         let accept_task = actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener));
         actix_rt::spawn(readiness::serve(Rc::clone(&state), readiness_listener));
-        let render = move |path: &str| match path {
-            METRICS_PATH => (StatusCode::OK, metrics()),
-            _ => (StatusCode::NOT_FOUND, String::new()),
+        let render = {
+            let state = Rc::clone(&state);
+            move |head: &RequestHead| match head.uri.path() {
+                METRICS_PATH => (StatusCode::OK, metrics()),
+                _ => {
+                    preview::respond(&state, head).unwrap_or((StatusCode::NOT_FOUND, String::new()))
+                }
+            }
         };
         actix_rt::spawn(plain_server::serve(state.http.clone(), metrics_listener, render));
         actix_rt::spawn(sweep(Rc::clone(&state)));
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -17,6 +17,7 @@
 mod live_settings;
 mod peers;
 mod plain_server;
+mod preview;
 mod readiness;
 mod state;
 mod shutdown;
--- a/crates/daisychute-front/src/plain_server.rs
+++ b/crates/daisychute-front/src/plain_server.rs
@@ -1,11 +1,11 @@
-//! A small HTTP server for the platform's requests: readiness and metrics.
+//! A small HTTP server for the platform's and operators' requests: readiness, metrics and previews.
 
 use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
-use actix_http::{Response, ServiceConfig, StatusCode};
+use actix_http::{RequestHead, Response, ServiceConfig, StatusCode};
 use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -19,11 +19,11 @@
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Responds to every request by its path, for the life of the process.
+/// Responds to every request by its head, for the life of the process.
 pub(crate) async fn serve(
     http: ServiceConfig,
     listener: TcpListener,
-    respond: impl Fn(&str) -> (StatusCode, String) + Clone + 'static,
+    respond: impl Fn(&RequestHead) -> (StatusCode, String) + Clone + 'static,
 ) {
     loop {
         match listener.accept().await {
@@ -45,7 +45,7 @@
 async fn serve_connection(
     http: &ServiceConfig,
     mut stream: TcpStream,
-    respond: impl Fn(&str) -> (StatusCode, String),
+    respond: impl Fn(&RequestHead) -> (StatusCode, String),
 ) -> std::io::Result<()> {
     let mut codec = Codec::new(http.clone());
     let mut buf = BytesMut::new();
@@ -61,7 +61,7 @@
             }
             continue;
         };
-        let (status, body) = respond(req.path());
+        let (status, body) = respond(req.head());
         let mut res = Response::with_body(status, ());
         res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         let mut out = BytesMut::new();
--- a/crates/daisychute-front/src/readiness.rs
+++ b/crates/daisychute-front/src/readiness.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use actix_http::StatusCode;
+use actix_http::{RequestHead, StatusCode};
 use tokio::net::TcpListener;
 
 use crate::Dialect;
@@ -12,8 +12,8 @@
 /// Serves readiness checks for the life of the process.
 pub(crate) async fn serve<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
     let http = state.http.clone();
-    let respond = move |path: &str| {
-        let is_readiness_path = path == state.dialect.readiness_path();
+    let respond = move |head: &RequestHead| {
+        let is_readiness_path = head.uri.path() == state.dialect.readiness_path();
         let status = match (is_readiness_path, state.is_ready()) {
             (true, true) => StatusCode::OK,
             (true, false) => StatusCode::SERVICE_UNAVAILABLE,
