test(dispatch): replay fronts that choose by old load information

The simulation gets fleets of any size, heartbeats that travel for some time with a jitter of a quarter, engines that are slow in turn, fronts whose heartbeats are lost, and measurements of how evenly the engines are loaded. Heartbeats are at most 400 ms apart, as in the product.

--- a/crates/daisychute-dispatch/tests/simulation/mod.rs
+++ b/crates/daisychute-dispatch/tests/simulation/mod.rs
@@ -6,14 +6,16 @@
 //! switched off.
 #![allow(dead_code)]
 
+pub(crate) mod replay;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, Time};
 use daisychute_dispatch::{
-    Action, DispatchSettings, Dispatcher, EndpointKey, Event, FrontPosition, Prompt, PromptPart,
-    RequestInfo, RequestKey, SendDecision, SendFailure, Task,
+    Action, DispatchSettings, Dispatcher, Endpoint, EndpointKey, EngineStage, Event, FrontPosition,
+    PeerLoad, Prompt, PromptPart, RequestInfo, RequestKey, SendDecision, SendFailure, Task,
 };
 
 use crate::common;
@@ -22,6 +24,10 @@
 const MIN_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
 /// Heartbeat interval per other front, if that is more than the minimum.
 const HEARTBEAT_INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
+/// Maximum interval between two heartbeats of a front.
+const MAX_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between two measurements of how evenly the engines are loaded.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from the end of a prefill to the first output.
 const OUTPUT_LATENCY: Duration = Duration::from_millis(80);
 /// Time to the first output if the KV cache is fetched.
@@ -47,6 +53,41 @@
     End { front: usize, key: u64 },
     Refused { front: usize, key: u64, endpoint: EndpointKey, pause: Duration },
     Heartbeat { front: usize },
+    HeartbeatArrived { from: usize, number: u64 },
+    Sample,
+}
+
+impl SimEvent {
+    /// Whether the event recurs for as long as there are others.
+    const fn recurs(&self) -> bool {
+        matches!(self, Self::Heartbeat { .. } | Self::HeartbeatArrived { .. } | Self::Sample)
+    }
+}
+
+/// Content of a heartbeat that hasn't arrived yet.
+type HeartbeatContent = (Vec<(EndpointName, PeerLoad)>, Vec<(EndpointName, PromptPart)>);
+
+/// Evenness of the load of the engines of one stage, measured at regular intervals.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Evenness {
+    /// Number of measurements at which any prompt waited for another one.
+    pub(crate) busy_samples: usize,
+    /// Sum of the ratios of the largest to the mean backlog over these.
+    pub(crate) sum_of_ratios: f64,
+    /// Sum of the shares of the engines that had no prompt.
+    pub(crate) sum_of_idle: f64,
+}
+
+impl Evenness {
+    /// Returns the mean ratio of the largest to the mean backlog.
+    pub(crate) fn ratio(&self) -> f64 {
+        self.sum_of_ratios / self.busy_samples.max(1) as f64
+    }
+
+    /// Returns the mean share of the engines that were idle while prompts waited.
+    pub(crate) fn idle(&self) -> f64 {
+        self.sum_of_idle / self.busy_samples.max(1) as f64
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -60,6 +101,8 @@
 
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Engine {
+    // Position in the fleet.
+    number: usize,
     // The first one is being prefilled.
     jobs: VecDeque<Job>,
     // Least recently used first.
@@ -114,10 +157,33 @@
     // Fronts whose dispatcher requested a heartbeat.
     heartbeat_requested: Vec<bool>,
     last_heartbeat: Vec<Time>,
+    fleet: Vec<Endpoint>,
+    settings: DispatchSettings,
+    /// Time for which a heartbeat travels, with a jitter of a quarter.
+    pub(crate) heartbeat_age: Duration,
+    // Heartbeats that haven't arrived, by their number, and when the latest of each front arrives.
+    travelling: HashMap<u64, HeartbeatContent>,
+    last_arrival: Vec<Time>,
+    /// Time after which the next quarter of the engines takes twice as long for everything; `None` if none does.
+    pub(crate) slow_in_turn: Option<Duration>,
+    /// Fronts whose heartbeats are lost from the given time on.
+    pub(crate) silent: Vec<(usize, Time)>,
+    /// Evenness of the engines that prefill only, and of those that also generate.
+    pub(crate) evenness: [Evenness; 2],
 }
 
 impl Simulation {
     pub(crate) fn new(fronts: usize, heartbeats: bool) -> Self {
+        Self::with_fleet(fronts, heartbeats, common::fleet(), DispatchSettings::default())
+    }
+
+    /// Creates a simulation of fronts with these settings before these endpoints.
+    pub(crate) fn with_fleet(
+        fronts: usize,
+        heartbeats: bool,
+        fleet: Vec<Endpoint>,
+        settings: DispatchSettings,
+    ) -> Self {
         let mut sim = Self {
             observations: Vec::new(),
             fronts: Vec::new(),
@@ -138,12 +204,21 @@
             urgent_heartbeats: true,
             heartbeat_requested: vec![false; fronts],
             last_heartbeat: vec![Time::ZERO; fronts],
+            fleet,
+            settings,
+            heartbeat_age: Duration::ZERO,
+            travelling: HashMap::new(),
+            last_arrival: vec![Time::ZERO; fronts],
+            slow_in_turn: None,
+            silent: Vec::new(),
+            evenness: [Evenness::default(); 2],
         };
-        for endpoint in common::fleet() {
-            sim.engines.insert(endpoint.name, Engine { slowdown: 1.0, ..Engine::default() });
+        for (number, endpoint) in sim.fleet.iter().enumerate() {
+            let engine = Engine { number, slowdown: 1.0, ..Engine::default() };
+            sim.engines.insert(endpoint.name.clone(), engine);
         }
         for number in 0..fronts {
-            sim.fronts.push(Dispatcher::new(DispatchSettings::default()));
+            sim.fronts.push(Dispatcher::new(sim.settings.clone()));
             sim.start(number);
         }
         sim
@@ -151,13 +226,13 @@
 
     /// Starts or restarts a front, with an empty state.
     fn start(&mut self, front: usize) {
-        self.fronts[front] = Dispatcher::new(DispatchSettings::default());
+        self.fronts[front] = Dispatcher::new(self.settings.clone());
         self.handle_event(front, Event::Configured(common::table(1)));
         self.handle_event(
             front,
             Event::FrontsCounted(FrontPosition::new(self.fronts.len(), front)),
         );
-        for endpoint in common::fleet() {
+        for endpoint in self.fleet.clone() {
             self.handle_event(front, Event::EndpointUpserted(endpoint));
         }
     }
@@ -192,6 +267,7 @@
                 + self.heartbeat_interval().mul_f64((front + 1) as f64 / self.fronts.len() as f64);
             self.push(at, SimEvent::Heartbeat { front });
         }
+        self.push(self.now + SAMPLE_INTERVAL, SimEvent::Sample);
         while let Some(Reverse((at, _, event))) = self.queue.pop() {
             self.now = at;
             match event {
@@ -219,6 +295,8 @@
                     self.handle_event(front, Event::SendFailed { key, failure });
                 }
                 SimEvent::Heartbeat { front } => self.heartbeat(front),
+                SimEvent::HeartbeatArrived { from, number } => self.heartbeat_arrived(from, number),
+                SimEvent::Sample => self.sample(),
             }
         }
     }
@@ -320,9 +398,8 @@
     fn start_chunk(&mut self, name: &EndpointName) {
         let engine = &self.engines[name];
         let Some(job) = engine.jobs.front() else { return };
-        let ms_per_token =
-            if job.prefill_only { DEDICATED_MS_PER_TOKEN } else { MIXED_MS_PER_TOKEN };
-        let ms = job.uncached.min(CHUNK_TOKENS) as f64 * ms_per_token * engine.slowdown;
+        let slowdown = engine.slowdown * self.slowdown_in_turn(engine);
+        let ms = job.uncached.min(CHUNK_TOKENS) as f64 * job.ms_per_token() * slowdown;
         let at = self.now + Duration::from_secs_f64(ms / 1e3);
         self.push(at, SimEvent::ChunkDone { engine: name.clone() });
     }
@@ -357,14 +434,14 @@
     }
 
     fn cached_at(&self, address: std::net::SocketAddr) -> Option<Vec<PromptPart>> {
-        let fleet = common::fleet();
-        let endpoint = fleet.iter().find(|it| it.address == address)?;
+        let endpoint = self.fleet.iter().find(|it| it.address == address)?;
         Some(self.engines[&endpoint.name].cached.clone())
     }
 
     /// Returns the interval between two heartbeats of a front, unless one is requested.
     fn heartbeat_interval(&self) -> Duration {
-        MIN_HEARTBEAT_INTERVAL.max(HEARTBEAT_INTERVAL_PER_PEER * (self.fronts.len() as u32 - 1))
+        let interval = HEARTBEAT_INTERVAL_PER_PEER * (self.fronts.len() as u32 - 1);
+        interval.clamp(MIN_HEARTBEAT_INTERVAL, MAX_HEARTBEAT_INTERVAL)
     }
 
     /// Sends a heartbeat if one is due, and schedules the next check.
@@ -375,7 +452,7 @@
         {
             self.send_heartbeat(from);
         }
-        if self.queue.iter().any(|it| !matches!(it.0.2, SimEvent::Heartbeat { .. })) {
+        if self.has_work() {
             self.push(self.now + MIN_HEARTBEAT_INTERVAL / 8, SimEvent::Heartbeat { front: from });
         }
     }
@@ -390,12 +467,61 @@
         let loads = self.fronts[from].fleet().own_load(now);
         let loads: Vec<_> = loads.map(|(name, it)| (name.clone(), it)).collect();
         let parts = std::mem::take(&mut self.parts[from]);
+        if self.silent.iter().any(|(front, since)| *front == from && *since <= now) {
+            return;
+        }
+        let number = self.sequence;
+        self.travelling.insert(number, (loads, parts));
+        if self.heartbeat_age.is_zero() {
+            return self.heartbeat_arrived(from, number);
+        }
+        let jitter = (number.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 40) as f64 / (1 << 24) as f64;
+        let at = now + self.heartbeat_age.mul_f64(0.875 + jitter / 4.0);
+        self.last_arrival[from] = self.last_arrival[from].max(at);
+        self.push(self.last_arrival[from], SimEvent::HeartbeatArrived { from, number });
+    }
+
+    fn heartbeat_arrived(&mut self, from: usize, number: u64) {
+        let (loads, parts) = self.travelling.remove(&number).expect("the heartbeat was sent");
         for to in (0..self.fronts.len()).filter(|it| *it != from) {
             let (loads, parts) = (loads.clone(), parts.clone());
             self.handle_event(to, Event::PeerHeartbeat { peer: from as u64, loads, parts });
         }
     }
 
+    /// Whether anything is left to do, apart from events that recur.
+    fn has_work(&self) -> bool {
+        self.queue.iter().any(|it| !it.0.2.recurs())
+    }
+
+    /// Returns the factor by which an engine is slower in its turn.
+    fn slowdown_in_turn(&self, engine: &Engine) -> f64 {
+        let Some(period) = self.slow_in_turn else { return 1.0 };
+        let turn = self.now.as_micros() as usize / period.as_micros() as usize;
+        if engine.number % 4 == turn % 4 { 2.0 } else { 1.0 }
+    }
+
+    /// Measures how evenly the engines are loaded, and schedules the next measurement.
+    fn sample(&mut self) {
+        let stages = [EngineStage::Prefill, EngineStage::Decode];
+        for (evenness, stage) in self.evenness.iter_mut().zip(stages) {
+            let of_stage = self.fleet.iter().filter(|it| it.stage == Some(stage));
+            let engines: Vec<_> = of_stage.map(|it| &self.engines[&it.name]).collect();
+            if engines.iter().all(|it| it.jobs.len() < 2) {
+                continue;
+            }
+            let backlog: Vec<_> = engines.iter().map(|it| it.backlog_ms()).collect();
+            let mean = backlog.iter().sum::<f64>() / backlog.len() as f64;
+            let idle = engines.iter().filter(|it| it.jobs.is_empty()).count();
+            evenness.busy_samples += 1;
+            evenness.sum_of_ratios += backlog.iter().copied().fold(0.0, f64::max) / mean;
+            evenness.sum_of_idle += idle as f64 / engines.len() as f64;
+        }
+        if self.has_work() {
+            self.push(self.now + SAMPLE_INTERVAL, SimEvent::Sample);
+        }
+    }
+
     /// Returns the share of the requests on a path whose first output came within `objective`.
     pub(crate) fn on_time(&self, path: &str, objective: Duration) -> f64 {
         let on_path = |number: &usize| self.requests[*number].2.path.starts_with(path);
@@ -415,7 +541,18 @@
     }
 }
 
+impl Job {
+    const fn ms_per_token(&self) -> f64 {
+        if self.prefill_only { DEDICATED_MS_PER_TOKEN } else { MIXED_MS_PER_TOKEN }
+    }
+}
+
 impl Engine {
+    /// Returns the time to prefill all prompts at usual speed, in ms.
+    fn backlog_ms(&self) -> f64 {
+        self.jobs.iter().map(|it| it.uncached as f64 * it.ms_per_token()).sum()
+    }
+
     /// Adds a prompt to the cache. Returns the tokens that neither the cache nor the fetched parts contain.
     fn add_prompt(&mut self, prompt: &Prompt, fetched: &[PromptPart]) -> u64 {
         let mut uncached = u64::from(prompt.tokens);
