feat(dispatch): weigh ways to spread load by old load information

Own sends are counted at once already; in addition:

- peer sends: prefill work that the other fronts are expected to have sent since their heartbeats (own rate times the number of others times the age) fills the cheapest engines to a level; engines are chosen in proportion to what is missing to it (Dahlin 2000).
With drain, reported work older than the time to do it counts as done.
- adaptive: the same, where the age isn't known but follows from how much later than predicted outputs came.
- softmin with a width that grows with the age; a subset by rendezvous hash of front and engine plus two holders; the best of two random engines; noise or level as wide as the prediction errors.

--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -172,6 +172,7 @@
             tried: &state.tried,
             local_data_centre: self.settings.data_centre.as_ref(),
             seed: xxh3_64(state.request.id.as_bytes()),
+            balance: self.balance(now, model),
         };
         let cache_holders = match &state.kv_handle {
             // The KV cache of the whole prompt is fetched; cached parts don't matter.
@@ -276,6 +277,10 @@
             actions.push(Action::SendHeartbeat);
         }
         tracked.in_flight.add(now, key, state.priority(), tokens, prefill_time);
+        if let Some(model) = self.cost_models.get_mut(&state.service) {
+            let kind = usize::from(task != Task::Prefill);
+            model.work_rate[kind].add(now, candidate.prefill_ms);
+        }
         tracked.notice.record_send(now);
         if let Some(prompt) = &state.request.prompt {
             tracked.prefix_cache.record(now, &prompt.parts, capacity);
--- a/crates/daisychute-dispatch/src/fleet/cost_model.rs
+++ b/crates/daisychute-dispatch/src/fleet/cost_model.rs
@@ -85,6 +85,8 @@
     combined: PrefillTime,
     /// Time that a request occupies its slot, in ms.
     slot_ms: RobustMean,
+    pub(crate) work_rate: [crate::fleet::balance::WorkRate; 2],
+    pub(crate) errors: [crate::fleet::balance::Errors; 2],
 }
 
 impl ServiceCostModel {
@@ -102,6 +104,8 @@
             dedicated: PrefillTime::new(Self::DEDICATED_PRIOR, Self::LATENCY_PRIOR_MS),
             combined: PrefillTime::new(Self::COMBINED_PRIOR, Self::LATENCY_PRIOR_MS),
             slot_ms: RobustMean::new(Self::SLOT_PRIOR_MS),
+            work_rate: Default::default(),
+            errors: Default::default(),
         }
     }
 
@@ -123,6 +127,9 @@
         took: Duration,
     ) {
         self.prefill_time_mut(engine).delay.learn(now, predicted, took);
+        let kind = usize::from(engine == PrefillEngine::Combined);
+        let error = took.as_secs_f64() * 1e3 - predicted.as_secs_f64() * 1e3;
+        self.errors[kind].add(now, error);
     }
 
     /// Learns how long a prompt waited, where `predicted` was expected without the wait factor.
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -180,7 +180,27 @@
     ///
     /// The first output arrives `latency` after the end of its prefill. Up to that much work on the prompts without an
     /// output is therefore done already, and is deducted once for all fronts.
-    pub(crate) fn backlog(&self, now: Time, latency: Duration) -> Backlog {
+    pub(crate) fn backlog(&self, now: Time, latency: Duration, drain: Option<Duration>) -> Backlog {
+        if let Some(transit) = drain {
+            let loads = self.peer_loads.values().filter(|it| now.since(it.0) < Self::PEER_TTL);
+            let mut total = 0.0;
+            let mut age = 0.0;
+            let mut sum = Backlog::default();
+            let mut oldest = Duration::ZERO;
+            for (at, load) in loads {
+                let ms = load.pending_prefill.total().as_secs_f64();
+                total += ms;
+                age += ms * (now.since(*at) + transit).as_secs_f64();
+                sum += load.pending_prefill;
+                oldest = oldest.max(load.oldest_pending + now.since(*at) + transit);
+            }
+            let age =
+                if total > 0.0 { Duration::from_secs_f64(age / total) } else { Duration::ZERO };
+            let prefilling = oldest.max(self.in_flight.oldest_pending(now)).min(latency);
+            let own = self.in_flight.pending_prefill();
+            return (sum.remaining_after(age.max(prefilling)))
+                + own.remaining_after(self.in_flight.oldest_pending(now).min(latency));
+        }
         let other_fronts: Backlog = self.fresh_peer_loads(now).map(|it| it.pending_prefill).sum();
         let oldest_pending =
             self.fresh_peer_loads(now).map(|it| it.oldest_pending).max().unwrap_or_default();
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod availability;
 pub(crate) mod backlog;
+pub(crate) mod balance;
 pub(crate) mod budget;
 pub(crate) mod endpoint;
 pub(crate) mod cost_model;
@@ -60,7 +61,7 @@
     // Incarnations that aren't in `tracked`, with what they announced: a directory that is behind may list them again.
     former: BTreeMap<EndpointKey, (Incarnation, Notice)>,
     // Place of this front among those that share the endpoints.
-    position: FrontPosition,
+    pub(crate) position: FrontPosition,
 }
 
 /// Maximum number of incarnations that are remembered after their removal.
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -5,6 +5,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::availability::Availability;
+use crate::fleet::balance::Balance;
 use crate::fleet::cost_model::{PrefillEngine, PrefillWork, ServiceCostModel};
 use crate::fleet::endpoint::TrackedEndpoint;
 use crate::{EndpointKey, EngineSpec, EngineStage, Prompt};
@@ -32,6 +33,8 @@
     pub(crate) local_data_centre: Option<&'a DataCentreName>,
     /// Hash of the request id, for the choice between endpoints of equal cost.
     pub(crate) seed: u64,
+    /// How the request is spread over endpoints of similar cost.
+    pub(crate) balance: Balance,
 }
 
 /// An endpoint that may take the request, with its predicted cost.
@@ -114,6 +117,7 @@
             )
         })
         .collect();
+    let predictions = query.balance.narrow(predictions, query);
     let lowest = predictions.iter().map(|(_, it)| it.predicted_ms).fold(f64::INFINITY, f64::min);
     let tied = predictions.into_iter().filter(|(_, it)| it.predicted_ms <= lowest + TIE_MS);
     tied.max_by_key(|(hash, _)| *hash).map(|(_, candidate)| candidate)
@@ -231,7 +235,8 @@
     };
     let (prefill_work, fetch_from, prefill_ms) =
         prefill_work(model, engine, endpoint, query, cache_holders);
-    let backlog = tracked.backlog(now, model.latency(engine));
+    let drain = query.balance.age(usize::from(engine == PrefillEngine::Combined));
+    let backlog = tracked.backlog(now, model.latency(engine), drain);
     let idle = backlog.is_empty();
     // Dedicated prefill engines process prompts in the order of arrival.
     let prefill_wait = match engine {
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -42,6 +42,7 @@
 pub use crate::core::request_info::{Fingerprint, RequestInfo, RequestKey, Resumption};
 pub use crate::core::stream_origins::StreamOrigin;
 pub use crate::fleet::backlog::Backlog;
+pub use crate::fleet::balance::{BalanceSettings, BalanceStrategy};
 pub use crate::fleet::budget::RetryBudget;
 pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage};
 pub use crate::fleet::front_position::FrontPosition;
--- a/crates/daisychute-dispatch/src/settings.rs
+++ b/crates/daisychute-dispatch/src/settings.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::DataCentreName;
 
-use crate::Dispatcher;
+use crate::{BalanceSettings, Dispatcher};
 
 /// Settings of a dispatcher. The retry settings are the same in all fronts, which share one retry budget per service.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,6 +17,8 @@
     pub retry_window: Duration,
     /// Retries allowed per service and window in addition to the ratio, for all fronts together.
     pub retry_slack: f64,
+    /// How requests are spread over endpoints while load information is old.
+    pub balance: BalanceSettings,
 }
 
 impl Default for DispatchSettings {
@@ -26,6 +28,7 @@
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
+            balance: BalanceSettings::default(),
         }
     }
 }
