feat(dispatch): spread prompts by the sends that heartbeats haven't reported

With `max-heartbeat-delay` in section `[balance]`, reported work counts as done if it takes less time than has passed since, and the prefill work that the other fronts have probably sent meanwhile (own rate times their number) fills the cheapest engines to one level; a request goes to an engine in proportion to what is missing to it (Dahlin 2000). The time that heartbeats take isn't known: it follows from the delays of first outputs, up to the setting. The random number is a hash of the request id. Off by default; nothing more is sent or asked. The strategies that were weighed are removed.

The histogram `daisychute_wait_spread_seconds` shows how unevenly a front sees the engines loaded.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -64,6 +64,9 @@
     pub cost: Duration,
     /// Part of `cost` for which the request waits for other requests.
     pub wait: Duration,
+    /// Difference between the largest and the smallest predicted wait at the endpoints that could have taken the
+    /// request.
+    pub wait_spread: Duration,
     /// Prompt tokens that the endpoint must prefill, since they aren't in its prefix cache; 0 without a prompt.
     pub uncached_tokens: u32,
     /// Engine from which cached parts of the prompt are fetched before the prefill; `None` if nothing is fetched.
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -66,6 +66,14 @@
     }
 }
 
+/// Returns the kind of engine that runs a task.
+const fn prefill_engine(task: &Task) -> PrefillEngine {
+    match task {
+        Task::Prefill => PrefillEngine::Dedicated,
+        Task::Run | Task::Decode { .. } => PrefillEngine::Combined,
+    }
+}
+
 /// Converts a prediction in ms; negative ones count as zero.
 fn from_ms(ms: f64) -> Duration {
     Duration::from_secs_f64(ms.max(0.0) / 1e3)
@@ -146,11 +154,8 @@
 
     /// Returns which share of the predicted waits requests with this task really waited lately.
     fn wait_factor(&self, state: &RequestState, task: &Task) -> f64 {
-        let engine = match task {
-            Task::Prefill => PrefillEngine::Dedicated,
-            Task::Run | Task::Decode { .. } => PrefillEngine::Combined,
-        };
-        self.cost_models.get(&state.service).map_or(1.0, |it| it.wait_factor(engine))
+        let model = self.cost_models.get(&state.service);
+        model.map_or(1.0, |it| it.wait_factor(prefill_engine(task)))
     }
 
     /// Compares, by cost, prefill and decode on one engine with prefill on a dedicated engine.
@@ -172,7 +177,7 @@
             tried: &state.tried,
             local_data_centre: self.settings.data_centre.as_ref(),
             seed: xxh3_64(state.request.id.as_bytes()),
-            balance: self.balance(now, model),
+            max_heartbeat_delay: self.settings.max_heartbeat_delay,
         };
         let cache_holders = match &state.kv_handle {
             // The KV cache of the whole prompt is fetched; cached parts don't matter.
@@ -263,6 +268,7 @@
                 previous_attempts: state.counted_attempts,
                 cost: from_ms(cost_ms),
                 wait,
+                wait_spread: from_ms(candidate.wait_spread_ms),
                 uncached_tokens: candidate.prefill_work.uncached,
                 fetch_from,
                 max_output: state.request.prompt.as_ref().map(|it| it.max_output),
@@ -278,8 +284,7 @@
         }
         tracked.in_flight.add(now, key, state.priority(), tokens, prefill_time);
         if let Some(model) = self.cost_models.get_mut(&state.service) {
-            let kind = usize::from(task != Task::Prefill);
-            model.work_rate[kind].add(now, candidate.prefill_ms);
+            model.record_work(now, prefill_engine(&task), candidate.prefill_ms);
         }
         tracked.notice.record_send(now);
         if let Some(prompt) = &state.request.prompt {
--- a/crates/daisychute-dispatch/src/fleet/cost_model.rs
+++ b/crates/daisychute-dispatch/src/fleet/cost_model.rs
@@ -5,7 +5,7 @@
 use daisychute_core::Time;
 use daisychute_policy::cost::{LeastSquares, RobustMean};
 
-use crate::{RecentDelay, WaitFactor};
+use crate::{RecentDelay, WaitFactor, WorkRate};
 
 /// Kind of engine that prefills a prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -44,6 +44,8 @@
     delay: RecentDelay,
     /// Which share of the predicted waits prompts really waited.
     wait_factor: WaitFactor,
+    /// Work that this front sends.
+    work_rate: WorkRate,
 }
 
 impl PrefillTime {
@@ -58,6 +60,7 @@
             latency: RobustMean::new(latency_ms),
             delay: RecentDelay::default(),
             wait_factor: WaitFactor::default(),
+            work_rate: WorkRate::default(),
         }
     }
 
@@ -85,8 +88,6 @@
     combined: PrefillTime,
     /// Time that a request occupies its slot, in ms.
     slot_ms: RobustMean,
-    pub(crate) work_rate: [crate::fleet::balance::WorkRate; 2],
-    pub(crate) errors: [crate::fleet::balance::Errors; 2],
 }
 
 impl ServiceCostModel {
@@ -104,8 +105,6 @@
             dedicated: PrefillTime::new(Self::DEDICATED_PRIOR, Self::LATENCY_PRIOR_MS),
             combined: PrefillTime::new(Self::COMBINED_PRIOR, Self::LATENCY_PRIOR_MS),
             slot_ms: RobustMean::new(Self::SLOT_PRIOR_MS),
-            work_rate: Default::default(),
-            errors: Default::default(),
         }
     }
 
@@ -127,9 +126,6 @@
         took: Duration,
     ) {
         self.prefill_time_mut(engine).delay.learn(now, predicted, took);
-        let kind = usize::from(engine == PrefillEngine::Combined);
-        let error = took.as_secs_f64() * 1e3 - predicted.as_secs_f64() * 1e3;
-        self.errors[kind].add(now, error);
     }
 
     /// Learns how long a prompt waited, where `predicted` was expected without the wait factor.
@@ -152,6 +148,16 @@
         self.prefill_time(engine).delay.ms(now)
     }
 
+    /// Counts a prompt that was sent and takes its engine so many ms.
+    pub(crate) fn record_work(&mut self, now: Time, engine: PrefillEngine, ms: f64) {
+        self.prefill_time_mut(engine).work_rate.add(now, ms);
+    }
+
+    /// Returns the rate at which this front sends prefill work, in ms per ms.
+    pub(crate) fn work_rate(&self, now: Time, engine: PrefillEngine) -> f64 {
+        self.prefill_time(engine).work_rate.get(now)
+    }
+
     const fn prefill_time_mut(&mut self, engine: PrefillEngine) -> &mut PrefillTime {
         match engine {
             PrefillEngine::Dedicated => &mut self.dedicated,
--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -180,32 +180,34 @@
     ///
     /// The first output arrives `latency` after the end of its prefill. Up to that much work on the prompts without an
     /// output is therefore done already, and is deducted once for all fronts.
-    pub(crate) fn backlog(&self, now: Time, latency: Duration, drain: Option<Duration>) -> Backlog {
-        if let Some(transit) = drain {
-            let loads = self.peer_loads.values().filter(|it| now.since(it.0) < Self::PEER_TTL);
-            let mut total = 0.0;
-            let mut age = 0.0;
-            let mut sum = Backlog::default();
-            let mut oldest = Duration::ZERO;
-            for (at, load) in loads {
-                let ms = load.pending_prefill.total().as_secs_f64();
-                total += ms;
-                age += ms * (now.since(*at) + transit).as_secs_f64();
-                sum += load.pending_prefill;
-                oldest = oldest.max(load.oldest_pending + now.since(*at) + transit);
-            }
-            let age =
-                if total > 0.0 { Duration::from_secs_f64(age / total) } else { Duration::ZERO };
-            let prefilling = oldest.max(self.in_flight.oldest_pending(now)).min(latency);
-            let own = self.in_flight.pending_prefill();
-            return (sum.remaining_after(age.max(prefilling)))
-                + own.remaining_after(self.in_flight.oldest_pending(now).min(latency));
-        }
+    ///
+    /// With the `heartbeat_delay` of the reports, work of other fronts also counts as done if it takes less time than has
+    /// passed since it was reported.
+    pub(crate) fn backlog(
+        &self,
+        now: Time,
+        latency: Duration,
+        heartbeat_delay: Option<Duration>,
+    ) -> Backlog {
         let other_fronts: Backlog = self.fresh_peer_loads(now).map(|it| it.pending_prefill).sum();
         let oldest_pending =
             self.fresh_peer_loads(now).map(|it| it.oldest_pending).max().unwrap_or_default();
         let prefilling = oldest_pending.max(self.in_flight.oldest_pending(now));
-        (self.in_flight.pending_prefill() + other_fronts).remaining_after(prefilling.min(latency))
+        let since_reports = heartbeat_delay.map_or(Duration::ZERO, |it| it + self.report_age(now));
+        let done = since_reports.min(other_fronts.total());
+        let total = self.in_flight.pending_prefill() + other_fronts;
+        total.remaining_after(prefilling.min(latency).max(done))
+    }
+
+    /// Returns the mean time since loads of other fronts were received, weighted by their pending work.
+    fn report_age(&self, now: Time) -> Duration {
+        let fresh = self.peer_loads.values().map(|(at, load)| (now.since(*at), load));
+        let weighted = fresh.filter(|(age, _)| *age < Self::PEER_TTL).map(|(age, load)| {
+            let work = load.pending_prefill.total().as_secs_f64();
+            (work * age.as_secs_f64(), work)
+        });
+        let (sum, work) = weighted.fold((0.0, 0.0), |sum, it| (sum.0 + it.0, sum.1 + it.1));
+        if work > 0.0 { Duration::from_secs_f64(sum / work) } else { Duration::ZERO }
     }
 
     /// Returns the prompt tokens of the requests that other fronts reported.
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -2,7 +2,6 @@
 
 pub(crate) mod availability;
 pub(crate) mod backlog;
-pub(crate) mod balance;
 pub(crate) mod budget;
 pub(crate) mod endpoint;
 pub(crate) mod cost_model;
@@ -20,8 +19,10 @@
 pub(crate) mod request_rate;
 pub(crate) mod selection;
 pub(crate) mod stage_times;
+pub(crate) mod unseen_sends;
 pub(crate) mod version_history;
 pub(crate) mod wait_factor;
+pub(crate) mod work_rate;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -61,7 +62,7 @@
     // Incarnations that aren't in `tracked`, with what they announced: a directory that is behind may list them again.
     former: BTreeMap<EndpointKey, (Incarnation, Notice)>,
     // Place of this front among those that share the endpoints.
-    pub(crate) position: FrontPosition,
+    position: FrontPosition,
 }
 
 /// Maximum number of incarnations that are remembered after their removal.
@@ -248,6 +249,11 @@
         self.position = position;
     }
 
+    /// Returns the number of fronts that share the endpoints, this one included.
+    pub(crate) const fn front_count(&self) -> usize {
+        self.position.count
+    }
+
     /// Returns the number of endpoints that name a limit.
     #[must_use]
     pub fn limited_count(&self) -> usize {
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -1,13 +1,15 @@
 //! Selection of the endpoint with the lowest predicted time to the first output.
 
+use std::time::Duration;
+
 use daisychute_core::{DataCentreName, ServiceName, SoftwareVersion, Time};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Fleet;
 use crate::fleet::availability::Availability;
-use crate::fleet::balance::Balance;
 use crate::fleet::cost_model::{PrefillEngine, PrefillWork, ServiceCostModel};
 use crate::fleet::endpoint::TrackedEndpoint;
+use crate::fleet::unseen_sends::UnseenSends;
 use crate::{EndpointKey, EngineSpec, EngineStage, Prompt};
 
 /// Request for which an endpoint is selected.
@@ -33,8 +35,18 @@
     pub(crate) local_data_centre: Option<&'a DataCentreName>,
     /// Hash of the request id, for the choice between endpoints of equal cost.
     pub(crate) seed: u64,
-    /// How the request is spread over endpoints of similar cost.
-    pub(crate) balance: Balance,
+    /// Maximum time that heartbeats are assumed to take; `None` if work that they don't report is disregarded.
+    pub(crate) max_heartbeat_delay: Option<Duration>,
+}
+
+impl SelectionQuery<'_> {
+    /// Returns the kind of engine that is selected.
+    const fn prefill_engine(&self) -> PrefillEngine {
+        match self.stage {
+            Some(EngineStage::Prefill) => PrefillEngine::Dedicated,
+            _ => PrefillEngine::Combined,
+        }
+    }
 }
 
 /// An endpoint that may take the request, with its predicted cost.
@@ -58,6 +70,8 @@
     pub(crate) prefill_work: PrefillWork,
     /// Endpoint from which it should fetch prompt parts that it lacks; `None` if prefilling them is faster.
     pub(crate) fetch_from: Option<EndpointKey>,
+    /// Difference between the largest and the smallest `wait_ms` of the candidates.
+    pub(crate) wait_spread_ms: f64,
     /// Number of endpoints that take the request, ejected ones included.
     pub(crate) candidates: usize,
 }
@@ -106,21 +120,41 @@
     let usable =
         |it: &&(EndpointKey, &TrackedEndpoint)| ignore_ejections || !it.1.health.is_ejected(now);
     let prefix = query.prompt.map_or(0, prefix_hash);
+    let unseen = query.max_heartbeat_delay.and_then(|max| {
+        UnseenSends::estimate(now, model, query.prefill_engine(), fleet.front_count(), max)
+    });
+    let heartbeat_delay = unseen.map(|it| it.heartbeat_delay);
     let predictions: Vec<_> = eligible
         .iter()
         .filter(usable)
         .map(|(key, tracked)| {
-            let candidate = predict(now, model, (*key, tracked), query, cache_holders);
+            let endpoint = (*key, *tracked);
+            let candidate = predict(now, model, endpoint, query, cache_holders, heartbeat_delay);
             (
                 rendezvous_hash(tracked, prefix, query.seed),
                 Candidate { candidates: eligible.len(), ..candidate },
             )
         })
         .collect();
-    let predictions = query.balance.narrow(predictions, query);
-    let lowest = predictions.iter().map(|(_, it)| it.predicted_ms).fold(f64::INFINITY, f64::min);
-    let tied = predictions.into_iter().filter(|(_, it)| it.predicted_ms <= lowest + TIE_MS);
-    tied.max_by_key(|(hash, _)| *hash).map(|(_, candidate)| candidate)
+    let by_unseen = unseen.and_then(|it| it.choose(&predictions, query.seed, TIE_MS));
+    let wait_spread_ms = wait_spread_ms(&predictions);
+    let chosen = by_unseen.or_else(|| {
+        let costs = predictions.iter().map(|(_, it)| it.predicted_ms);
+        let lowest = costs.fold(f64::INFINITY, f64::min);
+        let tied = predictions.into_iter().filter(|(_, it)| it.predicted_ms <= lowest + TIE_MS);
+        tied.max_by_key(|(hash, _)| *hash).map(|(_, candidate)| candidate)
+    });
+    chosen.map(|it| Candidate { wait_spread_ms, ..it })
+}
+
+/// Returns the difference between the largest and the smallest predicted wait; 0 without candidates.
+fn wait_spread_ms(predictions: &[(u64, Candidate)]) -> f64 {
+    let waits = predictions.iter().map(|(_, it)| it.wait_ms);
+    let range = waits.fold(None, |range, it| match range {
+        None => Some((it, it)),
+        Some((min, max)) => Some((f64::min(min, it), f64::max(max, it))),
+    });
+    range.map_or(0.0, |(min, max)| max - min)
 }
 
 /// An endpoint that caches a prefix of the prompt, which others can fetch.
@@ -227,16 +261,13 @@
     endpoint: (EndpointKey, &TrackedEndpoint),
     query: &SelectionQuery<'_>,
     cache_holders: &[CacheHolder<'_>],
+    heartbeat_delay: Option<Duration>,
 ) -> Candidate {
     let (key, tracked) = endpoint;
-    let engine = match query.stage {
-        Some(EngineStage::Prefill) => PrefillEngine::Dedicated,
-        _ => PrefillEngine::Combined,
-    };
+    let engine = query.prefill_engine();
     let (prefill_work, fetch_from, prefill_ms) =
         prefill_work(model, engine, endpoint, query, cache_holders);
-    let drain = query.balance.age(usize::from(engine == PrefillEngine::Combined));
-    let backlog = tracked.backlog(now, model.latency(engine), drain);
+    let backlog = tracked.backlog(now, model.latency(engine), heartbeat_delay);
     let idle = backlog.is_empty();
     // Dedicated prefill engines process prompts in the order of arrival.
     let prefill_wait = match engine {
@@ -274,6 +305,7 @@
         idle,
         prefill_work,
         fetch_from,
+        wait_spread_ms: 0.0,
         candidates: 0,
     }
 }
--- a/crates/daisychute-dispatch/src/settings.rs
+++ b/crates/daisychute-dispatch/src/settings.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::DataCentreName;
 
-use crate::{BalanceSettings, Dispatcher};
+use crate::Dispatcher;
 
 /// Settings of a dispatcher. The retry settings are the same in all fronts, which share one retry budget per service.
 #[derive(Debug, Clone, PartialEq)]
@@ -17,8 +17,9 @@
     pub retry_window: Duration,
     /// Retries allowed per service and window in addition to the ratio, for all fronts together.
     pub retry_slack: f64,
-    /// How requests are spread over endpoints while load information is old.
-    pub balance: BalanceSettings,
+    /// Maximum time that heartbeats are assumed to take, when requests are spread over engines by the work that other
+    /// fronts have probably sent since; `None` if requests are sent to the engine of the lowest known cost.
+    pub max_heartbeat_delay: Option<Duration>,
 }
 
 impl Default for DispatchSettings {
@@ -28,7 +29,7 @@
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
-            balance: BalanceSettings::default(),
+            max_heartbeat_delay: None,
         }
     }
 }
--- a/crates/daisychute-dispatch/tests/simulation/replay.rs
+++ b/crates/daisychute-dispatch/tests/simulation/replay.rs
@@ -23,6 +23,8 @@
     pub(crate) fronts: usize,
     pub(crate) prefill_engines: usize,
     pub(crate) decode_engines: usize,
+    /// Whether every fourth front gets more than half of the requests; otherwise all get as many.
+    pub(crate) uneven: bool,
     /// Long prompts per second, in turn.
     pub(crate) long: [f64; 2],
     /// Short prompts per second, in turn.
@@ -33,6 +35,7 @@
     fronts: 32,
     prefill_engines: 18,
     decode_engines: 40,
+    uneven: false,
     long: [310.0, 155.0],
     short: [180.0, 360.0],
 };
@@ -41,6 +44,7 @@
     fronts: 103,
     prefill_engines: 45,
     decode_engines: 99,
+    uneven: false,
     long: [770.0, 385.0],
     short: [450.0, 900.0],
 };
@@ -100,7 +104,10 @@
             } else {
                 short_prompt(number)
             };
-            let front = (random() % deployment.fronts as u64) as usize;
+            let mut front = (random() % deployment.fronts as u64) as usize;
+            if deployment.uneven && random() % 2 == 0 {
+                front -= front % 4;
+            }
             sim.arrival(Time::from_micros(at as u64), front, path, Some(prompt));
         }
     }
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -215,6 +215,8 @@
         let (task, predicted_ms, wait_ms) = (task.as_str(), cost.as_millis(), wait.as_millis());
         // Writing to a string can't fail.
         let _ = write!(self.attempt_log, "{task} at {name} after {} ms; ", self.elapsed_ms());
+        metrics::histogram!("daisychute_wait_spread_seconds", "task" => task)
+            .record(decision.wait_spread);
         let request = &self.incoming.info.id;
         let load_age_ms = decision.load_age.map(|it| it.as_millis());
         let shutdown_in_ms = decision.shutdown_in.map(|it| it.as_millis());
--- a/crates/daisychute-settings/src/front.rs
+++ b/crates/daisychute-settings/src/front.rs
@@ -53,6 +53,13 @@
     }
 }
 
+raw_section! {
+    /// Unchecked section `[balance]`.
+    RawBalance {
+        max_heartbeat_delay = "max-heartbeat-delay",
+    }
+}
+
 raw_section! {
     /// Unchecked section `[stop]`.
     RawStop {
@@ -87,6 +94,9 @@
     pub machine: MachineSettings,
     /// Retry budget of each service, shared by all fronts.
     pub retries: RetrySettings,
+    /// Maximum time that heartbeats of other fronts are assumed to take, when requests are spread over engines by the
+    /// work that these fronts have probably sent since; `None` if they aren't spread.
+    pub max_heartbeat_delay: Option<Duration>,
     /// Maximum duration of a graceful shutdown.
     pub stop_within: Duration,
     /// Log level and format.
@@ -132,6 +142,7 @@
         SectionKeys { section: "store", named: false, keys: RawStore::KEYS },
         SectionKeys { section: "machine", named: false, keys: RawMachine::KEYS },
         SectionKeys { section: "retries", named: false, keys: RawRetries::KEYS },
+        SectionKeys { section: "balance", named: false, keys: RawBalance::KEYS },
         SectionKeys { section: "stop", named: false, keys: RawStop::KEYS },
         SectionKeys { section: "log", named: false, keys: RawLog::KEYS },
     ];
@@ -139,6 +150,8 @@
     const DEFAULT_STOP_WITHIN: Duration = Duration::from_secs(8);
     const RETRY_WINDOW: DurationRange =
         DurationRange { min: Duration::from_millis(100), max: Duration::from_secs(600) };
+    const MAX_HEARTBEAT_DELAY: DurationRange =
+        DurationRange { min: Duration::from_millis(10), max: Duration::from_secs(1) };
     const STOP_WITHIN: DurationRange =
         DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(600) };
     const MEMORY_MIB: CountRange = CountRange { min: 16, max: 1_048_576 };
@@ -177,6 +190,7 @@
     fn try_from(document: &Document) -> Result<Self, Problems> {
         let front = RawFront::read(document.section("front"));
         let store = RawStore::read(document.section("store"));
+        let balance = RawBalance::read(document.section("balance"));
         let stop = RawStop::read(document.section("stop"));
         let mut problems = Problems::default();
         let name = problems.record(front.name.required(&Name::new()));
@@ -191,6 +205,8 @@
         let store = problems.record(store.address.required(&Address));
         let machine = problems.record(MachineSettings::try_from(document));
         let retries = problems.record(RetrySettings::try_from(document));
+        let max_heartbeat_delay =
+            problems.record(balance.max_heartbeat_delay.optional(&Self::MAX_HEARTBEAT_DELAY));
         let stop_within =
             problems.record(stop.within.optional_or(Self::DEFAULT_STOP_WITHIN, &Self::STOP_WITHIN));
         let log = problems.record(LogSettings::try_from(&RawLog::read(document.section("log"))));
@@ -208,6 +224,7 @@
                 store: store?,
                 machine: machine?,
                 retries: retries?,
+                max_heartbeat_delay: max_heartbeat_delay?,
                 stop_within: stop_within?,
                 log: log?,
             })
--- a/crates/daisychute-settings/src/front_change.rs
+++ b/crates/daisychute-settings/src/front_change.rs
@@ -30,6 +30,7 @@
             ("retries.ratio", old.retries.ratio != new.retries.ratio),
             ("retries.window", old.retries.window != new.retries.window),
             ("retries.slack", old.retries.slack != new.retries.slack),
+            ("balance.max-heartbeat-delay", old.max_heartbeat_delay != new.max_heartbeat_delay),
             ("stop.within", old.stop_within != new.stop_within),
             ("log.level", old.log.level != new.log.level),
         ];
--- a/crates/daisychute-settings/tests/front.rs
+++ b/crates/daisychute-settings/tests/front.rs
@@ -1,4 +1,6 @@
-//! Settings files of fronts from before a key lost its effect.
+//! Settings files of fronts: keys that lost their effect, and keys that switch something on.
+
+use std::time::Duration;
 
 use daisychute_settings::{FrontSettings, SettingsError};
 
@@ -27,3 +29,13 @@
     let SettingsError::Invalid { problems, .. } = error else { panic!("{error}") };
     assert!(problems[0].to_string().contains("processor-share"), "{}", problems[0]);
 }
+
+// Guards against load that is spread where nobody asked for it, and against a bound beyond which reports are ignored.
+#[test]
+fn load_is_spread_only_within_the_given_bound() {
+    let max_delay = |lines| with_machine(lines).map(|it| it.max_heartbeat_delay);
+    assert_eq!(max_delay("").expect("valid settings"), None);
+    let given = max_delay("[balance]\nmax-heartbeat-delay = 200ms\n").expect("valid settings");
+    assert_eq!(given, Some(Duration::from_millis(200)));
+    max_delay("[balance]\nmax-heartbeat-delay = 2s\n").expect_err("more than a second");
+}
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -61,7 +61,7 @@
         retry_ratio: settings.retries.ratio,
         retry_window: settings.retries.window,
         retry_slack: settings.retries.slack,
-        ..DispatchSettings::default()
+        max_heartbeat_delay: settings.max_heartbeat_delay,
     }
 }
 
--- a/crates/daisychuted/src/reload.rs
+++ b/crates/daisychuted/src/reload.rs
@@ -90,6 +90,7 @@
             seeds: settings.seeds,
             machine: settings.machine,
             retries: settings.retries,
+            max_heartbeat_delay: settings.max_heartbeat_delay,
             stop_within: settings.stop_within,
             log: LogSettings { level: settings.log.level, ..self.in_force.log },
             ..self.in_force.clone()
