--- a/crates/daisychute-dispatch/src/core/preview.rs
+++ b/crates/daisychute-dispatch/src/core/preview.rs
@@ -147,7 +147,9 @@
         let holders = cache_holders(now, &self.fleet, &query);
         let preview = |(key, tracked): (EndpointKey, &TrackedEndpoint)| {
             let query = SelectionQuery { stage: tracked.endpoint.stage, ..query };
-            let candidate = predict(now, model, (key, tracked), &query, &holders);
+            let unseen = query.unseen_sends(now, &self.fleet, model);
+            let delay = unseen.map(|it| it.heartbeat_delay);
+            let candidate = predict(now, model, (key, tracked), &query, &holders, delay);
             EndpointPreview::new(now, tracked, &candidate)
         };
         let mut endpoints: Vec<_> = self.fleet.of_service(&state.service).map(preview).collect();
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -19,8 +19,10 @@
 pub(crate) mod request_rate;
 pub(crate) mod selection;
 pub(crate) mod stage_times;
+pub(crate) mod unseen_sends;
 pub(crate) mod version_history;
 pub(crate) mod wait_factor;
+pub(crate) mod work_rate;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -247,6 +249,11 @@
         self.position = position;
     }
 
+    /// Returns the number of fronts that share the endpoints, this one included.
+    pub(crate) const fn front_count(&self) -> usize {
+        self.position.count
+    }
+
     /// Returns the number of endpoints that name a limit.
     #[must_use]
     pub fn limited_count(&self) -> usize {
--- a/crates/daisychute-dispatch/src/settings.rs
+++ b/crates/daisychute-dispatch/src/settings.rs
@@ -17,6 +17,9 @@
     pub retry_window: Duration,
     /// Retries allowed per service and window in addition to the ratio, for all fronts together.
     pub retry_slack: f64,
+    /// Maximum time that heartbeats are assumed to take, when requests are spread over engines by the work that other
+    /// fronts have probably sent since; `None` if requests are sent to the engine of the lowest known cost.
+    pub max_heartbeat_delay: Option<Duration>,
 }
 
 impl Default for DispatchSettings {
@@ -26,6 +29,7 @@
             retry_ratio: 0.1,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
+            max_heartbeat_delay: None,
         }
     }
 }
