feat(dispatch): count each request of an account once, when it begins to run

Usage reports need to know when a request began. The dispatcher now emits `RecordBegin` with the first output of a stream, and with the response head of a plain request or a failure which shows that it ran. A request that is sent again, or a prompt that is only prefilled, adds no count. The front doesn't use the counts yet.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{EndpointName, SoftwareVersion, Time};
+use daisychute_core::{EndpointName, SoftwareVersion, TenantName, Time};
 
 use crate::{
     Cause, CrashNews, EndpointKey, ForwardedIdentity, Incarnation, LimitNews, PromptPart,
@@ -234,6 +234,14 @@
         /// Measured time from sending to the first output.
         took: Duration,
     },
+    /// Count a request of a client account. Emitted once per client request, however often it is sent, when the first
+    /// output of a stream or the response head of a plain request shows that it runs.
+    RecordBegin {
+        /// Client account of the request.
+        tenant: TenantName,
+        /// Time of the first output of a stream; for a plain request the time at which it was sent.
+        began_at: Time,
+    },
     /// Close the idle connections to an endpoint that takes no more requests.
     CloseIdleConnections {
         /// Key of the endpoint whose connections are closed.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -276,6 +276,7 @@
             prefill_tried: false,
             has_error_response: false,
             trial_of: None,
+            begin_recorded: false,
             first_output_at: None,
             stream_version: None,
         };
@@ -397,6 +398,8 @@
             return;
         }
         state.first_output_at = Some(now);
+        let sent_at = state.in_flight.as_ref().map_or(now, |it| it.sent_at);
+        state.record_begin(if state.route.kind.is_stream() { now } else { sent_at }, actions);
         self.record_origin(now, key, actions);
         let Some(state) = self.requests.get(&key) else { return };
         let (service, times) = (state.service.clone(), state.stage_times_key());
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -32,6 +32,10 @@
         state.has_error_response = failure == SendFailure::ServerError;
         let prefill_only = sent.task == Task::Prefill;
         state.may_have_run |= may_have_run && !prefill_only;
+        let ran = matches!(failure, SendFailure::ServerError | SendFailure::MidAnswer { .. });
+        if ran && !state.route.kind.is_stream() {
+            state.record_begin(sent.sent_at, actions);
+        }
         // It isn't known whether the KV cache was fetched: the next attempt prefills the prompt again.
         let handle_spent = counted && matches!(sent.task, Task::Decode { .. });
         if let Some(KvHandle { endpoint, address, handle, .. }) =
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -7,7 +7,7 @@
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::fleet::cost_model::PrefillWork;
-use crate::{Account, Cause, EndpointKey, ForwardedIdentity, RequestInfo, Route, Task};
+use crate::{Account, Action, Cause, EndpointKey, ForwardedIdentity, RequestInfo, Route, Task};
 
 /// A send attempt that hasn't ended.
 #[derive(Debug, Clone)]
@@ -81,6 +81,8 @@
     pub(crate) has_error_response: bool,
     /// What the request is sent as a trial of, after a quarantine; `None` if it is none.
     pub(crate) trial_of: Option<Cause>,
+    /// Whether the request was counted as one that ran, for the usage of its account.
+    pub(crate) begin_recorded: bool,
     /// When the first output for the client arrived.
     pub(crate) first_output_at: Option<Time>,
     /// Software version that all endpoints must have which send events of the stream; itself `None` if the directory
@@ -104,6 +106,14 @@
         }
     }
 
+    /// Counts the request for the usage of its account, unless it was counted or has none.
+    pub(crate) fn record_begin(&mut self, began_at: Time, actions: &mut Vec<Action>) {
+        let Some(account) = &self.account else { return };
+        if !std::mem::replace(&mut self.begin_recorded, true) {
+            actions.push(Action::RecordBegin { tenant: account.name.clone(), began_at });
+        }
+    }
+
     /// Whether the first output for the client arrived.
     pub(crate) const fn has_output(&self) -> bool {
         self.first_output_at.is_some()
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -239,6 +239,7 @@
             | Action::RecordRelease { .. }
             | Action::SendHeartbeat
             | Action::RecordLatency { .. }
+            | Action::RecordBegin { .. }
             | Action::CloseIdleConnections { .. } => {}
         }
     }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -214,6 +214,8 @@
                 Action::RecordLatency { task, predicted, took, .. } => {
                     record_prediction_error(task, predicted, took)
                 }
+                // Usage isn't reported yet.
+                Action::RecordBegin { .. } => {}
                 action => request_action = Some(action),
             }
         }
