--- a/crates/daisychute-dispatch/tests/usage_begins.rs
+++ b/crates/daisychute-dispatch/tests/usage_begins.rs
@@ -26,6 +26,8 @@
     Left,
 }
 
+use Step::{Failed, Finished, Head, Left, Output};
+
 fn at(steps: u64) -> Time {
     Time::from_millis(10 * steps)
 }
@@ -52,11 +54,8 @@
     front.handle(Event::Configured(table));
     let key = front.next_key();
     let parts = vec![PromptPart { key: 1, tokens: 9_000 }];
-    let prompt = [LONG, SHORT].contains(&path).then(|| Prompt {
-        parts: parts.into(),
-        tokens: 12_000,
-        max_output: 100,
-    });
+    let prompt =
+        [LONG, SHORT].contains(&path).then_some(Prompt { parts, tokens: 12_000, max_output: 100 });
     let request = RequestInfo::new("id", HOST, path).credentials(credentials);
     let request = prompt.into_iter().fold(request, RequestInfo::prompt);
     let mut begins = Vec::new();
@@ -75,11 +74,11 @@
 
 fn event(key: RequestKey, step: Step) -> Event {
     match step {
-        Step::Head => Event::ResponseStarted { key },
-        Step::Output => Event::FirstOutput { key },
-        Step::Failed(failure) => Event::SendFailed { key, failure },
-        Step::Finished => Event::Finished { key },
-        Step::Left => Event::ClientDisconnected { key },
+        Head => Event::ResponseStarted { key },
+        Output => Event::FirstOutput { key },
+        Failed(failure) => Event::SendFailed { key, failure },
+        Finished => Event::Finished { key },
+        Left => Event::ClientDisconnected { key },
     }
 }
 
@@ -110,8 +109,6 @@
     ($($name:ident: $path:expr, [$($step:expr),*] => [$($at:expr),*];)*) => {$(
         #[test]
         fn $name() {
-            #[allow(unused_imports)]
-            use Step::{Failed, Finished, Head, Left, Output};
             let expected: [u64; _] = [$($at),*];
             assert_eq!(of_tenant($path, &[$($step),*]), expected.map(at));
         }
@@ -138,7 +135,7 @@
 
 #[test]
 fn request_without_account_is_not_counted() {
-    let played = |table, credentials| begins(table, credentials, PANEL, &[Step::Head]);
+    let played = |table, credentials| begins(table, credentials, PANEL, &[Head]);
     assert_eq!(played(table(false, false), Credentials::Missing), []);
     assert_eq!(played(table(true, true), Credentials::Missing), []);
     let key = Credentials::Key(KeyHash::of(KEY.as_bytes()));
