feat(usage): freeze windows in the store before they are reported

The reporter merges shares, freezes the windows that are due by a conditional write under the holder's term, and sends only what it knows to be in the store. A write whose result was lost is read back, and repeated with the same counts if it had no effect.

Changes of the interface: `ReportedByPeer` carries the term beside the window, and `announcement` returns both. Without the term a successor can't see that the store went back and that a late write of an earlier holder took effect on the older copy; its counts may differ from those that were sent.

--- a/crates/daisychute-usage/src/event.rs
+++ b/crates/daisychute-usage/src/event.rs
@@ -54,8 +54,13 @@
     ShareReceived(UsageShare),
     /// Live sources (fronts), the reporter's own included.
     SourcesSeen(Vec<u64>),
-    /// A peer reported usage up to this window, or may have.
-    ReportedByPeer(WindowId),
+    /// A peer announced what [`UsageReporter::announcement`](crate::UsageReporter::announcement) returned there.
+    ReportedByPeer {
+        /// Highest term of a holder that the peer knows.
+        term: Term,
+        /// Highest window that may have been reported.
+        window: WindowId,
+    },
     /// Result of `SendReport`. Each call has exactly one.
     ReportEnded {
         /// Window of the report.
