feat(store): lease for any duty, which doesn't return to its previous holder within its duration

A lease was tied to a region, and a released lease could be acquired at once by the process that had held it before the releaser, so that two processes could act in the order A, B, A within milliseconds. The record now names the previous holder and who released it; the previous holder waits for the whole duration. A record that is older than a term seen elsewhere, as after a return of the store from a copy, is waited out too. StepDown releases a lease that may be acquired again.

--- a/crates/daisychute-planner/src/control/state.rs
+++ b/crates/daisychute-planner/src/control/state.rs
@@ -170,7 +170,7 @@
     let lease_write_id = WriteId::first(format!("{writer}/lease"));
     let plan_write_id = WriteId::first(format!("{writer}/plan"));
     EntryCores {
-        lease: Lease::new(settings.lease, region.clone(), holder, lease_write_id, seed ^ 3),
+        lease: Lease::new(settings.lease, region.as_str(), holder, lease_write_id, seed ^ 3),
         planner: Planner::new(settings.planner, region, plan_write_id, seed ^ 4),
     }
 }
--- a/crates/daisychute-planner/tests/world/node.rs
+++ b/crates/daisychute-planner/tests/world/node.rs
@@ -94,7 +94,13 @@
     let plan_write_id = WriteId::first(format!("{name}/{incarnation}/plan"));
     let settings = PlannerSettings { max_weight_loads: 2, ..PlannerSettings::default() };
     EntryCores {
-        lease: Lease::new(LeaseSettings::default(), region(), holder, lease_write_id, seed),
+        lease: Lease::new(
+            LeaseSettings::default(),
+            region().as_str(),
+            holder,
+            lease_write_id,
+            seed,
+        ),
         planner: Planner::new(settings, region(), plan_write_id, seed),
     }
 }
--- a/crates/daisychute-store/src/lease/event.rs
+++ b/crates/daisychute-store/src/lease/event.rs
@@ -15,6 +15,8 @@
     Written(WriteOutcome),
     /// A document carries this term, so the next acquisition must use a higher one.
     TermSeen(Term),
+    /// Release the lease if this process holds it. Whether it acquires it again depends on [`LeaseEvent::Eligible`].
+    StepDown,
     /// The process shuts down: release the lease, so that another process can acquire it before it expires.
     Release,
     /// A requested wake-up time was reached, or any other occasion to check the timers.
--- a/crates/daisychute-store/src/lease/lease_write.rs
+++ b/crates/daisychute-store/src/lease/lease_write.rs
@@ -1,5 +1,7 @@
 //! A write of a lease object, and the call in flight.
 
+use std::sync::Arc;
+
 use daisychute_core::{Term, Time};
 
 use super::{Lease, LeaseRecord, LeaseSettings};
@@ -54,13 +56,17 @@
     ) -> LeaseWrite {
         self.highest_term = self.highest_term.max(term);
         let write_id = self.write_id.take();
+        let own = &self.own_holder;
+        let is_release = purpose == Purpose::Release;
         let record = LeaseRecord {
-            holder: (purpose != Purpose::Release).then(|| self.own_holder.clone()),
+            holder: (!is_release).then(|| own.clone()),
             term,
             duration_ms: u64::try_from(self.settings.duration.as_millis()).unwrap_or(u64::MAX),
+            previous: self.previous.clone(),
+            released_by: is_release.then(|| own.process.clone()),
         };
         let spec = serde_json::to_value(record).unwrap_or_default();
-        let object = Object::new(ObjectKind::Leases, self.region.as_str(), spec)
+        let object = Object::new(ObjectKind::Leases, Arc::clone(&self.name), spec)
             .version(base.clone())
             .set_write_id(&write_id);
         LeaseWrite {
--- a/crates/daisychute-store/src/lease/mod.rs
+++ b/crates/daisychute-store/src/lease/mod.rs
@@ -1,16 +1,21 @@
-//! Lease of a region, in one object of the platform's object store.
+//! Lease of a region or a duty, in one object of the platform's object store.
 //!
 //! A process takes a lease over only after it has seen the object unchanged for the whole duration by its own clock, so
 //! the clocks of two processes are never compared. Each acquisition uses a higher term. The holder's lease period runs
 //! from the first send of its last successful write, and it stops acting before that period ends. Safety doesn't rely
 //! on clocks alone: every write made under the lease is conditional and carries the term.
+//!
+//! A process that held the lease before the last holder waits for the whole duration also if the lease was released, so
+//! that two processes never act in the order A, B, A within that time.
 
 mod lease_write;
 mod event;
 mod record;
 mod settings;
 
-use daisychute_core::{RegionName, Term, Time};
+use std::sync::Arc;
+
+use daisychute_core::{ProcessName, Term, Time};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -35,7 +40,8 @@
 /// Version of the lease object that was read while another process may hold the lease.
 #[derive(Debug, Clone)]
 struct ObservedLease {
-    version: ResourceVersion,
+    /// `None` if the object didn't exist.
+    version: Option<ResourceVersion>,
     /// When this process first read this version.
     since: Time,
 }
@@ -44,15 +50,22 @@
 #[derive(Debug)]
 pub struct Lease {
     settings: LeaseSettings,
-    region: RegionName,
+    /// Name of the lease object.
+    name: Arc<str>,
     own_holder: Holder,
     write_id: WriteId,
+    /// The process that held the lease before this one, for the records that this process writes.
+    previous: Option<ProcessName>,
     /// Whether this process may acquire the lease.
     eligible: bool,
     /// Whether the release was requested; the lease isn't acquired again then.
     release_requested: bool,
+    /// Whether the lease is to be released, and may be acquired again later.
+    step_down_requested: bool,
     // Invariant: at least every term that this process saw or tried to acquire.
     highest_term: Term,
+    /// The highest term of a record that was read or a document that was seen. A record with a lower one is outdated.
+    seen_term: Term,
     held: Option<HeldLease>,
     observed: Option<ObservedLease>,
     call: CallState,
@@ -70,19 +83,22 @@
     #[must_use]
     pub fn new(
         settings: LeaseSettings,
-        region: RegionName,
+        name: impl Into<Arc<str>>,
         own_holder: Holder,
         write_id: WriteId,
         seed: u64,
     ) -> Self {
         Self {
             settings,
-            region,
+            name: name.into(),
             own_holder,
             write_id,
+            previous: None,
             eligible: false,
             release_requested: false,
+            step_down_requested: false,
             highest_term: Term::ZERO,
+            seen_term: Term::ZERO,
             held: None,
             observed: None,
             call: CallState::Idle,
@@ -108,6 +124,7 @@
             LeaseEvent::Read(outcome) => self.handle_read(now, outcome, out),
             LeaseEvent::Written(outcome) => self.handle_written(now, outcome, out),
             LeaseEvent::TermSeen(term) => self.term_seen(term, out),
+            LeaseEvent::StepDown => self.step_down_requested = self.held.is_some(),
             LeaseEvent::Release => self.release_requested = true,
             LeaseEvent::Tick => {}
         }
@@ -129,12 +146,14 @@
 
     fn drop_lease(&mut self, out: &mut Vec<LeaseAction>) {
         if let Some(held) = self.held.take() {
+            self.step_down_requested = false;
             out.push(LeaseAction::Lost { term: held.term });
         }
     }
 
     fn term_seen(&mut self, term: Term, out: &mut Vec<LeaseAction>) {
         self.highest_term = self.highest_term.max(term);
+        self.seen_term = self.seen_term.max(term);
         if self.held.as_ref().is_some_and(|it| it.term < term) {
             self.drop_lease(out);
         }
@@ -170,7 +189,7 @@
 
     fn due_write(&mut self, now: Time) -> Option<LeaseWrite> {
         let held = self.held.clone()?;
-        if self.release_requested {
+        if self.release_requested || self.step_down_requested {
             Some(self.build_write(Purpose::Release, held.term, Some(held.version), now))
         } else if held.renew_at <= now {
             Some(self.build_write(Purpose::Renew, held.term, Some(held.version), now))
@@ -208,22 +227,44 @@
     fn handle_poll(&mut self, now: Time, outcome: ReadOutcome, out: &mut Vec<LeaseAction>) {
         match outcome {
             ReadOutcome::Failed => self.retry_later(now),
-            ReadOutcome::Missing => self.acquire(now, None, out),
+            ReadOutcome::Missing => self.handle_missing(now, out),
             ReadOutcome::Found(object) => self.handle_found(now, &object, out),
         }
     }
 
+    /// Acquires a lease that nobody held yet. If a term of it was seen, the store was restored from an older copy, and
+    /// another process may hold the lease.
+    fn handle_missing(&mut self, now: Time, out: &mut Vec<LeaseAction>) {
+        let expires_at =
+            self.unchanged_since(now, None) + self.settings.duration + self.settings.margin;
+        if self.seen_term == Term::ZERO || expires_at <= now {
+            self.previous = None;
+            self.acquire(now, None, out);
+        } else {
+            self.poll_later(now);
+            self.next_read_at = self.next_read_at.min(expires_at);
+        }
+    }
+
     fn handle_found(&mut self, now: Time, object: &Object, out: &mut Vec<LeaseAction>) {
         self.backoff.reset();
         let version = object.metadata.resource_version.clone();
         let (Some(version), Ok(record)) = (version, object.parse::<LeaseRecord>()) else {
             return self.poll_later(now);
         };
+        // A store that was restored from an older copy has a record that doesn't name the latest holders.
+        let is_outdated = record.term < self.seen_term;
         self.highest_term = self.highest_term.max(record.term);
-        let unchanged_since = self.unchanged_since(now, &version);
+        self.seen_term = self.seen_term.max(record.term);
+        let unchanged_since = self.unchanged_since(now, Some(&version));
         let expires_at = unchanged_since + record.duration() + self.settings.margin;
         let available = record.holder.as_ref().is_none_or(|it| *it == self.own_holder);
-        if available || expires_at <= now {
+        let own_process = &self.own_holder.process;
+        // The last holder may acquire the lease again at once; the one before it may not.
+        let returns = record.previous.as_ref() == Some(own_process)
+            && record.last_holder() != Some(own_process);
+        if available && !returns && !is_outdated || expires_at <= now {
+            self.previous = record.previous_after(own_process);
             self.acquire(now, Some(version), out);
         } else {
             self.poll_later(now);
@@ -231,11 +272,11 @@
         }
     }
 
-    fn unchanged_since(&mut self, now: Time, version: &ResourceVersion) -> Time {
+    fn unchanged_since(&mut self, now: Time, version: Option<&ResourceVersion>) -> Time {
         match &self.observed {
-            Some(observed) if observed.version == *version => observed.since,
+            Some(observed) if observed.version.as_ref() == version => observed.since,
             _ => {
-                self.observed = Some(ObservedLease { version: version.clone(), since: now });
+                self.observed = Some(ObservedLease { version: version.cloned(), since: now });
                 now
             }
         }
--- a/crates/daisychute-store/src/object.rs
+++ b/crates/daisychute-store/src/object.rs
@@ -28,8 +28,10 @@
     Drains,
     /// Plans of the planners, one object per region.
     Plans,
-    /// Leases, one object per region.
+    /// Leases, one object per region or duty.
     Leases,
+    /// State that the holder of a duty leaves to its successor, one object per duty.
+    Duties,
     /// Claims that guard non-repeatable calls against a second execution.
     Claims,
     /// Owners of idempotency keys.
@@ -50,6 +52,7 @@
             Self::Drains => "drains",
             Self::Plans => "plans",
             Self::Leases => "leases",
+            Self::Duties => "duties",
             Self::Claims => "claims",
             Self::Owners => "owners",
             Self::Instances => "instances",
