feat(settings): section [duties] of a front

It has the address of the control API, whether that checks fencing tokens, the lease, the usage windows and the list of duties. The platform fills in nothing for fields that a deployment doesn't have, so empty values count as absent; lines with a unit are left out by sections of the template.

--- a/crates/daisychute-settings/src/field.rs
+++ b/crates/daisychute-settings/src/field.rs
@@ -43,6 +43,12 @@
         self.value.as_ref().map(|raw| self.checked(raw, rule)).transpose()
     }
 
+    /// Returns the checked value, or `None` if the key isn't set or its value is empty.
+    pub(crate) fn filled<R: Rule>(&self, rule: &R) -> Result<Option<R::Value>, Problem> {
+        let value = self.value.as_ref().filter(|it| !it.trim().is_empty());
+        value.map(|raw| self.checked(raw, rule)).transpose()
+    }
+
     /// Returns the checked value, or `default` if the key isn't set.
     pub(crate) fn optional_or<R: Rule>(
         &self,
--- a/crates/daisychute-settings/src/front.rs
+++ b/crates/daisychute-settings/src/front.rs
@@ -10,7 +10,9 @@
 use crate::field::raw_section;
 use crate::log::RawLog;
 use crate::problem::Problems;
-use crate::rule::{Address, Addresses, CountRange, DurationRange, Name, PositiveNumber};
+use crate::rule::{
+    Address, Addresses, AnyOf, CountRange, DurationRange, Flag, Name, PositiveNumber,
+};
 use crate::{LogSettings, SectionKeys, SettingsError, file};
 
 raw_section! {
@@ -53,6 +55,18 @@
     }
 }
 
+raw_section! {
+    /// Unchecked section `[duties]`.
+    RawDuties {
+        address = "address",
+        require_fence = "require-fence",
+        lease = "lease",
+        usage_window = "usage-window",
+        usage_due = "usage-due",
+        duties = "duties",
+    }
+}
+
 raw_section! {
     /// Unchecked section `[stop]`.
     RawStop {
@@ -87,6 +101,8 @@
     pub machine: MachineSettings,
     /// Retry budget of each service, shared by all fronts.
     pub retries: RetrySettings,
+    /// Duties that one front at a time has towards the platform.
+    pub duties: DutySettings,
     /// Maximum duration of a graceful shutdown.
     pub stop_within: Duration,
     /// Log level and format.
@@ -113,6 +129,51 @@
     pub slack: f64,
 }
 
+/// A duty that only one front at a time has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrontDuty {
+    /// Reports the usage of tenants.
+    UsageReport,
+    /// Scales services.
+    Autoscale,
+}
+
+impl FrontDuty {
+    /// The words for the duties in a settings file.
+    pub const WORDS: &'static [(&'static str, Self)] =
+        &[("usage_report", Self::UsageReport), ("autoscale", Self::Autoscale)];
+}
+
+/// The platform's control API, and the duties of the fronts towards it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DutySettings {
+    /// Address of the control API. Without it, fronts have no duties.
+    pub address: Option<SocketAddr>,
+    /// Whether the control API refuses calls with an outdated fencing token.
+    pub require_fence: bool,
+    /// Time within which two holders of a duty must not act in turns.
+    pub lease: Duration,
+    /// Length of the windows for which usage is reported.
+    pub usage_window: Duration,
+    /// Time after the end of a window by which its report is due.
+    pub usage_due: Duration,
+    /// The duties that the deployment has.
+    pub duties: Vec<FrontDuty>,
+}
+
+impl Default for DutySettings {
+    fn default() -> Self {
+        Self {
+            address: None,
+            require_fence: false,
+            lease: Duration::from_secs(3),
+            usage_window: Duration::from_secs(5),
+            usage_due: Duration::from_secs(10),
+            duties: Vec::new(),
+        }
+    }
+}
+
 impl Default for MachineSettings {
     fn default() -> Self {
         Self { memory_mib: 512, descriptors: 4_096 }
@@ -132,6 +193,7 @@
         SectionKeys { section: "store", named: false, keys: RawStore::KEYS },
         SectionKeys { section: "machine", named: false, keys: RawMachine::KEYS },
         SectionKeys { section: "retries", named: false, keys: RawRetries::KEYS },
+        SectionKeys { section: "duties", named: false, keys: RawDuties::KEYS },
         SectionKeys { section: "stop", named: false, keys: RawStop::KEYS },
         SectionKeys { section: "log", named: false, keys: RawLog::KEYS },
     ];
@@ -141,6 +203,10 @@
         DurationRange { min: Duration::from_millis(100), max: Duration::from_secs(600) };
     const STOP_WITHIN: DurationRange =
         DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(600) };
+    const LEASE: DurationRange =
+        DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(600) };
+    const USAGE: DurationRange =
+        DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(3_600) };
     const MEMORY_MIB: CountRange = CountRange { min: 16, max: 1_048_576 };
     const DESCRIPTORS: CountRange = CountRange { min: 64, max: 1_048_576 };
 
@@ -191,6 +257,7 @@
         let store = problems.record(store.address.required(&Address));
         let machine = problems.record(MachineSettings::try_from(document));
         let retries = problems.record(RetrySettings::try_from(document));
+        let duties = problems.record(DutySettings::try_from(document));
         let stop_within =
             problems.record(stop.within.optional_or(Self::DEFAULT_STOP_WITHIN, &Self::STOP_WITHIN));
         let log = problems.record(LogSettings::try_from(&RawLog::read(document.section("log"))));
@@ -208,6 +275,7 @@
                 store: store?,
                 machine: machine?,
                 retries: retries?,
+                duties: duties?,
                 stop_within: stop_within?,
                 log: log?,
             })
@@ -232,6 +300,24 @@
     }
 }
 
+impl TryFrom<&Document> for DutySettings {
+    type Error = Problems;
+
+    /// Takes empty values as absent, because the platform fills in nothing for fields that a deployment doesn't have.
+    fn try_from(document: &Document) -> Result<Self, Problems> {
+        let raw = RawDuties::read(document.section("duties"));
+        let mut problems = Problems::default();
+        let address = problems.record(raw.address.filled(&Address)).flatten();
+        let mut checked = Self { address, ..Self::default() };
+        problems.set(&mut checked.require_fence, raw.require_fence.filled(&Flag));
+        problems.set(&mut checked.lease, raw.lease.filled(&FrontSettings::LEASE));
+        problems.set(&mut checked.usage_window, raw.usage_window.filled(&FrontSettings::USAGE));
+        problems.set(&mut checked.usage_due, raw.usage_due.filled(&FrontSettings::USAGE));
+        problems.set(&mut checked.duties, raw.duties.filled(&AnyOf(FrontDuty::WORDS)));
+        problems.into_result(checked)
+    }
+}
+
 impl TryFrom<&Document> for RetrySettings {
     type Error = Problems;
 
--- a/crates/daisychute-settings/src/front_change.rs
+++ b/crates/daisychute-settings/src/front_change.rs
@@ -47,6 +47,12 @@
             ("front.snapshots", old.snapshots != new.snapshots),
             ("front.metrics", old.metrics != new.metrics),
             ("store.address", old.store != new.store),
+            ("duties.address", old.duties.address != new.duties.address),
+            ("duties.require-fence", old.duties.require_fence != new.duties.require_fence),
+            ("duties.lease", old.duties.lease != new.duties.lease),
+            ("duties.usage-window", old.duties.usage_window != new.duties.usage_window),
+            ("duties.usage-due", old.duties.usage_due != new.duties.usage_due),
+            ("duties.duties", old.duties.duties != new.duties.duties),
             ("log.format", old.log.format != new.log.format),
         ];
         self.at_next_start.extend(changed(keys));
--- a/crates/daisychute-settings/src/hint.rs
+++ b/crates/daisychute-settings/src/hint.rs
@@ -47,6 +47,8 @@
     },
     /// One of a fixed set of words.
     OneOf(Vec<&'static str>),
+    /// A comma-separated list of words of a fixed set.
+    AnyOf(Vec<&'static str>),
 }
 
 impl fmt::Display for Accepted {
@@ -73,6 +75,7 @@
             Self::Size { min, max } => write!(f, "a size from {min} to {max}, for example 64KiB"),
             Self::Count { min, max } => write!(f, "a whole number from {min} to {max}"),
             Self::OneOf(words) => write!(f, "one of: {}", words.join(", ")),
+            Self::AnyOf(words) => write!(f, "any of these, separated by commas: {}", words.join(", ")),
         }
     }
 }
--- a/crates/daisychute-settings/src/lib.rs
+++ b/crates/daisychute-settings/src/lib.rs
@@ -54,7 +54,7 @@
 pub use crate::configuration::{Change, ConfigurationDiff, ConfigurationFile};
 pub use crate::endpoint_capability::{EndpointCapability, UnmeetableTarget, unmeetable_targets};
 pub use crate::error::SettingsError;
-pub use crate::front::{FrontSettings, MachineSettings, RetrySettings};
+pub use crate::front::{DutySettings, FrontDuty, FrontSettings, MachineSettings, RetrySettings};
 pub use crate::front_change::FrontChange;
 pub use crate::hint::{Accepted, Hint, Remedy};
 pub use crate::keys::SectionKeys;
--- a/crates/daisychute-settings/src/rule.rs
+++ b/crates/daisychute-settings/src/rule.rs
@@ -279,3 +279,33 @@
         Accepted::OneOf(self.0.iter().map(|(word, _)| *word).collect())
     }
 }
+
+/// Accepts `true` and `false`, in any letter case.
+pub(crate) struct Flag;
+
+impl Rule for Flag {
+    type Value = bool;
+
+    fn check(&self, raw: &str) -> Option<bool> {
+        raw.to_ascii_lowercase().parse().ok()
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::OneOf(vec!["true", "false"])
+    }
+}
+
+/// Accepts a comma-separated list of these words and converts each into the value beside it. The list may be empty.
+pub(crate) struct AnyOf<T: 'static>(pub(crate) &'static [(&'static str, T)]);
+
+impl<T: Copy> Rule for AnyOf<T> {
+    type Value = Vec<T>;
+
+    fn check(&self, raw: &str) -> Option<Vec<T>> {
+        split_list(raw).map(|it| OneOf(self.0).check(it)).collect()
+    }
+
+    fn accepted(&self) -> Accepted {
+        Accepted::AnyOf(self.0.iter().map(|(word, _)| *word).collect())
+    }
+}
--- a/crates/daisychute-settings/tests/front.rs
+++ b/crates/daisychute-settings/tests/front.rs
@@ -1,6 +1,8 @@
-//! Settings files of fronts from before a key lost its effect.
+//! Settings files of fronts from before a key lost its effect, and with values that the platform left empty.
 
-use daisychute_settings::{FrontSettings, SettingsError};
+use std::time::Duration;
+
+use daisychute_settings::{DutySettings, FrontDuty, FrontSettings, SettingsError};
 
 /// Parses the settings of a front with these lines in `[machine]`.
 fn with_machine(lines: &str) -> Result<FrontSettings, SettingsError> {
@@ -27,3 +29,33 @@
     let SettingsError::Invalid { problems, .. } = error else { panic!("{error}") };
     assert!(problems[0].to_string().contains("processor-share"), "{}", problems[0]);
 }
+
+/// Parses the settings of a front with these lines in `[duties]`.
+fn with_duties(lines: &str) -> Result<DutySettings, SettingsError> {
+    Ok(with_machine(&format!("[duties]\n{lines}"))?.duties)
+}
+
+// Guards against a deployment without duties whose fronts don't start, because the platform filled in empty values.
+#[test]
+fn empty_values_of_duties_are_absent() {
+    let empty = with_duties("address = \nrequire-fence =\n\n\nduties = \n");
+    assert_eq!(empty.expect("empty values are valid"), DutySettings::default());
+}
+
+#[test]
+fn duties_are_read() {
+    let duties = with_duties(
+        "address = 127.0.0.1:9\nrequire-fence = True\nlease = 3000ms\nusage-window = 2s\n\
+         usage-due = 4s\nduties = usage_report, autoscale\n",
+    );
+    let expected = DutySettings {
+        address: Some(([127, 0, 0, 1], 9).into()),
+        require_fence: true,
+        lease: Duration::from_secs(3),
+        usage_window: Duration::from_secs(2),
+        usage_due: Duration::from_secs(4),
+        duties: vec![FrontDuty::UsageReport, FrontDuty::Autoscale],
+    };
+    assert_eq!(duties.expect("valid settings"), expected);
+    assert!(with_duties("duties = usage_report, other\n").is_err());
+}
