feat(front): usage reports by one front at a time, under a lease

Fronts with [duties] address and usage_report in duties hold a lease in the store; the holder reports the usage that all fronts count. Heartbeats tell the holder's term, the last frozen window and the wall clock; counts go to the holder and a standby as datagrams on the same socket. Calls have connections of their own, and lease and boot-time clock are checked right before the first byte. A planned stop ends the call in flight and then releases the lease. Nothing of this runs in other deployments.

--- /dev/null
+++ b/crates/daisychute-front/src/duties/input.rs
@@ -0,0 +1,35 @@
+//! Input of the task that runs the duties.
+
+use daisychute_core::Term;
+use daisychute_store::{ReadOutcome, WriteOutcome};
+use daisychute_usage::{UsageShare, WindowId};
+
+use crate::ControlAnswer;
+
+/// What the task that runs the duties is told.
+#[derive(Debug)]
+pub(crate) enum DutyInput {
+    /// The lease object was read.
+    LeaseRead(ReadOutcome),
+    /// The lease object was written.
+    LeaseWritten(WriteOutcome),
+    /// The state of the usage reports was read.
+    StateRead(ReadOutcome),
+    /// The state of the usage reports was written.
+    StateWritten(WriteOutcome),
+    /// A call of the control API ended.
+    ReportEnded {
+        /// The window that it reports.
+        window: WindowId,
+        /// What is known of it.
+        answer: ControlAnswer,
+    },
+    /// A front counted requests.
+    Share(UsageShare),
+    /// A front holds the duty under this term.
+    TermSeen(Term),
+    /// A front knows this window to be reported.
+    ReportedByPeer(WindowId),
+    /// The process shuts down.
+    Stop,
+}
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -10,17 +10,21 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::client::server;
 use crate::directory::watcher::Watcher;
+use crate::duties::link::DutyLink;
+use crate::duties::task::DutyTask;
 use crate::live_settings;
 use crate::peers::{heartbeats, snapshots};
 use crate::plain_server;
 use crate::readiness;
 use crate::state::FrontState;
-use crate::{CapacityLimits, Collection, Dialect, Directory, LiveSettings};
+use crate::{
+    CapacityLimits, Collection, ControlApi, Dialect, Directory, Duties, DutyStore, LiveSettings,
+};
 
 /// Why a front can't start or keep running.
 #[derive(Debug, thiserror::Error)]
@@ -87,6 +91,7 @@
 
 impl Front {
     /// Serves until the process is asked to stop, then shuts down gracefully. `changes` replaces settings meanwhile.
+    /// Without `duties`, the front has none.
     ///
     /// # Errors
     ///
@@ -94,7 +99,8 @@
     pub async fn run(
         mut self,
         dialect: impl Dialect,
-        directory: impl Directory,
+        directory: impl Directory + DutyStore,
+        duties: Option<Duties<impl ControlApi>>,
         metrics: impl Fn() -> String + Clone + 'static,
         changes: watch::Receiver<LiveSettings>,
     ) -> Result<(), FrontError> {
@@ -113,8 +119,21 @@
             "listening"
         );
         let peer_socket = Rc::new(peer_socket);
-        let state =
-            FrontState::new(dialect, LiveSettings::from(&self), self.incarnation_id(), own_address);
+        let incarnation_id = self.incarnation_id();
+        let (duties, duty_input) = duties
+            .map(|it| {
+                let socket = Rc::clone(&peer_socket);
+                let (link, rx) = DutyLink::new(it.settings, incarnation_id, own_address, socket);
+                (link, (it.api, rx))
+            })
+            .unzip();
+        let settings = LiveSettings::from(&self);
+        let state = FrontState::new(dialect, settings, incarnation_id, own_address, duties);
+        if let (Some(link), Some((api, rx))) = (&state.duties, duty_input) {
+            let calls = (directory.clone(), api);
+            let task = DutyTask::new(Rc::clone(link), calls, self.incarnation);
+            actix_rt::spawn(task.run(rx));
+        }
         actix_rt::spawn(live_settings::follow(Rc::clone(&state), changes));
         for collection in [Collection::Configuration, Collection::Endpoints, Collection::Fronts] {
             let watcher = Watcher::new(Rc::clone(&state), directory.clone(), collection);
@@ -158,6 +177,9 @@
         let deadline = state.now() + limit;
         state.shutdown.request(deadline);
         state.peers.request_heartbeat();
+        if let Some(duties) = &state.duties {
+            duties.stop();
+        }
         state.handle(Event::ShutdownRequested { deadline });
         let accept_time = self.shutdown_timeout.mul_f64(ACCEPT_SHARE);
         let (mut accepted, mut last_change) = (state.shutdown.accepted(), started);
@@ -179,6 +201,12 @@
         while state.shutdown.busy() > 0 && started.elapsed() < limit {
             sleep(SWEEP_INTERVAL / 5).await;
         }
+        if let Some(duties) = &state.duties {
+            // The lease was released long before, unless the store doesn't respond.
+            let left = limit.saturating_sub(started.elapsed());
+            let _ = timeout(left, duties.wait_released()).await;
+            duties.send_shares();
+        }
         let left = state.shutdown.busy();
         state.shutdown.exit();
         sleep(LAST_RESPONSES_TIME).await;
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -3,13 +3,15 @@
 //! The decisions are made by a [`Dispatcher`](daisychute_dispatch::Dispatcher). This crate is its I/O shell: it reads
 //! requests, sends them, passes responses on, watches a [`Directory`] of endpoints and configurations, and exchanges
 //! heartbeats with its peers. A deployment supplies a [`Dialect`], which defines the format of requests and responses,
-//! and a [`Directory`], which reads the records of endpoints, configurations and fronts.
+//! and a [`Directory`], which reads the records of endpoints, configurations and fronts. Calls that one front at a time makes
+//! to the platform's [`ControlApi`] are made under a lease in a [`DutyStore`].
 
 mod response_info;
 mod client;
 mod capacity_limits;
 mod dialect;
 mod directory;
+mod duties;
 mod endpoint;
 mod event_framer;
 mod front;
@@ -33,6 +35,10 @@
 pub use crate::directory::revisions::Revisions;
 pub use crate::directory::store_era::StoreEra;
 pub use crate::directory::{Change, Directory, DirectoryError, Listing};
+pub use crate::duties::Duties;
+pub use crate::duties::control_api::{ControlAnswer, ControlApi, DutyCall};
+pub use crate::duties::duty_store::DutyStore;
+pub use crate::duties::settings::DutySettings;
 pub use crate::event_framer::EventFramer;
 pub use crate::front::{Front, FrontError};
 pub use crate::hop_by_hop::HOP_BY_HOP;
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -86,6 +86,7 @@
             .part_reports(part_reports)
             .request_reports(request_reports)
             .limits(limits)
+            .duties(state.duties.as_ref().map(|it| it.news()))
     });
     to_bytes(&heartbeat)
 }
@@ -120,6 +121,9 @@
         };
         let heartbeat: Result<PeerHeartbeat, _> = ciborium::from_reader(&buf[..len]);
         let Ok(heartbeat) = heartbeat else {
+            if state.duties.as_ref().is_some_and(|it| it.receive_share(&buf[..len])) {
+                continue;
+            }
             log::debug!(from:%; "malformed heartbeat datagram dropped");
             continue;
         };
@@ -136,11 +140,15 @@
             part_reports,
             limits,
             request_reports,
+            duty_news,
         ) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
         if state.peers.record_incarnation(peer) {
             greet(&state, &socket, from);
         }
+        if let (Some(duties), Some(news)) = (&state.duties, duty_news) {
+            duties.record_news(from, peer, news);
+        }
         state.record_peer_era(era, from);
         state.revisions.record_reported(state.now(), positions, || collect_time(&state));
         state.record_leaving_reported(leaving.into_iter().map(Into::into).collect());
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Position;
+use crate::duties::duty_news::DutyNews;
 use crate::peers::crash_reports::CrashReports;
 use crate::peers::limit_report::LimitReport;
 
@@ -43,6 +44,9 @@
     /// What was learned about requests under which endpoints end. Fronts of before this element don't send it.
     #[serde(default)]
     pub(crate) CrashReports,
+    /// What the sender tells about duties. Fronts without duties or of before this element don't send it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) Option<DutyNews>,
 );
 
 /// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
@@ -130,6 +134,7 @@
             part_reports,
             limits,
             request_reports,
+            None,
         )
     }
 
@@ -157,6 +162,12 @@
         self
     }
 
+    /// Sets what the sender tells about duties.
+    pub(crate) fn duties(mut self, news: Option<DutyNews>) -> Self {
+        self.11 = news;
+        self
+    }
+
     /// Sets what was learned about prompt parts.
     pub(crate) fn part_reports(mut self, part_reports: CrashReports) -> Self {
         self.8 = part_reports;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -20,6 +20,7 @@
 
 use crate::directory::revisions::Revisions;
 use crate::directory::store_era::StoreEra;
+use crate::duties::link::DutyLink;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, health_check, release};
@@ -47,6 +48,8 @@
     /// Whether the last call for configurations failed; `true` before the first success.
     pub(crate) directory_unreachable: Cell<bool>,
     pub(crate) shutdown: ShutdownState,
+    /// The duties towards the platform; `None` if the deployment has none.
+    pub(crate) duties: Option<Rc<DutyLink>>,
     pub(crate) http: ServiceConfig,
     /// Identifies this start of this front; also seeds its random choices.
     pub(crate) incarnation_id: u64,
@@ -63,6 +66,7 @@
         settings: LiveSettings,
         incarnation_id: u64,
         peer_address: SocketAddr,
+        duties: Option<Rc<DutyLink>>,
     ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
@@ -75,6 +79,7 @@
             directory_last_seen: Cell::new(Time::ZERO),
             directory_unreachable: Cell::new(true),
             shutdown: ShutdownState::default(),
+            duties,
             http: ServiceConfig::default(),
             incarnation_id,
             clock: Clock::start(),
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -3,11 +3,11 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use daisychute_adapter::{PlatformDialect, Store};
+use daisychute_adapter::{ControlClient, PlatformDialect, Store};
 use daisychute_core::Incarnation;
 use daisychute_dispatch::DispatchSettings;
-use daisychute_front::{CapacityLimits, Front, LiveSettings};
-use daisychute_settings::FrontSettings;
+use daisychute_front::{CapacityLimits, Duties, DutySettings, Front, LiveSettings};
+use daisychute_settings::{FrontDuty, FrontSettings};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -45,12 +45,26 @@
         incarnation: incarnation.get(),
     };
     let (tx, changes) = watch::channel(LiveSettings::from(&front));
+    let duties = duties(&settings);
     let (store, render) = (Store::new(settings.store), move || metrics.render());
     actix_rt::spawn(Reloader::new(path, settings, tx).run(hangups));
-    front.run(PlatformDialect, store, render, changes).await?;
+    front.run(PlatformDialect, store, duties, render, changes).await?;
     Ok(())
 }
 
+/// Returns the duties of the front; `None` if the deployment has none that it can perform.
+fn duties(settings: &FrontSettings) -> Option<Duties<ControlClient>> {
+    let duties = &settings.duties;
+    let address = duties.address.filter(|_| duties.duties.contains(&FrontDuty::UsageReport))?;
+    let settings = DutySettings {
+        holder: settings.name.clone(),
+        lease: duties.lease,
+        usage_window: duties.usage_window,
+        usage_due: duties.usage_due,
+    };
+    Some(Duties { settings, api: ControlClient::new(address) })
+}
+
 pub(crate) const fn capacity_limits(settings: &FrontSettings) -> CapacityLimits {
     CapacityLimits::for_machine(settings.machine.memory_mib, settings.machine.descriptors)
 }
