--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -46,6 +46,8 @@
     eligible: bool,
     /// Until when this front leaves the duty to others.
     paused_until: Time,
+    /// The term under which this front gave the duty up: it makes no further call under it.
+    given_up: Option<Term>,
     /// Number of calls of the store for the lease that are in flight.
     lease_calls: u32,
     /// When the call in flight can no longer be executed; `None` if none is in flight.
@@ -82,6 +84,7 @@
             held: None,
             eligible: false,
             paused_until: Time::ZERO,
+            given_up: None,
             lease_calls: 0,
             call_ends_at: None,
             unanswered_since: None,
@@ -157,6 +160,7 @@
         self.unanswered_since = None;
         let Some(Held { term, .. }) = self.held else { return };
         log::warn!(duty = DUTY, term:%, reason; "duty given up");
+        self.given_up = Some(term);
         self.paused_until = self.link.clock.now() + PAUSE_AFTER_STEP_DOWN;
         self.eligible = false;
         self.lease(LeaseEvent::Eligible(false));
@@ -278,6 +282,7 @@
         let ends_at = started + CALL_TIMEOUT;
         let may_start = !self.stopping
             && self.call_ends_at.is_none()
+            && self.given_up != Some(term)
             && self.held.is_some_and(|it| it.term == term && ends_at < it.until);
         if !may_start {
             let outcome = CallOutcome::Rejected;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -219,8 +219,11 @@
                 Action::RecordLatency { task, predicted, took, .. } => {
                     record_prediction_error(task, predicted, took)
                 }
-                // Usage isn't reported yet.
-                Action::RecordBegin { .. } => {}
+                Action::RecordBegin { tenant, began_at } => {
+                    if let Some(duties) = &self.duties {
+                        duties.record_begin(&tenant, now.since(began_at));
+                    }
+                }
                 action => request_action = Some(action),
             }
         }
