--- a/crates/daisychute-front/src/duties/link.rs
+++ b/crates/daisychute-front/src/duties/link.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use daisychute_core::{TenantName, Term, Time};
-use daisychute_usage::{TrueTime, UnixTime, UsageCounter, UsageReporter, WindowId};
+use daisychute_usage::{TrueTime, UnixTime, UsageCounter, UsageReporter, UsageShare, WindowId};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -70,6 +70,8 @@
     pub(crate) held: Cell<Option<Held>>,
     /// The last window that is known to be frozen: it is reported, or may be.
     frozen: Cell<Option<WindowId>>,
+    /// The last window whose counts were logged.
+    logged: Cell<Option<WindowId>>,
     released: Cell<bool>,
     release_ended: Notify,
 }
@@ -99,6 +101,7 @@
             heard_holder: Cell::new(None),
             held: Cell::new(None),
             frozen: Cell::new(None),
+            logged: Cell::new(None),
             released: Cell::new(false),
             release_ended: Notify::new(),
         };
@@ -187,7 +190,12 @@
             counter.resend_all();
             self.last_collectors.borrow_mut().clone_from(&collectors);
         }
+        let logged = self.logged.get();
         for share in counter.shares(now, self.true_time(now), MAX_SHARE_BYTES) {
+            if share.complete && logged.is_none_or(|it| it < share.window) {
+                log_counts(&share);
+                self.logged.set(self.logged.get().max(Some(share.window)));
+            }
             if collectors.contains(&self.own_address) {
                 self.send(DutyInput::Share(share.clone()));
             }
@@ -257,6 +265,19 @@
     }
 }
 
+/// Logs what this front counted in a window.
+fn log_counts(share: &UsageShare) {
+    let UsageShare { window, counts, from_start, .. } = share;
+    let counts = format_counts(counts);
+    log::info!(window:%, counts, from_start; "usage counted");
+}
+
+/// Formats counts by tenant for the log.
+pub(crate) fn format_counts(counts: &BTreeMap<TenantName, u64>) -> String {
+    let counts: Vec<_> = counts.iter().map(|(tenant, count)| format!("{tenant}={count}")).collect();
+    counts.join(" ")
+}
+
 /// The machine's wall clock in Unix milliseconds.
 fn wall_clock_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -16,7 +16,7 @@
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use crate::duties::input::DutyInput;
-use crate::duties::link::{DutyLink, Held};
+use crate::duties::link::{DutyLink, Held, format_counts};
 use crate::duties::settings::CALL_TIMEOUT;
 use crate::{ControlAnswer, ControlApi, DutyCall, DutyStore};
 
@@ -288,6 +288,8 @@
             let outcome = CallOutcome::Rejected;
             return self.reporter(ReporterEvent::ReportEnded { window: report.window, outcome });
         }
+        let counts = format_counts(&report.counts);
+        log::info!(window:% = report.window, term:%, counts; "usage report sent");
         self.call_ends_at = Some(ends_at);
         let (api, tx, link) = (self.api.clone(), self.tx.clone(), Rc::clone(&self.link));
         let call = DutyCall { holder: self.holder.clone(), term, timeout: CALL_TIMEOUT };
