--- a/crates/daisychute-front/src/duties/input.rs
+++ b/crates/daisychute-front/src/duties/input.rs
@@ -28,8 +28,8 @@
     Share(UsageShare),
     /// A front holds the duty under this term.
     TermSeen(Term),
-    /// A front knows this window to be reported.
-    ReportedByPeer(WindowId),
+    /// A front announced the highest term of a holder, and the last window that may be reported.
+    ReportedByPeer(Term, WindowId),
     /// The process shuts down.
     Stop,
 }
--- a/crates/daisychute-front/src/duties/link.rs
+++ b/crates/daisychute-front/src/duties/link.rs
@@ -68,8 +68,8 @@
     heard_holder: Cell<Option<HeardHolder>>,
     /// The lease, if this front holds it.
     pub(crate) held: Cell<Option<Held>>,
-    /// The last window that is known to be frozen: it is reported, or may be.
-    frozen: Cell<Option<WindowId>>,
+    /// What the reporter announces: the highest term of a holder, and the last window that may be reported.
+    announced: Cell<Option<(Term, WindowId)>>,
     /// The last window whose counts were logged.
     logged: Cell<Option<WindowId>>,
     released: Cell<bool>,
@@ -100,7 +100,7 @@
             sources: RefCell::default(),
             heard_holder: Cell::new(None),
             held: Cell::new(None),
-            frozen: Cell::new(None),
+            announced: Cell::new(None),
             logged: Cell::new(None),
             released: Cell::new(false),
             release_ended: Notify::new(),
@@ -139,12 +139,12 @@
     /// Returns what the next heartbeat tells.
     pub(crate) fn news(&self) -> DutyNews {
         let term = self.held.get().map(|it| it.term);
-        DutyNews(wall_clock_ms(), term, self.frozen.get())
+        DutyNews(wall_clock_ms(), term, self.announced.get())
     }
 
     /// Records what a heartbeat told.
     pub(crate) fn record_news(&self, from: SocketAddr, incarnation: u64, news: DutyNews) {
-        let DutyNews(wall_ms, term, frozen) = news;
+        let DutyNews(wall_ms, term, announced) = news;
         let now = self.clock.now();
         self.sources.borrow_mut().insert(from, Source { incarnation, last_seen: now });
         self.true_time.borrow_mut().told(now, incarnation, UnixTime::from_millis(wall_ms));
@@ -158,9 +158,11 @@
                 self.send(DutyInput::TermSeen(term));
             }
         }
-        if let Some(window) = frozen.filter(|it| self.frozen.get().is_none_or(|own| own < *it)) {
-            self.record_frozen(window);
-            self.send(DutyInput::ReportedByPeer(window));
+        if let Some((term, window)) = announced {
+            let (own_term, own_window) = self.announced.get().unzip();
+            if own_term < Some(term) || own_window < Some(window) {
+                self.send(DutyInput::ReportedByPeer(term, window));
+            }
         }
     }
 
@@ -173,12 +175,13 @@
         }
     }
 
-    /// Records that all windows up to this one are frozen: their counts aren't sent again.
-    pub(crate) fn record_frozen(&self, window: WindowId) {
-        if self.frozen.get().is_none_or(|it| it < window) {
-            self.frozen.set(Some(window));
+    /// Records what the reporter announces. Counts of frozen windows aren't sent again. Returns whether it changed.
+    pub(crate) fn announce(&self, announcement: Option<(Term, WindowId)>) -> bool {
+        let changed = self.announced.replace(announcement) != announcement;
+        if let Some((_, window)) = announcement.filter(|_| changed) {
             self.counter.borrow_mut().forget_through(window);
         }
+        changed
     }
 
     /// Sends the counts of this front to the fronts that collect them.
--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -18,7 +18,8 @@
 use crate::duties::input::DutyInput;
 use crate::duties::link::{DutyLink, Held, format_counts};
 use crate::duties::settings::CALL_TIMEOUT;
-use crate::{ControlAnswer, ControlApi, DutyCall, DutyStore};
+use crate::state::FrontState;
+use crate::{ControlAnswer, ControlApi, Dialect, DutyCall, DutyStore};
 
 /// Name of the duty in the objects of the store and in metrics.
 const DUTY: &str = "usage-report";
@@ -33,7 +34,8 @@
 const PAUSE_AFTER_STEP_DOWN: Duration = Duration::from_secs(10);
 
 /// Task that runs the duty of usage reports.
-pub(crate) struct DutyTask<S, A> {
+pub(crate) struct DutyTask<D, S, A> {
+    state: Rc<FrontState<D>>,
     link: Rc<DutyLink>,
     store: S,
     api: A,
@@ -59,9 +61,14 @@
     release_requested: bool,
 }
 
-impl<S: DutyStore, A: ControlApi> DutyTask<S, A> {
+impl<D: Dialect, S: DutyStore, A: ControlApi> DutyTask<D, S, A> {
     /// Creates the task of a front, with the store and the control API that it calls.
-    pub(crate) fn new(link: Rc<DutyLink>, (store, api): (S, A), incarnation: u64) -> Self {
+    pub(crate) fn new(
+        state: Rc<FrontState<D>>,
+        link: Rc<DutyLink>,
+        (store, api): (S, A),
+        incarnation: u64,
+    ) -> Self {
         let name = link.settings.holder.clone();
         let holder = Holder { process: name.clone(), incarnation: Incarnation::new(incarnation) };
         let writer = format!("{name}/{incarnation}");
@@ -91,6 +98,7 @@
             shares_due_at: Time::ZERO,
             stopping: false,
             release_requested: false,
+            state,
             link,
         }
     }
@@ -127,8 +135,9 @@
             DutyInput::ReportEnded { window, answer } => self.report_ended(window, answer),
             DutyInput::Share(share) => self.reporter(ReporterEvent::ShareReceived(share)),
             DutyInput::TermSeen(term) => self.lease(LeaseEvent::TermSeen(term)),
-            DutyInput::ReportedByPeer(window) => {
-                self.reporter(ReporterEvent::ReportedByPeer(window));
+            DutyInput::ReportedByPeer(term, window) => {
+                self.lease(LeaseEvent::TermSeen(term));
+                self.reporter(ReporterEvent::ReportedByPeer { term, window });
             }
             DutyInput::Stop => self.stopping = true,
         }
@@ -237,8 +246,9 @@
         let mut actions = Vec::new();
         let now = self.link.clock.now();
         self.reporter.handle(now, self.link.true_time(now), event, &mut actions);
-        if let Some(window) = self.reporter.highest_frozen() {
-            self.link.record_frozen(window);
+        // Its peers must hear of a frozen window before the API does.
+        if self.link.announce(self.reporter.announcement()) && self.held.is_some() {
+            self.state.peers.request_urgent_heartbeat();
         }
         for action in actions {
             match action {
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -131,7 +131,8 @@
         let state = FrontState::new(dialect, settings, incarnation_id, own_address, duties);
         if let (Some(link), Some((api, rx))) = (&state.duties, duty_input) {
             let calls = (directory.clone(), api);
-            let task = DutyTask::new(Rc::clone(link), calls, self.incarnation);
+            let (state, link) = (Rc::clone(&state), Rc::clone(link));
+            let task = DutyTask::new(state, link, calls, self.incarnation);
             actix_rt::spawn(task.run(rx));
         }
         actix_rt::spawn(live_settings::follow(Rc::clone(&state), changes));
