fix(front): a duty that is given up is released after the call in flight

After 8 s without a response of the control API the lease was released at once, also while a call could still be executed, so a successor's call could come before it. The release now waits until the call has ended or timed out, as at a stop.

--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -50,6 +50,8 @@
     paused_until: Time,
     /// The term under which this front gave the duty up: it makes no further call under it.
     given_up: Option<Term>,
+    /// Whether the lease is to be released because the duty was given up.
+    step_down_due: bool,
     /// Number of calls of the store for the lease that are in flight.
     lease_calls: u32,
     /// When the call in flight can no longer be executed; `None` if none is in flight.
@@ -92,6 +94,7 @@
             eligible: false,
             paused_until: Time::ZERO,
             given_up: None,
+            step_down_due: false,
             lease_calls: 0,
             call_ends_at: None,
             unanswered_since: None,
@@ -112,6 +115,7 @@
                 Some(input) = rx.recv() => self.handle(input),
                 _ = ticks.tick() => self.tick(),
             }
+            self.release_if_given_up();
             self.release_if_stopping();
         }
     }
@@ -172,8 +176,16 @@
         self.given_up = Some(term);
         self.paused_until = self.link.clock.now() + PAUSE_AFTER_STEP_DOWN;
         self.eligible = false;
+        self.step_down_due = true;
         self.lease(LeaseEvent::Eligible(false));
-        self.lease(LeaseEvent::StepDown);
+    }
+
+    /// Releases the lease that was given up, once the call in flight can no longer be executed.
+    fn release_if_given_up(&mut self) {
+        if self.step_down_due && self.call_ends_at.is_none() {
+            self.step_down_due = false;
+            self.lease(LeaseEvent::StepDown);
+        }
     }
 
     /// Releases the lease once the call in flight can no longer be executed.
