--- a/crates/daisychute-settings/src/front.rs
+++ b/crates/daisychute-settings/src/front.rs
@@ -10,7 +10,9 @@
 use crate::field::raw_section;
 use crate::log::RawLog;
 use crate::problem::Problems;
-use crate::rule::{Address, Addresses, CountRange, DurationRange, Name, PositiveNumber};
+use crate::rule::{
+    Address, Addresses, AnyOf, CountRange, DurationRange, Flag, Name, PositiveNumber,
+};
 use crate::{LogSettings, SectionKeys, SettingsError, file};
 
 raw_section! {
@@ -60,6 +62,18 @@
     }
 }
 
+raw_section! {
+    /// Unchecked section `[duties]`.
+    RawDuties {
+        address = "address",
+        require_fence = "require-fence",
+        lease = "lease",
+        usage_window = "usage-window",
+        usage_due = "usage-due",
+        duties = "duties",
+    }
+}
+
 raw_section! {
     /// Unchecked section `[stop]`.
     RawStop {
@@ -97,6 +111,8 @@
     /// Maximum time that heartbeats of other fronts are assumed to take, when requests are spread over engines by the
     /// work that these fronts have probably sent since; `None` if they aren't spread.
     pub max_heartbeat_delay: Option<Duration>,
+    /// Duties that one front at a time has towards the platform.
+    pub duties: DutySettings,
     /// Maximum duration of a graceful shutdown.
     pub stop_within: Duration,
     /// Log level and format.
@@ -123,6 +139,51 @@
     pub slack: f64,
 }
 
+/// A duty that only one front at a time has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FrontDuty {
+    /// Reports the usage of tenants.
+    UsageReport,
+    /// Scales services.
+    Autoscale,
+}
+
+impl FrontDuty {
+    /// The words for the duties in a settings file.
+    pub const WORDS: &'static [(&'static str, Self)] =
+        &[("usage_report", Self::UsageReport), ("autoscale", Self::Autoscale)];
+}
+
+/// The platform's control API, and the duties of the fronts towards it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DutySettings {
+    /// Address of the control API. Without it, fronts have no duties.
+    pub address: Option<SocketAddr>,
+    /// Whether the control API refuses calls with an outdated fencing token.
+    pub require_fence: bool,
+    /// Time within which two holders of a duty must not act in turns.
+    pub lease: Duration,
+    /// Length of the windows for which usage is reported.
+    pub usage_window: Duration,
+    /// Time after the end of a window by which its report is due.
+    pub usage_due: Duration,
+    /// The duties that the deployment has.
+    pub duties: Vec<FrontDuty>,
+}
+
+impl Default for DutySettings {
+    fn default() -> Self {
+        Self {
+            address: None,
+            require_fence: false,
+            lease: Duration::from_secs(3),
+            usage_window: Duration::from_secs(5),
+            usage_due: Duration::from_secs(10),
+            duties: Vec::new(),
+        }
+    }
+}
+
 impl Default for MachineSettings {
     fn default() -> Self {
         Self { memory_mib: 512, descriptors: 4_096 }
@@ -143,6 +204,7 @@
         SectionKeys { section: "machine", named: false, keys: RawMachine::KEYS },
         SectionKeys { section: "retries", named: false, keys: RawRetries::KEYS },
         SectionKeys { section: "balance", named: false, keys: RawBalance::KEYS },
+        SectionKeys { section: "duties", named: false, keys: RawDuties::KEYS },
         SectionKeys { section: "stop", named: false, keys: RawStop::KEYS },
         SectionKeys { section: "log", named: false, keys: RawLog::KEYS },
     ];
@@ -154,6 +216,10 @@
         DurationRange { min: Duration::from_millis(10), max: Duration::from_secs(1) };
     const STOP_WITHIN: DurationRange =
         DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(600) };
+    const LEASE: DurationRange =
+        DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(600) };
+    const USAGE: DurationRange =
+        DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(3_600) };
     const MEMORY_MIB: CountRange = CountRange { min: 16, max: 1_048_576 };
     const DESCRIPTORS: CountRange = CountRange { min: 64, max: 1_048_576 };
 
@@ -207,6 +273,7 @@
         let retries = problems.record(RetrySettings::try_from(document));
         let max_heartbeat_delay =
             problems.record(balance.max_heartbeat_delay.optional(&Self::MAX_HEARTBEAT_DELAY));
+        let duties = problems.record(DutySettings::try_from(document));
         let stop_within =
             problems.record(stop.within.optional_or(Self::DEFAULT_STOP_WITHIN, &Self::STOP_WITHIN));
         let log = problems.record(LogSettings::try_from(&RawLog::read(document.section("log"))));
@@ -225,6 +292,7 @@
                 machine: machine?,
                 retries: retries?,
                 max_heartbeat_delay: max_heartbeat_delay?,
+                duties: duties?,
                 stop_within: stop_within?,
                 log: log?,
             })
@@ -249,6 +317,24 @@
     }
 }
 
+impl TryFrom<&Document> for DutySettings {
+    type Error = Problems;
+
+    /// Takes empty values as absent, because the platform fills in nothing for fields that a deployment doesn't have.
+    fn try_from(document: &Document) -> Result<Self, Problems> {
+        let raw = RawDuties::read(document.section("duties"));
+        let mut problems = Problems::default();
+        let address = problems.record(raw.address.filled(&Address)).flatten();
+        let mut checked = Self { address, ..Self::default() };
+        problems.set(&mut checked.require_fence, raw.require_fence.filled(&Flag));
+        problems.set(&mut checked.lease, raw.lease.filled(&FrontSettings::LEASE));
+        problems.set(&mut checked.usage_window, raw.usage_window.filled(&FrontSettings::USAGE));
+        problems.set(&mut checked.usage_due, raw.usage_due.filled(&FrontSettings::USAGE));
+        problems.set(&mut checked.duties, raw.duties.filled(&AnyOf(FrontDuty::WORDS)));
+        problems.into_result(checked)
+    }
+}
+
 impl TryFrom<&Document> for RetrySettings {
     type Error = Problems;
 
