fix(front): resume streams after all fronts were killed, where one version served

Fronts that start know a service for a moment only, so after a kill of all of them each refused to resume streams for two timeouts of the route, also where one software version had served all the time.

The directory now keeps the versions of each service that may have streams (kind versions, one object for each service, written conditionally when a version is first seen or has been gone for two of the longest timeouts). A front that starts reads it, and takes it for complete if it was written in the era of the store. Recorded versions without endpoints count as having left at the front's start. Streams begin at recorded versions while endpoints of them take requests, for 5 s after another one was listed.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -10,6 +10,7 @@
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
 use crate::core::shutdown::Shutdown;
 use crate::core::stream_origins::StreamOrigins;
+use crate::core::version_records::RecordedVersions;
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::stage_times::StageTimes;
 use crate::fleet::version_history::VersionHistory;
@@ -45,6 +46,8 @@
     pub(crate) stream_origins: StreamOrigins,
     /// Software versions of the endpoints in the fleet, and of those that left it.
     pub(crate) versions: VersionHistory,
+    /// Software versions in the directory's record of each service that has one.
+    pub(crate) recorded_versions: FxHashMap<ServiceName, RecordedVersions>,
     /// Requests and prompt parts under which endpoints ended.
     pub(crate) crash_quarantine: CrashQuarantine,
 }
@@ -72,6 +75,7 @@
             peer_heard_at: None,
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
+            recorded_versions: FxHashMap::default(),
             crash_quarantine: CrashQuarantine::default(),
         }
     }
@@ -157,6 +161,9 @@
                     self.stream_origins.record(now, origin);
                 }
             }
+            Event::VersionsRecorded { service, versions } => {
+                self.versions_recorded(now, service, versions)
+            }
             Event::CrashNewsReported { news } => self.crash_news_reported(now, news, actions),
             Event::LimitsReported { limits } => self.limits_reported(now, limits, actions),
             Event::FrontsCounted(position) => {
@@ -198,6 +205,7 @@
         let (name, address) = (endpoint.name.clone(), endpoint.address);
         self.record_version(now, &name);
         self.versions.record(now, &endpoint);
+        self.version_listed(now, &endpoint);
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -1,12 +1,13 @@
 //! Events that a dispatcher handles.
 
-use daisychute_core::{EndpointName, Time};
+use daisychute_core::{EndpointName, ServiceName, Time};
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::{
     CrashNews, Endpoint, EndpointKey, FrontPosition, Incarnation, LimitNews, LoadSample, PeerLoad,
-    PromptPart, Removal, RequestInfo, RequestKey, RequestRate, RouteTable, StreamOrigin,
+    PromptPart, Removal, RequestInfo, RequestKey, RequestRate, RouteTable, SoftwareVersions,
+    StreamOrigin,
 };
 
 /// Why a send attempt failed.
@@ -179,6 +180,14 @@
         /// The streams that clients may resume.
         origins: Vec<StreamOrigin>,
     },
+    /// The directory's record of the versions of a service that may have streams was read or written. Nothing that it
+    /// lacks may have had streams before.
+    VersionsRecorded {
+        /// The service.
+        service: ServiceName,
+        /// The versions in the record.
+        versions: SoftwareVersions,
+    },
     /// Another front reported requests and prompt parts under which endpoints ended or didn't end.
     CrashNewsReported {
         /// What it told, with times of this process.
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod request_info;
 pub(crate) mod request_state;
 pub(crate) mod stream_origins;
+pub(crate) mod version_records;
 mod crashes;
 mod notices;
 mod kv_cache;
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -169,6 +169,7 @@
             source: None,
             priority: state.priority(),
             version: state.stream_version.as_ref(),
+            recorded: self.versions_to_begin_at(now, state),
             tried: &state.tried,
             local_data_centre: self.settings.data_centre.as_ref(),
             seed: xxh3_64(state.request.id.as_bytes()),
@@ -178,8 +179,11 @@
             Some(_) => Vec::new(),
             None => cache_holders(now, &self.fleet, &query),
         };
-        let best =
-            |query: SelectionQuery<'_>| select(now, &self.fleet, model, &query, &cache_holders);
+        let best = |query: SelectionQuery<'_>| {
+            let selected = select(now, &self.fleet, model, &query, &cache_holders);
+            let any = query.recorded.map(|_| SelectionQuery { recorded: None, ..query });
+            selected.or_else(|| select(now, &self.fleet, model, &any?, &cache_holders))
+        };
         let decode = SelectionQuery { stage: Some(EngineStage::Decode), ..query };
         if let Some(handle) = &state.kv_handle {
             let prefill_endpoint = self.fleet.endpoint(handle.endpoint);
@@ -204,19 +208,22 @@
         if state.prefill_tried || (combined.is_none() && state.stream_version.is_some()) {
             return combined;
         }
-        let disaggregated =
-            best(SelectionQuery { stage: Some(EngineStage::Prefill), version: None, ..query }).map(
-                |candidate| {
-                    let transfer =
-                        engine.map_or(Duration::ZERO, |it| it.transfer_time(prompt.tokens.into()));
-                    let cost_ms = candidate.predicted_ms
-                        + SECOND_CALL_OVERHEAD_MS
-                        + transfer.as_secs_f64() * 1e3
-                        + model.delay_ms(now, PrefillEngine::Dedicated);
-                    let task = Task::Prefill;
-                    Placement { task, cost_ms, latency_ms: cost_ms, ..Placement::run(candidate) }
-                },
-            );
+        let disaggregated = best(SelectionQuery {
+            stage: Some(EngineStage::Prefill),
+            version: None,
+            recorded: None,
+            ..query
+        })
+        .map(|candidate| {
+            let transfer =
+                engine.map_or(Duration::ZERO, |it| it.transfer_time(prompt.tokens.into()));
+            let cost_ms = candidate.predicted_ms
+                + SECOND_CALL_OVERHEAD_MS
+                + transfer.as_secs_f64() * 1e3
+                + model.delay_ms(now, PrefillEngine::Dedicated);
+            let task = Task::Prefill;
+            Placement { task, cost_ms, latency_ms: cost_ms, ..Placement::run(candidate) }
+        });
         match (combined, disaggregated) {
             (Some(combined), Some(disaggregated)) if disaggregated.cost_ms < combined.cost_ms => {
                 Some(disaggregated)
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -9,7 +9,7 @@
 
 /// Multiple of a route's timeout within which a stream is resumed for the last time. Each attempt of a client ends with
 /// the timeout, and few clients wait longer than that for all of them.
-const MAX_STREAM_AGE_FACTOR: u32 = 2;
+pub(crate) const MAX_STREAM_AGE_FACTOR: u32 = 2;
 
 /// Time without a heartbeat of any other front after which this one may be cut off: live fronts send several a second.
 const MAX_SILENCE: Duration = Duration::from_millis(1_500);
@@ -50,7 +50,7 @@
     }
 
     /// Whether this front would know of new versions: it hears another front, or there never was one.
-    fn is_in_contact(&self, now: Time) -> bool {
+    pub(crate) fn is_in_contact(&self, now: Time) -> bool {
         self.peer_heard_at.is_none_or(|at| now.since(at) < MAX_SILENCE)
     }
 
--- a/crates/daisychute-dispatch/src/fleet/selection.rs
+++ b/crates/daisychute-dispatch/src/fleet/selection.rs
@@ -7,7 +7,7 @@
 use crate::fleet::availability::Availability;
 use crate::fleet::cost_model::{PrefillEngine, PrefillWork, ServiceCostModel};
 use crate::fleet::endpoint::TrackedEndpoint;
-use crate::{EndpointKey, EngineSpec, EngineStage, Prompt};
+use crate::{EndpointKey, EngineSpec, EngineStage, Prompt, SoftwareVersions};
 
 /// Request for which an endpoint is selected.
 #[derive(Debug, Clone, Copy)]
@@ -26,6 +26,8 @@
     pub(crate) priority: u8,
     /// Software version that the endpoint must have; `None` if any fits.
     pub(crate) version: Option<&'a Option<SoftwareVersion>>,
+    /// Software versions of which the endpoint must have one; `None` if any fits.
+    pub(crate) recorded: Option<&'a SoftwareVersions>,
     /// Endpoints that the request was sent to before; they are excluded.
     pub(crate) tried: &'a [EndpointKey],
     /// Data centre of this front; `None` if it isn't known.
@@ -96,6 +98,9 @@
             && !query.tried.contains(&it.0)
             && (query.stage.is_none() || it.1.endpoint.stage == query.stage)
             && query.version.is_none_or(|version| it.1.endpoint.software_version == *version)
+            && query
+                .recorded
+                .is_none_or(|versions| versions.contains(&it.1.endpoint.software_version))
     };
     let eligible: Vec<_> = fleet.of_service(query.service).filter(is_eligible).collect();
     let healthy = eligible.iter().filter(|it| !it.1.health.is_ejected(now)).count();
--- a/crates/daisychute-dispatch/src/fleet/version_history.rs
+++ b/crates/daisychute-dispatch/src/fleet/version_history.rs
@@ -14,6 +14,8 @@
 #[derive(Debug)]
 struct ServiceHistory {
     first_seen_at: Time,
+    /// Whether all versions are known that had endpoints before `first_seen_at`.
+    is_complete: bool,
     /// When an endpoint of each version was last listed or removed.
     seen_at: FxHashMap<Version, Time>,
 }
@@ -30,14 +32,50 @@
 
     /// Records that an endpoint is known now, or was until now.
     pub(crate) fn record(&mut self, now: Time, endpoint: &Endpoint) {
-        let new = || ServiceHistory { first_seen_at: now, seen_at: FxHashMap::default() };
-        let history = self.services.entry(endpoint.service.clone()).or_insert_with(new);
+        let history = self.history(now, &endpoint.service);
         history.seen_at.insert(endpoint.software_version.clone(), now);
         history.seen_at.retain(|_, at| now.since(*at) < Self::MAX_AGE);
     }
 
+    /// Records the versions that may have had endpoints until now, earlier ones than this process knows included.
+    pub(crate) fn complete<'a>(
+        &mut self,
+        now: Time,
+        service: &ServiceName,
+        versions: impl IntoIterator<Item = &'a Version>,
+    ) {
+        let history = self.history(now, service);
+        history.is_complete = true;
+        for version in versions {
+            history.seen_at.entry(version.clone()).or_insert(now);
+        }
+    }
+
+    fn history(&mut self, now: Time, service: &ServiceName) -> &mut ServiceHistory {
+        let new = || ServiceHistory {
+            first_seen_at: now,
+            is_complete: false,
+            seen_at: FxHashMap::default(),
+        };
+        self.services.entry(service.clone()).or_insert_with(new)
+    }
+
+    /// Returns the versions of endpoints of the service that were recorded during the last `age`. `None` if there may have
+    /// been others.
+    pub(crate) fn recent(
+        &self,
+        now: Time,
+        service: &ServiceName,
+        age: Duration,
+    ) -> Option<impl Iterator<Item = &Version>> {
+        let history = self.services.get(service)?;
+        let is_known = history.is_complete || now.since(history.first_seen_at) >= age;
+        let recent = history.seen_at.iter().filter(move |(_, at)| now.since(**at) < age);
+        is_known.then(|| recent.map(|(version, _)| version))
+    }
+
     /// Returns the version that all endpoints of the service had during all of the last `age`, those in `present`
-    /// included. `None` if there were several, or if the service wasn't known for so long.
+    /// included. `None` if there were several, or if there may have been others before the service was known.
     pub(crate) fn only_version<'a>(
         &'a self,
         now: Time,
@@ -45,12 +83,7 @@
         age: Duration,
         present: impl Iterator<Item = &'a Version>,
     ) -> Option<&'a Version> {
-        let history = self.services.get(service)?;
-        if now.since(history.first_seen_at) < age {
-            return None;
-        }
-        let recent = history.seen_at.iter().filter(|(_, at)| now.since(**at) < age);
-        let mut versions = present.chain(recent.map(|(version, _)| version));
+        let mut versions = present.chain(self.recent(now, service, age)?);
         let first = versions.next()?;
         versions.all(|it| it == first).then_some(first)
     }
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -41,6 +41,7 @@
 pub use crate::core::reason::Reason;
 pub use crate::core::request_info::{Fingerprint, RequestInfo, RequestKey, Resumption};
 pub use crate::core::stream_origins::StreamOrigin;
+pub use crate::core::version_records::SoftwareVersions;
 pub use crate::fleet::backlog::Backlog;
 pub use crate::fleet::budget::RetryBudget;
 pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage};
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -248,6 +248,79 @@
     },
 }
 
+fn record(front: &mut Front, versions: &[&str]) {
+    let versions = versions.iter().map(|it| Some(version(it))).collect();
+    front.handle(Event::VersionsRecorded { service: service("lm"), versions });
+}
+
+/// Returns the versions that the record of the engines should contain.
+fn to_record(front: &Front) -> Option<Vec<String>> {
+    let records = front.dispatcher.versions_to_record(front.now);
+    let [(name, versions)] = &records[..] else { panic!("{records:?}") };
+    assert_eq!(*name, service("lm"));
+    let text = |it: &Option<SoftwareVersion>| it.as_ref().expect("a version").to_string();
+    versions.as_ref().map(|it| it.iter().map(text).collect())
+}
+
+/// Guards against refusals of a front that has just started, where the directory's record rules other versions out.
+#[test]
+fn stream_of_unknown_version_goes_on_at_once_at_the_only_recorded_version() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    record(&mut front, &["v1"]);
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+    let other = with_version(endpoint(2, "lm", Some(Role::Decode)), "v2");
+    front.handle(Event::EndpointUpserted(other));
+    let (_, actions) = arrive(&mut front, resumption(None));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against streams that go on at the version which replaced theirs while no front ran.
+#[test]
+fn recorded_version_without_endpoints_counts_for_a_while() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    record(&mut front, &["v1", "v2"]);
+    front.wait(HISTORY - Duration::from_secs(1));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    assert_eq!(to_record(&front).expect("known versions"), ["v1", "v2"]);
+    front.wait(Duration::from_secs(1));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+    assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
+}
+
+/// Guards against a record that lacks versions which served before the front that writes it started.
+#[test]
+fn front_that_knows_a_service_for_a_moment_records_nothing() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(HISTORY - Duration::from_millis(1));
+    assert_eq!(to_record(&front), None);
+    front.wait(Duration::from_millis(1));
+    assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
+}
+
+/// Guards against streams of a version that no front knows which starts later.
+#[test]
+fn streams_begin_at_recorded_versions_while_these_take_requests() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    record(&mut front, &["v1"]);
+    let begins_at = |front: &mut Front, number: u32| {
+        let (key, version, _) = begin(front, request(&format!("id-{number}"), LONG));
+        front.handle(Event::ClientDisconnected { key });
+        version
+    };
+    assert!((0..20).all(|it| begins_at(&mut front, it) == version("v1")));
+    let paused = front.dispatcher.fleet().key(&name("lm-1")).expect("a known engine");
+    let pause = Duration::from_secs(1);
+    front.handle(Event::PauseRequested { endpoint: paused, pause, spread: 0.0 });
+    assert_eq!(begins_at(&mut front, 20), version("v2"));
+    front.wait(Duration::from_secs(6));
+    assert!((0..20).any(|it| begins_at(&mut front, it) == version("v2")));
+    record(&mut front, &["v1", "v2"]);
+    assert!((0..20).any(|it| begins_at(&mut front, it) == version("v2")));
+}
+
 /// Guards against prompts that are prefilled for a stream which no engine may go on with.
 #[test]
 fn stream_whose_version_is_gone_is_refused_without_a_prefill() {
--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -9,6 +9,8 @@
 pub(crate) mod record;
 pub(crate) mod revisions;
 pub(crate) mod store_era;
+pub(crate) mod version_record;
+pub(crate) mod version_recorder;
 pub(crate) mod watcher;
 
 use std::time::Duration;
@@ -16,6 +18,7 @@
 use crate::directory::answer::Answer;
 use crate::directory::position::Position;
 use crate::directory::record::{Collection, Record};
+use crate::directory::version_record::VersionRecord;
 
 /// Why a call of the directory failed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
@@ -79,4 +82,11 @@
         name: &str,
         address: std::net::SocketAddr,
     ) -> impl Future<Output = Answer<()>>;
+
+    /// Returns the records of the versions that may have streams, of all services that have one.
+    fn version_records(&self) -> impl Future<Output = Answer<Vec<VersionRecord>>>;
+
+    /// Creates such a record, or replaces it if it still has the given revision. Returns whether it was written; `false` if
+    /// there is another one.
+    fn write_version_record(&self, record: &VersionRecord) -> impl Future<Output = Answer<bool>>;
 }
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::client::server;
+use crate::directory::version_recorder::VersionRecorder;
 use crate::directory::watcher::Watcher;
 use crate::live_settings;
 use crate::peers::{heartbeats, snapshots};
@@ -120,6 +121,8 @@
             let watcher = Watcher::new(Rc::clone(&state), directory.clone(), collection);
             actix_rt::spawn(watcher.run());
         }
+        let recorder = VersionRecorder::new(Rc::clone(&state), directory.clone());
+        actix_rt::spawn(recorder.run());
         let accept_task = actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener));
         actix_rt::spawn(readiness::serve(Rc::clone(&state), readiness_listener));
         let render = move |path: &str| match path {
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -32,6 +32,7 @@
 pub use crate::directory::record::{Collection, Record};
 pub use crate::directory::revisions::Revisions;
 pub use crate::directory::store_era::StoreEra;
+pub use crate::directory::version_record::VersionRecord;
 pub use crate::directory::{Change, Directory, DirectoryError, Listing};
 pub use crate::event_framer::EventFramer;
 pub use crate::front::{Front, FrontError};
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -17,6 +17,7 @@
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use tokio::sync::Notify;
 
 use crate::directory::revisions::Revisions;
 use crate::directory::store_era::StoreEra;
@@ -46,6 +47,8 @@
     pub(crate) directory_last_seen: Cell<Time>,
     /// Whether the last call for configurations failed; `true` before the first success.
     pub(crate) directory_unreachable: Cell<bool>,
+    /// Notified when the versions that may have streams may differ from what the directory has recorded.
+    pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
     pub(crate) http: ServiceConfig,
     /// Identifies this start of this front; also seeds its random choices.
@@ -74,6 +77,7 @@
             departures: RefCell::default(),
             directory_last_seen: Cell::new(Time::ZERO),
             directory_unreachable: Cell::new(true),
+            versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
             http: ServiceConfig::default(),
             incarnation_id,
@@ -137,6 +141,7 @@
         metrics::counter!("daisychute_directory_restores_total").increment(era - previous);
         self.departures.borrow_mut().hold(self.now());
         self.peers.request_heartbeat();
+        self.versions_may_differ.notify_one();
     }
 
     /// Records the era that a peer told. Peers that don't know it yet, and those of older builds, tell 0.
@@ -279,6 +284,7 @@
         let before = self.with_dispatcher(|it| it.table().map(|table| table.version()));
         let (version, routes) = (table.version(), table.len());
         self.handle(Event::Configured(table));
+        self.versions_may_differ.notify_one();
         if before.is_none_or(|it| it < version) {
             log::info!(version, routes, before:?; "configuration in force");
             metrics::gauge!("daisychute_configuration_version").set(version as f64);
@@ -323,6 +329,7 @@
         let version = software_version.as_ref().map_or("", SoftwareVersion::as_str);
         log::info!(endpoint:% = name, service:%, address:%, stage:?, draining, born:? = started_at, version; "endpoint listed");
         self.handle(Event::EndpointUpserted(endpoint));
+        self.versions_may_differ.notify_one();
     }
 
     /// Removes an endpoint that the directory doesn't list any more in this era.
