fix(front): read the next response after a status without body that names a length

A 304 with Content-Length or Transfer-Encoding, such as a late copy of the response to an earlier request, left the codec waiting for a body. With debug assertions the task of the next request on that connection panicked and its client got no response; release builds overwrite the state.

New tests send copies of earlier responses with a length, chunked and without body, before a response and after it, at once and some ms later. Before the fix copy_with_a_status_without_body_and_a_length and copy_of_a_chunked_status_without_body printed NoResponse("connection closed"); the other four passed. All six pass now.

--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -140,7 +140,9 @@
         let bodyless_status =
             matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         if is_head_request || bodyless_status {
-            return Ok(Body::Empty(codec));
+            // A length or chunked encoding describes the body that another request would get. The codec expects it here.
+            let expects_body = codec.message_type() != MessageType::None;
+            return Ok(Body::Empty(if expects_body { ClientCodec::default() } else { codec }));
         }
         // The codec would treat such a response as having no body.
         if !has_length && !is_chunked {
