fix(front): fail a plain response that ends by close before its body

An endpoint that stopped right after the head of a response without length and chunks gave its client a whole, empty response. Streams were already told from that. A close after some bytes of such a body can't be told from its end and is still passed on.

New tests cut plain and prefill responses with a length, chunked and ended by close. plain_response_ended_by_close_after_its_head printed status 200, content-length 0, whole; the other eleven passed before the fix. All twelve pass now.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -272,6 +272,12 @@
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
         let mut part = match reader.collect(MAX_BUFFERED_BYTES).await {
+            // An endpoint that stops before its body closes the connection in the same way.
+            Ok(Collected::Whole(body))
+                if body.is_empty() && reader.framing() == Framing::UntilClose =>
+            {
+                return self.truncated(ResponseError::Broken);
+            }
             Ok(Collected::Whole(body)) => {
                 return match self.response_writer.write_response(head, &body).await {
                     Ok(()) => CallEnd::Finished,
