--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Returns the version of the configuration.
+    pub(crate) const fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Returns the positions of the latest changes of configuration and endpoints that it contains.
     pub(crate) const fn positions(&self) -> (Position, Position) {
         let (configuration, endpoints, _) = self.eras;
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -3,10 +3,12 @@
 //! A front that starts while the directory is unreachable, or that the directory refuses while it serves others, gets
 //! configuration and endpoints from a peer. One WebSocket message contains the whole snapshot.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -92,7 +94,13 @@
         if !state.needs_snapshot() {
             continue;
         }
-        for peer in state.seeds().into_iter().filter(|it| *it != own_address) {
+        let mut peers = state.seeds();
+        peers.retain(|it| *it != own_address);
+        if state.with_dispatcher(|it| it.table().is_none()) {
+            take_newest(&state, peers).await;
+            continue;
+        }
+        for peer in peers {
             match fetch(peer).await {
                 Ok(snapshot) if apply(&state, peer, &snapshot) => break,
                 Ok(_) => log::debug!(peer:%; "snapshot of a peer isn't newer"),
@@ -104,6 +112,26 @@
     }
 }
 
+/// Asks all peers at once and applies the newest snapshot. A front that knows nothing can't tell that the first one is
+/// older: it may have been started again, and have known that a key was revoked or that an endpoint left.
+async fn take_newest<D: Dialect>(state: &Rc<FrontState<D>>, peers: Vec<SocketAddr>) {
+    let fetched = join_all(peers.into_iter().map(async |peer| (peer, fetch(peer).await))).await;
+    let mut snapshots = Vec::new();
+    for (peer, result) in fetched {
+        match result {
+            Ok(snapshot) => snapshots.push((peer, snapshot)),
+            Err(error) => {
+                log::debug!(peer:%, error:%; "fetching a snapshot from a peer failed")
+            }
+        }
+    }
+    // Older ones are ignored, but for an unsettled one, which a settled one replaces.
+    snapshots.sort_by_key(|(_, it)| (it.unsettled, Reverse((it.version(), it.covered()))));
+    for (peer, snapshot) in snapshots {
+        apply(state, peer, &snapshot);
+    }
+}
+
 async fn fetch(peer: SocketAddr) -> Result<Snapshot, FetchError> {
     timeout(FETCH_TIMEOUT, fetch_unbounded(peer)).await.map_err(|_| FetchError::Timeout)?
 }
