fix(front): take no client keys from a peer that lacks a later configuration

A front that was started again while the store was unreachable, and whose only peer had heard of a later configuration without having it, accepted a key that it had refused as revoked before.

--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -118,6 +118,14 @@
         self.configuration.is_behind() || self.endpoints.is_behind()
     }
 
+    /// Whether a peer has reported a change of configurations that this front lacks.
+    #[must_use]
+    pub fn lacks_configuration(&self) -> bool {
+        let Progress { latest_seen, covered, reported, .. } = &self.configuration;
+        let known = latest_seen.get().max(covered.get());
+        reported.get().is_some_and(|(position, _)| position > known)
+    }
+
     /// Waits until a peer has been ahead for too long.
     pub async fn wait_until_lagging(&self, collection: Collection) {
         let progress = self.of(collection);
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -33,6 +33,9 @@
     /// builds, which don't check keys.
     #[serde(default)]
     accounts: Option<Vec<Account>>,
+    /// Whether the sender knows that there is a later configuration, which may have revoked keys.
+    #[serde(default)]
+    outdated: bool,
 }
 
 /// Why the configuration of a snapshot is invalid.
@@ -77,6 +80,16 @@
         }
     }
 
+    /// Adds whether the sender knows that there is a later configuration.
+    pub(crate) fn outdated(self, outdated: bool) -> Self {
+        Self { outdated, ..self }
+    }
+
+    /// Whether keys of client accounts that it contains may have been revoked.
+    pub(crate) const fn may_have_revoked_keys(&self) -> bool {
+        self.outdated && self.accounts.is_some()
+    }
+
     /// Returns the version of the configuration.
     pub(crate) const fn version(&self) -> u64 {
         self.version
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -68,7 +68,8 @@
         return Err(FetchError::Empty);
     };
     let (positions, covered) = (state.revisions.latest_seen(), state.revisions.endpoints_covered());
-    let snapshot = snapshot.with_positions(positions, covered);
+    let outdated = state.revisions.lacks_configuration();
+    let snapshot = snapshot.with_positions(positions, covered).outdated(outdated);
     let mut bytes = Vec::new();
     let written = ciborium::into_writer(&snapshot, &mut bytes);
     written.map_err(|e| FetchError::Codec(e.to_string()))?;
@@ -161,6 +162,11 @@
     };
     let version = table.version();
     let known_version = state.with_dispatcher(|it| it.table().map(|it| it.version()));
+    // A front that was started again may have known that keys were revoked.
+    if known_version.is_none() && snapshot.may_have_revoked_keys() {
+        log::warn!(peer:%, version; "snapshot of a peer that lacks a later configuration isn't taken: keys may have been revoked");
+        return false;
+    }
     let newer_table = known_version.is_none_or(|it| it < version);
     let covered = snapshot.covered();
     state.record_peer_era(covered.era(), peer);
