fix(front): answer requests on connections that were accepted as the front stops

A stopping front closed its listener and the connections without a request at one moment. The kernel reset connections that no task had accepted yet, and clients that had just connected lost the request on its way. The front now takes what the kernel has accepted before it closes the listener, and reads for 0.2 s more; a request that has arrived as idle connections are closed is read as well.

--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -27,6 +27,10 @@
 /// and the client may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for which an idle connection that is to be closed is still read: a request may have arrived that no task has read
+/// yet.
+const LAST_READ_TIME: Duration = Duration::from_millis(5);
+
 /// Why no request could be read from a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum ReadError {
@@ -68,16 +72,18 @@
         Ok(Incoming { head, body, info })
     }
 
-    /// Waits for the first byte of a request, up to the idle timeout or until the front closes idle connections.
+    /// Waits for the first byte of a request, up to the idle timeout or until the front closes idle connections. A request
+    /// that has arrived by then is still read.
     async fn wait_for_request(
         &mut self,
         limits: &ClientLimits,
         shutdown: &ShutdownState,
     ) -> Result<(), ReadError> {
-        tokio::select! {
-            read = timeout(limits.idle_timeout, self.read_more()) => read.map_err(|_| ReadError::Closed)?,
-            () = shutdown.wait_closing() => Err(ReadError::Closed),
-        }
+        let read = tokio::select! {
+            read = timeout(limits.idle_timeout, self.read_more()) => read,
+            () = shutdown.wait_closing() => timeout(LAST_READ_TIME, self.read_more()).await,
+        };
+        read.map_err(|_| ReadError::Closed)?
     }
 
     async fn read_head(
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -1,6 +1,7 @@
 //! Accepts clients and serves their requests.
 
 use std::cell::Cell;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,31 +26,60 @@
 /// `Retry-After` of a refusal by a full front: half a second's worth of its requests has ended by then.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Accepts client connections for the life of the process.
+/// Accepts client connections until the front stops to.
 pub(crate) async fn accept<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
     let open_connections = Rc::new(Cell::new(0_usize));
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if open_connections.get() >= state.capacity().connections {
-                    log::warn!(open = open_connections.get(); "client connection closed: connection limit reached");
-                    metrics::counter!("daisychute_connections_refused_total").increment(1);
-                    continue;
-                }
-                state.shutdown.record_accept();
-                let (state, open_connections) = (Rc::clone(&state), Rc::clone(&open_connections));
-                open_connections.set(open_connections.get() + 1);
-                actix_rt::spawn(async move {
-                    serve_client(state, stream).await;
-                    open_connections.set(open_connections.get() - 1);
-                });
-            }
+        let accepted = tokio::select! {
+            biased;
+            () = state.shutdown.wait_accepting_stopped() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => serve_accepted(&state, &open_connections, stream),
             Err(error) => {
                 log::warn!(error:%; "accepting a client connection failed");
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    if let Err(error) = drain(&state, &open_connections, listener) {
+        log::warn!(error:%; "accepting the last client connections failed");
+    }
+}
+
+/// Serves the connections that the kernel has accepted, which it would reset with the listener.
+fn drain<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    open_connections: &Rc<Cell<usize>>,
+    listener: TcpListener,
+) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    while let Ok((stream, _)) = listener.accept() {
+        stream.set_nonblocking(true)?;
+        serve_accepted(state, open_connections, TcpStream::from_std(stream)?);
+    }
+    Ok(())
+}
+
+/// Serves an accepted connection in a task of its own, unless there are too many.
+fn serve_accepted<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    open_connections: &Rc<Cell<usize>>,
+    stream: TcpStream,
+) {
+    if open_connections.get() >= state.capacity().connections {
+        log::warn!(open = open_connections.get(); "client connection closed: connection limit reached");
+        metrics::counter!("daisychute_connections_refused_total").increment(1);
+        return;
+    }
+    state.shutdown.record_accept();
+    let (state, open_connections) = (Rc::clone(state), Rc::clone(open_connections));
+    open_connections.set(open_connections.get() + 1);
+    actix_rt::spawn(async move {
+        serve_client(state, stream).await;
+        open_connections.set(open_connections.get() - 1);
+    });
 }
 
 async fn serve_client<D: Dialect>(state: Rc<FrontState<D>>, stream: TcpStream) {
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -9,7 +9,6 @@
 use daisychute_dispatch::{DispatchSettings, Event};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -81,6 +80,8 @@
 const QUIET_PERIOD: Duration = Duration::from_millis(1_200);
 /// Share of the shutdown timeout in which new connections are accepted; the rest is for completing their requests.
 const ACCEPT_SHARE: f64 = 0.55;
+/// Time from the last accepted connection until idle connections are closed: its client sends a request at once.
+const LAST_REQUEST_TIME: Duration = Duration::from_millis(200);
 /// Time reserved at the end of a shutdown for closing connections and writing the last log lines.
 const SHUTDOWN_RESERVE: Duration = Duration::from_millis(500);
 /// Time for the responses of the requests that the shutdown ends, the release of their KV caches, and the last log lines.
@@ -123,7 +124,7 @@
         }
         let recorder = VersionRecorder::new(Rc::clone(&state), directory.clone());
         actix_rt::spawn(recorder.run());
-        let accept_task = actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener));
+        actix_rt::spawn(accept_when_ready(Rc::clone(&state), client_listener));
         actix_rt::spawn(readiness::serve(Rc::clone(&state), readiness_listener));
         let render = move |path: &str| match path {
             METRICS_PATH => (StatusCode::OK, metrics()),
@@ -141,7 +142,7 @@
         actix_rt::spawn(announce);
         daisychute_runtime::stop_requested().await.map_err(FrontError::Signals)?;
         self.shutdown_timeout = state.shutdown_timeout();
-        self.shut_down(&state, accept_task).await;
+        self.shut_down(&state).await;
         Ok(())
     }
 
@@ -153,7 +154,7 @@
 
     /// Waits until the platform sends no more client connections and all requests are completed, or the shutdown
     /// timeout is nearly over.
-    async fn shut_down<D: Dialect>(&self, state: &Rc<FrontState<D>>, accept_task: JoinHandle<()>) {
+    async fn shut_down<D: Dialect>(&self, state: &Rc<FrontState<D>>) {
         let started = Instant::now();
         let busy = state.shutdown.busy();
         log::info!(busy; "stop requested");
@@ -177,7 +178,9 @@
         }
         // If no other front is ready, the platform keeps sending client connections to this one. From here on new
         // connections are refused, so that these clients try another front.
-        accept_task.abort();
+        // The requests of those that were accepted last may be on their way.
+        state.shutdown.stop_accepting();
+        sleep(LAST_REQUEST_TIME).await;
         state.shutdown.close_idle();
         while state.shutdown.busy() > 0 && started.elapsed() < limit {
             sleep(SWEEP_INTERVAL / 5).await;
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -11,6 +11,8 @@
 pub(crate) struct ShutdownState {
     /// Time at which the requests in flight are ended; `None` before a shutdown is requested.
     deadline: Cell<Option<Time>>,
+    accepting_stopped: Cell<bool>,
+    accepting_stop: Notify,
     closing: Cell<bool>,
     busy: Cell<usize>,
     accepted: Cell<u64>,
@@ -34,6 +36,19 @@
         self.deadline.get().map(|it| it.since(now))
     }
 
+    /// From now on no connections are accepted.
+    pub(crate) fn stop_accepting(&self) {
+        self.accepting_stopped.set(true);
+        self.accepting_stop.notify_waiters();
+    }
+
+    /// Waits until no connections may be accepted any more.
+    pub(crate) async fn wait_accepting_stopped(&self) {
+        if !self.accepting_stopped.get() {
+            self.accepting_stop.notified().await;
+        }
+    }
+
     /// From now on idle connections are closed.
     pub(crate) fn close_idle(&self) {
         self.closing.set(true);
