--- a/crates/daisychute-dispatch/src/core/preview.rs
+++ b/crates/daisychute-dispatch/src/core/preview.rs
@@ -143,7 +143,7 @@
         let model = self.cost_models.get(&state.service).unwrap_or(&new_model);
         let table = self.table.as_ref();
         let engine = table.and_then(|it| it.service(&state.service)?.engine);
-        let query = self.selection_query(state, engine.as_ref());
+        let query = self.selection_query(now, state, engine.as_ref());
         let holders = cache_holders(now, &self.fleet, &query);
         let preview = |(key, tracked): (EndpointKey, &TrackedEndpoint)| {
             let query = SelectionQuery { stage: tracked.endpoint.stage, ..query };
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -35,6 +35,7 @@
 pub use crate::directory::record::{Collection, Record};
 pub use crate::directory::revisions::Revisions;
 pub use crate::directory::store_era::StoreEra;
+pub use crate::directory::version_record::VersionRecord;
 pub use crate::directory::{Change, Directory, DirectoryError, Listing};
 pub use crate::duties::Duties;
 pub use crate::duties::control_api::{ControlAnswer, ControlApi, DutyCall};
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -3,10 +3,12 @@
 //! A front that starts while the directory is unreachable, or that the directory refuses while it serves others, gets
 //! configuration and endpoints from a peer. One WebSocket message contains the whole snapshot.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -66,7 +68,8 @@
         return Err(FetchError::Empty);
     };
     let (positions, covered) = (state.revisions.latest_seen(), state.revisions.endpoints_covered());
-    let snapshot = snapshot.with_positions(positions, covered);
+    let outdated = state.revisions.lacks_configuration();
+    let snapshot = snapshot.with_positions(positions, covered).outdated(outdated);
     let mut bytes = Vec::new();
     let written = ciborium::into_writer(&snapshot, &mut bytes);
     written.map_err(|e| FetchError::Codec(e.to_string()))?;
@@ -92,7 +95,13 @@
         if !state.needs_snapshot() {
             continue;
         }
-        for peer in state.seeds().into_iter().filter(|it| *it != own_address) {
+        let mut peers = state.seeds();
+        peers.retain(|it| *it != own_address);
+        if state.with_dispatcher(|it| it.table().is_none()) {
+            take_newest(&state, peers).await;
+            continue;
+        }
+        for peer in peers {
             match fetch(peer).await {
                 Ok(snapshot) if apply(&state, peer, &snapshot) => break,
                 Ok(_) => log::debug!(peer:%; "snapshot of a peer isn't newer"),
@@ -104,6 +113,26 @@
     }
 }
 
+/// Asks all peers at once and applies the newest snapshot. A front that knows nothing can't tell that the first one is
+/// older: it may have been started again, and have known that a key was revoked or that an endpoint left.
+async fn take_newest<D: Dialect>(state: &Rc<FrontState<D>>, peers: Vec<SocketAddr>) {
+    let fetched = join_all(peers.into_iter().map(async |peer| (peer, fetch(peer).await))).await;
+    let mut snapshots = Vec::new();
+    for (peer, result) in fetched {
+        match result {
+            Ok(snapshot) => snapshots.push((peer, snapshot)),
+            Err(error) => {
+                log::debug!(peer:%, error:%; "fetching a snapshot from a peer failed")
+            }
+        }
+    }
+    // Older ones are ignored, but for an unsettled one, which a settled one replaces.
+    snapshots.sort_by_key(|(_, it)| (it.unsettled, Reverse((it.version(), it.covered()))));
+    for (peer, snapshot) in snapshots {
+        apply(state, peer, &snapshot);
+    }
+}
+
 async fn fetch(peer: SocketAddr) -> Result<Snapshot, FetchError> {
     timeout(FETCH_TIMEOUT, fetch_unbounded(peer)).await.map_err(|_| FetchError::Timeout)?
 }
@@ -133,6 +162,11 @@
     };
     let version = table.version();
     let known_version = state.with_dispatcher(|it| it.table().map(|it| it.version()));
+    // A front that was started again may have known that keys were revoked.
+    if known_version.is_none() && snapshot.may_have_revoked_keys() {
+        log::warn!(peer:%, version; "snapshot of a peer that lacks a later configuration isn't taken: keys may have been revoked");
+        return false;
+    }
     let newer_table = known_version.is_none_or(|it| it < version);
     let covered = snapshot.covered();
     state.record_peer_era(covered.era(), peer);
