fix(front): write a record of versions only for versions that are listed or were dropped

Cause: fronts see a version leave at different moments.

Change: a version is added while an endpoint of it is listed, and dropped by the first front that knows that none of its streams is left; it isn't added again without an endpoint.

--- a/crates/daisychute-dispatch/src/core/version_records.rs
+++ b/crates/daisychute-dispatch/src/core/version_records.rs
@@ -39,6 +39,13 @@
         services.map(|(name, age)| (name.clone(), self.stream_versions(now, name, age))).collect()
     }
 
+    /// Returns the versions of the listed endpoints of a service.
+    #[must_use]
+    pub fn listed_versions(&self, service: &ServiceName) -> SoftwareVersions {
+        let listed = self.fleet.of_service(service);
+        listed.map(|(_, it)| it.endpoint.software_version.clone()).collect()
+    }
+
     fn stream_versions(
         &self,
         now: Time,
@@ -50,8 +57,7 @@
         }
         let mut versions: SoftwareVersions =
             self.versions.recent(now, service, age)?.cloned().collect();
-        let present = self.fleet.of_service(service);
-        versions.extend(present.map(|(_, it)| it.endpoint.software_version.clone()));
+        versions.extend(self.listed_versions(service));
         (!versions.is_empty()).then_some(versions)
     }
 
--- a/crates/daisychute-front/src/directory/version_recorder.rs
+++ b/crates/daisychute-front/src/directory/version_recorder.rs
@@ -99,13 +99,25 @@
             return Vec::new();
         }
         let mut outdated = Vec::new();
-        for (service, versions) in wanted {
-            let Some(versions) = versions else { continue };
+        for (service, wanted) in wanted {
+            let Some(wanted) = wanted else { continue };
             let known = self.records.get(&service);
-            if known.is_none_or(|it| it.era != era || it.versions != versions) {
-                let revision = known.and_then(|it| it.revision);
-                outdated.push(VersionRecord { service, versions, era, revision });
-            }
+            let revision = known.and_then(|it| it.revision);
+            let versions = match known.filter(|it| it.era == era) {
+                // Fronts see versions leave at different moments. One that was dropped isn't added again while no endpoint
+                // of it is listed: fronts would otherwise write in turns until all of them have forgotten it.
+                Some(known) => {
+                    let listed = self.state.with_dispatcher(|it| it.listed_versions(&service));
+                    let versions = known.versions.intersection(&wanted).cloned().chain(listed);
+                    let versions: SoftwareVersions = versions.collect();
+                    if versions == known.versions {
+                        continue;
+                    }
+                    versions
+                }
+                None => wanted,
+            };
+            outdated.push(VersionRecord { service, versions, era, revision });
         }
         outdated
     }
