--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -5,7 +5,6 @@
 pub(crate) mod ending;
 pub(crate) mod event;
 pub(crate) mod fairness;
-pub(crate) mod gap_objective;
 pub(crate) mod limits;
 pub(crate) mod answered_requests;
 pub(crate) mod cause;
--- a/crates/daisychute-dispatch/src/core/overdue.rs
+++ b/crates/daisychute-dispatch/src/core/overdue.rs
@@ -47,7 +47,7 @@
             return;
         }
         if self.may_retry(now, key, SendFailure::TimedOut)
-            && self.choose_acceptable_placement(now, key).is_some()
+            && self.choose_placement(now, key).is_some()
         {
             self.send_failed(now, key, SendFailure::TimedOut, actions);
         }
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -6,7 +6,6 @@
 use daisychute_core::Time;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::core::gap_objective::GapObjective;
 use crate::core::overdue::overdue_after;
 use crate::core::request_state::{InFlightAttempt, RequestState};
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
@@ -84,15 +83,6 @@
     Duration::from_secs_f64(ms.max(0.0) / 1e3)
 }
 
-/// Returns the cost of what a prefill does to the other requests at an engine, in ms: it delays their outputs, and may
-/// violate their objective for gaps.
-fn interference_ms(candidate: &Candidate, gaps: Option<GapObjective>) -> f64 {
-    let streams = f64::from(candidate.requests);
-    let delay = (streams * PREFILL_INTERFERENCE).min(MAX_PREFILL_INTERFERENCE);
-    let violations = gaps.map_or(0.0, |it| streams * it.cost_ms(candidate.prefill_ms));
-    violations.max(delay * candidate.prefill_ms)
-}
-
 impl Dispatcher {
     /// Sends the request to the best endpoint, refuses it for overload, or ends it for `reason` if no endpoint takes
     /// it.
@@ -110,7 +100,7 @@
         if self.refuse_unavailable(now, key, actions) {
             return;
         }
-        let Some(placement) = self.choose_acceptable_placement(now, key) else {
+        let Some(placement) = self.choose_placement(now, key) else {
             self.fail_or_refuse(key, self.reason_without_endpoint(key, reason), actions);
             return;
         };
@@ -174,29 +164,8 @@
         model.map_or(1.0, |it| it.wait_factor(prefill_engine(task)))
     }
 
-    /// Chooses a placement by latency and by the gaps of other streams. A request that would be refused for overload at
-    /// that placement is placed by latency alone.
-    pub(crate) fn choose_acceptable_placement(
-        &mut self,
-        now: Time,
-        key: RequestKey,
-    ) -> Option<Placement> {
-        let gaps = GapObjective::of(&self.requests.get(&key)?.route);
-        let placement = self.choose_placement(now, key, gaps)?;
-        if gaps.is_some() && self.overload_retry_after(now, key, &placement).is_some() {
-            return self.choose_placement(now, key, None);
-        }
-        Some(placement)
-    }
-
-    /// Compares, by cost, prefill and decode on one engine with prefill on a dedicated engine. Gaps of other streams count
-    /// if `gaps` has an objective for them.
-    fn choose_placement(
-        &mut self,
-        now: Time,
-        key: RequestKey,
-        gaps: Option<GapObjective>,
-    ) -> Option<Placement> {
+    /// Compares, by cost, prefill and decode on one engine with prefill on a dedicated engine.
+    pub(crate) fn choose_placement(&mut self, now: Time, key: RequestKey) -> Option<Placement> {
         let state = self.requests.get(&key)?;
         let engine = self.service_spec(key).and_then(|it| it.engine);
         let service = state.service.clone();
@@ -228,8 +197,10 @@
         let Some(prompt) = query.prompt else { return best(query).map(Placement::run) };
         // A decode engine can also prefill; `combined` runs the whole request there.
         let combined = best(decode).map(|candidate| {
+            let interference = (f64::from(candidate.requests) * PREFILL_INTERFERENCE)
+                .min(MAX_PREFILL_INTERFERENCE);
             let latency_ms = candidate.predicted_ms + model.delay_ms(now, PrefillEngine::Combined);
-            let cost_ms = latency_ms + interference_ms(&candidate, gaps);
+            let cost_ms = latency_ms + candidate.prefill_ms * interference;
             Placement { cost_ms, latency_ms, ..Placement::run(candidate) }
         });
         // Without an engine that may go on with the stream, a prefill would be in vain.
