fix(usage): tell states of one term apart, so that no late one is sent

Cause: a write of the state whose response was lost may take effect after the store went back to the revision that it replaces. The state is of the term that peers know, but has counts of an earlier attempt; a successor took it for the latest and sent them: two reports of one window with different counts.

Ruled out: an earlier term (the comparison of terms was there).

Change: states have a serial within their term, which rises with each one that is written and is announced with the term. A state with an earlier stamp than the announced one loses its reports of announced windows.

With the terms compared alone the new case late_state_of_the_last_holder_is_not_sent fails.

--- a/crates/daisychute-front/src/duties/input.rs
+++ b/crates/daisychute-front/src/duties/input.rs
@@ -2,7 +2,7 @@
 
 use daisychute_core::Term;
 use daisychute_store::{ReadOutcome, WriteOutcome};
-use daisychute_usage::{UsageShare, WindowId};
+use daisychute_usage::{StateStamp, UsageShare, WindowId};
 
 use crate::ControlAnswer;
 
@@ -29,7 +29,7 @@
     /// A front holds the duty under this term.
     TermSeen(Term),
     /// A front announced the highest term of a holder, and the last window that may be reported.
-    ReportedByPeer(Term, WindowId),
+    ReportedByPeer(StateStamp, WindowId),
     /// The process shuts down.
     Stop,
 }
--- a/crates/daisychute-front/src/duties/link.rs
+++ b/crates/daisychute-front/src/duties/link.rs
@@ -7,7 +7,9 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use daisychute_core::{TenantName, Term, Time};
-use daisychute_usage::{TrueTime, UnixTime, UsageCounter, UsageReporter, UsageShare, WindowId};
+use daisychute_usage::{
+    StateStamp, TrueTime, UnixTime, UsageCounter, UsageReporter, UsageShare, WindowId,
+};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -68,8 +70,8 @@
     heard_holder: Cell<Option<HeardHolder>>,
     /// The lease, if this front holds it.
     pub(crate) held: Cell<Option<Held>>,
-    /// What the reporter announces: the highest term of a holder, and the last window that may be reported.
-    announced: Cell<Option<(Term, WindowId)>>,
+    /// What the reporter announces: the stamp of the latest state, and the last window that may be reported.
+    announced: Cell<Option<(StateStamp, WindowId)>>,
     /// The last window whose counts were logged.
     logged: Cell<Option<WindowId>>,
     released: Cell<bool>,
@@ -158,10 +160,10 @@
                 self.send(DutyInput::TermSeen(term));
             }
         }
-        if let Some((term, window)) = announced {
-            let (own_term, own_window) = self.announced.get().unzip();
-            if own_term < Some(term) || own_window < Some(window) {
-                self.send(DutyInput::ReportedByPeer(term, window));
+        if let Some((stamp, window)) = announced {
+            let (own_stamp, own_window) = self.announced.get().unzip();
+            if own_stamp < Some(stamp) || own_window < Some(window) {
+                self.send(DutyInput::ReportedByPeer(stamp, window));
             }
         }
     }
@@ -176,7 +178,7 @@
     }
 
     /// Records what the reporter announces. Counts of frozen windows aren't sent again. Returns whether it changed.
-    pub(crate) fn announce(&self, announcement: Option<(Term, WindowId)>) -> bool {
+    pub(crate) fn announce(&self, announcement: Option<(StateStamp, WindowId)>) -> bool {
         let changed = self.announced.replace(announcement) != announcement;
         if let Some((_, window)) = announcement.filter(|_| changed) {
             self.counter.borrow_mut().forget_through(window);
--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -139,9 +139,9 @@
             DutyInput::ReportEnded { window, answer } => self.report_ended(window, answer),
             DutyInput::Share(share) => self.reporter(ReporterEvent::ShareReceived(share)),
             DutyInput::TermSeen(term) => self.lease(LeaseEvent::TermSeen(term)),
-            DutyInput::ReportedByPeer(term, window) => {
-                self.lease(LeaseEvent::TermSeen(term));
-                self.reporter(ReporterEvent::ReportedByPeer { term, window });
+            DutyInput::ReportedByPeer(stamp, window) => {
+                self.lease(LeaseEvent::TermSeen(stamp.term));
+                self.reporter(ReporterEvent::ReportedByPeer { stamp, window });
             }
             DutyInput::Stop => self.stopping = true,
         }
--- a/crates/daisychute-usage/src/event.rs
+++ b/crates/daisychute-usage/src/event.rs
@@ -2,7 +2,7 @@
 
 use daisychute_core::{Term, Time};
 
-use crate::{ReportState, StateVersion, UsageReport, UsageShare, WindowId};
+use crate::{ReportState, StateStamp, StateVersion, UsageReport, UsageShare, WindowId};
 
 /// Reading the state failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,8 +56,8 @@
     SourcesSeen(Vec<u64>),
     /// A peer announced what [`UsageReporter::announcement`](crate::UsageReporter::announcement) returned there.
     ReportedByPeer {
-        /// Highest term of a holder that the peer knows.
-        term: Term,
+        /// Stamp of the latest state that the peer knows to have been written.
+        stamp: StateStamp,
         /// Highest window that may have been reported.
         window: WindowId,
     },
--- a/crates/daisychute-usage/src/lib.rs
+++ b/crates/daisychute-usage/src/lib.rs
@@ -25,7 +25,7 @@
 pub use crate::reporter::UsageReporter;
 pub use crate::settings::UsageSettings;
 pub use crate::share::UsageShare;
-pub use crate::state::{ReportState, StateVersion};
+pub use crate::state::{ReportState, StateStamp, StateVersion};
 pub use crate::true_time::TrueTime;
 pub use crate::unix_time::UnixTime;
 pub use crate::window::WindowId;
--- a/crates/daisychute-usage/src/reporter.rs
+++ b/crates/daisychute-usage/src/reporter.rs
@@ -5,8 +5,8 @@
 use daisychute_core::{Term, Time};
 
 use crate::{
-    CallOutcome, ReportState, ReporterAction, ReporterEvent, StateVersion, StateWrite, UnixTime,
-    UsageCollector, UsageReport, UsageSettings, UsageShare, WindowId,
+    CallOutcome, ReportState, ReporterAction, ReporterEvent, StateStamp, StateVersion, StateWrite,
+    UnixTime, UsageCollector, UsageReport, UsageSettings, UsageShare, WindowId,
 };
 
 /// One time of holding the lease.
@@ -22,6 +22,8 @@
     committed: ReportState,
     /// Version of the state object when `committed` took effect.
     version: Option<StateVersion>,
+    /// Highest serial of a state that was written under this term, whatever came of it.
+    last_serial: u64,
     /// Whether the state must be read before anything is written or sent.
     unread: bool,
     /// A write that may have taken effect, until the state was read back.
@@ -36,8 +38,9 @@
             term,
             until,
             adopted_at: None,
-            committed: ReportState { term, last_frozen: None, reports: Vec::new() },
+            committed: ReportState { term, serial: 0, last_frozen: None, reports: Vec::new() },
             version: None,
+            last_serial: 0,
             unread: true,
             ambiguous: None,
             next_access: Time::ZERO,
@@ -74,8 +77,8 @@
     sources: BTreeSet<u64>,
     /// Highest window that is known to be frozen, here or at a peer. Never decreases.
     floor: Option<WindowId>,
-    /// Highest term under which the state is known to have been written, here or by a peer. Never decreases.
-    known_term: Option<Term>,
+    /// Stamp of the latest state that is known to have been written, here or by a peer. Never decreases.
+    known: Option<StateStamp>,
     tenure: Option<Tenure>,
     /// Terms up to this one have a later holder, as the API or the store showed.
     ended: Option<Term>,
@@ -95,7 +98,7 @@
             collector: UsageCollector::new(),
             sources: BTreeSet::new(),
             floor: None,
-            known_term: None,
+            known: None,
             tenure: None,
             ended: None,
             access: None,
@@ -110,11 +113,11 @@
         self.floor
     }
 
-    /// What each front, holder or not, tells its peers: the highest term of a holder, and the highest frozen window that
+    /// What each front, holder or not, tells its peers: the stamp of the latest state, and the highest frozen window that
     /// it knows. Must reach them within `announce_lead`.
     #[must_use]
-    pub fn announcement(&self) -> Option<(Term, WindowId)> {
-        self.known_term.zip(self.floor)
+    pub fn announcement(&self) -> Option<(StateStamp, WindowId)> {
+        self.known.zip(self.floor)
     }
 
     /// Handles an event at `now`, when the true time is `true_time`. Appends what to do to `out`.
@@ -147,8 +150,8 @@
             ReporterEvent::SourcesSeen(sources) => {
                 self.sources = sources.into_iter().take(UsageSettings::MAX_SOURCES).collect();
             }
-            ReporterEvent::ReportedByPeer { term, window } => {
-                self.reported_by_peer(true_time, term, window);
+            ReporterEvent::ReportedByPeer { stamp, window } => {
+                self.reported_by_peer(true_time, stamp, window);
             }
             ReporterEvent::ReportEnded { window, outcome } => {
                 self.report_ended(now, window, outcome, out);
@@ -176,11 +179,11 @@
         self.collector.merge(share, latest);
     }
 
-    fn reported_by_peer(&mut self, true_time: UnixTime, term: Term, window: WindowId) {
+    fn reported_by_peer(&mut self, true_time: UnixTime, stamp: StateStamp, window: WindowId) {
         let current = WindowId::containing(true_time, self.settings.window);
         // A window far in the future can't have been reported; taking its word would stop all reports until then.
         if window.back(UsageSettings::MAX_WINDOWS as u64) <= current {
-            self.known_term = self.known_term.max(Some(term));
+            self.known = self.known.max(Some(stamp));
             self.raise_floor(Some(window));
         }
     }
@@ -256,20 +259,22 @@
         let mut state = tenure.committed.clone();
         if let Some(found) = found {
             // At first all frozen reports are taken over. Later, only a write of this tenure whose result was lost can
-            // have frozen more. A state of an earlier holder than the last one shows that the store went back: what it
+            // have frozen more. A state with an earlier stamp than the latest one shows that the store went back: what it
             // has of windows that a peer may have reported isn't sure to be what the peer sent.
-            let went_back = Some(found.term) < self.known_term;
+            let went_back = Some(found.stamp()) < self.known;
             let is_first = tenure.adopted_at.is_none() && !went_back;
             let known = if is_first { None } else { state.last_frozen.max(self.floor) };
             state.reports.extend(found.reports.into_iter().filter(|it| Some(it.window) > known));
             state.last_frozen = state.last_frozen.max(found.last_frozen);
         }
         state.last_frozen = state.last_frozen.max(self.floor);
+        state.serial = tenure.last_serial + 1;
         self.write(Attempt { state, replaces: version, unknown: Vec::new() }, out);
     }
 
     fn write(&mut self, attempt: Attempt, out: &mut Vec<ReporterAction>) {
-        let Some(tenure) = &self.tenure else { return };
+        let Some(tenure) = &mut self.tenure else { return };
+        tenure.last_serial = tenure.last_serial.max(attempt.state.serial);
         out.push(ReporterAction::WriteState {
             state: attempt.state.clone(),
             replaces: attempt.replaces.clone(),
@@ -323,7 +328,7 @@
             tenure.next_call = tenure.next_call.max(now + self.settings.announce_lead);
         }
         tenure.version = Some(version);
-        self.known_term = self.known_term.max(Some(tenure.term));
+        self.known = self.known.max(Some(state.stamp()));
         let last_frozen = state.last_frozen;
         tenure.committed = state;
         let floor = self.floor;
@@ -389,6 +394,7 @@
         };
         let mut window = first.max(current.back(UsageSettings::MAX_UNKNOWN));
         let mut state = tenure.committed.clone();
+        state.serial = tenure.last_serial + 1;
         let mut unknown = Vec::new();
         while state.reports.len() < UsageSettings::MAX_FROZEN && self.is_due(true_time, window) {
             match self.collector.counts(window) {
--- a/crates/daisychute-usage/tests/reporter.rs
+++ b/crates/daisychute-usage/tests/reporter.rs
@@ -5,8 +5,9 @@
 
 use daisychute_core::{TenantName, Term, Time};
 use daisychute_usage::{
-    CallOutcome, ReportState, ReporterAction, ReporterEvent, StateUnavailable, StateVersion,
-    StateWrite, UnixTime, UsageReport, UsageReporter, UsageSettings, UsageShare, WindowId,
+    CallOutcome, ReportState, ReporterAction, ReporterEvent, StateStamp, StateUnavailable,
+    StateVersion, StateWrite, UnixTime, UsageReport, UsageReporter, UsageSettings, UsageShare,
+    WindowId,
 };
 
 /// Start of window 1,000 of five seconds.
@@ -17,6 +18,10 @@
     WindowId::new(number)
 }
 
+/// Stands for the serial of any state. One that is read counts as the latest, unless the reporter wrote it.
+const ANY: u64 = 0;
+const LATEST: u64 = 1_000_000;
+
 fn counts(count: u64) -> BTreeMap<TenantName, u64> {
     BTreeMap::from([(TenantName::try_from("acme").expect("a valid name"), count)])
 }
@@ -27,7 +32,7 @@
 
 fn state(term: u64, last_frozen: u64, reports: &[UsageReport]) -> ReportState {
     let last_frozen = Some(window(last_frozen));
-    ReportState { term: Term::new(term), last_frozen, reports: reports.to_vec() }
+    ReportState { term: Term::new(term), serial: ANY, last_frozen, reports: reports.to_vec() }
 }
 
 fn version(number: u64) -> StateVersion {
@@ -54,7 +59,12 @@
 }
 
 fn told(term: u64, number: u64) -> ReporterEvent {
-    ReporterEvent::ReportedByPeer { term: Term::new(term), window: window(number) }
+    told_stamp(term, ANY, number)
+}
+
+fn told_stamp(term: u64, serial: u64, number: u64) -> ReporterEvent {
+    let stamp = StateStamp { term: Term::new(term), serial };
+    ReporterEvent::ReportedByPeer { stamp, window: window(number) }
 }
 
 fn done(number: u64) -> ReporterEvent {
@@ -77,11 +87,13 @@
 struct Holder {
     reporter: UsageReporter,
     now_ms: u64,
+    /// The last state that the reporter wrote.
+    written: Option<ReportState>,
 }
 
 impl Holder {
     fn new() -> Self {
-        Self { reporter: UsageReporter::new(UsageSettings::default()), now_ms: 0 }
+        Self { reporter: UsageReporter::new(UsageSettings::default()), now_ms: 0, written: None }
     }
 
     /// Holds term 5 from the start of window 1,000, with the state of an earlier holder up to window 999. Its only
@@ -110,10 +122,31 @@
         let mut out = Vec::new();
         let now = Time::from_millis(self.now_ms);
         let true_time = UnixTime::from_millis(START_MS + self.now_ms);
-        self.reporter.handle(now, true_time, event, &mut out);
+        self.reporter.handle(now, true_time, self.with_serial(event), &mut out);
+        out.iter_mut().for_each(|it| self.hide_serial(it));
         out
     }
 
+    /// Gives a state that is read the serial with which the reporter wrote it, or the latest one.
+    fn with_serial(&self, event: ReporterEvent) -> ReporterEvent {
+        let ReporterEvent::StateRead(Ok(Some((state, version)))) = event else { return event };
+        if state.serial != ANY {
+            return ReporterEvent::StateRead(Ok(Some((state, version))));
+        }
+        let is_written = |it: &&ReportState| ReportState { serial: ANY, ..(*it).clone() } == state;
+        let serial = self.written.as_ref().filter(is_written).map_or(LATEST, |it| it.serial);
+        ReporterEvent::StateRead(Ok(Some((ReportState { serial, ..state }, version))))
+    }
+
+    /// Checks that each other state of a term has a higher serial, and replaces it by `ANY`.
+    fn hide_serial(&mut self, action: &mut ReporterAction) {
+        let ReporterAction::WriteState { state, .. } = action else { return };
+        if let Some(written) = self.written.replace(state.clone()) {
+            assert!(written == *state || written.stamp() < state.stamp(), "{written:?}, {state:?}");
+        }
+        state.serial = ANY;
+    }
+
     fn tick(&mut self) -> Vec<ReporterAction> {
         self.handle(ReporterEvent::Tick)
     }
@@ -242,6 +275,18 @@
         0, found(state(4, 998, &[]), 0) => [writes(frozen(), 0)];
         0, done(4) => [writes(state(5, 1_001, &[report(1_000, 3)]), 4)];
     ]
+    // A write of the last holder whose response was lost takes effect after the store went back: its counts are those of
+    // an earlier attempt, not those that the holder froze and sent in the end.
+    late_state_of_the_last_holder_is_not_sent: Holder::new(), [
+        0, told_stamp(5, 7, 1_000) => [];
+        0, held(7, 60_000) => [ReporterAction::ReadState];
+        0, found(ReportState { serial: 6, ..frozen() }, 3) => [writes(state(7, 1_000, &[]), 3)];
+    ]
+    latest_state_of_the_last_holder_is_sent_again: Holder::new(), [
+        0, told_stamp(5, 7, 1_000) => [];
+        0, held(7, 60_000) => [ReporterAction::ReadState];
+        0, found(ReportState { serial: 7, ..frozen() }, 3) => [writes(state(7, 1_000, &[report(1_000, 3)]), 3)];
+    ]
     successor_after_the_store_went_back_reports_nothing_that_was_reported: Holder::new(), [
         0, told(6, 1_000) => [];
         0, held(7, 60_000) => [ReporterAction::ReadState];
@@ -270,7 +315,7 @@
         0, share(1_000, 3, false) => [];
         0, held(1, 60_000) => [ReporterAction::ReadState];
         0, ReporterEvent::StateRead(Ok(None)) => [ReporterAction::WriteState {
-            state: ReportState { term: Term::new(1), last_frozen: None, reports: vec![] },
+            state: ReportState { term: Term::new(1), serial: ANY, last_frozen: None, reports: vec![] },
             replaces: None,
         }];
         0, done(1) => [];
@@ -342,8 +387,7 @@
 #[test]
 fn state_survives_its_json_and_keeps_its_form() {
     let json = serde_json::to_string(&frozen()).expect("a state can be encoded");
-    let expected =
-        r#"{"term":5,"last_frozen":1000,"reports":[{"window":1000,"counts":{"acme":3}}]}"#;
+    let expected = r#"{"term":5,"serial":0,"last_frozen":1000,"reports":[{"window":1000,"counts":{"acme":3}}]}"#;
     assert_eq!(json, expected);
     assert_eq!(serde_json::from_str::<ReportState>(&json).expect("a state"), frozen());
     assert_eq!(window(1_000).end(Duration::from_secs(5)), UnixTime::from_millis(START_MS + 5_000));
--- a/crates/daisychute-usage/tests/schedules.rs
+++ b/crates/daisychute-usage/tests/schedules.rs
@@ -232,8 +232,8 @@
         let announced: Vec<_> =
             self.fronts.iter().filter_map(|it| it.reporter.announcement()).collect();
         for front in 0..FRONTS {
-            for &(term, window) in &announced {
-                self.handle(front, ReporterEvent::ReportedByPeer { term, window });
+            for &(stamp, window) in &announced {
+                self.handle(front, ReporterEvent::ReportedByPeer { stamp, window });
             }
             self.handle(front, ReporterEvent::SourcesSeen(sources.clone()));
         }
