review: case 2, a stop cuts a stream that is longer than those of late (LOST)

Cause: whether a response ends before the process does is judged by the longest recent ones of the front.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -12,7 +12,7 @@
 use crate::worker::{Behaviour, Worker};
 
 mod big_bodies;
-mod partial_entry;
+mod long_stream;
 mod silent_store;
 mod split_route;
 mod unreadable_entry;
@@ -54,7 +54,7 @@
 pub fn run(case: &str, cx: &Context) -> Result<bool, Error> {
     match case {
         "big-bodies" => big_bodies::run(cx),
-        "partial-entry" => partial_entry::run(cx),
+        "long-stream" => long_stream::run(cx),
         "silent-store" => silent_store::run(cx),
         "split-route" => split_route::run(cx),
         "unreadable-entry" => unreadable_entry::run(cx),
--- a/review/harness/cases/split_route.rs
+++ b/review/harness/cases/split_route.rs
@@ -20,7 +20,7 @@
 pub fn run(cx: &Context) -> Result<bool, Error> {
     let record = cx.record()?;
     let store = Store::start(&record)?;
-    let behaviour = Behaviour::Stream { events: EVENTS, pause: PAUSE };
+    let behaviour = Behaviour::Stream { events: EVENTS, long: EVENTS, pause: PAUSE };
     for (service, version, id) in [
         ("lm-a", "1.0", "i-a1"),
         ("lm-a", "1.0", "i-a2"),
