--- a/review/harness/cases/big_bodies.rs
+++ b/review/harness/cases/big_bodies.rs
@@ -8,14 +8,16 @@
 /// Figures of the sheet of Rabat-Salé and of its site file.
 const MEMORY_MB: u32 = 260;
 const MAX_BODY_BYTES: usize = 4_194_304;
-/// Largest factor of `burst` for all traffic among the disruptions of the site file.
-const BURST: f64 = 1.7;
+/// Factor and length of `burst` for one kind of request on a day of the site file.
+const BURST: f64 = 1.9;
+const BURST_TIME: Duration = Duration::from_secs(14);
 /// Users at each front in usual traffic.
 const USERS: usize = 16;
 const FRONTS: usize = 2;
 /// Time in which a user sends its body, and time that a worker takes.
 const UPLOAD: Duration = Duration::from_millis(1_000);
 const WORK: Duration = Duration::from_millis(600);
+/// Time of usual traffic, without the burst.
 const OBSERVED: Duration = Duration::from_secs(40);
 /// Time until the platform starts a process that has ended again.
 const RESTART: Duration = Duration::from_millis(500);
@@ -79,7 +81,7 @@
     let users = if cx.trouble { (USERS as f64 * BURST) as usize } else { USERS };
     record.tell(format!("{FRONTS} fronts of {MEMORY_MB} MB are ready; {users} users at each send {MAX_BODY_BYTES} bytes again and again"));
 
-    let until = Until::new(OBSERVED);
+    let until = Until::new(if cx.trouble { BURST_TIME } else { OBSERVED });
     let answered = Arc::new(AtomicUsize::new(0));
     let mut clients = Vec::new();
     for (front, address) in fronts.iter().map(|it| it.addresses.callers).enumerate() {
--- a/review/harness/cases/long_stream.rs
+++ b/review/harness/cases/long_stream.rs
@@ -1,7 +1,6 @@
 //! A front is stopped. Streams arrive on connections that were open before, one of them longer than those of late.
 
 use std::net::SocketAddr;
-use std::process::Command;
 use std::time::Instant;
 
 use super::*;
@@ -69,7 +68,7 @@
     thread::sleep(stop_at.saturating_duration_since(Instant::now()));
     if cx.trouble {
         record.tell(format!("SIGTERM of front 0, which has {GRACE} s"));
-        Command::new("kill").args(["-TERM", &fronts[0].pid().to_string()]).status()?;
+        fronts[0].terminate()?;
     }
     let mut lost = 0;
     for (index, client) in clients.into_iter().enumerate() {
--- a/review/harness/cases/unreadable_entry.rs
+++ b/review/harness/cases/unreadable_entry.rs
@@ -14,7 +14,9 @@
 /// Time before the disruption, in which the fronts settle.
 const SETTLE: Duration = Duration::from_secs(6);
 /// Time between the foreign entry and the draining of the worker.
-const PAUSE: Duration = Duration::from_secs(3);
+const PAUSE: Duration = Duration::from_millis(500);
+/// Silence after which the store removes an entry: three heartbeat intervals.
+const EXPIRY: Duration = Duration::from_millis(3_600);
 /// Time for which the draining worker serves on.
 const SERVED_ON: Duration = Duration::from_secs(8);
 const PATH: &str = "/pule252/";
@@ -102,12 +104,26 @@
     ));
     let new = start("i-5")?;
     record.tell("i-5 is new");
+    if cx.trouble {
+        thread::sleep(EXPIRY - PAUSE);
+        store.delete("servers", "i-0");
+        record.tell(format!(
+            "the store removes i-0, {:.2} s after the acknowledgement",
+            record.now() - acknowledged
+        ));
+    }
+    let removed = record.now();
     for client in clients {
         client.join().map_err(|_| "a client failed")?;
     }
     let sent = sent.lock().expect("no client panics");
     let runs = workers[0].runs();
     let mut held = true;
+    let while_listed = runs
+        .iter()
+        .filter_map(|it| sent.get(it))
+        .filter(|it| it.1 > bound && it.1 < removed)
+        .count();
     for front in 0..FRONTS {
         let of_front =
             || runs.iter().filter_map(|it| sent.get(it)).filter(|it| it.0 == front).map(|it| it.1);
@@ -119,6 +135,9 @@
         ));
         held &= late == 0;
     }
+    if cx.trouble {
+        record.tell(format!("{while_listed} requests broke the bound before i-0 was removed"));
+    }
     record.tell(format!("i-5 ran {} requests", new.runs().len()));
     if runs.is_empty() {
         return Err("i-1 never ran a request".into());
--- a/review/harness/front.rs
+++ b/review/harness/front.rs
@@ -109,6 +109,12 @@
         Ok(())
     }
 
+    /// Asks the process to stop (SIGTERM), by the `kill` of the shell.
+    pub fn terminate(&self) -> std::io::Result<()> {
+        let command = format!("kill -TERM {}", self.pid());
+        Command::new("sh").args(["-c", &command]).status().map(drop)
+    }
+
     /// Kills the process (SIGKILL) and waits for its end.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/harness/store.rs
+++ b/review/harness/store.rs
@@ -18,6 +18,7 @@
     revision: u64,
     kind: String,
     name: String,
+    deleted: bool,
     spec: String,
 }
 
@@ -78,12 +79,25 @@
 
     /// Creates or replaces an object, as the operator and the workers do. The return is the acknowledgement.
     pub fn put(&self, kind: &str, name: &str, spec: &str) {
-        let (kind, name, spec) = (kind.to_owned(), name.to_owned(), spec.to_owned());
+        self.change(kind, name, Some(spec));
+    }
+
+    /// Removes an object.
+    pub fn delete(&self, kind: &str, name: &str) {
+        self.change(kind, name, None);
+    }
+
+    fn change(&self, kind: &str, name: &str, spec: Option<&str>) {
+        let (kind, name) = (kind.to_owned(), name.to_owned());
         self.with(|it| {
             it.revision += 1;
-            let revision = it.revision;
-            it.objects.insert((kind.clone(), name.clone()), (revision, spec.clone()));
-            it.history.push(Change { revision, kind, name, spec });
+            let (revision, key) = (it.revision, (kind.clone(), name.clone()));
+            match spec {
+                Some(spec) => _ = it.objects.insert(key, (revision, spec.to_owned())),
+                None => _ = it.objects.remove(&key),
+            }
+            let (deleted, spec) = (spec.is_none(), spec.unwrap_or("null").to_owned());
+            it.history.push(Change { revision, kind, name, deleted, spec });
         });
         self.state.1.notify_all();
     }
@@ -203,8 +217,8 @@
 }
 
 fn event(change: &Change) -> String {
-    let Change { revision, name, spec, .. } = change;
-    format!("{{\"object\":{},\"deleted\":false}}", object(name, *revision, spec))
+    let Change { revision, name, deleted, spec, .. } = change;
+    format!("{{\"object\":{},\"deleted\":{deleted}}}", object(name, *revision, spec))
 }
 
 fn object(name: &str, revision: u64, spec: &str) -> String {
