feat(front): tell why a request isn't sent again, and with how many fronts the budget is shared

Logs and metrics could not tell apart a share of the retry budget that is too large, retries that were forgotten and sends that nobody counted.

- retry denied: the request, what this front used of the budget, its allowance, and the number of fronts that share it (Action::RecordRetryDenied).
- number of live fronts changed: the count before and after, and how many are registered.
- daisychute_retries_total and daisychute_retries_denied_total.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{EndpointName, SoftwareVersion, TenantName, Time};
+use daisychute_core::{EndpointName, ServiceName, SoftwareVersion, TenantName, Time};
 
 use crate::{
-    Cause, CrashNews, EndpointKey, ForwardedIdentity, Incarnation, LimitNews, PromptPart,
-    Quarantine, Reason, RequestKey, RequestKind, RequestRate, StreamOrigin,
+    BudgetUse, Cause, CrashNews, EndpointKey, ForwardedIdentity, Incarnation, LimitNews,
+    PromptPart, Quarantine, Reason, RequestKey, RequestKind, RequestRate, StreamOrigin,
 };
 
 /// Work that an endpoint is asked to do.
@@ -240,6 +240,17 @@
         /// Measured time from sending to the first output.
         took: Duration,
     },
+    /// Record that a request isn't sent again because the retry budget of its service is spent.
+    RecordRetryDenied {
+        /// Id that the client gave the request.
+        request: Arc<str>,
+        /// Service of the request.
+        service: ServiceName,
+        /// What this front has used of the budget.
+        budget: BudgetUse,
+        /// Number of fronts that share the budget, as far as this one knows.
+        fronts: usize,
+    },
     /// Count a request of a client account. Emitted once per client request, however often it is sent, when the first
     /// output of a stream or the response head of a plain request shows that it runs.
     RecordBegin {
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -1,5 +1,6 @@
 //! End of send attempts and requests: retries, refusals, failures and timeouts.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::Time;
@@ -83,7 +84,7 @@
             | SendFailure::ServerError
             | SendFailure::TimedOut => Reason::Broken,
         };
-        if self.may_retry(now, key, failure) {
+        if self.may_retry(now, key, failure, actions) {
             self.place(now, key, reason, actions);
         } else {
             self.end_after_failure(key, failure, reason, actions);
@@ -91,7 +92,13 @@
     }
 
     /// Whether the request may be sent again: in time, without the risk of a second run, and within limit and budget.
-    pub(crate) fn may_retry(&mut self, now: Time, key: RequestKey, failure: SendFailure) -> bool {
+    pub(crate) fn may_retry(
+        &mut self,
+        now: Time,
+        key: RequestKey,
+        failure: SendFailure,
+        actions: &mut Vec<Action>,
+    ) -> bool {
         let fronts = self.fronts;
         let Some(state) = self.requests.get(&key) else { return false };
         if now >= state.deadline {
@@ -106,10 +113,15 @@
             return state.unsent_attempts <= MAX_UNSENT_RETRIES;
         }
         let safe_to_repeat = !state.may_have_run || state.route.kind.repeatable();
-        let service = state.service.clone();
-        safe_to_repeat
-            && state.counted_attempts < state.route.max_sends
-            && self.budget(&service).allows(now, fronts)
+        if !safe_to_repeat || state.counted_attempts >= state.route.max_sends {
+            return false;
+        }
+        let (service, request) = (state.service.clone(), Arc::clone(&state.request.id));
+        let budget = self.budget(&service).usage(now, fronts);
+        if !budget.allows_another() {
+            actions.push(Action::RecordRetryDenied { request, service, budget, fronts });
+        }
+        budget.allows_another()
     }
 
     /// Ends a request that isn't retried; an error response of the endpoint is passed on.
--- a/crates/daisychute-dispatch/src/core/overdue.rs
+++ b/crates/daisychute-dispatch/src/core/overdue.rs
@@ -46,7 +46,7 @@
         if state.in_flight.is_none() || state.has_output() {
             return;
         }
-        if self.may_retry(now, key, SendFailure::TimedOut)
+        if self.may_retry(now, key, SendFailure::TimedOut, actions)
             && self.choose_placement(now, key).is_some()
         {
             self.send_failed(now, key, SendFailure::TimedOut, actions);
--- a/crates/daisychute-dispatch/src/fleet/budget.rs
+++ b/crates/daisychute-dispatch/src/fleet/budget.rs
@@ -12,6 +12,25 @@
     retries: u32,
 }
 
+/// State of a [`RetryBudget`] at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BudgetUse {
+    /// Requests in the window.
+    pub requests: u32,
+    /// Retries in the window.
+    pub used: u32,
+    /// Number of retries in the window that this front may send.
+    pub allowance: f64,
+}
+
+impl BudgetUse {
+    /// Whether one more retry is within the allowance.
+    #[must_use]
+    pub fn allows_another(&self) -> bool {
+        f64::from(self.used) + 1.0 <= self.allowance
+    }
+}
+
 /// Counts the requests and retries of one service in a sliding window.
 ///
 /// All fronts share one budget. Each front applies the ratio to the requests that it received itself, and takes an
@@ -54,9 +73,14 @@
 
     /// Whether one more retry is within the budget of one front, if `fronts` fronts share it.
     pub fn allows(&mut self, now: Time, fronts: usize) -> bool {
+        self.usage(now, fronts).allows_another()
+    }
+
+    /// Returns what one front has used, and may use, if `fronts` fronts share the budget.
+    pub fn usage(&mut self, now: Time, fronts: usize) -> BudgetUse {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|it| it.requests).sum();
-        f64::from(self.used()) + 1.0 <= self.allowance(requests, fronts)
+        BudgetUse { requests, used: self.used(), allowance: self.allowance(requests, fronts) }
     }
 
     fn allowance(&self, requests: u32, fronts: usize) -> f64 {
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -44,7 +44,7 @@
 pub use crate::core::stream_origins::StreamOrigin;
 pub use crate::core::version_records::SoftwareVersions;
 pub use crate::fleet::backlog::Backlog;
-pub use crate::fleet::budget::RetryBudget;
+pub use crate::fleet::budget::{BudgetUse, RetryBudget};
 pub use crate::fleet::endpoint::{Endpoint, EndpointKey, EndpointLifecycle, EngineStage};
 pub use crate::fleet::front_position::FrontPosition;
 pub use crate::fleet::health::Health;
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -240,6 +240,7 @@
             | Action::SendHeartbeat
             | Action::RecordLatency { .. }
             | Action::RecordBegin { .. }
+            | Action::RecordRetryDenied { .. }
             | Action::CloseIdleConnections { .. } => {}
         }
     }
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -241,6 +241,9 @@
         let _ = write!(self.attempt_log, "{task} at {name} after {} ms; ", self.elapsed_ms());
         metrics::histogram!("daisychute_wait_spread_seconds", "task" => task)
             .record(decision.wait_spread);
+        if *previous_attempts > 0 {
+            metrics::counter!("daisychute_retries_total").increment(1);
+        }
         let request = &self.incoming.info.id;
         let load_age_ms = decision.load_age.map(|it| it.as_millis());
         let shutdown_in_ms = decision.shutdown_in.map(|it| it.as_millis());
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_dispatch::{CrashNews, Event};
+use daisychute_dispatch::{CrashNews, Event, FrontPosition};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -38,6 +38,7 @@
 
 /// Sends heartbeats with this front's load to its peers, for the life of the process.
 pub(crate) async fn send_heartbeats<D: Dialect>(state: Rc<FrontState<D>>, socket: Rc<UdpSocket>) {
+    let mut known = FrontPosition::default();
     loop {
         let peers = state.peers.addresses();
         let interval = INTERVAL_PER_PEER * u32::try_from(peers.len()).unwrap_or(u32::MAX);
@@ -56,7 +57,13 @@
             () = needed_at_once => {}
             () = sleep(interval) => {}
         }
-        state.handle(Event::FrontsCounted(state.peers.position(state.now())));
+        let position = state.peers.position(state.now());
+        if position.count != known.count {
+            let (fronts, before, registered) = (position.count, known.count, peers.len() + 1);
+            log::info!(fronts, before, registered; "number of live fronts changed");
+        }
+        known = position;
+        state.handle(Event::FrontsCounted(position));
         let Some(bytes) = encode(&state) else { continue };
         for peer in peers {
             // A datagram that can't be sent is treated like a lost one.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -11,8 +11,8 @@
 use actix_http::ServiceConfig;
 use daisychute_core::{EndpointName, SoftwareVersion, Time};
 use daisychute_dispatch::{
-    Action, Cause, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Quarantine, Removal,
-    RequestKey, RequestRate, RouteTable,
+    Action, BudgetUse, Cause, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Quarantine,
+    Removal, RequestKey, RequestRate, RouteTable,
 };
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
@@ -224,6 +224,11 @@
                 Action::RecordLatency { task, predicted, took, .. } => {
                     record_prediction_error(task, predicted, took)
                 }
+                Action::RecordRetryDenied { request, service, budget, fronts } => {
+                    let BudgetUse { requests, used, allowance } = budget;
+                    log::info!(request:%, service:%, requests, used, allowance, fronts; "retry denied: the retry budget is spent");
+                    metrics::counter!("daisychute_retries_denied_total").increment(1);
+                }
                 Action::RecordBegin { tenant, began_at } => {
                     if let Some(duties) = &self.duties {
                         duties.record_begin(&tenant, now.since(began_at));
