--- a/crates/daisychute-dispatch/tests/common/mod.rs
+++ b/crates/daisychute-dispatch/tests/common/mod.rs
@@ -9,7 +9,7 @@
 use daisychute_core::{DataCentreName, EndpointName, Role, ServiceName, Time};
 use daisychute_dispatch::{
     Action, Backends, ClientLimits, DispatchSettings, Dispatcher, Endpoint, EngineSpec, Event,
-    RequestKey, RequestKind, Route, RouteTable, ServiceSpec,
+    FrontPosition, RequestKey, RequestKind, Route, RouteTable, ServiceSpec,
 };
 
 /// KV cache capacity of an engine, in tokens; large enough for all shared parts of a test.
@@ -120,8 +120,15 @@
 }
 
 impl Front {
-    /// Creates a front that knows the routes of [`table`] and these endpoints.
+    /// Creates a front that knows the routes of [`table`] and these endpoints, and that it is the only front.
     pub(crate) fn new(endpoints: impl IntoIterator<Item = Endpoint>) -> Self {
+        let mut front = Self::uncounted(endpoints);
+        front.handle(Event::FrontsCounted(FrontPosition::new(1, 0)));
+        front
+    }
+
+    /// Creates a front that doesn't know yet how many other fronts there are.
+    pub(crate) fn uncounted(endpoints: impl IntoIterator<Item = Endpoint>) -> Self {
         let dispatcher = Dispatcher::new(DispatchSettings::default());
         let mut front = Self { dispatcher, now: Time::ZERO, next_key: 1 };
         front.handle(Event::Configured(table(1)));
