fix(front): take a share of the retry budget's fixed part only of all fronts that may serve

Callers saw nothing of this; endpoints did. While many of them rejected or failed requests, the fronts sent more retries together than the budget of all fronts allows, which adds to the load that the endpoints can't take.

Cause: each front divided the fixed part of the budget by the number of fronts that it knew to be live. A front that was started while the directory was away knew only itself and took the whole, and kept it until the directory was back. A front that heard nothing of others for ten seconds forgot them, so each part of a fleet that was cut in two took the whole.

As long as the directory has told nothing, there may be any number, and a front takes none of the fixed part; the ratio, which applies to its own requests, stays. The same count divides the connections of an endpoint and the limits that endpoints name, whose shares added up to too much in the same way. A front that was started without the directory now sends heartbeats to the fronts that it hears.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -248,8 +248,8 @@
         service: ServiceName,
         /// What this front has used of the budget.
         budget: BudgetUse,
-        /// Number of fronts that share the budget, as far as this one knows.
-        fronts: usize,
+        /// Number of fronts that share the budget; `None` if it isn't known.
+        fronts: Option<usize>,
     },
     /// Count a request of a client account. Emitted once per client request, however often it is sent, when the first
     /// output of a stream or the response head of a plain request shows that it runs.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -33,8 +33,10 @@
     pub(crate) budgets: FxHashMap<ServiceName, RetryBudget>,
     /// Learned cost model per service.
     pub(crate) cost_models: FxHashMap<ServiceName, ServiceCostModel>,
-    /// Number of fronts that share the endpoints, this one included.
+    /// Number of known fronts that share the endpoints, this one included.
     pub(crate) fronts: usize,
+    /// Whether the directory has told which fronts there are; otherwise there may be more than `fronts`.
+    fronts_are_complete: bool,
     /// Longest recent times of the stages of requests, by their service and the name of their route.
     pub(crate) stage_times: FxHashMap<(ServiceName, Arc<str>), StageTimes>,
     /// `None` before a shutdown is requested.
@@ -72,6 +74,7 @@
             budgets: FxHashMap::default(),
             cost_models: FxHashMap::default(),
             fronts: 1,
+            fronts_are_complete: false,
             stage_times: FxHashMap::default(),
             shutdown: None,
             stopping_peers: FxHashMap::default(),
@@ -173,6 +176,7 @@
             Event::LimitsReported { limits } => self.limits_reported(now, limits, actions),
             Event::FrontsCounted(position) => {
                 self.fronts = position.count;
+                self.fronts_are_complete = position.is_complete;
                 self.fleet.set_position(now, position);
             }
             Event::ShutdownRequested { deadline } => {
@@ -274,6 +278,11 @@
         new_state(self.table.as_ref()?, now, request).ok()
     }
 
+    /// Returns the number of fronts that share the endpoints; `None` if there may be more than this one knows.
+    pub(crate) fn fronts_if_known(&self) -> Option<usize> {
+        self.fronts_are_complete.then_some(self.fronts)
+    }
+
     pub(crate) fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
         let DispatchSettings { retry_ratio, retry_slack, retry_window, .. } = self.settings;
         let new_budget = || RetryBudget::new(retry_ratio, retry_slack, retry_window);
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -99,7 +99,7 @@
         failure: SendFailure,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let fronts = self.fronts;
+        let fronts = self.fronts_if_known();
         let Some(state) = self.requests.get(&key) else { return false };
         if now >= state.deadline {
             return false;
--- a/crates/daisychute-dispatch/src/fleet/budget.rs
+++ b/crates/daisychute-dispatch/src/fleet/budget.rs
@@ -34,7 +34,7 @@
 /// Counts the requests and retries of one service in a sliding window.
 ///
 /// All fronts share one budget. Each front applies the ratio to the requests that it received itself, and takes an
-/// equal share of the fixed part (`slack`).
+/// equal share of the fixed part (`slack`), once it knows how many fronts there are.
 #[derive(Debug, Clone)]
 pub struct RetryBudget {
     ratio: f64,
@@ -71,20 +71,21 @@
         self.current_bucket(now).requests += 1;
     }
 
-    /// Whether one more retry is within the budget of one front, if `fronts` fronts share it.
-    pub fn allows(&mut self, now: Time, fronts: usize) -> bool {
+    /// Whether one more retry is within the budget of one front, if `fronts` fronts share it; `None` if their number isn't
+    /// known.
+    pub fn allows(&mut self, now: Time, fronts: Option<usize>) -> bool {
         self.usage(now, fronts).allows_another()
     }
 
-    /// Returns what one front has used, and may use, if `fronts` fronts share the budget.
-    pub fn usage(&mut self, now: Time, fronts: usize) -> BudgetUse {
+    /// Returns what one front has used, and may use, if `fronts` fronts share the budget; `None` if their number isn't known.
+    pub fn usage(&mut self, now: Time, fronts: Option<usize>) -> BudgetUse {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|it| it.requests).sum();
         BudgetUse { requests, used: self.used(), allowance: self.allowance(requests, fronts) }
     }
 
-    fn allowance(&self, requests: u32, fronts: usize) -> f64 {
-        let slack = self.slack / fronts.max(1) as f64;
+    fn allowance(&self, requests: u32, fronts: Option<usize>) -> f64 {
+        let slack = fronts.map_or(0.0, |it| self.slack / it.max(1) as f64);
         Self::USED_SHARE * (self.ratio * f64::from(requests) + slack)
     }
 
--- a/crates/daisychute-dispatch/src/fleet/named_limit.rs
+++ b/crates/daisychute-dispatch/src/fleet/named_limit.rs
@@ -27,7 +27,7 @@
     const OPEN_SLOTS: f64 = 2.0;
 
     pub(crate) fn new(now: Time, rate: RequestRate, position: FrontPosition) -> Self {
-        let FrontPosition { count, rank } = position;
+        let FrontPosition { count, rank, .. } = position;
         let mut limit = Self { rate, named_at: now, fronts: count, slot: now };
         // The first slots of the fronts, which learn of the limit at about the same time, are evenly spaced.
         let phase = (rank as f64 + 0.5) / count as f64;
--- a/crates/daisychute-dispatch/tests/retry_budget.rs
+++ b/crates/daisychute-dispatch/tests/retry_budget.rs
@@ -18,7 +18,7 @@
 /// Returns a budget whose retries of a window of ten seconds are used up.
 fn used_up() -> RetryBudget {
     let mut budget = RetryBudget::new(0.1, SLACK, Duration::from_secs(10));
-    while budget.allows(RETRIES_AT, 1) {
+    while budget.allows(RETRIES_AT, Some(1)) {
         budget.record_retry(RETRIES_AT);
     }
     budget
@@ -32,7 +32,7 @@
             let mut budget = used_up();
             budget.configure(0.1, $slack, Duration::from_secs($window_s));
             assert_eq!(budget.used(), 7);
-            assert_eq!(budget.allows(Time::from_millis($at_ms), 1), $allowed);
+            assert_eq!(budget.allows(Time::from_millis($at_ms), Some(1)), $allowed);
         }
     )*};
 }
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -302,8 +302,10 @@
         for change in listing.changes {
             self.apply(change, era);
         }
-        if self.collection == Collection::Endpoints {
-            self.state.departures.borrow_mut().record_listed(now, era);
+        match self.collection {
+            Collection::Endpoints => self.state.departures.borrow_mut().record_listed(now, era),
+            Collection::Fronts => self.state.peers.record_listing(),
+            Collection::Configuration => {}
         }
     }
 
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -40,7 +40,7 @@
 pub(crate) async fn send_heartbeats<D: Dialect>(state: Rc<FrontState<D>>, socket: Rc<UdpSocket>) {
     let mut known = FrontPosition::default();
     loop {
-        let peers = state.peers.addresses();
+        let peers = state.peers.addresses(state.now());
         let interval = INTERVAL_PER_PEER * u32::try_from(peers.len()).unwrap_or(u32::MAX);
         let interval = state.jitter(interval.clamp(MIN_INTERVAL, MAX_INTERVAL));
         let requested = async {
@@ -58,9 +58,9 @@
             () = sleep(interval) => {}
         }
         let position = state.peers.position(state.now());
-        if position.count != known.count {
-            let (fronts, before, registered) = (position.count, known.count, peers.len() + 1);
-            log::info!(fronts, before, registered; "number of live fronts changed");
+        if position.count != known.count || position.is_complete != known.is_complete {
+            let (fronts, before, complete) = (position.count, known.count, position.is_complete);
+            log::info!(fronts, before, complete; "number of known fronts changed");
         }
         known = position;
         state.handle(Event::FrontsCounted(position));
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -8,12 +8,13 @@
 pub(crate) mod crash_reports;
 pub(crate) mod limit_report;
 pub(crate) mod peer_heartbeat;
+pub(crate) mod peer_records;
 pub(crate) mod snapshot;
 pub(crate) mod snapshots;
 pub(crate) mod heartbeats;
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,12 +24,10 @@
 };
 use tokio::sync::Notify;
 
-use crate::{AnnouncementPolicy, Announcements};
+use crate::{AnnouncementPolicy, Announcements, PeerRecords};
 
 /// Maximum number of incarnations of other fronts that are remembered. Beyond it, all count as new once more.
 const MAX_INCARNATIONS: usize = 4_096;
-/// A front without a heartbeat for this long isn't counted any more.
-const PEER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Announcements of cached prompt parts: at most as many in a heartbeat as a front sends between two.
 const CACHED_PARTS: AnnouncementPolicy = AnnouncementPolicy {
     repetitions: 3,
@@ -77,18 +76,10 @@
     ttl: Duration::from_secs(10),
 };
 
-#[derive(Debug, Clone, Copy)]
-struct Peer {
-    address: SocketAddr,
-    // When its record was last updated or its last heartbeat arrived.
-    last_seen: Time,
-}
-
-/// The registered fronts, and the news to announce to them.
+/// The other fronts, and the news to announce to them.
 #[derive(Debug)]
 pub(crate) struct Peers {
-    own_address: SocketAddr,
-    records: RefCell<BTreeMap<String, Peer>>,
+    records: RefCell<PeerRecords>,
     /// Prompt parts that endpoints cache.
     pub(crate) cached_parts: RefCell<Announcements<(EndpointName, PromptPart)>>,
     /// Endpoints that are leaving.
@@ -111,8 +102,7 @@
     /// Creates an empty set of peers for the front that receives heartbeats at `own_address`.
     pub(crate) fn new(own_address: SocketAddr) -> Self {
         Self {
-            own_address,
-            records: RefCell::default(),
+            records: RefCell::new(PeerRecords::new(own_address)),
             cached_parts: RefCell::new(Announcements::new(CACHED_PARTS)),
             leaving: RefCell::new(Announcements::new(LEAVING)),
             origins: RefCell::new(Announcements::new(ORIGINS)),
@@ -127,18 +117,18 @@
 
     /// Adds or changes the record of a front, or removes it if `address` is `None`.
     pub(crate) fn update(&self, now: Time, name: String, address: Option<SocketAddr>) {
-        let mut records = self.records.borrow_mut();
-        let had_peers = records.len() > 1;
-        match address {
-            Some(address) => records.insert(name, Peer { address, last_seen: now }),
-            None => records.remove(&name),
-        };
+        let is_first = self.records.borrow_mut().update(now, name, address);
         // A front that has just started asks its peers for what it missed, by a heartbeat.
-        if !had_peers && records.len() > 1 {
+        if is_first {
             self.urgent_heartbeat.notify_one();
         }
     }
 
+    /// Records that the directory has listed the fronts.
+    pub(crate) fn record_listing(&self) {
+        self.records.borrow_mut().record_listing();
+    }
+
     /// Records that a heartbeat of this incarnation arrived. Returns whether it is the first one.
     pub(crate) fn record_incarnation(&self, incarnation: u64) -> bool {
         let mut incarnations = self.incarnations.borrow_mut();
@@ -150,34 +140,22 @@
 
     /// Records that a heartbeat arrived from this address.
     pub(crate) fn record_heartbeat(&self, now: Time, from: SocketAddr) {
-        let mut records = self.records.borrow_mut();
-        if let Some(peer) = records.values_mut().find(|it| it.address == from) {
-            peer.last_seen = now;
-        }
+        self.records.borrow_mut().record_heartbeat(now, from);
     }
 
-    /// Returns the addresses of all other registered fronts.
-    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
-        let records = self.records.borrow();
-        records.values().map(|it| it.address).filter(|it| *it != self.own_address).collect()
+    /// Returns the addresses of all other fronts that are known.
+    pub(crate) fn addresses(&self, now: Time) -> Vec<SocketAddr> {
+        self.records.borrow().addresses(now)
     }
 
-    /// Returns the number of live fronts, this one included.
+    /// Returns the number of fronts that may serve, this one included.
     pub(crate) fn count(&self, now: Time) -> usize {
         self.position(now).count
     }
 
-    /// Returns the place of this front among the live ones, in the order of their addresses.
+    /// Returns the place of this front among all that may serve.
     pub(crate) fn position(&self, now: Time) -> FrontPosition {
-        let records = self.records.borrow();
-        let others = records.values().filter(|it| it.address != self.own_address);
-        let live = others.filter(|it| now.since(it.last_seen) < PEER_TIMEOUT);
-        let (mut count, mut rank) = (1, 0);
-        for peer in live {
-            count += 1;
-            rank += usize::from(peer.address < self.own_address);
-        }
-        FrontPosition::new(count, rank)
+        self.records.borrow().position(now)
     }
 
     /// Requests that the next heartbeat is sent early.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -226,7 +226,7 @@
                 }
                 Action::RecordRetryDenied { request, service, budget, fronts } => {
                     let BudgetUse { requests, used, allowance } = budget;
-                    log::info!(request:%, service:%, requests, used, allowance, fronts; "retry denied: the retry budget is spent");
+                    log::info!(request:%, service:%, requests, used, allowance, fronts:?; "retry denied: the retry budget is spent");
                     metrics::counter!("daisychute_retries_denied_total").increment(1);
                 }
                 Action::RecordBegin { tenant, began_at } => {
@@ -368,7 +368,7 @@
         self.with_dispatcher(|it| it.fleet().endpoint(it.fleet().key(name)?).cloned())
     }
 
-    /// Returns the number of live fronts, this one included.
+    /// Returns the number of fronts that may serve, this one included.
     pub(crate) fn front_count(&self) -> u32 {
         u32::try_from(self.peers.count(self.now())).unwrap_or(u32::MAX)
     }
