--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -328,7 +328,9 @@
             }
             Some(Err(reason)) => {
                 let collection = self.collection.as_str();
-                log::debug!(collection, name, reason; "invalid record treated as removed");
+                log::info!(collection, name, reason; "invalid record treated as removed");
+                metrics::counter!("daisychute_invalid_records_total", "collection" => collection)
+                    .increment(1);
                 self.remove(name, era);
             }
             None => self.remove(name, era),
