fix(front): don't take the only known version for a stream's after news may have been missed

What callers would see: during a release, a front that was cut off or stood still for seconds took up streams which had begun at workers of the new version through other fronts, and went on at a worker of the old one. The text of both was joined in answers that looked whole (ORDER).

Cause: a front resumes a stream of unknown origin at the only version that it knows, if it hears other fronts. The first heartbeat after a silence was enough for that, before the directory had told which workers had joined meanwhile; the news of origins, which are told three times, were lost with the silence. A machine that was suspended didn't even notice: the monotonic clock stands still. The class: contact taken for knowledge of what was missed without it.

After 1.5 s without a heartbeat, or a suspension of that length (CLOCK_BOOTTIME against the monotonic clock), the versions of each service count as after a start: unknown until the directory's record of versions was read again, which is done at once. A front that lacks changes of endpoints which a peer reports doesn't know them either. Meanwhile streams of unknown origin are refused as not run (origin_unknown); those whose origin is known go on.

The test stream_of_unknown_version_is_refused_by_a_front_that_hears_no_other demanded that such a stream goes on right after the first heartbeat, which is the fault; it now demands a refusal then, and that the stream goes on once the record was read. The cases of out_of_step! fail without the new state.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -240,6 +240,11 @@
         /// Measured time from sending to the first output.
         took: Duration,
     },
+    /// Read the directory's records of software versions again: this front may have missed some. The result comes back as
+    /// [`Event::VersionsRecorded`].
+    ///
+    /// [`Event::VersionsRecorded`]: crate::Event::VersionsRecorded
+    ReadVersionRecords,
     /// Record that a request isn't sent again because the retry budget of its service is spent.
     RecordRetryDenied {
         /// Id that the client gave the request.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -6,6 +6,7 @@
 use daisychute_core::{EndpointName, ServiceName, Time};
 use rustc_hash::FxHashMap;
 
+use crate::core::contact::Contact;
 use crate::core::crash_quarantine::CrashQuarantine;
 use crate::core::fairness::Fairness;
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
@@ -43,8 +44,8 @@
     pub(crate) shutdown: Option<Shutdown>,
     /// Fronts that shut down, by incarnation, and when each will have exited.
     pub(crate) stopping_peers: FxHashMap<u64, Time>,
-    /// When another front was last heard; `None` if none ever was.
-    pub(crate) peer_heard_at: Option<Time>,
+    /// Whether this front knows what the others have told.
+    pub(crate) contact: Contact,
     /// Software versions that began the streams which clients may resume.
     pub(crate) stream_origins: StreamOrigins,
     /// Software versions of the endpoints in the fleet, and of those that left it.
@@ -78,7 +79,7 @@
             stage_times: FxHashMap::default(),
             shutdown: None,
             stopping_peers: FxHashMap::default(),
-            peer_heard_at: None,
+            contact: Contact::default(),
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
             recorded_versions: FxHashMap::default(),
@@ -151,8 +152,12 @@
                 actions.extend(removed.map(|endpoint| Action::CloseIdleConnections { endpoint }));
             }
             Event::PeerHeartbeat { peer, loads, parts } => {
+                self.record_contact(now, actions);
                 self.peer_heartbeat(now, peer, &loads, &parts)
             }
+            Event::ContactChecked { is_behind, was_suspended } => {
+                self.contact_checked(now, is_behind, was_suspended, actions)
+            }
             Event::PeerStopping { peer, exits_in } => self.peer_stopping(now, peer, exits_in),
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
             Event::LeavingAnnounced { endpoint } => self.leaving_announced(now, endpoint, actions),
@@ -296,7 +301,6 @@
         loads: &[(EndpointName, PeerLoad)],
         parts: &[(EndpointName, PromptPart)],
     ) {
-        self.peer_heard_at = Some(now);
         self.fleet.set_peer_load(now, peer, loads);
         for (name, part) in parts {
             if let Some(key) = self.fleet.key(name) {
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod limits;
 pub(crate) mod answered_requests;
 pub(crate) mod cause;
+pub(crate) mod contact;
 pub(crate) mod crash_news;
 pub(crate) mod crash_quarantine;
 pub(crate) mod crash_record;
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -1,7 +1,5 @@
 //! Streams that go on after events which the client already has.
 
-use std::time::Duration;
-
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
@@ -11,9 +9,6 @@
 /// the timeout, and few clients wait longer than that for all of them.
 pub(crate) const MAX_STREAM_AGE_FACTOR: u32 = 2;
 
-/// Time without a heartbeat of any other front after which this one may be cut off: live fronts send several a second.
-const MAX_SILENCE: Duration = Duration::from_millis(1_500);
-
 impl Dispatcher {
     /// Restricts a request that resumes a stream to the software version that began it. Refuses it if that version
     /// isn't known, and returns whether it was refused.
@@ -46,12 +41,7 @@
             let present = present.map(|(_, it)| &it.endpoint.software_version);
             self.versions.only_version(now, &state.service, age, present)
         };
-        known.or_else(|| self.is_in_contact(now).then(only)?).cloned()
-    }
-
-    /// Whether this front would know of new versions: it hears another front, or there never was one.
-    pub(crate) fn is_in_contact(&self, now: Time) -> bool {
-        self.peer_heard_at.is_none_or(|at| now.since(at) < MAX_SILENCE)
+        known.or_else(|| self.contact.is_given(now).then(only)?).cloned()
     }
 
     /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts.
--- a/crates/daisychute-dispatch/src/core/version_records.rs
+++ b/crates/daisychute-dispatch/src/core/version_records.rs
@@ -52,7 +52,7 @@
         service: &ServiceName,
         age: Duration,
     ) -> Option<SoftwareVersions> {
-        if !self.is_in_contact(now) {
+        if !self.contact.is_given(now) {
             return None;
         }
         let mut versions: SoftwareVersions =
--- a/crates/daisychute-dispatch/src/fleet/version_history.rs
+++ b/crates/daisychute-dispatch/src/fleet/version_history.rs
@@ -13,8 +13,9 @@
 /// The versions of one service.
 #[derive(Debug, Clone)]
 struct ServiceHistory {
-    first_seen_at: Time,
-    /// Whether all versions are known that had endpoints before `first_seen_at`.
+    /// Since when all versions are recorded.
+    known_since: Time,
+    /// Whether all versions are recorded that had endpoints before `known_since`.
     is_complete: bool,
     /// When an endpoint of each version was last listed or removed.
     seen_at: FxHashMap<Version, Time>,
@@ -51,9 +52,17 @@
         }
     }
 
+    /// Records that versions may have come and gone until now without being recorded.
+    pub(crate) fn forget_completeness(&mut self, now: Time) {
+        for history in self.services.values_mut() {
+            history.known_since = now;
+            history.is_complete = false;
+        }
+    }
+
     fn history(&mut self, now: Time, service: &ServiceName) -> &mut ServiceHistory {
         let new = || ServiceHistory {
-            first_seen_at: now,
+            known_since: now,
             is_complete: false,
             seen_at: FxHashMap::default(),
         };
@@ -69,7 +78,7 @@
         age: Duration,
     ) -> Option<impl Iterator<Item = &Version>> {
         let history = self.services.get(service)?;
-        let is_known = history.is_complete || now.since(history.first_seen_at) >= age;
+        let is_known = history.is_complete || now.since(history.known_since) >= age;
         let recent = history.seen_at.iter().filter(move |(_, at)| now.since(**at) < age);
         is_known.then(|| recent.map(|(version, _)| version))
     }
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -241,6 +241,7 @@
             | Action::RecordLatency { .. }
             | Action::RecordBegin { .. }
             | Action::RecordRetryDenied { .. }
+            | Action::ReadVersionRecords
             | Action::CloseIdleConnections { .. } => {}
         }
     }
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -205,6 +205,64 @@
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
     front.handle(heartbeat());
     let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    record(&mut front, &["v1"]);
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+}
+
+/// Each case has what a front notices after a time in which it missed that others began streams at a new version.
+macro_rules! out_of_step {
+    ($($name:ident: $notice:expr;)*) => {$(
+        /// Guards against streams of a version that joined while this front was cut off or stood still, and that it then
+        /// takes up at the only version it knows (ORDER).
+        #[test]
+        fn $name() {
+            let mut front = Front::new(engines(&["v1", "v1"]));
+            front.wait(HISTORY);
+            let heartbeat = Event::PeerHeartbeat { peer: 1, loads: Vec::new(), parts: Vec::new() };
+            front.handle(heartbeat.clone());
+            let notice: fn(&mut Front, Event) -> Vec<Action> = $notice;
+            let noticed = notice(&mut front, heartbeat);
+            for first_attempt in [Some(FIRST_ATTEMPT), None] {
+                let (_, actions) = arrive(&mut front, resumption(first_attempt));
+                assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+            }
+            assert!(noticed.contains(&Action::ReadVersionRecords), "{noticed:?}");
+            assert_eq!(to_record(&front), None);
+            // The new version had left before this front listed the endpoints again.
+            record(&mut front, &["v1", "v2"]);
+            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+            assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+            // What others tell of single streams holds.
+            report_origin(&mut front, "v1", Duration::from_secs(3));
+            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+            assert!(sent(&actions).is_some(), "{actions:?}");
+        }
+    )*};
+}
+
+out_of_step! {
+    front_that_hears_others_again_does_not_know_what_it_missed: |front, heartbeat| {
+        front.wait(Duration::from_secs(2));
+        front.handle(heartbeat)
+    };
+    front_that_was_suspended_does_not_know_what_it_missed: |front, _| {
+        front.handle(Event::ContactChecked { is_behind: false, was_suspended: true })
+    };
+}
+
+/// Guards against streams of a version that a peer has seen and this front hasn't yet (ORDER).
+#[test]
+fn front_that_lacks_changes_of_endpoints_does_not_know_the_versions() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(HISTORY);
+    let checked = |is_behind| Event::ContactChecked { is_behind, was_suspended: false };
+    front.handle(checked(true));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    front.handle(checked(false));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert!(sent(&actions).is_some(), "{actions:?}");
 }
 
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -43,6 +43,9 @@
     if state.shutdown.requested() {
         response_writer.close();
     }
+    if incoming.info.resumption.is_some() {
+        state.check_contact();
+    }
     let arrived = Event::arrived(key, incoming.info.clone());
     let first_action = state.handle(arrived);
     let RequestInfo { host, path, .. } = &incoming.info;
--- a/crates/daisychute-front/src/directory/version_recorder.rs
+++ b/crates/daisychute-front/src/directory/version_recorder.rs
@@ -61,8 +61,8 @@
                 }
                 continue;
             }
-            // A front that has just started needs the records to resume streams.
-            if self.read_in.is_some() {
+            // A front that has just started, or has missed news, needs the records to resume streams.
+            if self.read_in.is_some() && !self.state.version_records_outdated.get() {
                 let spread = (SPREAD_PER_FRONT * self.state.front_count()).min(MAX_SPREAD);
                 sleep(self.state.spread(spread)).await;
             }
@@ -75,6 +75,9 @@
 
     fn is_up_to_date(&self) -> bool {
         let wanted = self.wanted();
+        if !wanted.is_empty() && self.state.version_records_outdated.get() {
+            return false;
+        }
         wanted.is_empty()
             || self.read_in.is_some_and(|era| {
                 era == self.state.era.latest() && self.outdated(era, wanted).is_empty()
@@ -124,6 +127,7 @@
 
     /// Reads all records, then writes those that are out of date.
     async fn update(&mut self) -> Result<(), UpdateError> {
+        self.state.version_records_outdated.set(false);
         let answer = self.directory.version_records().await;
         if let Some(era) = answer.era {
             self.state.record_era(era, "directory");
@@ -169,6 +173,8 @@
 
     async fn handle_failure(&mut self, error: &UpdateError) {
         self.failures += 1;
+        // They may not have been read.
+        self.state.version_records_outdated.set(true);
         if self.failures == 1 {
             log::info!(error:%; "versions that may have streams not recorded yet");
         }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -21,6 +21,7 @@
 
 use crate::directory::revisions::Revisions;
 use crate::directory::store_era::StoreEra;
+use crate::duties::boot_clock::BootClock;
 use crate::duties::link::DutyLink;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
@@ -48,6 +49,8 @@
     pub(crate) directory_last_seen: Cell<Time>,
     /// Whether the last call for configurations failed; `true` before the first success.
     pub(crate) directory_unreachable: Cell<bool>,
+    /// Whether the directory's records of versions are to be read again.
+    pub(crate) version_records_outdated: Cell<bool>,
     /// Notified when the versions that may have streams may differ from what the directory has recorded.
     pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
@@ -57,6 +60,9 @@
     /// Identifies this start of this front; also seeds its random choices.
     pub(crate) incarnation_id: u64,
     clock: Clock,
+    boot_clock: BootClock,
+    /// Time for which the machine was suspended since the start of the process, as of the last check.
+    suspended: Cell<Duration>,
     settings: RefCell<LiveSettings>,
     dispatcher: RefCell<Dispatcher>,
     next_key: Cell<u64>,
@@ -81,12 +87,15 @@
             departures: RefCell::default(),
             directory_last_seen: Cell::new(Time::ZERO),
             directory_unreachable: Cell::new(true),
+            version_records_outdated: Cell::new(false),
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
             duties,
             http: ServiceConfig::default(),
             incarnation_id,
             clock: Clock::start(),
+            boot_clock: BootClock::start(),
+            suspended: Cell::default(),
             dispatcher: RefCell::new(Dispatcher::new(settings.dispatch.clone())),
             settings: RefCell::new(settings),
             next_key: Cell::new(1),
@@ -224,6 +233,14 @@
                 Action::RecordLatency { task, predicted, took, .. } => {
                     record_prediction_error(task, predicted, took)
                 }
+                Action::ReadVersionRecords => {
+                    log::warn!(
+                        "news of other fronts may have been missed; records of software versions are read again"
+                    );
+                    metrics::counter!("daisychute_contact_losses_total").increment(1);
+                    self.version_records_outdated.set(true);
+                    self.versions_may_differ.notify_one();
+                }
                 Action::RecordRetryDenied { request, service, budget, fronts } => {
                     let BudgetUse { requests, used, allowance } = budget;
                     log::info!(request:%, service:%, requests, used, allowance, fronts:?; "retry denied: the retry budget is spent");
@@ -240,6 +257,19 @@
         request_action
     }
 
+    /// Tells the dispatcher whether this front may have missed news.
+    pub(crate) fn check_contact(self: &Rc<Self>) {
+        let suspended = self.boot_clock.now().since(self.now());
+        let was_suspended = suspended >= self.suspended.get() + Dispatcher::MIN_SUSPENSION;
+        if was_suspended {
+            let ms = (suspended - self.suspended.get()).as_millis();
+            log::warn!(ms; "the machine was suspended");
+            self.suspended.set(suspended);
+        }
+        let is_behind = self.revisions.lacks_endpoints();
+        self.handle(Event::ContactChecked { is_behind, was_suspended });
+    }
+
     /// Passes on what an endpoint announced in the head of a response to a request that was sent at `sent_at`.
     pub(crate) fn record_notices(
         self: &Rc<Self>,
