fix(front): send no request a second time on a connection where it ended unserved

What callers would see: a worker that wrote an earlier refusal once more, on a kept connection, as it ran the request that it had refused before. The refusal was taken for the response to the new attempt: the client was told that the request hasn't run (REFUSED), or it was sent to another worker (TWICE).

Cause: responses are matched to requests by id. The class: an identifier that isn't unique among what it has to tell apart.

A connection now remembers the ids of requests that ended unserved on it, and isn't used for them again; after 32 of them it is closed.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -90,7 +90,7 @@
         let Ok(bytes) = self.encode(&mut connection) else {
             return CallEnd::Failed(SendFailure::Unsent, None);
         };
-        let EndpointConnection { mut stream, codec, mut buf } = connection;
+        let EndpointConnection { mut stream, codec, mut buf, mut unserved } = connection;
         let sent_at = self.state.now();
         let (mut read, mut write) = stream.split();
         let Some(sent) = write_available(&mut write, &bytes).await else {
@@ -117,7 +117,10 @@
         let end = self.pass_response(head, &mut reader).await;
         let reusable = reusable && self.state.takes_work(self.decision.endpoint);
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
-            let connection = EndpointConnection { stream, codec, buf };
+            if !matches!(end, CallEnd::Finished) {
+                unserved.push(Arc::clone(&self.incoming.info.id));
+            }
+            let connection = EndpointConnection { stream, codec, buf, unserved };
             self.state.pool.put(self.decision.endpoint, connection, keep_alive);
         }
         end
@@ -126,7 +129,7 @@
     async fn connect(&self) -> Option<EndpointConnection> {
         let repeatable = self.decision.kind.repeatable() || self.decision.task == Task::Prefill;
         let max_idle = if repeatable { NO_AGE_LIMIT } else { MAX_IDLE_FOR_NON_REPEATABLE };
-        if let Some(idle) = self.state.pool.take(self.decision.endpoint, max_idle) {
+        if let Some(idle) = self.take_idle(max_idle) {
             return Some(idle);
         }
         if self.state.pool.connection_count(self.decision.endpoint) >= self.decision.max_connections
@@ -136,6 +139,10 @@
         EndpointConnection::open(self.decision.address, &self.state.http).await.ok()
     }
 
+    fn take_idle(&self, max_idle: Duration) -> Option<EndpointConnection> {
+        self.state.pool.take(self.decision.endpoint, max_idle, &self.incoming.info.id)
+    }
+
     fn encode(&self, connection: &mut EndpointConnection) -> std::io::Result<BytesMut> {
         let last_event_id = self.response_writer.last_event_id();
         let params = ForwardParams {
--- a/crates/daisychute-front/src/endpoint/connection.rs
+++ b/crates/daisychute-front/src/endpoint/connection.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::ServiceConfig;
@@ -25,11 +26,19 @@
 /// `TCP_USER_TIMEOUT`: sent bytes that aren't acknowledged within this time end the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum number of requests that end unserved on one connection before it is closed.
+const MAX_UNSERVED: usize = 32;
+
 /// An HTTP/1.1 connection that carries one request at a time.
+///
+/// Responses are matched to requests by id. A request that ended unserved may be sent again, by this front or by its
+/// client; on the same connection, a copy of the earlier response would pass for the response to the new attempt.
 pub(crate) struct EndpointConnection {
     pub(crate) stream: TcpStream,
     pub(crate) codec: ClientCodec,
     pub(crate) buf: BytesMut,
+    /// Ids of the requests that ended unserved on this connection; at most `MAX_UNSERVED` while it is idle.
+    pub(crate) unserved: Vec<Arc<str>>,
 }
 
 impl EndpointConnection {
@@ -39,7 +48,17 @@
         let stream = connect.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         detect_unresponsive_peer(&stream)?;
         let codec = ClientCodec::new(http.clone());
-        Ok(Self { stream, codec, buf: BytesMut::new() })
+        Ok(Self { stream, codec, buf: BytesMut::new(), unserved: Vec::new() })
+    }
+
+    /// Whether the request may be sent on this connection: it wasn't sent here before.
+    pub(crate) fn takes(&self, request: &str) -> bool {
+        !self.unserved.iter().any(|it| **it == *request)
+    }
+
+    /// Whether the connection may carry further requests.
+    pub(crate) const fn is_worth_keeping(&self) -> bool {
+        self.unserved.len() <= MAX_UNSERVED
     }
 
     /// Whether the idle connection is open and has no unexpected bytes to read.
--- a/crates/daisychute-front/src/endpoint/control_call.rs
+++ b/crates/daisychute-front/src/endpoint/control_call.rs
@@ -46,7 +46,7 @@
     max_bytes: usize,
 ) -> Result<(ResponseHead, Bytes), ControlCallError> {
     let connection = EndpointConnection::open(address, &state.http).await?;
-    let EndpointConnection { mut stream, mut codec, mut buf } = connection;
+    let EndpointConnection { mut stream, mut codec, mut buf, .. } = connection;
     head.set_connection_type(ConnectionType::Close);
     if let Ok(host) = HeaderValue::try_from(address.to_string()) {
         head.headers.insert(header::HOST, host);
--- a/crates/daisychute-front/src/endpoint/pool.rs
+++ b/crates/daisychute-front/src/endpoint/pool.rs
@@ -50,9 +50,14 @@
 }
 
 impl Pool {
-    /// Takes the most recently used connection that is still reusable and was idle for at most `max_idle`. Returns
-    /// `None` if there is none.
-    pub(crate) fn take(&self, key: EndpointKey, max_idle: Duration) -> Option<EndpointConnection> {
+    /// Takes the most recently used connection that is still reusable, was idle for at most `max_idle`, and hasn't carried
+    /// this request before. Returns `None` if there is none.
+    pub(crate) fn take(
+        &self,
+        key: EndpointKey,
+        max_idle: Duration,
+        request: &str,
+    ) -> Option<EndpointConnection> {
         let now = Instant::now();
         let mut entries = self.entries.borrow_mut();
         let entry = entries.get_mut(&key)?;
@@ -61,7 +66,8 @@
                 entry.idle.push_back(idle);
                 return None;
             }
-            if now < idle.expires_at && idle.connection.is_reusable() {
+            let is_usable = now < idle.expires_at && idle.connection.is_reusable();
+            if is_usable && idle.connection.takes(request) {
                 return Some(idle.connection);
             }
         }
@@ -76,6 +82,9 @@
         connection: EndpointConnection,
         keep_alive: Option<Duration>,
     ) {
+        if !connection.is_worth_keeping() {
+            return;
+        }
         let idle_since = Instant::now();
         let idle_limit = keep_alive
             .map_or(MAX_IDLE_TIME, |it| it.saturating_sub(CLOSE_MARGIN).min(MAX_IDLE_TIME));
