fix(dispatch): resume streams only at the service of their route that began them

Callers got streams that were answered with 200 and looked whole, joined from the text of two versions (ORDER).

Cause: a route that is split between services gives each request a service by the id of its first attempt. A client that resumes a stream without naming that attempt gets a service by the id of its present one, whose only version was then taken for the one that began the stream. The same happened after a route had moved to another service, or its weights had changed.

The only known version is now taken for a stream's version only if the stream began at this service: the route has one service, or the client names the first attempt, and the services and weights of its route haven't changed within the age that a stream may have. Else the client is refused at once, as not run (origin_unknown). Streams whose origin is known go on as before.

A front that has just started doesn't know of earlier moves; that stays open.

--- a/crates/daisychute-dispatch/src/config/backends.rs
+++ b/crates/daisychute-dispatch/src/config/backends.rs
@@ -67,6 +67,12 @@
         &self.list[0].service
     }
 
+    /// Whether one service receives all requests.
+    #[must_use]
+    pub fn is_single(&self) -> bool {
+        self.list.iter().filter(|it| it.weight > 0).count() == 1
+    }
+
     /// Returns all backends in configured order.
     #[must_use]
     pub fn list(&self) -> &[Backend] {
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::core::contact::Contact;
 use crate::core::crash_quarantine::CrashQuarantine;
 use crate::core::fairness::Fairness;
+use crate::core::moved_routes::MovedRoutes;
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
 use crate::core::shutdown::Shutdown;
 use crate::core::stream_origins::StreamOrigins;
@@ -52,6 +53,8 @@
     pub(crate) versions: VersionHistory,
     /// Software versions in the directory's record of each service that has one.
     pub(crate) recorded_versions: FxHashMap<ServiceName, RecordedVersions>,
+    /// Routes that lately sent their requests to other services.
+    pub(crate) moved_routes: MovedRoutes,
     /// Requests and prompt parts under which endpoints ended.
     pub(crate) crash_quarantine: CrashQuarantine,
     /// Shares of the tenants in the room of each service.
@@ -83,6 +86,7 @@
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
             recorded_versions: FxHashMap::default(),
+            moved_routes: MovedRoutes::default(),
             crash_quarantine: CrashQuarantine::default(),
             fairness: Fairness::default(),
         }
@@ -206,9 +210,13 @@
     fn configured(&mut self, now: Time, table: Arc<RouteTable>) {
         // Routes that were removed have no recent responses.
         self.stage_times.retain(|_, it| it.is_recent(now));
-        if self.table.as_ref().is_none_or(|it| it.version() < table.version()) {
-            self.table = Some(table);
+        if self.table.as_ref().is_some_and(|it| it.version() >= table.version()) {
+            return;
+        }
+        if let Some(old) = &self.table {
+            self.moved_routes.record(now, old, &table);
         }
+        self.table = Some(table);
     }
 
     fn endpoint_upserted(
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod event;
 pub(crate) mod fairness;
 pub(crate) mod limits;
+pub(crate) mod moved_routes;
 pub(crate) mod answered_requests;
 pub(crate) mod cause;
 pub(crate) mod contact;
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -1,5 +1,7 @@
 //! Streams that go on after events which the client already has.
 
+use std::time::Duration;
+
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
@@ -37,6 +39,9 @@
         let known = attempt.and_then(|it| self.stream_origins.version(now, it));
         let only = || {
             let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
+            if !self.began_at_its_service(now, state, age) {
+                return None;
+            }
             let present = self.fleet.of_service(&state.service);
             let present = present.map(|(_, it)| &it.endpoint.software_version);
             self.versions.only_version(now, &state.service, age, present)
@@ -44,6 +49,15 @@
         known.or_else(|| self.contact.is_given(now).then(only)?).cloned()
     }
 
+    /// Whether the stream, which is at most `age` old, began at the service that its request gets now: requests get the
+    /// services of a route by the id of their first attempt.
+    fn began_at_its_service(&self, now: Time, state: &RequestState, age: Duration) -> bool {
+        let resumption = state.request.resumption.as_ref();
+        let is_named = resumption.is_some_and(|it| it.first_attempt.is_some());
+        (is_named || state.route.backends.is_single())
+            && self.moved_routes.is_settled(now, &state.route, age)
+    }
+
     /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts.
     pub(crate) fn record_origin(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.get_mut(&key) else { return };
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -410,19 +410,72 @@
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
 }
 
-/// Guards against a stream that goes on at another service of its route, as its attempts have different ids.
-#[test]
-fn stream_of_a_split_route_goes_on_at_the_service_that_began_it() {
-    let backend = |text: &str| Backend { service: service(text), weight: 1 };
-    let backends = Backends::weighted(vec![backend("lm"), backend("other")]).expect("weights");
+/// Returns a configuration whose streams of [`LONG`] go to these services, by weight.
+fn weighted(version: u64, weights: [(&str, u32); 2]) -> Arc<RouteTable> {
+    let backends = weights.map(|(name, weight)| Backend { service: service(name), weight });
+    let backends = Backends::weighted(backends.into()).expect("weights");
     let stream = RequestKind::Stream { resumable: true };
     let split = Route { backends, ..route(LONG, stream, "lm", 600, 2) };
     let other = ServiceSpec { name: service("other"), ..services().swap_remove(0) };
     let services: Vec<_> = services().into_iter().chain([other]).collect();
-    let table = RouteTable::new(2, vec![split], services, ClientLimits::default());
+    let table = RouteTable::new(version, vec![split], services, ClientLimits::default());
+    Arc::new(table.expect("routes differ"))
+}
+
+/// Returns a front with two services of engines, each of one version.
+fn front_of_two_services() -> Front {
+    let others = (0..2).map(|it| with_version(endpoint(it, "other", Some(Role::Decode)), "v2"));
+    Front::new(engines(&["v1", "v1"]).into_iter().chain(others))
+}
+
+/// Each case has the configurations under which a client comes back without news of its stream, and how it is refused.
+macro_rules! services_of_a_stream {
+    ($($name:ident: $configurations:expr, $first_attempt:expr, $wait:expr => $refused:expr;)*) => {$(
+        /// Guards against streams that go on at another service of their route, which has another version (ORDER).
+        #[test]
+        fn $name() {
+            let mut front = front_of_two_services();
+            for (version, weights) in (2..).zip($configurations) {
+                front.wait(HISTORY);
+                front.handle(Event::Configured(weighted(version, weights)));
+            }
+            front.wait($wait);
+            for id in 0..20 {
+                let first_attempt = $first_attempt.map(|it: &str| format!("{it}-{id}").into());
+                let resumption = Resumption { first_attempt };
+                let resumed = request(&format!("resumed-{id}"), LONG).resumption(resumption);
+                let (_, actions) = arrive(&mut front, resumed);
+                assert_eq!(refused(&actions), $refused, "{actions:?}");
+            }
+        }
+    )*};
+}
+
+services_of_a_stream! {
+    unnamed_stream_of_a_split_route_is_refused:
+        [[("lm", 1), ("other", 1)]], None, HISTORY => Some(Reason::OriginUnknown);
+    unnamed_stream_of_a_route_with_one_service_goes_on:
+        [[("lm", 1), ("other", 0)]], None, HISTORY => None;
+    named_stream_of_a_split_route_goes_on:
+        [[("lm", 1), ("other", 1)]], Some("first"), HISTORY => None;
+    stream_of_a_route_that_has_just_moved_is_refused:
+        [[("lm", 1), ("other", 0)], [("lm", 0), ("other", 1)]], Some("first"), HISTORY / 2
+        => Some(Reason::OriginUnknown);
+    stream_of_a_route_whose_weights_have_just_changed_is_refused:
+        [[("lm", 1), ("other", 1)], [("lm", 1), ("other", 3)]], Some("first"), HISTORY / 2
+        => Some(Reason::OriginUnknown);
+    stream_of_a_route_that_moved_a_while_ago_goes_on:
+        [[("lm", 1), ("other", 0)], [("lm", 0), ("other", 1)]], Some("first"), HISTORY => None;
+    stream_of_a_route_that_has_not_moved_goes_on:
+        [[("lm", 1), ("other", 0)], [("lm", 1), ("other", 0)]], None, HISTORY / 2 => None;
+}
+
+/// Guards against a stream that goes on at another service of its route, as its attempts have different ids.
+#[test]
+fn stream_of_a_split_route_goes_on_at_the_service_that_began_it() {
     let others = (0..2).map(|it| with_version(endpoint(it, "other", Some(Role::Decode)), "v1"));
     let mut front = Front::new(engines(&["v1", "v1"]).into_iter().chain(others));
-    front.handle(Event::Configured(Arc::new(table.expect("routes differ"))));
+    front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 1)])));
     front.wait(HISTORY);
     let service_of = |front: &mut Front, request| {
         let (key, actions) = arrive(front, request);
