fix(front): call the store on new connections after it seemed to have nothing new

Cause: a watch that was given up, because a peer had seen a later revision or because it timed out, was followed by one on another idle connection of the pool, which was as silent. The class: a retry that shares the fault of what it replaces.

--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -83,6 +83,9 @@
         address: std::net::SocketAddr,
     ) -> impl Future<Output = Answer<()>>;
 
+    /// Makes later calls on new connections. Those that are open may have gone silent together, which only a timeout shows.
+    fn reconnect(&self);
+
     /// Returns the records of the versions that may have streams, of all services that have one.
     fn version_records(&self) -> impl Future<Output = Answer<Vec<VersionRecord>>>;
 
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -198,6 +198,7 @@
                 () = self.state.revisions.wait_until_lagging(self.collection) => {
                     let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::info!(collection, revision; "a peer has seen a newer revision; watch restarted");
+                    self.directory.reconnect();
                     continue;
                 }
                 () = self.wait_until_restored(position) => return,
@@ -274,6 +275,7 @@
     async fn handle_failure(&mut self, error: &DirectoryError, deadline: Time) {
         let collection = self.collection.as_str();
         self.failures += 1;
+        self.directory.reconnect();
         self.outage.record_failure(deadline.min(self.state.now()));
         if self.collection == Collection::Configuration {
             self.state.directory_unreachable.set(true);
