fix(front): don't take registrations of fronts for changes of endpoints that are missed

Cause: also refused streams of unknown origin while a peer had reported changes of endpoints that this front lacked. Reported positions count the registrations of fronts among the changes of endpoints; each restarted front sees its own later than the others, and none of them in its watch.

--- a/crates/daisychute-dispatch/src/core/contact.rs
+++ b/crates/daisychute-dispatch/src/core/contact.rs
@@ -11,8 +11,6 @@
 pub(crate) struct Contact {
     /// When a heartbeat of another front last arrived; `None` if none ever did.
     peer_heard_at: Option<Time>,
-    /// Whether another front has seen later changes of the directory.
-    is_behind: bool,
 }
 
 impl Contact {
@@ -26,11 +24,9 @@
         before.is_some_and(|at| now.since(at) >= Self::MAX_SILENCE)
     }
 
-    /// Whether this front would know of new versions: it hears another front that doesn't know more, or there never was
-    /// one.
+    /// Whether this front would know of new versions: it hears another front, or there never was one.
     pub(crate) fn is_given(&self, now: Time) -> bool {
-        let is_heard = self.peer_heard_at.is_none_or(|at| now.since(at) < Self::MAX_SILENCE);
-        is_heard && !self.is_behind
+        self.peer_heard_at.is_none_or(|at| now.since(at) < Self::MAX_SILENCE)
     }
 }
 
@@ -45,23 +41,9 @@
         }
     }
 
-    /// Records what the process knows of its own state.
-    pub(crate) fn contact_checked(
-        &mut self,
-        now: Time,
-        is_behind: bool,
-        was_suspended: bool,
-        actions: &mut Vec<Action>,
-    ) {
-        self.contact.is_behind = is_behind;
-        if was_suspended {
-            self.forget_completeness(now, actions);
-        }
-    }
-
     /// Versions may have come and gone, and streams begun at them, without this front's knowledge: as after a start, the
     /// directory's records have to tell them.
-    fn forget_completeness(&mut self, now: Time, actions: &mut Vec<Action>) {
+    pub(crate) fn forget_completeness(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.versions.forget_completeness(now);
         actions.push(Action::ReadVersionRecords);
     }
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -159,9 +159,7 @@
                 self.record_contact(now, actions);
                 self.peer_heartbeat(now, peer, &loads, &parts)
             }
-            Event::ContactChecked { is_behind, was_suspended } => {
-                self.contact_checked(now, is_behind, was_suspended, actions)
-            }
+            Event::WasSuspended => self.forget_completeness(now, actions),
             Event::PeerStopping { peer, exits_in } => self.peer_stopping(now, peer, exits_in),
             Event::CacheReported { endpoint, parts } => self.cache_reported(now, endpoint, &parts),
             Event::LeavingAnnounced { endpoint } => self.leaving_announced(now, endpoint, actions),
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -134,15 +134,11 @@
         /// Shared prompt parts that it sent recently, each with the endpoint that now caches it.
         parts: Vec<(EndpointName, PromptPart)>,
     },
-    /// Whether this front may have missed news was checked. Precedes each request that resumes a stream.
-    ContactChecked {
-        /// Whether another front has seen later changes of endpoints.
-        is_behind: bool,
-        /// Whether the machine was suspended for [`Dispatcher::MIN_SUSPENSION`] or longer since the last check.
-        ///
-        /// [`Dispatcher::MIN_SUSPENSION`]: crate::Dispatcher::MIN_SUSPENSION
-        was_suspended: bool,
-    },
+    /// The machine was suspended for [`Dispatcher::MIN_SUSPENSION`] or longer. Checked before each request that resumes a
+    /// stream.
+    ///
+    /// [`Dispatcher::MIN_SUSPENSION`]: crate::Dispatcher::MIN_SUSPENSION
+    WasSuspended,
     /// Another front shuts down.
     PeerStopping {
         /// Identifies the other front's incarnation.
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -44,7 +44,7 @@
         response_writer.close();
     }
     if incoming.info.resumption.is_some() {
-        state.check_contact();
+        state.check_suspension();
     }
     let arrived = Event::arrived(key, incoming.info.clone());
     let first_action = state.handle(arrived);
--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -118,12 +118,6 @@
         self.configuration.is_behind() || self.endpoints.is_behind()
     }
 
-    /// Whether a peer has seen later changes of endpoints.
-    #[must_use]
-    pub fn lacks_endpoints(&self) -> bool {
-        self.endpoints.is_behind()
-    }
-
     /// Whether a peer has reported a change of configurations that this front lacks.
     #[must_use]
     pub fn lacks_configuration(&self) -> bool {
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -40,7 +40,7 @@
 pub(crate) async fn send_heartbeats<D: Dialect>(state: Rc<FrontState<D>>, socket: Rc<UdpSocket>) {
     let mut known = FrontPosition::default();
     loop {
-        state.check_contact();
+        state.check_suspension();
         let peers = state.peers.addresses(state.now());
         let interval = INTERVAL_PER_PEER * u32::try_from(peers.len()).unwrap_or(u32::MAX);
         let interval = state.jitter(interval.clamp(MIN_INTERVAL, MAX_INTERVAL));
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -257,17 +257,16 @@
         request_action
     }
 
-    /// Tells the dispatcher whether this front may have missed news.
-    pub(crate) fn check_contact(self: &Rc<Self>) {
+    /// Tells the dispatcher if the machine was suspended since the last check, so that news may have been missed.
+    pub(crate) fn check_suspension(self: &Rc<Self>) {
         let suspended = self.boot_clock.now().since(self.now());
-        let was_suspended = suspended >= self.suspended.get() + Dispatcher::MIN_SUSPENSION;
-        if was_suspended {
-            let ms = (suspended - self.suspended.get()).as_millis();
+        let since_check = suspended.saturating_sub(self.suspended.get());
+        if since_check >= Dispatcher::MIN_SUSPENSION {
+            let ms = since_check.as_millis();
             log::warn!(ms; "the machine was suspended");
             self.suspended.set(suspended);
+            self.handle(Event::WasSuspended);
         }
-        let is_behind = self.revisions.lacks_endpoints();
-        self.handle(Event::ContactChecked { is_behind, was_suspended });
     }
 
     /// Passes on what an endpoint announced in the head of a response to a request that was sent at `sent_at`.
