feat(front): tell events that are out of order, and responses that end with their endpoint

Cause: nothing compared the ids of a stream's events, and how a body without length and chunks came to its end was not told.

Change: the framer checks the ids of complete events by an EventSequence, over all runs of a response and from the client's Last-Event-Id on; the dialect says how endpoints number events. A response that ends with its connection has its endpoint called once more: nothing listens on the address of a process that has ended. Both are logged and counted; what callers get is unchanged. The new connection goes to the pool.

--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -11,12 +11,12 @@
 };
 use tokio::time::{sleep_until, timeout};
 
-use crate::Dialect;
 use crate::client::connection::{ClientConnection, client_disconnected};
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::ResponseWriter;
 use crate::endpoint::call::{Call, CallEnd, ErrorResponse};
 use crate::state::{FrontState, part_key};
+use crate::{Dialect, EventSequence};
 
 /// What happens to the client's connection after a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,7 +39,9 @@
     let started = Instant::now();
     let ClientConnection { stream, codec, buf } = connection;
     let (mut read, mut write) = stream.split();
-    let mut response_writer = ResponseWriter::new(&mut write, codec);
+    let last_event = state.dialect.last_event(&incoming.head);
+    let sequence = EventSequence::new(D::EVENT_NUMBERING, last_event);
+    let mut response_writer = ResponseWriter::new(&mut write, codec, sequence);
     if state.shutdown.requested() {
         response_writer.close();
     }
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -12,7 +12,7 @@
 use tokio::net::tcp::WriteHalf;
 use tokio_util::codec::Encoder;
 
-use crate::{EventFramer, HOP_BY_HOP};
+use crate::{Disorder, EventFramer, EventSequence, HOP_BY_HOP};
 
 /// Writing to the client failed: it closed its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,8 +52,13 @@
 }
 
 impl<'c> ResponseWriter<'c> {
-    pub(crate) fn new(write: &'c mut WriteHalf<'c>, codec: &'c mut Codec) -> Self {
-        let (out, framer) = (BytesMut::new(), EventFramer::default());
+    /// Creates a writer. If the response is a stream, its events continue `sequence`.
+    pub(crate) fn new(
+        write: &'c mut WriteHalf<'c>,
+        codec: &'c mut Codec,
+        sequence: EventSequence,
+    ) -> Self {
+        let (out, framer) = (BytesMut::new(), EventFramer::new(sequence));
         Self {
             write,
             codec,
@@ -95,9 +100,14 @@
         self.framer.is_inside_event()
     }
 
-    /// Drops an incomplete event: the next attempt sends it again.
-    pub(crate) fn discard_partial(&mut self) {
-        self.framer.discard_partial();
+    /// Begins the stream of another attempt, which sends an incomplete event again.
+    pub(crate) fn begin_stream(&mut self) {
+        self.framer.begin_run();
+    }
+
+    /// Returns the first disorder in the stream of the present attempt; `None` as long as its events are in order.
+    pub(crate) const fn disorder(&self) -> Option<Disorder> {
+        self.framer.disorder()
     }
 
     /// Writes a complete response of an endpoint.
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -16,7 +16,7 @@
 use crate::endpoint::connection::detect_unresponsive_peer;
 use crate::shutdown::ShutdownState;
 use crate::state::FrontState;
-use crate::{CapacityLimits, Dialect};
+use crate::{CapacityLimits, Dialect, EventSequence};
 
 /// Delay after a failed accept, which may be due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -141,7 +141,7 @@
 ) -> bool {
     let ClientConnection { stream, codec, .. } = connection;
     let (_, mut write) = stream.split();
-    let mut response_writer = ResponseWriter::new(&mut write, codec);
+    let mut response_writer = ResponseWriter::new(&mut write, codec, EventSequence::default());
     if retry_after.is_none() {
         response_writer.close();
     }
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -8,7 +8,7 @@
 use daisychute_core::EndpointName;
 use daisychute_dispatch::{ForwardedIdentity, PromptPart, RequestInfo, Task};
 
-use crate::ResponseInfo;
+use crate::{EventNumbering, ResponseInfo};
 
 /// What a forwarded request tells the endpoint beyond the client's request.
 #[derive(Debug, Clone, Copy)]
@@ -31,9 +31,16 @@
 
 /// Translates between the HTTP headers of a deployment and the types of the dispatcher. It makes no decisions.
 pub trait Dialect: Clone + 'static {
+    /// How endpoints number the events of a stream.
+    const EVENT_NUMBERING: EventNumbering;
+
     /// Reads the properties of a client's request.
     fn parse_request(&self, head: &RequestHead) -> RequestInfo;
 
+    /// Returns the number of the last event that the client of a resumed stream has. `None` if it resumes none, or if the id
+    /// that it sent is no number.
+    fn last_event(&self, client: &RequestHead) -> Option<u64>;
+
     /// Returns what tells the client account of a request from others; `None` if the request doesn't say.
     fn caller<'a>(&self, client: &'a RequestHead) -> Option<&'a [u8]>;
 
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -19,9 +19,10 @@
 use crate::dialect::ForwardParams;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
+use crate::endpoint::presence::Presence;
 use crate::endpoint::response_reader::{Collected, Framing, ResponseError, ResponseReader};
 use crate::state::FrontState;
-use crate::{Dialect, ResponseInfo};
+use crate::{Dialect, Disorder, ResponseInfo};
 
 /// Maximum size of a response that is buffered before it is passed on, so that a truncated one can still be retried or
 /// reported as an error.
@@ -286,6 +287,7 @@
                 return self.truncated(ResponseError::Broken);
             }
             Ok(Collected::Whole(body)) => {
+                self.check_presence(reader.framing()).await;
                 return match self.response_writer.write_response(head, &body).await {
                     Ok(()) => CallEnd::Finished,
                     Err(disconnected) => disconnected.into(),
@@ -311,8 +313,8 @@
         head: &ResponseHead,
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
-        self.response_writer.discard_partial();
-        let mut has_events = false;
+        self.response_writer.begin_stream();
+        let (mut has_events, mut is_in_order) = (false, true);
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
@@ -328,11 +330,16 @@
                     if let Err(disconnected) = written {
                         return disconnected.into();
                     }
+                    if let (true, Some(disorder)) = (is_in_order, self.response_writer.disorder()) {
+                        is_in_order = false;
+                        self.log_disorder(disorder);
+                    }
                 }
                 Ok(None) => break,
                 Err(e) => return self.truncated(e),
             }
         }
+        self.check_presence(reader.framing()).await;
         if self.is_broken_off(reader.framing(), has_events) {
             return self.truncated(ResponseError::Broken);
         }
@@ -342,6 +349,35 @@
         }
     }
 
+    fn log_disorder(&self, disorder: Disorder) {
+        let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+        let how = disorder.as_str();
+        log::warn!(request:%, endpoint:%, how, error:% = disorder; "events of a stream are out of order");
+        metrics::counter!("daisychute_streams_out_of_order_total", "how" => how).increment(1);
+    }
+
+    /// Logs whether the endpoint of a body that ended with its connection has ended as well: the kernel closes the
+    /// connections of such a process as the process itself does.
+    async fn check_presence(&self, framing: Framing) {
+        if framing == Framing::Explicit {
+            return;
+        }
+        let (endpoint, address) = (self.decision.endpoint, self.decision.address);
+        match Presence::check(address, &self.state.http).await {
+            Presence::Accepts(connection) => {
+                if self.state.takes_work(endpoint) {
+                    self.state.pool.put(endpoint, connection, None);
+                }
+            }
+            Presence::Unknown => {}
+            Presence::Ended => {
+                let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+                log::warn!(request:%, endpoint:%, address:%; "response ended with its endpoint");
+                metrics::counter!("daisychute_responses_ended_early_total").increment(1);
+            }
+        }
+    }
+
     /// Whether a stream whose body has ended lacks its last events.
     fn is_broken_off(&self, framing: Framing, has_events: bool) -> bool {
         let inside_event = self.response_writer.is_inside_event();
--- a/crates/daisychute-front/src/endpoint/mod.rs
+++ b/crates/daisychute-front/src/endpoint/mod.rs
@@ -7,4 +7,5 @@
 mod control_call;
 pub(crate) mod health_check;
 pub(crate) mod pool;
+pub(crate) mod presence;
 pub(crate) mod release;
--- a/crates/daisychute-front/src/event_framer.rs
+++ b/crates/daisychute-front/src/event_framer.rs
@@ -4,9 +4,14 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::event_sequence::id;
+use crate::{Disorder, EventSequence};
+
 /// Returns complete events and buffers an incomplete one, so that another endpoint can continue the stream after the
 /// last complete event. Lines end as the format allows: with a line feed, a carriage return, or both.
 ///
+/// Events are returned whatever their order; the first one of a run that is out of order is remembered.
+///
 /// ```
 /// use daisychute_front::EventFramer;
 ///
@@ -20,9 +25,18 @@
     // Holds no complete event after `push`.
     partial: BytesMut,
     last_id: Option<Arc<str>>,
+    sequence: EventSequence,
+    /// Why the first event that is out of order in the present run is; `None` as long as the run is in order.
+    disorder: Option<Disorder>,
 }
 
 impl EventFramer {
+    /// Creates a framer for a stream whose events continue this sequence.
+    #[must_use]
+    pub fn new(sequence: EventSequence) -> Self {
+        Self { sequence, ..Self::default() }
+    }
+
     /// Appends bytes and returns the events that are complete now. `None` if there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         // The end of an event may span old and new bytes.
@@ -30,12 +44,23 @@
         self.partial.extend_from_slice(bytes);
         let end = search_start + last_end(&self.partial[search_start..])?;
         let events = self.partial.split_to(end).freeze();
-        if let Some(id) = last_id(&events) {
-            self.last_id = Some(id);
+        for event in split_events(&events) {
+            if let Err(disorder) = self.sequence.accept(event) {
+                self.disorder.get_or_insert(disorder);
+            }
+            if let Some(id) = id(event) {
+                self.last_id = Some(Arc::from(id));
+            }
         }
         Some(events)
     }
 
+    /// Returns the first disorder of the present run; `None` as long as its events are in order.
+    #[must_use]
+    pub const fn disorder(&self) -> Option<Disorder> {
+        self.disorder
+    }
+
     /// Removes and returns the incomplete event. `None` if there is none.
     pub fn take_partial(&mut self) -> Option<Bytes> {
         let partial = self.partial.split().freeze();
@@ -55,9 +80,10 @@
         lines.any(|it| !is_blank(it) && !is_whole_comment(it))
     }
 
-    /// Drops the incomplete event.
-    pub fn discard_partial(&mut self) {
+    /// Begins another run of the stream, which continues after the last event. Drops an incomplete one.
+    pub fn begin_run(&mut self) {
         self.partial.clear();
+        self.disorder = None;
     }
 
     /// The id of the last complete event that has one.
@@ -75,6 +101,17 @@
     (1..bytes.len()).rev().find(|at| ends_event(&bytes[..=*at])).map(|at| at + 1)
 }
 
+/// Splits complete events at their ends.
+fn split_events(events: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = events;
+    std::iter::from_fn(move || {
+        let end = (1..=rest.len()).find(|it| *it == rest.len() || ends_event(&rest[..*it]))?;
+        let event;
+        (event, rest) = rest.split_at(end);
+        Some(event)
+    })
+}
+
 /// Whether the bytes end with a line end and a blank line.
 fn ends_event(bytes: &[u8]) -> bool {
     let without_blank_line = bytes
@@ -94,10 +131,3 @@
 fn is_whole_comment(line: &[u8]) -> bool {
     line.starts_with(b":") && line.last().is_some_and(|it| is_line_end(*it))
 }
-
-fn last_id(events: &[u8]) -> Option<Arc<str>> {
-    let lines = events.rsplit(|it| is_line_end(*it));
-    let value = lines.filter_map(|it| it.strip_prefix(b"id:")).next()?;
-    let text = std::str::from_utf8(value).ok()?;
-    Some(Arc::from(text.trim()))
-}
