fix(front): pass on events of a stream only in order

Cause: the front relayed complete events without reading their ids against each other. A worker that begins again where it was asked to go on, in a resumption within the response or by the client, had its run joined to the one before.

Change: the framer returns events up to the first one that is out of order, and nothing more of that run. The attempt fails as unusable: a resumable stream goes on at another worker after the last event that was passed on, others are cut, and what had no event yet is answered 502. It holds for all callers of the relay, as the order is checked where events are framed.

--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -105,7 +105,7 @@
         self.framer.begin_run();
     }
 
-    /// Returns the first disorder in the stream of the present attempt; `None` as long as its events are in order.
+    /// Returns why the stream of the present attempt can't go on; `None` as long as its events are in order.
     pub(crate) const fn disorder(&self) -> Option<Disorder> {
         self.framer.disorder()
     }
@@ -146,7 +146,8 @@
         self.flush().await
     }
 
-    /// Returns the events of a stream that are complete with these bytes, and keeps the rest. `None` if there are none.
+    /// Returns the events of a stream that are complete with these bytes and in order, and keeps the rest. `None` if there
+    /// are none.
     pub(crate) fn complete_events(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.framer.push(bytes)
     }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -314,25 +314,23 @@
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
         self.response_writer.begin_stream();
-        let (mut has_events, mut is_in_order) = (false, true);
+        let mut has_events = false;
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
-                    let Some(events) = self.response_writer.complete_events(&bytes) else {
-                        if self.response_writer.partial_bytes() > MAX_EVENT_BYTES {
-                            return self.truncated(ResponseError::Endless);
+                    if let Some(events) = self.response_writer.complete_events(&bytes) {
+                        has_events = true;
+                        self.state.handle(Event::FirstOutput { key: self.key });
+                        let written = self.response_writer.write_chunk(head, &events).await;
+                        if let Err(disconnected) = written {
+                            return disconnected.into();
                         }
-                        continue;
-                    };
-                    has_events = true;
-                    self.state.handle(Event::FirstOutput { key: self.key });
-                    let written = self.response_writer.write_chunk(head, &events).await;
-                    if let Err(disconnected) = written {
-                        return disconnected.into();
                     }
-                    if let (true, Some(disorder)) = (is_in_order, self.response_writer.disorder()) {
-                        is_in_order = false;
-                        self.log_disorder(disorder);
+                    if let Some(disorder) = self.response_writer.disorder() {
+                        return self.disordered(disorder);
+                    }
+                    if self.response_writer.partial_bytes() > MAX_EVENT_BYTES {
+                        return self.truncated(ResponseError::Endless);
                     }
                 }
                 Ok(None) => break,
@@ -349,11 +347,13 @@
         }
     }
 
-    fn log_disorder(&self, disorder: Disorder) {
+    /// The end of an attempt whose events are out of order. Its endpoint is alive, but its run can't be passed on.
+    fn disordered(&self, disorder: Disorder) -> CallEnd {
         let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
         let how = disorder.as_str();
         log::warn!(request:%, endpoint:%, how, error:% = disorder; "events of a stream are out of order");
         metrics::counter!("daisychute_streams_out_of_order_total", "how" => how).increment(1);
+        CallEnd::Failed(SendFailure::Unusable, None)
     }
 
     /// Logs whether the endpoint of a body that ended with its connection has ended as well: the kernel closes the
--- a/crates/daisychute-front/src/event_framer.rs
+++ b/crates/daisychute-front/src/event_framer.rs
@@ -10,7 +10,7 @@
 /// Returns complete events and buffers an incomplete one, so that another endpoint can continue the stream after the
 /// last complete event. Lines end as the format allows: with a line feed, a carriage return, or both.
 ///
-/// Events are returned whatever their order; the first one of a run that is out of order is remembered.
+/// Events are returned only as long as they are in order. After one that isn't, nothing more of its run is.
 ///
 /// ```
 /// use daisychute_front::EventFramer;
@@ -22,11 +22,11 @@
 /// ```
 #[derive(Debug, Default)]
 pub struct EventFramer {
-    // Holds no complete event after `push`.
+    // Holds no complete event after `push`, and nothing after a disorder.
     partial: BytesMut,
     last_id: Option<Arc<str>>,
     sequence: EventSequence,
-    /// Why the first event that is out of order in the present run is; `None` as long as the run is in order.
+    /// Why an event of the present run was rejected; `None` as long as the run is in order.
     disorder: Option<Disorder>,
 }
 
@@ -37,25 +37,38 @@
         Self { sequence, ..Self::default() }
     }
 
-    /// Appends bytes and returns the events that are complete now. `None` if there are none.
+    /// Appends bytes and returns the events that are complete now and in order. `None` if there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        if self.disorder.is_some() {
+            return None;
+        }
         // The end of an event may span old and new bytes.
         let search_start = self.partial.len().saturating_sub(LONGEST_END.len());
         self.partial.extend_from_slice(bytes);
         let end = search_start + last_end(&self.partial[search_start..])?;
-        let events = self.partial.split_to(end).freeze();
-        for event in split_events(&events) {
+        let complete = self.partial.split_to(end).freeze();
+        let events = complete.slice(..self.accept(&complete));
+        (!events.is_empty()).then_some(events)
+    }
+
+    /// Accepts events up to the first one that is out of order. Returns their length, in bytes.
+    fn accept(&mut self, events: &[u8]) -> usize {
+        let mut accepted = 0;
+        for event in split_events(events) {
             if let Err(disorder) = self.sequence.accept(event) {
-                self.disorder.get_or_insert(disorder);
+                self.disorder = Some(disorder);
+                self.partial.clear();
+                break;
             }
+            accepted += event.len();
             if let Some(id) = id(event) {
                 self.last_id = Some(Arc::from(id));
             }
         }
-        Some(events)
+        accepted
     }
 
-    /// Returns the first disorder of the present run; `None` as long as its events are in order.
+    /// Returns why the present run can't go on; `None` as long as its events are in order.
     #[must_use]
     pub const fn disorder(&self) -> Option<Disorder> {
         self.disorder
