fix(front): resume no stream of which no event tells where to go on

Cause: the front resumed after the last id that it had passed on, and without any sent the request again as it was: the next worker begins anew.

Change: once an event without a number was passed on, a stream that breaks off fails as Unresumable, which the dispatcher doesn't retry. Comments and blank lines count as nothing, whole streams without ids are passed on as before.

--- a/crates/daisychute-dispatch/src/core/crashes.rs
+++ b/crates/daisychute-dispatch/src/core/crashes.rs
@@ -86,7 +86,8 @@
         failure: SendFailure,
         actions: &mut Vec<Action>,
     ) {
-        if !matches!(failure, SendFailure::NoAnswer | SendFailure::MidAnswer { .. }) {
+        let begun = matches!(failure, SendFailure::MidAnswer { .. } | SendFailure::Unresumable);
+        if !begun && failure != SendFailure::NoAnswer {
             return;
         }
         let Some(state) = self.requests.get_mut(&key) else { return };
@@ -96,7 +97,6 @@
         // The trial is over: another attempt would be a second one.
         state.trial_of = None;
         let Some(incarnation) = self.fleet.incarnation(sent.endpoint) else { return };
-        let begun = matches!(failure, SendFailure::MidAnswer { .. });
         let end = EndpointEnd { endpoint: incarnation.id(), at: now, begun };
         let request = state.request.fingerprint.map(Cause::Request);
         let parts = self.crash_quarantine.suspects(state.request.shared_parts());
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -33,7 +33,10 @@
         state.has_error_response = failure == SendFailure::ServerError;
         let prefill_only = sent.task == Task::Prefill;
         state.may_have_run |= may_have_run && !prefill_only;
-        let ran = matches!(failure, SendFailure::ServerError | SendFailure::MidAnswer { .. });
+        let ran = matches!(
+            failure,
+            SendFailure::ServerError | SendFailure::MidAnswer { .. } | SendFailure::Unresumable
+        );
         if ran && !state.route.kind.is_stream() {
             state.record_begin(sent.sent_at, actions);
         }
@@ -72,6 +75,7 @@
             SendFailure::NoAnswer
             | SendFailure::Unusable
             | SendFailure::MidAnswer { .. }
+            | SendFailure::Unresumable
             | SendFailure::ServerError
             | SendFailure::TimedOut => {
                 tracked.health.record_failure(now);
@@ -92,6 +96,7 @@
             SendFailure::NoAnswer
             | SendFailure::Unusable
             | SendFailure::MidAnswer { .. }
+            | SendFailure::Unresumable
             | SendFailure::ServerError
             | SendFailure::TimedOut => Reason::Broken,
         };
@@ -115,9 +120,13 @@
         if now >= state.deadline {
             return false;
         }
-        let head_passed = failure == SendFailure::MidAnswer { head_passed: true };
         // Only streams can go on after the part that the client has.
-        if head_passed && !state.route.kind.is_stream() {
+        let is_resumable = match failure {
+            SendFailure::MidAnswer { head_passed: true } => state.route.kind.is_stream(),
+            SendFailure::Unresumable => false,
+            _ => true,
+        };
+        if !is_resumable {
             return false;
         }
         if failure == SendFailure::Unsent && state.counted_attempts == 0 {
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -29,6 +29,8 @@
         /// Whether the response head was passed on to the client.
         head_passed: bool,
     },
+    /// The response was truncated after a part that reached the client and that no other attempt can continue.
+    Unresumable,
     /// The endpoint sent an error response.
     ServerError,
     /// No response began in time, and the request is sent to another endpoint.
@@ -46,6 +48,7 @@
             Self::NoAnswer => "no_answer",
             Self::Unusable => "unusable",
             Self::MidAnswer { .. } => "mid_answer",
+            Self::Unresumable => "unresumable",
             Self::ServerError => "server_error",
             Self::TimedOut => "timed_out",
         }
--- a/crates/daisychute-dispatch/tests/truncated_responses.rs
+++ b/crates/daisychute-dispatch/tests/truncated_responses.rs
@@ -4,7 +4,7 @@
 
 use daisychute_dispatch::{Action, Event, RequestInfo, SendFailure};
 
-use crate::common::{Front, HOST, PANEL};
+use crate::common::{Front, HOST, LONG, PANEL};
 
 /// Plays an idempotent call whose response is truncated. Returns the actions after that.
 fn truncate(head_passed: bool) -> Vec<Action> {
@@ -32,3 +32,15 @@
     let actions = truncate(false);
     assert!(is_sent(&actions), "{actions:?}");
 }
+
+/// Guards against a stream that begins again within its response, since nothing tells another run where to go on.
+#[test]
+fn stream_is_not_repeated_once_its_client_has_a_part_that_no_run_can_continue() {
+    let mut front = Front::new(common::fleet());
+    let key = front.next_key();
+    front.handle(Event::arrived(key, RequestInfo::new("id-1", HOST, LONG)));
+    front.handle(Event::ResponseStarted { key });
+    front.handle(Event::FirstOutput { key });
+    let actions = front.handle(Event::SendFailed { key, failure: SendFailure::Unresumable });
+    assert!(matches!(actions[..], [Action::Fail { .. }]), "{actions:?}");
+}
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -110,6 +110,11 @@
         self.framer.disorder()
     }
 
+    /// Whether another attempt can continue the response after what was passed on.
+    pub(crate) const fn is_resumable(&self) -> bool {
+        self.framer.is_resumable()
+    }
+
     /// Writes a complete response of an endpoint.
     pub(crate) async fn write_response(
         &mut self,
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -353,7 +353,12 @@
         let how = disorder.as_str();
         log::warn!(request:%, endpoint:%, how, error:% = disorder; "events of a stream are out of order");
         metrics::counter!("daisychute_streams_out_of_order_total", "how" => how).increment(1);
-        CallEnd::Failed(SendFailure::Unusable, None)
+        CallEnd::Failed(self.resumable(SendFailure::Unusable), None)
+    }
+
+    /// Returns `failure`, unless no other attempt can continue what the client has.
+    fn resumable(&self, failure: SendFailure) -> SendFailure {
+        if self.response_writer.is_resumable() { failure } else { SendFailure::Unresumable }
     }
 
     /// Logs whether the endpoint of a body that ended with its connection has ended as well: the kernel closes the
@@ -399,7 +404,7 @@
     fn truncated(&self, error: ResponseError) -> CallEnd {
         self.log_endless(error);
         let head_passed = self.response_writer.head_passed();
-        CallEnd::Failed(SendFailure::MidAnswer { head_passed }, None)
+        CallEnd::Failed(self.resumable(SendFailure::MidAnswer { head_passed }), None)
     }
 
     fn log_endless(&self, error: ResponseError) {
--- a/crates/daisychute-front/src/event_framer.rs
+++ b/crates/daisychute-front/src/event_framer.rs
@@ -37,6 +37,12 @@
         Self { sequence, ..Self::default() }
     }
 
+    /// Whether another run can continue the stream after the last event.
+    #[must_use]
+    pub const fn is_resumable(&self) -> bool {
+        self.sequence.is_resumable()
+    }
+
     /// Appends bytes and returns the events that are complete now and in order. `None` if there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         if self.disorder.is_some() {
--- a/crates/daisychute-front/src/event_sequence.rs
+++ b/crates/daisychute-front/src/event_sequence.rs
@@ -52,6 +52,8 @@
     numbering: EventNumbering,
     /// Number of the last accepted event; at first of the last one that the client has from an earlier attempt.
     last: Option<u64>,
+    /// Whether an event without a number was accepted: no other run can be told to continue after it.
+    has_unnumbered: bool,
 }
 
 /// Largest number of the first event of a stream.
@@ -61,7 +63,7 @@
     /// Creates a sequence for a client that has the events up to `last`; `None` if it has none.
     #[must_use]
     pub const fn new(numbering: EventNumbering, last: Option<u64>) -> Self {
-        Self { numbering, last }
+        Self { numbering, last, has_unnumbered: false }
     }
 
     /// Accepts a complete event as the next one. A rejected event changes nothing.
@@ -70,13 +72,22 @@
     ///
     /// The event can't follow the one before it.
     pub fn accept(&mut self, event: &[u8]) -> Result<(), Disorder> {
-        if let Some(number) = id(event).and_then(|it| it.parse().ok()) {
-            self.check(number)?;
-            self.last = Some(number);
+        match id(event).and_then(|it| it.parse().ok()) {
+            Some(number) => {
+                self.check(number)?;
+                self.last = Some(number);
+            }
+            None => self.has_unnumbered |= has_content(event),
         }
         Ok(())
     }
 
+    /// Whether another run can continue the stream: each event so far has a number.
+    #[must_use]
+    pub const fn is_resumable(&self) -> bool {
+        !self.has_unnumbered
+    }
+
     fn check(&self, number: u64) -> Result<(), Disorder> {
         let after = self.last.unwrap_or(0);
         if self.last.is_some_and(|it| number <= it) {
@@ -98,6 +109,11 @@
     std::str::from_utf8(value).ok().map(str::trim)
 }
 
+/// Whether an event has lines other than comments.
+fn has_content(event: &[u8]) -> bool {
+    lines(event).any(|it| !it.is_empty() && !it.starts_with(b":"))
+}
+
 fn lines(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
     event.split(|it| matches!(it, b'\n' | b'\r'))
 }
--- a/crates/daisychute-front/tests/event_sequence.rs
+++ b/crates/daisychute-front/tests/event_sequence.rs
@@ -41,6 +41,27 @@
     opaque_between_numbers: Consecutive, None, ["1", "a", "2", "2"] => Some(3),
 }
 
+/// Defines a test for each event, by whether another run can continue a stream after it.
+macro_rules! resumable {
+    ($($name:ident: $event:expr => $resumable:expr,)*) => {$(
+        #[test]
+        fn $name() {
+            let mut sequence = EventSequence::new(Consecutive, None);
+            assert_eq!(sequence.accept($event), Ok(()));
+            assert_eq!(sequence.is_resumable(), $resumable);
+        }
+    )*};
+}
+
+resumable! {
+    after_a_number: b"id: 1\ndata: a\n\n" => true,
+    after_a_number_that_follows_the_data: b"data: a\nid: 1\n\n" => true,
+    after_a_comment: b": note\n\n" => true,
+    after_blank_lines: b"\n\n" => true,
+    after_an_event_without_id: b"data: a\n\n" => false,
+    after_an_opaque_id: b"id: a\ndata: a\n\n" => false,
+}
+
 #[test]
 fn rejection_names_both_events() {
     let mut sequence = EventSequence::new(Consecutive, Some(2));
