fix(front): don't take the end of a worker for the end of its response

Cause: a response without length and chunks ends with its connection, and the front took each close in order for that end. When a process is killed, or exits with streams in flight, its kernel closes its connections in order too, if nothing on them is unread.

Change: with the head of such a response the front opens a second connection to its endpoint. The system closes both when the process ends, the endpoint itself only the one. If both are closed, a health check that names the endpoint tells whether it is still there; another worker at its address refuses it. Only then is the response whole. The second connection goes to the pool, in place of the one that the response has used up. A resumable stream goes on at another worker, an idempotent call is repeated, others are cut or answered 502.

--- a/crates/daisychute-dispatch/src/core/notices.rs
+++ b/crates/daisychute-dispatch/src/core/notices.rs
@@ -1,5 +1,6 @@
 //! Announcements that endpoints make in their responses.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::Time;
@@ -60,6 +61,22 @@
         }));
     }
 
+    /// Returns the path of a health check of the endpoint to which a request was sent, which may have left since. `None` if
+    /// the path isn't known, or if the endpoint wants a pause or limits its requests.
+    #[must_use]
+    pub fn health_path(
+        &self,
+        now: Time,
+        request: RequestKey,
+        endpoint: EndpointKey,
+    ) -> Option<Arc<str>> {
+        if self.fleet.is_paused(now, endpoint) || self.fleet.limit(endpoint).is_some() {
+            return None;
+        }
+        let service = &self.requests.get(&request)?.service;
+        Some(Arc::clone(&self.table.as_ref()?.service(service)?.health_path))
+    }
+
     /// Sends an endpoint that wants a pause nothing until it ends.
     pub(crate) fn pause_requested(
         &mut self,
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -60,8 +60,11 @@
     /// Builds the request that frees a KV cache.
     fn release_request(&self, handle: &str) -> RequestHead;
 
-    /// Builds a health check of an endpoint whose service has this health path.
-    fn health_check(&self, path: &str) -> RequestHead;
+    /// Builds a health check of this endpoint, whose service has this health path. Another endpoint at its address refuses it.
+    fn health_check(&self, path: &str, endpoint: &EndpointName) -> RequestHead;
+
+    /// Whether the response to a health check is from another endpoint than this one.
+    fn is_other(&self, head: &ResponseHead, endpoint: &EndpointName) -> bool;
 
     /// Whether the response to a health check states that this endpoint is healthy and isn't leaving.
     fn is_staying(&self, head: &ResponseHead, endpoint: &EndpointName) -> bool;
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -19,7 +19,7 @@
 use crate::dialect::ForwardParams;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
-use crate::endpoint::presence::Presence;
+use crate::endpoint::presence::Sentinel;
 use crate::endpoint::response_reader::{Collected, Framing, ResponseError, ResponseReader};
 use crate::state::FrontState;
 use crate::{Dialect, Disorder, ResponseInfo};
@@ -279,6 +279,7 @@
         head: &ResponseHead,
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
+        let sentinel = self.open_sentinel(reader);
         let mut part = match reader.collect(MAX_BUFFERED_BYTES).await {
             // An endpoint that stops before its body closes the connection in the same way.
             Ok(Collected::Whole(body))
@@ -287,7 +288,9 @@
                 return self.truncated(ResponseError::Broken);
             }
             Ok(Collected::Whole(body)) => {
-                self.check_presence(reader.framing()).await;
+                if self.ended_early(sentinel).await {
+                    return self.truncated(ResponseError::Broken);
+                }
                 return match self.response_writer.write_response(head, &body).await {
                     Ok(()) => CallEnd::Finished,
                     Err(disconnected) => disconnected.into(),
@@ -305,6 +308,9 @@
                 Err(e) => return self.truncated(e),
             };
         }
+        if self.ended_early(sentinel).await {
+            return self.truncated(ResponseError::Broken);
+        }
         self.finish().await
     }
 
@@ -313,6 +319,7 @@
         head: &ResponseHead,
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
+        let sentinel = self.open_sentinel(reader);
         self.response_writer.begin_stream();
         let mut has_events = false;
         loop {
@@ -337,8 +344,8 @@
                 Err(e) => return self.truncated(e),
             }
         }
-        self.check_presence(reader.framing()).await;
-        if self.is_broken_off(reader.framing(), has_events) {
+        let framing = reader.framing();
+        if self.is_broken_off(framing, has_events) || self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -361,26 +368,24 @@
         if self.response_writer.is_resumable() { failure } else { SendFailure::Unresumable }
     }
 
-    /// Logs whether the endpoint of a body that ended with its connection has ended as well: the kernel closes the
-    /// connections of such a process as the process itself does.
-    async fn check_presence(&self, framing: Framing) {
-        if framing == Framing::Explicit {
-            return;
-        }
-        let (endpoint, address) = (self.decision.endpoint, self.decision.address);
-        match Presence::check(address, &self.state.http).await {
-            Presence::Accepts(connection) => {
-                if self.state.takes_work(endpoint) {
-                    self.state.pool.put(endpoint, connection, None);
-                }
-            }
-            Presence::Unknown => {}
-            Presence::Ended => {
-                let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
-                log::warn!(request:%, endpoint:%, address:%; "response ended with its endpoint");
-                metrics::counter!("daisychute_responses_ended_early_total").increment(1);
-            }
+    /// Opens a second connection to the endpoint of a response that only the end of its connection ends.
+    fn open_sentinel(&self, reader: &ResponseReader<'_, '_>) -> Option<Sentinel> {
+        let is_open_ended = reader.framing() == Framing::UntilClose;
+        is_open_ended.then(|| Sentinel::open(self.state, self.decision))
+    }
+
+    /// Whether a body ended because its endpoint did: the system closes the connections of a process that has ended in the
+    /// same way as the process itself.
+    async fn ended_early(&self, sentinel: Option<Sentinel>) -> bool {
+        let Some(sentinel) = sentinel else { return false };
+        let has_ended = sentinel.has_ended(self.state, self.key, self.decision).await;
+        if has_ended {
+            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+            let address = self.decision.address;
+            log::warn!(request:%, endpoint:%, address:%; "response ended with its endpoint");
+            metrics::counter!("daisychute_responses_ended_early_total").increment(1);
         }
+        has_ended
     }
 
     /// Whether a stream whose body has ended lacks its last events.
--- a/crates/daisychute-front/src/endpoint/health_check.rs
+++ b/crates/daisychute-front/src/endpoint/health_check.rs
@@ -34,7 +34,7 @@
         if state.with_dispatcher(|it| it.fleet().is_paused(state.now(), endpoint)) {
             return;
         }
-        let request = state.dialect.health_check(&path);
+        let request = state.dialect.health_check(&path, &name);
         let call = control_call(&state, endpoint, address, request, MAX_RESPONSE_BYTES);
         match timeout(CHECK_TIMEOUT, call).await {
             Ok(Ok((head, _))) if state.dialect.is_staying(&head, &name) => {
