test(soak): streams of worker processes that end and are replaced

`--streams` runs fronts, workers and clients of two kinds of streams, those that may be resumed and those that may not, in chunks and without length. Workers are killed, terminated at the end of their drain with streams in flight, suspended, cut off, and replaced by others at a new address or at the same one, also for releases of a new software version; fronts are killed and terminated. Half of the clients that resume a stream name its first attempt; some read late, and some events are larger than the buffers of sockets. Each stream is checked over all of its attempts: events numbered from 1 without gap or repetition, of its own requests and of one version, and all of them if the response looks whole. A run without cases of a kind fails.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
@@ -32,4 +33,13 @@
         #[command(flatten)]
         options: RunOptions,
     },
+    /// Serve as a decode worker; a run starts such processes
+    Worker {
+        /// Id of the worker
+        id: String,
+        /// Version of the worker's software
+        version: String,
+        /// Address to listen on
+        address: SocketAddr,
+    },
 }
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -14,24 +14,50 @@
 mod report;
 mod run;
 mod run_options;
+mod streams;
 mod versions;
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use clap::Parser;
 
+use daisychute_platform_standin::serve_worker;
+
 use crate::args::{Args, Command};
+use crate::report::Report;
+use crate::run::SoakError;
+use crate::run_options::RunOptions;
 
 fn main() -> ExitCode {
-    let Command::Run { seed, seeds, logs, options } = Args::parse().command;
+    match Args::parse().command {
+        Command::Run { seed, seeds, logs, options } => {
+            run_seeds(seed, seeds, logs.as_deref(), options)
+        }
+        Command::Worker { id, version, address } => {
+            let served = actix_rt::System::new().block_on(serve_worker(&id, &version, address));
+            if let Err(error) = served {
+                eprintln!("worker {id}: {error}");
+            }
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs one seed.
+async fn run_seed(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
+    if options.streams { streams::run(seed, options).await } else { run::run(seed, options).await }
+}
+
+fn run_seeds(seed: u64, seeds: u64, logs: Option<&Path>, options: RunOptions) -> ExitCode {
     let mut failed = 0;
     for seed in seed..seed + seeds {
-        let outcome = actix_rt::System::new().block_on(run::run(seed, options));
+        let outcome = actix_rt::System::new().block_on(run_seed(seed, options));
         match outcome {
             Ok(report) => {
                 println!("seed {seed}: {report}");
                 for (front, lines) in report.front_logs.iter().enumerate() {
-                    let Some(dir) = &logs else { continue };
+                    let Some(dir) = logs else { continue };
                     let path = dir.join(format!("seed-{seed}-front-{front}.log"));
                     if let Err(error) = std::fs::write(&path, lines.join("\n")) {
                         println!("{}: {error}", path.display());
--- a/crates/daisychute-soak/src/report.rs
+++ b/crates/daisychute-soak/src/report.rs
@@ -7,6 +7,7 @@
 use crate::checks::Violation;
 use crate::limits::Limited;
 use crate::poison::Poisoned;
+use crate::streams::Counts;
 use crate::versions::Resumed;
 
 /// The counts and violations of one seed.
@@ -35,6 +36,8 @@
     pub(crate) limited: Limited,
     /// The changes of routes and workers; `None` without any.
     pub(crate) changes: Option<Checked>,
+    /// The streams of worker processes; `None` in runs without them.
+    pub(crate) streams: Option<Counts>,
 }
 
 impl fmt::Display for Report {
@@ -49,15 +52,20 @@
             poisoned,
             limited,
             changes,
+            streams,
             violations,
             log_lines,
             front_logs: _,
         } = self;
-        write!(
-            f,
-            "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {refusals:?}, {resumed}, {poisoned}, {limited}, {} violations",
-            violations.len()
-        )?;
+        if let Some(streams) = streams {
+            write!(f, "{faults} faults, {} violations{streams}", violations.len())?;
+        } else {
+            write!(
+                f,
+                "{requests} requests, {complete} complete, {faults} faults, {statuses:?}, {refusals:?}, {resumed}, {poisoned}, {limited}, {} violations",
+                violations.len()
+            )?;
+        }
         if let Some(changes) = changes {
             write!(f, "; {changes}")?;
         }
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -33,6 +33,10 @@
     /// heeds it in time
     #[arg(long, conflicts_with_all = ["poison", "crashing_requests", "limits", "notices", "restores"])]
     pub(crate) changes: bool,
+    /// Run streams only, of workers that are processes, while workers and fronts end and are replaced, and check that they
+    /// are in order and look whole only if they are
+    #[arg(long, conflicts_with_all = ["planned_only", "poison", "crashing_requests", "limits", "notices", "restores", "changes", "versions"])]
+    pub(crate) streams: bool,
     /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
     #[arg(long)]
     pub(crate) limits: bool,
--- /dev/null
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -0,0 +1,265 @@
+//! Checks streams against what their clients asked for.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use tokio::time::Instant;
+
+use crate::checks::{RequestRecord, Violation};
+
+/// What a client asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Kind {
+    /// Whether a broken stream may be resumed.
+    pub(crate) resumable: bool,
+    /// Whether the worker sends chunks; else the body ends with its connection.
+    pub(crate) chunked: bool,
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.resumable { "resumable, " } else { "not resumable, " })?;
+        f.write_str(if self.chunked { "chunked" } else { "without length" })
+    }
+}
+
+/// A stream with all attempts at it.
+#[derive(Debug)]
+pub(crate) struct StreamRecord {
+    pub(crate) kind: Kind,
+    /// Number of events of the whole stream.
+    pub(crate) events: u32,
+    pub(crate) attempts: Vec<RequestRecord>,
+}
+
+/// How a stream ended for its client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Outcome {
+    Whole,
+    /// The response looks whole and lacks the last events.
+    CutUnseen,
+    OutOfOrder,
+    TwoVersions,
+    /// The stream is broken off, and the client can tell.
+    BrokenOff,
+    /// The last attempt was refused.
+    Refused,
+    /// The connection of the last attempt ended before a response.
+    Unanswered,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Whole => "whole",
+            Self::CutUnseen => "looks whole and isn't",
+            Self::OutOfOrder => "out of order",
+            Self::TwoVersions => "of two versions",
+            Self::BrokenOff => "broken off",
+            Self::Refused => "refused",
+            Self::Unanswered => "unanswered",
+        })
+    }
+}
+
+impl Outcome {
+    const fn is_violation(self) -> bool {
+        matches!(self, Self::CutUnseen | Self::OutOfOrder | Self::TwoVersions)
+    }
+}
+
+/// The events of an attempt.
+struct Received<'a> {
+    /// Numbers and software versions of the whole events up to the first malformed one.
+    events: Vec<(u32, &'a str)>,
+    /// Whether an event isn't one of this request.
+    is_malformed: bool,
+    /// Whether the body ends within an event.
+    is_partial: bool,
+}
+
+impl<'a> Received<'a> {
+    fn parse(attempt: &'a RequestRecord) -> Self {
+        let body = attempt.response.as_ref().filter(|it| it.status == 200);
+        let mut texts: Vec<_> = body.map_or("", |it| it.body.as_str()).split("\n\n").collect();
+        let rest = texts.pop().unwrap_or_default();
+        let events: Vec<_> = texts.iter().map_while(|it| event(it, &attempt.id)).collect();
+        Self { is_malformed: events.len() < texts.len(), events, is_partial: !rest.is_empty() }
+    }
+}
+
+/// Parses an event of a request. Returns its number and the software version of its worker.
+fn event<'a>(text: &'a str, request: &str) -> Option<(u32, &'a str)> {
+    let (number, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
+    let data = data.strip_prefix(request)?.strip_prefix('-')?.strip_prefix(number)?;
+    let version = data.strip_prefix('@')?.split(' ').next()?;
+    Some((number.parse().ok()?, version))
+}
+
+impl StreamRecord {
+    /// The number of the last event that the client has; 0 if it has none.
+    pub(crate) fn last_event(&self) -> u32 {
+        let last = |it| Received::parse(it).events.last().map(|it| it.0);
+        self.attempts.iter().rev().find_map(last).unwrap_or(0)
+    }
+
+    /// The id of the first attempt that had an event.
+    pub(crate) fn first_with_events(&self) -> Option<&str> {
+        let has_events = |it: &&RequestRecord| !Received::parse(it).events.is_empty();
+        self.attempts.iter().find(has_events).map(|it| it.id.as_str())
+    }
+
+    /// Whether the client takes the stream for whole.
+    pub(crate) fn looks_whole(&self) -> bool {
+        let response = self.attempts.last().and_then(|it| it.response.as_ref());
+        response.is_some_and(|it| it.status == 200 && it.whole)
+    }
+
+    fn outcome(&self) -> Outcome {
+        let received: Vec<_> = self.attempts.iter().map(Received::parse).collect();
+        let events: Vec<_> = received.iter().flat_map(|it| &it.events).collect();
+        let is_malformed = received.iter().any(|it| it.is_malformed);
+        if is_malformed || !events.iter().zip(1..).all(|(event, number)| event.0 == number) {
+            return Outcome::OutOfOrder;
+        }
+        if events.iter().map(|it| it.1).collect::<BTreeSet<_>>().len() > 1 {
+            return Outcome::TwoVersions;
+        }
+        if self.looks_whole() {
+            let ends_inside = received.last().is_some_and(|it| it.is_partial);
+            let is_whole = events.len() == self.events as usize && !ends_inside;
+            return if is_whole { Outcome::Whole } else { Outcome::CutUnseen };
+        }
+        if !events.is_empty() {
+            return Outcome::BrokenOff;
+        }
+        match self.attempts.last().and_then(|it| it.response.as_ref()) {
+            Some(it) if it.status == 200 => Outcome::BrokenOff,
+            Some(_) => Outcome::Refused,
+            None => Outcome::Unanswered,
+        }
+    }
+
+    /// Attempts that went on with the stream of earlier ones.
+    fn resumptions(&self) -> usize {
+        let starts =
+            self.attempts.iter().filter_map(|it| Received::parse(it).events.first().map(|it| it.0));
+        starts.skip(1).count()
+    }
+
+    /// What the client was told when it asked to go on and couldn't.
+    fn refused_resumptions(&self) -> impl Iterator<Item = &str> {
+        let has_events = |it: &RequestRecord| !Received::parse(it).events.is_empty();
+        let attempts = self.attempts.iter().skip_while(move |it| !has_events(it));
+        let responses = attempts.filter_map(|it| it.response.as_ref());
+        responses.filter(|it| it.status != 200).map(|it| it.body.as_str())
+    }
+
+    fn violation(&self, outcome: Outcome) -> Violation {
+        let Self { kind, events, attempts } = self;
+        let attempts: Vec<_> = attempts.iter().map(describe).collect();
+        let attempts = attempts.join("; ");
+        Violation::new(format!("stream of {events} events ({kind}) {outcome}: {attempts}"))
+    }
+}
+
+/// Describes what a client received.
+fn describe(attempt: &RequestRecord) -> String {
+    let Some(response) = &attempt.response else { return format!("{} unanswered", attempt.id) };
+    let Received { events, is_malformed, is_partial } = Received::parse(attempt);
+    let version = events.first().map_or("", |it| it.1);
+    let numbers: Vec<_> = events.iter().map(|it| it.0.to_string()).collect();
+    format!(
+        "{} {} of {} {version} [{}] malformed: {is_malformed}, partial: {is_partial}, looks whole: {}",
+        attempt.id,
+        response.status,
+        response.header("x-server-seal").unwrap_or("none"),
+        numbers.join(" "),
+        response.whole,
+    )
+}
+
+/// How the streams of each kind ended.
+#[derive(Debug, Default)]
+pub(crate) struct Counts(BTreeMap<Kind, KindCounts>);
+
+#[derive(Debug, Default)]
+struct KindCounts {
+    outcomes: BTreeMap<Outcome, usize>,
+    /// Streams whose worker ended while they were in flight.
+    disrupted: usize,
+    /// Attempts that went on with the stream of an earlier one.
+    resumptions: usize,
+    /// What clients were told that asked to go on with a stream and couldn't, with their number.
+    refused_resumptions: BTreeMap<String, usize>,
+}
+
+impl Counts {
+    /// Counts and checks streams. `ends` holds the ends of workers by their ids.
+    pub(crate) fn check(
+        streams: &[StreamRecord],
+        ends: &[(String, Instant)],
+    ) -> (Self, Vec<(Violation, Vec<String>)>) {
+        let (mut counts, mut violations) = (Self::default(), Vec::new());
+        for stream in streams {
+            let kind = counts.0.entry(stream.kind).or_default();
+            let outcome = stream.outcome();
+            *kind.outcomes.entry(outcome).or_default() += 1;
+            kind.resumptions += stream.resumptions();
+            for told in stream.refused_resumptions() {
+                *kind.refused_resumptions.entry(told.to_owned()).or_default() += 1;
+            }
+            kind.disrupted += usize::from(stream.attempts.iter().any(|it| is_disrupted(it, ends)));
+            if outcome.is_violation() {
+                let ids = stream.attempts.iter().map(|it| it.id.clone()).collect();
+                violations.push((stream.violation(outcome), ids));
+            }
+        }
+        (counts, violations)
+    }
+
+    /// The cases that a run must have and this one hasn't.
+    pub(crate) fn missing_cases(&self) -> Vec<String> {
+        let mut missing = Vec::new();
+        for (resumable, chunked) in [(true, true), (true, false), (false, true), (false, false)] {
+            let kind = Kind { resumable, chunked };
+            let counts = self.0.get(&kind);
+            let whole = counts.and_then(|it| it.outcomes.get(&Outcome::Whole)).copied();
+            if whole.unwrap_or_default() == 0 {
+                missing.push(format!("{kind}: none whole"));
+            }
+            if counts.is_none_or(|it| it.disrupted == 0) {
+                missing.push(format!("{kind}: none disrupted"));
+            }
+        }
+        if self.0.iter().all(|(_, it)| it.resumptions == 0) {
+            missing.push("none resumed".to_owned());
+        }
+        missing
+    }
+}
+
+/// Whether the worker of an attempt ended while that was in flight.
+fn is_disrupted(attempt: &RequestRecord, ends: &[(String, Instant)]) -> bool {
+    let seal = attempt.response.as_ref().and_then(|it| it.header("x-server-seal"));
+    let in_flight = |at: Instant| attempt.sent_at < at && at < attempt.ended_at;
+    ends.iter().any(|(id, at)| Some(id.as_str()) == seal && in_flight(*at))
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (kind, counts) in &self.0 {
+            let KindCounts { outcomes, disrupted, resumptions, refused_resumptions } = counts;
+            let streams: usize = outcomes.values().sum();
+            write!(f, "\n  {kind}: {streams} streams")?;
+            for (outcome, count) in outcomes {
+                write!(f, ", {count} {outcome}")?;
+            }
+            write!(
+                f,
+                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}"
+            )?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daisychute-soak/src/streams/clients.rs
@@ -0,0 +1,174 @@
+//! Clients of streams, which keep their connections and resume what is broken off.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daisychute_platform_standin::{
+    Connection, OUTPUT_TOKENS, STREAM_FORM_HEADER, TELL_VERSION_HEADER, request_text,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::time::{Instant, sleep};
+
+use super::check::{Kind, StreamRecord};
+use crate::checks::RequestRecord;
+
+/// Path of the route whose streams may be resumed.
+pub(super) const RESUMABLE: &str = "/resumable/";
+/// Path of the route whose streams may not.
+pub(super) const SINGLE: &str = "/single/";
+/// Upper bound of the pause of a client before each stream, in ms.
+const MAX_PAUSE_MS: u64 = 150;
+/// Upper bound of the pause of a client before each further attempt, in ms.
+const MAX_RESUME_PAUSE_MS: u64 = 60;
+/// Upper bound of the time for which a slow reader reads nothing, in ms.
+const MAX_READ_PAUSE_MS: u64 = 1_500;
+/// Maximum number of attempts at a stream that may be resumed.
+const MAX_ATTEMPTS: usize = 5;
+/// Minimum length of an event, in bytes.
+const EVENT_BYTES: usize = 65;
+/// Length of an event of a stream that fills the buffers of sockets, in bytes.
+const LARGE_EVENT_BYTES: usize = 400_000;
+/// One stream in this many has large events.
+const LARGE_INTERVAL: u32 = 16;
+/// One stream in this many has a slow reader.
+const SLOW_INTERVAL: u32 = 4;
+/// Output tokens that a request asks for, for each event.
+const TOKENS_PER_EVENT: u32 = 4;
+/// Time that clients wait for a stream, in ms.
+const DEADLINE_MS: u64 = 8_000;
+
+/// The state that all clients share.
+#[derive(Debug, Default)]
+pub(super) struct StreamPool {
+    /// The current client address of each front.
+    pub(super) fronts: RefCell<Vec<SocketAddr>>,
+    /// The streams that have ended.
+    pub(super) streams: RefCell<Vec<StreamRecord>>,
+    /// Set to make every client stop after its current stream.
+    pub(super) stopping: Cell<bool>,
+    ids: Cell<u64>,
+}
+
+/// A client with its kept connection.
+struct Client {
+    pool: Rc<StreamPool>,
+    rng: Pcg64Mcg,
+    idle: Option<(SocketAddr, Connection)>,
+}
+
+/// How a client asks for a stream, and reads it.
+struct Request {
+    /// Id of the first attempt, to which the prompt belongs.
+    first_id: String,
+    path: &'static str,
+    form: String,
+    events: u32,
+    /// Whether further attempts name the first one that had an event.
+    names_first: bool,
+    read_pause: Duration,
+}
+
+/// Runs one client until the pool is stopping.
+pub(super) async fn run_client(pool: Rc<StreamPool>, resumable: bool, seed: u64) {
+    let mut client = Client { pool, rng: Pcg64Mcg::seed_from_u64(seed), idle: None };
+    while !client.pool.stopping.get() {
+        let pause = client.rng.random_range(1..MAX_PAUSE_MS);
+        sleep(Duration::from_millis(pause)).await;
+        client.run_stream(resumable).await;
+    }
+}
+
+impl Client {
+    async fn run_stream(&mut self, resumable: bool) {
+        let rng = &mut self.rng;
+        let kind = Kind { resumable, chunked: rng.random_range(0..2) == 0 };
+        let events = if resumable { rng.random_range(8..=26) } else { rng.random_range(3..=9) };
+        let is_large = rng.random_range(0..LARGE_INTERVAL) == 0;
+        let is_slow = rng.random_range(0..SLOW_INTERVAL) == 0;
+        let bytes = if is_large { LARGE_EVENT_BYTES } else { EVENT_BYTES };
+        let interval_ms = rng.random_range(2..if resumable { 80 } else { 120 });
+        let framing = if kind.chunked { "chunked" } else { "close" };
+        let read_pause_ms = if is_slow { rng.random_range(0..MAX_READ_PAUSE_MS) } else { 0 };
+        let request = Request {
+            first_id: self.pool.next_id(),
+            path: if resumable { RESUMABLE } else { SINGLE },
+            form: format!("{events},{bytes},{interval_ms},{framing}"),
+            events,
+            names_first: rng.random_range(0..2) == 0,
+            read_pause: Duration::from_millis(read_pause_ms),
+        };
+        let mut stream = StreamRecord { kind, events, attempts: Vec::new() };
+        for _ in 0..if resumable { MAX_ATTEMPTS } else { 1 } {
+            let Some(attempt) = self.attempt(&request, &stream).await else { continue };
+            stream.attempts.push(attempt);
+            if stream.looks_whole() {
+                break;
+            }
+            let pause = self.rng.random_range(1..MAX_RESUME_PAUSE_MS);
+            sleep(Duration::from_millis(pause)).await;
+        }
+        if !stream.attempts.is_empty() {
+            self.pool.streams.borrow_mut().push(stream);
+        }
+    }
+
+    /// Makes the first attempt at a stream or the next one. `None` if the request can't be sent.
+    async fn attempt(&mut self, req: &Request, stream: &StreamRecord) -> Option<RequestRecord> {
+        let (front, mut connection) = match self.idle.take() {
+            Some(it) => it,
+            None => {
+                let front = self.pool.random_front(&mut self.rng);
+                (front, Connection::open(front).await.ok()?)
+            }
+        };
+        let is_first = stream.attempts.is_empty();
+        let id = if is_first { req.first_id.clone() } else { self.pool.next_id() };
+        let sent_at = Instant::now();
+        connection.send(&req.text(&id, stream)).await.ok()?;
+        sleep(req.read_pause).await;
+        let response = connection.answer().await.ok();
+        let ended_at = Instant::now();
+        let is_open = response
+            .as_ref()
+            .is_some_and(|it| it.whole && it.header("connection") != Some("close"));
+        if is_open && self.rng.random_range(0..10) > 0 {
+            self.idle = Some((front, connection));
+        }
+        Some(RequestRecord { id, path: req.path, front, response, sent_at, ended_at })
+    }
+}
+
+impl Request {
+    fn text(&self, id: &str, stream: &StreamRecord) -> String {
+        let mut headers =
+            format!("{TELL_VERSION_HEADER}: 1\r\n{STREAM_FORM_HEADER}: {}\r\n", self.form);
+        let last = stream.last_event();
+        if last > 0 {
+            headers.push_str(&format!("Last-Event-Id: {last}\r\n"));
+        }
+        if let Some(first) = stream.first_with_events().filter(|_| self.names_first) {
+            headers.push_str(&format!("Resumes: {first}\r\n"));
+        }
+        let tokens = self.events * TOKENS_PER_EVENT;
+        request_text(&self.first_id, "POST", self.path, true)
+            .replacen(&self.first_id, id, 1)
+            .replacen("X-Deadline-Ms: 2500", &format!("X-Deadline-Ms: {DEADLINE_MS}"), 1)
+            .replacen(&format!(",{OUTPUT_TOKENS}\r\n"), &format!(",{tokens}\r\n"), 1)
+            .replacen("X-Model", &format!("{headers}X-Model"), 1)
+    }
+}
+
+impl StreamPool {
+    fn next_id(&self) -> String {
+        self.ids.set(self.ids.get() + 1);
+        format!("d{:015x}", self.ids.get())
+    }
+
+    fn random_front(&self, rng: &mut Pcg64Mcg) -> SocketAddr {
+        let fronts = self.fronts.borrow();
+        fronts[rng.random_range(0..fronts.len())]
+    }
+}
--- /dev/null
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -0,0 +1,319 @@
+//! Runs one seed of streams: starts fronts, worker processes and clients, and disrupts them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use daisychute_platform_standin::{
+    Fleet, FrontProcess, HOST, StandinError, WorkerKind, WorkerProcess,
+};
+use daisychute_standin::harness::{ANY_PORT, Program};
+use daisychute_standin::relay::Relay;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+use tokio::time::{Instant, sleep_until};
+
+use super::check::Counts;
+use super::clients::{RESUMABLE, SINGLE, StreamPool, run_client};
+use super::disruption::Disruption;
+use crate::checks::Violation;
+use crate::report::Report;
+use crate::run::SoakError;
+use crate::run_options::RunOptions;
+
+/// Number of worker processes.
+const WORKERS: usize = 6;
+/// Number of workers that fronts reach through a relay, which can reset their connections.
+const RELAYED_WORKERS: usize = 2;
+/// Minimum number of workers that are neither draining nor gone.
+const MIN_WORKERS: usize = 3;
+/// Number of clients.
+const CLIENTS: u64 = 36;
+/// Range of the pause between two disruptions, in ms.
+const PAUSE_MS: std::ops::Range<u64> = 50..600;
+/// Pause between the replacements of two workers for a release.
+const RELEASE_PAUSE: Duration = Duration::from_millis(400);
+/// Pause between two checks whether a front has ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time limit for a worker to end.
+const END_TIMEOUT: Duration = Duration::from_secs(5);
+/// Maximum number of log lines kept of fronts that have ended, the latest ones.
+const MAX_ENDED_LOG_LINES: usize = 200_000;
+
+/// A place in the fleet, which one worker after the other takes.
+struct Place {
+    worker: WorkerProcess,
+    /// Resets the connections of a worker that it is in front of when the worker ends.
+    relay: Option<Relay>,
+    /// Whether the worker is draining or gone.
+    is_leaving: bool,
+}
+
+/// The fleet of one seed.
+struct StreamSoak {
+    fleet: Fleet,
+    places: Vec<Place>,
+    pool: Rc<StreamPool>,
+    rng: Pcg64Mcg,
+    /// What is to happen, with its time.
+    due: Vec<(Instant, Disruption)>,
+    /// Number of workers started so far, from which their ids are derived.
+    starts: u32,
+    /// Software version of the workers that are started.
+    version: u32,
+    /// The ends of workers, by their ids.
+    ends: Vec<(String, Instant)>,
+    ended_logs: Vec<String>,
+    disruptions: usize,
+}
+
+/// Runs one seed.
+pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
+    let mut soak = StreamSoak::start(seed, options.fronts).await?;
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let pool = Rc::clone(&soak.pool);
+            actix_rt::spawn(run_client(pool, number % 2 == 0, seed ^ ((number + 1) << 32)))
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs_f64(options.minutes * 60.0);
+    while Instant::now() < end {
+        let pause = Duration::from_millis(soak.rng.random_range(PAUSE_MS));
+        soak.run_due_until(Instant::now() + pause).await?;
+        let disruption = Disruption::random(&mut soak.rng, WORKERS, options.fronts);
+        soak.disruptions += 1;
+        soak.disrupt(disruption).await?;
+    }
+    while let Some(last) = soak.due.iter().map(|it| it.0).max() {
+        soak.run_due_until(last).await?;
+    }
+    soak.pool.stopping.set(true);
+    for client in clients {
+        let _ = client.await;
+    }
+    Ok(soak.report())
+}
+
+impl StreamSoak {
+    async fn start(seed: u64, fronts: usize) -> Result<Self, SoakError> {
+        let fleet = Fleet::without_fronts().await?;
+        for worker in fleet.workers.iter().filter(|it| it.kind() != WorkerKind::Plain) {
+            fleet.store.delete("servers", worker.id());
+        }
+        let route = |path: &str, resumable: bool| {
+            json!({
+                "name": path.trim_matches('/'), "host": HOST, "path_prefix": path, "kind": "streaming",
+                "timeout_ms": 8000, "latency_goal_ms": 800, "gap_aim_ms": 400, "priority": 1,
+                "service": "lm", "max_attempts": 2, "resumable": resumable, "sticky": true,
+            })
+        };
+        fleet.configure(1, &json!([route(RESUMABLE, true), route(SINGLE, false)]));
+        let mut soak = Self {
+            fleet,
+            places: Vec::new(),
+            pool: Rc::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            due: Vec::new(),
+            starts: 0,
+            version: 1,
+            ends: Vec::new(),
+            ended_logs: Vec::new(),
+            disruptions: 0,
+        };
+        for number in 0..WORKERS {
+            let place = soak.start_worker(ANY_PORT, number < RELAYED_WORKERS).await?;
+            soak.places.push(place);
+        }
+        for _ in 0..fronts {
+            soak.fleet.add_front().await?;
+        }
+        for front in &soak.fleet.fronts {
+            front.wait_ready(true).await?;
+        }
+        soak.publish_fronts();
+        Ok(soak)
+    }
+
+    /// Starts a worker and registers it.
+    async fn start_worker(
+        &mut self,
+        address: SocketAddr,
+        is_relayed: bool,
+    ) -> Result<Place, SoakError> {
+        self.starts += 1;
+        let (id, version) = (format!("p-{}", self.starts), format!("v{}", self.version));
+        let program = Program::built("daisychute-soak").map_err(StandinError::from)?.arg("worker");
+        let worker = WorkerProcess::start(program, &id, &version, address).await?;
+        let relay = match is_relayed {
+            true => Some(Relay::start(ANY_PORT, worker.address(), ANY_PORT).await?),
+            false => None,
+        };
+        let place = Place { worker, relay, is_leaving: false };
+        self.fleet.store.put("servers", &id, place.record("ready"));
+        Ok(place)
+    }
+
+    /// Gives the clients the current addresses of the fronts.
+    fn publish_fronts(&self) {
+        let addresses = self.fleet.fronts.iter().map(FrontProcess::client_address);
+        *self.pool.fronts.borrow_mut() = addresses.collect();
+    }
+
+    /// Waits until this time, and does what is due before.
+    async fn run_due_until(&mut self, until: Instant) -> Result<(), SoakError> {
+        loop {
+            self.due.sort_by_key(|it| it.0);
+            if self.due.first().is_none_or(|it| it.0 > until) {
+                break;
+            }
+            let (at, disruption) = self.due.remove(0);
+            sleep_until(at).await;
+            self.disrupt(disruption).await?;
+        }
+        sleep_until(until).await;
+        Ok(())
+    }
+
+    fn schedule(&mut self, delay: Duration, disruption: Disruption) {
+        self.due.push((Instant::now() + delay, disruption));
+    }
+
+    async fn disrupt(&mut self, disruption: Disruption) -> Result<(), SoakError> {
+        match disruption {
+            Disruption::KillWorker(worker, span) => {
+                if self.take_away(worker) {
+                    self.end_worker(worker, true).await?;
+                    self.schedule(span, Disruption::ReplaceWorker(worker));
+                }
+            }
+            Disruption::DrainWorker(worker, span) => {
+                if self.take_away(worker) {
+                    let place = &self.places[worker];
+                    self.fleet.store.put("servers", place.worker.id(), place.record("draining"));
+                    self.schedule(span, Disruption::ReplaceWorker(worker));
+                }
+            }
+            Disruption::PauseWorker(worker, span) => {
+                if !self.places[worker].is_leaving {
+                    let _ = self.places[worker].worker.process.pause();
+                    self.schedule(span, Disruption::ResumeWorker(worker));
+                }
+            }
+            // A worker that was replaced meanwhile isn't suspended, which makes no difference.
+            Disruption::ResumeWorker(worker) => {
+                let _ = self.places[worker].worker.process.resume();
+            }
+            Disruption::Cut(worker) => {
+                if let Some(relay) = &self.places[worker % RELAYED_WORKERS].relay {
+                    relay.cut();
+                }
+            }
+            Disruption::Release => {
+                self.version += 1;
+                for worker in 0..WORKERS {
+                    let delay = RELEASE_PAUSE * worker as u32;
+                    let span = Duration::from_millis(self.rng.random_range(100..600));
+                    self.schedule(delay, Disruption::DrainWorker(worker, span));
+                }
+            }
+            Disruption::ReplaceWorker(worker) => self.replace(worker).await?,
+            Disruption::StopFront(front) => {
+                let _ = self.fleet.fronts[front].process.terminate();
+                self.schedule(POLL_INTERVAL, Disruption::RestartFront(front));
+            }
+            Disruption::KillFront(front) => {
+                let _ = self.fleet.fronts[front].process.kill();
+                self.schedule(POLL_INTERVAL, Disruption::RestartFront(front));
+            }
+            Disruption::RestartFront(front) => self.restart_front(front).await?,
+        }
+        Ok(())
+    }
+
+    /// Marks a worker as leaving. Returns false if it is already, or too few others would remain.
+    fn take_away(&mut self, worker: usize) -> bool {
+        let remaining = self.places.iter().filter(|it| !it.is_leaving).count();
+        let may_leave = !self.places[worker].is_leaving && remaining > MIN_WORKERS;
+        self.places[worker].is_leaving |= may_leave;
+        may_leave
+    }
+
+    /// Ends a worker with the streams that it still has, if it hasn't ended.
+    async fn end_worker(&mut self, worker: usize, kill: bool) -> Result<(), SoakError> {
+        let place = &mut self.places[worker];
+        let worker = &mut place.worker;
+        if worker.process.exit_status().map_err(StandinError::from)?.is_some() {
+            return Ok(());
+        }
+        self.ends.push((worker.id().to_owned(), Instant::now()));
+        let process = &mut worker.process;
+        if kill {
+            process.kill().map_err(StandinError::from)?;
+        } else {
+            process.terminate().map_err(StandinError::from)?;
+            // A suspended process ends once it is resumed.
+            let _ = process.resume();
+        }
+        process.wait_exit(END_TIMEOUT).await.map_err(StandinError::from)?;
+        // Nothing may accept connections for a worker that has ended.
+        place.relay = None;
+        Ok(())
+    }
+
+    /// Replaces a worker by a new one, half of the time at the same address.
+    async fn replace(&mut self, worker: usize) -> Result<(), SoakError> {
+        self.end_worker(worker, false).await?;
+        let old = &self.places[worker];
+        let takes_over = self.rng.random_range(0..2) == 0;
+        let address = if takes_over { old.worker.address() } else { ANY_PORT };
+        self.fleet.store.delete("servers", old.worker.id());
+        self.places[worker] = self.start_worker(address, worker < RELAYED_WORKERS).await?;
+        Ok(())
+    }
+
+    /// Restarts a front if it has ended, and checks again later otherwise.
+    async fn restart_front(&mut self, number: usize) -> Result<(), SoakError> {
+        // Several disruptions of one front lead to one restart.
+        self.due.retain(|it| !matches!(it.1, Disruption::RestartFront(front) if front == number));
+        let front = &mut self.fleet.fronts[number];
+        if front.process.exit_status().map_err(StandinError::from)?.is_none() {
+            self.schedule(POLL_INTERVAL, Disruption::RestartFront(number));
+            return Ok(());
+        }
+        self.ended_logs.extend(front.process.stdout());
+        let excess = self.ended_logs.len().saturating_sub(MAX_ENDED_LOG_LINES);
+        self.ended_logs.drain(..excess);
+        front.restart().await?;
+        self.publish_fronts();
+        Ok(())
+    }
+
+    fn report(&self) -> Report {
+        let (counts, violations) = Counts::check(&self.pool.streams.borrow(), &self.ends);
+        let mut report = Report { faults: self.disruptions, ..Report::default() };
+        for (violation, ids) in violations {
+            report.violations.push(violation);
+            let running = self.fleet.fronts.iter().flat_map(|it| it.process.stdout());
+            let lines = self.ended_logs.iter().cloned().chain(running);
+            let concerns = |it: &String| ids.iter().any(|id| it.contains(id.as_str()));
+            report.log_lines.extend(lines.filter(concerns));
+        }
+        for missing in counts.missing_cases() {
+            report.violations.push(Violation::new(format!("too few cases: {missing}")));
+        }
+        if !report.violations.is_empty() {
+            report.front_logs = self.fleet.fronts.iter().map(|it| it.process.stdout()).collect();
+        }
+        report.streams = Some(counts);
+        report
+    }
+}
+
+impl Place {
+    /// Record of the worker in the store, with this state.
+    fn record(&self, state: &str) -> serde_json::Value {
+        let address = self.relay.as_ref().map_or(self.worker.address(), Relay::local_addr);
+        self.worker.record(address, state)
+    }
+}
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -77,6 +77,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Streams of killed workers, without length and chunks, looked whole to their clients and lacked their last events.
+#[test]
+fn streams_of_ended_workers_look_whole_only_if_they_are() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "2", "--minutes", "0.2", "--streams", "--fronts", "5"];
+    actix_rt::System::new().block_on(run(&args))
+}
+
 async fn run_seed(seed: u64) -> Result<(), HarnessError> {
     run(&["run", "--seed", &seed.to_string(), "--minutes", "0.08"]).await
 }
