test(soak): fail runs of two versions that check no resumed stream

Beside unplanned faults no attempt is away from one, and `--versions` ended well with "0 of 0 streams began, 0 of 0 resumed ones went on".

--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -208,6 +208,10 @@
         let text = "too few cases of limits: no window was checked".to_owned();
         report.violations.push(Violation::new(text));
     }
+    if versions && !report.resumed.has_cases() {
+        let text = "too few cases of versions: no resumed stream was checked".to_owned();
+        report.violations.push(Violation::new(text));
+    }
     if report.changes.as_ref().is_some_and(|it| !it.has_cases()) {
         let text = "too few cases of changes: no bound was checked".to_owned();
         report.violations.push(Violation::new(text));
--- a/crates/daisychute-soak/src/versions.rs
+++ b/crates/daisychute-soak/src/versions.rs
@@ -48,6 +48,11 @@
 }
 
 impl Resumed {
+    /// Whether streams began and were resumed.
+    pub(crate) const fn has_cases(&self) -> bool {
+        self.begun.attempts > 0 && self.went_on.attempts > 0
+    }
+
     /// Whether resumed streams go on less than half as often as new ones begin.
     fn are_mostly_lost(&self) -> bool {
         self.went_on.attempts >= MIN_RESUMPTIONS && self.went_on.value() * 2.0 < self.begun.value()
