fix(soak): end the processes of a run that is ended by a signal

The run is now dropped at SIGTERM or SIGINT, which kills its processes, and the program fails. Tests end a run that isn't done in time by SIGTERM, as one that is killed leaves its processes behind as well.

--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -1,7 +1,7 @@
 //! Runs fronts as real processes under random faults and checks responses and executions.
 //!
 //! `daisychute-soak run --seed N --minutes M` runs one seed, and `--seeds K` the K seeds from N on. The soak ends only the
-//! processes that it started.
+//! processes that it started, also when it is ended by `SIGTERM` or `SIGINT`.
 
 mod args;
 mod changes;
@@ -23,6 +23,7 @@
 use clap::Parser;
 
 use daisychute_platform_standin::serve_worker;
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::args::{Args, Command};
 use crate::report::Report;
@@ -44,9 +45,23 @@
     }
 }
 
-/// Runs one seed.
+/// Runs one seed. Ends all processes of the run if a signal arrives before its end.
 async fn run_seed(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
-    if options.streams { streams::run(seed, options).await } else { run::run(seed, options).await }
+    let mut terminate = signal(SignalKind::terminate()).map_err(SoakError::Signal)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(SoakError::Signal)?;
+    let run = async {
+        if options.streams {
+            streams::run(seed, options).await
+        } else {
+            run::run(seed, options).await
+        }
+    };
+    // The processes are killed when the run is dropped.
+    tokio::select! {
+        report = run => report,
+        _ = terminate.recv() => Err(SoakError::Ended),
+        _ = interrupt.recv() => Err(SoakError::Ended),
+    }
 }
 
 fn run_seeds(seed: u64, seeds: u64, logs: Option<&Path>, options: RunOptions) -> ExitCode {
@@ -65,6 +80,10 @@
                 }
                 failed += u64::from(!report.violations.is_empty());
             }
+            Err(SoakError::Ended) => {
+                println!("seed {seed}: ended by a signal");
+                return ExitCode::FAILURE;
+            }
             Err(error) => {
                 println!("seed {seed}: the soak could not be completed: {error}");
                 failed += 1;
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -84,6 +84,10 @@
     Standin(#[from] StandinError),
     #[error(transparent)]
     Relay(#[from] RelayError),
+    #[error("can't handle signals: {0}")]
+    Signal(std::io::Error),
+    #[error("ended by a signal")]
+    Ended,
 }
 
 /// The running fleet of one seed, with its clients and active faults.
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -2,10 +2,12 @@
 
 use std::time::Duration;
 
-use daisychute_standin::harness::{HarnessError, Program};
+use daisychute_standin::harness::{HarnessError, Program, wait_until};
 
 /// Maximum time of a run, with the starts and stops of its processes.
 const RUN_TIMEOUT: Duration = Duration::from_secs(90);
+/// Maximum time until a run that is asked to end has ended.
+const END_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Generates a test for each seed.
 macro_rules! seeds {
@@ -84,6 +86,39 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// A soak that was ended left its fronts running.
+#[test]
+fn ended_run_leaves_no_process() -> Result<(), HarnessError> {
+    actix_rt::System::new().block_on(async {
+        let args = ["run", "--seed", "1", "--minutes", "2", "--streams", "--fronts", "2"];
+        let mut soak = Program::built("daisychute-soak")?.args(args).start()?;
+        // Six workers and two fronts.
+        let id = soak.id();
+        wait_until("the processes of a run", RUN_TIMEOUT, || children(id).len() >= 8).await?;
+        let children = children(id);
+        soak.terminate()?;
+        let status = soak.wait_exit(END_TIMEOUT).await?;
+        assert!(!status.success());
+        let running: Vec<_> = children.iter().filter(|it| parent(**it).is_some()).collect();
+        assert!(running.is_empty(), "{running:?} of {children:?} still run");
+        Ok(())
+    })
+}
+
+/// Ids of the processes that a process has started and that run.
+fn children(id: u32) -> Vec<u32> {
+    let entries = std::fs::read_dir("/proc").into_iter().flatten().flatten();
+    let ids = entries.filter_map(|it| it.file_name().to_str()?.parse().ok());
+    ids.filter(|it| parent(*it) == Some(id)).collect()
+}
+
+/// Id of the parent of a process; `None` if it doesn't run.
+fn parent(id: u32) -> Option<u32> {
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    // The name of the program, in parentheses, may contain spaces.
+    stat.rsplit_once(") ")?.1.split(' ').nth(1)?.parse().ok()
+}
+
 async fn run_seed(seed: u64) -> Result<(), HarnessError> {
     run(&["run", "--seed", &seed.to_string(), "--minutes", "0.08"]).await
 }
@@ -91,7 +126,12 @@
 async fn run(args: &[&str]) -> Result<(), HarnessError> {
     let args = args.iter().copied().map(str::to_owned);
     let mut soak = Program::built("daisychute-soak")?.args(args).start()?;
-    let status = soak.wait_exit(RUN_TIMEOUT).await?;
+    let Ok(status) = soak.wait_exit(RUN_TIMEOUT).await else {
+        // Killed at once, it would leave its processes behind.
+        soak.terminate()?;
+        soak.wait_exit(END_TIMEOUT).await?;
+        panic!("not done within {RUN_TIMEOUT:?}: {}", soak.stdout().join("\n"));
+    };
     assert!(status.success(), "{}", soak.stdout().join("\n"));
     Ok(())
 }
