test(soak): let no relay accept connections for a worker that has ended

The relay in front of two of the six workers was dropped once its worker had ended, some ms later than a process that listens itself stops doing so. It is now dropped before, so that streams of these two workers end by a reset, and those of the other four by the close of the kernel.

--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -247,6 +247,8 @@
             return Ok(());
         }
         self.ends.push((worker.id().to_owned(), Instant::now()));
+        // A relay would accept connections for a worker that has ended.
+        place.relay = None;
         let process = &mut worker.process;
         if kill {
             process.kill().map_err(StandinError::from)?;
@@ -256,8 +258,6 @@
             let _ = process.resume();
         }
         process.wait_exit(END_TIMEOUT).await.map_err(StandinError::from)?;
-        // Nothing may accept connections for a worker that has ended.
-        place.relay = None;
         Ok(())
     }
 
