fix(front): end bodies without length with the connection for clients of HTTP/1.0

Clients of HTTP/1.0 got streams, and plain responses over 256 KiB, in chunks: the framing stood in what they take for the body. One that was broken off ended with an ordinary close, as a whole one does.

Cause: the response was framed without a look at the version of the request.

A response without length to such a client now has no `Transfer-Encoding`, says `Connection: close` and ends with the connection. Before its first byte the socket gets `SO_LINGER` of zero, and loses that only once the end is written: any earlier close resets the connection, also the one that the kernel makes when the front is killed, so that the client can tell. Responses with a length and kept connections are as before.

Evidence: platform/tests/http10_clients.rs, with raw sockets: 14 of its 16 cases failed before (whole and broken streams of each framing, with and without keep-alive, a resumed stream, a killed front, large plain responses); the two others guard the length of buffered responses and kept connections. All 16 pass in six runs, four at a time.

--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use actix_http::StatusCode;
+use actix_http::{StatusCode, Version};
 use daisychute_core::SoftwareVersion;
 use daisychute_dispatch::{
     Action, Cause, Event, Reason, RequestInfo, RequestKey, SendDecision, SendFailure,
@@ -43,6 +43,9 @@
     if state.shutdown.requested() {
         response_writer.close();
     }
+    if incoming.head.version < Version::HTTP_11 {
+        response_writer.disable_chunks();
+    }
     if incoming.info.resumption.is_some() {
         state.check_suspension();
     }
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -8,6 +8,7 @@
 use actix_http::header::{self, HeaderValue};
 use actix_http::{ConnectionType, Response, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 use tokio_util::codec::Encoder;
@@ -27,6 +28,8 @@
     head_passed: bool,
     /// Whether the connection is closed after this response.
     close: bool,
+    /// Whether the client can read chunks. A body without length ends with the connection otherwise.
+    chunked: bool,
     timing: StreamTiming,
 }
 
@@ -61,6 +64,7 @@
             framer,
             head_passed: false,
             close: false,
+            chunked: true,
             timing: StreamTiming::default(),
         }
     }
@@ -70,6 +74,12 @@
         self.close = true;
     }
 
+    /// Ends a body without length with the connection, for a client of HTTP/1.0. Until [`finish`](Self::finish), any close
+    /// of the connection resets it, so that the client can tell that the body lacks its end.
+    pub(crate) const fn disable_chunks(&mut self) {
+        self.chunked = false;
+    }
+
     /// When the chunks of the response were written.
     pub(crate) const fn timing(&self) -> StreamTiming {
         self.timing
@@ -168,10 +178,11 @@
         self.flush().await
     }
 
-    /// Writes the end of a chunked body.
+    /// Writes the end of a body without length.
     pub(crate) async fn finish(&mut self) -> Result<(), ClientDisconnected> {
         self.encode(Message::Chunk(None))?;
-        self.flush().await
+        self.flush().await?;
+        if self.chunked { Ok(()) } else { self.set_linger(None) }
     }
 
     fn write_head(
@@ -179,11 +190,32 @@
         mut response: Response<()>,
         size: BodySize,
     ) -> Result<(), ClientDisconnected> {
-        if self.close {
+        let until_close = size == BodySize::Stream && !self.chunked;
+        if self.close || until_close {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         self.head_passed = true;
-        self.encode(Message::Item((response, size)))
+        if !until_close {
+            return self.encode(Message::Item((response, size)));
+        }
+        response.head_mut().no_chunking(true);
+        // Set before the first byte: the kernel closes the connections of a killed process as well.
+        self.set_linger(Some(Duration::ZERO))?;
+        self.encode(Message::Item((response, size)))?;
+        self.announce_close();
+        Ok(())
+    }
+
+    /// Adds `Connection: close` to the encoded head, which the codec leaves out for HTTP/1.0.
+    fn announce_close(&mut self) {
+        self.out.truncate(self.out.len() - b"\r\n".len());
+        self.out.extend_from_slice(b"connection: close\r\n\r\n");
+    }
+
+    /// Sets `SO_LINGER`: with zero, closing the connection resets it.
+    fn set_linger(&self, time: Option<Duration>) -> Result<(), ClientDisconnected> {
+        let socket = SockRef::from(self.write.as_ref());
+        socket.set_linger(time).map_err(|_| ClientDisconnected)
     }
 
     fn encode(
