fix(front): take an error response without any body until the close for a broken one

Callers got a worker's error response with its signature and an empty body, framed as whole, when the worker had closed the connection right after the head: a response without length and chunks that stops before its body looks the same. Successful responses of this form were broken off already.

Cause: error responses were read to the end of the connection, and that taken for the end of the body.

Evidence: error_responses::ended_by_close_after_its_head failed before, with status 500 and `Content-Length: 0`. The four other framings (shorter than its length, no body, without the last chunk, inside it) passed before and guard that. Now the attempt ends without a usable response, and clients that can't repeat it get 502.

An error response that its worker ends inside the body, without length and chunks, still passes for whole.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -264,6 +264,12 @@
             return CallEnd::Failed(SendFailure::Unusable, None);
         }
         match reader.collect(MAX_BUFFERED_BYTES).await {
+            // An endpoint that stops before its body closes the connection in the same way.
+            Ok(Collected::Whole(body))
+                if body.is_empty() && reader.framing() == Framing::UntilClose =>
+            {
+                CallEnd::Failed(SendFailure::NoAnswer, None)
+            }
             Ok(Collected::Whole(body)) => {
                 CallEnd::Failed(SendFailure::ServerError, Some(ErrorResponse { head, body }))
             }
