fix(front): send a request on no connection that served one with its id

A client that came back with an id got the response to its earlier request, if the worker sent that once more on the kept connection: whole streams and calls of the earlier run, and to a resumed stream the events of another run, numbered from where the client had got to.

Cause: responses are matched by id, which the two requests share. Connections were kept from requests that had ended unserved on them, but not from those that had been served.

A connection now also remembers the ids of the last 32 requests that it served. It stays in use for others: a late response to any other id is dropped and ends the use of the connection, so only an id that comes again matters.

Evidence: late_copies::repeated_response_to_*, with workers that repeat a response only on a connection that carried the id. All five failed before (a call that runs once, an idempotent call, a stream, a resumable and a resumed one) and pass now; the 12 others of late_copies pass as before.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -90,7 +90,7 @@
         let Ok(bytes) = self.encode(&mut connection) else {
             return CallEnd::Failed(SendFailure::Unsent, None);
         };
-        let EndpointConnection { mut stream, codec, mut buf, mut unserved } = connection;
+        let EndpointConnection { mut stream, codec, mut buf, history } = connection;
         let sent_at = self.state.now();
         let (mut read, mut write) = stream.split();
         let Some(sent) = write_available(&mut write, &bytes).await else {
@@ -117,10 +117,9 @@
         let end = self.pass_response(head, &mut reader).await;
         let reusable = reusable && self.state.takes_work(self.decision.endpoint);
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
-            if !matches!(end, CallEnd::Finished) {
-                unserved.push(Arc::clone(&self.incoming.info.id));
-            }
-            let connection = EndpointConnection { stream, codec, buf, unserved };
+            let mut connection = EndpointConnection { stream, codec, buf, history };
+            let is_served = matches!(end, CallEnd::Finished);
+            connection.history.record(Arc::clone(&self.incoming.info.id), is_served);
             self.state.pool.put(self.decision.endpoint, connection, keep_alive);
         }
         end
--- a/crates/daisychute-front/src/endpoint/connection.rs
+++ b/crates/daisychute-front/src/endpoint/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an endpoint.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,17 +29,46 @@
 
 /// Maximum number of requests that end unserved on one connection before it is closed.
 const MAX_UNSERVED: usize = 32;
+/// Number of served requests whose ids are kept. A client that comes back with an id does so after few other requests, and
+/// a late response to any other request ends the use of the connection.
+const MAX_SERVED: usize = 32;
 
 /// An HTTP/1.1 connection that carries one request at a time.
 ///
-/// Responses are matched to requests by id. A request that ended unserved may be sent again, by this front or by its
-/// client; on the same connection, a copy of the earlier response would pass for the response to the new attempt.
+/// Responses are matched to requests by id. A request may be sent again under its id, by this front or by its client; on
+/// the same connection, a copy of the earlier response would pass for the response to the new attempt.
 pub(crate) struct EndpointConnection {
     pub(crate) stream: TcpStream,
     pub(crate) codec: ClientCodec,
     pub(crate) buf: BytesMut,
-    /// Ids of the requests that ended unserved on this connection; at most `MAX_UNSERVED` while it is idle.
-    pub(crate) unserved: Vec<Arc<str>>,
+    pub(crate) history: RequestHistory,
+}
+
+/// Ids of the requests that a connection has carried.
+#[derive(Debug, Default)]
+pub(crate) struct RequestHistory {
+    /// The requests that ended unserved; at most `MAX_UNSERVED` while the connection is idle.
+    unserved: Vec<Arc<str>>,
+    /// The latest requests whose response was passed on; at most `MAX_SERVED`.
+    served: VecDeque<Arc<str>>,
+}
+
+impl RequestHistory {
+    /// Records a request that has ended.
+    pub(crate) fn record(&mut self, request: Arc<str>, is_served: bool) {
+        if !is_served {
+            self.unserved.push(request);
+            return;
+        }
+        if self.served.len() == MAX_SERVED {
+            self.served.pop_front();
+        }
+        self.served.push_back(request);
+    }
+
+    fn contains(&self, request: &str) -> bool {
+        self.unserved.iter().chain(&self.served).any(|it| **it == *request)
+    }
 }
 
 impl EndpointConnection {
@@ -48,17 +78,17 @@
         let stream = connect.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         detect_unresponsive_peer(&stream)?;
         let codec = ClientCodec::new(http.clone());
-        Ok(Self { stream, codec, buf: BytesMut::new(), unserved: Vec::new() })
+        Ok(Self { stream, codec, buf: BytesMut::new(), history: RequestHistory::default() })
     }
 
     /// Whether the request may be sent on this connection: it wasn't sent here before.
     pub(crate) fn takes(&self, request: &str) -> bool {
-        !self.unserved.iter().any(|it| **it == *request)
+        !self.history.contains(request)
     }
 
     /// Whether the connection may carry further requests.
     pub(crate) const fn is_worth_keeping(&self) -> bool {
-        self.unserved.len() <= MAX_UNSERVED
+        self.history.unserved.len() <= MAX_UNSERVED
     }
 
     /// Whether the idle connection is open and has no unexpected bytes to read.
