fix(front): keep listings of the fronts out of the progress of endpoints

That revision rose with each listing of the fronts too, which tells nothing of endpoints and may be stale.

Cause: both collections shared one record of what was seen and covered.

Evidence: positions::a_listing_of_fronts_tells_nothing_of_endpoints failed before, with 105 in place of 92. It is a test of the record; the fault was not seen in a run of processes.

--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -62,13 +62,16 @@
 pub struct Revisions {
     configuration: Progress,
     endpoints: Progress,
+    /// Nobody is told of it: fronts are only listed, and a listing of them may be stale.
+    fronts: Progress,
 }
 
 impl Revisions {
     fn of(&self, collection: Collection) -> &Progress {
         match collection {
             Collection::Configuration => &self.configuration,
-            Collection::Endpoints | Collection::Fronts => &self.endpoints,
+            Collection::Endpoints => &self.endpoints,
+            Collection::Fronts => &self.fronts,
         }
     }
 
--- a/crates/daisychute-front/tests/positions.rs
+++ b/crates/daisychute-front/tests/positions.rs
@@ -174,3 +174,18 @@
     });
     assert_eq!(orders, 720);
 }
+
+// Guards against snapshots that claim to contain changes of endpoints that their sender hasn't seen, and against a silent
+// watch that doesn't count as lagging: both restored workers that had left.
+#[test]
+fn a_listing_of_fronts_tells_nothing_of_endpoints() {
+    let revisions = Revisions::default();
+    revisions.record_seen(Collection::Endpoints, position((1, 90)));
+    revisions.record_covered(Collection::Endpoints, position((1, 92)));
+    revisions.record_reported(at(0), (Position::default(), position((1, 95))), || Duration::ZERO);
+    revisions.record_seen(Collection::Fronts, position((1, 100)));
+    revisions.record_covered(Collection::Fronts, position((1, 105)));
+    assert_eq!(revisions.endpoints_covered(), position((1, 92)));
+    assert_eq!(revisions.latest_seen().1, position((1, 90)));
+    assert!(revisions.is_behind());
+}
