fix(front): bound the bytes of request bodies by the machine's memory

Cause: a body was held whole and copied for each send, and only the number of requests bounded that, at 96 KiB for each. Bodies still being read weren't counted at all.

A body now exists once: head and body leave in one vectored write. Its bytes are reserved before they are read, out of half of the machine's memory, by its length or as it grows, and are free when the request has ended. Without room it isn't read on, for 2 s or a quarter of the client's timeout at most, and is then refused as not run (body_memory); at once if it can't fit or too much waits. An eighth is left to bodies of 64 KiB or less. The time of waiting counts against the client's timeout.

--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -10,7 +10,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
-use crate::client::connection::{ClientConnection, ReadError};
+use crate::client::connection::{BodyLimit, ClientConnection, LINGER_TIMEOUT, ReadError};
 use crate::client::exchange::{ConnectionOutcome, count_request, serve};
 use crate::client::response_writer::ResponseWriter;
 use crate::endpoint::connection::detect_unresponsive_peer;
@@ -26,6 +26,14 @@
 /// `Retry-After` of a refusal by a full front: half a second's worth of its requests has ended by then.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Refusal reason: there is no memory for the body of the request.
+const BODY_MEMORY: &str = "body_memory";
+/// `Retry-After` of a refusal for want of memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// How long the rest of a refused body is dropped as it arrives, so that a client that sends all of it before it reads
+/// gets the refusal.
+const UPLOAD_LINGER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Accepts client connections until the front stops to.
 pub(crate) async fn accept<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
     let open_connections = Rc::new(Cell::new(0_usize));
@@ -90,14 +98,30 @@
     loop {
         let limits =
             state.with_dispatcher(|it| it.table().map(|it| *it.limits())).unwrap_or_default();
-        let incoming = match connection.read_request(&state.dialect, &limits, &state.shutdown).await
-        {
+        let bodies = BodyLimit { memory: &state.bodies, bytes: state.capacity().body_bytes };
+        let read = connection.read_request(&state.dialect, &limits, &state.shutdown, bodies).await;
+        let incoming = match read {
             Ok(incoming) => incoming,
             Err(ReadError::Closed) => return,
+            Err(ReadError::NoMemory(request, waited)) => {
+                let elapsed_ms = waited.as_millis();
+                log::warn!(request:%, outcome = "refused", reason = BODY_MEMORY, elapsed_ms; "request ended");
+                count_request("refused", BODY_MEMORY);
+                let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
+                write_refusal(
+                    &mut connection,
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    BODY_MEMORY,
+                    refusal,
+                )
+                .await;
+                return connection.close(UPLOAD_LINGER_TIMEOUT).await;
+            }
             Err(ReadError::Refused(status, reason)) => {
                 log::warn!(reason, status = status.as_u16(); "malformed or incomplete request refused");
-                write_refusal(&mut connection, status, reason, None).await;
-                return connection.close().await;
+                let refusal = Refusal { retry_after: None, close: true };
+                write_refusal(&mut connection, status, reason, refusal).await;
+                return connection.close(LINGER_TIMEOUT).await;
             }
         };
         if let Some((reason, retry_after)) = refusal(&state.shutdown, state.capacity()) {
@@ -105,17 +129,19 @@
             log::warn!(request:%, outcome = "refused", reason, elapsed_ms = 0; "request ended");
             count_request("refused", reason);
             let status = StatusCode::SERVICE_UNAVAILABLE;
-            if !write_refusal(&mut connection, status, reason, retry_after).await {
-                return connection.close().await;
+            let refusal = Refusal { retry_after, close: retry_after.is_none() };
+            if !write_refusal(&mut connection, status, reason, refusal).await {
+                return connection.close(LINGER_TIMEOUT).await;
             }
             continue;
         }
         state.shutdown.begin_request();
         let outcome = serve(&state, &mut connection, &incoming).await;
         state.shutdown.end_request();
+        drop(incoming);
         match outcome {
             ConnectionOutcome::KeepAlive => {}
-            ConnectionOutcome::Close => return connection.close().await,
+            ConnectionOutcome::Close => return connection.close(LINGER_TIMEOUT).await,
             ConnectionOutcome::Abort => return,
         }
     }
@@ -132,19 +158,27 @@
     (shutdown.busy() >= capacity.requests).then_some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
 }
 
+/// How a request is refused.
+#[derive(Debug, Clone, Copy)]
+struct Refusal {
+    retry_after: Option<Duration>,
+    /// Whether the connection is closed after the response.
+    close: bool,
+}
+
 /// Refuses a request with a response of the front's own. Returns whether the connection can carry another request.
 async fn write_refusal(
     connection: &mut ClientConnection,
     status: StatusCode,
     reason: &'static str,
-    retry_after: Option<Duration>,
+    Refusal { retry_after, close }: Refusal,
 ) -> bool {
     let ClientConnection { stream, codec, .. } = connection;
     let (_, mut write) = stream.split();
     let mut response_writer = ResponseWriter::new(&mut write, codec);
-    if retry_after.is_none() {
+    if close {
         response_writer.close();
     }
     let written = response_writer.write_own_response(status, reason, retry_after).await;
-    written.is_ok() && retry_after.is_some() && codec.keep_alive()
+    written.is_ok() && !close && codec.keep_alive()
 }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -7,7 +7,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::Message;
 use actix_http::{RequestHeadType, ResponseHead, StatusCode};
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use daisychute_core::Time;
 use daisychute_dispatch::{Event, RequestKey, SendDecision, SendFailure, Task};
 use tokio::io::AsyncWriteExt;
@@ -87,21 +87,21 @@
             return CallEnd::Failed(SendFailure::Unsent, None);
         };
         let _guard = self.state.pool.guard(self.decision.endpoint);
-        let Ok(bytes) = self.encode(&mut connection) else {
+        let Ok(mut request) = self.encode(&mut connection) else {
             return CallEnd::Failed(SendFailure::Unsent, None);
         };
         let EndpointConnection { mut stream, codec, mut buf, mut unserved } = connection;
         let sent_at = self.state.now();
         let (mut read, mut write) = stream.split();
-        let Some(sent) = write_available(&mut write, &bytes).await else {
+        if !write_available(&mut write, &mut request).await {
             return CallEnd::Failed(SendFailure::Unsent, None);
-        };
+        }
         let is_head_request = self.incoming.head.method == actix_http::Method::HEAD;
         let mut reader = ResponseReader::new(&mut read, &mut buf, codec);
         let head = while_writing_rest(
             self.read_head(&mut reader, is_head_request, sent_at),
             &mut write,
-            &bytes[sent..],
+            &mut request,
         )
         .await;
         let (head, all_sent) = match head {
@@ -143,7 +143,8 @@
         self.state.pool.take(self.decision.endpoint, max_idle, &self.incoming.info.id)
     }
 
-    fn encode(&self, connection: &mut EndpointConnection) -> std::io::Result<BytesMut> {
+    /// Returns the request as it is sent. It shares the client's body.
+    fn encode(&self, connection: &mut EndpointConnection) -> std::io::Result<impl Buf + use<D>> {
         let last_event_id = self.response_writer.last_event_id();
         let params = ForwardParams {
             expected_endpoint: &self.decision.name,
@@ -158,11 +159,10 @@
         let body = &self.incoming.body;
         let has_body = !body.is_empty() || self.incoming.head.method == actix_http::Method::POST;
         let size = if has_body { BodySize::Sized(body.len() as u64) } else { BodySize::None };
-        let mut bytes = BytesMut::with_capacity(1024 + body.len());
+        let mut bytes = BytesMut::with_capacity(1024);
         let message = Message::Item((RequestHeadType::Owned(head), size));
         connection.codec.encode(message, &mut bytes)?;
-        bytes.extend_from_slice(body);
-        Ok(bytes)
+        Ok(bytes.chain(body.clone()))
     }
 
     /// Reads the head of the matching response and drops late responses to earlier requests.
@@ -381,26 +381,25 @@
     }
 }
 
-/// Writes as many bytes as the kernel accepts at once and returns their number. `None` if it accepts none: then no byte
-/// has left.
-async fn write_available(write: &mut WriteHalf<'_>, bytes: &[u8]) -> Option<usize> {
-    write.write(bytes).await.ok().filter(|it| *it > 0)
+/// Writes as many bytes as the kernel accepts at once. Returns `false` if it accepts none: then no byte has left.
+async fn write_available(write: &mut WriteHalf<'_>, request: &mut impl Buf) -> bool {
+    matches!(write.write_buf(request).await, Ok(1..))
 }
 
 /// Writes the rest of the request while `response` runs. The second value tells whether the rest was written in full.
 async fn while_writing_rest<T>(
     response: impl Future<Output = T>,
     write: &mut WriteHalf<'_>,
-    rest: &[u8],
+    rest: &mut impl Buf,
 ) -> (T, bool) {
-    if rest.is_empty() {
+    if !rest.has_remaining() {
         return (response.await, true);
     }
     let mut response = std::pin::pin!(response);
     tokio::select! {
         biased;
         out = &mut response => (out, false),
-        written = write.write_all(rest) => {
+        written = write.write_all_buf(rest) => {
             // An endpoint that stops reading may have responded nonetheless.
             let all_sent = written.is_ok();
             (response.await, all_sent)
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -7,6 +7,7 @@
 //! to the platform's [`ControlApi`] are made under a lease in a [`DutyStore`].
 
 mod response_info;
+mod body_budget;
 mod client;
 mod capacity_limits;
 mod dialect;
@@ -24,6 +25,7 @@
 mod state;
 mod shutdown;
 
+pub use crate::body_budget::{BodyBudget, Room, Ticket};
 pub use crate::capacity_limits::CapacityLimits;
 pub use crate::dialect::{Dialect, ForwardParams};
 pub use crate::directory::admission::Admission;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -19,6 +19,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
+use crate::client::body_room::BodyMemory;
 use crate::directory::revisions::Revisions;
 use crate::directory::store_era::StoreEra;
 use crate::duties::boot_clock::BootClock;
@@ -54,6 +55,8 @@
     /// Notified when the versions that may have streams may differ from what the directory has recorded.
     pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
+    /// Bounds the bodies of all requests together.
+    pub(crate) bodies: Rc<BodyMemory>,
     /// The duties towards the platform; `None` if the deployment has none.
     pub(crate) duties: Option<Rc<DutyLink>>,
     pub(crate) http: ServiceConfig,
@@ -90,6 +93,7 @@
             version_records_outdated: Cell::new(false),
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
+            bodies: Rc::default(),
             duties,
             http: ServiceConfig::default(),
             incarnation_id,
