fix(front): ask who accepted the second connection to a worker that may have ended

Cause: a front that reads the head late, on a busy machine, connects to the worker that has taken over the address; its connection stays open. An error response without length was not checked at all.

Change: the second connection carries a health check that names the endpoint, beside the response and not after it; another worker's answer tells that the endpoint has ended. Error responses are checked too.

--- a/crates/daisychute-dispatch/src/core/crashes.rs
+++ b/crates/daisychute-dispatch/src/core/crashes.rs
@@ -86,7 +86,7 @@
         failure: SendFailure,
         actions: &mut Vec<Action>,
     ) {
-        let begun = matches!(failure, SendFailure::MidAnswer { .. } | SendFailure::Unresumable);
+        let begun = matches!(failure, SendFailure::MidAnswer { .. });
         if !begun && failure != SendFailure::NoAnswer {
             return;
         }
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -7,7 +7,7 @@
 use actix_http::{StatusCode, Version};
 use daisychute_core::SoftwareVersion;
 use daisychute_dispatch::{
-    Action, Cause, Event, Reason, RequestInfo, RequestKey, SendDecision, SendFailure,
+    Action, Cause, Event, Reason, RequestInfo, RequestKey, RequestKind, SendDecision, SendFailure,
 };
 use tokio::time::{sleep_until, timeout};
 
@@ -39,15 +39,6 @@
     let started = Instant::now();
     let ClientConnection { stream, codec, buf } = connection;
     let (mut read, mut write) = stream.split();
-    let last_event = state.dialect.last_event(&incoming.head);
-    let sequence = EventSequence::new(D::EVENT_NUMBERING, last_event);
-    let mut response_writer = ResponseWriter::new(&mut write, codec, sequence);
-    if state.shutdown.requested() {
-        response_writer.close();
-    }
-    if incoming.head.version < Version::HTTP_11 {
-        response_writer.disable_chunks();
-    }
     if incoming.info.resumption.is_some() {
         state.check_suspension();
     }
@@ -58,8 +49,19 @@
         // The dispatcher has already forgotten a request that it refused at once.
         let route = it.route(key).or_else(|| it.table()?.find(host, path));
         let version = it.table().map_or(0, |table| table.version());
-        (route.map_or("unrouted", |route| route.kind.as_str()), version, it.deadline(key))
+        (route.map(|route| route.kind), version, it.deadline(key))
     });
+    let last_event = state.dialect.last_event(&incoming.head);
+    let last_event = last_event.filter(|_| kind.is_some_and(RequestKind::repeatable));
+    let sequence = EventSequence::new(D::EVENT_NUMBERING, last_event);
+    let kind = kind.map_or("unrouted", RequestKind::as_str);
+    let mut response_writer = ResponseWriter::new(&mut write, codec, sequence);
+    if state.shutdown.requested() {
+        response_writer.close();
+    }
+    if incoming.head.version < Version::HTTP_11 {
+        response_writer.disable_chunks();
+    }
     let (error_response, attempt_log) = (None, String::new());
     let (cost, wait) = (Duration::ZERO, Duration::ZERO);
     let mut exchange = Exchange {
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -263,6 +263,7 @@
         if not_run_statuses.contains(&head.status.as_u16()) {
             return CallEnd::Failed(SendFailure::Unusable, None);
         }
+        let sentinel = self.open_sentinel(reader);
         match reader.collect(MAX_BUFFERED_BYTES).await {
             // An endpoint that stops before its body closes the connection in the same way.
             Ok(Collected::Whole(body))
@@ -270,6 +271,9 @@
             {
                 CallEnd::Failed(SendFailure::NoAnswer, None)
             }
+            Ok(Collected::Whole(_)) if self.ended_early(sentinel).await => {
+                CallEnd::Failed(SendFailure::NoAnswer, None)
+            }
             Ok(Collected::Whole(body)) => {
                 CallEnd::Failed(SendFailure::ServerError, Some(ErrorResponse { head, body }))
             }
@@ -376,7 +380,7 @@
     /// Opens a second connection to the endpoint of a response that only the end of its connection ends.
     fn open_sentinel(&self, reader: &ResponseReader<'_, '_>) -> Option<Sentinel> {
         let is_open_ended = reader.framing() == Framing::UntilClose;
-        is_open_ended.then(|| Sentinel::open(self.state, self.decision))
+        is_open_ended.then(|| Sentinel::open(self.state, self.key, self.decision))
     }
 
     /// Whether a body ended because its endpoint did: the system closes the connections of a process that has ended in the
--- a/crates/daisychute-front/src/event_sequence.rs
+++ b/crates/daisychute-front/src/event_sequence.rs
@@ -77,7 +77,7 @@
                 self.check(number)?;
                 self.last = Some(number);
             }
-            None => self.has_unnumbered |= has_content(event),
+            None => self.has_unnumbered |= has_data(event),
         }
         Ok(())
     }
@@ -109,9 +109,9 @@
     std::str::from_utf8(value).ok().map(str::trim)
 }
 
-/// Whether an event has lines other than comments.
-fn has_content(event: &[u8]) -> bool {
-    lines(event).any(|it| !it.is_empty() && !it.starts_with(b":"))
+/// Whether an event has data, without which it is none for its reader.
+fn has_data(event: &[u8]) -> bool {
+    lines(event).any(|it| it == b"data" || it.starts_with(b"data:"))
 }
 
 fn lines(event: &[u8]) -> impl DoubleEndedIterator<Item = &[u8]> {
--- a/crates/daisychute-front/tests/event_sequence.rs
+++ b/crates/daisychute-front/tests/event_sequence.rs
@@ -58,6 +58,7 @@
     after_a_number_that_follows_the_data: b"data: a\nid: 1\n\n" => true,
     after_a_comment: b": note\n\n" => true,
     after_blank_lines: b"\n\n" => true,
+    after_a_block_without_data: b"retry: 500\n\n" => true,
     after_an_event_without_id: b"data: a\n\n" => false,
     after_an_opaque_id: b"id: a\ndata: a\n\n" => false,
 }
