feat(front): log and time each response that ends with its connection

A response without length and chunks that was passed on as whole left the same line as one that ends by its framing. The log now says that its connection ended it and how long the front looked for a sign that the worker had ended; a histogram has the same by verdict. No decision has changed.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
 use actix_http::h1::Message;
@@ -387,14 +387,25 @@
     /// same way as the process itself.
     async fn ended_early(&self, sentinel: Option<Sentinel>) -> bool {
         let Some(sentinel) = sentinel else { return false };
+        let ended_at = Instant::now();
         let has_ended = sentinel.has_ended(self.state, self.key, self.decision).await;
-        if has_ended {
-            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
-            let address = self.decision.address;
-            log::warn!(request:%, endpoint:%, address:%; "response ended with its endpoint");
+        self.log_end_by_close(has_ended, ended_at.elapsed());
+        has_ended
+    }
+
+    /// Logs and counts a response that ended with its connection.
+    fn log_end_by_close(&self, ended_early: bool, looked_for: Duration) {
+        let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+        let (address, looked_ms) = (self.decision.address, looked_for.as_millis());
+        let verdict = if ended_early { "ended_early" } else { "whole" };
+        metrics::histogram!("daisychute_end_of_response_seconds", "verdict" => verdict)
+            .record(looked_for);
+        if ended_early {
+            log::warn!(request:%, endpoint:%, address:%, looked_ms; "response ended with its endpoint");
             metrics::counter!("daisychute_responses_ended_early_total").increment(1);
+        } else {
+            log::info!(request:%, endpoint:%, address:%, looked_ms; "response ended by the close of its connection");
         }
-        has_ended
     }
 
     /// Whether a stream whose body has ended lacks its last events.
