fix(front): let a JSON object without length tell its own end

The close of a connection says nothing of the content, but the content does: an object or array that ends early doesn't parse to its end. Such a body now counts as broken off, and a complete one is passed on without a look at its worker. Content that is no such JSON is judged by the worker as before.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -6,10 +6,11 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::Message;
-use actix_http::{RequestHeadType, ResponseHead, StatusCode};
+use actix_http::{RequestHeadType, ResponseHead, StatusCode, header};
 use bytes::{Buf, Bytes, BytesMut};
 use daisychute_core::Time;
 use daisychute_dispatch::{Event, RequestKey, SendDecision, SendFailure, Task};
+use serde::de::IgnoredAny;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 use tokio_util::codec::Encoder;
@@ -297,7 +298,14 @@
                 return self.truncated(ResponseError::Broken);
             }
             Ok(Collected::Whole(body)) => {
-                if self.ended_early(sentinel).await {
+                let is_complete = match reader.framing() {
+                    Framing::Explicit => true,
+                    Framing::UntilClose => match json_is_complete(head, &body) {
+                        Some(is_complete) => is_complete,
+                        None => !self.ended_early(sentinel).await,
+                    },
+                };
+                if !is_complete {
                     return self.truncated(ResponseError::Broken);
                 }
                 return match self.response_writer.write_response(head, &body).await {
@@ -472,3 +480,18 @@
         }
     }
 }
+
+/// Whether the object or array that a JSON body consists of is complete. `None` if the body is no such JSON, so that its
+/// content doesn't tell.
+fn json_is_complete(head: &ResponseHead, body: &[u8]) -> Option<bool> {
+    let content_type = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let is_json = content_type.split(';').next()?.trim().eq_ignore_ascii_case("application/json");
+    let is_nested = matches!(body.trim_ascii_start().first(), Some(b'{' | b'['));
+    if !is_json || !is_nested {
+        return None;
+    }
+    match serde_json::from_slice::<IgnoredAny>(body) {
+        Ok(_) => Some(true),
+        Err(e) => e.is_eof().then_some(false),
+    }
+}
