fix(front): take a response for whole only if its endpoint outlives it

A worker that is told to stop cancels its handlers, which closes the connections of its streams in order, and its process ends some time later. The front looked once: 25 ms after the end of a response, a second connection that was still open counted as a worker that stays. A process that ended 40 ms to 1.2 s after its streams passed, and so did one that closed several of them in turn, refused health checks meanwhile or closed its listener first, and a front that was suspended in between.

The end of a response without length is now held until there is evidence that its endpoint goes on: the beginning of its response to a request that was sent after the end, 250 ms after it at the earliest, or its presence 1.5 s after the end. Clients of streams have all events by then. Those of other responses have nothing before the end, so that half of the time left until the objective is used. An endpoint that is gone, gives way to another one, or doesn't answer as itself isn't known to have ended the response: a stream goes on elsewhere if it may, else its client sees it broken. Events on other streams are no evidence, as an endpoint that stops may go on with some of them. The decision is a core of its own (ResponseEnd); the endpoint counts as done with the request from the end of the body on.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -142,6 +142,7 @@
             Event::Prefilled { key, handle } => self.prefilled(now, key, handle, actions),
             Event::ResponseStarted { key } => self.response_started(now, key, actions),
             Event::FirstOutput { key } => self.first_output(now, key, actions),
+            Event::ResponseEnded { key } => self.response_ended(now, key),
             Event::LoadReported { key, sample } => self.load_reported(now, key, sample),
             Event::SendFailed { key, failure } => self.send_failed(now, key, failure, actions),
             Event::ResponseOverdue { key } => self.response_overdue(now, key, actions),
@@ -383,6 +384,9 @@
 
     /// Removes a send attempt from the requests in flight at its endpoint.
     pub(crate) fn remove_in_flight(&mut self, key: RequestKey, sent: &InFlightAttempt) {
+        if sent.ended_at.is_some() {
+            return;
+        }
         if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
             tracked.in_flight.remove(key, sent.tokens);
         }
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -209,7 +209,7 @@
         if let Some(state) = self.requests.get(&key)
             && let Some(sent) = &state.in_flight
         {
-            let slot_time = now.since(sent.sent_at);
+            let slot_time = sent.ended_at.unwrap_or(now).since(sent.sent_at);
             if let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) {
                 tracked.record_success();
             }
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -82,6 +82,11 @@
         /// Identifies the request.
         key: RequestKey,
     },
+    /// The body of a response ended with its connection. Whether it is whole isn't known yet.
+    ResponseEnded {
+        /// Identifies the request.
+        key: RequestKey,
+    },
     /// An endpoint reported its load in a response head.
     LoadReported {
         /// Identifies the request whose response carried the report.
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -26,5 +26,6 @@
 mod notices;
 pub(crate) mod overdue;
 mod kv_cache;
+pub(crate) mod response_end;
 mod resumption;
 mod shutdown;
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -327,6 +327,7 @@
             address: tracked.endpoint.address,
             task,
             sent_at: now,
+            ended_at: None,
             tokens,
             prefill_work: candidate.prefill_work,
             fetch_time,
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -17,6 +17,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) task: Task,
     pub(crate) sent_at: Time,
+    /// When the endpoint was done with the request; `None` before that. It doesn't count as in flight there any more.
+    pub(crate) ended_at: Option<Time>,
     /// Prompt tokens that were added to the endpoint's requests in flight, and are subtracted at the end.
     pub(crate) tokens: u32,
     /// Cached and uncached tokens of the prompt at the endpoint.
--- /dev/null
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -0,0 +1,142 @@
+//! Whether a response that ended with its connection is whole.
+
+use std::time::Duration;
+
+use daisychute_core::Time;
+
+use crate::{Dispatcher, RequestKey};
+
+/// What was seen of an endpoint after the end of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointSign {
+    /// The endpoint began its response to a request that was sent at this time.
+    Responded {
+        /// When the request was sent.
+        sent_at: Time,
+    },
+    /// The endpoint itself answered a check.
+    Present,
+    /// No connection shows any more whether the endpoint is there.
+    Unwatched,
+    /// Nothing listens at the address, or another endpoint does.
+    Gone,
+    /// A check wasn't answered, or the answer doesn't tell who sent it.
+    Unanswered,
+    /// The time of [`EndStep::WaitUntil`] has come.
+    Due {
+        /// Whether a connection to the endpoint itself was open all the time.
+        watched: bool,
+    },
+}
+
+/// What to do next about a response that ended with its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndStep {
+    /// Wait for a sign until this time.
+    WaitUntil(Time),
+    /// Ask the endpoint whether it is there.
+    Check,
+    /// The response is whole: its endpoint has outlived it.
+    Whole,
+    /// The response isn't known to be whole.
+    Unconfirmed,
+}
+
+/// Decides whether a response without length and chunks is whole, by what its endpoint does after it.
+///
+/// The connection of a response is closed in order when the response ends, and also when its endpoint gives it up because it is
+/// told to stop, or is ended by the system. An endpoint that stops ends some time after the connection was closed, and begins no
+/// response meanwhile.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use daisychute_core::Time;
+/// use daisychute_dispatch::{EndStep, EndpointSign, ResponseEnd};
+///
+/// let end = ResponseEnd::new(Time::ZERO, Duration::from_secs(1));
+/// let due = Time::from_millis(1_000);
+/// assert_eq!(end.first_step(), EndStep::WaitUntil(due));
+/// assert_eq!(end.next_step(Time::from_millis(300), EndpointSign::Unwatched), EndStep::Check);
+/// assert_eq!(end.next_step(Time::from_millis(301), EndpointSign::Present), EndStep::WaitUntil(due));
+/// assert_eq!(end.next_step(due, EndpointSign::Due { watched: true }), EndStep::Whole);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ResponseEnd {
+    ended_at: Time,
+    /// When an endpoint that is still there counts as one that ended the response itself.
+    due: Time,
+}
+
+impl ResponseEnd {
+    /// Time within which an endpoint that stops gives up its responses, one after the other.
+    pub const GIVE_UP_TIME: Duration = Duration::from_millis(250);
+
+    /// Creates the decision for a response that ended at this time. Without a sign that the endpoint goes on, it is watched for
+    /// `hold`.
+    #[must_use]
+    pub fn new(ended_at: Time, hold: Duration) -> Self {
+        Self { ended_at, due: ended_at + hold }
+    }
+
+    /// Returns what to do at the end of the response.
+    #[must_use]
+    pub const fn first_step(&self) -> EndStep {
+        EndStep::WaitUntil(self.due)
+    }
+
+    /// Returns what to do after this sign.
+    #[must_use]
+    pub fn next_step(&self, now: Time, sign: EndpointSign) -> EndStep {
+        match sign {
+            // An endpoint that stops goes on with what it has for a while, but begins nothing new.
+            EndpointSign::Responded { sent_at }
+                if sent_at >= self.ended_at && now >= self.ended_at + Self::GIVE_UP_TIME =>
+            {
+                EndStep::Whole
+            }
+            EndpointSign::Present | EndpointSign::Due { watched: true } if now >= self.due => {
+                EndStep::Whole
+            }
+            EndpointSign::Gone => EndStep::Unconfirmed,
+            EndpointSign::Unanswered if now >= self.due => EndStep::Unconfirmed,
+            EndpointSign::Unwatched => EndStep::Check,
+            EndpointSign::Due { .. } if now >= self.due => EndStep::Check,
+            EndpointSign::Responded { .. }
+            | EndpointSign::Present
+            | EndpointSign::Unanswered
+            | EndpointSign::Due { .. } => EndStep::WaitUntil(self.due),
+        }
+    }
+}
+
+/// Time for which the endpoint of a stream is watched after the end. Clients have all events by then, and give a stream up
+/// only after a pause of two seconds.
+const STREAM_HOLD: Duration = Duration::from_millis(1_500);
+/// Minimum time for which an endpoint is watched: the system of a busy machine needs it to close all connections of a process
+/// that has ended.
+const MIN_HOLD: Duration = Duration::from_millis(25);
+
+impl Dispatcher {
+    /// Returns for how long the endpoint of a response that ended with its connection is watched: as long as that doesn't harm the
+    /// client. Clients of other requests than streams have nothing before the end, so that half of the time left until the
+    /// latency objective is used.
+    #[must_use]
+    pub fn end_hold(&self, now: Time, key: RequestKey) -> Duration {
+        let Some(state) = self.requests.get(&key) else { return MIN_HOLD };
+        if state.route.kind.is_stream() {
+            return STREAM_HOLD;
+        }
+        let left = (state.arrived + state.route.objective).since(now);
+        (left / 2).clamp(MIN_HOLD, STREAM_HOLD)
+    }
+
+    /// Records that the endpoint of a request is done with it, though its client doesn't have the whole response yet.
+    pub(crate) fn response_ended(&mut self, now: Time, key: RequestKey) {
+        let sent = self.requests.get_mut(&key).and_then(|it| it.in_flight.as_mut());
+        let Some(sent) = sent.filter(|it| it.ended_at.is_none()) else { return };
+        let before = sent.clone();
+        sent.ended_at = Some(now);
+        self.remove_in_flight(key, &before);
+    }
+}
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -41,6 +41,7 @@
 pub use crate::core::quarantine::Quarantine;
 pub use crate::core::reason::Reason;
 pub use crate::core::request_info::{Fingerprint, RequestInfo, RequestKey, Resumption};
+pub use crate::core::response_end::{EndStep, EndpointSign, ResponseEnd};
 pub use crate::core::stream_origins::StreamOrigin;
 pub use crate::core::version_records::SoftwareVersions;
 pub use crate::fleet::backlog::Backlog;
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -57,6 +57,7 @@
     Prefilled,
     ResponseStarted,
     FirstOutput,
+    EndBody,
     Finish,
     Disconnect,
     Expire,
@@ -93,6 +94,7 @@
             Prefilled,
             ResponseStarted,
             FirstOutput,
+            EndBody,
             Finish,
             Finish,
             Disconnect,
@@ -392,6 +394,7 @@
                 }
                 self.handle_event(Event::FirstOutput { key });
             }
+            Change::EndBody if open.responding => self.handle_event(Event::ResponseEnded { key }),
             Change::Finish if open.responding => {
                 self.open.remove(&number);
                 self.handle_event(Event::Finished { key });
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -114,6 +114,9 @@
             }
             (Err(ResponseError::Broken), _) => return CallEnd::Failed(SendFailure::NoAnswer, None),
         };
+        if head.info.signed && head.head.status.is_success() {
+            self.state.activity.record(self.decision.endpoint, sent_at);
+        }
         let keep_alive = head.info.keep_alive;
         let reusable = head.reusable && all_sent && head.head.keep_alive();
         let end = self.pass_response(head, &mut reader).await;
@@ -362,7 +365,10 @@
             }
         }
         let framing = reader.framing();
-        if self.is_broken_off(framing, has_events) || self.ended_early(sentinel).await {
+        if self.is_broken_off(framing, has_events) {
+            return self.truncated(ResponseError::Broken);
+        }
+        if self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -396,23 +402,24 @@
     async fn ended_early(&self, sentinel: Option<Sentinel>) -> bool {
         let Some(sentinel) = sentinel else { return false };
         let ended_at = Instant::now();
-        let has_ended = sentinel.has_ended(self.state, self.key, self.decision).await;
-        self.log_end_by_close(has_ended, ended_at.elapsed());
-        has_ended
+        self.state.handle(Event::ResponseEnded { key: self.key });
+        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision).await;
+        self.log_end_by_close(is_confirmed, ended_at.elapsed());
+        !is_confirmed
     }
 
     /// Logs and counts a response that ended with its connection.
-    fn log_end_by_close(&self, ended_early: bool, looked_for: Duration) {
+    fn log_end_by_close(&self, is_confirmed: bool, looked_for: Duration) {
         let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
         let (address, looked_ms) = (self.decision.address, looked_for.as_millis());
-        let verdict = if ended_early { "ended_early" } else { "whole" };
+        let verdict = if is_confirmed { "whole" } else { "ended_early" };
         metrics::histogram!("daisychute_end_of_response_seconds", "verdict" => verdict)
             .record(looked_for);
-        if ended_early {
+        if is_confirmed {
+            log::info!(request:%, endpoint:%, address:%, looked_ms; "response ended by the close of its connection");
+        } else {
             log::warn!(request:%, endpoint:%, address:%, looked_ms; "response ended with its endpoint");
             metrics::counter!("daisychute_responses_ended_early_total").increment(1);
-        } else {
-            log::info!(request:%, endpoint:%, address:%, looked_ms; "response ended by the close of its connection");
         }
     }
 
--- a/crates/daisychute-front/src/endpoint/mod.rs
+++ b/crates/daisychute-front/src/endpoint/mod.rs
@@ -1,6 +1,7 @@
 //! The HTTP client for endpoints: connections, calls and responses.
 
 pub(crate) mod response_reader;
+pub(crate) mod activity;
 pub(crate) mod call;
 pub(crate) mod connection;
 pub(crate) mod cache_query;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -24,6 +24,7 @@
 use crate::directory::store_era::StoreEra;
 use crate::duties::boot_clock::BootClock;
 use crate::duties::link::DutyLink;
+use crate::endpoint::activity::Activity;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, health_check, release};
@@ -38,6 +39,8 @@
 pub(crate) struct FrontState<D> {
     pub(crate) dialect: D,
     pub(crate) pool: Pool,
+    /// The responses that endpoints begin.
+    pub(crate) activity: Activity,
     pub(crate) peers: Peers,
     /// Limits the cache queries to engines.
     pub(crate) cache_queries: CacheQueries,
@@ -83,6 +86,7 @@
         Rc::new(Self {
             dialect,
             pool: Pool::default(),
+            activity: Activity::default(),
             peers: Peers::new(peer_address),
             cache_queries: CacheQueries::default(),
             revisions: Revisions::default(),
