fix(front): tell a client that it has all events once two workers agree

A client that had all events of a stream and came back for its end got 502, again and again, and a stream whose worker ended right after the last event was cut, if its workers mark the end by the close of the connection alone: a response without any event was always taken for one that broke off before its first event. One such response is no proof, so a second worker is asked as before. If that has nothing to add either, or if the run before it ended in order after the same event, the stream is complete, provided that the last worker outlives its response.

--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -31,8 +31,14 @@
     /// Whether the client can read chunks. A body without length ends with the connection otherwise.
     chunked: bool,
     timing: StreamTiming,
+    /// Number of endpoints that closed their connection after the last event that the client has.
+    ends_after_last_event: u32,
 }
 
+/// Number of endpoints that have to agree that a stream has no further events, if they say so only by closing their
+/// connection.
+const MIN_AGREEING_ENDS: u32 = 2;
+
 /// When the chunks of a response were written.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct StreamTiming {
@@ -71,6 +77,7 @@
             close: false,
             chunked: true,
             timing: StreamTiming::default(),
+            ends_after_last_event: 0,
         }
     }
 
@@ -120,6 +127,16 @@
         self.framer.disorder()
     }
 
+    /// Records that an endpoint closed its connection after the last event that the client has.
+    pub(crate) const fn record_end_after_last_event(&mut self) {
+        self.ends_after_last_event += 1;
+    }
+
+    /// Whether the client has all events, as far as several endpoints tell that were asked for the rest.
+    pub(crate) const fn has_nothing_left(&self) -> bool {
+        self.framer.has_begun() && self.ends_after_last_event >= MIN_AGREEING_ENDS
+    }
+
     /// Whether another attempt can continue the response after what was passed on.
     pub(crate) const fn is_resumable(&self) -> bool {
         self.framer.is_resumable()
@@ -164,7 +181,11 @@
     /// Returns the events of a stream that are complete with these bytes and in order, and keeps the rest. `None` if there
     /// are none.
     pub(crate) fn complete_events(&mut self, bytes: &[u8]) -> Option<Bytes> {
-        self.framer.push(bytes)
+        let events = self.framer.push(bytes);
+        if events.is_some() {
+            self.ends_after_last_event = 0;
+        }
+        events
     }
 
     /// Writes the blank lines and comments after the last event, once the endpoint has ended its stream.
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -369,6 +369,7 @@
             return self.truncated(ResponseError::Broken);
         }
         if self.ended_early(sentinel).await {
+            self.response_writer.record_end_after_last_event();
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -424,14 +425,17 @@
     }
 
     /// Whether a stream whose body has ended lacks its last events.
-    fn is_broken_off(&self, framing: Framing, has_events: bool) -> bool {
+    fn is_broken_off(&mut self, framing: Framing, has_events: bool) -> bool {
         let inside_event = self.response_writer.is_inside_event();
         if inside_event {
             self.log_end_inside_event(framing);
         }
         // An endpoint that stops before its first event closes the connection in the same way.
-        let may_lack_events = framing == Framing::UntilClose && !has_events;
-        inside_event || may_lack_events
+        let is_empty = framing == Framing::UntilClose && !has_events;
+        if is_empty && !inside_event {
+            self.response_writer.record_end_after_last_event();
+        }
+        inside_event || (is_empty && !self.response_writer.has_nothing_left())
     }
 
     fn log_end_inside_event(&self, framing: Framing) {
--- a/crates/daisychute-front/src/event_framer.rs
+++ b/crates/daisychute-front/src/event_framer.rs
@@ -43,6 +43,12 @@
         self.sequence.is_resumable()
     }
 
+    /// Whether the client has an event of the stream, from this response or from an earlier one.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        self.sequence.has_begun()
+    }
+
     /// Appends bytes and returns the events that are complete now and in order. `None` if there are none.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         if self.disorder.is_some() {
--- a/crates/daisychute-front/src/event_sequence.rs
+++ b/crates/daisychute-front/src/event_sequence.rs
@@ -88,6 +88,12 @@
         !self.has_unnumbered
     }
 
+    /// Whether the client has a numbered event.
+    #[must_use]
+    pub const fn has_begun(&self) -> bool {
+        matches!(self.last, Some(1..))
+    }
+
     fn check(&self, number: u64) -> Result<(), Disorder> {
         let after = self.last.unwrap_or(0);
         if self.last.is_some_and(|it| number <= it) {
