fix(front): keep the deadline of a body that always has bytes to pass on

A copy that never waits for bytes yields only when the budget is spent, and the timer then reports that it isn't due, each time. The three are now polled outside the budget; the copy still yields.

--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -9,6 +9,7 @@
 use daisychute_dispatch::{
     Action, Cause, Event, Reason, RequestInfo, RequestKey, RequestKind, SendDecision, SendFailure,
 };
+use tokio::task::coop::unconstrained;
 use tokio::time::{sleep_until, timeout};
 
 use crate::client::connection::{ClientConnection, client_disconnected};
@@ -78,12 +79,14 @@
         configuration_version,
     };
     let deadline = deadline.map(|it| state.instant(it));
+    let deadline = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into());
+    // A body that always has bytes to pass on uses up the budget of the task, without which nothing else is ever ready.
     let ended = tokio::select! {
         biased;
         outcome = exchange.run(first_action) => Ok(outcome),
-        () = client_disconnected(&mut read, buf) => Err(Event::ClientDisconnected { key }),
-        () = sleep_until(deadline.unwrap_or(started + MAX_DURATION).into()) => Err(Event::Expired { key }),
-        () = state.shutdown.wait_exit() => Err(Event::ShutdownExpired { key }),
+        () = unconstrained(client_disconnected(&mut read, buf)) => Err(Event::ClientDisconnected { key }),
+        () = unconstrained(deadline) => Err(Event::Expired { key }),
+        () = unconstrained(state.shutdown.wait_exit()) => Err(Event::ShutdownExpired { key }),
     };
     let outcome = match ended {
         Ok(outcome) => outcome,
