fix(front): notice and avoid endpoints that send without end, and pace large bodies

The front learned nothing from such a body, so that the worker got its share of the requests for as long as each of them went on, and copying the bytes kept the processor from all others.

- A response that has grown to more than four times the size of the largest whole one of its route of late, for which the front hardly had to wait, ejects its endpoint at once, as a failure would.
What grows slowly, as a long stream or for a slow client, is not blamed.
- From 64 KiB on, bodies take a fifth of the processor together, by the time that their requests are measured to take.
- A declared length that can't be passed on before the deadline fails at once.

Long answers of sound workers pass as before, to fast and to slow clients.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -145,6 +145,17 @@
         /// Address that the engine listens on.
         address: SocketAddr,
     },
+    /// Record that an endpoint gets no requests for a time, since a response has grown far beyond the usual.
+    RecordOversized {
+        /// Identifies the request.
+        key: RequestKey,
+        /// Name of the endpoint.
+        endpoint: EndpointName,
+        /// Size of the body so far, in bytes.
+        bytes: u64,
+        /// Size of the largest whole response of the route of late, in bytes; 0 if none was large.
+        usual: u64,
+    },
     /// Tell the other fronts that an endpoint now caches this part of a shared prefix.
     AnnounceCachedPart {
         /// Name of the endpoint that caches the part.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -11,6 +11,7 @@
 use crate::core::fairness::Fairness;
 use crate::core::moved_routes::MovedRoutes;
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
+use crate::core::response_sizes::ResponseSizes;
 use crate::core::shutdown::Shutdown;
 use crate::core::stream_origins::StreamOrigins;
 use crate::core::version_records::RecordedVersions;
@@ -41,6 +42,8 @@
     fronts_are_complete: bool,
     /// Longest recent times of the stages of requests, by their service and the name of their route.
     pub(crate) stage_times: FxHashMap<(ServiceName, Arc<str>), StageTimes>,
+    /// Sizes of the large responses that were whole.
+    pub(crate) response_sizes: ResponseSizes,
     /// `None` before a shutdown is requested.
     pub(crate) shutdown: Option<Shutdown>,
     /// Fronts that shut down, by incarnation, and when each will have exited.
@@ -80,6 +83,7 @@
             fronts: 1,
             fronts_are_complete: false,
             stage_times: FxHashMap::default(),
+            response_sizes: ResponseSizes::default(),
             shutdown: None,
             stopping_peers: FxHashMap::default(),
             contact: Contact::default(),
@@ -142,6 +146,9 @@
             Event::Prefilled { key, handle } => self.prefilled(now, key, handle, actions),
             Event::ResponseStarted { key } => self.response_started(now, key, actions),
             Event::FirstOutput { key } => self.first_output(now, key, actions),
+            Event::ResponseGrew { key, bytes, waited } => {
+                self.response_grew(now, key, bytes, waited, actions)
+            }
             Event::ResponseEnded { key } => self.response_ended(now, key),
             Event::LoadReported { key, sample } => self.load_reported(now, key, sample),
             Event::SendFailed { key, failure } => self.send_failed(now, key, failure, actions),
@@ -209,6 +216,7 @@
     fn configured(&mut self, now: Time, table: Arc<RouteTable>) {
         // Routes that were removed have no recent responses.
         self.stage_times.retain(|_, it| it.is_recent(now));
+        self.response_sizes.retain(|_, it| it.get(now).is_some());
         if self.table.as_ref().is_some_and(|it| it.version() >= table.version()) {
             return;
         }
@@ -465,6 +473,8 @@
         trial_of: None,
         begin_recorded: false,
         first_output_at: None,
+        response_bytes: 0,
+        is_oversized: false,
         stream_version: None,
     })
 }
--- a/crates/daisychute-dispatch/src/core/ending.rs
+++ b/crates/daisychute-dispatch/src/core/ending.rs
@@ -62,7 +62,7 @@
     ) {
         let Some(tracked) = self.fleet.tracked_mut(sent.endpoint) else { return };
         match failure {
-            SendFailure::Unsent => tracked.health.record_unreachable(now),
+            SendFailure::Unsent => tracked.health.record_severe_failure(now),
             SendFailure::NotRun { misdirected: true } => {
                 if let Some(hold) = tracked.misdirection.record_refusal(now) {
                     let endpoint = tracked.endpoint.name.clone();
@@ -206,6 +206,7 @@
     pub(crate) fn finished(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
         self.record_output_time(now, key);
         self.record_sound_request(now, key, actions);
+        self.record_response_size(now, key);
         if let Some(state) = self.requests.get(&key)
             && let Some(sent) = &state.in_flight
         {
@@ -249,6 +250,7 @@
         let running = state.in_flight.as_ref().is_some_and(|it| it.task != Task::Prefill);
         state.may_have_run |= running;
         self.record_unresponsive(now, key);
+        self.record_endless(now, key);
         self.record_output_time(now, key);
         self.fail_or_refuse(key, Reason::Deadline, actions);
     }
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -82,6 +82,15 @@
         /// Identifies the request.
         key: RequestKey,
     },
+    /// A large response has arrived so far, and isn't complete. Reported each time its size has doubled.
+    ResponseGrew {
+        /// Identifies the request.
+        key: RequestKey,
+        /// Size of the body so far, in bytes.
+        bytes: u64,
+        /// Time for which the endpoint or the client kept the front waiting since the beginning of the body.
+        waited: Duration,
+    },
     /// The body of a response ended with its connection. Whether it is whole isn't known yet.
     ResponseEnded {
         /// Identifies the request.
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -27,5 +27,6 @@
 pub(crate) mod overdue;
 mod kv_cache;
 pub(crate) mod response_end;
+pub(crate) mod response_sizes;
 mod resumption;
 mod shutdown;
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -87,6 +87,10 @@
     pub(crate) begin_recorded: bool,
     /// When the first output for the client arrived.
     pub(crate) first_output_at: Option<Time>,
+    /// Size of the response so far, as last reported, in bytes; 0 if it is too small to be reported.
+    pub(crate) response_bytes: u64,
+    /// Whether the response has grown far beyond the usual size of its route.
+    pub(crate) is_oversized: bool,
     /// Software version that all endpoints must have which send events of the stream; itself `None` if the directory
     /// doesn't say it. `None` before the first event, if the client has none either.
     pub(crate) stream_version: Option<Option<SoftwareVersion>>,
--- a/crates/daisychute-dispatch/src/fleet/health.rs
+++ b/crates/daisychute-dispatch/src/fleet/health.rs
@@ -6,7 +6,7 @@
 
 /// Failure statistics of one endpoint.
 ///
-/// An endpoint that can't be reached, or that fails several times in a row, is ejected: it gets no requests for a
+/// An endpoint that can't be reached or sends without end, or that fails several times in a row, is ejected: it gets no requests for a
 /// time that doubles with each further ejection. Failures that don't eject an endpoint raise its failure share, which
 /// makes it less likely to be selected.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -47,13 +47,18 @@
         }
     }
 
-    /// Records that the endpoint couldn't be reached, and ejects it.
-    pub fn record_unreachable(&mut self, now: Time) {
+    /// Records that the endpoint couldn't be reached or sends without end, and ejects it.
+    pub fn record_severe_failure(&mut self, now: Time) {
         self.failure_share += Self::GAIN * (1.0 - self.failure_share);
         self.consecutive_failures += 1;
         self.eject(now);
     }
 
+    /// Ejects the endpoint on a suspicion, which the end of the request confirms or clears.
+    pub fn record_suspicion(&mut self, now: Time) {
+        self.eject(now);
+    }
+
     fn eject(&mut self, now: Time) {
         if self.ejected_until.is_some_and(|it| it > now) {
             return;
--- a/crates/daisychute-dispatch/src/fleet/recent_maximum.rs
+++ b/crates/daisychute-dispatch/src/fleet/recent_maximum.rs
@@ -1,10 +1,10 @@
-//! Maximum of recent durations.
+//! Maximum of recent values.
 
 use std::time::Duration;
 
 use daisychute_core::Time;
 
-/// Maximum of the durations recorded in a sliding window.
+/// Maximum of the values recorded in a sliding window.
 ///
 /// The window consists of two halves, so that the maximum covers at least half a window.
 ///
@@ -20,28 +20,34 @@
 /// assert_eq!(maximum.get(Time::from_millis(5_000)), Some(Duration::from_secs(2)));
 /// assert_eq!(maximum.get(Time::from_millis(90_000)), None);
 /// ```
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct RecentMaximum {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RecentMaximum<T = Duration> {
     /// Number of the half window that `current` covers.
     half: u64,
-    current: Option<Duration>,
+    current: Option<T>,
     /// Maximum of the half window before `half`.
-    previous: Option<Duration>,
+    previous: Option<T>,
 }
 
-impl RecentMaximum {
+impl<T> Default for RecentMaximum<T> {
+    fn default() -> Self {
+        Self { half: 0, current: None, previous: None }
+    }
+}
+
+impl<T: Ord + Copy> RecentMaximum<T> {
     /// Half of the window. A front of the usual load ends some hundred responses of a route in it.
     const HALF_WINDOW: Duration = Duration::from_secs(20);
 
-    /// Records a duration.
-    pub fn record(&mut self, now: Time, took: Duration) {
+    /// Records a value.
+    pub fn record(&mut self, now: Time, value: T) {
         self.advance(now);
-        self.current = self.current.max(Some(took));
+        self.current = self.current.max(Some(value));
     }
 
-    /// Returns the longest duration in the window; `None` if there is none.
+    /// Returns the largest value in the window; `None` if there is none.
     #[must_use]
-    pub fn get(mut self, now: Time) -> Option<Duration> {
+    pub fn get(mut self, now: Time) -> Option<T> {
         self.advance(now);
         self.current.max(self.previous)
     }
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -57,6 +57,7 @@
     Prefilled,
     ResponseStarted,
     FirstOutput,
+    Grow,
     EndBody,
     Finish,
     Disconnect,
@@ -94,6 +95,7 @@
             Prefilled,
             ResponseStarted,
             FirstOutput,
+            Grow,
             EndBody,
             Finish,
             Finish,
@@ -235,6 +237,7 @@
             | Action::RecordLeaving { .. }
             | Action::RecordPause { .. }
             | Action::RecordMisdirection { .. }
+            | Action::RecordOversized { .. }
             | Action::AnnounceCrashNews { .. }
             | Action::RecordQuarantine { .. }
             | Action::RecordLimit { .. }
@@ -394,6 +397,13 @@
                 }
                 self.handle_event(Event::FirstOutput { key });
             }
+            Change::Grow if open.responding => {
+                self.handle_event(Event::ResponseGrew {
+                    key,
+                    bytes: 1024 * 1024,
+                    waited: Duration::ZERO,
+                });
+            }
             Change::EndBody if open.responding => self.handle_event(Event::ResponseEnded { key }),
             Change::Finish if open.responding => {
                 self.open.remove(&number);
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -15,6 +15,7 @@
 use crate::client::connection::{ClientConnection, client_disconnected};
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::ResponseWriter;
+use crate::endpoint::body_meter::ProcessorTime;
 use crate::endpoint::call::{Call, CallEnd, ErrorResponse};
 use crate::state::{FrontState, part_key};
 use crate::{Dialect, EventSequence};
@@ -65,8 +66,10 @@
     }
     let (error_response, attempt_log) = (None, String::new());
     let (cost, wait) = (Duration::ZERO, Duration::ZERO);
+    let processor = ProcessorTime::default();
     let mut exchange = Exchange {
         state,
+        processor: &processor,
         key,
         incoming,
         response_writer,
@@ -83,7 +86,7 @@
     // A body that always has bytes to pass on uses up the budget of the task, without which nothing else is ever ready.
     let ended = tokio::select! {
         biased;
-        outcome = exchange.run(first_action) => Ok(outcome),
+        outcome = processor.measure(exchange.run(first_action)) => Ok(outcome),
         () = unconstrained(client_disconnected(&mut read, buf)) => Err(Event::ClientDisconnected { key }),
         () = unconstrained(deadline) => Err(Event::Expired { key }),
         () = unconstrained(state.shutdown.wait_exit()) => Err(Event::ShutdownExpired { key }),
@@ -111,6 +114,7 @@
 
 struct Exchange<'a, 'c, D> {
     state: &'a Rc<FrontState<D>>,
+    processor: &'a ProcessorTime,
     key: RequestKey,
     incoming: &'a Incoming,
     response_writer: ResponseWriter<'c>,
@@ -174,6 +178,7 @@
             key: self.key,
             incoming: self.incoming,
             decision,
+            processor: self.processor,
             response_writer: &mut self.response_writer,
         };
         let Some(overdue_after) = decision.overdue_after else {
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -18,6 +18,7 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
+use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
 use crate::endpoint::presence::Sentinel;
@@ -28,6 +29,8 @@
 /// Maximum size of a response that is buffered before it is passed on, so that a truncated one can still be retried or
 /// reported as an error.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Maximum rate at which a response can be passed on, in bytes per second.
+const MAX_RATE: u64 = 1024 * 1024 * 1024;
 /// Maximum size of the response to a prefill request, which is usually far shorter.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 64 * 1024;
 /// Maximum size of an event. An endpoint that sends more without ending the event is in trouble.
@@ -71,6 +74,8 @@
     pub(crate) key: RequestKey,
     pub(crate) incoming: &'a Incoming,
     pub(crate) decision: &'a SendDecision,
+    /// The processor time of the request.
+    pub(crate) processor: &'a ProcessorTime,
     pub(crate) response_writer: &'a mut ResponseWriter<'c>,
 }
 
@@ -227,7 +232,7 @@
         if !head.status.is_success() {
             return self.read_error_response(head, reader).await;
         }
-        if !info.signed || info.encoded {
+        if !info.signed || info.encoded || self.is_too_long(&head) {
             return CallEnd::Failed(SendFailure::Unusable, None);
         }
         self.state.handle(Event::ResponseStarted { key: self.key });
@@ -238,6 +243,19 @@
         }
     }
 
+    /// Whether the response declares a length that can't be passed on before the deadline.
+    fn is_too_long(&self, head: &ResponseHead) -> bool {
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0);
+        let min_time = Duration::from_secs(length / MAX_RATE);
+        let is_too_long = min_time > self.decision.deadline.since(self.state.now());
+        if is_too_long {
+            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+            log::warn!(request:%, endpoint:%, bytes = length; "endpoint declares a response that is too long for the deadline");
+        }
+        is_too_long
+    }
+
     async fn read_prefill_response(
         &self,
         head: &ResponseHead,
@@ -293,6 +311,7 @@
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
         let sentinel = self.open_sentinel(reader);
+        let mut meter = BodyMeter::new(self.state, self.key, self.processor);
         let mut part = match reader.collect(MAX_BUFFERED_BYTES).await {
             // An endpoint that stops before its body closes the connection in the same way.
             Ok(Collected::Whole(body))
@@ -320,6 +339,7 @@
             Err(e) => return self.truncated(e),
         };
         while let Some(bytes) = part {
+            meter.record(bytes.len()).await;
             if let Err(disconnected) = self.response_writer.write_chunk(head, &bytes).await {
                 return disconnected.into();
             }
@@ -341,10 +361,12 @@
     ) -> CallEnd {
         let sentinel = self.open_sentinel(reader);
         self.response_writer.begin_stream();
+        let mut meter = BodyMeter::new(self.state, self.key, self.processor);
         let mut has_events = false;
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
+                    meter.record(bytes.len()).await;
                     if let Some(events) = self.response_writer.complete_events(&bytes) {
                         has_events = true;
                         self.state.handle(Event::FirstOutput { key: self.key });
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -25,6 +25,7 @@
 use crate::duties::boot_clock::BootClock;
 use crate::duties::link::DutyLink;
 use crate::endpoint::activity::Activity;
+use crate::endpoint::body_meter::LargeBodies;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, health_check, release};
@@ -58,6 +59,8 @@
     /// Notified when the versions that may have streams may differ from what the directory has recorded.
     pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
+    /// Paces the large bodies of responses.
+    pub(crate) large_bodies: LargeBodies,
     /// Bounds the bodies of all requests together.
     pub(crate) bodies: Rc<BodyMemory>,
     /// The duties towards the platform; `None` if the deployment has none.
@@ -97,6 +100,7 @@
             version_records_outdated: Cell::new(false),
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
+            large_bodies: LargeBodies::default(),
             bodies: Rc::default(),
             duties,
             http: ServiceConfig::default(),
@@ -212,6 +216,10 @@
                     log::info!(endpoint:%, pause_ms; "endpoint asked for a pause");
                     metrics::counter!("daisychute_endpoint_pauses_total").increment(1);
                 }
+                Action::RecordOversized { endpoint, bytes, usual, .. } => {
+                    log::warn!(endpoint:%, bytes, usual; "response grows far beyond the usual; its endpoint gets no requests for a time");
+                    metrics::counter!("daisychute_oversized_responses_total").increment(1);
+                }
                 Action::RecordMisdirection { endpoint, hold } => {
                     let hold_ms = hold.as_millis();
                     log::warn!(endpoint:%, hold_ms; "endpoint refused a request as meant for another one; it gets none for a time");
