fix(front): join chunks that have arrived, and bound an event with its framing

An event without end in chunks of four bytes was given up after 1.6 to 2.5 s beside load, where 1.5 s are allowed: each of its 262,144 chunks was passed on by itself, for 1 MiB of an event that took 2.3 MiB on the wire. Chunks that have arrived are now joined, an event may have 1.25 MiB with its framing, and only what is passed on waits for the turn of large bodies.

--- a/crates/daisychute-front/src/endpoint/body_meter.rs
+++ b/crates/daisychute-front/src/endpoint/body_meter.rs
@@ -86,7 +86,7 @@
         }
     }
 
-    /// Counts bytes that were read. Waits for the turn of this body if it is large.
+    /// Counts bytes that are to be passed on. Waits for the turn of this body if it is large.
     pub(crate) async fn record(&mut self, count: usize) {
         self.bytes += count;
         if self.bytes < LARGE_BODY_BYTES {
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -35,6 +35,8 @@
 const MAX_PREFILL_RESPONSE_BYTES: usize = 64 * 1024;
 /// Maximum size of an event. An endpoint that sends more without ending the event is in trouble.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum size of an event with its framing, which is several times as large as the event in chunks of a few bytes.
+const MAX_FRAMED_EVENT_BYTES: usize = MAX_EVENT_BYTES * 5 / 4;
 /// Maximum size of the body of a late response, which is dropped.
 const MAX_LATE_BODY_BYTES: usize = 256 * 1024;
 /// Maximum number of responses read in search of the one that matches the request. Late responses to earlier requests
@@ -363,11 +365,13 @@
         self.response_writer.begin_stream();
         let mut meter = BodyMeter::new(self.state, self.key, self.processor);
         let mut has_events = false;
+        let mut read_before = 0;
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
-                    meter.record(bytes.len()).await;
                     if let Some(events) = self.response_writer.complete_events(&bytes) {
+                        read_before = reader.bytes_read();
+                        meter.record(events.len()).await;
                         has_events = true;
                         self.state.handle(Event::FirstOutput { key: self.key });
                         let written = self.response_writer.write_chunk(head, &events).await;
@@ -378,7 +382,10 @@
                     if let Some(disorder) = self.response_writer.disorder() {
                         return self.disordered(disorder);
                     }
-                    if self.response_writer.partial_bytes() > MAX_EVENT_BYTES {
+                    let framed_bytes = reader.bytes_read() - read_before;
+                    if self.response_writer.partial_bytes() > MAX_EVENT_BYTES
+                        || framed_bytes > MAX_FRAMED_EVENT_BYTES
+                    {
                         return self.truncated(ResponseError::Endless);
                     }
                 }
--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -17,6 +17,8 @@
     UntilClose,
     /// The body was read to its end; the codec is ready for the next response.
     Complete(ClientCodec),
+    /// What follows the bytes of the body that were returned last is malformed.
+    Malformed,
     /// The connection can't carry another response: it was closed or reading failed.
     Closed,
 }
@@ -65,6 +67,8 @@
     framing: Framing,
     /// Bytes of chunk headers and trailers since the last bytes of the body.
     framing_bytes: usize,
+    /// Bytes read from the connection, framing included.
+    bytes_read: usize,
 }
 
 /// Buffer space reserved for each read from the socket, in bytes: fits a typical response or several events.
@@ -87,6 +91,7 @@
             body: Body::Complete(codec),
             framing: Framing::Explicit,
             framing_bytes: 0,
+            bytes_read: 0,
         }
     }
 
@@ -122,6 +127,11 @@
         Ok(head)
     }
 
+    /// Bytes of the body that were read from the connection so far, framing included.
+    pub(crate) const fn bytes_read(&self) -> usize {
+        self.bytes_read
+    }
+
     /// How the end of the present response's body is found.
     pub(crate) const fn framing(&self) -> Framing {
         self.framing
@@ -163,16 +173,18 @@
                     return Ok(None);
                 }
                 Body::Closed => return Ok(None),
+                Body::Malformed => return Err(ResponseError::Broken),
                 Body::UntilClose => return self.next_until_close().await,
                 Body::Framed(mut codec) => match codec.decode(self.buf) {
                     Ok(Some(Some(bytes))) => {
                         self.framing_bytes = 0;
-                        self.body = Body::Framed(codec);
-                        return Ok(Some(bytes));
+                        return Ok(Some(self.join_chunks(codec, bytes)));
                     }
                     Ok(Some(None)) => self.body = Body::Complete(codec.into_message_codec()),
                     Ok(None) => {
-                        self.framing_bytes += read_more(self.read, self.buf).await?;
+                        let count = read_more(self.read, self.buf).await?;
+                        self.bytes_read += count;
+                        self.framing_bytes += count;
                         if self.framing_bytes > MAX_FRAMING_BYTES {
                             return Err(ResponseError::Endless);
                         }
@@ -184,6 +196,27 @@
         }
     }
 
+    /// Joins the chunks that have arrived after this one. Each may be as short as a byte.
+    fn join_chunks(&mut self, mut codec: ClientPayloadCodec, first: Bytes) -> Bytes {
+        let mut joined: Option<BytesMut> = None;
+        self.body = loop {
+            if self.buf.is_empty() {
+                break Body::Framed(codec);
+            }
+            match codec.decode(self.buf) {
+                Ok(Some(Some(bytes))) => {
+                    joined
+                        .get_or_insert_with(|| BytesMut::from(&first[..]))
+                        .extend_from_slice(&bytes);
+                }
+                Ok(Some(None)) => break Body::Complete(codec.into_message_codec()),
+                Ok(None) => break Body::Framed(codec),
+                Err(_) => break Body::Malformed,
+            }
+        };
+        joined.map_or(first, BytesMut::freeze)
+    }
+
     /// Reads the rest of the body, and stops once it exceeds `limit` bytes. A body that arrives in one piece is
     /// returned whole, whatever its size.
     pub(crate) async fn collect(&mut self, limit: usize) -> Result<Collected, ResponseError> {
@@ -220,6 +253,7 @@
             if count == 0 {
                 return Ok(None);
             }
+            self.bytes_read += count;
         }
         self.body = Body::UntilClose;
         Ok(Some(self.buf.split().freeze()))
@@ -229,7 +263,11 @@
     pub(crate) fn into_codec(self) -> Option<ClientCodec> {
         match self.body {
             Body::Complete(codec) => Some(codec),
-            Body::Empty(_) | Body::Framed(_) | Body::UntilClose | Body::Closed => None,
+            Body::Empty(_)
+            | Body::Framed(_)
+            | Body::UntilClose
+            | Body::Malformed
+            | Body::Closed => None,
         }
     }
 }
