fix(front): ask an endpoint again that hasn't answered, and hold the second of two ends briefly

A resumable stream whose worker's process ended went on at the next worker only 1.5 s later: the check that followed the close was accepted by the kernel and reset while the process was being ended, which tells nothing, and the endpoint wasn't asked again before the end of the hold. It is now asked again every 40 ms. A worker that has nothing to add after another one has ended the same stream was watched for 1.5 s as well; two such holds don't fit the deadline of 2.5 s of some routes. The second one is 250 ms.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -71,6 +71,8 @@
 impl ResponseEnd {
     /// Time within which an endpoint that stops gives up its responses, one after the other.
     pub const GIVE_UP_TIME: Duration = Duration::from_millis(250);
+    /// Time after which an endpoint is asked again that hasn't answered a check.
+    pub const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
 
     /// Creates the decision for a response that ended at this time. Without a sign that the endpoint goes on, it is watched for
     /// `hold`.
@@ -100,12 +102,14 @@
             }
             EndpointSign::Gone => EndStep::Unconfirmed,
             EndpointSign::Unanswered if now >= self.due => EndStep::Unconfirmed,
-            EndpointSign::Unwatched => EndStep::Check,
-            EndpointSign::Due { .. } if now >= self.due => EndStep::Check,
+            // A process that is being ended may have accepted the check.
+            EndpointSign::Unanswered => {
+                EndStep::WaitUntil(self.due.min(now + Self::RECHECK_INTERVAL))
+            }
+            EndpointSign::Unwatched | EndpointSign::Due { watched: false } => EndStep::Check,
             EndpointSign::Responded { .. }
             | EndpointSign::Present
-            | EndpointSign::Unanswered
-            | EndpointSign::Due { .. } => EndStep::WaitUntil(self.due),
+            | EndpointSign::Due { watched: true } => EndStep::WaitUntil(self.due),
         }
     }
 }
@@ -120,10 +124,13 @@
 impl Dispatcher {
     /// Returns for how long the endpoint of a response that ended with its connection is watched: as long as that doesn't harm the
     /// client. Clients of other requests than streams have nothing before the end, so that half of the time left until the
-    /// latency objective is used.
+    /// latency objective is used. With `is_agreed`, another endpoint has ended the same stream after the same event.
     #[must_use]
-    pub fn end_hold(&self, now: Time, key: RequestKey) -> Duration {
+    pub fn end_hold(&self, now: Time, key: RequestKey, is_agreed: bool) -> Duration {
         let Some(state) = self.requests.get(&key) else { return MIN_HOLD };
+        if is_agreed {
+            return ResponseEnd::GIVE_UP_TIME;
+        }
         if state.route.kind.is_stream() {
             return STREAM_HOLD;
         }
--- a/crates/daisychute-dispatch/tests/response_ends.rs
+++ b/crates/daisychute-dispatch/tests/response_ends.rs
@@ -41,7 +41,9 @@
     open_connection_is_watched_until_the_end: 11_499, EndpointSign::Due { watched: true } => WAIT;
     open_connection_at_the_end_is_enough: DUE, EndpointSign::Due { watched: true } => EndStep::Whole;
     endpoint_without_connection_is_asked_at_the_end: DUE, EndpointSign::Due { watched: false } => EndStep::Check;
-    missing_answer_leaves_time_for_another_sign: 10_400, EndpointSign::Unanswered => WAIT;
+    missing_answer_is_asked_for_again: 10_400, EndpointSign::Unanswered => EndStep::WaitUntil(Time::from_millis(10_440));
+    missing_answer_is_asked_for_again_at_the_end: 11_490, EndpointSign::Unanswered => WAIT;
+    endpoint_without_connection_is_asked_again: 10_440, EndpointSign::Due { watched: false } => EndStep::Check;
     missing_answer_at_the_end_confirms_nothing: DUE, EndpointSign::Unanswered => EndStep::Unconfirmed;
     later_request_that_is_served_is_enough: 10_250, response_to_request_of(ENDED) => EndStep::Whole;
     later_request_that_is_served_at_once_may_be_given_up: 10_249, response_to_request_of(ENDED) => WAIT;
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -433,7 +433,8 @@
         let Some(sentinel) = sentinel else { return false };
         let ended_at = Instant::now();
         self.state.handle(Event::ResponseEnded { key: self.key });
-        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision).await;
+        let is_agreed = self.response_writer.has_nothing_left();
+        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision, is_agreed).await;
         self.log_end_by_close(is_confirmed, ended_at.elapsed());
         !is_confirmed
     }
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -73,15 +73,17 @@
         Self { opening, opened_at: Instant::now(), is_checked, _guard }
     }
 
-    /// Returns whether the endpoint outlives its response, which has ended. Its address may be in use again.
+    /// Returns whether the endpoint outlives its response, which has ended. Its address may be in use again. With
+    /// `is_agreed`, another endpoint has ended the same stream after the same event.
     pub(crate) async fn confirms<D: Dialect>(
         self,
         state: &Rc<FrontState<D>>,
         request: RequestKey,
         decision: &SendDecision,
+        is_agreed: bool,
     ) -> bool {
         let now = state.now();
-        let hold = state.with_dispatcher(|it| it.end_hold(now, request));
+        let hold = state.with_dispatcher(|it| it.end_hold(now, request, is_agreed));
         let end = ResponseEnd::new(now, hold);
         let mut activity = state.activity.watch(decision.endpoint);
         let opened_at = self.opened_at;
