test(soak): let workers of streams leave as servers do, and count whole streams that are cut

The workers of `--streams` ended at once, by a signal, so that the system closed all their connections in one moment. Real servers that are told to stop first close what they serve, and end some time later.

`--departures` has workers that close their streams between two events (chunked ones without their last chunk), or all connections one after the other over 100 ms, and end 0 to 1,000 ms later, answering health checks with 200 or 503 or not listening any more meanwhile; workers that drain and end right after their last stream; workers that close each connection after one response; fronts that are suspended around the stop of a worker; several workers that stop with a front. These choices have a generator of their own: without the option a seed has the disruptions that it had.

Workers tell which streams they have sent to the end, and clients note when the last event came. A run counts for each kind the attempts that were broken off though all events were sent, also apart those whose front ended, and the time from the last event to the end of whole streams (none of slow readers). A run in which a way of leaving had no case fails.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use clap::{Parser, Subcommand};
+use daisychute_platform_standin::Departure;
 
 use crate::run_options::RunOptions;
 
@@ -41,5 +42,14 @@
         version: String,
         /// Address to listen on
         address: SocketAddr,
+        /// How the process ends once it is told to stop
+        #[arg(long, default_value_t = Departure::AtOnce)]
+        departure: Departure,
+        /// Time from then until its end, in ms
+        #[arg(long, default_value_t = 0)]
+        end_delay_ms: u64,
+        /// Close each connection after one response
+        #[arg(long)]
+        one_response: bool,
     },
 }
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -19,10 +19,11 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 
-use daisychute_platform_standin::serve_worker;
+use daisychute_platform_standin::{WorkerManners, serve_worker};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::args::{Args, Command};
@@ -35,11 +36,16 @@
         Command::Run { seed, seeds, logs, options } => {
             run_seeds(seed, seeds, logs.as_deref(), options)
         }
-        Command::Worker { id, version, address } => {
-            let served = actix_rt::System::new().block_on(serve_worker(&id, &version, address));
-            if let Err(error) = served {
-                eprintln!("worker {id}: {error}");
-            }
+        Command::Worker { id, version, address, departure, end_delay_ms, one_response } => {
+            let end_delay = Duration::from_millis(end_delay_ms);
+            let manners = WorkerManners { departure, end_delay, one_response };
+            actix_rt::System::new().block_on(async {
+                match serve_worker(&id, &version, address, manners).await {
+                    // The system closes the connections that are left, and not the runtime one by one.
+                    Ok(()) => std::process::exit(0),
+                    Err(error) => eprintln!("worker {id}: {error}"),
+                }
+            });
             ExitCode::FAILURE
         }
     }
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -37,6 +37,10 @@
     /// are in order and look whole only if they are
     #[arg(long, conflicts_with_all = ["planned_only", "poison", "crashing_requests", "limits", "notices", "restores", "changes", "versions"])]
     pub(crate) streams: bool,
+    /// Also let workers of streams stop as servers do, such as by closing their streams before they end, and suspend or end
+    /// fronts meanwhile
+    #[arg(long, requires = "streams")]
+    pub(crate) departures: bool,
     /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
     #[arg(long)]
     pub(crate) limits: bool,
--- a/crates/daisychute-soak/src/streams.rs
+++ b/crates/daisychute-soak/src/streams.rs
@@ -3,8 +3,11 @@
 
 mod check;
 mod clients;
+mod departures;
 mod disruption;
+mod ends;
 mod run;
+mod tails;
 
 pub(crate) use check::Counts;
 pub(crate) use run::run;
--- a/crates/daisychute-soak/src/streams/check.rs
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -2,9 +2,13 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::time::Duration;
 
-use tokio::time::Instant;
+use daisychute_platform_standin::Departure;
 
+use super::departures::DepartureCounts;
+use super::ends::Ends;
+use super::tails::Tails;
 use crate::checks::{RequestRecord, Violation};
 
 /// What a client asked for.
@@ -30,6 +34,8 @@
     /// Number of events of the whole stream.
     pub(crate) events: u32,
     pub(crate) attempts: Vec<RequestRecord>,
+    /// Time from the last event to the end; `None` if it wasn't measured.
+    pub(crate) tail: Option<Duration>,
 }
 
 /// How a stream ended for its client.
@@ -155,11 +161,17 @@
         responses.filter(|it| it.status != 200).map(|it| it.body.as_str())
     }
 
-    fn violation(&self, outcome: Outcome) -> Violation {
-        let Self { kind, events, attempts } = self;
+    fn violation(&self, outcome: Outcome, departure: Option<Departure>) -> Violation {
+        let Self { kind, events, attempts, tail: _ } = self;
         let attempts: Vec<_> = attempts.iter().map(describe).collect();
         let attempts = attempts.join("; ");
-        Violation::new(format!("stream of {events} events ({kind}) {outcome}: {attempts}"))
+        let worker = departure.map_or_else(
+            || "its worker wasn't told to end".to_owned(),
+            |it| format!("its worker left {it}"),
+        );
+        Violation::new(format!(
+            "stream of {events} events ({kind}) {outcome}, {worker}: {attempts}"
+        ))
     }
 }
 
@@ -181,7 +193,11 @@
 
 /// How the streams of each kind ended.
 #[derive(Debug, Default)]
-pub(crate) struct Counts(BTreeMap<Kind, KindCounts>);
+pub(crate) struct Counts {
+    kinds: BTreeMap<Kind, KindCounts>,
+    /// How workers left; `None` if all of them ended at once.
+    pub(super) departures: Option<DepartureCounts>,
+}
 
 #[derive(Debug, Default)]
 struct KindCounts {
@@ -192,27 +208,38 @@
     resumptions: usize,
     /// What clients were told that asked to go on with a stream and couldn't, with their number.
     refused_resumptions: BTreeMap<String, usize>,
+    /// Attempts that were broken off although a worker had sent all events.
+    cut_whole: usize,
+    /// Those of them whose front ended.
+    cut_with_front: usize,
+    /// How long whole streams took to end.
+    tails: Tails,
 }
 
 impl Counts {
-    /// Counts and checks streams. `ends` holds the ends of workers by their ids.
-    pub(crate) fn check(
+    /// Counts and checks streams.
+    pub(super) fn check(
         streams: &[StreamRecord],
-        ends: &[(String, Instant)],
+        ends: &Ends,
     ) -> (Self, Vec<(Violation, Vec<String>)>) {
         let (mut counts, mut violations) = (Self::default(), Vec::new());
         for stream in streams {
-            let kind = counts.0.entry(stream.kind).or_default();
+            let kind = counts.kinds.entry(stream.kind).or_default();
             let outcome = stream.outcome();
             *kind.outcomes.entry(outcome).or_default() += 1;
             kind.resumptions += stream.resumptions();
             for told in stream.refused_resumptions() {
                 *kind.refused_resumptions.entry(told.to_owned()).or_default() += 1;
             }
-            kind.disrupted += usize::from(stream.attempts.iter().any(|it| is_disrupted(it, ends)));
+            let departure = stream.attempts.iter().rev().find_map(|it| ends.departure_of(it));
+            kind.disrupted += usize::from(departure.is_some());
+            kind.count_cut(&stream.attempts, ends);
+            if let Some(tail) = stream.tail.filter(|_| outcome == Outcome::Whole) {
+                kind.tails.add(tail);
+            }
             if outcome.is_violation() {
                 let ids = stream.attempts.iter().map(|it| it.id.clone()).collect();
-                violations.push((stream.violation(outcome), ids));
+                violations.push((stream.violation(outcome, departure), ids));
             }
         }
         (counts, violations)
@@ -223,7 +250,7 @@
         let mut missing = Vec::new();
         for (resumable, chunked) in [(true, true), (true, false), (false, true), (false, false)] {
             let kind = Kind { resumable, chunked };
-            let counts = self.0.get(&kind);
+            let counts = self.kinds.get(&kind);
             let whole = counts.and_then(|it| it.outcomes.get(&Outcome::Whole)).copied();
             if whole.unwrap_or_default() == 0 {
                 missing.push(format!("{kind}: none whole"));
@@ -232,24 +259,39 @@
                 missing.push(format!("{kind}: none disrupted"));
             }
         }
-        if self.0.iter().all(|(_, it)| it.resumptions == 0) {
+        if self.kinds.iter().all(|(_, it)| it.resumptions == 0) {
             missing.push("none resumed".to_owned());
         }
+        missing.extend(self.departures.iter().flat_map(DepartureCounts::missing_cases));
         missing
     }
 }
 
-/// Whether the worker of an attempt ended while that was in flight.
-fn is_disrupted(attempt: &RequestRecord, ends: &[(String, Instant)]) -> bool {
-    let seal = attempt.response.as_ref().and_then(|it| it.header("x-server-seal"));
-    let in_flight = |at: Instant| attempt.sent_at < at && at < attempt.ended_at;
-    ends.iter().any(|(id, at)| Some(id.as_str()) == seal && in_flight(*at))
+impl KindCounts {
+    /// Counts the attempts at a stream that were cut although they were whole.
+    fn count_cut(&mut self, attempts: &[RequestRecord], ends: &Ends) {
+        let is_cut = |it: &&RequestRecord| {
+            it.response.as_ref().is_some_and(|it| it.status == 200 && !it.whole)
+        };
+        for attempt in attempts.iter().filter(is_cut).filter(|it| ends.has_sent(it)) {
+            self.cut_whole += 1;
+            self.cut_with_front += usize::from(ends.has_front_of(attempt));
+        }
+    }
 }
 
 impl fmt::Display for Counts {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (kind, counts) in &self.0 {
-            let KindCounts { outcomes, disrupted, resumptions, refused_resumptions } = counts;
+        for (kind, counts) in &self.kinds {
+            let KindCounts {
+                outcomes,
+                disrupted,
+                resumptions,
+                refused_resumptions,
+                cut_whole,
+                cut_with_front,
+                tails,
+            } = counts;
             let streams: usize = outcomes.values().sum();
             write!(f, "\n  {kind}: {streams} streams")?;
             for (outcome, count) in outcomes {
@@ -257,9 +299,9 @@
             }
             write!(
                 f,
-                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}"
+                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}; broken off though all events were sent {cut_whole}, with their front {cut_with_front}; last event to end {tails}"
             )?;
         }
-        Ok(())
+        self.departures.as_ref().map_or(Ok(()), |it| it.fmt(f))
     }
 }
--- a/crates/daisychute-soak/src/streams/clients.rs
+++ b/crates/daisychute-soak/src/streams/clients.rs
@@ -100,10 +100,11 @@
             names_first: rng.random_range(0..2) == 0,
             read_pause: Duration::from_millis(read_pause_ms),
         };
-        let mut stream = StreamRecord { kind, events, attempts: Vec::new() };
+        let mut stream = StreamRecord { kind, events, attempts: Vec::new(), tail: None };
         for _ in 0..if resumable { MAX_ATTEMPTS } else { 1 } {
-            let Some(attempt) = self.attempt(&request, &stream).await else { continue };
+            let Some((attempt, tail)) = self.attempt(&request, &stream).await else { continue };
             stream.attempts.push(attempt);
+            stream.tail = tail.filter(|_| !is_slow && stream.looks_whole());
             if stream.looks_whole() {
                 break;
             }
@@ -115,8 +116,13 @@
         }
     }
 
-    /// Makes the first attempt at a stream or the next one. `None` if the request can't be sent.
-    async fn attempt(&mut self, req: &Request, stream: &StreamRecord) -> Option<RequestRecord> {
+    /// Makes the first attempt at a stream or the next one. Returns with it the time from the last event to the end. `None`
+    /// if the request can't be sent.
+    async fn attempt(
+        &mut self,
+        req: &Request,
+        stream: &StreamRecord,
+    ) -> Option<(RequestRecord, Option<Duration>)> {
         let (front, mut connection) = match self.idle.take() {
             Some(it) => it,
             None => {
@@ -131,13 +137,15 @@
         sleep(req.read_pause).await;
         let response = connection.answer().await.ok();
         let ended_at = Instant::now();
+        let last_event_at = connection.last_body_at().filter(|it| *it > sent_at);
+        let tail = last_event_at.map(|it| ended_at.duration_since(it));
         let is_open = response
             .as_ref()
             .is_some_and(|it| it.whole && it.header("connection") != Some("close"));
         if is_open && self.rng.random_range(0..10) > 0 {
             self.idle = Some((front, connection));
         }
-        Some(RequestRecord { id, path: req.path, front, response, sent_at, ended_at })
+        Some((RequestRecord { id, path: req.path, front, response, sent_at, ended_at }, tail))
     }
 }
 
--- a/crates/daisychute-soak/src/streams/disruption.rs
+++ b/crates/daisychute-soak/src/streams/disruption.rs
@@ -22,6 +22,12 @@
     StopFront(usize),
     /// A front is killed and restarted.
     KillFront(usize),
+    /// A worker is told to stop without having drained, and replaced once it has ended.
+    StopWorker(usize),
+    /// A front is suspended for this long.
+    SuspendFront(usize, Duration),
+    /// A front that was suspended goes on.
+    ResumeFront(usize),
     /// A worker that was suspended goes on.
     ResumeWorker(usize),
     /// A worker ends, if it hasn't, and a new one takes its place.
--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Fleet, FrontProcess, HOST, StandinError, WorkerKind, WorkerProcess,
+    Departure, Fleet, FrontProcess, HOST, SENT_PREFIX, StandinError, WorkerKind, WorkerManners,
+    WorkerProcess,
 };
 use daisychute_standin::harness::{ANY_PORT, Program};
 use daisychute_standin::relay::Relay;
@@ -16,7 +17,9 @@
 
 use super::check::Counts;
 use super::clients::{RESUMABLE, SINGLE, StreamPool, run_client};
+use super::departures::{DepartureCounts, Departures};
 use super::disruption::Disruption;
+use super::ends::{Ends, WorkerEnd};
 use crate::checks::Violation;
 use crate::report::Report;
 use crate::run::SoakError;
@@ -36,6 +39,8 @@
 const RELEASE_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between two checks whether a front has ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause between two checks whether a worker has ended that was told to stop.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time limit for a worker to end.
 const END_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of log lines kept of fronts that have ended, the latest ones.
@@ -48,6 +53,9 @@
     relay: Option<Relay>,
     /// Whether the worker is draining or gone.
     is_leaving: bool,
+    departure: Departure,
+    /// When the worker was told to stop, of one that doesn't end at once.
+    stopped_at: Option<Instant>,
 }
 
 /// The fleet of one seed.
@@ -62,15 +70,17 @@
     starts: u32,
     /// Software version of the workers that are started.
     version: u32,
-    /// The ends of workers, by their ids.
-    ends: Vec<(String, Instant)>,
+    ends: Ends,
+    /// Chooses how workers leave; `None` if all of them end at once.
+    departures: Option<Departures>,
+    departed: DepartureCounts,
     ended_logs: Vec<String>,
     disruptions: usize,
 }
 
 /// Runs one seed.
 pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
-    let mut soak = StreamSoak::start(seed, options.fronts).await?;
+    let mut soak = StreamSoak::start(seed, options).await?;
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let pool = Rc::clone(&soak.pool);
@@ -84,6 +94,11 @@
         let disruption = Disruption::random(&mut soak.rng, WORKERS, options.fronts);
         soak.disruptions += 1;
         soak.disrupt(disruption).await?;
+        let departures = soak.departures.as_mut();
+        let more = departures.map(|it| it.next_disruptions(WORKERS, options.fronts));
+        for (delay, disruption) in more.unwrap_or_default() {
+            soak.schedule(delay, disruption);
+        }
     }
     while let Some(last) = soak.due.iter().map(|it| it.0).max() {
         soak.run_due_until(last).await?;
@@ -96,7 +111,7 @@
 }
 
 impl StreamSoak {
-    async fn start(seed: u64, fronts: usize) -> Result<Self, SoakError> {
+    async fn start(seed: u64, options: RunOptions) -> Result<Self, SoakError> {
         let fleet = Fleet::without_fronts().await?;
         for worker in fleet.workers.iter().filter(|it| it.kind() != WorkerKind::Plain) {
             fleet.store.delete("servers", worker.id());
@@ -117,7 +132,9 @@
             due: Vec::new(),
             starts: 0,
             version: 1,
-            ends: Vec::new(),
+            ends: Ends::default(),
+            departures: options.departures.then(|| Departures::new(seed)),
+            departed: DepartureCounts::default(),
             ended_logs: Vec::new(),
             disruptions: 0,
         };
@@ -125,7 +142,7 @@
             let place = soak.start_worker(ANY_PORT, number < RELAYED_WORKERS).await?;
             soak.places.push(place);
         }
-        for _ in 0..fronts {
+        for _ in 0..options.fronts {
             soak.fleet.add_front().await?;
         }
         for front in &soak.fleet.fronts {
@@ -143,13 +160,18 @@
     ) -> Result<Place, SoakError> {
         self.starts += 1;
         let (id, version) = (format!("p-{}", self.starts), format!("v{}", self.version));
-        let program = Program::built("daisychute-soak").map_err(StandinError::from)?.arg("worker");
+        // A relay would accept connections for a worker that has just ended by itself.
+        let departures = self.departures.as_mut().filter(|_| !is_relayed);
+        let manners = departures.map(Departures::next_manners);
+        let program = Program::built("daisychute-soak").map_err(StandinError::from)?;
+        let program = program.arg("worker").args(manners.map(worker_args).unwrap_or_default());
         let worker = WorkerProcess::start(program, &id, &version, address).await?;
         let relay = match is_relayed {
             true => Some(Relay::start(ANY_PORT, worker.address(), ANY_PORT).await?),
             false => None,
         };
-        let place = Place { worker, relay, is_leaving: false };
+        let departure = manners.map_or(Departure::AtOnce, |it| it.departure);
+        let place = Place { worker, relay, is_leaving: false, departure, stopped_at: None };
         self.fleet.store.put("servers", &id, place.record("ready"));
         Ok(place)
     }
@@ -194,6 +216,20 @@
                     self.schedule(span, Disruption::ReplaceWorker(worker));
                 }
             }
+            Disruption::StopWorker(worker) => {
+                if self.take_away(worker) {
+                    self.replace(worker).await?;
+                }
+            }
+            Disruption::SuspendFront(front, span) => {
+                self.departed.suspended_fronts += 1;
+                let _ = self.fleet.fronts[front].process.pause();
+                self.schedule(span, Disruption::ResumeFront(front));
+            }
+            // A front that was restarted meanwhile isn't suspended, which makes no difference.
+            Disruption::ResumeFront(front) => {
+                let _ = self.fleet.fronts[front].process.resume();
+            }
             Disruption::PauseWorker(worker, span) => {
                 if !self.places[worker].is_leaving {
                     let _ = self.places[worker].worker.process.pause();
@@ -219,10 +255,12 @@
             }
             Disruption::ReplaceWorker(worker) => self.replace(worker).await?,
             Disruption::StopFront(front) => {
+                self.note_end_of_front(front);
                 let _ = self.fleet.fronts[front].process.terminate();
                 self.schedule(POLL_INTERVAL, Disruption::RestartFront(front));
             }
             Disruption::KillFront(front) => {
+                self.note_end_of_front(front);
                 let _ = self.fleet.fronts[front].process.kill();
                 self.schedule(POLL_INTERVAL, Disruption::RestartFront(front));
             }
@@ -239,17 +277,53 @@
         may_leave
     }
 
+    fn note_end_of_front(&mut self, front: usize) {
+        let address = self.fleet.fronts[front].client_address();
+        self.ends.fronts.push((address, Instant::now()));
+    }
+
+    /// Tells a worker to stop that doesn't end at once, if it wasn't yet. Returns whether it still runs.
+    fn is_stopping(&mut self, worker: usize) -> Result<bool, SoakError> {
+        let place = &mut self.places[worker];
+        let process = &mut place.worker.process;
+        let has_ended = process.exit_status().map_err(StandinError::from)?.is_some();
+        if has_ended || place.departure == Departure::AtOnce {
+            return Ok(false);
+        }
+        let Some(stopped_at) = place.stopped_at else {
+            place.stopped_at = Some(Instant::now());
+            self.ends.workers.push(place.end());
+            *self.departed.workers.entry(place.departure).or_default() += 1;
+            let process = &mut place.worker.process;
+            process.terminate().map_err(StandinError::from)?;
+            // A suspended process is told once it is resumed.
+            let _ = process.resume();
+            return Ok(true);
+        };
+        if stopped_at.elapsed() > END_TIMEOUT {
+            return Err(StandinError::Timeout("a worker to end").into());
+        }
+        Ok(true)
+    }
+
+    /// Notes which streams a worker that has ended sent to their end.
+    fn note_sent(&mut self, worker: usize) {
+        let lines = self.places[worker].worker.process.stdout();
+        let sent = lines.iter().filter_map(|it| it.strip_prefix(SENT_PREFIX));
+        self.ends.sent.extend(sent.map(str::to_owned));
+    }
+
     /// Ends a worker with the streams that it still has, if it hasn't ended.
     async fn end_worker(&mut self, worker: usize, kill: bool) -> Result<(), SoakError> {
         let place = &mut self.places[worker];
-        let worker = &mut place.worker;
-        if worker.process.exit_status().map_err(StandinError::from)?.is_some() {
+        let process = &mut place.worker.process;
+        if process.exit_status().map_err(StandinError::from)?.is_some() {
             return Ok(());
         }
-        self.ends.push((worker.id().to_owned(), Instant::now()));
+        self.ends.workers.push(WorkerEnd { departure: Departure::AtOnce, ..place.end() });
         // A relay would accept connections for a worker that has ended.
         place.relay = None;
-        let process = &mut worker.process;
+        let process = &mut place.worker.process;
         if kill {
             process.kill().map_err(StandinError::from)?;
         } else {
@@ -261,9 +335,17 @@
         Ok(())
     }
 
-    /// Replaces a worker by a new one, half of the time at the same address.
+    /// Replaces a worker by a new one, half of the time at the same address. One that takes a while to end is replaced then.
     async fn replace(&mut self, worker: usize) -> Result<(), SoakError> {
+        if self.is_stopping(worker)? {
+            self.schedule(END_POLL_INTERVAL, Disruption::ReplaceWorker(worker));
+            return Ok(());
+        }
         self.end_worker(worker, false).await?;
+        let process = &mut self.places[worker].worker.process;
+        // Its last lines may still be read.
+        process.wait_exit(END_TIMEOUT).await.map_err(StandinError::from)?;
+        self.note_sent(worker);
         let old = &self.places[worker];
         let takes_over = self.rng.random_range(0..2) == 0;
         let address = if takes_over { old.worker.address() } else { ANY_PORT };
@@ -289,8 +371,12 @@
         Ok(())
     }
 
-    fn report(&self) -> Report {
-        let (counts, violations) = Counts::check(&self.pool.streams.borrow(), &self.ends);
+    fn report(&mut self) -> Report {
+        for worker in 0..WORKERS {
+            self.note_sent(worker);
+        }
+        let (mut counts, violations) = Counts::check(&self.pool.streams.borrow(), &self.ends);
+        counts.departures = self.departures.is_some().then(|| std::mem::take(&mut self.departed));
         let mut report = Report { faults: self.disruptions, ..Report::default() };
         for (violation, ids) in violations {
             report.violations.push(violation);
@@ -310,7 +396,24 @@
     }
 }
 
+/// Arguments that make a worker process behave like this.
+fn worker_args(manners: WorkerManners) -> Vec<String> {
+    let WorkerManners { departure, end_delay, one_response } = manners;
+    let mut args = vec![
+        format!("--departure={departure}"),
+        format!("--end-delay-ms={}", end_delay.as_millis()),
+    ];
+    args.extend(one_response.then(|| "--one-response".to_owned()));
+    args
+}
+
 impl Place {
+    /// The end of the worker, if it is told to end now.
+    fn end(&self) -> WorkerEnd {
+        let id = self.worker.id().to_owned();
+        WorkerEnd { id, at: Instant::now(), departure: self.departure }
+    }
+
     /// Record of the worker in the store, with this state.
     fn record(&self, state: &str) -> serde_json::Value {
         let address = self.relay.as_ref().map_or(self.worker.address(), Relay::local_addr);
