test(soak): say what ended beside a stream, and write all violations with the logs

The counts of each kind now say how the workers left of all streams with violations, and of those that were broken off though all events were sent; `--logs` writes each violation with the log lines that concern it.

--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -77,12 +77,8 @@
         match outcome {
             Ok(report) => {
                 println!("seed {seed}: {report}");
-                for (front, lines) in report.front_logs.iter().enumerate() {
-                    let Some(dir) = logs else { continue };
-                    let path = dir.join(format!("seed-{seed}-front-{front}.log"));
-                    if let Err(error) = std::fs::write(&path, lines.join("\n")) {
-                        println!("{}: {error}", path.display());
-                    }
+                if let Some(dir) = logs.filter(|_| !report.violations.is_empty()) {
+                    write_logs(dir, seed, &report);
                 }
                 failed += u64::from(!report.violations.is_empty());
             }
@@ -99,3 +95,17 @@
     println!("{seeds} seeds, {failed} failed");
     if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+/// Writes the violations of a seed, with the log lines that concern them, and the logs of its fronts.
+fn write_logs(dir: &Path, seed: u64, report: &Report) {
+    let violations = report.violations.iter().map(ToString::to_string);
+    let violations: Vec<_> = violations.chain(report.log_lines.iter().cloned()).collect();
+    let fronts = report.front_logs.iter().enumerate();
+    let fronts = fronts.map(|(front, lines)| (format!("front-{front}"), lines));
+    for (name, lines) in fronts.chain([("violations".to_owned(), &violations)]) {
+        let path = dir.join(format!("seed-{seed}-{name}.log"));
+        if let Err(error) = std::fs::write(&path, lines.join("\n")) {
+            println!("{}: {error}", path.display());
+        }
+    }
+}
--- a/crates/daisychute-soak/src/streams/check.rs
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -4,8 +4,6 @@
 use std::fmt;
 use std::time::Duration;
 
-use daisychute_platform_standin::Departure;
-
 use super::departures::DepartureCounts;
 use super::ends::Ends;
 use super::tails::Tails;
@@ -161,17 +159,11 @@
         responses.filter(|it| it.status != 200).map(|it| it.body.as_str())
     }
 
-    fn violation(&self, outcome: Outcome, departure: Option<Departure>) -> Violation {
+    fn violation(&self, outcome: Outcome, end: &str) -> Violation {
         let Self { kind, events, attempts, tail: _ } = self;
         let attempts: Vec<_> = attempts.iter().map(describe).collect();
         let attempts = attempts.join("; ");
-        let worker = departure.map_or_else(
-            || "its worker wasn't told to end".to_owned(),
-            |it| format!("its worker left {it}"),
-        );
-        Violation::new(format!(
-            "stream of {events} events ({kind}) {outcome}, {worker}: {attempts}"
-        ))
+        Violation::new(format!("stream of {events} events ({kind}) {outcome}, {end}: {attempts}"))
     }
 }
 
@@ -208,10 +200,10 @@
     resumptions: usize,
     /// What clients were told that asked to go on with a stream and couldn't, with their number.
     refused_resumptions: BTreeMap<String, usize>,
-    /// Attempts that were broken off although a worker had sent all events.
-    cut_whole: usize,
-    /// Those of them whose front ended.
-    cut_with_front: usize,
+    /// Streams with violations, by what ended during their last attempt.
+    violations: BTreeMap<String, usize>,
+    /// Attempts that were broken off although a worker had sent all events, by what ended meanwhile.
+    cut_whole: BTreeMap<String, usize>,
     /// How long whole streams took to end.
     tails: Tails,
 }
@@ -231,15 +223,17 @@
             for told in stream.refused_resumptions() {
                 *kind.refused_resumptions.entry(told.to_owned()).or_default() += 1;
             }
-            let departure = stream.attempts.iter().rev().find_map(|it| ends.departure_of(it));
-            kind.disrupted += usize::from(departure.is_some());
+            let is_disrupted = stream.attempts.iter().any(|it| ends.departure_of(it).is_some());
+            kind.disrupted += usize::from(is_disrupted);
             kind.count_cut(&stream.attempts, ends);
             if let Some(tail) = stream.tail.filter(|_| outcome == Outcome::Whole) {
                 kind.tails.add(tail);
             }
             if outcome.is_violation() {
                 let ids = stream.attempts.iter().map(|it| it.id.clone()).collect();
-                violations.push((stream.violation(outcome, departure), ids));
+                let end = stream.attempts.last().map(|it| ends.describe(it)).unwrap_or_default();
+                violations.push((stream.violation(outcome, &end), ids));
+                *kind.violations.entry(end).or_default() += 1;
             }
         }
         (counts, violations)
@@ -274,8 +268,7 @@
             it.response.as_ref().is_some_and(|it| it.status == 200 && !it.whole)
         };
         for attempt in attempts.iter().filter(is_cut).filter(|it| ends.has_sent(it)) {
-            self.cut_whole += 1;
-            self.cut_with_front += usize::from(ends.has_front_of(attempt));
+            *self.cut_whole.entry(ends.describe(attempt)).or_default() += 1;
         }
     }
 }
@@ -288,8 +281,8 @@
                 disrupted,
                 resumptions,
                 refused_resumptions,
+                violations,
                 cut_whole,
-                cut_with_front,
                 tails,
             } = counts;
             let streams: usize = outcomes.values().sum();
@@ -299,7 +292,7 @@
             }
             write!(
                 f,
-                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}; broken off though all events were sent {cut_whole}, with their front {cut_with_front}; last event to end {tails}"
+                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}; violations {violations:?}; broken off though all events were sent {cut_whole:?}; last event to end {tails}"
             )?;
         }
         self.departures.as_ref().map_or(Ok(()), |it| it.fmt(f))
--- a/crates/daisychute-soak/src/streams/ends.rs
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -14,6 +14,8 @@
     pub(super) workers: Vec<WorkerEnd>,
     /// When fronts, by their client addresses, were told to end.
     pub(super) fronts: Vec<(SocketAddr, Instant)>,
+    /// Ids of the workers that close each connection after one response.
+    pub(super) one_response: BTreeSet<String>,
     /// Ids of the attempts all events of which were sent by a worker.
     pub(super) sent: BTreeSet<String>,
 }
@@ -38,8 +40,21 @@
         end.map(|it| it.departure)
     }
 
+    /// Describes what ended while an attempt was in flight, and whether its worker closes each connection.
+    pub(super) fn describe(&self, attempt: &RequestRecord) -> String {
+        let seal = attempt.response.as_ref().and_then(|it| it.header("x-server-seal"));
+        let one_response = seal.is_some_and(|it| self.one_response.contains(it));
+        let mut text = match self.departure_of(attempt) {
+            Some(departure) => format!("worker left {departure}"),
+            None => "worker not told to end".to_owned(),
+        };
+        text.push_str(if one_response { ", one response" } else { "" });
+        text.push_str(if self.has_front_of(attempt) { ", front ended" } else { "" });
+        text
+    }
+
     /// Whether the front of an attempt was told to end before the attempt had ended.
-    pub(super) fn has_front_of(&self, attempt: &RequestRecord) -> bool {
+    fn has_front_of(&self, attempt: &RequestRecord) -> bool {
         self.fronts.iter().any(|(front, at)| *front == attempt.front && *at < attempt.ended_at)
     }
 
--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -171,6 +171,7 @@
             false => None,
         };
         let departure = manners.map_or(Departure::AtOnce, |it| it.departure);
+        self.ends.one_response.extend(manners.filter(|it| it.one_response).map(|_| id.clone()));
         let place = Place { worker, relay, is_leaving: false, departure, stopped_at: None };
         self.fleet.store.put("servers", &id, place.record("ready"));
         Ok(place)
