test(soak): a seed in which streams of leaving workers look whole and aren't

A worker that closes a stream without length and chunks in order and ends 25 ms later or after that is taken as still there when the stream ends, and its stream passes as whole.

--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -86,6 +86,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Guards against streams that look whole and lack their last events, of workers that close their streams in order and end later.
+#[test]
+fn streams_of_leaving_workers_look_whole_only_if_they_are() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "59101", "--minutes", "0.2", "--streams", "--departures"];
+    actix_rt::System::new().block_on(run(&[&args[..], &["--fronts", "5"]].concat()))
+}
+
 /// A soak that was ended left its fronts running.
 #[test]
 fn ended_run_leaves_no_process() -> Result<(), HarnessError> {
