test(soak): name the end of a worker also if it was told just before it served a stream

Beside four busy processes a worker took a stream 11 ms after the soak had sent its signal, and the violation said that the worker wasn't told to end. What a run counts as disrupted, and its violations, stay as they were.

--- a/crates/daisychute-soak/src/streams/check.rs
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -223,7 +223,7 @@
             for told in stream.refused_resumptions() {
                 *kind.refused_resumptions.entry(told.to_owned()).or_default() += 1;
             }
-            let is_disrupted = stream.attempts.iter().any(|it| ends.departure_of(it).is_some());
+            let is_disrupted = stream.attempts.iter().any(|it| ends.has_worker_of(it));
             kind.disrupted += usize::from(is_disrupted);
             kind.count_cut(&stream.attempts, ends);
             if let Some(tail) = stream.tail.filter(|_| outcome == Outcome::Whole) {
--- a/crates/daisychute-soak/src/streams/ends.rs
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -32,20 +32,25 @@
 }
 
 impl Ends {
-    /// How the worker of an attempt ended; `None` if it wasn't told to while the attempt was in flight.
-    pub(super) fn departure_of(&self, attempt: &RequestRecord) -> Option<Departure> {
+    /// Whether the worker of an attempt was told to end while that was in flight.
+    pub(super) fn has_worker_of(&self, attempt: &RequestRecord) -> bool {
+        self.worker_end(attempt).is_some_and(|it| attempt.sent_at < it.at)
+    }
+
+    /// The end of the worker of an attempt; `None` if it was told to only afterwards, or never. It may have been told just
+    /// before the attempt, which it served since the signal was late.
+    fn worker_end(&self, attempt: &RequestRecord) -> Option<&WorkerEnd> {
         let worker = attempt.response.as_ref()?.header("x-server-seal")?;
-        let is_in_flight = |at: Instant| attempt.sent_at < at && at < attempt.ended_at;
-        let end = self.workers.iter().find(|it| it.id == worker && is_in_flight(it.at));
-        end.map(|it| it.departure)
+        self.workers.iter().find(|it| it.id == worker && it.at < attempt.ended_at)
     }
 
-    /// Describes what ended while an attempt was in flight, and whether its worker closes each connection.
+    /// Describes what ended while an attempt was in flight, and whether its worker closes each connection. Only of the
+    /// worker that began the response, also if another went on with it.
     pub(super) fn describe(&self, attempt: &RequestRecord) -> String {
         let seal = attempt.response.as_ref().and_then(|it| it.header("x-server-seal"));
         let one_response = seal.is_some_and(|it| self.one_response.contains(it));
-        let mut text = match self.departure_of(attempt) {
-            Some(departure) => format!("worker left {departure}"),
+        let mut text = match self.worker_end(attempt) {
+            Some(end) => format!("worker left {}", end.departure),
             None => "worker not told to end".to_owned(),
         };
         text.push_str(if one_response { ", one response" } else { "" });
