--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -19,10 +19,11 @@
 
 use std::path::Path;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 
-use daisychute_platform_standin::serve_worker;
+use daisychute_platform_standin::{WorkerManners, serve_worker};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::args::{Args, Command};
@@ -35,11 +36,16 @@
         Command::Run { seed, seeds, logs, options } => {
             run_seeds(seed, seeds, logs.as_deref(), options)
         }
-        Command::Worker { id, version, address } => {
-            let served = actix_rt::System::new().block_on(serve_worker(&id, &version, address));
-            if let Err(error) = served {
-                eprintln!("worker {id}: {error}");
-            }
+        Command::Worker { id, version, address, departure, end_delay_ms, one_response } => {
+            let end_delay = Duration::from_millis(end_delay_ms);
+            let manners = WorkerManners { departure, end_delay, one_response };
+            actix_rt::System::new().block_on(async {
+                match serve_worker(&id, &version, address, manners).await {
+                    // The system closes the connections that are left, and not the runtime one by one.
+                    Ok(()) => std::process::exit(0),
+                    Err(error) => eprintln!("worker {id}: {error}"),
+                }
+            });
             ExitCode::FAILURE
         }
     }
@@ -71,12 +77,8 @@
         match outcome {
             Ok(report) => {
                 println!("seed {seed}: {report}");
-                for (front, lines) in report.front_logs.iter().enumerate() {
-                    let Some(dir) = logs else { continue };
-                    let path = dir.join(format!("seed-{seed}-front-{front}.log"));
-                    if let Err(error) = std::fs::write(&path, lines.join("\n")) {
-                        println!("{}: {error}", path.display());
-                    }
+                if let Some(dir) = logs.filter(|_| !report.violations.is_empty()) {
+                    write_logs(dir, seed, &report);
                 }
                 failed += u64::from(!report.violations.is_empty());
             }
@@ -93,3 +95,17 @@
     println!("{seeds} seeds, {failed} failed");
     if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+/// Writes the violations of a seed, with the log lines that concern them, and the logs of its fronts.
+fn write_logs(dir: &Path, seed: u64, report: &Report) {
+    let violations = report.violations.iter().map(ToString::to_string);
+    let violations: Vec<_> = violations.chain(report.log_lines.iter().cloned()).collect();
+    let fronts = report.front_logs.iter().enumerate();
+    let fronts = fronts.map(|(front, lines)| (format!("front-{front}"), lines));
+    for (name, lines) in fronts.chain([("violations".to_owned(), &violations)]) {
+        let path = dir.join(format!("seed-{seed}-{name}.log"));
+        if let Err(error) = std::fs::write(&path, lines.join("\n")) {
+            println!("{}: {error}", path.display());
+        }
+    }
+}
