--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -154,8 +154,9 @@
             let expects_body = codec.message_type() != MessageType::None;
             return Ok(Body::Empty(if expects_body { ClientCodec::default() } else { codec }));
         }
-        // The codec would treat such a response as having no body.
-        if !has_length && !is_chunked {
+        // The codec would treat such a response as having no body, with a transfer coding other than chunked as well.
+        let is_framed = has_length || (is_chunked && codec.message_type() != MessageType::None);
+        if !is_framed {
             return Ok(Body::UntilClose);
         }
         if codec.message_type() == MessageType::None {
