fix(front): confirm the end of a response by an answer, and count no endpoint that has ended

The endpoint now has to answer a check at the end, which is sent earlier to one that answers slowly. Only endpoints count that were asked for the rest. - A response that began within 250 ms of the end counted as later if it was seen later. It now counts as of its beginning. Of what the client has but for its end, the endpoint is watched for 1.5 s.

The time of a hold isn't taken for output time any more, by which a front that stops decides what it accepts.

--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -147,8 +147,9 @@
 
     /// Returns for how long the present attempt has sent outputs; `None` before the first one.
     pub(crate) fn output_time(&self, now: Time) -> Option<Duration> {
-        let sent_at = self.in_flight.as_ref()?.sent_at;
-        Some(now.since(self.first_output_at?.max(sent_at)))
+        let sent = self.in_flight.as_ref()?;
+        let until = sent.ended_at.unwrap_or(now);
+        Some(until.since(self.first_output_at?.max(sent.sent_at)))
     }
 
     /// Whether the other request is for the same route and service.
--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -9,10 +9,12 @@
 /// What was seen of an endpoint after the end of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointSign {
-    /// The endpoint began its response to a request that was sent at this time.
+    /// The endpoint began its response to another request.
     Responded {
-        /// When the request was sent.
+        /// When that request was sent.
         sent_at: Time,
+        /// When the response began.
+        began_at: Time,
     },
     /// The endpoint itself answered a check.
     Present,
@@ -24,7 +26,7 @@
     Unanswered,
     /// The time of [`EndStep::WaitUntil`] has come.
     Due {
-        /// Whether a connection to the endpoint itself was open all the time.
+        /// Whether a connection to the endpoint itself is open.
         watched: bool,
     },
 }
@@ -54,18 +56,24 @@
 /// use daisychute_core::Time;
 /// use daisychute_dispatch::{EndStep, EndpointSign, ResponseEnd};
 ///
-/// let end = ResponseEnd::new(Time::ZERO, Duration::from_secs(1));
+/// let mut end = ResponseEnd::new(Time::ZERO, Duration::from_secs(1));
 /// let due = Time::from_millis(1_000);
 /// assert_eq!(end.first_step(), EndStep::WaitUntil(due));
 /// assert_eq!(end.next_step(Time::from_millis(300), EndpointSign::Unwatched), EndStep::Check);
 /// assert_eq!(end.next_step(Time::from_millis(301), EndpointSign::Present), EndStep::WaitUntil(due));
-/// assert_eq!(end.next_step(due, EndpointSign::Due { watched: true }), EndStep::Whole);
+/// assert_eq!(end.next_step(due, EndpointSign::Due { watched: false }), EndStep::Check);
+/// assert_eq!(end.next_step(due, EndpointSign::Present), EndStep::Whole);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ResponseEnd {
     ended_at: Time,
+    /// When the endpoint is asked whether it is there; not after `due`. The connections of a suspended process stay open, so
+    /// that they alone confirm nothing.
+    check_at: Time,
     /// When an endpoint that is still there counts as one that ended the response itself.
     due: Time,
+    /// Whether the endpoint has answered a check that ended at `check_at` or later.
+    is_present: bool,
 }
 
 impl ResponseEnd {
@@ -78,64 +86,80 @@
     /// `hold`.
     #[must_use]
     pub fn new(ended_at: Time, hold: Duration) -> Self {
-        Self { ended_at, due: ended_at + hold }
+        let due = ended_at + hold;
+        Self { ended_at, check_at: due, due, is_present: false }
+    }
+
+    /// Asks the endpoint early enough for an answer that takes this long. Returns what to do.
+    pub fn allow_answer_time(&mut self, time: Duration) -> EndStep {
+        let earliest = self.due.min(self.ended_at + Self::GIVE_UP_TIME);
+        self.check_at = earliest.max(self.due - time);
+        self.wait()
     }
 
     /// Returns what to do at the end of the response.
     #[must_use]
     pub const fn first_step(&self) -> EndStep {
-        EndStep::WaitUntil(self.due)
+        self.wait()
+    }
+
+    const fn wait(&self) -> EndStep {
+        EndStep::WaitUntil(if self.is_present { self.due } else { self.check_at })
     }
 
     /// Returns what to do after this sign.
     #[must_use]
-    pub fn next_step(&self, now: Time, sign: EndpointSign) -> EndStep {
+    pub fn next_step(&mut self, now: Time, sign: EndpointSign) -> EndStep {
         match sign {
-            // An endpoint that stops goes on with what it has for a while, but begins nothing new.
-            EndpointSign::Responded { sent_at }
-                if sent_at >= self.ended_at && now >= self.ended_at + Self::GIVE_UP_TIME =>
-            {
-                EndStep::Whole
+            EndpointSign::Responded { sent_at, began_at } => {
+                // An endpoint that stops goes on with what it has for a while, but begins nothing new.
+                let is_new = sent_at >= self.ended_at;
+                if is_new && began_at >= self.ended_at + Self::GIVE_UP_TIME {
+                    EndStep::Whole
+                } else {
+                    self.wait()
+                }
+            }
+            EndpointSign::Present => {
+                self.is_present |= now >= self.check_at;
+                if now >= self.due { EndStep::Whole } else { self.wait() }
             }
-            EndpointSign::Present | EndpointSign::Due { watched: true } if now >= self.due => {
+            EndpointSign::Due { watched: true } if self.is_present && now >= self.due => {
                 EndStep::Whole
             }
-            EndpointSign::Gone => EndStep::Unconfirmed,
-            EndpointSign::Unanswered if now >= self.due => EndStep::Unconfirmed,
-            // A process that is being ended may have accepted the check.
-            EndpointSign::Unanswered => {
+            EndpointSign::Due { .. } | EndpointSign::Unwatched => EndStep::Check,
+            EndpointSign::Unanswered if now < self.due => {
+                // A process that is being ended may have accepted the check.
                 EndStep::WaitUntil(self.due.min(now + Self::RECHECK_INTERVAL))
             }
-            EndpointSign::Unwatched | EndpointSign::Due { watched: false } => EndStep::Check,
-            EndpointSign::Responded { .. }
-            | EndpointSign::Present
-            | EndpointSign::Due { watched: true } => EndStep::WaitUntil(self.due),
+            EndpointSign::Unanswered | EndpointSign::Gone => EndStep::Unconfirmed,
         }
     }
 }
 
-/// Time for which the endpoint of a stream is watched after the end. Clients have all events by then, and give a stream up
-/// only after a pause of two seconds.
-const STREAM_HOLD: Duration = Duration::from_millis(1_500);
+/// Time for which the endpoint of a response is watched after the end, if its client has all of it by then. Clients give a
+/// stream up only after a pause of two seconds.
+const MAX_HOLD: Duration = Duration::from_millis(1_500);
 /// Minimum time for which an endpoint is watched: the system of a busy machine needs it to close all connections of a process
 /// that has ended.
 const MIN_HOLD: Duration = Duration::from_millis(25);
 
 impl Dispatcher {
     /// Returns for how long the endpoint of a response that ended with its connection is watched: as long as that doesn't harm the
-    /// client. Clients of other requests than streams have nothing before the end, so that half of the time left until the
-    /// latency objective is used. With `is_agreed`, another endpoint has ended the same stream after the same event.
+    /// client. With `is_passed`, the client has the response but for its end. Otherwise half of the time left until the latency
+    /// objective is used, or until the deadline if the response is late.
     #[must_use]
-    pub fn end_hold(&self, now: Time, key: RequestKey, is_agreed: bool) -> Duration {
+    pub fn end_hold(&self, now: Time, key: RequestKey, is_passed: bool) -> Duration {
         let Some(state) = self.requests.get(&key) else { return MIN_HOLD };
-        if is_agreed {
-            return ResponseEnd::GIVE_UP_TIME;
-        }
-        if state.route.kind.is_stream() {
-            return STREAM_HOLD;
+        if is_passed {
+            return MAX_HOLD;
         }
-        let left = (state.arrived + state.route.objective).since(now);
-        (left / 2).clamp(MIN_HOLD, STREAM_HOLD)
+        let until_objective = (state.arrived + state.route.objective).since(now);
+        let left = match until_objective {
+            Duration::ZERO => state.deadline.since(now),
+            left => left,
+        };
+        (left / 2).clamp(MIN_HOLD, MAX_HOLD)
     }
 
     /// Records that the endpoint of a request is done with it, though its client doesn't have the whole response yet.
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -31,13 +31,13 @@
     /// Whether the client can read chunks. A body without length ends with the connection otherwise.
     chunked: bool,
     timing: StreamTiming,
-    /// Number of endpoints that closed their connection after the last event that the client has.
-    ends_after_last_event: u32,
+    /// Number of endpoints that closed their connection before their first event, since the last one that the client has.
+    empty_runs: u32,
 }
 
 /// Number of endpoints that have to agree that a stream has no further events, if they say so only by closing their
 /// connection.
-const MIN_AGREEING_ENDS: u32 = 2;
+const MIN_EMPTY_RUNS: u32 = 2;
 
 /// When the chunks of a response were written.
 #[derive(Debug, Clone, Copy, Default)]
@@ -77,7 +77,7 @@
             close: false,
             chunked: true,
             timing: StreamTiming::default(),
-            ends_after_last_event: 0,
+            empty_runs: 0,
         }
     }
 
@@ -127,14 +127,14 @@
         self.framer.disorder()
     }
 
-    /// Records that an endpoint closed its connection after the last event that the client has.
-    pub(crate) const fn record_end_after_last_event(&mut self) {
-        self.ends_after_last_event += 1;
+    /// Records that an endpoint closed its connection before its first event.
+    pub(crate) const fn record_empty_run(&mut self) {
+        self.empty_runs += 1;
     }
 
     /// Whether the client has all events, as far as several endpoints tell that were asked for the rest.
     pub(crate) const fn has_nothing_left(&self) -> bool {
-        self.framer.has_begun() && self.ends_after_last_event >= MIN_AGREEING_ENDS
+        self.framer.has_begun() && self.empty_runs >= MIN_EMPTY_RUNS
     }
 
     /// Whether another attempt can continue the response after what was passed on.
@@ -183,7 +183,7 @@
     pub(crate) fn complete_events(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let events = self.framer.push(bytes);
         if events.is_some() {
-            self.ends_after_last_event = 0;
+            self.empty_runs = 0;
         }
         events
     }
--- a/crates/daisychute-front/src/endpoint/activity.rs
+++ b/crates/daisychute-front/src/endpoint/activity.rs
@@ -7,26 +7,36 @@
 use rustc_hash::FxHashMap;
 use tokio::sync::watch;
 
+/// The beginning of a response.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Beginning {
+    /// When the request was sent.
+    pub(crate) sent_at: Time,
+    /// When the response began.
+    pub(crate) began_at: Time,
+}
+
 /// Tells of the responses that endpoints begin. Nothing is kept of endpoints that nobody watches.
 #[derive(Debug, Default)]
 pub(crate) struct Activity {
-    /// For each endpoint, when the request was sent to which it responded last.
-    watched: RefCell<FxHashMap<EndpointKey, watch::Sender<Time>>>,
+    /// The response that each endpoint began last.
+    watched: RefCell<FxHashMap<EndpointKey, watch::Sender<Beginning>>>,
 }
 
 impl Activity {
-    /// Tells that an endpoint has begun its response to a request that was sent at this time.
-    pub(crate) fn record(&self, endpoint: EndpointKey, sent_at: Time) {
+    /// Tells that an endpoint has begun a response.
+    pub(crate) fn record(&self, endpoint: EndpointKey, beginning: Beginning) {
         if let Some(tx) = self.watched.borrow().get(&endpoint) {
-            tx.send_replace(sent_at);
+            tx.send_replace(beginning);
         }
     }
 
-    /// Watches an endpoint from now on. The receiver gets the time at which each request was sent that it responds to.
-    pub(crate) fn watch(&self, endpoint: EndpointKey) -> watch::Receiver<Time> {
+    /// Watches an endpoint from now on.
+    pub(crate) fn watch(&self, endpoint: EndpointKey) -> watch::Receiver<Beginning> {
         let mut watched = self.watched.borrow_mut();
         watched.retain(|_, it| it.receiver_count() > 0);
-        let tx = watched.entry(endpoint).or_insert_with(|| watch::Sender::new(Time::ZERO));
+        let tx =
+            watched.entry(endpoint).or_insert_with(|| watch::Sender::new(Beginning::default()));
         tx.subscribe()
     }
 }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -18,6 +18,7 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
+use crate::endpoint::activity::Beginning;
 use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
@@ -122,7 +123,8 @@
             (Err(ResponseError::Broken), _) => return CallEnd::Failed(SendFailure::NoAnswer, None),
         };
         if head.info.signed && head.head.status.is_success() {
-            self.state.activity.record(self.decision.endpoint, sent_at);
+            let beginning = Beginning { sent_at, began_at: self.state.now() };
+            self.state.activity.record(self.decision.endpoint, beginning);
         }
         let keep_alive = head.info.keep_alive;
         let reusable = head.reusable && all_sent && head.head.keep_alive();
@@ -398,7 +400,6 @@
             return self.truncated(ResponseError::Broken);
         }
         if self.ended_early(sentinel).await {
-            self.response_writer.record_end_after_last_event();
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -433,8 +434,8 @@
         let Some(sentinel) = sentinel else { return false };
         let ended_at = Instant::now();
         self.state.handle(Event::ResponseEnded { key: self.key });
-        let is_agreed = self.response_writer.has_nothing_left();
-        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision, is_agreed).await;
+        let is_passed = self.response_writer.head_passed();
+        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision, is_passed).await;
         self.log_end_by_close(is_confirmed, ended_at.elapsed());
         !is_confirmed
     }
@@ -463,7 +464,7 @@
         // An endpoint that stops before its first event closes the connection in the same way.
         let is_empty = framing == Framing::UntilClose && !has_events;
         if is_empty && !inside_event {
-            self.response_writer.record_end_after_last_event();
+            self.response_writer.record_empty_run();
         }
         inside_event || (is_empty && !self.response_writer.has_nothing_left())
     }
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -1,17 +1,17 @@
 //! Whether an endpoint outlives a response that only its connection ends.
 
 use std::io::ErrorKind;
-use std::pin::pin;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::header::{self, HeaderValue};
-use actix_http::{RequestHeadType, ResponseHead, StatusCode};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use actix_rt::task::JoinHandle;
 use bytes::BytesMut;
-use daisychute_core::Time;
+use daisychute_core::EndpointName;
 use daisychute_dispatch::{EndStep, EndpointSign, RequestKey, ResponseEnd, SendDecision};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -20,6 +20,7 @@
 use tokio_util::codec::Encoder;
 
 use crate::Dialect;
+use crate::endpoint::activity::Beginning;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::control_call::{ControlCallError, control_call};
 use crate::endpoint::pool::{ConnectionGuard, MAX_IDLE_FOR_NON_REPEATABLE};
@@ -35,14 +36,24 @@
 /// system closes both connections when the process of the endpoint ends; the endpoint itself closes only the one that
 /// ends its response. The check tells whether it is the endpoint that accepted, or another one at its address.
 pub(crate) struct Sentinel {
-    /// `None` if the endpoint has as many connections as it may, or if it can't be connected to.
-    opening: JoinHandle<Option<EndpointConnection>>,
+    connecting: JoinHandle<Result<Confirmed, EndpointSign>>,
     opened_at: Instant,
-    /// Whether a check was sent, since the endpoint takes one now.
-    is_checked: bool,
     _guard: Option<ConnectionGuard>,
 }
 
+/// A connection that the endpoint itself has accepted.
+struct Confirmed {
+    connection: EndpointConnection,
+    /// Time that the endpoint took to answer the check; zero if it takes none now.
+    answer_time: Duration,
+}
+
+impl Drop for Sentinel {
+    fn drop(&mut self) {
+        self.connecting.abort();
+    }
+}
+
 impl Sentinel {
     /// Connects to the endpoint that has begun its response, unless it has as many connections as it may.
     pub(crate) fn open<D: Dialect>(
@@ -55,54 +66,62 @@
         let path = state.with_dispatcher(|it| it.health_path(state.now(), request, endpoint));
         let check = path.map(|it| state.dialect.health_check(&it, name));
         let _guard = has_room.then(|| state.pool.guard(endpoint));
-        let (is_checked, state) = (check.is_some(), Rc::clone(state));
-        let opening = actix_rt::spawn(async move {
+        let (state, name) = (Rc::clone(state), name.clone());
+        let connecting = actix_rt::spawn(async move {
             if !has_room {
-                return None;
+                return Err(EndpointSign::Unwatched);
             }
-            let mut connection = EndpointConnection::open(address, &state.http).await.ok()?;
-            if let Some(mut head) = check {
-                head.headers.insert(header::HOST, HeaderValue::try_from(address.to_string()).ok()?);
-                let message = Message::Item((RequestHeadType::Owned(head), BodySize::None));
-                let mut out = BytesMut::new();
-                connection.codec.encode(message, &mut out).ok()?;
-                connection.stream.write_all(&out).await.ok()?;
+            let opened = EndpointConnection::open(address, &state.http).await;
+            let mut connection = opened.map_err(|_| EndpointSign::Unwatched)?;
+            let sent_at = Instant::now();
+            let Some(check) = check else {
+                return Ok(Confirmed { connection, answer_time: Duration::ZERO });
+            };
+            let head = send_check(&state, &mut connection, check, address).await;
+            let head = head.map_err(|_| EndpointSign::Unwatched)?;
+            if is_other(&state, &head, &name) {
+                return Err(EndpointSign::Gone);
             }
-            Some(connection)
+            Ok(Confirmed { connection, answer_time: sent_at.elapsed() })
         });
-        Self { opening, opened_at: Instant::now(), is_checked, _guard }
+        Self { connecting, opened_at: Instant::now(), _guard }
     }
 
     /// Returns whether the endpoint outlives its response, which has ended. Its address may be in use again. With
-    /// `is_agreed`, another endpoint has ended the same stream after the same event.
+    /// `is_passed`, the client has the response but for its end.
     pub(crate) async fn confirms<D: Dialect>(
-        self,
+        mut self,
         state: &Rc<FrontState<D>>,
         request: RequestKey,
         decision: &SendDecision,
-        is_agreed: bool,
+        is_passed: bool,
     ) -> bool {
         let now = state.now();
-        let hold = state.with_dispatcher(|it| it.end_hold(now, request, is_agreed));
-        let end = ResponseEnd::new(now, hold);
+        let hold = state.with_dispatcher(|it| it.end_hold(now, request, is_passed));
+        let mut end = ResponseEnd::new(now, hold);
         let mut activity = state.activity.watch(decision.endpoint);
-        let opened_at = self.opened_at;
         let mut connection = None;
-        let mut connecting = pin!(self.connect(state, decision));
         let mut is_connecting = true;
+        let mut check_timeout = CHECK_TIMEOUT;
         let mut step = end.first_step();
         loop {
             let sign = match step {
                 EndStep::Whole => break,
                 EndStep::Unconfirmed => return false,
-                EndStep::Check => check(state, request, decision).await,
+                EndStep::Check => {
+                    let check = check(state, request, decision, connection.as_ref());
+                    timeout(check_timeout, check).await.unwrap_or(EndpointSign::Unanswered)
+                }
                 EndStep::WaitUntil(time) => tokio::select! {
                     biased;
-                    connected = &mut connecting, if is_connecting => {
+                    connected = &mut self.connecting, if is_connecting => {
                         is_connecting = false;
-                        match connected {
+                        match connected.unwrap_or(Err(EndpointSign::Unwatched)) {
                             Ok(confirmed) => {
-                                connection = Some(confirmed);
+                                connection = Some(confirmed.connection);
+                                let answer_time = confirmed.answer_time * 2;
+                                check_timeout = check_timeout.max(answer_time);
+                                step = end.allow_answer_time(answer_time);
                                 continue;
                             }
                             Err(sign) => sign,
@@ -112,18 +131,21 @@
                         connection = None;
                         EndpointSign::Unwatched
                     }
-                    sent_at = next_response(&mut activity) => EndpointSign::Responded { sent_at },
+                    Beginning { sent_at, began_at } = next_response(&mut activity) => {
+                        EndpointSign::Responded { sent_at, began_at }
+                    }
                     () = sleep_until(state.instant(time).into()) => {
                         // The timer of a process that was suspended may be seen before the close.
-                        let is_open = connection.as_ref().is_some_and(EndpointConnection::is_reusable);
-                        EndpointSign::Due { watched: is_open }
+                        let watched =
+                            connection.as_ref().is_some_and(EndpointConnection::is_reusable);
+                        EndpointSign::Due { watched }
                     }
                 },
             };
             step = end.next_step(state.now(), sign);
         }
         // An older connection may be about to be closed as idle.
-        let is_fresh = opened_at.elapsed() < MAX_IDLE_FOR_NON_REPEATABLE;
+        let is_fresh = self.opened_at.elapsed() < MAX_IDLE_FOR_NON_REPEATABLE;
         if let Some(connection) = connection
             && is_fresh
             && state.takes_work(decision.endpoint)
@@ -132,32 +154,29 @@
         }
         true
     }
+}
 
-    /// Waits until the endpoint itself has answered on the connection, and returns that.
-    ///
-    /// # Errors
-    ///
-    /// The connection failed, or another endpoint answered.
-    async fn connect<D: Dialect>(
-        self,
-        state: &Rc<FrontState<D>>,
-        decision: &SendDecision,
-    ) -> Result<EndpointConnection, EndpointSign> {
-        let opened = self.opening.await.ok().flatten();
-        let mut connection = opened.ok_or(EndpointSign::Unwatched)?;
-        if self.is_checked {
-            let EndpointConnection { stream, codec, buf, .. } = &mut connection;
-            let (mut read, _) = stream.split();
-            let own_codec = std::mem::replace(codec, ClientCodec::new(state.http.clone()));
-            let mut reader = ResponseReader::new(&mut read, buf, own_codec);
-            let head = reader.head(false).await.map_err(|_| EndpointSign::Unwatched)?;
-            if is_other(state, &head, decision) {
-                return Err(EndpointSign::Gone);
-            }
-            reader.skip(MAX_RESPONSE_BYTES).await.map_err(|_| EndpointSign::Unwatched)?;
-        }
-        Ok(connection)
+/// Sends a check on a connection and reads the response. Returns its head.
+async fn send_check<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    connection: &mut EndpointConnection,
+    mut check: RequestHead,
+    address: SocketAddr,
+) -> Result<ResponseHead, ControlCallError> {
+    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+        check.headers.insert(header::HOST, host);
     }
+    let EndpointConnection { stream, codec, buf, .. } = connection;
+    let mut out = BytesMut::new();
+    let message = Message::Item((RequestHeadType::Owned(check), BodySize::None));
+    codec.encode(message, &mut out)?;
+    stream.write_all(&out).await?;
+    let (mut read, _) = stream.split();
+    let own_codec = std::mem::replace(codec, ClientCodec::new(state.http.clone()));
+    let mut reader = ResponseReader::new(&mut read, buf, own_codec);
+    let head = reader.head(false).await?;
+    reader.skip(MAX_RESPONSE_BYTES).await?;
+    Ok(head)
 }
 
 /// Waits until a connection is closed, or has unexpected bytes, after which nothing tells its end.
@@ -168,8 +187,8 @@
     }
 }
 
-/// Waits until the endpoint begins a response. Returns when the request was sent.
-async fn next_response(activity: &mut watch::Receiver<Time>) -> Time {
+/// Waits until the endpoint begins a response.
+async fn next_response(activity: &mut watch::Receiver<Beginning>) -> Beginning {
     // The front keeps the sender as long as there are receivers.
     if activity.changed().await.is_err() {
         std::future::pending::<()>().await;
@@ -177,26 +196,29 @@
     *activity.borrow_and_update()
 }
 
-/// Checks the endpoint of a request: by a health check if it takes one now, else by a connection alone.
+/// Checks the endpoint of a request: by a health check if it takes one now, else by its open connection or a new one.
 async fn check<D: Dialect>(
     state: &Rc<FrontState<D>>,
     request: RequestKey,
     decision: &SendDecision,
+    connection: Option<&EndpointConnection>,
 ) -> EndpointSign {
     let SendDecision { endpoint, ref name, address, .. } = *decision;
     let path = state.with_dispatcher(|it| it.health_path(state.now(), request, endpoint));
     let Some(path) = path else {
-        let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-        return connected.map_or(EndpointSign::Unanswered, |it| of_connection(it.err()));
+        if connection.is_some_and(EndpointConnection::is_reusable) {
+            return EndpointSign::Present;
+        }
+        return of_connection(TcpStream::connect(address).await.err());
     };
     let check = state.dialect.health_check(&path, name);
     let call = control_call(state, endpoint, address, check, MAX_RESPONSE_BYTES);
-    match timeout(CHECK_TIMEOUT, call).await {
-        Ok(Ok((head, _))) if is_other(state, &head, decision) => EndpointSign::Gone,
-        Ok(Err(ControlCallError::Status(StatusCode::MISDIRECTED_REQUEST))) => EndpointSign::Gone,
-        Ok(Ok(_) | Err(ControlCallError::Status(_))) => EndpointSign::Present,
-        Ok(Err(ControlCallError::Io(e))) => of_connection(Some(e)),
-        Ok(Err(_)) | Err(_) => EndpointSign::Unanswered,
+    match call.await {
+        Ok((head, _)) if is_other(state, &head, name) => EndpointSign::Gone,
+        Err(ControlCallError::Status(StatusCode::MISDIRECTED_REQUEST)) => EndpointSign::Gone,
+        Ok(_) | Err(ControlCallError::Status(_)) => EndpointSign::Present,
+        Err(ControlCallError::Io(e)) => of_connection(Some(e)),
+        Err(_) => EndpointSign::Unanswered,
     }
 }
 
@@ -204,9 +226,9 @@
 fn is_other<D: Dialect>(
     state: &Rc<FrontState<D>>,
     head: &ResponseHead,
-    decision: &SendDecision,
+    name: &EndpointName,
 ) -> bool {
-    head.status == StatusCode::MISDIRECTED_REQUEST || state.dialect.is_other(head, &decision.name)
+    head.status == StatusCode::MISDIRECTED_REQUEST || state.dialect.is_other(head, name)
 }
 
 /// What an attempt to connect tells.
