test(agent): heads, errors and unread bodies of an endpoint without end

An endpoint may send bytes without end in place of a head, in an error or in a body that the entry doesn't read. The tests cover heads of services and engines, errors of engines and bodies beyond the window of a request. The endpoint of these tests now runs in a thread of its own, so that it takes no time from the agent.

--- a/crates/daisychute-agent/tests/whole_answers.rs
+++ b/crates/daisychute-agent/tests/whole_answers.rs
@@ -1,6 +1,8 @@
 //! A response that is truncated between endpoint and agent is never reported as complete.
 
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener as StdListener};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -23,6 +25,10 @@
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 const REQUEST: RequestId = RequestId::new(Incarnation::new(7), 1);
+/// Time for which an entry doesn't read on.
+const UNREAD_TIME: Duration = Duration::from_secs(2);
+/// Bytes that an agent, and the system, may hold of a body beyond the window of its request.
+const MAX_UNREAD_BYTES: usize = 16 * 1024 * 1024;
 /// Body of each request. A service has read the whole request when it has received this.
 const BODY: &str = "passed=1";
 
@@ -87,6 +93,46 @@
     )*};
 }
 
+macro_rules! responses_without_end {
+    ($($name:ident: $start:expr, $unit:expr => $ended:expr,)*) => {$(
+        /// Guards against memory that grows with a head which doesn't end, and a request that waits for it.
+        #[test]
+        fn $name() {
+            for work in [call(false), completion()] {
+                let asked_at = Instant::now();
+                let ended = actix_rt::System::new().block_on(run_with($start, $unit, &work));
+                assert_eq!(ended, $ended, "{work:?}");
+                assert!(asked_at.elapsed() < TIMEOUT / 2, "{work:?}");
+            }
+        }
+    )*};
+}
+
+macro_rules! engine_errors_without_end {
+    ($($name:ident: $start:expr, $unit:expr,)*) => {$(
+        /// Guards against memory that grows with an error which doesn't end, and a request that waits for it.
+        #[test]
+        fn $name() {
+            let asked_at = Instant::now();
+            let ended = actix_rt::System::new().block_on(run_with($start, $unit, &completion()));
+            assert_eq!(ended, ENDPOINT_LOST);
+            assert!(asked_at.elapsed() < TIMEOUT / 2);
+        }
+    )*};
+}
+
+macro_rules! unread_bodies {
+    ($($name:ident: $start:expr, $unit:expr, $work:expr,)*) => {$(
+        /// Guards against memory that grows with a body which the entry doesn't read.
+        #[test]
+        fn $name() {
+            let bytes = actix_rt::System::new().block_on(count_unread($start, $unit, &$work));
+            println!("{bytes} bytes were taken");
+            assert!(bytes < MAX_UNREAD_BYTES, "{bytes} bytes were taken");
+        }
+    )*};
+}
+
 macro_rules! engine_refusals {
     ($($name:ident: $bytes:expr => $ended:expr,)*) => {$(
         #[test]
@@ -128,6 +174,31 @@
     comments_without_end: "4\r\n: y\n\r\n",
 }
 
+responses_without_end! {
+    bytes_in_place_of_a_head: "", "x" => ENDPOINT_LOST,
+    header_lines_without_end: "HTTP/1.1 200 OK\r\n", "x-more: yes\r\n" => ENDPOINT_LOST,
+    blank_lines_in_place_of_a_head: "", "\r\n" => ENDPOINT_LOST,
+    interim_responses_without_end: "", "HTTP/1.1 100 Continue\r\n\r\n" => ENDPOINT_LOST,
+}
+
+engine_errors_without_end! {
+    error_chunks_without_end:
+        "HTTP/1.1 400 Bad Request\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\n: y\n\r\n",
+    error_body_of_a_huge_length:
+        "HTTP/1.1 400 Bad Request\r\ncontent-length: 100000000000\r\n\r\n", "y",
+    error_chunk_extension_without_end:
+        "HTTP/1.1 400 Bad Request\r\ntransfer-encoding: chunked\r\n\r\n1;", "y",
+}
+
+unread_bodies! {
+    unread_body_of_a_huge_length:
+        "HTTP/1.1 200 OK\r\ncontent-length: 100000000000\r\n\r\n", "y", call(false),
+    unread_chunks_without_end: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+        "10\r\nyyyyyyyyyyyyyyyy\r\n", call(false),
+    unread_tokens_without_end: STREAM_HEAD,
+        "31\r\ndata: {\"choices\":[{\"index\":0,\"text\":\"yyyyy\"}]}\n\n\r\n", completion(),
+}
+
 engine_refusals! {
     whole_refusal_of_an_engine:
         "HTTP/1.1 400 Bad Request\r\ncontent-length: 9\r\n\r\n{\"no\": 1}" => complete(400, "{\"no\": 1}"),
@@ -149,9 +220,15 @@
 /// Runs one request on an endpoint that responds with these bytes, and then with `unit` again and again, unless it is
 /// empty, until the connection is closed.
 async fn run_with(response: &'static str, unit: &'static str, work: &Work) -> Outcome {
-    let service = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let service = StdListener::bind("127.0.0.1:0").expect("a free port");
+    service.set_nonblocking(true).expect("a listener");
     let service_addr = service.local_addr().expect("an address");
-    actix_rt::spawn(serve(service, response, unit));
+    // Writing without end must not take the agent's time.
+    std::thread::spawn(move || {
+        actix_rt::System::new().block_on(async move {
+            serve(TcpListener::from_std(service).expect("a listener"), response, unit).await;
+        });
+    });
     let agent_addr = start_agent(service_addr, work);
     let (tx, mut rx) = unbounded_channel();
     connect(agent_addr, LinkId::new(1), hello(), LinkConfig::default(), tx);
@@ -159,12 +236,40 @@
     ended.expect("the call ends in time")
 }
 
+/// Runs one request whose entry doesn't ask for more than the window. Returns how many bytes of its body the agent takes
+/// in a second.
+async fn count_unread(response: &'static str, unit: &'static str, work: &Work) -> usize {
+    let service = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let service_addr = service.local_addr().expect("an address");
+    let count = Rc::new(Cell::new(0));
+    let written = Rc::clone(&count);
+    actix_rt::spawn(async move {
+        while let Ok((mut stream, _)) = service.accept().await {
+            let written = Rc::clone(&written);
+            actix_rt::spawn(async move {
+                if read_request(&mut stream).await {
+                    stream.write_all(response.as_bytes()).await.expect("the agent reads");
+                    let block = unit.repeat(1_000);
+                    while stream.write_all(block.as_bytes()).await.is_ok() {
+                        written.set(written.get() + block.len());
+                    }
+                }
+            });
+        }
+    });
+    let agent_addr = start_agent(service_addr, work);
+    let (tx, mut rx) = unbounded_channel();
+    connect(agent_addr, LinkId::new(1), hello(), LinkConfig::default(), tx);
+    let _ = timeout(UNREAD_TIME, run_to_end(&mut rx, work)).await;
+    count.get()
+}
+
 async fn serve(service: TcpListener, response: &'static str, unit: &'static str) {
     while let Ok((mut stream, _)) = service.accept().await {
         actix_rt::spawn(async move {
             if read_request(&mut stream).await {
                 stream.write_all(response.as_bytes()).await.expect("the agent reads");
-                let block = unit.repeat(1_000);
+                let block = unit.repeat(64 * 1024 / unit.len().max(1));
                 while !unit.is_empty() && stream.write_all(block.as_bytes()).await.is_ok() {}
             }
         });
@@ -207,7 +312,8 @@
         data_centre: "agdal".try_into().expect("a name"),
         region: "morocco".try_into().expect("a name"),
         endpoint_url: format!("http://{service}"),
-        link: LinkConfig::default(),
+        // The entry sends no heartbeats.
+        link: LinkConfig::default().heartbeat_timeout(2 * TIMEOUT),
     };
     let shell =
         AgentShell::new(options, core, Clock::start(), listener, NoDocuments).expect("a listener");
