--- a/crates/daisychute-agent/tests/whole_answers.rs
+++ b/crates/daisychute-agent/tests/whole_answers.rs
@@ -178,7 +178,7 @@
     bytes_in_place_of_a_head: "", "x" => ENDPOINT_LOST,
     header_lines_without_end: "HTTP/1.1 200 OK\r\n", "x-more: yes\r\n" => ENDPOINT_LOST,
     blank_lines_in_place_of_a_head: "", "\r\n" => ENDPOINT_LOST,
-    interim_responses_without_end: "", "HTTP/1.1 100 Continue\r\n\r\n" => ENDPOINT_LOST,
+    interim_responses_of_an_endpoint_without_end: "", "HTTP/1.1 100 Continue\r\n\r\n" => ENDPOINT_LOST,
 }
 
 engine_errors_without_end! {
