--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -74,20 +74,23 @@
     due: Time,
     /// Whether the endpoint has answered a check that ended at `check_at` or later.
     is_present: bool,
+    /// Time after which the endpoint is asked again, if it doesn't answer the next check.
+    recheck_after: Duration,
 }
 
 impl ResponseEnd {
     /// Time within which an endpoint that stops gives up its responses, one after the other.
     pub const GIVE_UP_TIME: Duration = Duration::from_millis(250);
-    /// Time after which an endpoint is asked again that hasn't answered a check.
-    pub const RECHECK_INTERVAL: Duration = Duration::from_millis(40);
+    /// Time after which an endpoint is asked again that hasn't answered a check; doubled each time.
+    pub const FIRST_RECHECK: Duration = Duration::from_millis(40);
 
     /// Creates the decision for a response that ended at this time. Without a sign that the endpoint goes on, it is watched for
     /// `hold`.
     #[must_use]
     pub fn new(ended_at: Time, hold: Duration) -> Self {
         let due = ended_at + hold;
-        Self { ended_at, check_at: due, due, is_present: false }
+        let recheck_after = Self::FIRST_RECHECK;
+        Self { ended_at, check_at: due, due, is_present: false, recheck_after }
     }
 
     /// Asks the endpoint early enough for an answer that takes this long. Returns what to do.
@@ -130,7 +133,9 @@
             EndpointSign::Due { .. } | EndpointSign::Unwatched => EndStep::Check,
             EndpointSign::Unanswered if now < self.due => {
                 // A process that is being ended may have accepted the check.
-                EndStep::WaitUntil(self.due.min(now + Self::RECHECK_INTERVAL))
+                let recheck_at = now + self.recheck_after;
+                self.recheck_after *= 2;
+                EndStep::WaitUntil(self.due.min(recheck_at))
             }
             EndpointSign::Unanswered | EndpointSign::Gone => EndStep::Unconfirmed,
         }
--- a/crates/daisychute-dispatch/tests/response_ends.rs
+++ b/crates/daisychute-dispatch/tests/response_ends.rs
@@ -65,3 +65,17 @@
     assert_eq!(end.next_step(at(DUE), open), EndStep::Whole);
     assert_eq!(closed.next_step(at(DUE), EndpointSign::Due { watched: false }), EndStep::Check);
 }
+
+/// Guards against an endpoint in trouble that is asked again and again.
+#[test]
+fn endpoint_that_does_not_answer_is_asked_less_and_less_often() {
+    let at = Time::from_millis;
+    let mut end = ResponseEnd::new(at(ENDED), Duration::from_millis(DUE - ENDED));
+    let mut now = ENDED;
+    for pause in [40, 80, 160, 320, 640] {
+        let step = end.next_step(at(now), EndpointSign::Unanswered);
+        now += pause;
+        assert_eq!(step, EndStep::WaitUntil(at(now)));
+    }
+    assert_eq!(end.next_step(at(now), EndpointSign::Unanswered), WAIT);
+}
