--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -17,6 +17,8 @@
     pub(crate) address: SocketAddr,
     pub(crate) task: Task,
     pub(crate) sent_at: Time,
+    /// When the endpoint was done with the request; `None` before that. It doesn't count as in flight there any more.
+    pub(crate) ended_at: Option<Time>,
     /// Prompt tokens that were added to the endpoint's requests in flight, and are subtracted at the end.
     pub(crate) tokens: u32,
     /// Cached and uncached tokens of the prompt at the endpoint.
@@ -85,6 +87,10 @@
     pub(crate) begin_recorded: bool,
     /// When the first output for the client arrived.
     pub(crate) first_output_at: Option<Time>,
+    /// Size of the response so far, as last reported, in bytes; 0 if it is too small to be reported.
+    pub(crate) response_bytes: u64,
+    /// Whether the response has grown far beyond the usual size of its route.
+    pub(crate) is_oversized: bool,
     /// Software version that all endpoints must have which send events of the stream; itself `None` if the directory
     /// doesn't say it. `None` before the first event, if the client has none either.
     pub(crate) stream_version: Option<Option<SoftwareVersion>>,
@@ -141,8 +147,9 @@
 
     /// Returns for how long the present attempt has sent outputs; `None` before the first one.
     pub(crate) fn output_time(&self, now: Time) -> Option<Duration> {
-        let sent_at = self.in_flight.as_ref()?.sent_at;
-        Some(now.since(self.first_output_at?.max(sent_at)))
+        let sent = self.in_flight.as_ref()?;
+        let until = sent.ended_at.unwrap_or(now);
+        Some(until.since(self.first_output_at?.max(sent.sent_at)))
     }
 
     /// Whether the other request is for the same route and service.
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -2,14 +2,15 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
 use actix_http::h1::Message;
-use actix_http::{RequestHeadType, ResponseHead, StatusCode};
+use actix_http::{RequestHeadType, ResponseHead, StatusCode, header};
 use bytes::{Buf, Bytes, BytesMut};
 use daisychute_core::Time;
 use daisychute_dispatch::{Event, RequestKey, SendDecision, SendFailure, Task};
+use serde::de::IgnoredAny;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
 use tokio_util::codec::Encoder;
@@ -17,6 +18,8 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
+use crate::endpoint::activity::Beginning;
+use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
 use crate::endpoint::presence::Sentinel;
@@ -27,10 +30,14 @@
 /// Maximum size of a response that is buffered before it is passed on, so that a truncated one can still be retried or
 /// reported as an error.
 const MAX_BUFFERED_BYTES: usize = 256 * 1024;
+/// Maximum rate at which a response can be passed on, in bytes per second.
+const MAX_RATE: u64 = 1024 * 1024 * 1024;
 /// Maximum size of the response to a prefill request, which is usually far shorter.
 const MAX_PREFILL_RESPONSE_BYTES: usize = 64 * 1024;
 /// Maximum size of an event. An endpoint that sends more without ending the event is in trouble.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
+/// Maximum size of an event with its framing, which is several times as large as the event in chunks of a few bytes.
+const MAX_FRAMED_EVENT_BYTES: usize = MAX_EVENT_BYTES * 5 / 4;
 /// Maximum size of the body of a late response, which is dropped.
 const MAX_LATE_BODY_BYTES: usize = 256 * 1024;
 /// Maximum number of responses read in search of the one that matches the request. Late responses to earlier requests
@@ -70,6 +77,8 @@
     pub(crate) key: RequestKey,
     pub(crate) incoming: &'a Incoming,
     pub(crate) decision: &'a SendDecision,
+    /// The processor time of the request.
+    pub(crate) processor: &'a ProcessorTime,
     pub(crate) response_writer: &'a mut ResponseWriter<'c>,
 }
 
@@ -113,6 +122,10 @@
             }
             (Err(ResponseError::Broken), _) => return CallEnd::Failed(SendFailure::NoAnswer, None),
         };
+        if head.info.signed && head.head.status.is_success() {
+            let beginning = Beginning { sent_at, began_at: self.state.now() };
+            self.state.activity.record(self.decision.endpoint, beginning);
+        }
         let keep_alive = head.info.keep_alive;
         let reusable = head.reusable && all_sent && head.head.keep_alive();
         let end = self.pass_response(head, &mut reader).await;
@@ -223,7 +236,7 @@
         if !head.status.is_success() {
             return self.read_error_response(head, reader).await;
         }
-        if !info.signed || info.encoded {
+        if !info.signed || info.encoded || self.is_too_long(&head) {
             return CallEnd::Failed(SendFailure::Unusable, None);
         }
         self.state.handle(Event::ResponseStarted { key: self.key });
@@ -234,6 +247,19 @@
         }
     }
 
+    /// Whether the response declares a length that can't be passed on before the deadline.
+    fn is_too_long(&self, head: &ResponseHead) -> bool {
+        let length = head.headers.get(header::CONTENT_LENGTH);
+        let length = length.and_then(|it| it.to_str().ok()?.parse().ok()).unwrap_or(0);
+        let min_time = Duration::from_secs(length / MAX_RATE);
+        let is_too_long = min_time > self.decision.deadline.since(self.state.now());
+        if is_too_long {
+            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+            log::warn!(request:%, endpoint:%, bytes = length; "endpoint declares a response that is too long for the deadline");
+        }
+        is_too_long
+    }
+
     async fn read_prefill_response(
         &self,
         head: &ResponseHead,
@@ -289,6 +315,7 @@
         reader: &mut ResponseReader<'_, '_>,
     ) -> CallEnd {
         let sentinel = self.open_sentinel(reader);
+        let mut meter = BodyMeter::new(self.state, self.key, self.processor);
         let mut part = match reader.collect(MAX_BUFFERED_BYTES).await {
             // An endpoint that stops before its body closes the connection in the same way.
             Ok(Collected::Whole(body))
@@ -297,7 +324,14 @@
                 return self.truncated(ResponseError::Broken);
             }
             Ok(Collected::Whole(body)) => {
-                if self.ended_early(sentinel).await {
+                let is_complete = match reader.framing() {
+                    Framing::Explicit => true,
+                    Framing::UntilClose => match json_is_complete(head, &body) {
+                        Some(is_complete) => is_complete,
+                        None => !self.ended_early(sentinel).await,
+                    },
+                };
+                if !is_complete {
                     return self.truncated(ResponseError::Broken);
                 }
                 return match self.response_writer.write_response(head, &body).await {
@@ -309,6 +343,7 @@
             Err(e) => return self.truncated(e),
         };
         while let Some(bytes) = part {
+            meter.record(bytes.len()).await;
             if let Err(disconnected) = self.response_writer.write_chunk(head, &bytes).await {
                 return disconnected.into();
             }
@@ -330,11 +365,15 @@
     ) -> CallEnd {
         let sentinel = self.open_sentinel(reader);
         self.response_writer.begin_stream();
+        let mut meter = BodyMeter::new(self.state, self.key, self.processor);
         let mut has_events = false;
+        let mut read_before = 0;
         loop {
             match reader.next().await {
                 Ok(Some(bytes)) => {
                     if let Some(events) = self.response_writer.complete_events(&bytes) {
+                        read_before = reader.bytes_read();
+                        meter.record(events.len()).await;
                         has_events = true;
                         self.state.handle(Event::FirstOutput { key: self.key });
                         let written = self.response_writer.write_chunk(head, &events).await;
@@ -345,7 +384,10 @@
                     if let Some(disorder) = self.response_writer.disorder() {
                         return self.disordered(disorder);
                     }
-                    if self.response_writer.partial_bytes() > MAX_EVENT_BYTES {
+                    let framed_bytes = reader.bytes_read() - read_before;
+                    if self.response_writer.partial_bytes() > MAX_EVENT_BYTES
+                        || framed_bytes > MAX_FRAMED_EVENT_BYTES
+                    {
                         return self.truncated(ResponseError::Endless);
                     }
                 }
@@ -354,7 +396,10 @@
             }
         }
         let framing = reader.framing();
-        if self.is_broken_off(framing, has_events) || self.ended_early(sentinel).await {
+        if self.is_broken_off(framing, has_events) {
+            return self.truncated(ResponseError::Broken);
+        }
+        if self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -387,25 +432,41 @@
     /// same way as the process itself.
     async fn ended_early(&self, sentinel: Option<Sentinel>) -> bool {
         let Some(sentinel) = sentinel else { return false };
-        let has_ended = sentinel.has_ended(self.state, self.key, self.decision).await;
-        if has_ended {
-            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
-            let address = self.decision.address;
-            log::warn!(request:%, endpoint:%, address:%; "response ended with its endpoint");
+        let ended_at = Instant::now();
+        self.state.handle(Event::ResponseEnded { key: self.key });
+        let is_passed = self.response_writer.head_passed();
+        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision, is_passed).await;
+        self.log_end_by_close(is_confirmed, ended_at.elapsed());
+        !is_confirmed
+    }
+
+    /// Logs and counts a response that ended with its connection.
+    fn log_end_by_close(&self, is_confirmed: bool, looked_for: Duration) {
+        let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+        let (address, looked_ms) = (self.decision.address, looked_for.as_millis());
+        let verdict = if is_confirmed { "whole" } else { "ended_early" };
+        metrics::histogram!("daisychute_end_of_response_seconds", "verdict" => verdict)
+            .record(looked_for);
+        if is_confirmed {
+            log::info!(request:%, endpoint:%, address:%, looked_ms; "response ended by the close of its connection");
+        } else {
+            log::warn!(request:%, endpoint:%, address:%, looked_ms; "response ended with its endpoint");
             metrics::counter!("daisychute_responses_ended_early_total").increment(1);
         }
-        has_ended
     }
 
     /// Whether a stream whose body has ended lacks its last events.
-    fn is_broken_off(&self, framing: Framing, has_events: bool) -> bool {
+    fn is_broken_off(&mut self, framing: Framing, has_events: bool) -> bool {
         let inside_event = self.response_writer.is_inside_event();
         if inside_event {
             self.log_end_inside_event(framing);
         }
         // An endpoint that stops before its first event closes the connection in the same way.
-        let may_lack_events = framing == Framing::UntilClose && !has_events;
-        inside_event || may_lack_events
+        let is_empty = framing == Framing::UntilClose && !has_events;
+        if is_empty && !inside_event {
+            self.response_writer.record_empty_run();
+        }
+        inside_event || (is_empty && !self.response_writer.has_nothing_left())
     }
 
     fn log_end_inside_event(&self, framing: Framing) {
@@ -461,3 +522,18 @@
         }
     }
 }
+
+/// Whether the object or array that a JSON body consists of is complete. `None` if the body is no such JSON, so that its
+/// content doesn't tell.
+fn json_is_complete(head: &ResponseHead, body: &[u8]) -> Option<bool> {
+    let content_type = head.headers.get(header::CONTENT_TYPE)?.to_str().ok()?;
+    let is_json = content_type.split(';').next()?.trim().eq_ignore_ascii_case("application/json");
+    let is_nested = matches!(body.trim_ascii_start().first(), Some(b'{' | b'['));
+    if !is_json || !is_nested {
+        return None;
+    }
+    match serde_json::from_slice::<IgnoredAny>(body) {
+        Ok(_) => Some(true),
+        Err(e) => e.is_eof().then_some(false),
+    }
+}
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -1,60 +1,58 @@
-//! Whether an endpoint is still there at the end of a response that only its connection ends.
+//! Whether an endpoint outlives a response that only its connection ends.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, Message};
 use actix_http::header::{self, HeaderValue};
-use actix_http::{RequestHeadType, ResponseHead, StatusCode};
+use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use actix_rt::task::JoinHandle;
 use bytes::BytesMut;
-use daisychute_dispatch::{RequestKey, SendDecision};
+use daisychute_core::EndpointName;
+use daisychute_dispatch::{EndStep, EndpointSign, RequestKey, ResponseEnd, SendDecision};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::sync::watch;
+use tokio::time::{sleep_until, timeout};
 use tokio_util::codec::Encoder;
 
 use crate::Dialect;
+use crate::endpoint::activity::Beginning;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::control_call::{ControlCallError, control_call};
 use crate::endpoint::pool::{ConnectionGuard, MAX_IDLE_FOR_NON_REPEATABLE};
 use crate::endpoint::response_reader::ResponseReader;
 use crate::state::FrontState;
 
-/// Time within which the system of a busy machine closes all connections of a process that has ended.
-const CLOSE_TIME: Duration = Duration::from_millis(25);
 /// Time limit for the response to a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum size of a response, which carries no content beyond its head.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024;
 
-/// What a check tells about an endpoint.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Presence {
-    /// The endpoint itself responds.
-    Confirmed,
-    /// Something accepts connections on its address.
-    Unclear,
-    /// Nothing listens on its address, or another endpoint does.
-    Ended,
-}
-
 /// A second connection to an endpoint that sends a response without length and chunks, with a health check on it. The
 /// system closes both connections when the process of the endpoint ends; the endpoint itself closes only the one that
 /// ends its response. The check tells whether it is the endpoint that accepted, or another one at its address.
 pub(crate) struct Sentinel {
-    /// `None` if the endpoint has as many connections as it may, or if the connection failed other than by a refusal.
-    opening: JoinHandle<Option<Result<EndpointConnection, Refused>>>,
+    connecting: JoinHandle<Result<Confirmed, EndpointSign>>,
     opened_at: Instant,
-    /// Whether the endpoint takes a check now.
-    is_checked: bool,
     _guard: Option<ConnectionGuard>,
 }
 
-/// Nothing listens on the address.
-struct Refused;
+/// A connection that the endpoint itself has accepted.
+struct Confirmed {
+    connection: EndpointConnection,
+    /// Time that the endpoint took to answer the check; zero if it takes none now.
+    answer_time: Duration,
+}
+
+impl Drop for Sentinel {
+    fn drop(&mut self) {
+        self.connecting.abort();
+    }
+}
 
 impl Sentinel {
     /// Connects to the endpoint that has begun its response, unless it has as many connections as it may.
@@ -68,118 +66,175 @@
         let path = state.with_dispatcher(|it| it.health_path(state.now(), request, endpoint));
         let check = path.map(|it| state.dialect.health_check(&it, name));
         let _guard = has_room.then(|| state.pool.guard(endpoint));
-        let (is_checked, state) = (check.is_some(), Rc::clone(state));
-        let opening = actix_rt::spawn(async move {
+        let (state, name) = (Rc::clone(state), name.clone());
+        let connecting = actix_rt::spawn(async move {
             if !has_room {
-                return None;
+                return Err(EndpointSign::Unwatched);
             }
-            let mut connection = match EndpointConnection::open(address, &state.http).await {
-                Ok(connection) => connection,
-                Err(e) if e.kind() == ErrorKind::ConnectionRefused => return Some(Err(Refused)),
-                Err(_) => return None,
+            let opened = EndpointConnection::open(address, &state.http).await;
+            let mut connection = opened.map_err(|_| EndpointSign::Unwatched)?;
+            let sent_at = Instant::now();
+            let Some(check) = check else {
+                return Ok(Confirmed { connection, answer_time: Duration::ZERO });
             };
-            if let Some(mut head) = check {
-                head.headers.insert(header::HOST, HeaderValue::try_from(address.to_string()).ok()?);
-                let message = Message::Item((RequestHeadType::Owned(head), BodySize::None));
-                let mut out = BytesMut::new();
-                connection.codec.encode(message, &mut out).ok()?;
-                connection.stream.write_all(&out).await.ok()?;
+            let head = send_check(&state, &mut connection, check, address).await;
+            let head = head.map_err(|_| EndpointSign::Unwatched)?;
+            if is_other(&state, &head, &name) {
+                return Err(EndpointSign::Gone);
             }
-            Some(Ok(connection))
+            Ok(Confirmed { connection, answer_time: sent_at.elapsed() })
         });
-        Self { opening, opened_at: Instant::now(), is_checked, _guard }
+        Self { connecting, opened_at: Instant::now(), _guard }
     }
 
-    /// Returns whether the endpoint has ended, once its response has. Its address may be in use again.
-    pub(crate) async fn has_ended<D: Dialect>(
-        self,
+    /// Returns whether the endpoint outlives its response, which has ended. Its address may be in use again. With
+    /// `is_passed`, the client has the response but for its end.
+    pub(crate) async fn confirms<D: Dialect>(
+        mut self,
         state: &Rc<FrontState<D>>,
         request: RequestKey,
         decision: &SendDecision,
+        is_passed: bool,
     ) -> bool {
-        let opened = self.opening.await.ok().flatten();
-        let is_suspect = opened.is_some();
-        if let Some(Ok(mut connection)) = opened {
-            if self.is_checked {
-                let answer = read_check(state, &mut connection, decision);
-                match timeout(CHECK_TIMEOUT, answer).await {
-                    Ok(Some(Presence::Ended)) => return true,
-                    Ok(_) => {}
-                    // The connection is still open.
-                    Err(_) => return false,
-                }
-            }
-            sleep(CLOSE_TIME).await;
-            if connection.is_reusable() {
-                // An older one may be about to be closed as idle.
-                let is_fresh = self.opened_at.elapsed() < MAX_IDLE_FOR_NON_REPEATABLE;
-                if is_fresh && state.takes_work(decision.endpoint) {
-                    state.pool.put(decision.endpoint, connection, None);
+        let now = state.now();
+        let hold = state.with_dispatcher(|it| it.end_hold(now, request, is_passed));
+        let mut end = ResponseEnd::new(now, hold);
+        let mut activity = state.activity.watch(decision.endpoint);
+        let mut connection = None;
+        let mut is_connecting = true;
+        let mut check_timeout = CHECK_TIMEOUT;
+        let mut step = end.first_step();
+        loop {
+            let sign = match step {
+                EndStep::Whole => break,
+                EndStep::Unconfirmed => return false,
+                EndStep::Check => {
+                    let check = check(state, request, decision, connection.as_ref());
+                    timeout(check_timeout, check).await.unwrap_or(EndpointSign::Unanswered)
                 }
-                return false;
-            }
+                EndStep::WaitUntil(time) => tokio::select! {
+                    biased;
+                    connected = &mut self.connecting, if is_connecting => {
+                        is_connecting = false;
+                        match connected.unwrap_or(Err(EndpointSign::Unwatched)) {
+                            Ok(confirmed) => {
+                                connection = Some(confirmed.connection);
+                                let answer_time = confirmed.answer_time * 2;
+                                check_timeout = check_timeout.max(answer_time);
+                                step = end.allow_answer_time(answer_time);
+                                continue;
+                            }
+                            Err(sign) => sign,
+                        }
+                    }
+                    () = closed(connection.as_ref()) => {
+                        connection = None;
+                        EndpointSign::Unwatched
+                    }
+                    Beginning { sent_at, began_at } = next_response(&mut activity) => {
+                        EndpointSign::Responded { sent_at, began_at }
+                    }
+                    () = sleep_until(state.instant(time).into()) => {
+                        // The timer of a process that was suspended may be seen before the close.
+                        let watched =
+                            connection.as_ref().is_some_and(EndpointConnection::is_reusable);
+                        EndpointSign::Due { watched }
+                    }
+                },
+            };
+            step = end.next_step(state.now(), sign);
         }
-        match check(state, request, decision).await {
-            Presence::Confirmed => false,
-            // Both connections are closed, or the second one was refused.
-            Presence::Unclear => is_suspect,
-            Presence::Ended => true,
+        // An older connection may be about to be closed as idle.
+        let is_fresh = self.opened_at.elapsed() < MAX_IDLE_FOR_NON_REPEATABLE;
+        if let Some(connection) = connection
+            && is_fresh
+            && state.takes_work(decision.endpoint)
+        {
+            state.pool.put(decision.endpoint, connection, None);
         }
+        true
     }
 }
 
-/// Reads the response to the check on a sentinel. `None` if the connection is closed.
-async fn read_check<D: Dialect>(
+/// Sends a check on a connection and reads the response. Returns its head.
+async fn send_check<D: Dialect>(
     state: &Rc<FrontState<D>>,
     connection: &mut EndpointConnection,
-    decision: &SendDecision,
-) -> Option<Presence> {
+    mut check: RequestHead,
+    address: SocketAddr,
+) -> Result<ResponseHead, ControlCallError> {
+    if let Ok(host) = HeaderValue::try_from(address.to_string()) {
+        check.headers.insert(header::HOST, host);
+    }
     let EndpointConnection { stream, codec, buf, .. } = connection;
+    let mut out = BytesMut::new();
+    let message = Message::Item((RequestHeadType::Owned(check), BodySize::None));
+    codec.encode(message, &mut out)?;
+    stream.write_all(&out).await?;
     let (mut read, _) = stream.split();
-    let codec = std::mem::replace(codec, ClientCodec::new(state.http.clone()));
-    let mut reader = ResponseReader::new(&mut read, buf, codec);
-    let head = reader.head(false).await.ok()?;
-    reader.skip(MAX_RESPONSE_BYTES).await.ok()?;
-    Some(of_response(state, &head, decision))
+    let own_codec = std::mem::replace(codec, ClientCodec::new(state.http.clone()));
+    let mut reader = ResponseReader::new(&mut read, buf, own_codec);
+    let head = reader.head(false).await?;
+    reader.skip(MAX_RESPONSE_BYTES).await?;
+    Ok(head)
+}
+
+/// Waits until a connection is closed, or has unexpected bytes, after which nothing tells its end.
+async fn closed(connection: Option<&EndpointConnection>) {
+    match connection {
+        Some(connection) => _ = connection.stream.peek(&mut [0]).await,
+        None => std::future::pending().await,
+    }
 }
 
-/// Checks the endpoint of a request: by a health check if it takes one now, else by a connection alone.
+/// Waits until the endpoint begins a response.
+async fn next_response(activity: &mut watch::Receiver<Beginning>) -> Beginning {
+    // The front keeps the sender as long as there are receivers.
+    if activity.changed().await.is_err() {
+        std::future::pending::<()>().await;
+    }
+    *activity.borrow_and_update()
+}
+
+/// Checks the endpoint of a request: by a health check if it takes one now, else by its open connection or a new one.
 async fn check<D: Dialect>(
     state: &Rc<FrontState<D>>,
     request: RequestKey,
     decision: &SendDecision,
-) -> Presence {
+    connection: Option<&EndpointConnection>,
+) -> EndpointSign {
     let SendDecision { endpoint, ref name, address, .. } = *decision;
     let path = state.with_dispatcher(|it| it.health_path(state.now(), request, endpoint));
     let Some(path) = path else {
-        let connected = timeout(CHECK_TIMEOUT, TcpStream::connect(address)).await;
-        return connected.map_or(Presence::Unclear, |it| of_connection(it.err()));
+        if connection.is_some_and(EndpointConnection::is_reusable) {
+            return EndpointSign::Present;
+        }
+        return of_connection(TcpStream::connect(address).await.err());
     };
     let check = state.dialect.health_check(&path, name);
     let call = control_call(state, endpoint, address, check, MAX_RESPONSE_BYTES);
-    match timeout(CHECK_TIMEOUT, call).await {
-        Ok(Ok((head, _))) => of_response(state, &head, decision),
-        Ok(Err(ControlCallError::Status(StatusCode::MISDIRECTED_REQUEST))) => Presence::Ended,
-        Ok(Err(ControlCallError::Io(e))) => of_connection(Some(e)),
-        Ok(Err(_)) | Err(_) => Presence::Unclear,
+    match call.await {
+        Ok((head, _)) if is_other(state, &head, name) => EndpointSign::Gone,
+        Err(ControlCallError::Status(StatusCode::MISDIRECTED_REQUEST)) => EndpointSign::Gone,
+        Ok(_) | Err(ControlCallError::Status(_)) => EndpointSign::Present,
+        Err(ControlCallError::Io(e)) => of_connection(Some(e)),
+        Err(_) => EndpointSign::Unanswered,
     }
 }
 
-/// What the response to a check tells.
-fn of_response<D: Dialect>(
+/// Whether a check was answered by another endpoint.
+fn is_other<D: Dialect>(
     state: &Rc<FrontState<D>>,
     head: &ResponseHead,
-    decision: &SendDecision,
-) -> Presence {
-    let is_other = head.status == StatusCode::MISDIRECTED_REQUEST
-        || state.dialect.is_other(head, &decision.name);
-    if is_other { Presence::Ended } else { Presence::Confirmed }
+    name: &EndpointName,
+) -> bool {
+    head.status == StatusCode::MISDIRECTED_REQUEST || state.dialect.is_other(head, name)
 }
 
 /// What an attempt to connect tells.
-fn of_connection(error: Option<std::io::Error>) -> Presence {
+fn of_connection(error: Option<std::io::Error>) -> EndpointSign {
     match error {
-        Some(e) if e.kind() == ErrorKind::ConnectionRefused => Presence::Ended,
-        _ => Presence::Unclear,
+        Some(e) if e.kind() == ErrorKind::ConnectionRefused => EndpointSign::Gone,
+        _ => EndpointSign::Unanswered,
     }
 }
--- /dev/null
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -0,0 +1,70 @@
+//! What ended when, to tell which streams it concerns.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use daisychute_platform_standin::Departure;
+use tokio::time::Instant;
+
+use crate::checks::RequestRecord;
+
+/// The ends of workers and fronts, and the streams that workers sent to their end.
+#[derive(Debug, Default)]
+pub(super) struct Ends {
+    pub(super) workers: Vec<WorkerEnd>,
+    /// When fronts, by their client addresses, were told to end.
+    pub(super) fronts: Vec<(SocketAddr, Instant)>,
+    /// Ids of the workers that close each connection after one response.
+    pub(super) one_response: BTreeSet<String>,
+    /// Ids of the attempts all events of which were sent by a worker.
+    pub(super) sent: BTreeSet<String>,
+}
+
+/// The end of a worker, at the request of the soak.
+#[derive(Debug)]
+pub(super) struct WorkerEnd {
+    /// Id of the worker.
+    pub(super) id: String,
+    /// When it was killed or told to end.
+    pub(super) at: Instant,
+    /// How it ended then.
+    pub(super) departure: Departure,
+}
+
+impl Ends {
+    /// Whether the worker of an attempt was told to end while that was in flight.
+    pub(super) fn has_worker_of(&self, attempt: &RequestRecord) -> bool {
+        self.worker_end(attempt).is_some_and(|it| attempt.sent_at < it.at)
+    }
+
+    /// The end of the worker of an attempt; `None` if it was told to only afterwards, or never. It may have been told just
+    /// before the attempt, which it served since the signal was late.
+    fn worker_end(&self, attempt: &RequestRecord) -> Option<&WorkerEnd> {
+        let worker = attempt.response.as_ref()?.header("x-server-seal")?;
+        self.workers.iter().find(|it| it.id == worker && it.at < attempt.ended_at)
+    }
+
+    /// Describes what ended while an attempt was in flight, and whether its worker closes each connection. Only of the
+    /// worker that began the response, also if another went on with it.
+    pub(super) fn describe(&self, attempt: &RequestRecord) -> String {
+        let seal = attempt.response.as_ref().and_then(|it| it.header("x-server-seal"));
+        let one_response = seal.is_some_and(|it| self.one_response.contains(it));
+        let mut text = match self.worker_end(attempt) {
+            Some(end) => format!("worker left {}", end.departure),
+            None => "worker not told to end".to_owned(),
+        };
+        text.push_str(if one_response { ", one response" } else { "" });
+        text.push_str(if self.has_front_of(attempt) { ", front ended" } else { "" });
+        text
+    }
+
+    /// Whether the front of an attempt was told to end before the attempt had ended.
+    fn has_front_of(&self, attempt: &RequestRecord) -> bool {
+        self.fronts.iter().any(|(front, at)| *front == attempt.front && *at < attempt.ended_at)
+    }
+
+    /// Whether a worker sent all events of an attempt.
+    pub(super) fn has_sent(&self, attempt: &RequestRecord) -> bool {
+        self.sent.contains(&attempt.id)
+    }
+}
