feat(front): log what was seen of an endpoint after the end of a response

The line of a response that ends with its connection told for how long the endpoint was looked at, and not what told that it is there. The line now names each sign with its time, and for checks the status and duration of the answer. The soak tells for each violation when the worker was told to end, when its process had ended, and which one took its address. No decision changes.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -31,6 +31,22 @@
     },
 }
 
+impl EndpointSign {
+    /// Returns the name used in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Responded { .. } => "responded",
+            Self::Present => "present",
+            Self::Unwatched => "unwatched",
+            Self::Gone => "gone",
+            Self::Unanswered => "unanswered",
+            Self::Due { watched: true } => "due, connection open",
+            Self::Due { watched: false } => "due",
+        }
+    }
+}
+
 /// What to do next about a response that ended with its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndStep {
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -21,6 +21,7 @@
 use crate::endpoint::activity::Beginning;
 use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
 use crate::endpoint::connection::EndpointConnection;
+use crate::endpoint::looks::Looks;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
 use crate::endpoint::presence::Sentinel;
 use crate::endpoint::response_reader::{Collected, Framing, ResponseError, ResponseReader};
@@ -432,25 +433,28 @@
     /// same way as the process itself.
     async fn ended_early(&self, sentinel: Option<Sentinel>) -> bool {
         let Some(sentinel) = sentinel else { return false };
-        let ended_at = Instant::now();
+        let mut looks = Looks::new(Instant::now());
         self.state.handle(Event::ResponseEnded { key: self.key });
         let is_passed = self.response_writer.head_passed();
-        let is_confirmed = sentinel.confirms(self.state, self.key, self.decision, is_passed).await;
-        self.log_end_by_close(is_confirmed, ended_at.elapsed());
+        let confirms =
+            sentinel.confirms(self.state, self.key, self.decision, is_passed, &mut looks);
+        let is_confirmed = confirms.await;
+        self.log_end_by_close(is_confirmed, &looks);
         !is_confirmed
     }
 
     /// Logs and counts a response that ended with its connection.
-    fn log_end_by_close(&self, is_confirmed: bool, looked_for: Duration) {
+    fn log_end_by_close(&self, is_confirmed: bool, looks: &Looks) {
         let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+        let looked_for = looks.elapsed();
         let (address, looked_ms) = (self.decision.address, looked_for.as_millis());
         let verdict = if is_confirmed { "whole" } else { "ended_early" };
         metrics::histogram!("daisychute_end_of_response_seconds", "verdict" => verdict)
             .record(looked_for);
         if is_confirmed {
-            log::info!(request:%, endpoint:%, address:%, looked_ms; "response ended by the close of its connection");
+            log::info!(request:%, endpoint:%, address:%, looked_ms, looks:%; "response ended by the close of its connection");
         } else {
-            log::warn!(request:%, endpoint:%, address:%, looked_ms; "response ended with its endpoint");
+            log::warn!(request:%, endpoint:%, address:%, looked_ms, looks:%; "response ended with its endpoint");
             metrics::counter!("daisychute_responses_ended_early_total").increment(1);
         }
     }
--- a/crates/daisychute-front/src/endpoint/mod.rs
+++ b/crates/daisychute-front/src/endpoint/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod cache_query;
 mod control_call;
 pub(crate) mod health_check;
+pub(crate) mod looks;
 pub(crate) mod pool;
 pub(crate) mod presence;
 pub(crate) mod release;
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -23,6 +23,7 @@
 use crate::endpoint::activity::Beginning;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::control_call::{ControlCallError, control_call};
+use crate::endpoint::looks::Looks;
 use crate::endpoint::pool::{ConnectionGuard, MAX_IDLE_FOR_NON_REPEATABLE};
 use crate::endpoint::response_reader::ResponseReader;
 use crate::state::FrontState;
@@ -88,13 +89,14 @@
     }
 
     /// Returns whether the endpoint outlives its response, which has ended. Its address may be in use again. With
-    /// `is_passed`, the client has the response but for its end.
+    /// `is_passed`, the client has the response but for its end. `looks` records what was seen.
     pub(crate) async fn confirms<D: Dialect>(
         mut self,
         state: &Rc<FrontState<D>>,
         request: RequestKey,
         decision: &SendDecision,
         is_passed: bool,
+        looks: &mut Looks,
     ) -> bool {
         let now = state.now();
         let hold = state.with_dispatcher(|it| it.end_hold(now, request, is_passed));
@@ -109,8 +111,12 @@
                 EndStep::Whole => break,
                 EndStep::Unconfirmed => return false,
                 EndStep::Check => {
+                    let asked_at = Instant::now();
                     let check = check(state, request, decision, connection.as_ref());
-                    timeout(check_timeout, check).await.unwrap_or(EndpointSign::Unanswered)
+                    let outcome = timeout(check_timeout, check).await;
+                    let (sign, status) = outcome.unwrap_or((EndpointSign::Unanswered, None));
+                    looks.record_check(status, asked_at.elapsed());
+                    sign
                 }
                 EndStep::WaitUntil(time) => tokio::select! {
                     biased;
@@ -142,6 +148,7 @@
                     }
                 },
             };
+            looks.record(sign);
             step = end.next_step(state.now(), sign);
         }
         // An older connection may be about to be closed as idle.
@@ -197,28 +204,32 @@
 }
 
 /// Checks the endpoint of a request: by a health check if it takes one now, else by its open connection or a new one.
+/// Returns the status of an answer with what it tells.
 async fn check<D: Dialect>(
     state: &Rc<FrontState<D>>,
     request: RequestKey,
     decision: &SendDecision,
     connection: Option<&EndpointConnection>,
-) -> EndpointSign {
+) -> (EndpointSign, Option<StatusCode>) {
     let SendDecision { endpoint, ref name, address, .. } = *decision;
     let path = state.with_dispatcher(|it| it.health_path(state.now(), request, endpoint));
     let Some(path) = path else {
         if connection.is_some_and(EndpointConnection::is_reusable) {
-            return EndpointSign::Present;
+            return (EndpointSign::Present, None);
         }
-        return of_connection(TcpStream::connect(address).await.err());
+        return (of_connection(TcpStream::connect(address).await.err()), None);
     };
     let check = state.dialect.health_check(&path, name);
     let call = control_call(state, endpoint, address, check, MAX_RESPONSE_BYTES);
     match call.await {
-        Ok((head, _)) if is_other(state, &head, name) => EndpointSign::Gone,
-        Err(ControlCallError::Status(StatusCode::MISDIRECTED_REQUEST)) => EndpointSign::Gone,
-        Ok(_) | Err(ControlCallError::Status(_)) => EndpointSign::Present,
-        Err(ControlCallError::Io(e)) => of_connection(Some(e)),
-        Err(_) => EndpointSign::Unanswered,
+        Ok((head, _)) if is_other(state, &head, name) => (EndpointSign::Gone, Some(head.status)),
+        Ok((head, _)) => (EndpointSign::Present, Some(head.status)),
+        Err(ControlCallError::Status(status)) => {
+            let is_other = status == StatusCode::MISDIRECTED_REQUEST;
+            (if is_other { EndpointSign::Gone } else { EndpointSign::Present }, Some(status))
+        }
+        Err(ControlCallError::Io(e)) => (of_connection(Some(e)), None),
+        Err(_) => (EndpointSign::Unanswered, None),
     }
 }
 
--- a/crates/daisychute-soak/src/streams/check.rs
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -159,11 +159,13 @@
         responses.filter(|it| it.status != 200).map(|it| it.body.as_str())
     }
 
-    fn violation(&self, outcome: Outcome, end: &str) -> Violation {
+    fn violation(&self, outcome: Outcome, end: &str, timeline: &str) -> Violation {
         let Self { kind, events, attempts, tail: _ } = self;
         let attempts: Vec<_> = attempts.iter().map(describe).collect();
         let attempts = attempts.join("; ");
-        Violation::new(format!("stream of {events} events ({kind}) {outcome}, {end}: {attempts}"))
+        Violation::new(format!(
+            "stream of {events} events ({kind}) {outcome}, {end}, {timeline}: {attempts}"
+        ))
     }
 }
 
@@ -231,8 +233,10 @@
             }
             if outcome.is_violation() {
                 let ids = stream.attempts.iter().map(|it| it.id.clone()).collect();
-                let end = stream.attempts.last().map(|it| ends.describe(it)).unwrap_or_default();
-                violations.push((stream.violation(outcome, &end), ids));
+                let last = stream.attempts.last();
+                let end = last.map(|it| ends.describe(it)).unwrap_or_default();
+                let timeline = last.map(|it| ends.timeline(it)).unwrap_or_default();
+                violations.push((stream.violation(outcome, &end, &timeline), ids));
                 *kind.violations.entry(end).or_default() += 1;
             }
         }
--- a/crates/daisychute-soak/src/streams/ends.rs
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -29,6 +29,10 @@
     pub(super) at: Instant,
     /// How it ended then.
     pub(super) departure: Departure,
+    /// When its process was seen to have ended; `None` before that.
+    pub(super) gone_at: Option<Instant>,
+    /// Id of the worker that listens on its address since then.
+    pub(super) successor: Option<String>,
 }
 
 impl Ends {
@@ -44,6 +48,26 @@
         self.workers.iter().find(|it| it.id == worker && it.at < attempt.ended_at)
     }
 
+    /// Notes that the process of a worker has ended, and which other one listens on its address since then.
+    pub(super) fn note_gone(&mut self, id: &str, successor: Option<String>) {
+        for end in self.workers.iter_mut().filter(|it| it.id == id && it.gone_at.is_none()) {
+            end.gone_at = Some(Instant::now());
+            end.successor.clone_from(&successor);
+        }
+    }
+
+    /// Tells when the worker of an attempt was told to end, and when it had, in ms before the end of the attempt.
+    pub(super) fn timeline(&self, attempt: &RequestRecord) -> String {
+        let Some(end) = self.worker_end(attempt) else { return String::new() };
+        let before = |at: Instant| attempt.ended_at.saturating_duration_since(at).as_millis();
+        let gone = end.gone_at.map(before);
+        format!(
+            "told {} ms before the end, gone {gone:?}, then {:?}",
+            before(end.at),
+            end.successor
+        )
+    }
+
     /// Describes what ended while an attempt was in flight, and whether its worker closes each connection. Only of the
     /// worker that began the response, also if another went on with it.
     pub(super) fn describe(&self, attempt: &RequestRecord) -> String {
--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -159,7 +159,7 @@
         is_relayed: bool,
     ) -> Result<Place, SoakError> {
         self.starts += 1;
-        let (id, version) = (format!("p-{}", self.starts), format!("v{}", self.version));
+        let (id, version) = (worker_id(self.starts), format!("v{}", self.version));
         // A relay would accept connections for a worker that has just ended by itself.
         let departures = self.departures.as_mut().filter(|_| !is_relayed);
         let manners = departures.map(Departures::next_manners);
@@ -351,6 +351,8 @@
         let takes_over = self.rng.random_range(0..2) == 0;
         let address = if takes_over { old.worker.address() } else { ANY_PORT };
         self.fleet.store.delete("servers", old.worker.id());
+        let successor = takes_over.then(|| worker_id(self.starts + 1));
+        self.ends.note_gone(old.worker.id(), successor);
         self.places[worker] = self.start_worker(address, worker < RELAYED_WORKERS).await?;
         Ok(())
     }
@@ -397,6 +399,11 @@
     }
 }
 
+/// Id of the worker that is started as this one in a row.
+fn worker_id(start: u32) -> String {
+    format!("p-{start}")
+}
+
 /// Arguments that make a worker process behave like this.
 fn worker_args(manners: WorkerManners) -> Vec<String> {
     let WorkerManners { departure, end_delay, one_response } = manners;
@@ -412,7 +419,8 @@
     /// The end of the worker, if it is told to end now.
     fn end(&self) -> WorkerEnd {
         let id = self.worker.id().to_owned();
-        WorkerEnd { id, at: Instant::now(), departure: self.departure }
+        let (at, departure) = (Instant::now(), self.departure);
+        WorkerEnd { id, at, departure, gone_at: None, successor: None }
     }
 
     /// Record of the worker in the store, with this state.
