--- a/crates/daisychute-soak/src/streams/ends.rs
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -49,10 +49,10 @@
     }
 
     /// Notes that the process of a worker has ended, and which other one listens on its address since then.
-    pub(super) fn note_gone(&mut self, id: &str, successor: Option<String>) {
+    pub(super) fn note_gone(&mut self, id: &str, successor: Option<&str>) {
         for end in self.workers.iter_mut().filter(|it| it.id == id && it.gone_at.is_none()) {
             end.gone_at = Some(Instant::now());
-            end.successor.clone_from(&successor);
+            end.successor = successor.map(str::to_owned);
         }
     }
 
--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -352,7 +352,7 @@
         let address = if takes_over { old.worker.address() } else { ANY_PORT };
         self.fleet.store.delete("servers", old.worker.id());
         let successor = takes_over.then(|| worker_id(self.starts + 1));
-        self.ends.note_gone(old.worker.id(), successor);
+        self.ends.note_gone(old.worker.id(), successor.as_deref());
         self.places[worker] = self.start_worker(address, worker < RELAYED_WORKERS).await?;
         Ok(())
     }
