fix(front): count only the time in which a worker is seen to run after a response

Callers saw streams without length and chunks that lacked their last events and looked whole (ORDER).

Cause: the end of such a stream was taken on trust once its worker had answered one check 1.5 s after it. The answer said that a process was there at that moment. It didn't say that 1.5 s had passed for it (a process that is suspended, or gets no processor, has its own end before it still), and, with an error status, not even that it was this worker: the id in an error wasn't read.

Change: the worker is asked each 300 ms, once for all ends that wait for it, and only time between answers counts, up to the interval; time in which an answer is overdue doesn't. It has to come to 1.5 s, within 1.875 s; else the stream is broken off, or goes on at another worker. An answer counts only if it names the worker, whatever its status. Once the worker has refused a request since the end, answers don't suffice: it has to begin a response. So nothing is trusted that wasn't before.

The core tests of a single late answer and of an open connection at the end expected the fault; they are replaced by stricter ones: such an answer confirms nothing.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -17,7 +17,17 @@
         began_at: Time,
     },
     /// The endpoint itself answered a check.
-    Present,
+    Answered {
+        /// When it was asked.
+        asked_at: Time,
+        /// When the answer was there.
+        answered_at: Time,
+    },
+    /// The endpoint refused a request.
+    Refused {
+        /// When that request was sent.
+        sent_at: Time,
+    },
     /// No connection shows any more whether the endpoint is there.
     Unwatched,
     /// Nothing listens at the address, or another endpoint does.
@@ -37,7 +47,8 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Responded { .. } => "responded",
-            Self::Present => "present",
+            Self::Answered { .. } => "answered",
+            Self::Refused { .. } => "refused",
             Self::Unwatched => "unwatched",
             Self::Gone => "gone",
             Self::Unanswered => "unanswered",
@@ -64,7 +75,8 @@
 ///
 /// The connection of a response is closed in order when the response ends, and also when its endpoint gives it up because it is
 /// told to stop, or is ended by the system. An endpoint that stops ends some time after the connection was closed, and begins no
-/// response meanwhile.
+/// response meanwhile. That time is its own: while its process is suspended, or waits for a processor, it doesn't pass. So the
+/// endpoint is asked again and again, and only the time counts in which its answers show that it ran.
 ///
 /// ```
 /// use std::time::Duration;
@@ -72,26 +84,33 @@
 /// use daisychute_core::Time;
 /// use daisychute_dispatch::{EndStep, EndpointSign, ResponseEnd};
 ///
-/// let mut end = ResponseEnd::new(Time::ZERO, Duration::from_secs(1));
-/// let due = Time::from_millis(1_000);
-/// assert_eq!(end.first_step(), EndStep::WaitUntil(due));
-/// assert_eq!(end.next_step(Time::from_millis(300), EndpointSign::Unwatched), EndStep::Check);
-/// assert_eq!(end.next_step(Time::from_millis(301), EndpointSign::Present), EndStep::WaitUntil(due));
-/// assert_eq!(end.next_step(due, EndpointSign::Due { watched: false }), EndStep::Check);
-/// assert_eq!(end.next_step(due, EndpointSign::Present), EndStep::Whole);
+/// let mut end = ResponseEnd::new(Time::ZERO, Duration::from_millis(500));
+/// let (first, second) = (Time::from_millis(300), Time::from_millis(500));
+/// let answered = |at| EndpointSign::Answered { asked_at: at, answered_at: at };
+/// assert_eq!(end.first_step(), EndStep::WaitUntil(first));
+/// assert_eq!(end.next_step(first, EndpointSign::Due { watched: true }), EndStep::Check);
+/// assert_eq!(end.next_step(first, answered(first)), EndStep::WaitUntil(second));
+/// assert_eq!(end.next_step(second, answered(second)), EndStep::Whole);
 /// ```
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ResponseEnd {
     ended_at: Time,
-    /// When the endpoint is asked whether it is there; not after `due`. The connections of a suspended process stay open, so
-    /// that they alone confirm nothing.
-    check_at: Time,
-    /// When an endpoint that is still there counts as one that ended the response itself.
-    due: Time,
-    /// Whether the endpoint has answered a check that ended at `check_at` or later.
-    is_present: bool,
+    /// Time for which the endpoint has to run after the response.
+    hold: Duration,
+    /// When the decision is made at the latest.
+    limit: Time,
+    /// The latest time at which the endpoint is known to have run.
+    seen_at: Time,
+    /// Time for which the endpoint has run since the response ended, as far as its answers show; at most `hold`.
+    ran: Duration,
+    /// Time that an answer of the endpoint usually takes. What goes beyond it may be a time in which it didn't run.
+    answer_time: Duration,
+    /// Whether the endpoint has refused a request since: it may have stopped to begin responses.
+    refuses: bool,
     /// Time after which the endpoint is asked again, if it doesn't answer the next check.
     recheck_after: Duration,
+    /// When the endpoint is asked next.
+    next_check: Time,
 }
 
 impl ResponseEnd {
@@ -99,31 +118,47 @@
     pub const GIVE_UP_TIME: Duration = Duration::from_millis(250);
     /// Time after which an endpoint is asked again that hasn't answered a check; doubled each time.
     pub const FIRST_RECHECK: Duration = Duration::from_millis(40);
+    /// Time between two checks. A suspension that is shorter isn't noticed.
+    pub const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+    /// Time that an answer may take in any case.
+    const MIN_ANSWER_TIME: Duration = Duration::from_millis(50);
+    /// The decision may take longer than the endpoint has to run, by that time divided by this.
+    const EXTENSION_DIVISOR: u32 = 4;
 
-    /// Creates the decision for a response that ended at this time. Without a sign that the endpoint goes on, it is watched for
-    /// `hold`.
+    /// Creates the decision for a response that ended at this time. Without a sign that the endpoint goes on, it is watched until
+    /// it has run for `hold`, or for a quarter longer.
     #[must_use]
     pub fn new(ended_at: Time, hold: Duration) -> Self {
-        let due = ended_at + hold;
-        let recheck_after = Self::FIRST_RECHECK;
-        Self { ended_at, check_at: due, due, is_present: false, recheck_after }
+        Self {
+            ended_at,
+            hold,
+            limit: ended_at + hold + hold / Self::EXTENSION_DIVISOR,
+            seen_at: ended_at,
+            ran: Duration::ZERO,
+            answer_time: Self::MIN_ANSWER_TIME,
+            refuses: false,
+            recheck_after: Self::FIRST_RECHECK,
+            next_check: ended_at + hold.min(Self::CHECK_INTERVAL),
+        }
     }
 
-    /// Asks the endpoint early enough for an answer that takes this long. Returns what to do.
+    /// Allows answers to take this long. Returns what to do.
     pub fn allow_answer_time(&mut self, time: Duration) -> EndStep {
-        let earliest = self.due.min(self.ended_at + Self::GIVE_UP_TIME);
-        self.check_at = earliest.max(self.due - time);
+        self.answer_time = time.max(Self::MIN_ANSWER_TIME);
+        self.limit = self.limit.max(self.ended_at + self.hold + self.answer_time);
         self.wait()
     }
 
     /// Returns what to do at the end of the response.
     #[must_use]
-    pub const fn first_step(&self) -> EndStep {
+    pub fn first_step(&self) -> EndStep {
         self.wait()
     }
 
-    const fn wait(&self) -> EndStep {
-        EndStep::WaitUntil(if self.is_present { self.due } else { self.check_at })
+    fn wait(&self) -> EndStep {
+        let limit =
+            if self.can_confirm(self.next_check) { self.limit } else { self.ended_at + self.hold };
+        EndStep::WaitUntil(self.next_check.min(limit))
     }
 
     /// Returns what to do after this sign.
@@ -139,22 +174,71 @@
                     self.wait()
                 }
             }
-            EndpointSign::Present => {
-                self.is_present |= now >= self.check_at;
-                if now >= self.due { EndStep::Whole } else { self.wait() }
+            EndpointSign::Answered { asked_at, answered_at } => {
+                self.count_answer(asked_at, answered_at);
+                self.verdict(now)
             }
-            EndpointSign::Due { watched: true } if self.is_present && now >= self.due => {
-                EndStep::Whole
+            EndpointSign::Refused { sent_at } => {
+                self.refuses |= sent_at >= self.ended_at;
+                self.wait()
             }
-            EndpointSign::Due { .. } | EndpointSign::Unwatched => EndStep::Check,
-            EndpointSign::Unanswered if now < self.due => {
+            EndpointSign::Due { watched } => {
+                let unseen = now.since(self.seen_at);
+                // An answer is on its way for as long. Asking a slow endpoint once more would take longer than is left.
+                let is_on_time = unseen <= self.answer_time;
+                if watched && is_on_time && !self.refuses && self.ran + unseen >= self.hold {
+                    EndStep::Whole
+                } else if self.is_over(now) {
+                    EndStep::Unconfirmed
+                } else {
+                    EndStep::Check
+                }
+            }
+            EndpointSign::Unwatched => EndStep::Check,
+            EndpointSign::Unanswered => {
                 // A process that is being ended may have accepted the check.
-                let recheck_at = now + self.recheck_after;
+                self.next_check = now + self.recheck_after;
                 self.recheck_after *= 2;
-                EndStep::WaitUntil(self.due.min(recheck_at))
+                self.verdict(now)
             }
-            EndpointSign::Unanswered | EndpointSign::Gone => EndStep::Unconfirmed,
+            EndpointSign::Gone => EndStep::Unconfirmed,
+        }
+    }
+
+    /// Counts the time for which the endpoint has run, as its answer shows.
+    fn count_answer(&mut self, asked_at: Time, answered_at: Time) {
+        if answered_at <= self.seen_at {
+            return;
+        }
+        let asked_at = asked_at.max(self.seen_at);
+        let gap = self.unseen(asked_at);
+        let answer = answered_at.since(asked_at).min(self.answer_time);
+        self.ran = (self.ran + gap + answer).min(self.hold);
+        self.seen_at = answered_at;
+        let missing = self.hold - self.ran;
+        self.next_check = answered_at + missing.min(Self::CHECK_INTERVAL.max(self.answer_time));
+    }
+
+    /// Time since the endpoint was last seen, as far as it counts if it is seen again.
+    fn unseen(&self, now: Time) -> Duration {
+        now.since(self.seen_at).min(Self::CHECK_INTERVAL + self.answer_time)
+    }
+
+    /// Whether the endpoint can still be known to have run for long enough, if it answers from now on.
+    fn can_confirm(&self, now: Time) -> bool {
+        self.ran + self.unseen(now) + self.limit.since(now) >= self.hold
+    }
+
+    fn is_over(&self, now: Time) -> bool {
+        now >= self.limit || (now >= self.ended_at + self.hold && !self.can_confirm(now))
+    }
+
+    /// Returns what to do, by the time that is left until `limit`.
+    fn verdict(&self, now: Time) -> EndStep {
+        if self.ran >= self.hold && !self.refuses {
+            return EndStep::Whole;
         }
+        if self.is_over(now) { EndStep::Unconfirmed } else { self.wait() }
     }
 }
 
--- a/crates/daisychute-dispatch/tests/response_ends.rs
+++ b/crates/daisychute-dispatch/tests/response_ends.rs
@@ -7,17 +7,61 @@
 
 /// When the response ended, in ms.
 const ENDED: u64 = 10_000;
-/// When its endpoint has outlived it, in ms.
+/// When its endpoint has outlived it if it has run all the while, in ms.
 const DUE: u64 = 11_500;
+/// When the decision is made at the latest, in ms.
+const LIMIT: u64 = 11_875;
+/// Time between two checks, in ms.
+const INTERVAL: u64 = 300;
 
-const WAIT: EndStep = EndStep::WaitUntil(Time::from_millis(DUE));
+const WAIT: EndStep = EndStep::WaitUntil(Time::from_millis(ENDED + INTERVAL));
+
+fn new_end() -> ResponseEnd {
+    ResponseEnd::new(Time::from_millis(ENDED), Duration::from_millis(DUE - ENDED))
+}
 
 fn step(now: u64, sign: EndpointSign) -> EndStep {
-    let mut end = ResponseEnd::new(Time::from_millis(ENDED), Duration::from_millis(DUE - ENDED));
+    let mut end = new_end();
     assert_eq!(end.first_step(), WAIT);
     end.next_step(Time::from_millis(now), sign)
 }
 
+/// Waits until this time, in ms.
+const fn until(time: u64) -> EndStep {
+    EndStep::WaitUntil(Time::from_millis(time))
+}
+
+/// An answer of the endpoint itself, which was asked at the first time, in ms, and answered at the second.
+const fn answer(asked_at: u64, answered_at: u64) -> EndpointSign {
+    let (asked_at, answered_at) = (Time::from_millis(asked_at), Time::from_millis(answered_at));
+    EndpointSign::Answered { asked_at, answered_at }
+}
+
+/// Asks an endpoint whenever it is to be asked, until the decision. An answer takes `answer_time` ms, and comes after
+/// `suspended`, a span in ms, if it would come within it. Returns the decision with its time.
+fn decide(answer_time: u64, suspended: std::ops::Range<u64>) -> (EndStep, u64) {
+    let mut end = new_end();
+    let mut step = end.first_step();
+    let mut now = ENDED;
+    loop {
+        step = match step {
+            EndStep::WaitUntil(time) => {
+                now = now.max(time.as_micros() / 1_000);
+                end.next_step(Time::from_millis(now), EndpointSign::Due { watched: true })
+            }
+            EndStep::Check => {
+                let asked_at = now;
+                now += answer_time;
+                if suspended.contains(&now) {
+                    now = suspended.end;
+                }
+                end.next_step(Time::from_millis(now), answer(asked_at, now))
+            }
+            decision => return (decision, now),
+        }
+    }
+}
+
 /// A response that began at this time, in ms, to a request that was sent at the other time.
 const fn response(began_at: u64, sent_at: u64) -> EndpointSign {
     let (began_at, sent_at) = (Time::from_millis(began_at), Time::from_millis(sent_at));
@@ -38,12 +82,14 @@
     closed_connection_alone_decides_nothing: 10_040, EndpointSign::Unwatched => EndStep::Check;
     endpoint_that_is_gone_may_have_broken_off: 10_040, EndpointSign::Gone => EndStep::Unconfirmed;
     endpoint_that_is_gone_later_may_have_broken_off: 11_499, EndpointSign::Gone => EndStep::Unconfirmed;
-    endpoint_that_answers_at_once_may_still_stop: 10_040, EndpointSign::Present => WAIT;
-    endpoint_that_answers_late_has_outlived_its_response: DUE, EndpointSign::Present => EndStep::Whole;
-    endpoint_is_asked_at_the_end: DUE, EndpointSign::Due { watched: false } => EndStep::Check;
-    open_connection_of_a_suspended_process_is_not_enough: DUE, EndpointSign::Due { watched: true } => EndStep::Check;
-    missing_answer_is_asked_for_again: 10_400, EndpointSign::Unanswered => EndStep::WaitUntil(Time::from_millis(10_440));
-    missing_answer_is_asked_for_again_at_the_end: 11_490, EndpointSign::Unanswered => WAIT;
+    endpoint_that_answers_at_once_may_still_stop: 10_040, answer(10_040, 10_040) => until(10_340);
+    endpoint_that_answers_late_may_have_been_suspended: 11_400, answer(11_400, 11_400) => until(11_500);
+    endpoint_that_answers_after_the_end_alone_confirms_nothing: DUE, answer(DUE, DUE) => EndStep::Unconfirmed;
+    endpoint_is_asked_at_each_interval: 10_300, EndpointSign::Due { watched: false } => EndStep::Check;
+    open_connection_of_a_suspended_process_is_not_enough: 10_300, EndpointSign::Due { watched: true } => EndStep::Check;
+    open_connection_at_the_end_confirms_nothing: DUE, EndpointSign::Due { watched: true } => EndStep::Unconfirmed;
+    missing_answer_is_asked_for_again: 10_400, EndpointSign::Unanswered => until(10_440);
+    missing_answer_is_asked_for_again_at_the_end: 11_490, EndpointSign::Unanswered => until(DUE);
     endpoint_that_has_not_answered_is_asked_again: 10_440, EndpointSign::Due { watched: false } => EndStep::Check;
     missing_answer_at_the_end_confirms_nothing: DUE, EndpointSign::Unanswered => EndStep::Unconfirmed;
     later_request_that_is_served_is_enough: 10_250, response(10_250, ENDED) => EndStep::Whole;
@@ -56,26 +102,80 @@
 #[test]
 fn slow_endpoint_is_asked_early_and_watched_until_the_end() {
     let at = Time::from_millis;
-    let mut end = ResponseEnd::new(at(ENDED), Duration::from_millis(DUE - ENDED));
-    assert_eq!(end.allow_answer_time(Duration::from_millis(1_000)), EndStep::WaitUntil(at(10_500)));
+    let mut end = new_end();
+    assert_eq!(end.allow_answer_time(Duration::from_millis(1_000)), WAIT);
     let open = EndpointSign::Due { watched: true };
-    assert_eq!(end.next_step(at(10_500), open), EndStep::Check);
-    assert_eq!(end.next_step(at(11_000), EndpointSign::Present), WAIT);
+    assert_eq!(end.next_step(at(10_300), open), EndStep::Check);
+    assert_eq!(end.next_step(at(11_000), answer(10_300, 11_000)), until(DUE));
     let mut closed = end;
     assert_eq!(end.next_step(at(DUE), open), EndStep::Whole);
     assert_eq!(closed.next_step(at(DUE), EndpointSign::Due { watched: false }), EndStep::Check);
 }
 
+/// Guards against whole responses that are cut though their endpoint runs all the while.
+#[test]
+fn endpoint_that_answers_all_the_while_confirms_its_response() {
+    assert_eq!(decide(0, 0..0), (EndStep::Whole, DUE));
+    assert_eq!(decide(20, 0..0), (EndStep::Whole, DUE + 20));
+}
+
+/// Guards against responses that lack their end and look whole, since their endpoint was suspended after it gave them up (ORDER).
+#[test]
+fn time_in_which_an_endpoint_is_suspended_does_not_count() {
+    // A suspension of less than the interval isn't noticed, nor the time in which an answer was due anyway.
+    let min_run = DUE - ENDED - INTERVAL - 60;
+    for start in (ENDED..DUE).step_by(50) {
+        for end in (start..start + 2_000).step_by(50) {
+            let (decision, decided_at) = decide(1, start..end);
+            let run = decided_at - ENDED - (end - start);
+            assert!(decision == EndStep::Unconfirmed || run >= min_run, "{start} to {end}: {run}");
+        }
+    }
+    assert_eq!(decide(1, ENDED + 100..ENDED + 1_450).0, EndStep::Unconfirmed);
+    assert_eq!(decide(1, ENDED + 500..ENDED + 900).0, EndStep::Whole);
+}
+
+/// Guards against responses that lack their end and look whole, since an endpoint that stops is there for long, and refuses requests
+/// meanwhile (ORDER).
+#[test]
+fn endpoint_that_refuses_requests_has_to_begin_a_response() {
+    let at = Time::from_millis;
+    let mut end = new_end();
+    let refused = EndpointSign::Refused { sent_at: at(10_010) };
+    assert_eq!(end.next_step(at(10_020), refused), WAIT);
+    for asked_at in (ENDED + INTERVAL..DUE).step_by(INTERVAL as usize) {
+        let next = end.next_step(at(asked_at), answer(asked_at, asked_at));
+        assert_eq!(next, until(asked_at + INTERVAL));
+    }
+    assert_eq!(end.next_step(at(DUE), answer(DUE, DUE)), until(DUE));
+    let mut serving = end;
+    assert_eq!(serving.next_step(at(11_600), response(11_600, 11_550)), EndStep::Whole);
+    let due = EndpointSign::Due { watched: true };
+    assert_eq!(end.next_step(at(LIMIT), due), EndStep::Unconfirmed);
+}
+
+/// Guards against whole responses that are cut since their endpoint had refused a request before.
+#[test]
+fn earlier_refusal_tells_nothing() {
+    let mut end = new_end();
+    let refused = EndpointSign::Refused { sent_at: Time::from_millis(ENDED - 1) };
+    assert_eq!(end.next_step(Time::from_millis(10_020), refused), WAIT);
+    for asked_at in (ENDED + INTERVAL..DUE).step_by(INTERVAL as usize) {
+        _ = end.next_step(Time::from_millis(asked_at), answer(asked_at, asked_at));
+    }
+    assert_eq!(end.next_step(Time::from_millis(DUE), answer(DUE, DUE)), EndStep::Whole);
+}
+
 /// Guards against an endpoint in trouble that is asked again and again.
 #[test]
 fn endpoint_that_does_not_answer_is_asked_less_and_less_often() {
     let at = Time::from_millis;
-    let mut end = ResponseEnd::new(at(ENDED), Duration::from_millis(DUE - ENDED));
+    let mut end = new_end();
     let mut now = ENDED;
     for pause in [40, 80, 160, 320, 640] {
         let step = end.next_step(at(now), EndpointSign::Unanswered);
         now += pause;
         assert_eq!(step, EndStep::WaitUntil(at(now)));
     }
-    assert_eq!(end.next_step(at(now), EndpointSign::Unanswered), WAIT);
+    assert_eq!(end.next_step(at(now), EndpointSign::Unanswered), until(DUE));
 }
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -63,8 +63,8 @@
     /// Builds a health check of this endpoint, whose service has this health path. Another endpoint at its address refuses it.
     fn health_check(&self, path: &str, endpoint: &EndpointName) -> RequestHead;
 
-    /// Whether the response to a health check is from another endpoint than this one.
-    fn is_other(&self, head: &ResponseHead, endpoint: &EndpointName) -> bool;
+    /// Returns the name of the endpoint that sent the response to a health check; `None` if the response doesn't tell.
+    fn sender<'a>(&self, head: &'a ResponseHead) -> Option<&'a str>;
 
     /// Whether the response to a health check states that this endpoint is healthy and isn't leaving.
     fn is_staying(&self, head: &ResponseHead, endpoint: &EndpointName) -> bool;
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -9,7 +9,7 @@
 use actix_http::{RequestHeadType, ResponseHead, StatusCode, header};
 use bytes::{Buf, Bytes, BytesMut};
 use daisychute_core::Time;
-use daisychute_dispatch::{Event, RequestKey, SendDecision, SendFailure, Task};
+use daisychute_dispatch::{EndpointSign, Event, RequestKey, SendDecision, SendFailure, Task};
 use serde::de::IgnoredAny;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
@@ -18,7 +18,6 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
-use crate::endpoint::activity::Beginning;
 use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::looks::Looks;
@@ -123,9 +122,8 @@
             }
             (Err(ResponseError::Broken), _) => return CallEnd::Failed(SendFailure::NoAnswer, None),
         };
-        if head.info.signed && head.head.status.is_success() {
-            let beginning = Beginning { sent_at, began_at: self.state.now() };
-            self.state.activity.record(self.decision.endpoint, beginning);
+        if let Some(sign) = self.sign_of(&head, sent_at) {
+            self.state.activity.record(self.decision.endpoint, sign);
         }
         let keep_alive = head.info.keep_alive;
         let reusable = head.reusable && all_sent && head.head.keep_alive();
@@ -206,6 +204,16 @@
         metrics::counter!("daisychute_late_answers_total").increment(1);
     }
 
+    /// Returns what the response to a request that was sent at this time tells of its endpoint, if anything.
+    fn sign_of(&self, head: &ReceivedHead, sent_at: Time) -> Option<EndpointSign> {
+        if head.info.not_run && !head.info.misdirected {
+            return Some(EndpointSign::Refused { sent_at });
+        }
+        let began_at = self.state.now();
+        let has_begun = head.info.signed && head.head.status.is_success();
+        has_begun.then_some(EndpointSign::Responded { sent_at, began_at })
+    }
+
     /// Reports the endpoint's load, if the response carries it, and passes the response on.
     async fn pass_response(
         &mut self,
--- a/crates/daisychute-front/src/endpoint/control_call.rs
+++ b/crates/daisychute-front/src/endpoint/control_call.rs
@@ -17,6 +17,9 @@
 use crate::endpoint::response_reader::{Collected, ResponseError, ResponseReader};
 use crate::state::FrontState;
 
+/// Maximum size of a body that is read and dropped.
+const MAX_IGNORED_BYTES: usize = 4 * 1024;
+
 /// Why a control call failed.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ControlCallError {
@@ -42,9 +45,35 @@
     state: &Rc<FrontState<D>>,
     endpoint: EndpointKey,
     address: SocketAddr,
-    mut head: RequestHead,
+    head: RequestHead,
     max_bytes: usize,
 ) -> Result<(ResponseHead, Bytes), ControlCallError> {
+    let (head, body) = exchange(state, endpoint, address, head, max_bytes).await?;
+    match body {
+        None => Err(ControlCallError::Status(head.status)),
+        Some(Collected::Whole(body)) => Ok((head, body)),
+        Some(Collected::TooLong(_)) => Err(ControlCallError::TooLong(max_bytes)),
+    }
+}
+
+/// Sends a request without a body on a new connection. Returns the head of the response, whatever its status.
+pub(crate) async fn control_call_head<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    endpoint: EndpointKey,
+    address: SocketAddr,
+    head: RequestHead,
+) -> Result<ResponseHead, ControlCallError> {
+    Ok(exchange(state, endpoint, address, head, MAX_IGNORED_BYTES).await?.0)
+}
+
+/// Sends a request without a body on a new connection. Returns the response, with the body of a successful one.
+async fn exchange<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    endpoint: EndpointKey,
+    address: SocketAddr,
+    mut head: RequestHead,
+    max_bytes: usize,
+) -> Result<(ResponseHead, Option<Collected>), ControlCallError> {
     let connection = EndpointConnection::open(address, &state.http).await?;
     let EndpointConnection { mut stream, mut codec, mut buf, .. } = connection;
     head.set_connection_type(ConnectionType::Close);
@@ -60,10 +89,8 @@
     let head = reader.head(false).await?;
     state.record_notices(endpoint, &state.dialect.parse_response(&head, ""), sent_at);
     if !head.status.is_success() {
-        return Err(ControlCallError::Status(head.status));
-    }
-    match reader.collect(max_bytes).await? {
-        Collected::Whole(body) => Ok((head, body)),
-        Collected::TooLong(_) => Err(ControlCallError::TooLong(max_bytes)),
+        return Ok((head, None));
     }
+    let body = reader.collect(max_bytes).await?;
+    Ok((head, Some(body)))
 }
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -11,18 +11,16 @@
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use actix_rt::task::JoinHandle;
 use bytes::BytesMut;
-use daisychute_core::EndpointName;
+use daisychute_core::{EndpointName, Time};
 use daisychute_dispatch::{EndStep, EndpointSign, RequestKey, ResponseEnd, SendDecision};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
 use tokio::time::{sleep_until, timeout};
 use tokio_util::codec::Encoder;
 
 use crate::Dialect;
-use crate::endpoint::activity::Beginning;
 use crate::endpoint::connection::EndpointConnection;
-use crate::endpoint::control_call::{ControlCallError, control_call};
+use crate::endpoint::control_call::{ControlCallError, control_call_head};
 use crate::endpoint::looks::Looks;
 use crate::endpoint::pool::{ConnectionGuard, MAX_IDLE_FOR_NON_REPEATABLE};
 use crate::endpoint::response_reader::ResponseReader;
@@ -30,7 +28,7 @@
 
 /// Time limit for the response to a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum size of a response, which carries no content beyond its head.
+/// Maximum size of the body of a response, which is dropped.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024;
 
 /// A second connection to an endpoint that sends a response without length and chunks, with a health check on it. The
@@ -80,10 +78,11 @@
             };
             let head = send_check(&state, &mut connection, check, address).await;
             let head = head.map_err(|_| EndpointSign::Unwatched)?;
-            if is_other(&state, &head, &name) {
-                return Err(EndpointSign::Gone);
+            match Sender::of(&state, &head, &name) {
+                Sender::Endpoint => Ok(Confirmed { connection, answer_time: sent_at.elapsed() }),
+                Sender::Other => Err(EndpointSign::Gone),
+                Sender::Unknown => Err(EndpointSign::Unwatched),
             }
-            Ok(Confirmed { connection, answer_time: sent_at.elapsed() })
         });
         Self { connecting, opened_at: Instant::now(), _guard }
     }
@@ -101,7 +100,7 @@
         let now = state.now();
         let hold = state.with_dispatcher(|it| it.end_hold(now, request, is_passed));
         let mut end = ResponseEnd::new(now, hold);
-        let mut activity = state.activity.watch(decision.endpoint);
+        let mut signs = state.activity.watch(decision.endpoint);
         let mut connection = None;
         let mut is_connecting = true;
         let mut check_timeout = CHECK_TIMEOUT;
@@ -111,11 +110,15 @@
                 EndStep::Whole => break,
                 EndStep::Unconfirmed => return false,
                 EndStep::Check => {
-                    let asked_at = Instant::now();
+                    let asked_at = state.now();
                     let check = check(state, request, decision, connection.as_ref());
                     let outcome = timeout(check_timeout, check).await;
-                    let (sign, status) = outcome.unwrap_or((EndpointSign::Unanswered, None));
-                    looks.record_check(status, asked_at.elapsed());
+                    let (finding, status) = outcome.unwrap_or((Finding::Unanswered, None));
+                    let answered_at = state.now();
+                    looks.record_check(status, answered_at.since(asked_at));
+                    let sign = finding.into_sign(asked_at, answered_at);
+                    // Others that wait for a sign of this endpoint needn't ask as well.
+                    state.activity.record(decision.endpoint, sign);
                     sign
                 }
                 EndStep::WaitUntil(time) => tokio::select! {
@@ -137,9 +140,7 @@
                         connection = None;
                         EndpointSign::Unwatched
                     }
-                    Beginning { sent_at, began_at } = next_response(&mut activity) => {
-                        EndpointSign::Responded { sent_at, began_at }
-                    }
+                    sign = signs.next() => sign,
                     () = sleep_until(state.instant(time).into()) => {
                         // The timer of a process that was suspended may be seen before the close.
                         let watched =
@@ -194,58 +195,84 @@
     }
 }
 
-/// Waits until the endpoint begins a response.
-async fn next_response(activity: &mut watch::Receiver<Beginning>) -> Beginning {
-    // The front keeps the sender as long as there are receivers.
-    if activity.changed().await.is_err() {
-        std::future::pending::<()>().await;
+/// What a check found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Finding {
+    Present,
+    Gone,
+    Unanswered,
+}
+
+impl Finding {
+    const fn into_sign(self, asked_at: Time, answered_at: Time) -> EndpointSign {
+        match self {
+            Self::Present => EndpointSign::Answered { asked_at, answered_at },
+            Self::Gone => EndpointSign::Gone,
+            Self::Unanswered => EndpointSign::Unanswered,
+        }
+    }
+
+    /// What an attempt to connect tells.
+    fn of_connection(error: Option<std::io::Error>) -> Self {
+        match error {
+            Some(e) if e.kind() == ErrorKind::ConnectionRefused => Self::Gone,
+            _ => Self::Unanswered,
+        }
+    }
+}
+
+/// Who answered a check.
+enum Sender {
+    /// The endpoint that was asked.
+    Endpoint,
+    /// Another endpoint, which listens on its address now.
+    Other,
+    /// The answer doesn't tell.
+    Unknown,
+}
+
+impl Sender {
+    fn of<D: Dialect>(
+        state: &Rc<FrontState<D>>,
+        head: &ResponseHead,
+        endpoint: &EndpointName,
+    ) -> Self {
+        match state.dialect.sender(head) {
+            _ if head.status == StatusCode::MISDIRECTED_REQUEST => Self::Other,
+            Some(name) if name == endpoint.as_str() => Self::Endpoint,
+            Some(_) => Self::Other,
+            None => Self::Unknown,
+        }
     }
-    *activity.borrow_and_update()
 }
 
 /// Checks the endpoint of a request: by a health check if it takes one now, else by its open connection or a new one.
-/// Returns the status of an answer with what it tells.
+/// Returns the status of an answer with what was found.
 async fn check<D: Dialect>(
     state: &Rc<FrontState<D>>,
     request: RequestKey,
     decision: &SendDecision,
     connection: Option<&EndpointConnection>,
-) -> (EndpointSign, Option<StatusCode>) {
+) -> (Finding, Option<StatusCode>) {
     let SendDecision { endpoint, ref name, address, .. } = *decision;
     let path = state.with_dispatcher(|it| it.health_path(state.now(), request, endpoint));
     let Some(path) = path else {
         if connection.is_some_and(EndpointConnection::is_reusable) {
-            return (EndpointSign::Present, None);
+            return (Finding::Present, None);
         }
-        return (of_connection(TcpStream::connect(address).await.err()), None);
+        return (Finding::of_connection(TcpStream::connect(address).await.err()), None);
     };
     let check = state.dialect.health_check(&path, name);
-    let call = control_call(state, endpoint, address, check, MAX_RESPONSE_BYTES);
-    match call.await {
-        Ok((head, _)) if is_other(state, &head, name) => (EndpointSign::Gone, Some(head.status)),
-        Ok((head, _)) => (EndpointSign::Present, Some(head.status)),
-        Err(ControlCallError::Status(status)) => {
-            let is_other = status == StatusCode::MISDIRECTED_REQUEST;
-            (if is_other { EndpointSign::Gone } else { EndpointSign::Present }, Some(status))
+    match control_call_head(state, endpoint, address, check).await {
+        Ok(head) => {
+            let finding = match Sender::of(state, &head, name) {
+                Sender::Endpoint => Finding::Present,
+                Sender::Other => Finding::Gone,
+                Sender::Unknown => Finding::Unanswered,
+            };
+            (finding, Some(head.status))
         }
-        Err(ControlCallError::Io(e)) => (of_connection(Some(e)), None),
-        Err(_) => (EndpointSign::Unanswered, None),
-    }
-}
-
-/// Whether a check was answered by another endpoint.
-fn is_other<D: Dialect>(
-    state: &Rc<FrontState<D>>,
-    head: &ResponseHead,
-    name: &EndpointName,
-) -> bool {
-    head.status == StatusCode::MISDIRECTED_REQUEST || state.dialect.is_other(head, name)
-}
-
-/// What an attempt to connect tells.
-fn of_connection(error: Option<std::io::Error>) -> EndpointSign {
-    match error {
-        Some(e) if e.kind() == ErrorKind::ConnectionRefused => EndpointSign::Gone,
-        _ => EndpointSign::Unanswered,
+        Err(ControlCallError::Io(e)) => (Finding::of_connection(Some(e)), None),
+        Err(_) => (Finding::Unanswered, None),
     }
 }
