--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -15,8 +15,8 @@
 use crate::client::connection::{ClientConnection, client_disconnected};
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::ResponseWriter;
-use crate::endpoint::body_meter::ProcessorTime;
 use crate::endpoint::call::{Call, CallEnd, ErrorResponse};
+use crate::pacing::ProcessorTime;
 use crate::state::{FrontState, part_key};
 use crate::{Dialect, EventSequence};
 
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -18,12 +18,13 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
-use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
+use crate::endpoint::body_meter::BodyMeter;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::looks::Looks;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
 use crate::endpoint::presence::Sentinel;
 use crate::endpoint::response_reader::{Collected, Framing, ResponseError, ResponseReader};
+use crate::pacing::ProcessorTime;
 use crate::state::FrontState;
 use crate::{Dialect, Disorder, ResponseInfo};
 
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -20,6 +20,7 @@
 mod front;
 mod hop_by_hop;
 mod live_settings;
+mod pacing;
 mod peers;
 mod plain_server;
 mod preview;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -25,10 +25,10 @@
 use crate::duties::boot_clock::BootClock;
 use crate::duties::link::DutyLink;
 use crate::endpoint::activity::Activity;
-use crate::endpoint::body_meter::LargeBodies;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, health_check, release};
+use crate::pacing::LargeBodies;
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
 use crate::{
@@ -60,7 +60,7 @@
     pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
     /// Paces the large bodies of responses.
-    pub(crate) large_bodies: LargeBodies,
+    pub(crate) large_responses: LargeBodies,
     /// Bounds the bodies of all requests together.
     pub(crate) bodies: Rc<BodyMemory>,
     /// The duties towards the platform; `None` if the deployment has none.
@@ -100,7 +100,7 @@
             version_records_outdated: Cell::new(false),
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
-            large_bodies: LargeBodies::default(),
+            large_responses: LargeBodies::default(),
             bodies: Rc::default(),
             duties,
             http: ServiceConfig::default(),
