fix(front): account for connections, and let bodies that stall give their memory up

Clients that sent many bodies and stopped just short of the end made a front outgrow its machine: half of the memory was for the bodies' own bytes, and connections, their buffers and what the system had received for them came on top. Whoever held the bodies' memory kept it for as long as a byte arrived now and then.

- Connections and bodies share one account.
The system's receive buffer of a connection is 16 KiB, and 64 KiB while a large body arrives, which counts as part of the body.
- A body ends at its client's deadline, and after 16 KiB of framing without a byte of content.
- A body whose declared length is over the limit is refused before any of it is read.
- A client that sends one request after the other leaves others their turn.

--- a/crates/daisychute-front/src/body_budget.rs
+++ b/crates/daisychute-front/src/body_budget.rs
@@ -98,6 +98,14 @@
         true
     }
 
+    /// Returns how many bytes have to be freed until a queued body and those before it have room.
+    #[must_use]
+    pub fn shortfall(&self, limit: usize, ticket: Ticket) -> usize {
+        let Some(index) = self.queue.iter().position(|it| it.ticket == ticket) else { return 0 };
+        let needed: usize = self.queue.iter().take(index + 1).map(|it| it.bytes).sum();
+        (self.held + needed).saturating_sub(Self::ceiling(limit, self.queue[index].is_small))
+    }
+
     /// Removes a body from the queue.
     pub fn withdraw(&mut self, ticket: Ticket) {
         let index = self.queue.iter().position(|it| it.ticket == ticket);
--- a/crates/daisychute-front/src/capacity_limits.rs
+++ b/crates/daisychute-front/src/capacity_limits.rs
@@ -10,8 +10,8 @@
     pub requests: usize,
     /// Maximum number of open client connections.
     pub connections: usize,
-    /// Maximum number of bytes of request bodies that are held at once.
-    pub body_bytes: usize,
+    /// Maximum number of bytes that clients make the front hold at once: their connections, and the bodies of requests.
+    pub client_bytes: usize,
 }
 
 impl CapacityLimits {
@@ -19,8 +19,17 @@
     const MEMORY_DIVISOR: u64 = 4;
     /// Memory per request, in KiB: a long prompt and a response.
     const REQUEST_KIB: u64 = 96;
-    /// Bodies may take the total memory divided by this.
-    const BODY_DIVISOR: u64 = 2;
+    /// Connections and bodies may take the total memory divided by this.
+    const CLIENT_DIVISOR: u64 = 2;
+    /// Memory per client connection, in bytes: its task and buffers, and what the system has received for it.
+    pub const CONNECTION_BYTES: usize = 40 * 1_024;
+    /// Size of the system's receive buffer of a client connection, in bytes. The system may hold half as much again.
+    pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1_024;
+    /// Size of the system's receive buffer while a large body arrives, in bytes, so that its client sends at full speed. It is
+    /// part of the body's memory meanwhile.
+    pub const LARGE_RECEIVE_BUFFER_BYTES: usize = 64 * 1_024;
+    /// Quarters of the clients' memory that their connections may take; the rest is for bodies.
+    const CONNECTION_QUARTERS: usize = 3;
     /// Tenths of the descriptors that client connections may take; the rest is for endpoints, the directory and files.
     const CLIENT_DESCRIPTOR_TENTHS: u64 = 6;
 
@@ -28,12 +37,10 @@
     #[must_use]
     pub const fn for_machine(memory_mib: u32, descriptors: u32) -> Self {
         let requests = memory_mib as u64 * 1_024 / Self::MEMORY_DIVISOR / Self::REQUEST_KIB;
-        let connections = descriptors as u64 * Self::CLIENT_DESCRIPTOR_TENTHS / 10;
-        let body_bytes = memory_mib as u64 * 1_024 * 1_024 / Self::BODY_DIVISOR;
-        Self {
-            requests: requests as usize,
-            connections: connections as usize,
-            body_bytes: body_bytes as usize,
-        }
+        let client_bytes = (memory_mib as u64 * 1_024 * 1_024 / Self::CLIENT_DIVISOR) as usize;
+        let by_memory = client_bytes / 4 * Self::CONNECTION_QUARTERS / Self::CONNECTION_BYTES;
+        let by_descriptors = (descriptors as u64 * Self::CLIENT_DESCRIPTOR_TENTHS / 10) as usize;
+        let connections = if by_memory < by_descriptors { by_memory } else { by_descriptors };
+        Self { requests: requests as usize, connections, client_bytes }
     }
 }
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -8,27 +8,31 @@
 use actix_http::{RequestHead, ServiceConfig, StatusCode, header};
 use bytes::{Bytes, BytesMut};
 use daisychute_dispatch::{ClientLimits, RequestInfo};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
+use crate::CapacityLimits;
 use crate::Dialect;
 use crate::client::body_room::{BodyMemory, BodyRoom, NoRoom};
 use crate::client::fingerprint::fingerprint;
 use crate::client::incoming::Incoming;
+use crate::pacing::{LARGE_BODY_BYTES, LargeBodies, Pacer, ProcessorTime};
 use crate::shutdown::ShutdownState;
 
 /// Buffer space reserved for each read from the socket, in bytes: fits the head of a request.
 const READ_BYTES: usize = 4 * 1024;
 /// Maximum number of bytes buffered from a client that pipelines requests during a response.
-const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 /// Interval at which the connection of a client with a full buffer is checked.
 const FULL_BUFFER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// How long unread bytes are drained after the last response: closing a socket with unread bytes resets the connection,
-/// and the client may lose the response.
-pub(crate) const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum number of bytes of chunk headers and trailers since the last bytes of a body.
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
+/// Number of bytes after which a large body waits for its turn at the processor.
+const TURN_BYTES: usize = 64 * 1024;
 /// Maximum time for which a body waits for memory before its request is refused.
 const MAX_BODY_WAIT: Duration = Duration::from_secs(2);
 /// A body waits for the client's timeout divided by this at most, so that the rest is left to serve or repeat the request.
@@ -48,11 +52,14 @@
     /// There is no memory for the body of the request with this id, the rest of which is unread. Holds the time for
     /// which it waited.
     NoMemory(Arc<str>, Duration),
+    /// The body of the request with this id stalled, and others needed its memory.
+    Stalled(Arc<str>),
 }
 
 /// Why no body could be read.
 enum BodyError {
     NoRoom,
+    Stalled,
     Read(ReadError),
 }
 
@@ -68,13 +75,33 @@
     }
 }
 
-/// The memory for the bodies of all requests, and how many bytes they may take of it.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct BodyLimit<'a> {
+/// What bounds the reading of a request.
+#[derive(Clone, Copy)]
+pub(crate) struct Intake<'a> {
+    pub(crate) limits: &'a ClientLimits,
+    pub(crate) shutdown: &'a ShutdownState,
+    /// The memory for the bodies of all requests.
     pub(crate) memory: &'a Rc<BodyMemory>,
+    /// Shares the processor among the large bodies of all requests.
+    pub(crate) large_bodies: &'a LargeBodies,
+    /// The processor time of this request.
+    pub(crate) processor: &'a ProcessorTime,
+}
+
+/// How the rest of what a client sends is dropped before its connection is closed: closing a socket with unread bytes
+/// resets the connection, and the client may lose the last response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Linger {
+    pub(crate) time: Duration,
+    /// Maximum number of bytes that are dropped.
     pub(crate) bytes: usize,
 }
 
+impl Linger {
+    /// For clients that have sent their request, or more than they may.
+    pub(crate) const SHORT: Self = Self { time: Duration::from_millis(500), bytes: 256 * 1024 };
+}
+
 /// A client's connection with its codec and the bytes read ahead.
 pub(crate) struct ClientConnection {
     pub(crate) stream: TcpStream,
@@ -91,20 +118,29 @@
     pub(crate) async fn read_request(
         &mut self,
         dialect: &impl Dialect,
-        limits: &ClientLimits,
-        shutdown: &ShutdownState,
-        bodies: BodyLimit<'_>,
+        intake: Intake<'_>,
     ) -> Result<Incoming, ReadError> {
         if self.buf.is_empty() {
-            self.wait_for_request(limits, shutdown).await?;
+            // An idle connection needs no buffer.
+            self.buf = BytesMut::new();
+            self.wait_for_request(intake.limits, intake.shutdown).await?;
         }
-        let head = self.read_head(limits).await?;
+        let head = self.read_head(intake.limits).await?;
         let mut info = dialect.parse_request(&head);
-        let mut room = bodies.memory.room(bodies.bytes, max_body_wait(&info));
-        let body = self.read_body(limits, &head, &mut room).await.map_err(|error| match error {
+        let mut room = intake.memory.room(max_body_wait(&info));
+        // A client that has given up by then needs no response.
+        let deadline = info.client_timeout.map(|it| Instant::now() + it);
+        let body = self.read_body(intake, &head, deadline, &mut room).await;
+        let body = body.map_err(|error| match error {
             BodyError::NoRoom => ReadError::NoMemory(Arc::clone(&info.id), room.waited()),
+            BodyError::Stalled => ReadError::Stalled(Arc::clone(&info.id)),
             BodyError::Read(error) => error,
         })?;
+        room.end_receiving();
+        if room.bytes() > body.len() {
+            self.set_receive_buffer(CapacityLimits::RECEIVE_BUFFER_BYTES)?;
+            room.shrink(body.len());
+        }
         // The client waits for its response all the while.
         info.client_timeout = info.client_timeout.map(|it| it.saturating_sub(room.waited()));
         info.fingerprint = Some(fingerprint(&head, &info, dialect.caller(&head), &body));
@@ -118,11 +154,15 @@
         limits: &ClientLimits,
         shutdown: &ShutdownState,
     ) -> Result<(), ReadError> {
-        let read = tokio::select! {
-            read = timeout(limits.idle_timeout, self.read_more()) => read,
-            () = shutdown.wait_closing() => timeout(LAST_READ_TIME, self.read_more()).await,
+        let readable = tokio::select! {
+            readable = timeout(limits.idle_timeout, self.stream.readable()) => readable,
+            () = shutdown.wait_closing() => timeout(LAST_READ_TIME, self.stream.readable()).await,
         };
-        read.map_err(|_| ReadError::Closed)?
+        if !matches!(readable, Ok(Ok(()))) {
+            return Err(ReadError::Closed);
+        }
+        self.read_more().await?;
+        Ok(())
     }
 
     async fn read_head(
@@ -159,16 +199,26 @@
     /// Reads the body into memory that `room` reserves: at once as far as the length is known, else as the body grows.
     async fn read_body(
         &mut self,
-        limits: &ClientLimits,
+        intake: Intake<'_>,
         head: &RequestHead,
+        deadline: Option<Instant>,
         room: &mut BodyRoom,
     ) -> Result<Bytes, BodyError> {
+        let too_large = ReadError::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
+        let malformed = ReadError::Refused(StatusCode::BAD_REQUEST, "malformed");
+        let limits = intake.limits;
         let has_body = self.codec.message_type() != MessageType::None;
         let mut body = Vec::new();
         if let Some(length) = declared_length(head).filter(|it| has_body && *it > 0) {
-            let length = length.min(limits.body_bytes);
+            if length > limits.body_bytes {
+                return Err(too_large.into());
+            }
             room.grow(length).await?;
             body.reserve_exact(length);
+            if length > LARGE_BODY_BYTES {
+                room.grow(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES).await?;
+                self.set_receive_buffer(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES)?;
+            }
         }
         if head.expect() {
             self.write_continue().await?;
@@ -176,14 +226,16 @@
         if !has_body {
             return Ok(Bytes::new());
         }
+        let mut pacer = Pacer::new(intake.processor, intake.large_bodies);
+        let (mut framing_bytes, mut turn_bytes) = (0, 0);
         loop {
             match self.codec.decode(&mut self.buf) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => {
-                    if body.len() + bytes.len() > limits.body_bytes {
-                        let status = StatusCode::PAYLOAD_TOO_LARGE;
-                        return Err(ReadError::Refused(status, "body_too_large").into());
-                    }
+                    framing_bytes = 0;
                     let size = body.len() + bytes.len();
+                    if size > limits.body_bytes {
+                        return Err(too_large.into());
+                    }
                     if size > room.bytes() {
                         let size = size.max((2 * room.bytes()).min(limits.body_bytes));
                         room.grow(size - room.bytes()).await?;
@@ -191,44 +243,89 @@
                     }
                     body.extend_from_slice(&bytes);
                 }
-                Ok(Some(Message::Chunk(None))) => return Ok(body.into()),
-                Ok(Some(Message::Item(_))) | Err(_) => {
-                    let status = StatusCode::BAD_REQUEST;
-                    return Err(ReadError::Refused(status, "malformed").into());
+                Ok(Some(Message::Chunk(None))) => {
+                    body.shrink_to_fit();
+                    return Ok(body.into());
                 }
+                Ok(Some(Message::Item(_))) | Err(_) => return Err(malformed.into()),
                 Ok(None) => {
-                    let too_slow = ReadError::Refused(StatusCode::REQUEST_TIMEOUT, "slow_body");
-                    timeout(limits.idle_timeout, self.read_more())
-                        .await
-                        .map_err(|_| too_slow)??;
+                    room.record_received(body.len());
+                    if turn_bytes >= TURN_BYTES {
+                        turn_bytes = 0;
+                        pacer.wait_turn().await;
+                    }
+                    let count = tokio::select! {
+                        biased;
+                        () = room.yielded() => return Err(BodyError::Stalled),
+                        count = self.read_body_bytes(limits, deadline) => count?,
+                    };
+                    turn_bytes += count;
+                    framing_bytes += count;
+                    if framing_bytes > MAX_FRAMING_BYTES {
+                        return Err(malformed.into());
+                    }
                 }
             }
         }
     }
 
+    /// Reads more of a body: until the idle timeout, or until its client has given up.
+    async fn read_body_bytes(
+        &mut self,
+        limits: &ClientLimits,
+        deadline: Option<Instant>,
+    ) -> Result<usize, ReadError> {
+        let idle_until = Instant::now() + limits.idle_timeout;
+        let until = deadline.map_or(idle_until, |it| it.min(idle_until));
+        let too_slow = ReadError::Refused(StatusCode::REQUEST_TIMEOUT, "slow_body");
+        timeout_at(until, self.read_more()).await.map_err(|_| too_slow)?
+    }
+
+    /// Sets how much the system receives before the front reads it.
+    fn set_receive_buffer(&self, bytes: usize) -> Result<(), ReadError> {
+        let set = SockRef::from(&self.stream).set_recv_buffer_size(bytes);
+        set.map_err(|_| ReadError::Closed)
+    }
+
     async fn write_continue(&mut self) -> Result<(), ReadError> {
         let written = self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         written.map_err(|_| ReadError::Closed)
     }
 
-    async fn read_more(&mut self) -> Result<(), ReadError> {
+    /// Reads what has arrived, at least one byte. Returns the number of bytes.
+    async fn read_more(&mut self) -> Result<usize, ReadError> {
         self.buf.reserve(READ_BYTES);
         match self.stream.read_buf(&mut self.buf).await {
             Ok(0) | Err(_) => Err(ReadError::Closed),
-            Ok(_) => Ok(()),
+            Ok(count) => Ok(count),
         }
     }
 
-    /// Closes the connection in a way that lets the client read the last response. What it still sends is dropped, for
-    /// `linger` at most.
-    pub(crate) async fn close(mut self, linger: Duration) {
+    /// Closes the connection in a way that lets the client read the last response. What it still sends is dropped, as far
+    /// as `linger` allows, with the other large bodies' share of the processor.
+    pub(crate) async fn close(mut self, linger: Linger, large_bodies: &LargeBodies) {
         if self.stream.shutdown().await.is_err() {
             return;
         }
-        let mut sink = [0; READ_BYTES];
-        let drain = async { while matches!(self.stream.read(&mut sink).await, Ok(1..)) {} };
+        // The memory isn't needed meanwhile.
+        self.buf = BytesMut::new();
+        let processor = ProcessorTime::default();
+        let mut pacer = Pacer::new(&processor, large_bodies);
+        let drain = async {
+            let mut sink = [0; READ_BYTES];
+            let (mut dropped, mut turn_bytes) = (0, 0);
+            while dropped < linger.bytes {
+                let Ok(count @ 1..) = self.stream.read(&mut sink).await else { return };
+                dropped += count;
+                turn_bytes += count;
+                if turn_bytes >= TURN_BYTES {
+                    turn_bytes = 0;
+                    pacer.wait_turn().await;
+                }
+            }
+        };
         // A client that keeps its side open is dropped after the time limit.
-        let _ = timeout(linger, drain).await;
+        let _ = timeout(linger.time, processor.measure(drain)).await;
     }
 }
 
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -1,19 +1,21 @@
 //! Accepts clients and serves their requests.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::StatusCode;
 use daisychute_dispatch::Reason;
 use daisychute_runtime::stop_listening;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
-use crate::client::connection::{BodyLimit, ClientConnection, LINGER_TIMEOUT, ReadError};
+use crate::client::connection::{ClientConnection, Intake, Linger, ReadError};
 use crate::client::exchange::{ConnectionOutcome, count_request, serve};
 use crate::client::response_writer::ResponseWriter;
 use crate::endpoint::connection::detect_unresponsive_peer;
+use crate::pacing::ProcessorTime;
 use crate::shutdown::ShutdownState;
 use crate::state::FrontState;
 use crate::{CapacityLimits, Dialect, EventSequence};
@@ -37,9 +39,14 @@
 /// gets the refusal.
 const UPLOAD_LINGER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Refusal reason: the body of the request made no progress, and others needed its memory.
+const BODY_STALLED: &str = "body_stalled";
+
 /// Accepts client connections until the front stops to.
 pub(crate) async fn accept<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
-    let open_connections = Rc::new(Cell::new(0_usize));
+    if let Err(error) = limit_receive_buffer(&listener) {
+        log::warn!(error:%; "receive buffers of clients aren't limited");
+    }
     loop {
         let accepted = tokio::select! {
             biased;
@@ -47,7 +54,7 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => serve_accepted(&state, &open_connections, stream),
+            Ok((stream, _)) => serve_accepted(&state, stream),
             Err(error) => {
                 log::warn!(error:%; "accepting a client connection failed");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -55,29 +62,31 @@
         }
     }
     let (last, accepted) = stop_listening(listener, HANDSHAKE_TIME).await;
-    last.into_iter().for_each(|it| serve_accepted(&state, &open_connections, it));
+    last.into_iter().for_each(|it| serve_accepted(&state, it));
     if let Err(error) = accepted {
         log::warn!(error:%; "accepting the last client connections failed");
     }
 }
 
+/// Limits what the system receives for each connection before the front reads it. Connections inherit it.
+fn limit_receive_buffer(listener: &TcpListener) -> std::io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(CapacityLimits::RECEIVE_BUFFER_BYTES)
+}
+
 /// Serves an accepted connection in a task of its own, unless there are too many.
-fn serve_accepted<D: Dialect>(
-    state: &Rc<FrontState<D>>,
-    open_connections: &Rc<Cell<usize>>,
-    stream: TcpStream,
-) {
-    if open_connections.get() >= state.capacity().connections {
-        log::warn!(open = open_connections.get(); "client connection closed: connection limit reached");
+fn serve_accepted<D: Dialect>(state: &Rc<FrontState<D>>, stream: TcpStream) {
+    let open = state.bodies.connections();
+    if open >= state.capacity().connections {
+        log::warn!(open; "client connection closed: connection limit reached");
         metrics::counter!("daisychute_connections_refused_total").increment(1);
         return;
     }
     state.shutdown.record_accept();
-    let (state, open_connections) = (Rc::clone(state), Rc::clone(open_connections));
-    open_connections.set(open_connections.get() + 1);
+    let state = Rc::clone(state);
+    let room = state.bodies.admit_connection();
     actix_rt::spawn(async move {
         serve_client(state, stream).await;
-        open_connections.set(open_connections.get() - 1);
+        drop(room);
     });
 }
 
@@ -89,30 +98,35 @@
     loop {
         let limits =
             state.with_dispatcher(|it| it.table().map(|it| *it.limits())).unwrap_or_default();
-        let bodies = BodyLimit { memory: &state.bodies, bytes: state.capacity().body_bytes };
-        let read = connection.read_request(&state.dialect, &limits, &state.shutdown, bodies).await;
+        state.bodies.set_limit(state.capacity().client_bytes);
+        let processor = ProcessorTime::default();
+        let intake = Intake {
+            limits: &limits,
+            shutdown: &state.shutdown,
+            memory: &state.bodies,
+            large_bodies: &state.large_requests,
+            processor: &processor,
+        };
+        let read = processor.measure(connection.read_request(&state.dialect, intake)).await;
         let incoming = match read {
             Ok(incoming) => incoming,
             Err(ReadError::Closed) => return,
             Err(ReadError::NoMemory(request, waited)) => {
-                let elapsed_ms = waited.as_millis();
-                log::warn!(request:%, outcome = "refused", reason = BODY_MEMORY, elapsed_ms; "request ended");
-                count_request("refused", BODY_MEMORY);
-                let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
-                write_refusal(
-                    &mut connection,
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    BODY_MEMORY,
-                    refusal,
-                )
-                .await;
-                return connection.close(UPLOAD_LINGER_TIMEOUT).await;
+                let linger = Linger { time: UPLOAD_LINGER_TIMEOUT, bytes: limits.body_bytes };
+                return refuse_body(&state, connection, &request, BODY_MEMORY, waited, linger)
+                    .await;
+            }
+            Err(ReadError::Stalled(request)) => {
+                let waited = Duration::ZERO;
+                let linger = Linger::SHORT;
+                return refuse_body(&state, connection, &request, BODY_STALLED, waited, linger)
+                    .await;
             }
             Err(ReadError::Refused(status, reason)) => {
                 log::warn!(reason, status = status.as_u16(); "malformed or incomplete request refused");
                 let refusal = Refusal { retry_after: None, close: true };
                 write_refusal(&mut connection, status, reason, refusal).await;
-                return connection.close(LINGER_TIMEOUT).await;
+                return connection.close(Linger::SHORT, &state.large_requests).await;
             }
         };
         if let Some((reason, retry_after)) = refusal(&state.shutdown, state.capacity()) {
@@ -122,22 +136,44 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let refusal = Refusal { retry_after, close: retry_after.is_none() };
             if !write_refusal(&mut connection, status, reason, refusal).await {
-                return connection.close(LINGER_TIMEOUT).await;
+                return connection.close(Linger::SHORT, &state.large_requests).await;
             }
             continue;
         }
         state.shutdown.begin_request();
-        let outcome = serve(&state, &mut connection, &incoming).await;
+        // Most connections are idle most of the time, and needn't have room for a request meanwhile.
+        let outcome = Box::pin(serve(&state, &mut connection, &incoming)).await;
         state.shutdown.end_request();
         drop(incoming);
         match outcome {
             ConnectionOutcome::KeepAlive => {}
-            ConnectionOutcome::Close => return connection.close(LINGER_TIMEOUT).await,
+            ConnectionOutcome::Close => {
+                return connection.close(Linger::SHORT, &state.large_requests).await;
+            }
             ConnectionOutcome::Abort => return,
         }
+        // A client that sends one request after the other leaves others their turn.
+        yield_now().await;
     }
 }
 
+/// Refuses a request whose body has no memory, or has given it up, and closes its connection.
+async fn refuse_body<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    mut connection: ClientConnection,
+    request: &str,
+    reason: &'static str,
+    waited: Duration,
+    linger: Linger,
+) {
+    let elapsed_ms = waited.as_millis();
+    log::warn!(request:%, outcome = "refused", reason, elapsed_ms; "request ended");
+    count_request("refused", reason);
+    let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
+    write_refusal(&mut connection, StatusCode::SERVICE_UNAVAILABLE, reason, refusal).await;
+    connection.close(linger, &state.large_requests).await;
+}
+
 /// Returns why a request is refused before it takes any resources, and its `Retry-After`. `None` if it is accepted.
 fn refusal(
     shutdown: &ShutdownState,
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -8,8 +8,8 @@
 
 mod response_info;
 mod body_budget;
+mod body_progress;
 mod client;
-mod connection_slots;
 mod capacity_limits;
 mod dialect;
 mod directory;
@@ -30,8 +30,8 @@
 mod shutdown;
 
 pub use crate::body_budget::{BodyBudget, Room, Ticket};
+pub use crate::body_progress::{BodyKey, BodyProgress};
 pub use crate::capacity_limits::CapacityLimits;
-pub use crate::connection_slots::{ConnectionSlot, ConnectionSlots};
 pub use crate::dialect::{Dialect, ForwardParams};
 pub use crate::directory::admission::Admission;
 pub use crate::directory::answer::Answer;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -61,6 +61,8 @@
     pub(crate) shutdown: ShutdownState,
     /// Paces the large bodies of responses.
     pub(crate) large_responses: LargeBodies,
+    /// Paces the large bodies of requests.
+    pub(crate) large_requests: LargeBodies,
     /// Bounds the bodies of all requests together.
     pub(crate) bodies: Rc<BodyMemory>,
     /// The duties towards the platform; `None` if the deployment has none.
@@ -101,7 +103,8 @@
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
             large_responses: LargeBodies::default(),
-            bodies: Rc::default(),
+            large_requests: LargeBodies::default(),
+            bodies: BodyMemory::new(),
             duties,
             http: ServiceConfig::default(),
             incarnation_id,
--- a/crates/daisychute-front/tests/body_budget.rs
+++ b/crates/daisychute-front/tests/body_budget.rs
@@ -134,3 +134,17 @@
     assert!(budget.claim(LIMIT / 2, ticket));
     assert_eq!(budget.held(), KIB);
 }
+
+#[test]
+fn shortfall_counts_those_before() {
+    let mut budget = BodyBudget::default();
+    granted(&mut budget, 0, LARGE - 50 * KIB);
+    let first = queued(&mut budget, 0, 100 * KIB);
+    let second = queued(&mut budget, 0, 200 * KIB);
+    assert_eq!(budget.shortfall(LIMIT, first), 50 * KIB);
+    assert_eq!(budget.shortfall(LIMIT, second), 250 * KIB);
+    budget.release(LARGE - 50 * KIB);
+    assert_eq!(budget.shortfall(LIMIT, second), 0);
+    budget.withdraw(first);
+    assert_eq!(budget.shortfall(LIMIT, first), 0);
+}
