fix(front): keep bodies in segments, and let idle connections give way to new ones

A body is now kept in segments of up to 32 KiB and is never copied.

At the limit of connections a new one was closed, so that idle clients kept all others out. It now takes the place of the one that has waited longest for its client.

Of what a client pipelines during a response 16 KiB are buffered in any case, and up to 64 KiB as long as half of the bodies' memory is free.

--- a/crates/daisychute-front/src/client/body_room.rs
+++ b/crates/daisychute-front/src/client/body_room.rs
@@ -16,6 +16,9 @@
 /// Interval at which a body that waits for memory looks for others that have stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Part of the bodies' memory that may be held altogether while more is taken than is needed, as a divisor.
+const SPARE_DIVISOR: usize = 2;
+
 /// The memory that the connections of clients and the bodies of their requests share.
 #[derive(Debug)]
 pub(crate) struct BodyMemory {
@@ -43,6 +46,20 @@
     }
 }
 
+/// Memory beyond what a connection is sure to have; free again once this is dropped.
+#[derive(Debug)]
+pub(crate) struct SpareRoom {
+    memory: Rc<BodyMemory>,
+    bytes: usize,
+}
+
+impl Drop for SpareRoom {
+    fn drop(&mut self) {
+        self.memory.budget.borrow_mut().release(self.bytes);
+        self.memory.record_change();
+    }
+}
+
 /// There is no room for a body, and none is free soon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct NoRoom;
@@ -83,14 +100,9 @@
         ConnectionRoom(Rc::clone(self))
     }
 
-    /// Returns the number of open connections.
-    pub(crate) fn connections(&self) -> usize {
-        self.connections.get()
-    }
-
     /// Returns how many bytes the bodies may hold beside the connections.
     fn body_limit(&self) -> usize {
-        self.limit.get().saturating_sub(self.connections() * CapacityLimits::CONNECTION_BYTES)
+        self.limit.get().saturating_sub(self.connections.get() * CapacityLimits::CONNECTION_BYTES)
     }
 
     /// Creates a reservation of no bytes. It waits for room for `max_wait` at most each time that it grows.
@@ -102,6 +114,15 @@
         BodyRoom { memory, key, yields, bytes: 0, max_wait, waited }
     }
 
+    /// Takes memory that nobody else needs or waits for. `None` if there isn't as much.
+    pub(crate) fn spare_room(self: &Rc<Self>, bytes: usize) -> Option<SpareRoom> {
+        let mut budget = self.budget.borrow_mut();
+        let is_spare = budget.waiting() == 0
+            && budget.held() + bytes <= self.body_limit() / SPARE_DIVISOR
+            && budget.reserve(self.body_limit(), 0, bytes) == Room::Granted;
+        is_spare.then(|| SpareRoom { memory: Rc::clone(self), bytes })
+    }
+
     fn record_change(&self) {
         self.changed.notify_waiters();
         metrics::gauge!("daisychute_body_bytes").set(self.budget.borrow().held() as f64);
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -6,7 +6,7 @@
 
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::{RequestHead, ServiceConfig, StatusCode, header};
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use daisychute_dispatch::{ClientLimits, RequestInfo};
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
@@ -15,22 +15,27 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::codec::Decoder;
 
-use crate::CapacityLimits;
 use crate::Dialect;
+use crate::client::body::{Body, BodyBuilder};
 use crate::client::body_room::{BodyMemory, BodyRoom, NoRoom};
 use crate::client::fingerprint::fingerprint;
 use crate::client::incoming::Incoming;
 use crate::pacing::{LARGE_BODY_BYTES, LargeBodies, Pacer, ProcessorTime};
 use crate::shutdown::ShutdownState;
+use crate::{CapacityLimits, ConnectionSlot};
 
 /// Buffer space reserved for each read from the socket, in bytes: fits the head of a request.
 const READ_BYTES: usize = 4 * 1024;
-/// Maximum number of bytes buffered from a client that pipelines requests during a response.
-const MAX_PIPELINED_BYTES: usize = 16 * 1024;
+/// Number of bytes that are buffered in any case from a client that pipelines requests during a response.
+const MIN_PIPELINED_BYTES: usize = 16 * 1024;
+/// Maximum number of bytes that are buffered as long as there is memory.
+const MAX_PIPELINED_BYTES: usize = 64 * 1024;
 /// Interval at which the connection of a client with a full buffer is checked.
 const FULL_BUFFER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of bytes of chunk headers and trailers since the last bytes of a body.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
+/// Size of the first reservation for a body whose length isn't declared, in bytes.
+const MIN_BODY_BYTES: usize = 4 * 1024;
 /// Number of bytes after which a large body waits for its turn at the processor.
 const TURN_BYTES: usize = 64 * 1024;
 /// Maximum time for which a body waits for memory before its request is refused.
@@ -86,6 +91,8 @@
     pub(crate) large_bodies: &'a LargeBodies,
     /// The processor time of this request.
     pub(crate) processor: &'a ProcessorTime,
+    /// The place of the connection, which it may lose until the head is read.
+    pub(crate) slot: &'a ConnectionSlot,
 }
 
 /// How the rest of what a client sends is dropped before its connection is closed: closing a socket with unread bytes
@@ -126,6 +133,7 @@
             self.wait_for_request(intake.limits, intake.shutdown).await?;
         }
         let head = self.read_head(intake.limits).await?;
+        intake.slot.serve();
         let mut info = dialect.parse_request(&head);
         let mut room = intake.memory.room(max_body_wait(&info));
         // A client that has given up by then needs no response.
@@ -203,18 +211,17 @@
         head: &RequestHead,
         deadline: Option<Instant>,
         room: &mut BodyRoom,
-    ) -> Result<Bytes, BodyError> {
+    ) -> Result<Body, BodyError> {
         let too_large = ReadError::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
         let malformed = ReadError::Refused(StatusCode::BAD_REQUEST, "malformed");
         let limits = intake.limits;
         let has_body = self.codec.message_type() != MessageType::None;
-        let mut body = Vec::new();
+        let mut body = BodyBuilder::default();
         if let Some(length) = declared_length(head).filter(|it| has_body && *it > 0) {
             if length > limits.body_bytes {
                 return Err(too_large.into());
             }
             room.grow(length).await?;
-            body.reserve_exact(length);
             if length > LARGE_BODY_BYTES {
                 room.grow(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES).await?;
                 self.set_receive_buffer(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES)?;
@@ -224,7 +231,7 @@
             self.write_continue().await?;
         }
         if !has_body {
-            return Ok(Bytes::new());
+            return Ok(Body::default());
         }
         let mut pacer = Pacer::new(intake.processor, intake.large_bodies);
         let (mut framing_bytes, mut turn_bytes) = (0, 0);
@@ -237,16 +244,13 @@
                         return Err(too_large.into());
                     }
                     if size > room.bytes() {
-                        let size = size.max((2 * room.bytes()).min(limits.body_bytes));
+                        let larger = (2 * room.bytes()).max(MIN_BODY_BYTES).min(limits.body_bytes);
+                        let size = size.max(larger);
                         room.grow(size - room.bytes()).await?;
-                        body.reserve_exact(size - body.len());
                     }
-                    body.extend_from_slice(&bytes);
-                }
-                Ok(Some(Message::Chunk(None))) => {
-                    body.shrink_to_fit();
-                    return Ok(body.into());
+                    body.push(&bytes, room.bytes());
                 }
+                Ok(Some(Message::Chunk(None))) => return Ok(body.finish()),
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(malformed.into()),
                 Ok(None) => {
                     room.record_received(body.len());
@@ -340,12 +344,23 @@
     share.map_or(MAX_BODY_WAIT, |it| it.min(MAX_BODY_WAIT))
 }
 
-/// Returns when the client has closed its connection. Bytes that it sends meanwhile are buffered; once the buffer is
-/// full, the rest stays in the socket and the connection is checked from time to time.
-pub(crate) async fn client_disconnected(read: &mut ReadHalf<'_>, buf: &mut BytesMut) {
-    while buf.len() < MAX_PIPELINED_BYTES {
-        buf.reserve(READ_BYTES);
-        if !matches!(read.read_buf(buf).await, Ok(1..)) {
+/// Returns when the client has closed its connection. Bytes that it sends meanwhile are buffered: few, or more as long as
+/// there is memory. Once the buffer is full, the rest stays in the socket and the connection is checked from time to time.
+pub(crate) async fn client_disconnected(
+    read: &mut ReadHalf<'_>,
+    buf: &mut BytesMut,
+    memory: &Rc<BodyMemory>,
+) {
+    if read_ahead(read, buf, MIN_PIPELINED_BYTES).await {
+        return;
+    }
+    let socket = SockRef::from(read.as_ref());
+    let buffer = CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES;
+    let room = memory.spare_room(MAX_PIPELINED_BYTES + buffer);
+    if room.is_some() {
+        // Else the close may wait behind what the system doesn't receive.
+        let _ = socket.set_recv_buffer_size(buffer);
+        if read_ahead(read, buf, MAX_PIPELINED_BYTES).await {
             return;
         }
     }
@@ -356,3 +371,14 @@
         }
     }
 }
+
+/// Reads until the buffer has this many bytes. Returns whether the client has closed its connection before.
+async fn read_ahead(read: &mut ReadHalf<'_>, buf: &mut BytesMut, limit: usize) -> bool {
+    while buf.len() < limit {
+        buf.reserve(READ_BYTES);
+        if !matches!(read.read_buf(buf).await, Ok(1..)) {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -87,7 +87,7 @@
     let ended = tokio::select! {
         biased;
         outcome = processor.measure(exchange.run(first_action)) => Ok(outcome),
-        () = unconstrained(client_disconnected(&mut read, buf)) => Err(Event::ClientDisconnected { key }),
+        () = unconstrained(client_disconnected(&mut read, buf, &state.bodies)) => Err(Event::ClientDisconnected { key }),
         () = unconstrained(deadline) => Err(Event::Expired { key }),
         () = unconstrained(state.shutdown.wait_exit()) => Err(Event::ShutdownExpired { key }),
     };
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -18,7 +18,7 @@
 use crate::pacing::ProcessorTime;
 use crate::shutdown::ShutdownState;
 use crate::state::FrontState;
-use crate::{CapacityLimits, Dialect, EventSequence};
+use crate::{CapacityLimits, ConnectionSlot, Dialect, EventSequence};
 
 /// Delay after a failed accept, which may be due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -54,7 +54,12 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => serve_accepted(&state, stream),
+            Ok((stream, _)) => {
+                serve_accepted(&state, stream);
+                // Otherwise a burst of connections would take the places of those accepted just before, which have sent their
+                // requests.
+                yield_now().await;
+            }
             Err(error) => {
                 log::warn!(error:%; "accepting a client connection failed");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -73,24 +78,29 @@
     SockRef::from(listener).set_recv_buffer_size(CapacityLimits::RECEIVE_BUFFER_BYTES)
 }
 
-/// Serves an accepted connection in a task of its own, unless there are too many.
+/// Serves an accepted connection in a task of its own. If there are too many, it takes the place of the one that has waited
+/// longest for its client, unless all others are being served.
 fn serve_accepted<D: Dialect>(state: &Rc<FrontState<D>>, stream: TcpStream) {
-    let open = state.bodies.connections();
-    if open >= state.capacity().connections {
+    let Some(slot) = state.client_slots.admit(state.capacity().connections) else {
+        let open = state.client_slots.open();
         log::warn!(open; "client connection closed: connection limit reached");
         metrics::counter!("daisychute_connections_refused_total").increment(1);
         return;
-    }
+    };
     state.shutdown.record_accept();
     let state = Rc::clone(state);
     let room = state.bodies.admit_connection();
     actix_rt::spawn(async move {
-        serve_client(state, stream).await;
+        serve_client(state, stream, slot).await;
         drop(room);
     });
 }
 
-async fn serve_client<D: Dialect>(state: Rc<FrontState<D>>, stream: TcpStream) {
+async fn serve_client<D: Dialect>(
+    state: Rc<FrontState<D>>,
+    stream: TcpStream,
+    slot: ConnectionSlot,
+) {
     if detect_unresponsive_peer(&stream).is_err() {
         return;
     }
@@ -106,8 +116,16 @@
             memory: &state.bodies,
             large_bodies: &state.large_requests,
             processor: &processor,
+            slot: &slot,
+        };
+        let read = tokio::select! {
+            biased;
+            () = slot.evicted() => {
+                metrics::counter!("daisychute_connections_evicted_total").increment(1);
+                return;
+            }
+            read = processor.measure(connection.read_request(&state.dialect, intake)) => read,
         };
-        let read = processor.measure(connection.read_request(&state.dialect, intake)).await;
         let incoming = match read {
             Ok(incoming) => incoming,
             Err(ReadError::Closed) => return,
@@ -138,6 +156,8 @@
             if !write_refusal(&mut connection, status, reason, refusal).await {
                 return connection.close(Linger::SHORT, &state.large_requests).await;
             }
+            slot.wait();
+            yield_now().await;
             continue;
         }
         state.shutdown.begin_request();
@@ -152,6 +172,7 @@
             }
             ConnectionOutcome::Abort => return,
         }
+        slot.wait();
         // A client that sends one request after the other leaves others their turn.
         yield_now().await;
     }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -175,7 +175,7 @@
         let mut bytes = BytesMut::with_capacity(1024);
         let message = Message::Item((RequestHeadType::Owned(head), size));
         connection.codec.encode(message, &mut bytes)?;
-        Ok(bytes.chain(body.clone()))
+        Ok(bytes.chain(body.reader()))
     }
 
     /// Reads the head of the matching response and drops late responses to earlier requests.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -32,8 +32,8 @@
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
 use crate::{
-    Admission, CapacityLimits, Departures, Dialect, DirectoryOutage, LimitNotice, LiveSettings,
-    PauseRequest, Position, ResponseInfo,
+    Admission, CapacityLimits, ConnectionSlots, Departures, Dialect, DirectoryOutage, LimitNotice,
+    LiveSettings, PauseRequest, Position, ResponseInfo,
 };
 
 /// The state of a front. It is used on one thread only.
@@ -61,6 +61,8 @@
     pub(crate) shutdown: ShutdownState,
     /// Paces the large bodies of responses.
     pub(crate) large_responses: LargeBodies,
+    /// Bounds the connections of clients.
+    pub(crate) client_slots: ConnectionSlots,
     /// Paces the large bodies of requests.
     pub(crate) large_requests: LargeBodies,
     /// Bounds the bodies of all requests together.
@@ -103,6 +105,7 @@
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
             large_responses: LargeBodies::default(),
+            client_slots: ConnectionSlots::default(),
             large_requests: LargeBodies::default(),
             bodies: BodyMemory::new(),
             duties,
