--- a/crates/daisychute-front/src/body_budget.rs
+++ b/crates/daisychute-front/src/body_budget.rs
@@ -74,16 +74,22 @@
             return Room::Granted;
         }
         let never_fits = held + more > Self::ceiling(limit, is_small);
-        if never_fits || self.queued + more > limit || (has_begun && begun_waits) {
+        // Small bodies that wait hold nothing, and there are no more of them than connections.
+        let is_full = self.queued + more > limit && !is_small;
+        if never_fits || is_full || (has_begun && begun_waits) {
             return Room::Refused;
         }
         self.next_ticket += 1;
         self.queued += more;
-        if has_begun {
-            self.queue.push_front(body);
-        } else {
-            self.queue.push_back(body);
-        }
+        let index = match has_begun {
+            true => 0,
+            // Small bodies go before large ones that hold nothing.
+            false if is_small => {
+                self.queue.iter().take_while(|it| it.has_begun || it.is_small).count()
+            }
+            false => self.queue.len(),
+        };
+        self.queue.insert(index, body);
         Room::Queued(body.ticket)
     }
 
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -91,7 +91,7 @@
     pub(crate) large_bodies: &'a LargeBodies,
     /// The processor time of this request.
     pub(crate) processor: &'a ProcessorTime,
-    /// The place of the connection, which it may lose until the head is read.
+    /// The place of the connection, which it may lose until the request is read.
     pub(crate) slot: &'a ConnectionSlot,
 }
 
@@ -133,7 +133,6 @@
             self.wait_for_request(intake.limits, intake.shutdown).await?;
         }
         let head = self.read_head(intake.limits).await?;
-        intake.slot.serve();
         let mut info = dialect.parse_request(&head);
         let mut room = intake.memory.room(max_body_wait(&info));
         // A client that has given up by then needs no response.
@@ -144,6 +143,7 @@
             BodyError::Stalled => ReadError::Stalled(Arc::clone(&info.id)),
             BodyError::Read(error) => error,
         })?;
+        intake.slot.serve();
         room.end_receiving();
         if room.bytes() > body.len() {
             self.set_receive_buffer(CapacityLimits::RECEIVE_BUFFER_BYTES)?;
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -57,7 +57,8 @@
     let last_event = last_event.filter(|_| kind.is_some_and(RequestKind::repeatable));
     let sequence = EventSequence::new(D::EVENT_NUMBERING, last_event);
     let kind = kind.map_or("unrouted", RequestKind::as_str);
-    let mut response_writer = ResponseWriter::new(&mut write, codec, sequence);
+    let mut response_writer =
+        ResponseWriter::new(&mut write, codec, sequence, state.stalled_responses.clone());
     if state.shutdown.requested() {
         response_writer.close();
     }
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -1,5 +1,7 @@
 //! Writes the response to a client's request.
 
+use std::future::pending;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,9 +13,10 @@
 use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::WriteHalf;
+use tokio::time::timeout;
 use tokio_util::codec::Encoder;
 
-use crate::{Disorder, EventFramer, EventSequence, HOP_BY_HOP};
+use crate::{ConnectionSlot, ConnectionSlots, Disorder, EventFramer, EventSequence, HOP_BY_HOP};
 
 /// Writing to the client failed: it closed its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -33,8 +36,15 @@
     timing: StreamTiming,
     /// Number of endpoints that closed their connection before their first event, since the last one that the client has.
     empty_runs: u32,
+    /// The responses that their clients don't read.
+    stalled: ConnectionSlots,
 }
 
+/// Time for which a client may leave a response unread while others need its place.
+const STALL_TIME: Duration = Duration::from_secs(1);
+/// Capacity of the buffer for encoded bytes that is kept from one write to the next, in bytes.
+const MAX_KEPT_BYTES: usize = 16 * 1024;
+
 /// Number of endpoints that have to agree that a stream has no further events, if they say so only by closing their
 /// connection.
 const MIN_EMPTY_RUNS: u32 = 2;
@@ -61,11 +71,13 @@
 }
 
 impl<'c> ResponseWriter<'c> {
-    /// Creates a writer. If the response is a stream, its events continue `sequence`.
+    /// Creates a writer. If the response is a stream, its events continue `sequence`. While its client doesn't read, it is
+    /// among `stalled` and may be evicted.
     pub(crate) fn new(
         write: &'c mut WriteHalf<'c>,
         codec: &'c mut Codec,
         sequence: EventSequence,
+        stalled: ConnectionSlots,
     ) -> Self {
         let (out, framer) = (BytesMut::new(), EventFramer::new(sequence));
         Self {
@@ -78,6 +90,7 @@
             chunked: true,
             timing: StreamTiming::default(),
             empty_runs: 0,
+            stalled,
         }
     }
 
@@ -264,9 +277,34 @@
 
     async fn flush(&mut self) -> Result<(), ClientDisconnected> {
         self.timing.record_chunk();
-        let written = self.write.write_all(&self.out).await;
-        self.out.clear();
-        written.map_err(|_| ClientDisconnected)
+        let written = {
+            let mut write = pin!(self.write.write_all(&self.out));
+            match timeout(STALL_TIME, &mut write).await {
+                Ok(written) => written.map_err(|_| ClientDisconnected),
+                Err(_) => {
+                    let slot = self.stalled.admit(usize::MAX);
+                    tokio::select! {
+                        biased;
+                        () = evicted(slot.as_ref()) => Err(ClientDisconnected),
+                        written = write => written.map_err(|_| ClientDisconnected),
+                    }
+                }
+            }
+        };
+        if self.out.capacity() > MAX_KEPT_BYTES {
+            self.out = BytesMut::new();
+        } else {
+            self.out.clear();
+        }
+        written
+    }
+}
+
+/// Waits until the response has to give its place up.
+async fn evicted(slot: Option<&ConnectionSlot>) {
+    match slot {
+        Some(slot) => slot.evicted().await,
+        None => pending().await,
     }
 }
 
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -16,7 +16,6 @@
 use crate::client::response_writer::ResponseWriter;
 use crate::endpoint::connection::detect_unresponsive_peer;
 use crate::pacing::ProcessorTime;
-use crate::shutdown::ShutdownState;
 use crate::state::FrontState;
 use crate::{CapacityLimits, ConnectionSlot, Dialect, EventSequence};
 
@@ -44,8 +43,8 @@
 
 /// Accepts client connections until the front stops to.
 pub(crate) async fn accept<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
-    if let Err(error) = limit_receive_buffer(&listener) {
-        log::warn!(error:%; "receive buffers of clients aren't limited");
+    if let Err(error) = limit_buffers(&listener) {
+        log::warn!(error:%; "the buffers of clients' connections aren't limited");
     }
     loop {
         let accepted = tokio::select! {
@@ -73,9 +72,11 @@
     }
 }
 
-/// Limits what the system receives for each connection before the front reads it. Connections inherit it.
-fn limit_receive_buffer(listener: &TcpListener) -> std::io::Result<()> {
-    SockRef::from(listener).set_recv_buffer_size(CapacityLimits::RECEIVE_BUFFER_BYTES)
+/// Limits what the system holds for each connection that the front hasn't read, or its client hasn't. Connections inherit it.
+fn limit_buffers(listener: &TcpListener) -> std::io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(CapacityLimits::RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(CapacityLimits::SEND_BUFFER_BYTES)
 }
 
 /// Serves an accepted connection in a task of its own. If there are too many, it takes the place of the one that has waited
@@ -91,15 +92,21 @@
     let state = Rc::clone(state);
     let room = state.bodies.admit_connection();
     actix_rt::spawn(async move {
-        serve_client(state, stream, slot).await;
-        drop(room);
+        let _room = room;
+        tokio::select! {
+            biased;
+            () = slot.evicted() => {
+                metrics::counter!("daisychute_connections_evicted_total").increment(1);
+            }
+            () = serve_client(state, stream, &slot) => {}
+        }
     });
 }
 
 async fn serve_client<D: Dialect>(
     state: Rc<FrontState<D>>,
     stream: TcpStream,
-    slot: ConnectionSlot,
+    slot: &ConnectionSlot,
 ) {
     if detect_unresponsive_peer(&stream).is_err() {
         return;
@@ -116,16 +123,9 @@
             memory: &state.bodies,
             large_bodies: &state.large_requests,
             processor: &processor,
-            slot: &slot,
-        };
-        let read = tokio::select! {
-            biased;
-            () = slot.evicted() => {
-                metrics::counter!("daisychute_connections_evicted_total").increment(1);
-                return;
-            }
-            read = processor.measure(connection.read_request(&state.dialect, intake)) => read,
+            slot,
         };
+        let read = processor.measure(connection.read_request(&state.dialect, intake)).await;
         let incoming = match read {
             Ok(incoming) => incoming,
             Err(ReadError::Closed) => return,
@@ -143,28 +143,31 @@
             Err(ReadError::Refused(status, reason)) => {
                 log::warn!(reason, status = status.as_u16(); "malformed or incomplete request refused");
                 let refusal = Refusal { retry_after: None, close: true };
-                write_refusal(&mut connection, status, reason, refusal).await;
+                write_refusal(&state, &mut connection, status, reason, refusal).await;
                 return connection.close(Linger::SHORT, &state.large_requests).await;
             }
         };
-        if let Some((reason, retry_after)) = refusal(&state.shutdown, state.capacity()) {
+        let is_stream = state.is_stream(&incoming.info);
+        if let Some((reason, retry_after)) = refusal(&state, is_stream) {
             let request = &incoming.info.id;
             log::warn!(request:%, outcome = "refused", reason, elapsed_ms = 0; "request ended");
             count_request("refused", reason);
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let refusal = Refusal { retry_after, close: retry_after.is_none() };
-            if !write_refusal(&mut connection, status, reason, refusal).await {
+            let is_open = write_refusal(&state, &mut connection, status, reason, refusal).await;
+            slot.wait();
+            if !is_open {
                 return connection.close(Linger::SHORT, &state.large_requests).await;
             }
-            slot.wait();
             yield_now().await;
             continue;
         }
-        state.shutdown.begin_request();
+        state.shutdown.begin_request(is_stream);
         // Most connections are idle most of the time, and needn't have room for a request meanwhile.
         let outcome = Box::pin(serve(&state, &mut connection, &incoming)).await;
-        state.shutdown.end_request();
+        state.shutdown.end_request(is_stream);
         drop(incoming);
+        slot.wait();
         match outcome {
             ConnectionOutcome::KeepAlive => {}
             ConnectionOutcome::Close => {
@@ -172,7 +175,6 @@
             }
             ConnectionOutcome::Abort => return,
         }
-        slot.wait();
         // A client that sends one request after the other leaves others their turn.
         yield_now().await;
     }
@@ -191,19 +193,29 @@
     log::warn!(request:%, outcome = "refused", reason, elapsed_ms; "request ended");
     count_request("refused", reason);
     let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
-    write_refusal(&mut connection, StatusCode::SERVICE_UNAVAILABLE, reason, refusal).await;
+    write_refusal(state, &mut connection, StatusCode::SERVICE_UNAVAILABLE, reason, refusal).await;
     connection.close(linger, &state.large_requests).await;
 }
 
-/// Returns why a request is refused before it takes any resources, and its `Retry-After`. `None` if it is accepted.
-fn refusal(
-    shutdown: &ShutdownState,
-    capacity: CapacityLimits,
+/// Returns why a request is refused before it takes any resources, and its `Retry-After`. `None` if it is accepted. At the
+/// limit of requests, a response that its client doesn't read gives its place up.
+fn refusal<D: Dialect>(
+    state: &FrontState<D>,
+    is_stream: bool,
 ) -> Option<(&'static str, Option<Duration>)> {
-    if shutdown.is_exiting() {
+    if state.shutdown.is_exiting() {
         return Some((Reason::Stopping.as_str(), None));
     }
-    (shutdown.busy() >= capacity.requests).then_some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
+    let (shutdown, capacity) = (&state.shutdown, state.capacity());
+    let has_room = !is_stream || shutdown.busy_streams() < capacity.streams();
+    if has_room && shutdown.busy() < capacity.requests {
+        return None;
+    }
+    if state.stalled_responses.evict() {
+        metrics::counter!("daisychute_unread_responses_cut_total").increment(1);
+        return None;
+    }
+    Some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
 }
 
 /// How a request is refused.
@@ -215,7 +227,8 @@
 }
 
 /// Refuses a request with a response of the front's own. Returns whether the connection can carry another request.
-async fn write_refusal(
+async fn write_refusal<D: Dialect>(
+    state: &FrontState<D>,
     connection: &mut ClientConnection,
     status: StatusCode,
     reason: &'static str,
@@ -223,7 +236,12 @@
 ) -> bool {
     let ClientConnection { stream, codec, .. } = connection;
     let (_, mut write) = stream.split();
-    let mut response_writer = ResponseWriter::new(&mut write, codec, EventSequence::default());
+    let mut response_writer = ResponseWriter::new(
+        &mut write,
+        codec,
+        EventSequence::default(),
+        state.stalled_responses.clone(),
+    );
     if close {
         response_writer.close();
     }
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -15,6 +15,7 @@
     accepting_stop: Notify,
     closing: Cell<bool>,
     busy: Cell<usize>,
+    busy_streams: Cell<usize>,
     accepted: Cell<u64>,
     closing_started: Notify,
     exiting: Cell<bool>,
@@ -78,12 +79,19 @@
         self.exit_started.notified().await;
     }
 
-    pub(crate) fn begin_request(&self) {
+    pub(crate) fn begin_request(&self, is_stream: bool) {
         self.busy.set(self.busy.get() + 1);
+        self.busy_streams.set(self.busy_streams.get() + usize::from(is_stream));
     }
 
-    pub(crate) fn end_request(&self) {
+    pub(crate) fn end_request(&self, is_stream: bool) {
         self.busy.set(self.busy.get() - 1);
+        self.busy_streams.set(self.busy_streams.get() - usize::from(is_stream));
+    }
+
+    /// Returns the number of streams among the requests in flight.
+    pub(crate) fn busy_streams(&self) -> usize {
+        self.busy_streams.get()
     }
 
     /// Returns the number of requests in flight.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -12,7 +12,7 @@
 use daisychute_core::{EndpointName, SoftwareVersion, Time};
 use daisychute_dispatch::{
     Action, BudgetUse, Cause, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Quarantine,
-    Removal, RequestKey, RequestRate, RouteTable,
+    Removal, RequestInfo, RequestKey, RequestKind, RequestRate, RouteTable,
 };
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
@@ -63,6 +63,8 @@
     pub(crate) large_responses: LargeBodies,
     /// Bounds the connections of clients.
     pub(crate) client_slots: ConnectionSlots,
+    /// The responses that their clients don't read.
+    pub(crate) stalled_responses: ConnectionSlots,
     /// Paces the large bodies of requests.
     pub(crate) large_requests: LargeBodies,
     /// Bounds the bodies of all requests together.
@@ -106,6 +108,7 @@
             shutdown: ShutdownState::default(),
             large_responses: LargeBodies::default(),
             client_slots: ConnectionSlots::default(),
+            stalled_responses: ConnectionSlots::default(),
             large_requests: LargeBodies::default(),
             bodies: BodyMemory::new(),
             duties,
@@ -140,6 +143,12 @@
         self.settings.borrow().capacity
     }
 
+    /// Whether the route of a request has streams.
+    pub(crate) fn is_stream(&self, info: &RequestInfo) -> bool {
+        let route = |it: &Dispatcher| it.table()?.find(&info.host, &info.path).map(|it| it.kind);
+        self.with_dispatcher(route).is_some_and(RequestKind::is_stream)
+    }
+
     /// Returns the snapshot addresses of the fronts that are asked when the directory is unreachable.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         self.settings.borrow().seeds.clone()
--- a/crates/daisychute-front/tests/body_budget.rs
+++ b/crates/daisychute-front/tests/body_budget.rs
@@ -148,3 +148,21 @@
     budget.withdraw(first);
     assert_eq!(budget.shortfall(LIMIT, first), 0);
 }
+
+/// Guards against small bodies that are refused, or wait for long, since many large ones wait.
+#[test]
+fn small_bodies_wait_before_large_ones() {
+    let mut budget = BodyBudget::default();
+    granted(&mut budget, 0, LARGE);
+    granted(&mut budget, 0, 60 * KIB);
+    let large = queued(&mut budget, 0, LARGE);
+    granted(&mut budget, 0, 60 * KIB);
+    granted(&mut budget, 0, 60 * KIB);
+    granted(&mut budget, 0, 60 * KIB);
+    let small = queued(&mut budget, 0, 60 * KIB);
+    let second = queued(&mut budget, 0, 60 * KIB);
+    budget.release(60 * KIB);
+    assert!(!budget.claim(LIMIT, large) && !budget.claim(LIMIT, second));
+    assert!(budget.claim(LIMIT, small));
+    assert_eq!(budget.waiting(), 2);
+}
