fix(front): reserve the memory of a chunked body once, and let none wait with much

A body of unknown length now takes 64 KiB, and beyond them the memory of the largest body that the configuration allows, which is freed but for its size once it is received. So a body waits only while it holds no more than a small one, any number of them may wait, and none waits for another that waits. The test that one body that had begun may wait is replaced by a stricter one: a body that holds more than a small one never waits.

--- a/crates/daisychute-front/src/body_budget.rs
+++ b/crates/daisychute-front/src/body_budget.rs
@@ -5,8 +5,8 @@
 /// The bytes that a front holds of its clients' request bodies, bounded together.
 ///
 /// The last part of the limit is open to small bodies only, so that large ones don't keep them waiting. Bodies that
-/// find no room wait in line. A body that has begun, and grows, goes first; only one of them waits at a time, as bodies
-/// that hold memory and wait for more could wait for each other.
+/// find no room wait in line: first those that have begun and grow, then small ones, then the others. None waits that
+/// holds more than a small body, as bodies that hold memory and wait for more could wait for each other.
 ///
 /// ```
 /// use daisychute_front::{BodyBudget, Room};
@@ -39,8 +39,7 @@
     Granted,
     /// The body waits in line and has to [`claim`](BodyBudget::claim) its bytes.
     Queued(Ticket),
-    /// The body can't get room soon: it is larger than all room, too many bytes are waited for, or another body that has
-    /// begun waits.
+    /// The body can't get room soon: it is larger than all room, too many bytes are waited for, or it holds too much to wait.
     Refused,
 }
 
@@ -67,8 +66,9 @@
             QueuedBody { ticket: Ticket(self.next_ticket), bytes: more, is_small, has_begun };
         let first = self.queue.front().copied();
         let begun_waits = first.is_some_and(|it| it.has_begun);
+        let may_wait = held <= Self::SMALL_BYTES;
         // Small bodies pass the line: what large ones leave isn't theirs.
-        let goes_first = is_small || first.is_none() || (has_begun && !begun_waits);
+        let goes_first = is_small || first.is_none() || (has_begun && !begun_waits) || !may_wait;
         if goes_first && self.fits(limit, body) {
             self.held += more;
             return Room::Granted;
@@ -76,13 +76,13 @@
         let never_fits = held + more > Self::ceiling(limit, is_small);
         // Small bodies that wait hold nothing, and there are no more of them than connections.
         let is_full = self.queued + more > limit && !is_small;
-        if never_fits || is_full || (has_begun && begun_waits) {
+        if never_fits || is_full || !may_wait {
             return Room::Refused;
         }
         self.next_ticket += 1;
         self.queued += more;
         let index = match has_begun {
-            true => 0,
+            true => self.queue.iter().take_while(|it| it.has_begun).count(),
             // Small bodies go before large ones that hold nothing.
             false if is_small => {
                 self.queue.iter().take_while(|it| it.has_begun || it.is_small).count()
--- a/crates/daisychute-front/src/client/body.rs
+++ b/crates/daisychute-front/src/client/body.rs
@@ -9,6 +9,9 @@
 /// Maximum size of a segment, in bytes. Segments of one size leave no gaps behind that only smaller bodies fit in.
 const SEGMENT_BYTES: usize = 32 * 1024;
 
+/// Minimum size of a segment of a body whose length isn't known, in bytes.
+const MIN_SEGMENT_BYTES: usize = 4 * 1024;
+
 /// The body of a request, in segments. Clones share them.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Body {
@@ -50,12 +53,16 @@
         self.len
     }
 
-    /// Appends bytes. `expected` is the size that the body will probably have.
-    pub(crate) fn push(&mut self, mut bytes: &[u8], expected: usize) {
+    /// Appends bytes of a body that has this length, if that is known.
+    pub(crate) fn push(&mut self, mut bytes: &[u8], length: Option<usize>) {
         while !bytes.is_empty() {
             if self.last.capacity() == 0 {
-                let rest = expected.saturating_sub(self.len).max(bytes.len());
-                self.last = BytesMut::with_capacity(rest.min(SEGMENT_BYTES));
+                let rest = match length {
+                    Some(length) => length.saturating_sub(self.len),
+                    None => self.len.max(MIN_SEGMENT_BYTES),
+                };
+                let capacity = rest.max(bytes.len()).min(SEGMENT_BYTES);
+                self.last = BytesMut::with_capacity(capacity);
             }
             let count = bytes.len().min(self.last.capacity() - self.last.len());
             self.last.extend_from_slice(&bytes[..count]);
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -16,11 +16,12 @@
 use tokio_util::codec::Decoder;
 
 use crate::Dialect;
+use crate::body_budget::BodyBudget;
 use crate::client::body::{Body, BodyBuilder};
 use crate::client::body_room::{BodyMemory, BodyRoom, NoRoom};
 use crate::client::fingerprint::fingerprint;
 use crate::client::incoming::Incoming;
-use crate::pacing::{LARGE_BODY_BYTES, LargeBodies, Pacer, ProcessorTime};
+use crate::pacing::{LargeBodies, Pacer, ProcessorTime};
 use crate::shutdown::ShutdownState;
 use crate::{CapacityLimits, ConnectionSlot};
 
@@ -34,8 +35,6 @@
 const FULL_BUFFER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of bytes of chunk headers and trailers since the last bytes of a body.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
-/// Size of the first reservation for a body whose length isn't declared, in bytes.
-const MIN_BODY_BYTES: usize = 4 * 1024;
 /// Number of bytes after which a large body waits for its turn at the processor.
 const TURN_BYTES: usize = 64 * 1024;
 /// Maximum time for which a body waits for memory before its request is refused.
@@ -217,15 +216,12 @@
         let limits = intake.limits;
         let has_body = self.codec.message_type() != MessageType::None;
         let mut body = BodyBuilder::default();
-        if let Some(length) = declared_length(head).filter(|it| has_body && *it > 0) {
+        let length = declared_length(head).filter(|it| has_body && *it > 0);
+        if let Some(length) = length {
             if length > limits.body_bytes {
                 return Err(too_large.into());
             }
-            room.grow(length).await?;
-            if length > LARGE_BODY_BYTES {
-                room.grow(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES).await?;
-                self.set_receive_buffer(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES)?;
-            }
+            self.reserve(room, length).await?;
         }
         if head.expect() {
             self.write_continue().await?;
@@ -244,11 +240,13 @@
                         return Err(too_large.into());
                     }
                     if size > room.bytes() {
-                        let larger = (2 * room.bytes()).max(MIN_BODY_BYTES).min(limits.body_bytes);
-                        let size = size.max(larger);
-                        room.grow(size - room.bytes()).await?;
+                        // A body that may become large has the memory for all of it before, so that it never waits with much.
+                        let is_small = size <= BodyBudget::SMALL_BYTES;
+                        let most = limits.body_bytes;
+                        let size = if is_small { most.min(BodyBudget::SMALL_BYTES) } else { most };
+                        self.reserve(room, size).await?;
                     }
-                    body.push(&bytes, room.bytes());
+                    body.push(&bytes, length);
                 }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.finish()),
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(malformed.into()),
@@ -285,6 +283,16 @@
         timeout_at(until, self.read_more()).await.map_err(|_| too_slow)?
     }
 
+    /// Reserves the memory of a body of this size, and lets the client of a large one send at full speed.
+    async fn reserve(&self, room: &mut BodyRoom, size: usize) -> Result<(), BodyError> {
+        if size <= BodyBudget::SMALL_BYTES {
+            return Ok(room.grow(size - room.bytes()).await?);
+        }
+        let buffer = CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES;
+        room.grow(size + buffer - room.bytes()).await?;
+        Ok(self.set_receive_buffer(buffer)?)
+    }
+
     /// Sets how much the system receives before the front reads it.
     fn set_receive_buffer(&self, bytes: usize) -> Result<(), ReadError> {
         let set = SockRef::from(&self.stream).set_recv_buffer_size(bytes);
--- a/crates/daisychute-front/tests/body_budget.rs
+++ b/crates/daisychute-front/tests/body_budget.rs
@@ -61,11 +61,11 @@
 #[test]
 fn body_that_has_begun_goes_first() {
     let mut budget = BodyBudget::default();
-    granted(&mut budget, 0, 100 * KIB);
-    granted(&mut budget, 0, LARGE - 100 * KIB);
+    granted(&mut budget, 0, 60 * KIB);
+    granted(&mut budget, 0, LARGE - 60 * KIB);
     let waiting = queued(&mut budget, 0, 100 * KIB);
-    let begun = queued(&mut budget, 100 * KIB, 100 * KIB);
-    budget.release(LARGE - 100 * KIB);
+    let begun = queued(&mut budget, 60 * KIB, 100 * KIB);
+    budget.release(LARGE - 60 * KIB);
     assert!(!budget.claim(LIMIT, waiting));
     assert!(budget.claim(LIMIT, begun));
     assert!(budget.claim(LIMIT, waiting));
@@ -73,14 +73,17 @@
 
 /// Guards against bodies that hold memory and wait for each other.
 #[test]
-fn one_body_that_has_begun_waits_at_a_time() {
+fn body_that_holds_more_than_a_small_one_never_waits() {
     let mut budget = BodyBudget::default();
     granted(&mut budget, 0, LARGE / 2);
     granted(&mut budget, 0, LARGE / 2);
-    let first = queued(&mut budget, LARGE / 2, 100 * KIB);
     assert_eq!(budget.reserve(LIMIT, LARGE / 2, 100 * KIB), Room::Refused);
+    assert_eq!(budget.reserve(LIMIT, 64 * KIB + 1, 100 * KIB), Room::Refused);
+    let first = queued(&mut budget, 64 * KIB, 100 * KIB);
+    let second = queued(&mut budget, 64 * KIB, 100 * KIB);
     budget.release(LARGE / 2);
-    assert!(budget.claim(LIMIT, first));
+    assert!(!budget.claim(LIMIT, second));
+    assert!(budget.claim(LIMIT, first) && budget.claim(LIMIT, second));
 }
 
 #[test]
