--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -15,8 +15,8 @@
 use crate::client::connection::{ClientConnection, client_disconnected};
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::ResponseWriter;
-use crate::endpoint::body_meter::ProcessorTime;
 use crate::endpoint::call::{Call, CallEnd, ErrorResponse};
+use crate::pacing::ProcessorTime;
 use crate::state::{FrontState, part_key};
 use crate::{Dialect, EventSequence};
 
@@ -57,7 +57,8 @@
     let last_event = last_event.filter(|_| kind.is_some_and(RequestKind::repeatable));
     let sequence = EventSequence::new(D::EVENT_NUMBERING, last_event);
     let kind = kind.map_or("unrouted", RequestKind::as_str);
-    let mut response_writer = ResponseWriter::new(&mut write, codec, sequence);
+    let mut response_writer =
+        ResponseWriter::new(&mut write, codec, sequence, state.stalled_responses.clone());
     if state.shutdown.requested() {
         response_writer.close();
     }
@@ -87,7 +88,7 @@
     let ended = tokio::select! {
         biased;
         outcome = processor.measure(exchange.run(first_action)) => Ok(outcome),
-        () = unconstrained(client_disconnected(&mut read, buf)) => Err(Event::ClientDisconnected { key }),
+        () = unconstrained(client_disconnected(&mut read, buf, &state.bodies)) => Err(Event::ClientDisconnected { key }),
         () = unconstrained(deadline) => Err(Event::Expired { key }),
         () = unconstrained(state.shutdown.wait_exit()) => Err(Event::ShutdownExpired { key }),
     };
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -1,22 +1,23 @@
 //! Accepts clients and serves their requests.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::StatusCode;
 use daisychute_dispatch::Reason;
 use daisychute_runtime::stop_listening;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
-use crate::client::connection::{BodyLimit, ClientConnection, LINGER_TIMEOUT, ReadError};
+use crate::client::connection::{ClientConnection, Intake, Linger, ReadError};
 use crate::client::exchange::{ConnectionOutcome, count_request, serve};
 use crate::client::response_writer::ResponseWriter;
 use crate::endpoint::connection::detect_unresponsive_peer;
-use crate::shutdown::ShutdownState;
+use crate::pacing::ProcessorTime;
 use crate::state::FrontState;
-use crate::{CapacityLimits, Dialect, EventSequence};
+use crate::{CapacityLimits, ConnectionSlot, Dialect, EventSequence};
 
 /// Delay after a failed accept, which may be due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -37,9 +38,14 @@
 /// gets the refusal.
 const UPLOAD_LINGER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Refusal reason: the body of the request made no progress, and others needed its memory.
+const BODY_STALLED: &str = "body_stalled";
+
 /// Accepts client connections until the front stops to.
 pub(crate) async fn accept<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
-    let open_connections = Rc::new(Cell::new(0_usize));
+    if let Err(error) = limit_buffers(&listener) {
+        log::warn!(error:%; "the buffers of clients' connections aren't limited");
+    }
     loop {
         let accepted = tokio::select! {
             biased;
@@ -47,7 +53,12 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => serve_accepted(&state, &open_connections, stream),
+            Ok((stream, _)) => {
+                serve_accepted(&state, stream);
+                // Otherwise a burst of connections would take the places of those accepted just before, which have sent their
+                // requests.
+                yield_now().await;
+            }
             Err(error) => {
                 log::warn!(error:%; "accepting a client connection failed");
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -55,33 +66,48 @@
         }
     }
     let (last, accepted) = stop_listening(listener, HANDSHAKE_TIME).await;
-    last.into_iter().for_each(|it| serve_accepted(&state, &open_connections, it));
+    last.into_iter().for_each(|it| serve_accepted(&state, it));
     if let Err(error) = accepted {
         log::warn!(error:%; "accepting the last client connections failed");
     }
 }
 
-/// Serves an accepted connection in a task of its own, unless there are too many.
-fn serve_accepted<D: Dialect>(
-    state: &Rc<FrontState<D>>,
-    open_connections: &Rc<Cell<usize>>,
-    stream: TcpStream,
-) {
-    if open_connections.get() >= state.capacity().connections {
-        log::warn!(open = open_connections.get(); "client connection closed: connection limit reached");
+/// Limits what the system holds for each connection that the front hasn't read, or its client hasn't. Connections inherit it.
+fn limit_buffers(listener: &TcpListener) -> std::io::Result<()> {
+    let socket = SockRef::from(listener);
+    socket.set_recv_buffer_size(CapacityLimits::RECEIVE_BUFFER_BYTES)?;
+    socket.set_send_buffer_size(CapacityLimits::SEND_BUFFER_BYTES)
+}
+
+/// Serves an accepted connection in a task of its own. If there are too many, it takes the place of the one that has waited
+/// longest for its client, unless all others are being served.
+fn serve_accepted<D: Dialect>(state: &Rc<FrontState<D>>, stream: TcpStream) {
+    let Some(slot) = state.client_slots.admit(state.capacity().connections) else {
+        let open = state.client_slots.open();
+        log::warn!(open; "client connection closed: connection limit reached");
         metrics::counter!("daisychute_connections_refused_total").increment(1);
         return;
-    }
+    };
     state.shutdown.record_accept();
-    let (state, open_connections) = (Rc::clone(state), Rc::clone(open_connections));
-    open_connections.set(open_connections.get() + 1);
+    let state = Rc::clone(state);
+    let room = state.bodies.admit_connection();
     actix_rt::spawn(async move {
-        serve_client(state, stream).await;
-        open_connections.set(open_connections.get() - 1);
+        let _room = room;
+        tokio::select! {
+            biased;
+            () = slot.evicted() => {
+                metrics::counter!("daisychute_connections_evicted_total").increment(1);
+            }
+            () = serve_client(state, stream, &slot) => {}
+        }
     });
 }
 
-async fn serve_client<D: Dialect>(state: Rc<FrontState<D>>, stream: TcpStream) {
+async fn serve_client<D: Dialect>(
+    state: Rc<FrontState<D>>,
+    stream: TcpStream,
+    slot: &ConnectionSlot,
+) {
     if detect_unresponsive_peer(&stream).is_err() {
         return;
     }
@@ -89,64 +115,107 @@
     loop {
         let limits =
             state.with_dispatcher(|it| it.table().map(|it| *it.limits())).unwrap_or_default();
-        let bodies = BodyLimit { memory: &state.bodies, bytes: state.capacity().body_bytes };
-        let read = connection.read_request(&state.dialect, &limits, &state.shutdown, bodies).await;
+        state.bodies.set_limit(state.capacity().client_bytes);
+        let processor = ProcessorTime::default();
+        let intake = Intake {
+            limits: &limits,
+            shutdown: &state.shutdown,
+            memory: &state.bodies,
+            large_bodies: &state.large_requests,
+            processor: &processor,
+            slot,
+        };
+        let read = processor.measure(connection.read_request(&state.dialect, intake)).await;
         let incoming = match read {
             Ok(incoming) => incoming,
             Err(ReadError::Closed) => return,
             Err(ReadError::NoMemory(request, waited)) => {
-                let elapsed_ms = waited.as_millis();
-                log::warn!(request:%, outcome = "refused", reason = BODY_MEMORY, elapsed_ms; "request ended");
-                count_request("refused", BODY_MEMORY);
-                let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
-                write_refusal(
-                    &mut connection,
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    BODY_MEMORY,
-                    refusal,
-                )
-                .await;
-                return connection.close(UPLOAD_LINGER_TIMEOUT).await;
+                let linger = Linger { time: UPLOAD_LINGER_TIMEOUT, bytes: limits.body_bytes };
+                return refuse_body(&state, connection, &request, BODY_MEMORY, waited, linger)
+                    .await;
+            }
+            Err(ReadError::Stalled(request)) => {
+                let waited = Duration::ZERO;
+                let linger = Linger::SHORT;
+                return refuse_body(&state, connection, &request, BODY_STALLED, waited, linger)
+                    .await;
             }
             Err(ReadError::Refused(status, reason)) => {
                 log::warn!(reason, status = status.as_u16(); "malformed or incomplete request refused");
                 let refusal = Refusal { retry_after: None, close: true };
-                write_refusal(&mut connection, status, reason, refusal).await;
-                return connection.close(LINGER_TIMEOUT).await;
+                write_refusal(&state, &mut connection, status, reason, refusal).await;
+                return connection.close(Linger::SHORT, &state.large_requests).await;
             }
         };
-        if let Some((reason, retry_after)) = refusal(&state.shutdown, state.capacity()) {
+        let is_stream = state.is_stream(&incoming.info);
+        if let Some((reason, retry_after)) = refusal(&state, is_stream) {
             let request = &incoming.info.id;
             log::warn!(request:%, outcome = "refused", reason, elapsed_ms = 0; "request ended");
             count_request("refused", reason);
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let refusal = Refusal { retry_after, close: retry_after.is_none() };
-            if !write_refusal(&mut connection, status, reason, refusal).await {
-                return connection.close(LINGER_TIMEOUT).await;
+            let is_open = write_refusal(&state, &mut connection, status, reason, refusal).await;
+            slot.wait();
+            if !is_open {
+                return connection.close(Linger::SHORT, &state.large_requests).await;
             }
+            yield_now().await;
             continue;
         }
-        state.shutdown.begin_request();
-        let outcome = serve(&state, &mut connection, &incoming).await;
-        state.shutdown.end_request();
+        state.shutdown.begin_request(is_stream);
+        // Most connections are idle most of the time, and needn't have room for a request meanwhile.
+        let outcome = Box::pin(serve(&state, &mut connection, &incoming)).await;
+        state.shutdown.end_request(is_stream);
         drop(incoming);
+        slot.wait();
         match outcome {
             ConnectionOutcome::KeepAlive => {}
-            ConnectionOutcome::Close => return connection.close(LINGER_TIMEOUT).await,
+            ConnectionOutcome::Close => {
+                return connection.close(Linger::SHORT, &state.large_requests).await;
+            }
             ConnectionOutcome::Abort => return,
         }
+        // A client that sends one request after the other leaves others their turn.
+        yield_now().await;
     }
 }
 
-/// Returns why a request is refused before it takes any resources, and its `Retry-After`. `None` if it is accepted.
-fn refusal(
-    shutdown: &ShutdownState,
-    capacity: CapacityLimits,
+/// Refuses a request whose body has no memory, or has given it up, and closes its connection.
+async fn refuse_body<D: Dialect>(
+    state: &Rc<FrontState<D>>,
+    mut connection: ClientConnection,
+    request: &str,
+    reason: &'static str,
+    waited: Duration,
+    linger: Linger,
+) {
+    let elapsed_ms = waited.as_millis();
+    log::warn!(request:%, outcome = "refused", reason, elapsed_ms; "request ended");
+    count_request("refused", reason);
+    let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
+    write_refusal(state, &mut connection, StatusCode::SERVICE_UNAVAILABLE, reason, refusal).await;
+    connection.close(linger, &state.large_requests).await;
+}
+
+/// Returns why a request is refused before it takes any resources, and its `Retry-After`. `None` if it is accepted. At the
+/// limit of requests, a response that its client doesn't read gives its place up.
+fn refusal<D: Dialect>(
+    state: &FrontState<D>,
+    is_stream: bool,
 ) -> Option<(&'static str, Option<Duration>)> {
-    if shutdown.is_exiting() {
+    if state.shutdown.is_exiting() {
         return Some((Reason::Stopping.as_str(), None));
     }
-    (shutdown.busy() >= capacity.requests).then_some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
+    let (shutdown, capacity) = (&state.shutdown, state.capacity());
+    let has_room = !is_stream || shutdown.busy_streams() < capacity.streams();
+    if has_room && shutdown.busy() < capacity.requests {
+        return None;
+    }
+    if state.stalled_responses.evict() {
+        metrics::counter!("daisychute_unread_responses_cut_total").increment(1);
+        return None;
+    }
+    Some((FRONT_FULL, Some(FULL_RETRY_AFTER)))
 }
 
 /// How a request is refused.
@@ -158,7 +227,8 @@
 }
 
 /// Refuses a request with a response of the front's own. Returns whether the connection can carry another request.
-async fn write_refusal(
+async fn write_refusal<D: Dialect>(
+    state: &FrontState<D>,
     connection: &mut ClientConnection,
     status: StatusCode,
     reason: &'static str,
@@ -166,7 +236,12 @@
 ) -> bool {
     let ClientConnection { stream, codec, .. } = connection;
     let (_, mut write) = stream.split();
-    let mut response_writer = ResponseWriter::new(&mut write, codec, EventSequence::default());
+    let mut response_writer = ResponseWriter::new(
+        &mut write,
+        codec,
+        EventSequence::default(),
+        state.stalled_responses.clone(),
+    );
     if close {
         response_writer.close();
     }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -18,12 +18,13 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
-use crate::endpoint::body_meter::{BodyMeter, ProcessorTime};
+use crate::endpoint::body_meter::BodyMeter;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::looks::Looks;
 use crate::endpoint::pool::MAX_IDLE_FOR_NON_REPEATABLE;
 use crate::endpoint::presence::Sentinel;
 use crate::endpoint::response_reader::{Collected, Framing, ResponseError, ResponseReader};
+use crate::pacing::ProcessorTime;
 use crate::state::FrontState;
 use crate::{Dialect, Disorder, ResponseInfo};
 
@@ -174,7 +175,7 @@
         let mut bytes = BytesMut::with_capacity(1024);
         let message = Message::Item((RequestHeadType::Owned(head), size));
         connection.codec.encode(message, &mut bytes)?;
-        Ok(bytes.chain(body.clone()))
+        Ok(bytes.chain(body.reader()))
     }
 
     /// Reads the head of the matching response and drops late responses to earlier requests.
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod response_info;
 mod body_budget;
+mod body_progress;
 mod client;
+mod connection_slots;
 mod capacity_limits;
 mod dialect;
 mod directory;
@@ -20,6 +22,7 @@
 mod front;
 mod hop_by_hop;
 mod live_settings;
+mod pacing;
 mod peers;
 mod plain_server;
 mod preview;
@@ -28,7 +31,9 @@
 mod shutdown;
 
 pub use crate::body_budget::{BodyBudget, Room, Ticket};
+pub use crate::body_progress::{BodyKey, BodyProgress};
 pub use crate::capacity_limits::CapacityLimits;
+pub use crate::connection_slots::{ConnectionSlot, ConnectionSlots};
 pub use crate::dialect::{Dialect, ForwardParams};
 pub use crate::directory::admission::Admission;
 pub use crate::directory::answer::Answer;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -12,7 +12,7 @@
 use daisychute_core::{EndpointName, SoftwareVersion, Time};
 use daisychute_dispatch::{
     Action, BudgetUse, Cause, Dispatcher, Endpoint, EndpointKey, Event, Incarnation, Quarantine,
-    Removal, RequestKey, RequestRate, RouteTable,
+    Removal, RequestInfo, RequestKey, RequestKind, RequestRate, RouteTable,
 };
 use daisychute_runtime::Clock;
 use rand::{RngExt, SeedableRng};
@@ -25,15 +25,15 @@
 use crate::duties::boot_clock::BootClock;
 use crate::duties::link::DutyLink;
 use crate::endpoint::activity::Activity;
-use crate::endpoint::body_meter::LargeBodies;
 use crate::endpoint::cache_query::CacheQueries;
 use crate::endpoint::pool::Pool;
 use crate::endpoint::{cache_query, health_check, release};
+use crate::pacing::LargeBodies;
 use crate::peers::Peers;
 use crate::shutdown::ShutdownState;
 use crate::{
-    Admission, CapacityLimits, Departures, Dialect, DirectoryOutage, LimitNotice, LiveSettings,
-    PauseRequest, Position, ResponseInfo,
+    Admission, CapacityLimits, ConnectionSlots, Departures, Dialect, DirectoryOutage, LimitNotice,
+    LiveSettings, PauseRequest, Position, ResponseInfo,
 };
 
 /// The state of a front. It is used on one thread only.
@@ -60,7 +60,13 @@
     pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
     /// Paces the large bodies of responses.
-    pub(crate) large_bodies: LargeBodies,
+    pub(crate) large_responses: LargeBodies,
+    /// Bounds the connections of clients.
+    pub(crate) client_slots: ConnectionSlots,
+    /// The responses that their clients don't read.
+    pub(crate) stalled_responses: ConnectionSlots,
+    /// Paces the large bodies of requests.
+    pub(crate) large_requests: LargeBodies,
     /// Bounds the bodies of all requests together.
     pub(crate) bodies: Rc<BodyMemory>,
     /// The duties towards the platform; `None` if the deployment has none.
@@ -100,8 +106,11 @@
             version_records_outdated: Cell::new(false),
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
-            large_bodies: LargeBodies::default(),
-            bodies: Rc::default(),
+            large_responses: LargeBodies::default(),
+            client_slots: ConnectionSlots::default(),
+            stalled_responses: ConnectionSlots::default(),
+            large_requests: LargeBodies::default(),
+            bodies: BodyMemory::new(),
             duties,
             http: ServiceConfig::default(),
             incarnation_id,
@@ -134,6 +143,12 @@
         self.settings.borrow().capacity
     }
 
+    /// Whether the route of a request has streams.
+    pub(crate) fn is_stream(&self, info: &RequestInfo) -> bool {
+        let route = |it: &Dispatcher| it.table()?.find(&info.host, &info.path).map(|it| it.kind);
+        self.with_dispatcher(route).is_some_and(RequestKind::is_stream)
+    }
+
     /// Returns the snapshot addresses of the fronts that are asked when the directory is unreachable.
     pub(crate) fn seeds(&self) -> Vec<SocketAddr> {
         self.settings.borrow().seeds.clone()
