fix(front): ask a worker that refuses requests at intervals, and count no answer from before an end

A worker that had refused a request and had run for long enough was asked without a pause until the decision, some 375 checks at 1 ms each (shown in the core). An answer to a check for another response that was sent before the end counted, and with a hold of up to 50 ms an open connection alone did. The first answer's time bounds neither the decision nor a check any more: with 3 s for it, the decision came 12 s after the end.

The worker is asked each 300 ms in any case; answers count only if they were asked for after the end; a slow first answer extends the decision by the hold at most, and checks end with it.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -118,7 +118,7 @@
     pub const GIVE_UP_TIME: Duration = Duration::from_millis(250);
     /// Time after which an endpoint is asked again that hasn't answered a check; doubled each time.
     pub const FIRST_RECHECK: Duration = Duration::from_millis(40);
-    /// Time between two checks. A suspension that is shorter isn't noticed.
+    /// Time between two checks. A suspension that is shorter, or than an answer usually takes, isn't noticed.
     pub const CHECK_INTERVAL: Duration = Duration::from_millis(300);
     /// Time that an answer may take in any case.
     const MIN_ANSWER_TIME: Duration = Duration::from_millis(50);
@@ -144,11 +144,17 @@
 
     /// Allows answers to take this long. Returns what to do.
     pub fn allow_answer_time(&mut self, time: Duration) -> EndStep {
-        self.answer_time = time.max(Self::MIN_ANSWER_TIME);
+        self.answer_time = time.min(self.hold).max(Self::MIN_ANSWER_TIME);
         self.limit = self.limit.max(self.ended_at + self.hold + self.answer_time);
         self.wait()
     }
 
+    /// Returns the time until the decision is made at the latest.
+    #[must_use]
+    pub fn time_left(&self, now: Time) -> Duration {
+        self.limit.since(now)
+    }
+
     /// Returns what to do at the end of the response.
     #[must_use]
     pub fn first_step(&self) -> EndStep {
@@ -185,7 +191,7 @@
             EndpointSign::Due { watched } => {
                 let unseen = now.since(self.seen_at);
                 // An answer is on its way for as long. Asking a slow endpoint once more would take longer than is left.
-                let is_on_time = unseen <= self.answer_time;
+                let is_on_time = unseen <= self.answer_time && self.seen_at > self.ended_at;
                 if watched && is_on_time && !self.refuses && self.ran + unseen >= self.hold {
                     EndStep::Whole
                 } else if self.is_over(now) {
@@ -207,7 +213,8 @@
 
     /// Counts the time for which the endpoint has run, as its answer shows.
     fn count_answer(&mut self, asked_at: Time, answered_at: Time) {
-        if answered_at <= self.seen_at {
+        // A check for another response may have been answered before this one ended.
+        if answered_at <= self.seen_at || asked_at < self.ended_at {
             return;
         }
         let asked_at = asked_at.max(self.seen_at);
@@ -216,7 +223,10 @@
         self.ran = (self.ran + gap + answer).min(self.hold);
         self.seen_at = answered_at;
         let missing = self.hold - self.ran;
-        self.next_check = answered_at + missing.min(Self::CHECK_INTERVAL.max(self.answer_time));
+        let pause = missing.min(Self::CHECK_INTERVAL.max(self.answer_time));
+        // An endpoint that has run for long enough and has to begin a response isn't asked more often.
+        self.next_check =
+            answered_at + if missing.is_zero() { Self::CHECK_INTERVAL } else { pause };
     }
 
     /// Time since the endpoint was last seen, as far as it counts if it is seen again.
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -28,6 +28,8 @@
 
 /// Time limit for the response to a check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that a check has in any case.
+const MIN_CHECK_TIME: Duration = Duration::from_millis(100);
 /// Maximum size of the body of a response, which is dropped.
 const MAX_RESPONSE_BYTES: usize = 4 * 1024;
 
@@ -112,7 +114,8 @@
                 EndStep::Check => {
                     let asked_at = state.now();
                     let check = check(state, request, decision, connection.as_ref());
-                    let outcome = timeout(check_timeout, check).await;
+                    let max_time = check_timeout.min(end.time_left(asked_at).max(MIN_CHECK_TIME));
+                    let outcome = timeout(max_time, check).await;
                     let (finding, status) = outcome.unwrap_or((Finding::Unanswered, None));
                     let answered_at = state.now();
                     looks.record_check(status, answered_at.since(asked_at));
