fix(front): leave no memory of clients out of the account, and let small bodies pass large ones

Found by a review of the account, by reading unless said otherwise:

- connections took memory that bodies held already, up to three quarters more than all of it: there are now as many as bodies leave room for
- the buffer of a client that pipelines, and its larger receive buffer, stayed when their reservation had gone; both go with it
- small bodies waited behind large ones that had begun, though what these leave was free (shown in the core)
- time in which the front held a body back for its share of the processor counted as time without progress
- a client that reads slowly but steadily counted as one that doesn't read; refusals gave way in place of responses
- up to 49 KB that arrived at once counted as framing before they were decoded: 400 for a legal request
- the interim response to `Expect: 100-continue` had no time limit

--- a/crates/daisychute-front/src/body_budget.rs
+++ b/crates/daisychute-front/src/body_budget.rs
@@ -76,7 +76,7 @@
         let never_fits = held + more > Self::ceiling(limit, is_small);
         // Small bodies that wait hold nothing, and there are no more of them than connections.
         let is_full = self.queued + more > limit && !is_small;
-        if never_fits || is_full || !may_wait {
+        if never_fits || !may_wait || (is_full && !self.displace(more)) {
             return Room::Refused;
         }
         self.next_ticket += 1;
@@ -93,10 +93,13 @@
         Room::Queued(body.ticket)
     }
 
-    /// Reserves the bytes of a queued body if it is first in line and they are free. Returns whether they are reserved.
+    /// Reserves the bytes of a queued body if it is first in line, or first of the small ones, and they are free. Returns
+    /// whether they are reserved.
     pub fn claim(&mut self, limit: usize, ticket: Ticket) -> bool {
-        let first = self.queue.front().copied();
-        let Some(body) = first.filter(|it| it.ticket == ticket && self.fits(limit, *it)) else {
+        let first = self.queue.front();
+        let first_small = self.queue.iter().find(|it| it.is_small);
+        let next = [first, first_small].into_iter().flatten().find(|it| it.ticket == ticket);
+        let Some(body) = next.copied().filter(|it| self.fits(limit, *it)) else {
             return false;
         };
         self.withdraw(ticket);
@@ -104,6 +107,20 @@
         true
     }
 
+    /// Removes the last queued body that is larger than this one and holds nothing. Returns whether there is one.
+    fn displace(&mut self, bytes: usize) -> bool {
+        let index = self.queue.iter().rposition(|it| !it.has_begun && it.bytes > bytes);
+        let displaced = index.and_then(|it| self.queue.remove(it));
+        self.queued -= displaced.map_or(0, |it| it.bytes);
+        displaced.is_some()
+    }
+
+    /// Whether a body still waits: a smaller one may have taken its place.
+    #[must_use]
+    pub fn is_queued(&self, ticket: Ticket) -> bool {
+        self.queue.iter().any(|it| it.ticket == ticket)
+    }
+
     /// Returns how many bytes have to be freed until a queued body and those before it have room.
     #[must_use]
     pub fn shortfall(&self, limit: usize, ticket: Ticket) -> usize {
--- a/crates/daisychute-front/src/capacity_limits.rs
+++ b/crates/daisychute-front/src/capacity_limits.rs
@@ -29,11 +29,12 @@
     const CLIENT_DESCRIPTOR_TENTHS: u64 = 6;
     /// Memory per client connection, in bytes: its task and buffers, and what the system has received for it.
     pub const CONNECTION_BYTES: usize = 40 * 1_024;
-    /// Size of the system's receive buffer of a client connection, in bytes. The system may hold half as much again.
+    /// Size of the system's receive buffer of a client connection, in bytes. The system may hold three quarters more.
     pub const RECEIVE_BUFFER_BYTES: usize = 16 * 1_024;
-    /// Size of the system's receive buffer while a large body arrives, in bytes, so that its client sends at full speed. It is
-    /// part of the body's memory meanwhile.
+    /// Size of the system's receive buffer while a large body arrives, in bytes, so that its client sends at full speed.
     pub const LARGE_RECEIVE_BUFFER_BYTES: usize = 64 * 1_024;
+    /// What the system may hold in such a buffer, in bytes. It is part of the body's memory meanwhile.
+    pub const LARGE_RECEIVED_BYTES: usize = 112 * 1_024;
     /// Size of the system's send buffer of a client connection, in bytes: what a client may leave unread before the front
     /// notices.
     pub const SEND_BUFFER_BYTES: usize = 64 * 1_024;
--- a/crates/daisychute-front/src/client/body_room.rs
+++ b/crates/daisychute-front/src/client/body_room.rs
@@ -16,6 +16,8 @@
 /// Interval at which a body that waits for memory looks for others that have stalled.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of connections that there may be, however much bodies hold.
+const MIN_CONNECTIONS: usize = 16;
 /// Part of the bodies' memory that may be held altogether while more is taken than is needed, as a divisor.
 const SPARE_DIVISOR: usize = 2;
 
@@ -100,6 +102,12 @@
         ConnectionRoom(Rc::clone(self))
     }
 
+    /// Returns how many connections there may be beside the bodies: a few in any case.
+    pub(crate) fn max_connections(&self) -> usize {
+        let free = self.limit.get().saturating_sub(self.budget.borrow().held());
+        (free / CapacityLimits::CONNECTION_BYTES).max(MIN_CONNECTIONS)
+    }
+
     /// Returns how many bytes the bodies may hold beside the connections.
     fn body_limit(&self) -> usize {
         self.limit.get().saturating_sub(self.connections.get() * CapacityLimits::CONNECTION_BYTES)
@@ -189,7 +197,7 @@
             if self.memory.budget.borrow_mut().claim(limit, ticket) {
                 return true;
             }
-            if Instant::now() >= deadline {
+            if Instant::now() >= deadline || !self.memory.budget.borrow().is_queued(ticket) {
                 return false;
             }
             self.memory.reclaim(ticket);
@@ -213,6 +221,14 @@
         self.memory.progress.borrow_mut().receive(now, self.key, bytes);
     }
 
+    /// Runs a pause of the front's own, in which the client can't make progress.
+    pub(crate) async fn pause(&self, pause: impl Future<Output = ()>) {
+        self.memory.progress.borrow_mut().wait(self.key);
+        pause.await;
+        let now = self.memory.clock.now();
+        self.memory.progress.borrow_mut().hold(now, self.key, self.bytes);
+    }
+
     /// Records that the body is received. Its memory stays reserved.
     pub(crate) fn end_receiving(&self) {
         self.memory.end_receiving(self.key);
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -18,7 +18,7 @@
 use crate::Dialect;
 use crate::body_budget::BodyBudget;
 use crate::client::body::{Body, BodyBuilder};
-use crate::client::body_room::{BodyMemory, BodyRoom, NoRoom};
+use crate::client::body_room::{BodyMemory, BodyRoom, NoRoom, SpareRoom};
 use crate::client::fingerprint::fingerprint;
 use crate::client::incoming::Incoming;
 use crate::pacing::{LargeBodies, Pacer, ProcessorTime};
@@ -31,10 +31,14 @@
 const MIN_PIPELINED_BYTES: usize = 16 * 1024;
 /// Maximum number of bytes that are buffered as long as there is memory.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
+/// Size to which a buffer may grow for them.
+const MAX_BUFFER_BYTES: usize = 2 * MAX_PIPELINED_BYTES;
 /// Interval at which the connection of a client with a full buffer is checked.
 const FULL_BUFFER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of bytes of chunk headers and trailers since the last bytes of a body.
 const MAX_FRAMING_BYTES: usize = 16 * 1024;
+/// Size up to which a large body of unknown length has memory before it needs as much as any body may, in bytes.
+const MEDIUM_BYTES: usize = 1024 * 1024;
 /// Number of bytes after which a large body waits for its turn at the processor.
 const TURN_BYTES: usize = 64 * 1024;
 /// Maximum time for which a body waits for memory before its request is refused.
@@ -113,11 +117,23 @@
     pub(crate) stream: TcpStream,
     pub(crate) codec: Codec,
     pub(crate) buf: BytesMut,
+    /// The memory of a buffer that is larger than it is sure to be.
+    pub(crate) ahead: Option<SpareRoom>,
 }
 
 impl ClientConnection {
     pub(crate) fn new(stream: TcpStream, http: &ServiceConfig) -> Self {
-        Self { stream, codec: Codec::new(http.clone()), buf: BytesMut::new() }
+        Self { stream, codec: Codec::new(http.clone()), buf: BytesMut::new(), ahead: None }
+    }
+
+    /// Frees the memory of a large buffer once there is little in it.
+    pub(crate) fn release_ahead(&mut self) {
+        if self.ahead.is_some() && self.buf.len() <= MIN_PIPELINED_BYTES {
+            self.buf = BytesMut::from(&self.buf[..]);
+            // The connection fails by itself if the system refuses.
+            let _ = self.set_receive_buffer(CapacityLimits::RECEIVE_BUFFER_BYTES);
+            self.ahead = None;
+        }
     }
 
     /// Reads the next request with its complete body.
@@ -126,6 +142,7 @@
         dialect: &impl Dialect,
         intake: Intake<'_>,
     ) -> Result<Incoming, ReadError> {
+        self.release_ahead();
         if self.buf.is_empty() {
             // An idle connection needs no buffer.
             self.buf = BytesMut::new();
@@ -224,7 +241,13 @@
             self.reserve(room, length).await?;
         }
         if head.expect() {
-            self.write_continue().await?;
+            tokio::select! {
+                biased;
+                () = room.yielded() => return Err(BodyError::Stalled),
+                written = timeout(limits.idle_timeout, self.write_continue()) => {
+                    written.map_err(|_| ReadError::Closed)??;
+                }
+            }
         }
         if !has_body {
             return Ok(Body::default());
@@ -232,6 +255,7 @@
         let mut pacer = Pacer::new(intake.processor, intake.large_bodies);
         let (mut framing_bytes, mut turn_bytes) = (0, 0);
         loop {
+            let buffered = self.buf.len();
             match self.codec.decode(&mut self.buf) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => {
                     framing_bytes = 0;
@@ -240,21 +264,25 @@
                         return Err(too_large.into());
                     }
                     if size > room.bytes() {
-                        // A body that may become large has the memory for all of it before, so that it never waits with much.
-                        let is_small = size <= BodyBudget::SMALL_BYTES;
-                        let most = limits.body_bytes;
-                        let size = if is_small { most.min(BodyBudget::SMALL_BYTES) } else { most };
-                        self.reserve(room, size).await?;
+                        // Few steps: a body that holds much never waits, and is refused if there is no memory at once.
+                        let steps = [BodyBudget::SMALL_BYTES, MEDIUM_BYTES, limits.body_bytes];
+                        let step = steps.into_iter().find(|it| size <= *it);
+                        let step = step.unwrap_or(size).min(limits.body_bytes);
+                        self.reserve(room, step).await?;
                     }
                     body.push(&bytes, length);
                 }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.finish()),
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(malformed.into()),
                 Ok(None) => {
+                    framing_bytes += buffered - self.buf.len();
+                    if framing_bytes > MAX_FRAMING_BYTES {
+                        return Err(malformed.into());
+                    }
                     room.record_received(body.len());
                     if turn_bytes >= TURN_BYTES {
                         turn_bytes = 0;
-                        pacer.wait_turn().await;
+                        room.pause(pacer.wait_turn()).await;
                     }
                     let count = tokio::select! {
                         biased;
@@ -262,10 +290,6 @@
                         count = self.read_body_bytes(limits, deadline) => count?,
                     };
                     turn_bytes += count;
-                    framing_bytes += count;
-                    if framing_bytes > MAX_FRAMING_BYTES {
-                        return Err(malformed.into());
-                    }
                 }
             }
         }
@@ -289,7 +313,7 @@
             return Ok(room.grow(size - room.bytes()).await?);
         }
         let buffer = CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES;
-        room.grow(size + buffer - room.bytes()).await?;
+        room.grow(size + CapacityLimits::LARGE_RECEIVED_BYTES - room.bytes()).await?;
         Ok(self.set_receive_buffer(buffer)?)
     }
 
@@ -358,16 +382,18 @@
     read: &mut ReadHalf<'_>,
     buf: &mut BytesMut,
     memory: &Rc<BodyMemory>,
+    ahead: &mut Option<SpareRoom>,
 ) {
     if read_ahead(read, buf, MIN_PIPELINED_BYTES).await {
         return;
     }
-    let socket = SockRef::from(read.as_ref());
-    let buffer = CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES;
-    let room = memory.spare_room(MAX_PIPELINED_BYTES + buffer);
-    if room.is_some() {
+    if ahead.is_none() {
+        *ahead = memory.spare_room(MAX_BUFFER_BYTES + CapacityLimits::LARGE_RECEIVED_BYTES);
+    }
+    if ahead.is_some() {
         // Else the close may wait behind what the system doesn't receive.
-        let _ = socket.set_recv_buffer_size(buffer);
+        let socket = SockRef::from(read.as_ref());
+        let _ = socket.set_recv_buffer_size(CapacityLimits::LARGE_RECEIVE_BUFFER_BYTES);
         if read_ahead(read, buf, MAX_PIPELINED_BYTES).await {
             return;
         }
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -39,7 +39,7 @@
 ) -> ConnectionOutcome {
     let key = state.next_key();
     let started = Instant::now();
-    let ClientConnection { stream, codec, buf } = connection;
+    let ClientConnection { stream, codec, buf, ahead } = connection;
     let (mut read, mut write) = stream.split();
     if incoming.info.resumption.is_some() {
         state.check_suspension();
@@ -88,7 +88,7 @@
     let ended = tokio::select! {
         biased;
         outcome = processor.measure(exchange.run(first_action)) => Ok(outcome),
-        () = unconstrained(client_disconnected(&mut read, buf, &state.bodies)) => Err(Event::ClientDisconnected { key }),
+        () = unconstrained(client_disconnected(&mut read, buf, &state.bodies, ahead)) => Err(Event::ClientDisconnected { key }),
         () = unconstrained(deadline) => Err(Event::Expired { key }),
         () = unconstrained(state.shutdown.wait_exit()) => Err(Event::ShutdownExpired { key }),
     };
--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -1,6 +1,6 @@
 //! Writes the response to a client's request.
 
-use std::future::pending;
+use std::io;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::Encoder;
 
-use crate::{ConnectionSlot, ConnectionSlots, Disorder, EventFramer, EventSequence, HOP_BY_HOP};
+use crate::{ConnectionSlots, Disorder, EventFramer, EventSequence, HOP_BY_HOP};
 
 /// Writing to the client failed: it closed its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -277,20 +277,15 @@
 
     async fn flush(&mut self) -> Result<(), ClientDisconnected> {
         self.timing.record_chunk();
-        let written = {
-            let mut write = pin!(self.write.write_all(&self.out));
-            match timeout(STALL_TIME, &mut write).await {
-                Ok(written) => written.map_err(|_| ClientDisconnected),
-                Err(_) => {
-                    let slot = self.stalled.admit(usize::MAX);
-                    tokio::select! {
-                        biased;
-                        () = evicted(slot.as_ref()) => Err(ClientDisconnected),
-                        written = write => written.map_err(|_| ClientDisconnected),
-                    }
-                }
+        let mut rest = &self.out[..];
+        let mut written = Ok(());
+        while !rest.is_empty() && written.is_ok() {
+            let write = self.write.write(rest);
+            match write_or_give_way(write, &self.stalled).await {
+                Ok(count @ 1..) => rest = &rest[count..],
+                Ok(0) | Err(_) => written = Err(ClientDisconnected),
             }
-        };
+        }
         if self.out.capacity() > MAX_KEPT_BYTES {
             self.out = BytesMut::new();
         } else {
@@ -300,11 +295,20 @@
     }
 }
 
-/// Waits until the response has to give its place up.
-async fn evicted(slot: Option<&ConnectionSlot>) {
-    match slot {
-        Some(slot) => slot.evicted().await,
-        None => pending().await,
+/// Writes some bytes. While the client reads none for a time, its response may have to give its place up.
+async fn write_or_give_way(
+    write: impl Future<Output = io::Result<usize>>,
+    stalled: &ConnectionSlots,
+) -> io::Result<usize> {
+    let mut write = pin!(write);
+    if let Ok(written) = timeout(STALL_TIME, &mut write).await {
+        return written;
+    }
+    let Some(slot) = stalled.admit(usize::MAX) else { return write.await };
+    tokio::select! {
+        biased;
+        () = slot.evicted() => Err(io::ErrorKind::TimedOut.into()),
+        written = write => written,
     }
 }
 
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -17,7 +17,7 @@
 use crate::endpoint::connection::detect_unresponsive_peer;
 use crate::pacing::ProcessorTime;
 use crate::state::FrontState;
-use crate::{CapacityLimits, ConnectionSlot, Dialect, EventSequence};
+use crate::{CapacityLimits, ConnectionSlot, ConnectionSlots, Dialect, EventSequence};
 
 /// Delay after a failed accept, which may be due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -82,7 +82,9 @@
 /// Serves an accepted connection in a task of its own. If there are too many, it takes the place of the one that has waited
 /// longest for its client, unless all others are being served.
 fn serve_accepted<D: Dialect>(state: &Rc<FrontState<D>>, stream: TcpStream) {
-    let Some(slot) = state.client_slots.admit(state.capacity().connections) else {
+    state.bodies.set_limit(state.capacity().client_bytes);
+    let limit = state.bodies.max_connections().min(state.capacity().connections);
+    let Some(slot) = state.client_slots.admit(limit) else {
         let open = state.client_slots.open();
         log::warn!(open; "client connection closed: connection limit reached");
         metrics::counter!("daisychute_connections_refused_total").increment(1);
@@ -143,7 +145,7 @@
             Err(ReadError::Refused(status, reason)) => {
                 log::warn!(reason, status = status.as_u16(); "malformed or incomplete request refused");
                 let refusal = Refusal { retry_after: None, close: true };
-                write_refusal(&state, &mut connection, status, reason, refusal).await;
+                write_refusal(&mut connection, status, reason, refusal).await;
                 return connection.close(Linger::SHORT, &state.large_requests).await;
             }
         };
@@ -154,7 +156,7 @@
             count_request("refused", reason);
             let status = StatusCode::SERVICE_UNAVAILABLE;
             let refusal = Refusal { retry_after, close: retry_after.is_none() };
-            let is_open = write_refusal(&state, &mut connection, status, reason, refusal).await;
+            let is_open = write_refusal(&mut connection, status, reason, refusal).await;
             slot.wait();
             if !is_open {
                 return connection.close(Linger::SHORT, &state.large_requests).await;
@@ -168,6 +170,7 @@
         state.shutdown.end_request(is_stream);
         drop(incoming);
         slot.wait();
+        connection.release_ahead();
         match outcome {
             ConnectionOutcome::KeepAlive => {}
             ConnectionOutcome::Close => {
@@ -193,7 +196,7 @@
     log::warn!(request:%, outcome = "refused", reason, elapsed_ms; "request ended");
     count_request("refused", reason);
     let refusal = Refusal { retry_after: Some(MEMORY_RETRY_AFTER), close: true };
-    write_refusal(state, &mut connection, StatusCode::SERVICE_UNAVAILABLE, reason, refusal).await;
+    write_refusal(&mut connection, StatusCode::SERVICE_UNAVAILABLE, reason, refusal).await;
     connection.close(linger, &state.large_requests).await;
 }
 
@@ -227,8 +230,7 @@
 }
 
 /// Refuses a request with a response of the front's own. Returns whether the connection can carry another request.
-async fn write_refusal<D: Dialect>(
-    state: &FrontState<D>,
+async fn write_refusal(
     connection: &mut ClientConnection,
     status: StatusCode,
     reason: &'static str,
@@ -240,7 +242,8 @@
         &mut write,
         codec,
         EventSequence::default(),
-        state.stalled_responses.clone(),
+        // Refusals hold no place of a request.
+        ConnectionSlots::default(),
     );
     if close {
         response_writer.close();
