feat(front): bounded connections of which the longest waiting one gives way

ConnectionSlots admits connections up to a limit. At the limit, the connection that has waited longest for a request to be answered gives way to a new one. Nothing uses it yet.

The API, all in one thread and without I/O of its own:

- ConnectionSlots::admit(limit) returns a ConnectionSlot, or None if all other connections are being served.
The new connection waits.
- ConnectionSlot::serve() keeps a connection from being evicted, and ConnectionSlot::wait() makes it the last in line to be evicted.
- ConnectionSlot::evicted() completes when the connection must be closed; is_evicted() tells the same without waiting.
- ConnectionSlots::evict() makes the longest waiting connection give way without a new one, and open() counts the connections that haven't been evicted.
- Dropping the slot frees its place.

An accept loop should yield after each connection that it admits: otherwise a burst of connections evicts those that were accepted just before, whose first requests haven't been read.

--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -9,6 +9,7 @@
 mod response_info;
 mod body_budget;
 mod client;
+mod connection_slots;
 mod capacity_limits;
 mod dialect;
 mod directory;
@@ -29,6 +30,7 @@
 
 pub use crate::body_budget::{BodyBudget, Room, Ticket};
 pub use crate::capacity_limits::CapacityLimits;
+pub use crate::connection_slots::{ConnectionSlot, ConnectionSlots};
 pub use crate::dialect::{Dialect, ForwardParams};
 pub use crate::directory::admission::Admission;
 pub use crate::directory::answer::Answer;
