--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -25,6 +25,7 @@
 mod plain_server;
 mod preview;
 mod readiness;
+mod side_listener;
 mod state;
 mod shutdown;
 
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -3,37 +3,48 @@
 //! A front that starts while the directory is unreachable, or that the directory refuses while it serves others, gets
 //! configuration and endpoints from a peer. One WebSocket message contains the whole snapshot.
 
+use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::net::SocketAddr;
-use std::rc::Rc;
-use std::time::Duration;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
 use futures_util::future::join_all;
-use futures_util::{SinkExt, StreamExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::protocol::frame::Frame;
+use tokio_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
 use tokio_tungstenite::tungstenite::{Error, Message};
 use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
 
 use crate::peers::snapshot::Snapshot;
+use crate::side_listener;
 use crate::state::FrontState;
 use crate::{Collection, Dialect};
 
+/// Maximum number of peers that fetch a snapshot at once.
+const MAX_CONNECTIONS: usize = 64;
 /// Time limit for a snapshot transfer; a peer that takes longer is skipped.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between attempts, each of which tries the peers in turn.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of a snapshot: some thousand routes.
 const MAX_SNAPSHOT_BYTES: usize = 8 * 1024 * 1024;
-/// Delay after a failed accept.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time after which a snapshot that is still being sent isn't sent to further peers, which share its memory.
+const REUSE_TIME: Duration = Duration::from_millis(200);
+/// Buffer for what a peer sends, in bytes. It is given a snapshot without a message of its own.
+const READ_BUFFER_BYTES: usize = 1024;
 
 /// Why a snapshot could not be transferred.
 #[derive(Debug, thiserror::Error)]
 enum FetchError {
     #[error("connecting failed: {0}")]
     Connect(#[from] std::io::Error),
+    #[error("writing failed: {0}")]
+    Write(#[source] std::io::Error),
     #[error("the connection failed: {0}")]
     Socket(#[from] Box<Error>),
     #[error("the peer has no snapshot yet")]
@@ -46,24 +57,50 @@
 
 /// Serves snapshots for the life of the process.
 pub(crate) async fn serve<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        let state = Rc::clone(&state);
-        actix_rt::spawn(async move {
-            let sent = timeout(FETCH_TIMEOUT, send(&state, stream)).await;
-            if let Ok(Err(error)) = sent {
-                log::debug!(error:%; "sending a snapshot failed");
+    let latest = Rc::<RefCell<Weak<EncodedSnapshot>>>::default();
+    let serve = |stream, _| {
+        let (state, latest) = (Rc::clone(&state), Rc::clone(&latest));
+        async move {
+            match timeout(FETCH_TIMEOUT, send(&state, &latest, stream)).await {
+                Ok(Ok(())) => {}
+                Ok(Err(error)) => log::debug!(error:%; "sending a snapshot failed"),
+                Err(_) => side_listener::count_closed("slow"),
             }
-        });
-    }
+        }
+    };
+    side_listener::accept(listener, MAX_CONNECTIONS, serve).await;
+}
+
+/// A snapshot as it is sent, and when it was taken.
+#[derive(Debug)]
+struct EncodedSnapshot {
+    /// The frames of the message and of the close.
+    frames: Vec<u8>,
+    taken_at: Instant,
+}
+
+async fn send<D: Dialect>(
+    state: &FrontState<D>,
+    latest: &RefCell<Weak<EncodedSnapshot>>,
+    stream: TcpStream,
+) -> Result<(), FetchError> {
+    let config = websocket_config().read_buffer_size(READ_BUFFER_BYTES).write_buffer_size(0);
+    let socket = accept_async_with_config(stream, Some(config)).await;
+    let mut stream = socket.map_err(Box::new)?.into_inner();
+    let reusable = latest.borrow().upgrade().filter(|it| it.taken_at.elapsed() < REUSE_TIME);
+    let snapshot = if let Some(snapshot) = reusable {
+        snapshot
+    } else {
+        let snapshot = Rc::new(encode(state)?);
+        latest.replace(Rc::downgrade(&snapshot));
+        snapshot
+    };
+    // A socket of the library would copy the message for each peer.
+    stream.write_all(&snapshot.frames).await.map_err(FetchError::Write)
 }
 
-async fn send<D: Dialect>(state: &FrontState<D>, stream: TcpStream) -> Result<(), FetchError> {
-    let socket = accept_async_with_config(stream, Some(websocket_config())).await;
-    let mut socket = socket.map_err(Box::new)?;
+/// Takes a snapshot and encodes it.
+fn encode<D: Dialect>(state: &FrontState<D>) -> Result<EncodedSnapshot, FetchError> {
     let Some(snapshot) = state.with_dispatcher(Snapshot::of) else {
         return Err(FetchError::Empty);
     };
@@ -73,9 +110,11 @@
     let mut bytes = Vec::new();
     let written = ciborium::into_writer(&snapshot, &mut bytes);
     written.map_err(|e| FetchError::Codec(e.to_string()))?;
-    socket.send(Message::Binary(bytes.into())).await.map_err(Box::new)?;
-    socket.close(None).await.map_err(Box::new)?;
-    Ok(())
+    let mut frames = Vec::new();
+    let message = Frame::message(bytes, OpCode::Data(Data::Binary), true);
+    message.format(&mut frames).map_err(Box::new)?;
+    Frame::close(None).format(&mut frames).map_err(Box::new)?;
+    Ok(EncodedSnapshot { frames, taken_at: Instant::now() })
 }
 
 fn websocket_config() -> WebSocketConfig {
