fix(front): read a body for as long as its client sends it

A client that stalls gives its memory up once others wait for it, so that this limit isn't needed, and its client may still wait. Only the idle timeout ends a body in calm, as before.

--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -151,9 +151,7 @@
         let head = self.read_head(intake.limits).await?;
         let mut info = dialect.parse_request(&head);
         let mut room = intake.memory.room(max_body_wait(&info));
-        // A client that has given up by then needs no response.
-        let deadline = info.client_timeout.map(|it| Instant::now() + it);
-        let body = self.read_body(intake, &head, deadline, &mut room).await;
+        let body = self.read_body(intake, &head, &mut room).await;
         let body = body.map_err(|error| match error {
             BodyError::NoRoom => ReadError::NoMemory(Arc::clone(&info.id), room.waited()),
             BodyError::Stalled => ReadError::Stalled(Arc::clone(&info.id)),
@@ -225,7 +223,6 @@
         &mut self,
         intake: Intake<'_>,
         head: &RequestHead,
-        deadline: Option<Instant>,
         room: &mut BodyRoom,
     ) -> Result<Body, BodyError> {
         let too_large = ReadError::Refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large");
@@ -287,7 +284,7 @@
                     let count = tokio::select! {
                         biased;
                         () = room.yielded() => return Err(BodyError::Stalled),
-                        count = self.read_body_bytes(limits, deadline) => count?,
+                        count = self.read_body_bytes(limits) => count?,
                     };
                     turn_bytes += count;
                 }
@@ -295,16 +292,10 @@
         }
     }
 
-    /// Reads more of a body: until the idle timeout, or until its client has given up.
-    async fn read_body_bytes(
-        &mut self,
-        limits: &ClientLimits,
-        deadline: Option<Instant>,
-    ) -> Result<usize, ReadError> {
-        let idle_until = Instant::now() + limits.idle_timeout;
-        let until = deadline.map_or(idle_until, |it| it.min(idle_until));
+    /// Reads more of a body, within the idle timeout.
+    async fn read_body_bytes(&mut self, limits: &ClientLimits) -> Result<usize, ReadError> {
         let too_slow = ReadError::Refused(StatusCode::REQUEST_TIMEOUT, "slow_body");
-        timeout_at(until, self.read_more()).await.map_err(|_| too_slow)?
+        timeout(limits.idle_timeout, self.read_more()).await.map_err(|_| too_slow)?
     }
 
     /// Reserves the memory of a body of this size, and lets the client of a large one send at full speed.
