test(soak): streams in rough conditions

The streams of the soak were shorter and their faults milder than those of a real deployment: no worker went silent, turned slow, failed or spoiled its streams, and no client went on at another front while the first one still had the run.

The generators of the other options draw as before.

Streams that a worker ends early and in order while it stays are counted apart: nothing on the wire tells.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -51,5 +51,8 @@
         /// Close each connection after one response
         #[arg(long)]
         one_response: bool,
+        /// Have faults from time to time that are drawn from this seed
+        #[arg(long)]
+        lapses: Option<u64>,
     },
 }
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -36,9 +36,9 @@
         Command::Run { seed, seeds, logs, options } => {
             run_seeds(seed, seeds, logs.as_deref(), options)
         }
-        Command::Worker { id, version, address, departure, end_delay_ms, one_response } => {
+        Command::Worker { id, version, address, departure, end_delay_ms, one_response, lapses } => {
             let end_delay = Duration::from_millis(end_delay_ms);
-            let manners = WorkerManners { departure, end_delay, one_response };
+            let manners = WorkerManners { departure, end_delay, one_response, lapses };
             actix_rt::System::new().block_on(async {
                 match serve_worker(&id, &version, address, manners).await {
                     // The system closes the connections that are left, and not the runtime one by one.
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -41,6 +41,10 @@
     /// fronts meanwhile
     #[arg(long, requires = "streams")]
     pub(crate) departures: bool,
+    /// Also let workers of streams go silent, turn slow, fail and spoil streams, kill all fronts at once, and run more and
+    /// longer streams, whose clients may go on at another front at any time
+    #[arg(long, requires = "streams")]
+    pub(crate) rough: bool,
     /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
     #[arg(long)]
     pub(crate) limits: bool,
--- a/crates/daisychute-soak/src/streams.rs
+++ b/crates/daisychute-soak/src/streams.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod disruption;
 mod ends;
+mod rough;
 mod run;
 mod tails;
 
--- a/crates/daisychute-soak/src/streams/check.rs
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -6,6 +6,7 @@
 
 use super::departures::DepartureCounts;
 use super::ends::Ends;
+use super::rough::RoughCounts;
 use super::tails::Tails;
 use crate::checks::{RequestRecord, Violation};
 
@@ -42,6 +43,9 @@
     Whole,
     /// The response looks whole and lacks the last events.
     CutUnseen,
+    /// Like [`Outcome::CutUnseen`]; its worker ended it in order, and stayed. Nothing on the wire tells, so that these are
+    /// counted apart. For a stream that may be resumed another worker could be asked, which a test of the fronts expects.
+    Truncated,
     OutOfOrder,
     TwoVersions,
     /// The stream is broken off, and the client can tell.
@@ -57,6 +61,7 @@
         f.write_str(match self {
             Self::Whole => "whole",
             Self::CutUnseen => "looks whole and isn't",
+            Self::Truncated => "truncated by a worker that stays",
             Self::OutOfOrder => "out of order",
             Self::TwoVersions => "of two versions",
             Self::BrokenOff => "broken off",
@@ -119,7 +124,7 @@
         response.is_some_and(|it| it.status == 200 && it.whole)
     }
 
-    fn outcome(&self) -> Outcome {
+    fn outcome(&self, ends: &Ends) -> Outcome {
         let received: Vec<_> = self.attempts.iter().map(Received::parse).collect();
         let events: Vec<_> = received.iter().flat_map(|it| &it.events).collect();
         let is_malformed = received.iter().any(|it| it.is_malformed);
@@ -131,8 +136,14 @@
         }
         if self.looks_whole() {
             let ends_inside = received.last().is_some_and(|it| it.is_partial);
-            let is_whole = events.len() == self.events as usize && !ends_inside;
-            return if is_whole { Outcome::Whole } else { Outcome::CutUnseen };
+            if events.len() == self.events as usize && !ends_inside {
+                return Outcome::Whole;
+            }
+            let last_event = events.last().map_or(0, |it| it.0);
+            let last = self.attempts.last();
+            let is_truncated = last.is_some_and(|it| ends.is_truncated(it, last_event));
+            let is_truncated = is_truncated && !ends_inside;
+            return if is_truncated { Outcome::Truncated } else { Outcome::CutUnseen };
         }
         if !events.is_empty() {
             return Outcome::BrokenOff;
@@ -191,6 +202,8 @@
     kinds: BTreeMap<Kind, KindCounts>,
     /// How workers left; `None` if all of them ended at once.
     pub(super) departures: Option<DepartureCounts>,
+    /// What happened in rough conditions; `None` without them.
+    pub(super) rough: Option<RoughCounts>,
 }
 
 #[derive(Debug, Default)]
@@ -219,7 +232,7 @@
         let (mut counts, mut violations) = (Self::default(), Vec::new());
         for stream in streams {
             let kind = counts.kinds.entry(stream.kind).or_default();
-            let outcome = stream.outcome();
+            let outcome = stream.outcome(ends);
             *kind.outcomes.entry(outcome).or_default() += 1;
             kind.resumptions += stream.resumptions();
             for told in stream.refused_resumptions() {
@@ -261,6 +274,7 @@
             missing.push("none resumed".to_owned());
         }
         missing.extend(self.departures.iter().flat_map(DepartureCounts::missing_cases));
+        missing.extend(self.rough.iter().flat_map(RoughCounts::missing_cases));
         missing
     }
 }
@@ -299,6 +313,7 @@
                 "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}; violations {violations:?}; broken off though all events were sent {cut_whole:?}; last event to end {tails}"
             )?;
         }
-        self.departures.as_ref().map_or(Ok(()), |it| it.fmt(f))
+        self.departures.as_ref().map_or(Ok(()), |it| it.fmt(f))?;
+        self.rough.as_ref().map_or(Ok(()), |it| it.fmt(f))
     }
 }
--- a/crates/daisychute-soak/src/streams/clients.rs
+++ b/crates/daisychute-soak/src/streams/clients.rs
@@ -35,6 +35,18 @@
 const LARGE_INTERVAL: u32 = 16;
 /// One stream in this many has a slow reader.
 const SLOW_INTERVAL: u32 = 4;
+/// Maximum number of events of a stream in rough conditions, most of which have a quarter of it at most.
+const MAX_ROUGH_EVENTS: u32 = 68;
+/// Upper bound of the time of a stream in rough conditions, in ms, and of the pause before each event.
+const MAX_ROUGH_MS: (u32, u32) = (6_000, 300);
+/// One attempt in this many is left by its client in rough conditions.
+const LEAVE_INTERVAL: u32 = 4;
+/// Range of the time after which a client leaves an attempt, in ms.
+const LEAVE_MS: std::ops::Range<u64> = 20..2_000;
+/// Time for which the connection that a client has left stays open.
+const LEFT_OPEN: Duration = Duration::from_secs(2);
+/// Pause of a client before it connects again, in rough conditions.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
 /// Output tokens that a request asks for, for each event.
 const TOKENS_PER_EVENT: u32 = 4;
 /// Time that clients wait for a stream, in ms.
@@ -49,6 +61,8 @@
     pub(super) streams: RefCell<Vec<StreamRecord>>,
     /// Set to make every client stop after its current stream.
     pub(super) stopping: Cell<bool>,
+    /// Number of attempts that clients left in the middle of a stream.
+    pub(super) moved: Cell<usize>,
     ids: Cell<u64>,
 }
 
@@ -57,6 +71,8 @@
     pool: Rc<StreamPool>,
     rng: Pcg64Mcg,
     idle: Option<(SocketAddr, Connection)>,
+    /// Whether conditions are rough.
+    rough: bool,
 }
 
 /// How a client asks for a stream, and reads it.
@@ -72,8 +88,8 @@
 }
 
 /// Runs one client until the pool is stopping.
-pub(super) async fn run_client(pool: Rc<StreamPool>, resumable: bool, seed: u64) {
-    let mut client = Client { pool, rng: Pcg64Mcg::seed_from_u64(seed), idle: None };
+pub(super) async fn run_client(pool: Rc<StreamPool>, resumable: bool, rough: bool, seed: u64) {
+    let mut client = Client { pool, rng: Pcg64Mcg::seed_from_u64(seed), idle: None, rough };
     while !client.pool.stopping.get() {
         let pause = client.rng.random_range(1..MAX_PAUSE_MS);
         sleep(Duration::from_millis(pause)).await;
@@ -90,6 +106,8 @@
         let is_slow = rng.random_range(0..SLOW_INTERVAL) == 0;
         let bytes = if is_large { LARGE_EVENT_BYTES } else { EVENT_BYTES };
         let interval_ms = rng.random_range(2..if resumable { 80 } else { 120 });
+        let (events, bytes, interval_ms) =
+            if self.rough { rough_form(rng) } else { (events, bytes, interval_ms) };
         let framing = if kind.chunked { "chunked" } else { "close" };
         let read_pause_ms = if is_slow { rng.random_range(0..MAX_READ_PAUSE_MS) } else { 0 };
         let request = Request {
@@ -102,7 +120,12 @@
         };
         let mut stream = StreamRecord { kind, events, attempts: Vec::new(), tail: None };
         for _ in 0..if resumable { MAX_ATTEMPTS } else { 1 } {
-            let Some((attempt, tail)) = self.attempt(&request, &stream).await else { continue };
+            let Some((attempt, tail)) = self.attempt(&request, &stream).await else {
+                if self.rough {
+                    sleep(RECONNECT_PAUSE).await;
+                }
+                continue;
+            };
             stream.attempts.push(attempt);
             stream.tail = tail.filter(|_| !is_slow && stream.looks_whole());
             if stream.looks_whole() {
@@ -135,6 +158,10 @@
         let sent_at = Instant::now();
         connection.send(&req.text(&id, stream)).await.ok()?;
         sleep(req.read_pause).await;
+        let leaves =
+            self.rough && req.path == RESUMABLE && self.rng.random_range(0..LEAVE_INTERVAL) == 0;
+        let leave_after = leaves.then(|| Duration::from_millis(self.rng.random_range(LEAVE_MS)));
+        connection.give_up_at(leave_after.map(|it| Instant::now() + it));
         let response = connection.answer().await.ok();
         let ended_at = Instant::now();
         let last_event_at = connection.last_body_at().filter(|it| *it > sent_at);
@@ -142,13 +169,29 @@
         let is_open = response
             .as_ref()
             .is_some_and(|it| it.whole && it.header("connection") != Some("close"));
-        if is_open && self.rng.random_range(0..10) > 0 {
+        if connection.has_given_up() {
+            // The front may go on with the run until the connection is closed.
+            self.pool.moved.set(self.pool.moved.get() + 1);
+            actix_rt::spawn(async move {
+                sleep(LEFT_OPEN).await;
+                drop(connection);
+            });
+        } else if is_open && self.rng.random_range(0..10) > 0 {
             self.idle = Some((front, connection));
         }
         Some((RequestRecord { id, path: req.path, front, response, sent_at, ended_at }, tail))
     }
 }
 
+/// Number, length and pause of the events of a stream in rough conditions.
+fn rough_form(rng: &mut Pcg64Mcg) -> (u32, usize, u32) {
+    let is_long = rng.random_range(0..4) == 0;
+    let max = if is_long { MAX_ROUGH_EVENTS } else { MAX_ROUGH_EVENTS / 4 };
+    let events = rng.random_range(3..=max);
+    let (stream_ms, pause_ms) = MAX_ROUGH_MS;
+    (events, EVENT_BYTES, rng.random_range(2..=pause_ms.min(stream_ms / events)))
+}
+
 impl Request {
     fn text(&self, id: &str, stream: &StreamRecord) -> String {
         let mut headers =
--- a/crates/daisychute-soak/src/streams/departures.rs
+++ b/crates/daisychute-soak/src/streams/departures.rs
@@ -45,6 +45,7 @@
             departure: Departure::GRADUAL[self.workers % Departure::GRADUAL.len()],
             end_delay: Duration::from_millis(self.rng.random_range(0..=MAX_END_DELAY_MS)),
             one_response: self.rng.random_range(0..ONE_RESPONSE_INTERVAL) == 0,
+            lapses: None,
         }
     }
 
--- a/crates/daisychute-soak/src/streams/ends.rs
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -1,6 +1,6 @@
 //! What ended when, to tell which streams it concerns.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use daisychute_platform_standin::Departure;
@@ -18,6 +18,8 @@
     pub(super) one_response: BTreeSet<String>,
     /// Ids of the attempts all events of which were sent by a worker.
     pub(super) sent: BTreeSet<String>,
+    /// The last event of each attempt that a worker ended early and in order, by the id of the attempt.
+    pub(super) truncated: BTreeMap<String, u32>,
 }
 
 /// The end of a worker, at the request of the soak.
@@ -87,6 +89,11 @@
         self.fronts.iter().any(|(front, at)| *front == attempt.front && *at < attempt.ended_at)
     }
 
+    /// Whether a worker that stayed ended an attempt early and in order after this event.
+    pub(super) fn is_truncated(&self, attempt: &RequestRecord, last_event: u32) -> bool {
+        self.truncated.get(&attempt.id) == Some(&last_event)
+    }
+
     /// Whether a worker sent all events of an attempt.
     pub(super) fn has_sent(&self, attempt: &RequestRecord) -> bool {
         self.sent.contains(&attempt.id)
--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Departure, Fleet, FrontProcess, HOST, SENT_PREFIX, StandinError, WorkerKind, WorkerManners,
-    WorkerProcess,
+    Departure, Fleet, FrontProcess, HOST, SENT_PREFIX, StandinError, TRUNCATED_PREFIX, WorkerKind,
+    WorkerManners, WorkerProcess,
 };
 use daisychute_standin::harness::{ANY_PORT, Program};
 use daisychute_standin::relay::Relay;
@@ -20,6 +20,7 @@
 use super::departures::{DepartureCounts, Departures};
 use super::disruption::Disruption;
 use super::ends::{Ends, WorkerEnd};
+use super::rough::{self, Rough, RoughCounts};
 use crate::checks::Violation;
 use crate::report::Report;
 use crate::run::SoakError;
@@ -54,6 +55,8 @@
     /// Whether the worker is draining or gone.
     is_leaving: bool,
     departure: Departure,
+    /// Number of slots in its record; `None` for the usual one.
+    slots: Option<u32>,
     /// When the worker was told to stop, of one that doesn't end at once.
     stopped_at: Option<Instant>,
 }
@@ -74,6 +77,8 @@
     /// Chooses how workers leave; `None` if all of them end at once.
     departures: Option<Departures>,
     departed: DepartureCounts,
+    /// Chooses what happens in rough conditions; `None` without them.
+    rough: Option<Rough>,
     ended_logs: Vec<String>,
     disruptions: usize,
 }
@@ -81,10 +86,12 @@
 /// Runs one seed.
 pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
     let mut soak = StreamSoak::start(seed, options).await?;
-    let clients: Vec<_> = (0..CLIENTS)
+    let clients = if options.rough { rough::CLIENTS } else { CLIENTS };
+    let clients: Vec<_> = (0..clients)
         .map(|number| {
             let pool = Rc::clone(&soak.pool);
-            actix_rt::spawn(run_client(pool, number % 2 == 0, seed ^ ((number + 1) << 32)))
+            let seed = seed ^ ((number + 1) << 32);
+            actix_rt::spawn(run_client(pool, number % 2 == 0, options.rough, seed))
         })
         .collect();
     let end = Instant::now() + Duration::from_secs_f64(options.minutes * 60.0);
@@ -96,7 +103,9 @@
         soak.disrupt(disruption).await?;
         let departures = soak.departures.as_mut();
         let more = departures.map(|it| it.next_disruptions(WORKERS, options.fronts));
-        for (delay, disruption) in more.unwrap_or_default() {
+        let rough = soak.rough.as_mut();
+        let rough = rough.map(|it| it.next_disruptions(WORKERS, options.fronts));
+        for (delay, disruption) in more.into_iter().chain(rough).flatten() {
             soak.schedule(delay, disruption);
         }
     }
@@ -112,14 +121,19 @@
 
 impl StreamSoak {
     async fn start(seed: u64, options: RunOptions) -> Result<Self, SoakError> {
-        let fleet = Fleet::without_fronts().await?;
+        let mut fleet = Fleet::without_fronts().await?;
+        if options.rough {
+            fleet.set_engine_slots(rough::SLOTS);
+        }
         for worker in fleet.workers.iter().filter(|it| it.kind() != WorkerKind::Plain) {
             fleet.store.delete("servers", worker.id());
         }
+        // Rough conditions are about streams in flight, and not about load that is refused.
+        let goal_ms = if options.rough { 8_000 } else { 800 };
         let route = |path: &str, resumable: bool| {
             json!({
                 "name": path.trim_matches('/'), "host": HOST, "path_prefix": path, "kind": "streaming",
-                "timeout_ms": 8000, "latency_goal_ms": 800, "gap_aim_ms": 400, "priority": 1,
+                "timeout_ms": 8000, "latency_goal_ms": goal_ms, "gap_aim_ms": 400, "priority": 1,
                 "service": "lm", "max_attempts": 2, "resumable": resumable, "sticky": true,
             })
         };
@@ -135,6 +149,7 @@
             ends: Ends::default(),
             departures: options.departures.then(|| Departures::new(seed)),
             departed: DepartureCounts::default(),
+            rough: options.rough.then(|| Rough::new(seed)),
             ended_logs: Vec::new(),
             disruptions: 0,
         };
@@ -162,17 +177,20 @@
         let (id, version) = (worker_id(self.starts), format!("v{}", self.version));
         // A relay would accept connections for a worker that has just ended by itself.
         let departures = self.departures.as_mut().filter(|_| !is_relayed);
-        let manners = departures.map(Departures::next_manners);
+        let manners = departures.map_or(WorkerManners::AT_ONCE, Departures::next_manners);
+        let lapses = self.rough.as_mut().map(Rough::next_lapses);
+        let manners = WorkerManners { lapses, ..manners };
         let program = Program::built("daisychute-soak").map_err(StandinError::from)?;
-        let program = program.arg("worker").args(manners.map(worker_args).unwrap_or_default());
+        let program = program.arg("worker").args(worker_args(manners));
         let worker = WorkerProcess::start(program, &id, &version, address).await?;
         let relay = match is_relayed {
             true => Some(Relay::start(ANY_PORT, worker.address(), ANY_PORT).await?),
             false => None,
         };
-        let departure = manners.map_or(Departure::AtOnce, |it| it.departure);
-        self.ends.one_response.extend(manners.filter(|it| it.one_response).map(|_| id.clone()));
-        let place = Place { worker, relay, is_leaving: false, departure, stopped_at: None };
+        let WorkerManners { departure, one_response, .. } = manners;
+        self.ends.one_response.extend(one_response.then(|| id.clone()));
+        let slots = self.rough.as_ref().map(|_| rough::SLOTS);
+        let place = Place { worker, relay, is_leaving: false, departure, slots, stopped_at: None };
         self.fleet.store.put("servers", &id, place.record("ready"));
         Ok(place)
     }
@@ -312,6 +330,10 @@
         let lines = self.places[worker].worker.process.stdout();
         let sent = lines.iter().filter_map(|it| it.strip_prefix(SENT_PREFIX));
         self.ends.sent.extend(sent.map(str::to_owned));
+        let truncated = lines.iter().filter_map(|it| it.strip_prefix(TRUNCATED_PREFIX));
+        let truncated = truncated.filter_map(|it| it.split_once(' '));
+        let truncated = truncated.filter_map(|it| Some((it.0.to_owned(), it.1.parse().ok()?)));
+        self.ends.truncated.extend(truncated);
     }
 
     /// Ends a worker with the streams that it still has, if it hasn't ended.
@@ -380,6 +402,11 @@
         }
         let (mut counts, violations) = Counts::check(&self.pool.streams.borrow(), &self.ends);
         counts.departures = self.departures.is_some().then(|| std::mem::take(&mut self.departed));
+        counts.rough = self.rough.take().map(|it| RoughCounts {
+            moved_clients: self.pool.moved.get(),
+            truncated: self.ends.truncated.len(),
+            ..it.counts
+        });
         let mut report = Report { faults: self.disruptions, ..Report::default() };
         for (violation, ids) in violations {
             report.violations.push(violation);
@@ -406,12 +433,13 @@
 
 /// Arguments that make a worker process behave like this.
 fn worker_args(manners: WorkerManners) -> Vec<String> {
-    let WorkerManners { departure, end_delay, one_response } = manners;
+    let WorkerManners { departure, end_delay, one_response, lapses } = manners;
     let mut args = vec![
         format!("--departure={departure}"),
         format!("--end-delay-ms={}", end_delay.as_millis()),
     ];
     args.extend(one_response.then(|| "--one-response".to_owned()));
+    args.extend(lapses.map(|seed| format!("--lapses={seed}")));
     args
 }
 
@@ -426,6 +454,10 @@
     /// Record of the worker in the store, with this state.
     fn record(&self, state: &str) -> serde_json::Value {
         let address = self.relay.as_ref().map_or(self.worker.address(), Relay::local_addr);
-        self.worker.record(address, state)
+        let mut record = self.worker.record(address, state);
+        if let Some(slots) = self.slots {
+            record["slots"] = json!(slots);
+        }
+        record
     }
 }
