fix(front): let pipelined requests wait for their turn at the limit of requests

Pipelined requests now leave an eighth of the places to others, as streams do, and wait in place of being refused.

--- a/crates/daisychute-front/src/capacity_limits.rs
+++ b/crates/daisychute-front/src/capacity_limits.rs
@@ -41,13 +41,13 @@
     /// Quarters of the clients' memory that their connections may take; the rest is for bodies.
     const CONNECTION_QUARTERS: usize = 3;
 
-    /// Streams leave the limit of requests divided by this to others, which end sooner.
-    const STREAM_DIVISOR: usize = 8;
+    /// Streams and pipelined requests leave the limit of requests divided by this to others.
+    const RESERVE_DIVISOR: usize = 8;
 
-    /// Maximum number of streams in flight.
+    /// Number of requests in flight up to which streams are accepted, and requests that a client pipelines.
     #[must_use]
-    pub const fn streams(self) -> usize {
-        self.requests - self.requests / Self::STREAM_DIVISOR
+    pub const fn unreserved_requests(self) -> usize {
+        self.requests - self.requests / Self::RESERVE_DIVISOR
     }
 
     /// Returns the limits for a machine with `memory_mib` MiB of memory and `descriptors` file descriptors.
--- a/crates/daisychute-front/src/client/server.rs
+++ b/crates/daisychute-front/src/client/server.rs
@@ -118,6 +118,10 @@
         let limits =
             state.with_dispatcher(|it| it.table().map(|it| *it.limits())).unwrap_or_default();
         state.bodies.set_limit(state.capacity().client_bytes);
+        if !connection.buf.is_empty() {
+            // A request that was sent before the last response waits for its turn, in place of being refused.
+            state.shutdown.wait_busy_below(state.capacity().unreserved_requests()).await;
+        }
         let processor = ProcessorTime::default();
         let intake = Intake {
             limits: &limits,
@@ -210,7 +214,7 @@
         return Some((Reason::Stopping.as_str(), None));
     }
     let (shutdown, capacity) = (&state.shutdown, state.capacity());
-    let has_room = !is_stream || shutdown.busy_streams() < capacity.streams();
+    let has_room = !is_stream || shutdown.busy_streams() < capacity.unreserved_requests();
     if has_room && shutdown.busy() < capacity.requests {
         return None;
     }
--- a/crates/daisychute-front/src/shutdown.rs
+++ b/crates/daisychute-front/src/shutdown.rs
@@ -5,6 +5,10 @@
 
 use daisychute_core::Time;
 use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// Interval at which those that wait for a place of a request look for one.
+const PLACE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The stage of the shutdown, and counts of what is in flight.
 #[derive(Debug, Default)]
@@ -16,6 +20,8 @@
     closing: Cell<bool>,
     busy: Cell<usize>,
     busy_streams: Cell<usize>,
+    /// Notified when a request has ended.
+    request_ended: Notify,
     accepted: Cell<u64>,
     closing_started: Notify,
     exiting: Cell<bool>,
@@ -87,6 +93,15 @@
     pub(crate) fn end_request(&self, is_stream: bool) {
         self.busy.set(self.busy.get() - 1);
         self.busy_streams.set(self.busy_streams.get() - usize::from(is_stream));
+        self.request_ended.notify_one();
+    }
+
+    /// Waits until fewer requests than `limit` are in flight, or the process exits.
+    pub(crate) async fn wait_busy_below(&self, limit: usize) {
+        while self.busy() >= limit && !self.is_exiting() {
+            // Others may have taken the place that was notified.
+            let _ = timeout(PLACE_CHECK_INTERVAL, self.request_ended.notified()).await;
+        }
     }
 
     /// Returns the number of streams among the requests in flight.
--- a/crates/daisychute-front/tests/capacity_limits.rs
+++ b/crates/daisychute-front/tests/capacity_limits.rs
@@ -13,7 +13,7 @@
         fn $name() {
             let limits = CapacityLimits::for_machine($memory_mib, $descriptors);
             assert_eq!((limits.connections, limits.requests), ($connections, $requests));
-            assert!(limits.streams() < limits.requests);
+            assert!(limits.unreserved_requests() < limits.requests);
             // A quarter is left for bodies.
             let taken = limits.connections * CapacityLimits::CONNECTION_BYTES;
             assert!(taken <= limits.client_bytes / 4 * 3, "{taken} of {}", limits.client_bytes);
