--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -150,3 +150,11 @@
         ["run", "--seed", "29", "--minutes", "0.3", "--planned-only", "--notices", "--restores"];
     actix_rt::System::new().block_on(run(&args))
 }
+
+/// Guards against streams that get out of order, or look whole and lack events, beside workers that go silent, turn slow, fail
+/// or spoil their streams, fronts that are killed all at once, and clients that go on at another front meanwhile.
+#[test]
+fn streams_in_rough_conditions_look_whole_only_if_they_are() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "62301", "--minutes", "0.2", "--streams", "--departures"];
+    actix_rt::System::new().block_on(run(&[&args[..], &["--rough", "--fronts", "5"]].concat()))
+}
