fix(front): keep the idle timeout of a connection that seems readable and isn't

An idle connection waits for bytes before it takes a buffer for them. The system may have told of bytes that were read already; the read after it then had no time limit, and didn't end with the front. Found by reading the change; the wait and the read now have one time limit, as before the change.

--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -176,17 +176,20 @@
         limits: &ClientLimits,
         shutdown: &ShutdownState,
     ) -> Result<(), ReadError> {
-        let readable = tokio::select! {
-            readable = timeout(limits.idle_timeout, self.stream.readable()) => readable,
-            () = shutdown.wait_closing() => timeout(LAST_READ_TIME, self.stream.readable()).await,
+        let read = tokio::select! {
+            read = timeout(limits.idle_timeout, self.read_first()) => read,
+            () = shutdown.wait_closing() => timeout(LAST_READ_TIME, self.read_first()).await,
         };
-        if !matches!(readable, Ok(Ok(()))) {
-            return Err(ReadError::Closed);
-        }
-        self.read_more().await?;
+        read.map_err(|_| ReadError::Closed)??;
         Ok(())
     }
 
+    /// Waits for bytes before it takes a buffer for them.
+    async fn read_first(&mut self) -> Result<usize, ReadError> {
+        self.stream.readable().await.map_err(|_| ReadError::Closed)?;
+        self.read_more().await
+    }
+
     async fn read_head(
         &mut self,
         limits: &ClientLimits,
