feat(front): log how the body of each answered request ended

`request ended`, `answered` said nothing of the end of the body, so that the hypotheses on streams that look whole couldn't be told apart: an end at the deadline, an end of a worker that leaves, and an end that no worker sent.

The line has `ended_by` (length, last_chunk, close), `left_ms` to the deadline when the end was read, and `leaving`, whether the endpoint was known to leave then. No decision changes.

--- a/crates/daisychute-dispatch/src/fleet/endpoint.rs
+++ b/crates/daisychute-dispatch/src/fleet/endpoint.rs
@@ -155,6 +155,11 @@
             && !self.notice.is_leaving()
     }
 
+    /// Whether the endpoint drains, says that it leaves, or is about to be removed.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.lifecycle != EndpointLifecycle::Ready || self.notice.is_leaving()
+    }
+
     /// Whether the endpoint is registered, or its pending removal isn't due yet; it may be draining.
     pub(crate) fn is_registered(&self, now: Time) -> bool {
         match self.lifecycle {
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -204,6 +204,12 @@
         self.tracked.get(&key).is_some_and(|it| it.takes_work(now))
     }
 
+    /// Whether an endpoint is known to leave: it drains, says so in its responses, or is no longer registered.
+    #[must_use]
+    pub fn is_leaving(&self, key: EndpointKey) -> bool {
+        self.tracked.get(&key).is_none_or(TrackedEndpoint::is_leaving)
+    }
+
     /// Returns the limit that an endpoint names; `None` if it names none.
     #[must_use]
     pub fn limit(&self, key: EndpointKey) -> Option<RequestRate> {
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -15,6 +15,7 @@
 use crate::client::connection::{ClientConnection, client_disconnected};
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::ResponseWriter;
+use crate::endpoint::body_end::BodyEnd;
 use crate::endpoint::call::{Call, CallEnd, ErrorResponse};
 use crate::pacing::ProcessorTime;
 use crate::state::{FrontState, part_key};
@@ -145,9 +146,9 @@
                         self.error_response = None;
                         Some(action)
                     }
-                    Attempt::Ended(CallEnd::Finished) => {
+                    Attempt::Ended(CallEnd::Finished(body_end)) => {
                         self.state.handle(Event::Finished { key: self.key });
-                        self.log_end("answered", "", None);
+                        self.log_answered(body_end);
                         return ConnectionOutcome::KeepAlive;
                     }
                     Attempt::Ended(CallEnd::ClientDisconnected) => {
@@ -330,22 +331,38 @@
         index.and_then(|it| ids.get(it).copied()).unwrap_or_default()
     }
 
-    /// Writes the last log line of a request and records its metrics.
-    fn log_end(&self, outcome: &'static str, reason: &'static str, retry_after: Option<Duration>) {
+    /// Writes the last log line of a request that was answered and records its metrics.
+    fn log_answered(&self, body_end: BodyEnd) {
+        let outcome = "answered";
+        self.count_end(outcome, "");
+        let (request, kind, elapsed_ms) = (&self.incoming.info.id, self.kind, self.elapsed_ms());
+        let first_ms = self.first_output_ms();
+        let pause_ms = self.response_writer.timing().max_pause.as_millis();
+        let BodyEnd { framing, left_ms, leaving } = body_end;
+        let ended_by = framing.end_as_str();
+        log::info!(
+            request:%, outcome, kind, elapsed_ms, first_ms:?, pause_ms, ended_by, left_ms, leaving;
+            "request ended"
+        );
+    }
+
+    /// Records the metrics of a request that has ended.
+    fn count_end(&self, outcome: &'static str, reason: &'static str) {
         count_request(outcome, reason);
+        metrics::histogram!("daisychute_request_seconds", "kind" => self.kind, "outcome" => outcome)
+            .record(self.started.elapsed());
+    }
+
+    /// Writes the last log line of a request that wasn't answered by an endpoint and records its metrics.
+    fn log_end(&self, outcome: &'static str, reason: &'static str, retry_after: Option<Duration>) {
+        self.count_end(outcome, reason);
         if reason == Reason::Quarantined.as_str() {
             self.log_quarantine();
         }
         let kind = self.kind;
-        metrics::histogram!("daisychute_request_seconds", "kind" => kind, "outcome" => outcome)
-            .record(self.started.elapsed());
         let (request, elapsed_ms) = (&self.incoming.info.id, self.elapsed_ms());
         let first_ms = self.first_output_ms();
         let pause_ms = self.response_writer.timing().max_pause.as_millis();
-        if outcome == "answered" {
-            log::info!(request:%, outcome, kind, elapsed_ms, first_ms:?, pause_ms; "request ended");
-            return;
-        }
         let (config, path, attempt_log) =
             (self.configuration_version, &self.incoming.info.path, &self.attempt_log);
         let (predicted_ms, wait_ms) = (self.cost.as_millis(), self.wait.as_millis());
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -18,6 +18,7 @@
 use crate::client::incoming::Incoming;
 use crate::client::response_writer::{ClientDisconnected, ResponseWriter};
 use crate::dialect::ForwardParams;
+use crate::endpoint::body_end::BodyEnd;
 use crate::endpoint::body_meter::BodyMeter;
 use crate::endpoint::connection::EndpointConnection;
 use crate::endpoint::looks::Looks;
@@ -51,7 +52,7 @@
 /// How a send attempt ended.
 pub(crate) enum CallEnd {
     /// The complete response was passed on to the client.
-    Finished,
+    Finished(BodyEnd),
     /// The prefill is done; holds the handle of the KV cache.
     Prefilled(Arc<str>),
     /// The attempt failed. A complete error response of the endpoint comes with it, if there is one.
@@ -132,7 +133,7 @@
         let reusable = reusable && self.state.takes_work(self.decision.endpoint);
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
             let mut connection = EndpointConnection { stream, codec, buf, history };
-            let is_served = matches!(end, CallEnd::Finished);
+            let is_served = matches!(end, CallEnd::Finished(_));
             connection.history.record(Arc::clone(&self.incoming.info.id), is_served);
             self.state.pool.put(self.decision.endpoint, connection, keep_alive);
         }
@@ -334,8 +335,9 @@
                 return self.truncated(ResponseError::Broken);
             }
             Ok(Collected::Whole(body)) => {
+                let body_end = self.body_end(reader);
                 let is_complete = match reader.framing() {
-                    Framing::Explicit => true,
+                    Framing::Length | Framing::Chunked => true,
                     Framing::UntilClose => match json_is_complete(head, &body) {
                         Some(is_complete) => is_complete,
                         None => !self.ended_early(sentinel).await,
@@ -345,7 +347,7 @@
                     return self.truncated(ResponseError::Broken);
                 }
                 return match self.response_writer.write_response(head, &body).await {
-                    Ok(()) => CallEnd::Finished,
+                    Ok(()) => CallEnd::Finished(body_end),
                     Err(disconnected) => disconnected.into(),
                 };
             }
@@ -362,10 +364,11 @@
                 Err(e) => return self.truncated(e),
             };
         }
+        let body_end = self.body_end(reader);
         if self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
-        self.finish().await
+        self.finish(body_end).await
     }
 
     async fn pass_stream(
@@ -405,15 +408,15 @@
                 Err(e) => return self.truncated(e),
             }
         }
-        let framing = reader.framing();
-        if self.is_broken_off(framing, has_events) {
+        let body_end = self.body_end(reader);
+        if self.is_broken_off(body_end.framing, has_events) {
             return self.truncated(ResponseError::Broken);
         }
         if self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
-            Ok(()) => self.finish().await,
+            Ok(()) => self.finish(body_end).await,
             Err(disconnected) => disconnected.into(),
         }
     }
@@ -502,9 +505,14 @@
         }
     }
 
-    async fn finish(&mut self) -> CallEnd {
+    /// The end of the present response's body, which was read now.
+    fn body_end(&self, reader: &ResponseReader<'_, '_>) -> BodyEnd {
+        BodyEnd::new(self.state, self.decision, reader.framing())
+    }
+
+    async fn finish(&mut self, body_end: BodyEnd) -> CallEnd {
         match self.response_writer.finish().await {
-            Ok(()) => CallEnd::Finished,
+            Ok(()) => CallEnd::Finished(body_end),
             Err(disconnected) => disconnected.into(),
         }
     }
--- a/crates/daisychute-front/src/endpoint/mod.rs
+++ b/crates/daisychute-front/src/endpoint/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod response_reader;
 pub(crate) mod activity;
+pub(crate) mod body_end;
 pub(crate) mod body_meter;
 pub(crate) mod call;
 pub(crate) mod connection;
--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -26,8 +26,10 @@
 /// How the end of a response's body is found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Framing {
-    /// By a length, by chunks, or by a status without a body.
-    Explicit,
+    /// By a length, or by a status without a body.
+    Length,
+    /// By the last chunk.
+    Chunked,
     /// By the close of the connection, after which the body may lack its end.
     UntilClose,
 }
@@ -36,10 +38,19 @@
     /// Returns the name used in logs.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
-            Self::Explicit => "explicit",
+            Self::Length | Self::Chunked => "explicit",
             Self::UntilClose => "until_close",
         }
     }
+
+    /// Returns the name of the end of a body in logs.
+    pub(crate) const fn end_as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "last_chunk",
+            Self::UntilClose => "close",
+        }
+    }
 }
 
 /// Why a response can't be used.
@@ -89,7 +100,7 @@
             read,
             buf,
             body: Body::Complete(codec),
-            framing: Framing::Explicit,
+            framing: Framing::Length,
             framing_bytes: 0,
             bytes_read: 0,
         }
@@ -122,7 +133,10 @@
         self.body = Self::body_of(&head, codec, is_head_request)?;
         self.framing = match self.body {
             Body::UntilClose => Framing::UntilClose,
-            _ => Framing::Explicit,
+            Body::Framed(_) if head.headers.contains_key(header::TRANSFER_ENCODING) => {
+                Framing::Chunked
+            }
+            _ => Framing::Length,
         };
         Ok(head)
     }
