fix(front): give a response up before its endpoint stops for time

A worker stops work at the value that it is handed. The front handed on what was left, in whole milliseconds rounded down, and gave the response up when its own clock reached the same moment, unrounded: a worker nearby stopped up to a millisecond earlier, and one that ends its body in order then (a handler that ran out of time) was taken for whole. Two clocks raced for one moment; which one wins says nothing about the body.

An end without a length that the front reads after the deadline, since it was held up, isn't taken for whole: it can't tell when it came.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -88,6 +88,25 @@
     pub overdue_after: Option<Duration>,
 }
 
+impl SendDecision {
+    /// Time after the deadline at which the endpoint is told to stop. A front gives a response up at the deadline, so that no end
+    /// that it reads until then is due to the stop, as long as their clocks and the way between them differ by less.
+    pub const STOP_GRACE: Duration = Duration::from_millis(250);
+
+    /// Returns the time that the endpoint is told it has.
+    #[must_use]
+    pub fn endpoint_time(&self, now: Time) -> Duration {
+        self.deadline.since(now) + Self::STOP_GRACE
+    }
+
+    /// Whether the endpoint may have stopped work on the request, and ended its response in order, because its time was over. A
+    /// front that was held up past the deadline can't tell when the end came.
+    #[must_use]
+    pub fn may_have_timed_out(&self, now: Time) -> bool {
+        now >= self.deadline
+    }
+}
+
 /// Something that the I/O shell has to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
--- a/crates/daisychute-front/src/dialect.rs
+++ b/crates/daisychute-front/src/dialect.rs
@@ -17,8 +17,8 @@
     pub expected_endpoint: &'a EndpointName,
     /// The stage that the endpoint runs: the whole request, its prefill or its decode.
     pub task: &'a Task,
-    /// Time left until the request's deadline.
-    pub remaining: Duration,
+    /// Time after which the endpoint stops work on the request.
+    pub time_limit: Duration,
     /// Priority of the request; 0 is the most urgent.
     pub priority: u8,
     /// Whose request the endpoint is told that it runs.
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -163,7 +163,7 @@
         let params = ForwardParams {
             expected_endpoint: &self.decision.name,
             task: &self.decision.task,
-            remaining: self.decision.deadline.since(self.state.now()),
+            time_limit: self.decision.endpoint_time(self.state.now()),
             priority: self.decision.priority,
             identity: &self.decision.identity,
             fetch_from: self.decision.fetch_from,
@@ -308,6 +308,9 @@
             {
                 CallEnd::Failed(SendFailure::NoAnswer, None)
             }
+            Ok(Collected::Whole(_)) if self.may_be_cut_off(self.body_end(reader)) => {
+                CallEnd::Failed(SendFailure::NoAnswer, None)
+            }
             Ok(Collected::Whole(_)) if self.ended_early(sentinel).await => {
                 CallEnd::Failed(SendFailure::NoAnswer, None)
             }
@@ -336,12 +339,12 @@
             }
             Ok(Collected::Whole(body)) => {
                 let body_end = self.body_end(reader);
-                let is_complete = match reader.framing() {
-                    Framing::Length | Framing::Chunked => true,
-                    Framing::UntilClose => match json_is_complete(head, &body) {
-                        Some(is_complete) => is_complete,
-                        None => !self.ended_early(sentinel).await,
-                    },
+                let is_complete = match (reader.framing(), json_is_complete(head, &body)) {
+                    (Framing::Length, _) => true,
+                    (Framing::Chunked, Some(true)) => true,
+                    (Framing::Chunked, _) => !self.may_be_cut_off(body_end),
+                    (Framing::UntilClose, Some(is_complete)) => is_complete,
+                    (Framing::UntilClose, None) => !self.ended_early(sentinel).await,
                 };
                 if !is_complete {
                     return self.truncated(ResponseError::Broken);
@@ -365,7 +368,7 @@
             };
         }
         let body_end = self.body_end(reader);
-        if self.ended_early(sentinel).await {
+        if self.may_be_cut_off(body_end) || self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         self.finish(body_end).await
@@ -412,7 +415,7 @@
         if self.is_broken_off(body_end.framing, has_events) {
             return self.truncated(ResponseError::Broken);
         }
-        if self.ended_early(sentinel).await {
+        if self.may_be_cut_off(body_end) || self.ended_early(sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -435,6 +438,20 @@
         if self.response_writer.is_resumable() { failure } else { SendFailure::Unresumable }
     }
 
+    /// Whether a body that ended in order may lack its end, since its endpoint had no time left. A length tells that it is whole.
+    fn may_be_cut_off(&self, body_end: BodyEnd) -> bool {
+        let BodyEnd { framing, left_ms, .. } = body_end;
+        let may_be_cut_off =
+            framing != Framing::Length && self.decision.may_have_timed_out(self.state.now());
+        if may_be_cut_off {
+            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+            let ended_by = framing.end_as_str();
+            log::warn!(request:%, endpoint:%, ended_by, left_ms; "response ended after its deadline");
+            metrics::counter!("daisychute_responses_ended_late_total").increment(1);
+        }
+        may_be_cut_off
+    }
+
     /// Opens a second connection to the endpoint of a response that only the end of its connection ends.
     fn open_sentinel(&self, reader: &ResponseReader<'_, '_>) -> Option<Sentinel> {
         let is_open_ended = reader.framing() == Framing::UntilClose;
