fix(front): take no end of chunks from an endpoint that leaves unless it outlives it

Clients of an endpoint that drains saw streams that lack their last events and look whole (ORDER): a server that exits cancels its handlers, and many then end their chunked responses in order. The front checked whether an endpoint outlives its response only where the close of the connection ends it. The same class as the deadline: an end that the endpoint's stop explains is taken for the end of the work.

An endpoint that drains serves for the drain time. Once half of that has passed since the front first knew that it leaves (it may know late), the end of a response in chunks is held like one without length: the endpoint has to be seen to run for 1.5 s. Ends before that time, and bodies with a length, are passed on at once. New setting [endpoints] drain-time, filled in from the platform's bound.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -161,6 +161,7 @@
             Event::EndpointRemoved { name, removal } => {
                 self.record_version(now, &name);
                 let removed = self.fleet.remove(now, &name, removal);
+                self.note_leaving(now, removed);
                 actions.extend(removed.map(|endpoint| Action::CloseIdleConnections { endpoint }));
             }
             Event::PeerHeartbeat { peer, loads, parts } => {
@@ -178,7 +179,10 @@
                 self.limit_named(now, endpoint, limit, sent_at, actions)
             }
             Event::LeavingReported { endpoints } => self.leaving_reported(now, endpoints, actions),
-            Event::StayingConfirmed { endpoint } => self.fleet.record_staying(endpoint),
+            Event::StayingConfirmed { endpoint } => {
+                self.fleet.record_staying(endpoint);
+                self.fleet.note_leaving(now, endpoint);
+            }
             Event::OriginsReported { origins } => {
                 for origin in origins {
                     self.stream_origins.record(now, origin);
@@ -203,6 +207,7 @@
                 self.fairness.expire(now);
                 self.record_versions_of_pending_removals(now);
                 let removed = self.fleet.expire(now);
+                self.note_leaving(now, removed.iter().copied());
                 actions.extend(
                     removed.into_iter().map(|endpoint| Action::CloseIdleConnections { endpoint }),
                 );
@@ -239,6 +244,7 @@
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
+        self.note_leaving(now, replaced.into_iter().chain([key]));
         let takes_work = self.fleet.takes_work(now, key);
         if is_engine && previous_key != Some(key) && takes_work {
             actions.push(Action::QueryCache { endpoint: key, name, address });
@@ -249,6 +255,17 @@
         }
     }
 
+    /// Notes whether these endpoints leave.
+    pub(crate) fn note_leaving(
+        &mut self,
+        now: Time,
+        endpoints: impl IntoIterator<Item = EndpointKey>,
+    ) {
+        for endpoint in endpoints {
+            self.fleet.note_leaving(now, endpoint);
+        }
+    }
+
     /// Records that an endpoint had the software version of its present record until now.
     fn record_version(&mut self, now: Time, name: &EndpointName) {
         let known = self.fleet.key(name).and_then(|it| self.fleet.endpoint(it));
--- a/crates/daisychute-dispatch/src/core/notices.rs
+++ b/crates/daisychute-dispatch/src/core/notices.rs
@@ -26,6 +26,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(incarnation) = self.fleet.record_leaving(now, endpoint) else { return };
+        self.fleet.note_leaving(now, endpoint);
         actions.push(Action::CloseIdleConnections { endpoint });
         let name = incarnation.name.clone();
         actions.push(Action::RecordLeaving { endpoint: name, by_peer: false });
@@ -45,6 +46,7 @@
             let Some(endpoint) = self.fleet.record_reported_leaving(now, incarnation) else {
                 continue;
             };
+            self.fleet.note_leaving(now, endpoint);
             actions.push(Action::CloseIdleConnections { endpoint });
             actions.push(Action::RecordLeaving { endpoint: name, by_peer: true });
         }
--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -4,7 +4,7 @@
 
 use daisychute_core::Time;
 
-use crate::{Dispatcher, RequestKey};
+use crate::{Dispatcher, EndpointKey, RequestKey};
 
 /// What was seen of an endpoint after the end of a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -260,6 +260,9 @@
 const MIN_HOLD: Duration = Duration::from_millis(25);
 
 impl Dispatcher {
+    /// The part of the drain time that endpoints serve for certain, from when a front learns that they leave, is one by this.
+    const DRAIN_DIVISOR: u32 = 2;
+
     /// Returns for how long the endpoint of a response that ended with its connection is watched: as long as that doesn't harm the
     /// client. With `is_passed`, the client has the response but for its end. Otherwise half of the time left until the latency
     /// objective is used, or until the deadline if the response is late.
@@ -277,6 +280,14 @@
         (left / 2).clamp(MIN_HOLD, MAX_HOLD)
     }
 
+    /// Whether the end of a response in chunks isn't taken from this endpoint unless it outlives that: it leaves, and may have given
+    /// the response up. It serves for a time after its announcement, of which this front may have heard late.
+    #[must_use]
+    pub fn must_outlive_chunks(&self, now: Time, endpoint: EndpointKey) -> bool {
+        let serving_time = self.settings.drain_time / Self::DRAIN_DIVISOR;
+        self.fleet.leaving_since(endpoint).is_some_and(|it| now >= it + serving_time)
+    }
+
     /// Records that the endpoint of a request is done with it, though its client doesn't have the whole response yet.
     pub(crate) fn response_ended(&mut self, now: Time, key: RequestKey) {
         let sent = self.requests.get_mut(&key).and_then(|it| it.in_flight.as_mut());
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -62,11 +62,13 @@
     services: FxHashMap<ServiceName, Vec<EndpointKey>>,
     // Incarnations that aren't in `tracked`, with what they announced: a directory that is behind may list them again.
     former: BTreeMap<EndpointKey, (Incarnation, Notice)>,
+    // When each endpoint was first known to leave.
+    leaving_since: BTreeMap<EndpointKey, Time>,
     // Place of this front among those that share the endpoints.
     position: FrontPosition,
 }
 
-/// Maximum number of incarnations that are remembered after their removal.
+/// Maximum number of incarnations that are remembered after their removal or their announcement to leave.
 const MAX_FORMER: usize = 2_048;
 
 impl Fleet {
@@ -162,6 +164,23 @@
         }
     }
 
+    /// Notes since when an endpoint is known to leave, or that it doesn't.
+    pub(crate) fn note_leaving(&mut self, now: Time, key: EndpointKey) {
+        if !self.is_leaving(key) {
+            self.leaving_since.remove(&key);
+            return;
+        }
+        self.leaving_since.entry(key).or_insert(now);
+        if self.leaving_since.len() > MAX_FORMER {
+            self.leaving_since.pop_first();
+        }
+    }
+
+    /// Returns when an endpoint was first known to leave; `None` if it isn't.
+    pub(crate) fn leaving_since(&self, key: EndpointKey) -> Option<Time> {
+        self.leaving_since.get(&key).copied()
+    }
+
     /// Returns the directory record of an endpoint.
     #[must_use]
     pub fn endpoint(&self, key: EndpointKey) -> Option<&Endpoint> {
--- a/crates/daisychute-dispatch/src/settings.rs
+++ b/crates/daisychute-dispatch/src/settings.rs
@@ -20,6 +20,8 @@
     /// Maximum time that heartbeats are assumed to take, when requests are spread over engines by the work that other
     /// fronts have probably sent since; `None` if requests are sent to the engine of the lowest known cost.
     pub max_heartbeat_delay: Option<Duration>,
+    /// Time for which endpoints serve after the directory has accepted that they drain.
+    pub drain_time: Duration,
 }
 
 impl Default for DispatchSettings {
@@ -30,6 +32,7 @@
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
             max_heartbeat_delay: None,
+            drain_time: Duration::from_secs(2),
         }
     }
 }
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -308,14 +308,13 @@
             {
                 CallEnd::Failed(SendFailure::NoAnswer, None)
             }
-            Ok(Collected::Whole(_)) if self.may_be_cut_off(self.body_end(reader)) => {
-                CallEnd::Failed(SendFailure::NoAnswer, None)
-            }
-            Ok(Collected::Whole(_)) if self.ended_early(sentinel).await => {
-                CallEnd::Failed(SendFailure::NoAnswer, None)
-            }
             Ok(Collected::Whole(body)) => {
-                CallEnd::Failed(SendFailure::ServerError, Some(ErrorResponse { head, body }))
+                if self.is_confirmed(self.body_end(reader), sentinel).await {
+                    let response = ErrorResponse { head, body };
+                    CallEnd::Failed(SendFailure::ServerError, Some(response))
+                } else {
+                    CallEnd::Failed(SendFailure::NoAnswer, None)
+                }
             }
             Ok(Collected::TooLong(_)) => CallEnd::Failed(SendFailure::Unusable, None),
             Err(_) => CallEnd::Failed(SendFailure::NoAnswer, None),
@@ -342,9 +341,9 @@
                 let is_complete = match (reader.framing(), json_is_complete(head, &body)) {
                     (Framing::Length, _) => true,
                     (Framing::Chunked, Some(true)) => true,
-                    (Framing::Chunked, _) => !self.may_be_cut_off(body_end),
+                    (Framing::Chunked, _) => self.is_confirmed(body_end, sentinel).await,
                     (Framing::UntilClose, Some(is_complete)) => is_complete,
-                    (Framing::UntilClose, None) => !self.ended_early(sentinel).await,
+                    (Framing::UntilClose, None) => self.is_confirmed(body_end, sentinel).await,
                 };
                 if !is_complete {
                     return self.truncated(ResponseError::Broken);
@@ -368,7 +367,7 @@
             };
         }
         let body_end = self.body_end(reader);
-        if self.may_be_cut_off(body_end) || self.ended_early(sentinel).await {
+        if !self.is_confirmed(body_end, sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         self.finish(body_end).await
@@ -415,7 +414,7 @@
         if self.is_broken_off(body_end.framing, has_events) {
             return self.truncated(ResponseError::Broken);
         }
-        if self.may_be_cut_off(body_end) || self.ended_early(sentinel).await {
+        if !self.is_confirmed(body_end, sentinel).await {
             return self.truncated(ResponseError::Broken);
         }
         match self.response_writer.write_rest(head).await {
@@ -438,6 +437,22 @@
         if self.response_writer.is_resumable() { failure } else { SendFailure::Unresumable }
     }
 
+    /// Whether a body that ended in order is whole, as far as its framing, the time and its endpoint tell.
+    async fn is_confirmed(&self, body_end: BodyEnd, sentinel: Option<Sentinel>) -> bool {
+        if self.may_be_cut_off(body_end) {
+            return false;
+        }
+        let sentinel = match body_end.framing {
+            Framing::Length => return true,
+            Framing::Chunked => self.open_sentinel_of_leaving(),
+            Framing::UntilClose => sentinel,
+        };
+        match sentinel {
+            Some(sentinel) => self.is_outlived(body_end, sentinel).await,
+            None => true,
+        }
+    }
+
     /// Whether a body that ended in order may lack its end, since its endpoint had no time left. A length tells that it is whole.
     fn may_be_cut_off(&self, body_end: BodyEnd) -> bool {
         let BodyEnd { framing, left_ms, .. } = body_end;
@@ -458,33 +473,42 @@
         is_open_ended.then(|| Sentinel::open(self.state, self.key, self.decision))
     }
 
-    /// Whether a body ended because its endpoint did: the system closes the connections of a process that has ended in the
-    /// same way as the process itself.
-    async fn ended_early(&self, sentinel: Option<Sentinel>) -> bool {
-        let Some(sentinel) = sentinel else { return false };
+    /// Opens a second connection to an endpoint that leaves and may have given up its response in chunks.
+    fn open_sentinel_of_leaving(&self) -> Option<Sentinel> {
+        let (now, endpoint) = (self.state.now(), self.decision.endpoint);
+        let may_give_up = self.state.with_dispatcher(|it| it.must_outlive_chunks(now, endpoint));
+        may_give_up.then(|| Sentinel::open(self.state, self.key, self.decision))
+    }
+
+    /// Whether the endpoint outlives its response. The system closes the connections of a process that has ended in the same way as
+    /// the process itself, and a process that is told to stop may end its responses in the same way as whole ones.
+    async fn is_outlived(&self, body_end: BodyEnd, sentinel: Sentinel) -> bool {
         let mut looks = Looks::new(Instant::now());
         self.state.handle(Event::ResponseEnded { key: self.key });
         let is_passed = self.response_writer.head_passed();
         let confirms =
             sentinel.confirms(self.state, self.key, self.decision, is_passed, &mut looks);
         let is_confirmed = confirms.await;
-        self.log_end_by_close(is_confirmed, &looks);
-        !is_confirmed
+        self.log_outlived(body_end.framing, is_confirmed, &looks);
+        is_confirmed
     }
 
-    /// Logs and counts a response that ended with its connection.
-    fn log_end_by_close(&self, is_confirmed: bool, looks: &Looks) {
+    /// Logs and counts a response whose endpoint was watched after its end.
+    fn log_outlived(&self, framing: Framing, is_confirmed: bool, looks: &Looks) {
         let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
         let looked_for = looks.elapsed();
         let (address, looked_ms) = (self.decision.address, looked_for.as_millis());
+        let ended_by = framing.end_as_str();
         let verdict = if is_confirmed { "whole" } else { "ended_early" };
         metrics::histogram!("daisychute_end_of_response_seconds", "verdict" => verdict)
             .record(looked_for);
-        if is_confirmed {
+        if !is_confirmed {
+            log::warn!(request:%, endpoint:%, address:%, ended_by, looked_ms, looks:%; "response ended with its endpoint");
+            metrics::counter!("daisychute_responses_ended_early_total").increment(1);
+        } else if framing == Framing::UntilClose {
             log::info!(request:%, endpoint:%, address:%, looked_ms, looks:%; "response ended by the close of its connection");
         } else {
-            log::warn!(request:%, endpoint:%, address:%, looked_ms, looks:%; "response ended with its endpoint");
-            metrics::counter!("daisychute_responses_ended_early_total").increment(1);
+            log::info!(request:%, endpoint:%, address:%, looked_ms, looks:%; "response of a leaving endpoint ended before it");
         }
     }
 
--- a/crates/daisychute-settings/src/front.rs
+++ b/crates/daisychute-settings/src/front.rs
@@ -47,6 +47,13 @@
     }
 }
 
+raw_section! {
+    /// Unchecked section `[endpoints]`.
+    RawEndpoints {
+        drain_time = "drain-time",
+    }
+}
+
 raw_section! {
     /// Unchecked section `[retries]`.
     RawRetries {
@@ -108,6 +115,8 @@
     /// Time within which open connections to the store that went silent must have been replaced. It bounds how long each
     /// call that waits for changes takes.
     pub max_silence: Duration,
+    /// Time for which endpoints serve after the directory has accepted that they drain.
+    pub drain_time: Duration,
     /// Resources that the front may use.
     pub machine: MachineSettings,
     /// Retry budget of each service, shared by all fronts.
@@ -205,6 +214,7 @@
     pub const SECTIONS: &'static [SectionKeys] = &[
         SectionKeys { section: "front", named: false, keys: RawFront::KEYS },
         SectionKeys { section: "store", named: false, keys: RawStore::KEYS },
+        SectionKeys { section: "endpoints", named: false, keys: RawEndpoints::KEYS },
         SectionKeys { section: "machine", named: false, keys: RawMachine::KEYS },
         SectionKeys { section: "retries", named: false, keys: RawRetries::KEYS },
         SectionKeys { section: "balance", named: false, keys: RawBalance::KEYS },
@@ -214,6 +224,7 @@
     ];
 
     const DEFAULT_MAX_SILENCE: Duration = Duration::from_secs(3);
+    const DEFAULT_DRAIN_TIME: Duration = Duration::from_secs(2);
     const DEFAULT_STOP_WITHIN: Duration = Duration::from_secs(8);
     const RETRY_WINDOW: DurationRange =
         DurationRange { min: Duration::from_millis(100), max: Duration::from_secs(600) };
@@ -221,6 +232,8 @@
         DurationRange { min: Duration::from_millis(10), max: Duration::from_secs(1) };
     const MAX_SILENCE: DurationRange =
         DurationRange { min: Duration::from_millis(1_500), max: Duration::from_secs(60) };
+    const DRAIN_TIME: DurationRange =
+        DurationRange { min: Duration::ZERO, max: Duration::from_secs(3_600) };
     const STOP_WITHIN: DurationRange =
         DurationRange { min: Duration::from_millis(500), max: Duration::from_secs(600) };
     const LEASE: DurationRange =
@@ -263,6 +276,7 @@
     fn try_from(document: &Document) -> Result<Self, Problems> {
         let front = RawFront::read(document.section("front"));
         let store = RawStore::read(document.section("store"));
+        let endpoints = RawEndpoints::read(document.section("endpoints"));
         let balance = RawBalance::read(document.section("balance"));
         let stop = RawStop::read(document.section("stop"));
         let mut problems = Problems::default();
@@ -279,6 +293,9 @@
             store.max_silence.optional_or(Self::DEFAULT_MAX_SILENCE, &Self::MAX_SILENCE);
         let max_silence = problems.record(max_silence);
         let store = problems.record(store.address.required(&Address));
+        let drain_time =
+            endpoints.drain_time.optional_or(Self::DEFAULT_DRAIN_TIME, &Self::DRAIN_TIME);
+        let drain_time = problems.record(drain_time);
         let machine = problems.record(MachineSettings::try_from(document));
         let retries = problems.record(RetrySettings::try_from(document));
         let max_heartbeat_delay =
@@ -300,6 +317,7 @@
                 seeds: seeds?,
                 store: store?,
                 max_silence: max_silence?,
+                drain_time: drain_time?,
                 machine: machine?,
                 retries: retries?,
                 max_heartbeat_delay: max_heartbeat_delay?,
--- a/crates/daisychute-settings/src/front_change.rs
+++ b/crates/daisychute-settings/src/front_change.rs
@@ -32,6 +32,7 @@
             ("retries.slack", old.retries.slack != new.retries.slack),
             ("balance.max-heartbeat-delay", old.max_heartbeat_delay != new.max_heartbeat_delay),
             ("store.max-silence", old.max_silence != new.max_silence),
+            ("endpoints.drain-time", old.drain_time != new.drain_time),
             ("stop.within", old.stop_within != new.stop_within),
             ("log.level", old.log.level != new.log.level),
         ];
--- a/crates/daisychuted/src/front.rs
+++ b/crates/daisychuted/src/front.rs
@@ -77,6 +77,7 @@
         retry_window: settings.retries.window,
         retry_slack: settings.retries.slack,
         max_heartbeat_delay: settings.max_heartbeat_delay,
+        drain_time: settings.drain_time,
     }
 }
 
