fix(front): hold no endpoint to account for an end that the front read too late

A front that was held up past a deadline doesn't take an end without length for whole. It counted that as a failure of the endpoint: three such ends in a row ejected a sound one, and other fronts were told that it had ended under the request. The request now ends by its deadline, as it would have without the end. Found by review, by reading; the cases of stopping_workers at a suspended front pass before and after.

JSON is parsed only where the end of the body is in doubt, no longer for each response with a length.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -338,12 +338,13 @@
             }
             Ok(Collected::Whole(body)) => {
                 let body_end = self.body_end(reader);
-                let is_complete = match (reader.framing(), json_is_complete(head, &body)) {
-                    (Framing::Length, _) => true,
-                    (Framing::Chunked, Some(true)) => true,
-                    (Framing::Chunked, _) => self.is_confirmed(body_end, sentinel).await,
-                    (Framing::UntilClose, Some(is_complete)) => is_complete,
-                    (Framing::UntilClose, None) => self.is_confirmed(body_end, sentinel).await,
+                let is_complete = if self.is_in_doubt(body_end.framing) {
+                    match json_is_complete(head, &body) {
+                        Some(is_complete) => is_complete,
+                        None => self.is_confirmed(body_end, sentinel).await,
+                    }
+                } else {
+                    true
                 };
                 if !is_complete {
                     return self.truncated(ResponseError::Broken);
@@ -437,34 +438,45 @@
         if self.response_writer.is_resumable() { failure } else { SendFailure::Unresumable }
     }
 
-    /// Whether a body that ended in order is whole, as far as its framing, the time and its endpoint tell.
+    /// Whether a body that ends in order now may lack its end, as far as its framing, the time and its endpoint tell.
+    fn is_in_doubt(&self, framing: Framing) -> bool {
+        match framing {
+            Framing::Length => false,
+            Framing::Chunked => self.has_timed_out() || self.must_outlive_chunks(),
+            Framing::UntilClose => true,
+        }
+    }
+
+    /// Whether a body that ended in order is whole, also if that was in doubt.
     async fn is_confirmed(&self, body_end: BodyEnd, sentinel: Option<Sentinel>) -> bool {
-        if self.may_be_cut_off(body_end) {
-            return false;
+        if !self.is_in_doubt(body_end.framing) {
+            return true;
         }
-        let sentinel = match body_end.framing {
-            Framing::Length => return true,
-            Framing::Chunked => self.open_sentinel_of_leaving(),
-            Framing::UntilClose => sentinel,
-        };
-        match sentinel {
-            Some(sentinel) => self.is_outlived(body_end, sentinel).await,
-            None => true,
+        if self.has_timed_out() {
+            self.log_late_end(body_end);
+            // The deadline ends the request, which is no fault of its endpoint.
+            std::future::pending::<()>().await;
         }
+        let open_sentinel = || Sentinel::open(self.state, self.key, self.decision);
+        self.is_outlived(body_end, sentinel.unwrap_or_else(open_sentinel)).await
     }
 
-    /// Whether a body that ended in order may lack its end, since its endpoint had no time left. A length tells that it is whole.
-    fn may_be_cut_off(&self, body_end: BodyEnd) -> bool {
-        let BodyEnd { framing, left_ms, .. } = body_end;
-        let may_be_cut_off =
-            framing != Framing::Length && self.decision.may_have_timed_out(self.state.now());
-        if may_be_cut_off {
-            let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
-            let ended_by = framing.end_as_str();
-            log::warn!(request:%, endpoint:%, ended_by, left_ms; "response ended after its deadline");
-            metrics::counter!("daisychute_responses_ended_late_total").increment(1);
-        }
-        may_be_cut_off
+    /// Whether the endpoint may have stopped because its time was over.
+    fn has_timed_out(&self) -> bool {
+        self.decision.may_have_timed_out(self.state.now())
+    }
+
+    /// Whether the endpoint leaves, and may have given up its response in chunks.
+    fn must_outlive_chunks(&self) -> bool {
+        let (now, endpoint) = (self.state.now(), self.decision.endpoint);
+        self.state.with_dispatcher(|it| it.must_outlive_chunks(now, endpoint))
+    }
+
+    fn log_late_end(&self, BodyEnd { framing, left_ms, .. }: BodyEnd) {
+        let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
+        let ended_by = framing.end_as_str();
+        log::warn!(request:%, endpoint:%, ended_by, left_ms; "response ended after its deadline");
+        metrics::counter!("daisychute_responses_ended_late_total").increment(1);
     }
 
     /// Opens a second connection to the endpoint of a response that only the end of its connection ends.
@@ -473,13 +485,6 @@
         is_open_ended.then(|| Sentinel::open(self.state, self.key, self.decision))
     }
 
-    /// Opens a second connection to an endpoint that leaves and may have given up its response in chunks.
-    fn open_sentinel_of_leaving(&self) -> Option<Sentinel> {
-        let (now, endpoint) = (self.state.now(), self.decision.endpoint);
-        let may_give_up = self.state.with_dispatcher(|it| it.must_outlive_chunks(now, endpoint));
-        may_give_up.then(|| Sentinel::open(self.state, self.key, self.decision))
-    }
-
     /// Whether the endpoint outlives its response. The system closes the connections of a process that has ended in the same way as
     /// the process itself, and a process that is told to stop may end its responses in the same way as whole ones.
     async fn is_outlived(&self, body_end: BodyEnd, sentinel: Sentinel) -> bool {
