fix(front): take no stream for whole that ended before its first event

A worker that gives a request up before its first event, and ends the body by a last chunk or with length 0, was taken for one whose stream has no events: the client got a complete, empty stream (ORDER). Only the close of the connection counted as no end there. A run begins with an event, so that an empty body is a whole one only if the client has the beginning of the stream. A resumable stream goes on at another worker now, others fail.

Found by review.

--- a/crates/daisychute-front/src/client/response_writer.rs
+++ b/crates/daisychute-front/src/client/response_writer.rs
@@ -140,6 +140,11 @@
         self.framer.disorder()
     }
 
+    /// Whether the client has an event of the stream, from this response or from an earlier one.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.framer.has_begun()
+    }
+
     /// Records that an endpoint closed its connection before its first event.
     pub(crate) const fn record_empty_run(&mut self) {
         self.empty_runs += 1;
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -517,14 +517,18 @@
         }
     }
 
-    /// Whether a stream whose body has ended lacks its last events.
+    /// Whether a stream whose body has ended lacks its last events, as its bytes tell.
     fn is_broken_off(&mut self, framing: Framing, has_events: bool) -> bool {
         let inside_event = self.response_writer.is_inside_event();
         if inside_event {
             self.log_end_inside_event(framing);
         }
+        let is_empty = !has_events && self.incoming.head.method != actix_http::Method::HEAD;
+        // A run begins with an event. Only one that continues a stream may have none left.
+        if is_empty && framing != Framing::UntilClose {
+            return inside_event || !self.response_writer.has_begun();
+        }
         // An endpoint that stops before its first event closes the connection in the same way.
-        let is_empty = framing == Framing::UntilClose && !has_events;
         if is_empty && !inside_event {
             self.response_writer.record_empty_run();
         }
