fix(front): doubt the end of chunks while it isn't known who leaves

A front that was suspended while a worker drained, stopped its streams and ended, read their last chunks before the news of the drain, and took them for whole (ORDER). So it did while the record of a worker was missing after an outage of the store, during which the worker may have left, and for an incarnation that another one had replaced. After a hold-up of a second or more, the ends of responses to requests that were sent before it are held for a second, and ends at endpoints with a pending removal or a successor at once. What was sent after the hold-up isn't concerned.

The record of who leaves evicted the lowest key, which may be the newest entry; it evicts the earliest.

Found by review.

--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::core::contact::Contact;
 use crate::core::crash_quarantine::CrashQuarantine;
 use crate::core::fairness::Fairness;
+use crate::core::hold_ups::HoldUps;
 use crate::core::moved_routes::MovedRoutes;
 use crate::core::request_state::{InFlightAttempt, KvHandle, RequestState};
 use crate::core::response_sizes::ResponseSizes;
@@ -50,6 +51,8 @@
     pub(crate) stopping_peers: FxHashMap<u64, Time>,
     /// Whether this front knows what the others have told.
     pub(crate) contact: Contact,
+    /// When this front ran.
+    pub(crate) hold_ups: HoldUps,
     /// Software versions that began the streams which clients may resume.
     pub(crate) stream_origins: StreamOrigins,
     /// Software versions of the endpoints in the fleet, and of those that left it.
@@ -87,6 +90,7 @@
             shutdown: None,
             stopping_peers: FxHashMap::default(),
             contact: Contact::default(),
+            hold_ups: HoldUps::default(),
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
             recorded_versions: FxHashMap::default(),
@@ -203,6 +207,7 @@
             }
             Event::ShutdownExpired { key } => self.shutdown_expired(now, key, actions),
             Event::Tick => {
+                self.hold_ups.record_tick(now);
                 self.stream_origins.expire(now);
                 self.fairness.expire(now);
                 self.record_versions_of_pending_removals(now);
@@ -244,7 +249,9 @@
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
-        self.note_leaving(now, replaced.into_iter().chain([key]));
+        // An incarnation that another one replaces has ended.
+        self.note_leaving(Time::ZERO, replaced);
+        self.note_leaving(now, [key]);
         let takes_work = self.fleet.takes_work(now, key);
         if is_engine && previous_key != Some(key) && takes_work {
             actions.push(Action::QueryCache { endpoint: key, name, address });
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -25,6 +25,7 @@
 mod crashes;
 mod notices;
 pub(crate) mod overdue;
+pub(crate) mod hold_ups;
 mod kv_cache;
 pub(crate) mod response_end;
 pub(crate) mod response_sizes;
--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -281,11 +281,15 @@
     }
 
     /// Whether the end of a response in chunks isn't taken from this endpoint unless it outlives that: it leaves, and may have given
-    /// the response up. It serves for a time after its announcement, of which this front may have heard late.
+    /// the response up. It serves for a time after its announcement, of which this front may have heard late. If the front was held
+    /// up after it sent the request, and may not know yet who left meanwhile, any endpoint may have.
     #[must_use]
-    pub fn must_outlive_chunks(&self, now: Time, endpoint: EndpointKey) -> bool {
+    pub fn must_outlive_chunks(&self, now: Time, endpoint: EndpointKey, sent_at: Time) -> bool {
         let serving_time = self.settings.drain_time / Self::DRAIN_DIVISOR;
-        self.fleet.leaving_since(endpoint).is_some_and(|it| now >= it + serving_time)
+        let leaving_since = self.fleet.leaving_since(endpoint);
+        leaving_since.is_some_and(|it| now >= it + serving_time)
+            || self.fleet.is_removal_pending(endpoint)
+            || self.hold_ups.may_lack_news(now, sent_at)
     }
 
     /// Records that the endpoint of a request is done with it, though its client doesn't have the whole response yet.
--- a/crates/daisychute-dispatch/src/fleet/mod.rs
+++ b/crates/daisychute-dispatch/src/fleet/mod.rs
@@ -172,10 +172,17 @@
         }
         self.leaving_since.entry(key).or_insert(now);
         if self.leaving_since.len() > MAX_FORMER {
-            self.leaving_since.pop_first();
+            let earliest = self.leaving_since.iter().min_by_key(|it| it.1).map(|it| *it.0);
+            earliest.and_then(|it| self.leaving_since.remove(&it));
         }
     }
 
+    /// Whether the record of an endpoint is missing after an outage of the directory: it may have left during that.
+    pub(crate) fn is_removal_pending(&self, key: EndpointKey) -> bool {
+        let lifecycle = self.tracked.get(&key).map(|it| it.lifecycle);
+        matches!(lifecycle, Some(EndpointLifecycle::RemovalPending { .. }))
+    }
+
     /// Returns when an endpoint was first known to leave; `None` if it isn't.
     pub(crate) fn leaving_since(&self, key: EndpointKey) -> Option<Time> {
         self.leaving_since.get(&key).copied()
--- a/crates/daisychute-dispatch/tests/chunks_of_leaving_endpoints.rs
+++ b/crates/daisychute-dispatch/tests/chunks_of_leaving_endpoints.rs
@@ -11,6 +11,9 @@
 
 const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// When the request was sent, in ms.
+const SENT_MS: u64 = 500;
+
 /// What happens to the endpoint, with the time of each in ms.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -18,8 +21,11 @@
     Drains,
     Leaves,
     IsMissingAfterOutage,
+    IsReplaced,
     Announces,
     Stays,
+    /// The front ticks, as it does several times a second.
+    Tick,
 }
 
 fn must_outlive(steps: &[(u64, Step)], at_ms: u64) -> bool {
@@ -36,12 +42,17 @@
             Step::Drains => Event::EndpointUpserted(Endpoint { draining: true, ..record.clone() }),
             Step::Leaves => removed(Removal::Left),
             Step::IsMissingAfterOutage => removed(Removal::AfterOutage(DRAIN_TIME)),
+            Step::IsReplaced => {
+                let started_at = Some(1);
+                Event::EndpointUpserted(Endpoint { started_at, ..record.clone() })
+            }
             Step::Announces => Event::LeavingAnnounced { endpoint: key },
+            Step::Tick => Event::Tick,
             Step::Stays => Event::StayingConfirmed { endpoint: key },
         };
         dispatcher.handle(Time::from_millis(*at_ms), event, &mut Vec::new());
     }
-    dispatcher.must_outlive_chunks(Time::from_millis(at_ms), key)
+    dispatcher.must_outlive_chunks(Time::from_millis(at_ms), key, Time::from_millis(SENT_MS))
 }
 
 /// Each case has what happens to an endpoint, a time in ms, and whether the endpoint must outlive a response that ends then.
@@ -64,5 +75,15 @@
     endpoint_that_announces_to_leave: [(1_000, Announces)], 2_000 => true;
     endpoint_that_stays_after_all: [(1_000, Announces), (1_500, Stays)], 60_000 => false;
     endpoint_that_is_ready_again: [(1_000, Drains), (1_500, Lists)], 60_000 => false;
-    missing_record_after_an_outage_tells_nothing: [(1_000, IsMissingAfterOutage)], 2_500 => false;
+    endpoint_whose_record_is_missing_after_an_outage: [(1_000, IsMissingAfterOutage)], 1_000 => true;
+    endpoint_whose_record_came_back: [(1_000, IsMissingAfterOutage), (1_500, Lists)], 1_500 => false;
+    endpoint_that_is_removed_after_an_outage: [(1_000, IsMissingAfterOutage), (3_001, Tick)], 4_001 => true;
+    endpoint_that_was_replaced: [(1_000, IsReplaced)], 1_000 => true;
+    front_that_runs: [(1_000, Tick), (1_250, Tick)], 2_249 => false;
+    front_that_was_held_up: [(1_000, Tick)], 2_000 => true;
+    front_that_has_just_gone_on: [(1_000, Tick), (3_000, Tick)], 3_999 => true;
+    front_that_was_held_up_before: [(100, Tick), (400, Tick)], 1_300 => false;
+    front_that_was_not_held_up_for_long: [(0, Tick), (510, Tick)], 900 => false;
+    front_that_went_on_before: [(0, Tick), (450, Tick), (460, Tick)], 900 => false;
+    front_that_has_caught_up: [(1_000, Tick), (3_000, Tick), (3_900, Tick)], 4_000 => false;
 }
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -182,6 +182,7 @@
             decision,
             processor: self.processor,
             response_writer: &mut self.response_writer,
+            began_at: self.state.now(),
         };
         let Some(overdue_after) = decision.overdue_after else {
             return Attempt::Ended(call.run().await);
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -82,6 +82,8 @@
     /// The processor time of the request.
     pub(crate) processor: &'a ProcessorTime,
     pub(crate) response_writer: &'a mut ResponseWriter<'c>,
+    /// When the attempt began, before its first byte was sent.
+    pub(crate) began_at: Time,
 }
 
 /// The head of a response and what the dialect read from it.
@@ -469,7 +471,7 @@
     /// Whether the endpoint leaves, and may have given up its response in chunks.
     fn must_outlive_chunks(&self) -> bool {
         let (now, endpoint) = (self.state.now(), self.decision.endpoint);
-        self.state.with_dispatcher(|it| it.must_outlive_chunks(now, endpoint))
+        self.state.with_dispatcher(|it| it.must_outlive_chunks(now, endpoint, self.began_at))
     }
 
     fn log_late_end(&self, BodyEnd { framing, left_ms, .. }: BodyEnd) {
