--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -340,13 +340,13 @@
             }
             Ok(Collected::Whole(body)) => {
                 let body_end = self.body_end(reader);
-                let is_complete = if self.is_in_doubt(body_end.framing) {
-                    match json_is_complete(head, &body) {
-                        Some(is_complete) => is_complete,
-                        None => self.is_confirmed(body_end, sentinel).await,
-                    }
-                } else {
-                    true
+                let json_is_complete = match body_end.framing {
+                    Framing::Length => Some(true),
+                    Framing::Chunked | Framing::UntilClose => json_is_complete(head, &body),
+                };
+                let is_complete = match json_is_complete {
+                    Some(is_complete) => is_complete,
+                    None => self.is_confirmed(body_end, sentinel).await,
                 };
                 if !is_complete {
                     return self.truncated(ResponseError::Broken);
