refactor(front): let a read after a failed or cancelled one fail

A body of which a read had failed, or was cancelled, answered the next read with its end. No caller reads on then; one that did would take the rest of the body for empty.

--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -187,7 +187,8 @@
                     self.body = Body::Complete(codec);
                     return Ok(None);
                 }
-                Body::Closed => return Ok(None),
+                // After the end of such a body, or a read that failed or was cancelled.
+                Body::Closed => return Err(ResponseError::Broken),
                 Body::Malformed => return Err(ResponseError::Broken),
                 Body::UntilClose => return self.next_until_close().await,
                 Body::Framed(mut codec) => match codec.decode(self.buf) {
