fix(usage): hear the peers before a state of the store is taken over

Cause: a front that is restarted and acquires the duty at once reads the state before it has heard any announcement. If the store went back, it takes over reports with counts of an earlier attempt than those that were sent, and writes them under its own term.

Change: a reporter reads the state no earlier than `settle` (1 s) after its first event. Peers announce the latest stamp with each heartbeat, so it has heard it by then and drops those reports. A takeover by a front that runs for longer isn't delayed.

Tests: the schedules have seeds, and a failure prints the seed and the schedule. What is drawn is as before; a second run of 400 has faults in more steps. Those tests start their reporters a second earlier, the expected actions are the same.

--- a/crates/daisychute-usage/src/reporter.rs
+++ b/crates/daisychute-usage/src/reporter.rs
@@ -72,6 +72,8 @@
 #[derive(Debug)]
 pub struct UsageReporter {
     settings: UsageSettings,
+    /// When the first event was handled.
+    started_at: Option<Time>,
     collector: UsageCollector,
     // Invariant: at most `MAX_SOURCES`.
     sources: BTreeSet<u64>,
@@ -95,6 +97,7 @@
     pub fn new(settings: UsageSettings) -> Self {
         Self {
             settings,
+            started_at: None,
             collector: UsageCollector::new(),
             sources: BTreeSet::new(),
             floor: None,
@@ -130,6 +133,7 @@
         event: ReporterEvent,
         out: &mut Vec<ReporterAction>,
     ) {
+        self.started_at.get_or_insert(now);
         match event {
             ReporterEvent::Held { term, until } => self.held(term, until),
             ReporterEvent::Lost => self.tenure = None,
@@ -372,6 +376,11 @@
         if self.access.is_some() || now >= tenure.until || now < tenure.next_access {
             return;
         }
+        // A state that is taken over gets a later stamp than any before. Until the peers were heard, one that the store
+        // went back to would pass for the latest.
+        if self.started_at.is_none_or(|at| now < at + self.settings.settle) {
+            return;
+        }
         if tenure.unread {
             out.push(ReporterAction::ReadState);
             self.access = Some((tenure.term, Access::Read));
--- a/crates/daisychute-usage/src/settings.rs
+++ b/crates/daisychute-usage/src/settings.rs
@@ -12,7 +12,8 @@
     pub complete_after: Duration,
     /// The holder freezes a window at the latest this long after its end.
     pub freeze_after: Duration,
-    /// A new holder waits this long before it freezes, so that the fronts can send it their shares twice.
+    /// A new holder waits this long before it freezes, so that the fronts can send it their shares twice. Also, a
+    /// reporter reads the state no earlier after its start, so that it has heard its peers.
     pub settle: Duration,
     /// Between freezing a window and the first call, so that peers hear of the window before the API does.
     pub announce_lead: Duration,
--- a/crates/daisychute-usage/tests/reporter.rs
+++ b/crates/daisychute-usage/tests/reporter.rs
@@ -12,6 +12,8 @@
 
 /// Start of window 1,000 of five seconds.
 const START_MS: u64 = 5_000_000;
+/// Time of the reporters at the start of window 1,000.
+const UPTIME_MS: u64 = 1_000;
 const SOURCE: u64 = 1;
 
 fn window(number: u64) -> WindowId {
@@ -40,7 +42,7 @@
 }
 
 fn held(term: u64, until_ms: u64) -> ReporterEvent {
-    ReporterEvent::Held { term: Term::new(term), until: Time::from_millis(until_ms) }
+    ReporterEvent::Held { term: Term::new(term), until: Time::from_millis(UPTIME_MS + until_ms) }
 }
 
 fn share(number: u64, count: u64, from_start: bool) -> ReporterEvent {
@@ -92,7 +94,15 @@
 }
 
 impl Holder {
+    /// Started a second before window 1,000.
     fn new() -> Self {
+        let mut holder = Self::just_started();
+        let before = UnixTime::from_millis(START_MS - UPTIME_MS);
+        holder.reporter.handle(Time::ZERO, before, ReporterEvent::Tick, &mut Vec::new());
+        holder
+    }
+
+    fn just_started() -> Self {
         Self { reporter: UsageReporter::new(UsageSettings::default()), now_ms: 0, written: None }
     }
 
@@ -120,7 +130,7 @@
 
     fn handle(&mut self, event: ReporterEvent) -> Vec<ReporterAction> {
         let mut out = Vec::new();
-        let now = Time::from_millis(self.now_ms);
+        let now = Time::from_millis(UPTIME_MS + self.now_ms);
         let true_time = UnixTime::from_millis(START_MS + self.now_ms);
         self.reporter.handle(now, true_time, self.with_serial(event), &mut out);
         out.iter_mut().for_each(|it| self.hide_serial(it));
@@ -295,6 +305,14 @@
         0, done(2) => [];
         5_000, TICK => [];
     ]
+    // The store went back before the front started. Taken over at once, the earlier counts would be in the latest state.
+    front_that_just_started_hears_its_peers_before_it_takes_a_state_over: Holder::just_started(), [
+        0, held(7, 60_000) => [];
+        300, told_stamp(6, 2, 1_000) => [];
+        699, TICK => [];
+        1, TICK => [ReporterAction::ReadState];
+        0, found(state(5, 1_000, &[report(1_000, 8)]), 1) => [writes(state(7, 1_000, &[]), 1)];
+    ]
     result_of_an_earlier_tenure_is_not_taken_for_the_present_one: Holder::with_due_window(), [
         0, TICK => [writes(frozen(), 2)];
         0, ReporterEvent::Lost => [];
--- a/crates/daisychute-usage/tests/schedules.rs
+++ b/crates/daisychute-usage/tests/schedules.rs
@@ -1,8 +1,12 @@
 //! Random schedules of three fronts, a store and an API: holders change and are killed, writes and calls get lost or are
 //! executed late, shares get lost, and the store goes back to an older copy. No window may be sent with two different
 //! sets of counts.
+//!
+//! `DAISYCHUTE_SEED=n` runs the schedules from seed `n` on, `QUICKCHECK_TESTS=n` so many of them.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::env;
+use std::hash::{BuildHasher as _, Hasher as _, RandomState};
 use std::time::Duration;
 
 use daisychute_core::{TenantName, Term, Time};
@@ -10,7 +14,7 @@
     CallOutcome, ReportState, ReporterAction, ReporterEvent, StateUnavailable, StateVersion,
     StateWrite, UnixTime, UsageCounter, UsageReport, UsageReporter, UsageSettings, WindowId,
 };
-use quickcheck::{Arbitrary, Gen, QuickCheck};
+use quickcheck::{Arbitrary as _, Gen};
 
 const FRONTS: usize = 3;
 const STEP: Duration = Duration::from_millis(100);
@@ -19,6 +23,12 @@
 const LEASE: Duration = Duration::from_millis(2_500);
 const SCHEDULES: u64 = 400;
 const SCHEDULE_STEPS: usize = 300;
+/// Bytes below this one are faults.
+const FAULT_BYTES: u8 = 26;
+/// More choices than a schedule uses.
+const CHOICES: usize = 6_000;
+const SEED: &str = "DAISYCHUTE_SEED";
+const GEN_SIZE: usize = 100;
 
 /// Shorter windows than in operation, so that a schedule has many.
 fn settings() -> UsageSettings {
@@ -56,7 +66,7 @@
             0..8 => Self::LeaseLost,
             8..14 => Self::HolderKilled,
             14..18 => Self::FrontKilled,
-            18..26 => Self::StoreWentBack,
+            18..FAULT_BYTES => Self::StoreWentBack,
             _ => Self::None,
         }
     }
@@ -341,29 +351,135 @@
     }
 }
 
-/// Random bytes. Not shrunk: a schedule has hundreds of them, and shrinking takes minutes.
+/// Random bytes of a schedule. Not shrunk: there are hundreds of them, and shrinking takes minutes.
 #[derive(Debug, Clone)]
-struct Bytes(Vec<u8>);
+struct Schedule {
+    faults: Vec<u8>,
+    choices: Vec<u8>,
+}
 
-impl Arbitrary for Bytes {
-    fn arbitrary(random: &mut Gen) -> Self {
-        Self((0..SCHEDULE_STEPS).map(|_| u8::arbitrary(random)).collect())
+impl Schedule {
+    /// Of 256 steps, `dense` have a fault for sure.
+    fn random(seed: u64, dense: u8) -> Self {
+        let mut random = Gen::from_size_and_seed(GEN_SIZE, seed);
+        let mut bytes =
+            || -> Vec<u8> { (0..SCHEDULE_STEPS).map(|_| u8::arbitrary(&mut random)).collect() };
+        let (mut faults, choices) = (bytes(), bytes());
+        for fault in &mut faults {
+            if u8::arbitrary(&mut random) < dense {
+                *fault %= FAULT_BYTES;
+            }
+        }
+        Self { faults, choices }
+    }
+
+    /// A schedule whose other steps have no fault, and whose other choices let nothing get lost.
+    fn sparse(steps: usize, faults: &[(usize, u8)], choices: &[(usize, u8)]) -> Self {
+        let mut schedule = Self { faults: vec![u8::MAX; steps], choices: vec![99; CHOICES] };
+        faults.iter().for_each(|&(index, byte)| schedule.faults[index] = byte);
+        choices.iter().for_each(|&(index, byte)| schedule.choices[index] = byte);
+        schedule
+    }
+
+    fn has_one_set_of_counts_per_window(&self) -> bool {
+        let mut world = World::new(self.choices.clone(), false);
+        for &fault in &self.faults {
+            world.step(Fault::from(fault));
+        }
+        !world.conflicting
     }
 }
 
-fn one_set_of_counts_per_window(faults: Bytes, choices: Bytes) -> bool {
-    let mut world = World::new(choices.0, false);
-    for fault in faults.0 {
-        world.step(Fault::from(fault));
+fn from_env(name: &str) -> Option<u64> {
+    env::var(name).ok()?.parse().ok()
+}
+
+/// Checks schedules of consecutive seeds, from a random one unless `DAISYCHUTE_SEED` is set.
+fn check_schedules(dense: u8) {
+    let first = from_env(SEED).unwrap_or_else(|| RandomState::new().build_hasher().finish());
+    for number in 0..from_env("QUICKCHECK_TESTS").unwrap_or(SCHEDULES) {
+        let seed = first.wrapping_add(number);
+        let schedule = Schedule::random(seed, dense);
+        assert!(schedule.has_one_set_of_counts_per_window(), "{SEED}={seed}: {schedule:?}");
     }
-    !world.conflicting
 }
 
 #[test]
 fn no_window_is_sent_with_different_counts() {
-    QuickCheck::new()
-        .tests(SCHEDULES)
-        .quickcheck(one_set_of_counts_per_window as fn(Bytes, Bytes) -> bool);
+    check_schedules(0);
+}
+
+#[test]
+fn no_window_is_sent_with_different_counts_under_many_faults() {
+    check_schedules(60);
+}
+
+/// A front that just started holds the duty before it hears its peers, and finds a state that the store went back to.
+#[test]
+fn state_that_a_restarted_front_finds_does_not_pass_for_the_latest() {
+    let faults = [
+        (2, 15),
+        (12, 22),
+        (14, 13),
+        (18, 23),
+        (26, 14),
+        (42, 14),
+        (43, 0),
+        (47, 14),
+        (50, 18),
+        (62, 21),
+        (66, 17),
+        (71, 22),
+        (74, 14),
+        (77, 19),
+        (80, 24),
+        (82, 20),
+        (90, 23),
+        (94, 18),
+        (97, 24),
+        (100, 8),
+        (125, 22),
+        (127, 3),
+        (138, 23),
+        (139, 21),
+        (141, 4),
+        (159, 24),
+        (167, 5),
+        (168, 22),
+        (177, 23),
+        (192, 17),
+    ];
+    let choices = [
+        (12, 250),
+        (274, 205),
+        (284, 255),
+        (324, 61),
+        (353, 43),
+        (400, 0),
+        (438, 1),
+        (448, 0),
+        (494, 232),
+        (504, 255),
+        (514, 207),
+        (516, 240),
+        (596, 143),
+        (818, 253),
+        (848, 41),
+        (1132, 3),
+        (1133, 218),
+        (1170, 237),
+        (1171, 208),
+        (1256, 0),
+        (1400, 6),
+        (1442, 1),
+        (1521, 0),
+        (1541, 226),
+        (1588, 6),
+        (1675, 249),
+        (1714, 207),
+        (1771, 208),
+    ];
+    assert!(Schedule::sparse(260, &faults, &choices).has_one_set_of_counts_per_window());
 }
 
 /// A reporter that never reports would pass the schedules.
