fix(testbed): hold the listen addresses of daemons while a deployment runs

The failure itself wasn't reproduced, so that it had the cause below is not shown.

Cause: a free port was looked up with a socket that listens and is closed again. The tests of a binary start processes in several threads, and a child has the sockets of its parent until it executes its program. While such a child isn't scheduled, its copy still listens, and a daemon can't listen on the same port. Besides, nothing held the port until the daemon listened, or between two starts of it.

Ruled out: outgoing connections, which don't come from the addresses that are allocated.

Change: a socket that is bound with SO_REUSEADDR but never listens holds the port for as long as the daemon's node exists. Listeners set the option too, so the daemon can listen beside it, and beside copies of it.

--- a/crates/daisychute-testbed/src/deployment.rs
+++ b/crates/daisychute-testbed/src/deployment.rs
@@ -13,7 +13,7 @@
 use serde::Serialize;
 use serde_json::{Value, json};
 
-use crate::addr::free_addr;
+use crate::addr::ReservedAddr;
 use crate::node::Daemon;
 use crate::{AgentNode, DeploymentSpec, EntryNode, TestbedError, configuration};
 
@@ -205,7 +205,8 @@
         standin: &Program,
     ) -> Result<(), TestbedError> {
         let (standin, standin_addr) = self.start_standin(&kind, standin).await?;
-        let (peer_addr, admin_addr) = (free_addr()?, free_addr()?);
+        let addrs = [ReservedAddr::new()?, ReservedAddr::new()?];
+        let [peer_addr, admin_addr] = addrs.each_ref().map(ReservedAddr::addr);
         let kind_key = match &kind {
             EndpointKind::Engine => "kind = engine".to_owned(),
             EndpointKind::Service(service) => format!("kind = service\nservice = {service}"),
@@ -226,7 +227,7 @@
             target: None,
         };
         self.put_instance(&record).await?;
-        let daemon = Daemon::start(name, settings)?;
+        let daemon = Daemon::start(name, settings, addrs.into())?;
         self.agents.push(AgentNode { daemon, admin_addr, record, standin, standin_addr });
         Ok(())
     }
@@ -249,12 +250,13 @@
 
     fn add_entry(&mut self, index: usize) -> Result<(), TestbedError> {
         let name = format!("entry-{}", index + 1);
-        let (client_addr, peer_addr, admin_addr) = (free_addr()?, free_addr()?, free_addr()?);
+        let addrs = [ReservedAddr::new()?, ReservedAddr::new()?, ReservedAddr::new()?];
+        let [client_addr, peer_addr, admin_addr] = addrs.each_ref().map(ReservedAddr::addr);
         let settings = format!(
             "{}[listen]\ncallers = {client_addr}\ninner = {peer_addr}\nadmin = {admin_addr}\n",
             self.common_settings(&name, "entry", index),
         );
-        let daemon = Daemon::start(name, settings)?;
+        let daemon = Daemon::start(name, settings, addrs.into())?;
         self.entries.push(EntryNode { daemon, client_addr, admin_addr, tenant: "clerks" });
         Ok(())
     }
--- a/crates/daisychute-testbed/src/lib.rs
+++ b/crates/daisychute-testbed/src/lib.rs
@@ -23,6 +23,7 @@
 mod operator;
 mod deployment_spec;
 
+pub use crate::addr::ReservedAddr;
 pub use crate::configuration::configuration;
 pub use crate::deployment::Deployment;
 pub use crate::deployment_spec::DeploymentSpec;
--- a/crates/daisychute-testbed/src/node.rs
+++ b/crates/daisychute-testbed/src/node.rs
@@ -9,6 +9,7 @@
 use daisychute_standin::service::ServiceSeen;
 
 use crate::TestbedError;
+use crate::addr::ReservedAddr;
 
 /// Number of log lines that an error shows, from the end of the log.
 const MAX_LOG_LINES: usize = 40;
@@ -23,12 +24,18 @@
     name: String,
     settings: String,
     process: Process,
+    /// Its listen addresses, which stay reserved for a restart.
+    _addrs: Vec<ReservedAddr>,
 }
 
 impl Daemon {
-    pub(crate) fn start(name: String, settings: String) -> Result<Self, HarnessError> {
+    pub(crate) fn start(
+        name: String,
+        settings: String,
+        addrs: Vec<ReservedAddr>,
+    ) -> Result<Self, HarnessError> {
         let process = Program::built(DAEMON_PROGRAM)?.settings(settings.clone()).start()?;
-        Ok(Self { name, settings, process })
+        Ok(Self { name, settings, process, _addrs: addrs })
     }
 
     /// The last lines that it logged.
