fix(front): let bodies give way that wait for the processor

After a crowd with chunks of one byte had closed its connections, callers with bodies of 100 kB were refused (body_memory) until the front had read what the crowd had sent.

What a client has sent before it closes its socket stands before the end of the connection: 3.5 MB each, in the clients' send queues, so that the system shows such clients as present. In a trace of 300 clients and 64 MiB each body held 64 KiB, all 300 waited for their turn at the processor, 3.4 s, and none counted as waiting for its client. So none was asked to give way, though some had made no progress for 3.5 s.

A body that waits for its turn is now judged by its progress like any other, and gives way during the wait if others need its memory. Without others that wait for memory nothing changes: a single body in tiny chunks is served.

--- a/crates/daisychute-front/src/body_progress.rs
+++ b/crates/daisychute-front/src/body_progress.rs
@@ -12,7 +12,7 @@
 /// What a body waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Stage {
-    /// For its client.
+    /// For its client, or for its turn at the processor.
     Receiving,
     /// For memory, so that its client can't send.
     Waiting,
@@ -33,7 +33,8 @@
 
 /// The bodies that are being received, and when each last made progress.
 ///
-/// A body has stalled if it hasn't grown by a sixteenth of its size for a while. As long as there is memory for all, that
+/// A body has stalled if it hasn't grown by a sixteenth of its size for a while, be it that its client sends nothing or that
+/// what it sends takes long to read. As long as there is memory for all, that
 /// does no harm. Once others wait for memory, the bodies that stalled first give theirs up.
 ///
 /// ```
--- a/crates/daisychute-front/src/client/body_room.rs
+++ b/crates/daisychute-front/src/client/body_room.rs
@@ -221,14 +221,6 @@
         self.memory.progress.borrow_mut().receive(now, self.key, bytes);
     }
 
-    /// Runs a pause of the front's own, in which the client can't make progress.
-    pub(crate) async fn pause(&self, pause: impl Future<Output = ()>) {
-        self.memory.progress.borrow_mut().wait(self.key);
-        pause.await;
-        let now = self.memory.clock.now();
-        self.memory.progress.borrow_mut().hold(now, self.key, self.bytes);
-    }
-
     /// Records that the body is received. Its memory stays reserved.
     pub(crate) fn end_receiving(&self) {
         self.memory.end_receiving(self.key);
--- a/crates/daisychute-front/src/client/connection.rs
+++ b/crates/daisychute-front/src/client/connection.rs
@@ -282,7 +282,11 @@
                     room.record_received(body.len());
                     if turn_bytes >= TURN_BYTES {
                         turn_bytes = 0;
-                        room.pause(pacer.wait_turn()).await;
+                        tokio::select! {
+                            biased;
+                            () = room.yielded() => return Err(BodyError::Stalled),
+                            () = pacer.wait_turn() => {}
+                        }
                     }
                     let count = tokio::select! {
                         biased;
