fix(front): log at most 20 invalid records of one listing

A list that began among pages without end and ended with a sound one brought thousands of invalid records, each of which was logged at once; lines that came after them, such as `directory regained`, were left out since the log was full. That the missing line was left out as well is suspected, not seen.

Each listing now logs 20 of its invalid records; the metric counts all of them.

--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -39,6 +39,9 @@
 /// Maximum delay after failed calls: changes must be in force within two seconds of the directory's recovery.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// Maximum number of invalid records that are logged of one listing; the metric counts all of them. More would displace
+/// other lines of the log.
+const MAX_LOGGED_RECORDS: usize = 20;
 /// Time after the start in which the maximum applies: endpoints and other fronts start at the same time, and their number
 /// isn't known yet.
 const STARTUP_TIME: Duration = Duration::from_secs(6);
@@ -68,6 +71,8 @@
     failures: u32,
     /// Consecutive answers that were dropped because of a return of the directory.
     outdated: u32,
+    /// Invalid records of the present listing that were logged.
+    logged: usize,
     outage: DirectoryOutage,
     /// When the directory last answered this watcher. Its connections may have been silent since.
     last_answer: Time,
@@ -86,6 +91,7 @@
             names,
             failures: 0,
             outdated: 0,
+            logged: 0,
             outage: DirectoryOutage::default(),
             last_answer: Time::ZERO,
             era: 0,
@@ -221,9 +227,7 @@
                     position = position.max(listing.position);
                     self.state.revisions.record_seen(self.collection, listing.latest);
                     let changed = !listing.changes.is_empty();
-                    for change in listing.changes {
-                        self.apply(change, position.era());
-                    }
+                    self.apply_all(listing.changes, position.era());
                     self.state.revisions.record_covered(self.collection, position);
                     if changed {
                         sleep(self.state.jitter(collect_time(&self.state))).await;
@@ -307,9 +311,7 @@
         for name in removed.into_iter().filter(|_| !fronts_return) {
             self.apply(Change { name, record: None }, era);
         }
-        for change in listing.changes {
-            self.apply(change, era);
-        }
+        self.apply_all(listing.changes, era);
         match self.collection {
             Collection::Endpoints => self.state.departures.borrow_mut().record_listed(now, era),
             Collection::Fronts => self.state.peers.record_listing(),
@@ -324,6 +326,14 @@
         self.state.with_dispatcher(|it| it.fleet().names().map(ToString::to_string).collect())
     }
 
+    /// Applies the changes of one listing.
+    fn apply_all(&mut self, changes: Vec<Change>, era: u64) {
+        self.logged = 0;
+        for change in changes {
+            self.apply(change, era);
+        }
+    }
+
     /// Applies a change that the directory told in this era.
     fn apply(&mut self, change: Change, era: u64) {
         let Change { name, record } = change;
@@ -336,7 +346,10 @@
             }
             Some(Err(reason)) => {
                 let collection = self.collection.as_str();
-                log::info!(collection, name, reason; "invalid record treated as removed");
+                if self.logged < MAX_LOGGED_RECORDS {
+                    self.logged += 1;
+                    log::info!(collection, name, reason; "invalid record treated as removed");
+                }
                 metrics::counter!("daisychute_invalid_records_total", "collection" => collection)
                     .increment(1);
                 self.remove(name, era);
