fix(front): pace watches that end early without a change

A watch that ended without a change was followed by the next one at once, and one that the store answered with 410 by a listing and a further watch: a store, or something before it, that answers at once was called as fast as it answered.

From the second watch in a row on that ends before half of its time without a change, the next call waits like one after a failure, for 60 to 600 ms (with jitter), but never beyond the time that the watch should have lasted. A change, or a watch that lasts, ends that. Watches with changes aren't delayed by it, and a single one that is cut off or shows another object's change is replaced at once. The new counter daisychute_directory_early_answers_total and a line of the log tell the operator.

--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -71,6 +71,8 @@
     failures: u32,
     /// Consecutive answers that were dropped because of a return of the directory.
     outdated: u32,
+    /// Consecutive watches that ended early without a change.
+    early: u32,
     /// Invalid records of the present listing that were logged.
     logged: usize,
     outage: DirectoryOutage,
@@ -91,6 +93,7 @@
             names,
             failures: 0,
             outdated: 0,
+            early: 0,
             logged: 0,
             outage: DirectoryOutage::default(),
             last_answer: Time::ZERO,
@@ -230,19 +233,43 @@
                     self.apply_all(listing.changes, position.era());
                     self.state.revisions.record_covered(self.collection, position);
                     if changed {
+                        self.early = 0;
                         sleep(self.state.jitter(collect_time(&self.state))).await;
+                    } else {
+                        self.pace(wait, deadline).await;
                     }
                 }
                 Err(DirectoryError::HistoryGone) => {
                     let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::warn!(collection, revision; "the directory no longer has the changes since this revision; listing again");
-                    return;
+                    return self.pace(wait, deadline).await;
                 }
                 Err(e) => self.handle_failure(&e, deadline).await,
             }
         }
     }
 
+    /// Waits after a watch without a change, which should have lasted until `deadline`, if the one before ended early too.
+    /// A single one may have been cut off, or have shown a change of another object.
+    async fn pace(&mut self, wait: Duration, deadline: Time) {
+        let left = deadline.since(self.state.now());
+        if left <= wait / 2 {
+            self.early = 0;
+            return;
+        }
+        self.early = self.early.saturating_add(1);
+        if self.early == 1 {
+            return;
+        }
+        let collection = self.collection.as_str();
+        metrics::counter!("daisychute_directory_early_answers_total", "collection" => collection)
+            .increment(1);
+        if self.early == 2 {
+            log::warn!(collection; "watches end early without a change; the next ones are delayed");
+        }
+        sleep(self.state.jitter(retry_delay(self.early - 1)).min(left)).await;
+    }
+
     fn record_success(&mut self) {
         let collection = self.collection.as_str();
         metrics::counter!("daisychute_directory_answers_total", "collection" => collection)
