--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -13,12 +13,13 @@
 use futures_util::future::join_all;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::protocol::frame::Frame;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
 use tokio_tungstenite::tungstenite::{Error, Message};
-use tokio_tungstenite::{accept_async_with_config, client_async_with_config};
+use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
 use crate::peers::snapshot::Snapshot;
 use crate::side_listener;
@@ -27,7 +28,10 @@
 
 /// Maximum number of peers that fetch a snapshot at once.
 const MAX_CONNECTIONS: usize = 64;
-/// Time limit for a snapshot transfer; a peer that takes longer is skipped.
+/// Maximum number of snapshots that are received and decoded at once, each of which takes up to `MAX_SNAPSHOT_BYTES` and
+/// what it is decoded to.
+const MAX_TRANSFERS: usize = 4;
+/// Time limit for a snapshot transfer, and for the connection before it; a peer that takes longer is skipped.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 /// Interval between attempts, each of which tries the peers in turn.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
@@ -140,8 +144,9 @@
             take_newest(&state, peers).await;
             continue;
         }
+        let places = Semaphore::new(1);
         for peer in peers {
-            match fetch(peer).await {
+            match fetch(peer, &places).await {
                 Ok(snapshot) if apply(&state, peer, &snapshot) => break,
                 Ok(_) => log::debug!(peer:%; "snapshot of a peer isn't newer"),
                 Err(error) => {
@@ -155,7 +160,9 @@
 /// Asks all peers at once and applies the newest snapshot. A front that knows nothing can't tell that the first one is
 /// older: it may have been started again, and have known that a key was revoked or that an endpoint left.
 async fn take_newest<D: Dialect>(state: &Rc<FrontState<D>>, peers: Vec<SocketAddr>) {
-    let fetched = join_all(peers.into_iter().map(async |peer| (peer, fetch(peer).await))).await;
+    let places = Semaphore::new(MAX_TRANSFERS);
+    let fetch = async |peer| (peer, fetch(peer, &places).await);
+    let fetched = join_all(peers.into_iter().map(fetch)).await;
     let mut snapshots = Vec::new();
     for (peer, result) in fetched {
         match result {
@@ -172,15 +179,23 @@
     }
 }
 
-async fn fetch(peer: SocketAddr) -> Result<Snapshot, FetchError> {
-    timeout(FETCH_TIMEOUT, fetch_unbounded(peer)).await.map_err(|_| FetchError::Timeout)?
+/// Connects to a peer, and receives its snapshot once one of the `places` is free. Peers that don't accept the connection
+/// take no place.
+async fn fetch(peer: SocketAddr, places: &Semaphore) -> Result<Snapshot, FetchError> {
+    let opened = timeout(FETCH_TIMEOUT, open(peer)).await;
+    let socket = opened.map_err(|_| FetchError::Timeout)??;
+    let _place = places.acquire().await;
+    timeout(FETCH_TIMEOUT, receive(socket)).await.map_err(|_| FetchError::Timeout)?
 }
 
-async fn fetch_unbounded(peer: SocketAddr) -> Result<Snapshot, FetchError> {
+async fn open(peer: SocketAddr) -> Result<WebSocketStream<TcpStream>, FetchError> {
     let stream = TcpStream::connect(peer).await?;
     let url = format!("ws://{peer}/");
     let opened = client_async_with_config(url, stream, Some(websocket_config())).await;
-    let (mut socket, _) = opened.map_err(Box::new)?;
+    Ok(opened.map_err(Box::new)?.0)
+}
+
+async fn receive(mut socket: WebSocketStream<TcpStream>) -> Result<Snapshot, FetchError> {
     let message = socket.next().await.ok_or(FetchError::Empty)?.map_err(Box::new)?;
     let Message::Binary(bytes) = message else { return Err(FetchError::Empty) };
     ciborium::from_reader(&bytes[..]).map_err(|e| FetchError::Codec(e.to_string()))
