--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -39,6 +39,9 @@
 /// Maximum delay after failed calls: changes must be in force within two seconds of the directory's recovery.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
+/// Maximum number of invalid records that are logged of one listing; the metric counts all of them. More would displace
+/// other lines of the log.
+const MAX_LOGGED_RECORDS: usize = 20;
 /// Time after the start in which the maximum applies: endpoints and other fronts start at the same time, and their number
 /// isn't known yet.
 const STARTUP_TIME: Duration = Duration::from_secs(6);
@@ -68,6 +71,10 @@
     failures: u32,
     /// Consecutive answers that were dropped because of a return of the directory.
     outdated: u32,
+    /// Consecutive watches that ended early without a change.
+    early: u32,
+    /// Invalid records of the present listing that were logged.
+    logged: usize,
     outage: DirectoryOutage,
     /// When the directory last answered this watcher. Its connections may have been silent since.
     last_answer: Time,
@@ -86,6 +93,8 @@
             names,
             failures: 0,
             outdated: 0,
+            early: 0,
+            logged: 0,
             outage: DirectoryOutage::default(),
             last_answer: Time::ZERO,
             era: 0,
@@ -221,24 +230,46 @@
                     position = position.max(listing.position);
                     self.state.revisions.record_seen(self.collection, listing.latest);
                     let changed = !listing.changes.is_empty();
-                    for change in listing.changes {
-                        self.apply(change, position.era());
-                    }
+                    self.apply_all(listing.changes, position.era());
                     self.state.revisions.record_covered(self.collection, position);
                     if changed {
+                        self.early = 0;
                         sleep(self.state.jitter(collect_time(&self.state))).await;
+                    } else {
+                        self.pace(wait, deadline).await;
                     }
                 }
                 Err(DirectoryError::HistoryGone) => {
                     let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::warn!(collection, revision; "the directory no longer has the changes since this revision; listing again");
-                    return;
+                    return self.pace(wait, deadline).await;
                 }
                 Err(e) => self.handle_failure(&e, deadline).await,
             }
         }
     }
 
+    /// Waits after a watch without a change, which should have lasted until `deadline`, if the one before ended early too.
+    /// A single one may have been cut off, or have shown a change of another object.
+    async fn pace(&mut self, wait: Duration, deadline: Time) {
+        let left = deadline.since(self.state.now());
+        if left <= wait / 2 {
+            self.early = 0;
+            return;
+        }
+        self.early = self.early.saturating_add(1);
+        if self.early == 1 {
+            return;
+        }
+        let collection = self.collection.as_str();
+        metrics::counter!("daisychute_directory_early_answers_total", "collection" => collection)
+            .increment(1);
+        if self.early == 2 {
+            log::warn!(collection; "watches end early without a change; the next ones are delayed");
+        }
+        sleep(self.state.jitter(retry_delay(self.early - 1)).min(left)).await;
+    }
+
     fn record_success(&mut self) {
         let collection = self.collection.as_str();
         metrics::counter!("daisychute_directory_answers_total", "collection" => collection)
@@ -307,9 +338,7 @@
         for name in removed.into_iter().filter(|_| !fronts_return) {
             self.apply(Change { name, record: None }, era);
         }
-        for change in listing.changes {
-            self.apply(change, era);
-        }
+        self.apply_all(listing.changes, era);
         match self.collection {
             Collection::Endpoints => self.state.departures.borrow_mut().record_listed(now, era),
             Collection::Fronts => self.state.peers.record_listing(),
@@ -324,6 +353,14 @@
         self.state.with_dispatcher(|it| it.fleet().names().map(ToString::to_string).collect())
     }
 
+    /// Applies the changes of one listing.
+    fn apply_all(&mut self, changes: Vec<Change>, era: u64) {
+        self.logged = 0;
+        for change in changes {
+            self.apply(change, era);
+        }
+    }
+
     /// Applies a change that the directory told in this era.
     fn apply(&mut self, change: Change, era: u64) {
         let Change { name, record } = change;
@@ -336,7 +373,10 @@
             }
             Some(Err(reason)) => {
                 let collection = self.collection.as_str();
-                log::info!(collection, name, reason; "invalid record treated as removed");
+                if self.logged < MAX_LOGGED_RECORDS {
+                    self.logged += 1;
+                    log::info!(collection, name, reason; "invalid record treated as removed");
+                }
                 metrics::counter!("daisychute_invalid_records_total", "collection" => collection)
                     .increment(1);
                 self.remove(name, era);
