test(soak): streams whose workers stop at their deadline, or end them in order as they leave

Workers print each such stream with its last event, and whether the front had closed the connection before. The report counts them by kind and way, and names them beside violations; such a stream never counts as truncated by a worker that stays.

--- a/crates/daisychute-soak/src/args.rs
+++ b/crates/daisychute-soak/src/args.rs
@@ -54,5 +54,11 @@
         /// Have faults from time to time that are drawn from this seed
         #[arg(long)]
         lapses: Option<u64>,
+        /// Stop streams at the deadlines of their requests, in ways that are drawn from this seed
+        #[arg(long)]
+        deadlines: Option<u64>,
+        /// End chunked streams that are cancelled by a last chunk
+        #[arg(long)]
+        last_chunks: bool,
     },
 }
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -36,9 +36,26 @@
         Command::Run { seed, seeds, logs, options } => {
             run_seeds(seed, seeds, logs.as_deref(), options)
         }
-        Command::Worker { id, version, address, departure, end_delay_ms, one_response, lapses } => {
+        Command::Worker {
+            id,
+            version,
+            address,
+            departure,
+            end_delay_ms,
+            one_response,
+            lapses,
+            deadlines,
+            last_chunks,
+        } => {
             let end_delay = Duration::from_millis(end_delay_ms);
-            let manners = WorkerManners { departure, end_delay, one_response, lapses };
+            let manners = WorkerManners {
+                departure,
+                end_delay,
+                one_response,
+                lapses,
+                deadlines,
+                last_chunks,
+            };
             actix_rt::System::new().block_on(async {
                 match serve_worker(&id, &version, address, manners).await {
                     // The system closes the connections that are left, and not the runtime one by one.
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -45,6 +45,10 @@
     /// longer streams, whose clients may go on at another front at any time
     #[arg(long, requires = "streams")]
     pub(crate) rough: bool,
+    /// Also let clients of streams ask with deadlines that many of them reach, and workers stop work there by a last chunk, a
+    /// close or a reset
+    #[arg(long, requires = "streams")]
+    pub(crate) deadlines: bool,
     /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
     #[arg(long)]
     pub(crate) limits: bool,
--- a/crates/daisychute-soak/src/streams.rs
+++ b/crates/daisychute-soak/src/streams.rs
@@ -3,6 +3,7 @@
 
 mod check;
 mod clients;
+mod deadlines;
 mod departures;
 mod disruption;
 mod ends;
--- a/crates/daisychute-soak/src/streams/check.rs
+++ b/crates/daisychute-soak/src/streams/check.rs
@@ -4,6 +4,9 @@
 use std::fmt;
 use std::time::Duration;
 
+use daisychute_platform_standin::StopWay;
+
+use super::deadlines::StopCounts;
 use super::departures::DepartureCounts;
 use super::ends::Ends;
 use super::rough::RoughCounts;
@@ -32,6 +35,8 @@
     pub(crate) kind: Kind,
     /// Number of events of the whole stream.
     pub(crate) events: u32,
+    /// Time that the client gives each attempt.
+    pub(crate) deadline: Duration,
     pub(crate) attempts: Vec<RequestRecord>,
     /// Time from the last event to the end; `None` if it wasn't measured.
     pub(crate) tail: Option<Duration>,
@@ -162,6 +167,12 @@
         starts.skip(1).count()
     }
 
+    /// Attempts that were answered and had not ended before their deadline.
+    fn attempts_at_deadline(&self) -> usize {
+        let answered = self.attempts.iter().filter(|it| it.response.is_some());
+        answered.filter(|it| it.ended_at - it.sent_at >= self.deadline).count()
+    }
+
     /// What the client was told when it asked to go on and couldn't.
     fn refused_resumptions(&self) -> impl Iterator<Item = &str> {
         let has_events = |it: &RequestRecord| !Received::parse(it).events.is_empty();
@@ -171,7 +182,7 @@
     }
 
     fn violation(&self, outcome: Outcome, end: &str, timeline: &str) -> Violation {
-        let Self { kind, events, attempts, tail: _ } = self;
+        let Self { kind, events, attempts, .. } = self;
         let attempts: Vec<_> = attempts.iter().map(describe).collect();
         let attempts = attempts.join("; ");
         Violation::new(format!(
@@ -204,6 +215,8 @@
     pub(super) departures: Option<DepartureCounts>,
     /// What happened in rough conditions; `None` without them.
     pub(super) rough: Option<RoughCounts>,
+    /// Whether streams must have reached their deadline.
+    pub(super) has_deadlines: bool,
 }
 
 #[derive(Debug, Default)]
@@ -221,6 +234,10 @@
     cut_whole: BTreeMap<String, usize>,
     /// How long whole streams took to end.
     tails: Tails,
+    /// Attempts that were answered and had not ended before their deadline, as clients see it.
+    at_deadline: usize,
+    /// Attempts that workers stopped at their deadline, or ended in order since they left.
+    stops: StopCounts,
 }
 
 impl Counts {
@@ -241,6 +258,10 @@
             let is_disrupted = stream.attempts.iter().any(|it| ends.has_worker_of(it));
             kind.disrupted += usize::from(is_disrupted);
             kind.count_cut(&stream.attempts, ends);
+            kind.at_deadline += stream.attempts_at_deadline();
+            for stopped in stream.attempts.iter().flat_map(|it| ends.stopped(it)) {
+                kind.stops.add(stopped);
+            }
             if let Some(tail) = stream.tail.filter(|_| outcome == Outcome::Whole) {
                 kind.tails.add(tail);
             }
@@ -273,10 +294,27 @@
         if self.kinds.iter().all(|(_, it)| it.resumptions == 0) {
             missing.push("none resumed".to_owned());
         }
+        if self.has_deadlines && self.kinds.values().all(|it| it.at_deadline == 0) {
+            missing.push("no stream reached its deadline".to_owned());
+        }
+        if self.has_deadlines && self.count_stops(&StopWay::AT_DEADLINE) == 0 {
+            missing.push("no stream stopped by a worker at its deadline".to_owned());
+        }
+        // Other streams hardly outlive the time for which leaving workers serve.
+        let leave = self.departures.is_some() && self.has_deadlines;
+        if leave && self.count_stops(&[StopWay::LeavingLastChunk]) == 0 {
+            missing.push("no stream ended in order by a worker that leaves".to_owned());
+        }
         missing.extend(self.departures.iter().flat_map(DepartureCounts::missing_cases));
         missing.extend(self.rough.iter().flat_map(RoughCounts::missing_cases));
         missing
     }
+
+    /// Number of attempts that workers stopped in these ways.
+    fn count_stops(&self, ways: &[StopWay]) -> usize {
+        let kinds = self.kinds.values();
+        kinds.flat_map(|kind| ways.iter().map(|way| kind.stops.count(*way))).sum()
+    }
 }
 
 impl KindCounts {
@@ -302,6 +340,8 @@
                 violations,
                 cut_whole,
                 tails,
+                at_deadline,
+                stops,
             } = counts;
             let streams: usize = outcomes.values().sum();
             write!(f, "\n  {kind}: {streams} streams")?;
@@ -310,7 +350,7 @@
             }
             write!(
                 f,
-                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}; violations {violations:?}; broken off though all events were sent {cut_whole:?}; last event to end {tails}"
+                "; {disrupted} disrupted, {resumptions} resumptions, refused ones {refused_resumptions:?}; violations {violations:?}; broken off though all events were sent {cut_whole:?}; last event to end {tails}; {at_deadline} attempts reached their deadline, {stops}"
             )?;
         }
         self.departures.as_ref().map_or(Ok(()), |it| it.fmt(f))?;
--- a/crates/daisychute-soak/src/streams/clients.rs
+++ b/crates/daisychute-soak/src/streams/clients.rs
@@ -13,7 +13,9 @@
 use tokio::time::{Instant, sleep};
 
 use super::check::{Kind, StreamRecord};
+use super::deadlines::Deadlines;
 use crate::checks::RequestRecord;
+use crate::run_options::RunOptions;
 
 /// Path of the route whose streams may be resumed.
 pub(super) const RESUMABLE: &str = "/resumable/";
@@ -73,6 +75,8 @@
     idle: Option<(SocketAddr, Connection)>,
     /// Whether conditions are rough.
     rough: bool,
+    /// Chooses deadlines; `None` for [`DEADLINE_MS`].
+    deadlines: Option<Deadlines>,
 }
 
 /// How a client asks for a stream, and reads it.
@@ -85,11 +89,19 @@
     /// Whether further attempts name the first one that had an event.
     names_first: bool,
     read_pause: Duration,
+    deadline_ms: u64,
 }
 
 /// Runs one client until the pool is stopping.
-pub(super) async fn run_client(pool: Rc<StreamPool>, resumable: bool, rough: bool, seed: u64) {
-    let mut client = Client { pool, rng: Pcg64Mcg::seed_from_u64(seed), idle: None, rough };
+pub(super) async fn run_client(
+    pool: Rc<StreamPool>,
+    resumable: bool,
+    options: RunOptions,
+    seed: u64,
+) {
+    let deadlines = options.deadlines.then(|| Deadlines::new(seed));
+    let rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut client = Client { pool, rng, idle: None, rough: options.rough, deadlines };
     while !client.pool.stopping.get() {
         let pause = client.rng.random_range(1..MAX_PAUSE_MS);
         sleep(Duration::from_millis(pause)).await;
@@ -108,8 +120,14 @@
         let interval_ms = rng.random_range(2..if resumable { 80 } else { 120 });
         let (events, bytes, interval_ms) =
             if self.rough { rough_form(rng) } else { (events, bytes, interval_ms) };
+        let deadlines = self.deadlines.as_mut().filter(|_| !self.rough);
+        let interval_ms =
+            deadlines.map_or(interval_ms, |it| it.next_interval_ms(events, interval_ms));
         let framing = if kind.chunked { "chunked" } else { "close" };
         let read_pause_ms = if is_slow { rng.random_range(0..MAX_READ_PAUSE_MS) } else { 0 };
+        let stream_ms = u64::from(events * interval_ms);
+        let deadlines = self.deadlines.as_mut();
+        let deadline_ms = deadlines.map_or(DEADLINE_MS, |it| it.next_ms(resumable, stream_ms));
         let request = Request {
             first_id: self.pool.next_id(),
             path: if resumable { RESUMABLE } else { SINGLE },
@@ -117,8 +135,11 @@
             events,
             names_first: rng.random_range(0..2) == 0,
             read_pause: Duration::from_millis(read_pause_ms),
+            deadline_ms,
         };
-        let mut stream = StreamRecord { kind, events, attempts: Vec::new(), tail: None };
+        let deadline = Duration::from_millis(deadline_ms);
+        let (attempts, tail) = (Vec::new(), None);
+        let mut stream = StreamRecord { kind, events, deadline, attempts, tail };
         for _ in 0..if resumable { MAX_ATTEMPTS } else { 1 } {
             let Some((attempt, tail)) = self.attempt(&request, &stream).await else {
                 if self.rough {
@@ -206,7 +227,7 @@
         let tokens = self.events * TOKENS_PER_EVENT;
         request_text(&self.first_id, "POST", self.path, true)
             .replacen(&self.first_id, id, 1)
-            .replacen("X-Deadline-Ms: 2500", &format!("X-Deadline-Ms: {DEADLINE_MS}"), 1)
+            .replacen("X-Deadline-Ms: 2500", &format!("X-Deadline-Ms: {}", self.deadline_ms), 1)
             .replacen(&format!(",{OUTPUT_TOKENS}\r\n"), &format!(",{tokens}\r\n"), 1)
             .replacen("X-Model", &format!("{headers}X-Model"), 1)
     }
--- a/crates/daisychute-soak/src/streams/departures.rs
+++ b/crates/daisychute-soak/src/streams/departures.rs
@@ -22,11 +22,17 @@
 const SUSPENSION_MS: std::ops::Range<u64> = 20..800;
 /// Offset from the seed of a run to that of its departures.
 const DEPARTURE_SEED: u64 = 1 << 57;
+/// Offset from the seed of a run to that of the ends of cancelled streams.
+const LAST_CHUNK_SEED: u64 = 1 << 60;
+/// One worker in this many ends the chunked streams that it cancels by a last chunk.
+const LAST_CHUNK_INTERVAL: u32 = 2;
 
 /// Chooses how workers leave. Its generator is one of its own, so that the other disruptions of a seed stay as they are.
 #[derive(Debug)]
 pub(super) struct Departures {
     rng: Pcg64Mcg,
+    /// Chooses how cancelled streams end.
+    last_chunk_rng: Pcg64Mcg,
     /// Number of workers that it was asked for.
     workers: usize,
 }
@@ -35,17 +41,22 @@
     pub(super) fn new(seed: u64) -> Self {
         let mut rng = Pcg64Mcg::seed_from_u64(seed ^ DEPARTURE_SEED);
         let workers = rng.random_range(0..Departure::GRADUAL.len());
-        Self { rng, workers }
+        let last_chunk_rng = Pcg64Mcg::seed_from_u64(seed ^ LAST_CHUNK_SEED);
+        Self { rng, last_chunk_rng, workers }
     }
 
     /// How the next worker treats its connections. Each gradual way has its turn.
     pub(super) fn next_manners(&mut self) -> WorkerManners {
         self.workers += 1;
+        let departure = Departure::GRADUAL[self.workers % Departure::GRADUAL.len()];
+        let last_chunks = self.last_chunk_rng.random_range(0..LAST_CHUNK_INTERVAL) == 0;
         WorkerManners {
-            departure: Departure::GRADUAL[self.workers % Departure::GRADUAL.len()],
+            departure,
             end_delay: Duration::from_millis(self.rng.random_range(0..=MAX_END_DELAY_MS)),
             one_response: self.rng.random_range(0..ONE_RESPONSE_INTERVAL) == 0,
             lapses: None,
+            deadlines: None,
+            last_chunks: last_chunks && departure.cancels_streams(),
         }
     }
 
--- a/crates/daisychute-soak/src/streams/ends.rs
+++ b/crates/daisychute-soak/src/streams/ends.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use daisychute_platform_standin::Departure;
+use daisychute_platform_standin::{Departure, StoppedStream};
 use tokio::time::Instant;
 
 use crate::checks::RequestRecord;
@@ -20,6 +20,8 @@
     pub(super) sent: BTreeSet<String>,
     /// The last event of each attempt that a worker ended early and in order, by the id of the attempt.
     pub(super) truncated: BTreeMap<String, u32>,
+    /// What workers stopped, by the id of the attempt.
+    pub(super) stopped: BTreeMap<String, Vec<StoppedStream>>,
 }
 
 /// The end of a worker, at the request of the soak.
@@ -60,11 +62,13 @@
 
     /// Tells when the worker of an attempt was told to end, and when it had, in ms before the end of the attempt.
     pub(super) fn timeline(&self, attempt: &RequestRecord) -> String {
-        let Some(end) = self.worker_end(attempt) else { return String::new() };
+        let stopped = self.stopped(attempt).iter().map(|it| format!("[{it}] "));
+        let stopped: String = stopped.collect();
+        let Some(end) = self.worker_end(attempt) else { return stopped };
         let before = |at: Instant| attempt.ended_at.saturating_duration_since(at).as_millis();
         let gone = end.gone_at.map(before);
         format!(
-            "told {} ms before the end, gone {gone:?}, then {:?}",
+            "{stopped}told {} ms before the end, gone {gone:?}, then {:?}",
             before(end.at),
             end.successor
         )
@@ -81,6 +85,9 @@
         };
         text.push_str(if one_response { ", one response" } else { "" });
         text.push_str(if self.has_front_of(attempt) { ", front ended" } else { "" });
+        for stopped in self.stopped(attempt) {
+            text.push_str(&format!(", {}", stopped.way));
+        }
         text
     }
 
@@ -91,7 +98,14 @@
 
     /// Whether a worker that stayed ended an attempt early and in order after this event.
     pub(super) fn is_truncated(&self, attempt: &RequestRecord, last_event: u32) -> bool {
-        self.truncated.get(&attempt.id) == Some(&last_event)
+        // A worker that stops for time or since it leaves is no such case.
+        let is_stopped = self.stopped(attempt).iter().any(|it| it.last_event == last_event);
+        self.truncated.get(&attempt.id) == Some(&last_event) && !is_stopped
+    }
+
+    /// Where workers stopped an attempt at its deadline, or ended it in order since they left.
+    pub(super) fn stopped(&self, attempt: &RequestRecord) -> &[StoppedStream] {
+        self.stopped.get(&attempt.id).map_or(&[], Vec::as_slice)
     }
 
     /// Whether a worker sent all events of an attempt.
--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Departure, Fleet, FrontProcess, HOST, SENT_PREFIX, StandinError, TRUNCATED_PREFIX, WorkerKind,
-    WorkerManners, WorkerProcess,
+    Departure, Fleet, FrontProcess, HOST, SENT_PREFIX, STOPPED_PREFIX, StandinError, StoppedStream,
+    TRUNCATED_PREFIX, WorkerKind, WorkerManners, WorkerProcess,
 };
 use daisychute_standin::harness::{ANY_PORT, Program};
 use daisychute_standin::relay::Relay;
@@ -17,6 +17,7 @@
 
 use super::check::Counts;
 use super::clients::{RESUMABLE, SINGLE, StreamPool, run_client};
+use super::deadlines::{DEADLINES_MS, Deadlines};
 use super::departures::{DepartureCounts, Departures};
 use super::disruption::Disruption;
 use super::ends::{Ends, WorkerEnd};
@@ -42,6 +43,9 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two checks whether a worker has ended that was told to stop.
 const END_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for which workers serve once the store has accepted that they drain, by the bounds of the platform. Within it, nothing
+/// would tell the end of a stream by a last chunk from the end of its work.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
 /// Time limit for a worker to end.
 const END_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of log lines kept of fronts that have ended, the latest ones.
@@ -55,6 +59,8 @@
     /// Whether the worker is draining or gone.
     is_leaving: bool,
     departure: Departure,
+    /// Whether it ends the streams that it cancels by a last chunk.
+    last_chunks: bool,
     /// Number of slots in its record; `None` for the usual one.
     slots: Option<u32>,
     /// When the worker was told to stop, of one that doesn't end at once.
@@ -79,6 +85,8 @@
     departed: DepartureCounts,
     /// Chooses what happens in rough conditions; `None` without them.
     rough: Option<Rough>,
+    /// Chooses how workers stop at deadlines; `None` if they don't.
+    deadlines: Option<Deadlines>,
     ended_logs: Vec<String>,
     disruptions: usize,
 }
@@ -91,7 +99,7 @@
         .map(|number| {
             let pool = Rc::clone(&soak.pool);
             let seed = seed ^ ((number + 1) << 32);
-            actix_rt::spawn(run_client(pool, number % 2 == 0, options.rough, seed))
+            actix_rt::spawn(run_client(pool, number % 2 == 0, options, seed))
         })
         .collect();
     let end = Instant::now() + Duration::from_secs_f64(options.minutes * 60.0);
@@ -130,10 +138,12 @@
         }
         // Rough conditions are about streams in flight, and not about load that is refused.
         let goal_ms = if options.rough { 8_000 } else { 800 };
+        let timeouts_ms = if options.deadlines { DEADLINES_MS } else { (8_000, 8_000) };
         let route = |path: &str, resumable: bool| {
+            let timeout_ms = if resumable { timeouts_ms.0 } else { timeouts_ms.1 };
             json!({
                 "name": path.trim_matches('/'), "host": HOST, "path_prefix": path, "kind": "streaming",
-                "timeout_ms": 8000, "latency_goal_ms": goal_ms, "gap_aim_ms": 400, "priority": 1,
+                "timeout_ms": timeout_ms, "latency_goal_ms": timeout_ms.min(goal_ms), "gap_aim_ms": 400, "priority": 1,
                 "service": "lm", "max_attempts": 2, "resumable": resumable, "sticky": true,
             })
         };
@@ -150,6 +160,7 @@
             departures: options.departures.then(|| Departures::new(seed)),
             departed: DepartureCounts::default(),
             rough: options.rough.then(|| Rough::new(seed)),
+            deadlines: options.deadlines.then(|| Deadlines::new(seed)),
             ended_logs: Vec::new(),
             disruptions: 0,
         };
@@ -179,7 +190,8 @@
         let departures = self.departures.as_mut().filter(|_| !is_relayed);
         let manners = departures.map_or(WorkerManners::AT_ONCE, Departures::next_manners);
         let lapses = self.rough.as_mut().map(Rough::next_lapses);
-        let manners = WorkerManners { lapses, ..manners };
+        let deadlines = self.deadlines.as_mut().map(Deadlines::next_worker);
+        let manners = WorkerManners { lapses, deadlines, ..manners };
         let program = Program::built("daisychute-soak").map_err(StandinError::from)?;
         let program = program.arg("worker").args(worker_args(manners));
         let worker = WorkerProcess::start(program, &id, &version, address).await?;
@@ -187,10 +199,11 @@
             true => Some(Relay::start(ANY_PORT, worker.address(), ANY_PORT).await?),
             false => None,
         };
-        let WorkerManners { departure, one_response, .. } = manners;
+        let WorkerManners { departure, one_response, last_chunks, .. } = manners;
         self.ends.one_response.extend(one_response.then(|| id.clone()));
         let slots = self.rough.as_ref().map(|_| rough::SLOTS);
-        let place = Place { worker, relay, is_leaving: false, departure, slots, stopped_at: None };
+        let (is_leaving, stopped_at) = (false, None);
+        let place = Place { worker, relay, is_leaving, departure, last_chunks, slots, stopped_at };
         self.fleet.store.put("servers", &id, place.record("ready"));
         Ok(place)
     }
@@ -230,14 +243,16 @@
             }
             Disruption::DrainWorker(worker, span) => {
                 if self.take_away(worker) {
-                    let place = &self.places[worker];
-                    self.fleet.store.put("servers", place.worker.id(), place.record("draining"));
-                    self.schedule(span, Disruption::ReplaceWorker(worker));
+                    self.drain(worker, span);
                 }
             }
             Disruption::StopWorker(worker) => {
                 if self.take_away(worker) {
-                    self.replace(worker).await?;
+                    if self.places[worker].last_chunks {
+                        self.drain(worker, Duration::ZERO);
+                    } else {
+                        self.replace(worker).await?;
+                    }
                 }
             }
             Disruption::SuspendFront(front, span) => {
@@ -296,6 +311,14 @@
         may_leave
     }
 
+    /// Lets a worker report that it drains, and tells it to stop after this time, or after the bound if that matters.
+    fn drain(&mut self, worker: usize, span: Duration) {
+        let place = &self.places[worker];
+        self.fleet.store.put("servers", place.worker.id(), place.record("draining"));
+        let span = if place.last_chunks { DRAIN_TIME + span } else { span };
+        self.schedule(span, Disruption::ReplaceWorker(worker));
+    }
+
     fn note_end_of_front(&mut self, front: usize) {
         let address = self.fleet.fronts[front].client_address();
         self.ends.fronts.push((address, Instant::now()));
@@ -334,6 +357,10 @@
         let truncated = truncated.filter_map(|it| it.split_once(' '));
         let truncated = truncated.filter_map(|it| Some((it.0.to_owned(), it.1.parse().ok()?)));
         self.ends.truncated.extend(truncated);
+        let stopped = lines.iter().filter_map(|it| it.strip_prefix(STOPPED_PREFIX));
+        for stopped in stopped.filter_map(|it| it.parse::<StoppedStream>().ok()) {
+            self.ends.stopped.entry(stopped.id.clone()).or_default().push(stopped);
+        }
     }
 
     /// Ends a worker with the streams that it still has, if it hasn't ended.
@@ -407,6 +434,7 @@
             truncated: self.ends.truncated.len(),
             ..it.counts
         });
+        counts.has_deadlines = self.deadlines.is_some();
         let mut report = Report { faults: self.disruptions, ..Report::default() };
         for (violation, ids) in violations {
             report.violations.push(violation);
@@ -433,13 +461,16 @@
 
 /// Arguments that make a worker process behave like this.
 fn worker_args(manners: WorkerManners) -> Vec<String> {
-    let WorkerManners { departure, end_delay, one_response, lapses } = manners;
+    let WorkerManners { departure, end_delay, one_response, lapses, deadlines, last_chunks } =
+        manners;
     let mut args = vec![
         format!("--departure={departure}"),
         format!("--end-delay-ms={}", end_delay.as_millis()),
     ];
     args.extend(one_response.then(|| "--one-response".to_owned()));
     args.extend(lapses.map(|seed| format!("--lapses={seed}")));
+    args.extend(deadlines.map(|seed| format!("--deadlines={seed}")));
+    args.extend(last_chunks.then(|| "--last-chunks".to_owned()));
     args
 }
 
