--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -158,3 +158,10 @@
     let args = ["run", "--seed", "62301", "--minutes", "0.2", "--streams", "--departures"];
     actix_rt::System::new().block_on(run(&[&args[..], &["--rough", "--fronts", "5"]].concat()))
 }
+
+/// Streams whose workers stopped work at the deadline that they were handed, and ended them by a last chunk, looked whole.
+#[test]
+fn streams_at_their_deadline_look_whole_only_if_they_are() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "65201", "--minutes", "0.2", "--streams", "--deadlines"];
+    actix_rt::System::new().block_on(run(&[&args[..], &["--fronts", "5"]].concat()))
+}
