--- a/crates/daisychute-soak/src/streams/run.rs
+++ b/crates/daisychute-soak/src/streams/run.rs
@@ -191,7 +191,9 @@
         let manners = departures.map_or(WorkerManners::AT_ONCE, Departures::next_manners);
         let lapses = self.rough.as_mut().map(Rough::next_lapses);
         let deadlines = self.deadlines.as_mut().map(Deadlines::next_worker);
-        let manners = WorkerManners { lapses, deadlines, ..manners };
+        // Other streams hardly outlive the drain time. Without deadlines, seeds stay as they were.
+        let last_chunks = manners.last_chunks && deadlines.is_some();
+        let manners = WorkerManners { lapses, deadlines, last_chunks, ..manners };
         let program = Program::built("daisychute-soak").map_err(StandinError::from)?;
         let program = program.arg("worker").args(worker_args(manners));
         let worker = WorkerProcess::start(program, &id, &version, address).await?;
