fix(front): hold the end of a stream for no longer than the front's stop allows

Clients of a stopping front saw whole streams cut at its exit (LOST): all events had arrived, and the front waited for a sign that the endpoint, which was leaving as well, outlives them. The wait of 1.5 s took no account of the exit. Half of the time until the exit is used now, 1.5 s at most.

Core: end_of_a_stream_is_held_for_half_of_the_time_until_the_exit.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -264,13 +264,15 @@
     const DRAIN_DIVISOR: u32 = 2;
 
     /// Returns for how long the endpoint of a response that ended with its connection is watched: as long as that doesn't harm the
-    /// client. With `is_passed`, the client has the response but for its end. Otherwise half of the time left until the latency
-    /// objective is used, or until the deadline if the response is late.
+    /// client. With `is_passed`, the client has the response but for its end, and half of the time until the front exits is used at
+    /// most. Otherwise half of the time left until the latency objective is used, or until the deadline if the response is late.
     #[must_use]
     pub fn end_hold(&self, now: Time, key: RequestKey, is_passed: bool) -> Duration {
         let Some(state) = self.requests.get(&key) else { return MIN_HOLD };
         if is_passed {
-            return MAX_HOLD;
+            // The response is cut at the exit of the front.
+            let until_exit = self.shutdown.map_or(Duration::MAX, |it| it.deadline.since(now));
+            return (until_exit / 2).clamp(MIN_HOLD, MAX_HOLD);
         }
         let until_objective = (state.arrived + state.route.objective).since(now);
         let left = match until_objective {
--- a/crates/daisychute-dispatch/tests/shutdown.rs
+++ b/crates/daisychute-dispatch/tests/shutdown.rs
@@ -548,3 +548,15 @@
     let (_, actions) = front.arrive_with(SHORT, 400);
     assert!(sent_task(&actions).is_some(), "{actions:?}");
 }
+
+/// Guards against whole streams that are cut at the exit of a front that waits for a sign of their endpoint.
+#[test]
+fn end_of_a_stream_is_held_for_half_of_the_time_until_the_exit() {
+    let mut front = Front::new(common::fleet());
+    let (key, _) = front.arrive(SHORT);
+    let hold = |front: &Front| front.dispatcher.end_hold(front.now, key, true);
+    assert_eq!(hold(&front), Duration::from_millis(1_500));
+    front.request_stop();
+    front.wait(GRACE - Duration::from_millis(800));
+    assert_eq!(hold(&front), Duration::from_millis(400));
+}
