--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -23,6 +23,8 @@
     reported: Cell<Option<(Position, Time)>>,
     // Peers that are ahead up to this position don't replace the watch again.
     checked: Cell<Position>,
+    // When a peer was found ahead that may still be ahead.
+    behind_since: Cell<Option<Time>>,
     lagging: Notify,
 }
 
@@ -47,6 +49,7 @@
             }
             _ => {
                 self.reported.set(Some((position, now)));
+                self.behind_since.set(Some(now));
                 false
             }
         }
@@ -115,6 +118,12 @@
         )
     }
 
+    /// Returns for how long a peer was known to be ahead of this front's configuration, which has just caught up; `None` if
+    /// no peer was.
+    pub fn end_configuration_lag(&self, now: Time) -> Option<Duration> {
+        Some(now.since(self.configuration.behind_since.take()?))
+    }
+
     /// Whether a peer has reported later changes than this front has seen.
     #[must_use]
     pub fn is_behind(&self) -> bool {
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -388,7 +388,7 @@
     fn upsert(&self, name: String, record: Record, era: u64) {
         match record {
             Record::Configuration(table) => {
-                self.state.apply_configuration(table);
+                self.state.apply_configuration(table, "directory");
             }
             Record::Endpoint(endpoint) => {
                 let removal = self.outage.removal(self.state.now());
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -148,9 +148,9 @@
         for peer in peers {
             match fetch(peer, &places).await {
                 Ok(snapshot) if apply(&state, peer, &snapshot) => break,
-                Ok(_) => log::debug!(peer:%; "snapshot of a peer isn't newer"),
+                Ok(_) => log::info!(peer:%; "snapshot of a peer isn't newer"),
                 Err(error) => {
-                    log::debug!(peer:%, error:%; "fetching a snapshot from a peer failed")
+                    log::info!(peer:%, error:%; "fetching a snapshot from a peer failed")
                 }
             }
         }
@@ -234,7 +234,7 @@
     log::info!(peer:%, version, endpoints, era, covered = revision; "snapshot taken from peer");
     let (configuration_position, endpoints_position) = snapshot.positions();
     if newer_table {
-        state.apply_configuration(table);
+        state.apply_configuration(table, peer);
         state.revisions.record_seen(Collection::Configuration, configuration_position);
     }
     if newer_endpoints {
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -365,13 +365,22 @@
         self.with_dispatcher(|it| it.fleet().takes_work(self.now(), endpoint))
     }
 
-    pub(crate) fn apply_configuration(self: &Rc<Self>, table: Arc<RouteTable>) {
+    /// Puts a configuration in force that this `source`, the directory or a peer, has told, if it is newer.
+    pub(crate) fn apply_configuration(
+        self: &Rc<Self>,
+        table: Arc<RouteTable>,
+        source: impl Display,
+    ) {
         let before = self.with_dispatcher(|it| it.table().map(|table| table.version()));
         let (version, routes) = (table.version(), table.len());
         self.handle(Event::Configured(table));
         self.versions_may_differ.notify_one();
         if before.is_none_or(|it| it < version) {
-            log::info!(version, routes, before:?; "configuration in force");
+            let lag = self.revisions.end_configuration_lag(self.now());
+            let lag_ms = lag.unwrap_or_default().as_millis();
+            log::info!(version, routes, before:?, source:%, lag_ms; "configuration in force");
+            metrics::histogram!("daisychute_configuration_lag_seconds")
+                .record(lag.unwrap_or_default());
             metrics::gauge!("daisychute_configuration_version").set(version as f64);
         }
     }
