fix(front): let a response to a watch arrive though a peer has it already

What callers saw: as before, requests handled by an older version (CONFIG), for one transfer longer at fronts on slow links.

Cause: a front replaces its watch once a peer has been ahead for 350 ms and the time between two watches, since the response may be lost. It did so in the middle of a response that was arriving, and had it sent again from the start.

A call to watch now ends when the response begins, and its changes are received after that, without a look at the peers. A response that stops arriving is given up by its own limits.

--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -60,9 +60,12 @@
 
 /// Access to a store of records with revisions. It makes no decisions.
 pub trait Directory: Clone + 'static {
-    /// How much later than its wait time the response to a watch may arrive, before the watch fails.
+    /// How much later than its wait time the response to a watch may begin, before the watch fails.
     const WATCH_RESPONSE_MARGIN: Duration;
 
+    /// The response to a watch, whose changes haven't been received yet.
+    type WatchResponse;
+
     /// Returns all records of a collection. With `allow_stale`, the listing may be some seconds old, which is cheaper.
     fn list(
         &self,
@@ -70,14 +73,17 @@
         allow_stale: bool,
     ) -> impl Future<Output = Answer<Listing>>;
 
-    /// Waits up to `wait` for changes after `position`. The listing is empty if there are none. A directory that was
-    /// restored since answers in another era; its listing doesn't continue from `position`.
+    /// Waits up to `wait` for changes after `position`, until the response begins.
     fn watch(
         &self,
         collection: Collection,
         position: Position,
         wait: Duration,
-    ) -> impl Future<Output = Answer<Listing>>;
+    ) -> impl Future<Output = Answer<Self::WatchResponse>>;
+
+    /// Receives the changes that a watch has waited for. The listing is empty if there are none. A directory that was
+    /// restored meanwhile answers in another era; its listing doesn't continue from the position of the watch.
+    fn receive(&self, response: Self::WatchResponse) -> impl Future<Output = Answer<Listing>>;
 
     /// Writes the record by which other fronts find this one, replacing any existing record.
     fn announce(
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -7,6 +7,7 @@
 use daisychute_core::{EndpointName, Time};
 use tokio::time::sleep;
 
+use crate::directory::answer::Answer;
 use crate::directory::directory_outage::DirectoryOutage;
 use crate::directory::{Change, Collection, Directory, DirectoryError, Listing, Position, Record};
 use crate::peers::heartbeats::MAX_REGISTRATION_TIME;
@@ -207,8 +208,8 @@
         loop {
             let wait = self.watch_wait();
             let deadline = self.state.now() + wait;
-            let answer = tokio::select! {
-                answer = self.directory.watch(self.collection, position, wait) => answer,
+            let begun = tokio::select! {
+                begun = self.directory.watch(self.collection, position, wait) => begun,
                 () = self.state.revisions.wait_until_lagging(self.collection) => {
                     let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::info!(collection, revision; "a peer has seen a newer revision; watch restarted");
@@ -218,6 +219,11 @@
                 () = self.wait_until_restored(position) => return,
                 () = self.wait_until_released() => return,
             };
+            // A response that arrives isn't given up for a peer that has it already: it would have to be sent again.
+            let answer = match begun.result {
+                Ok(response) => self.directory.receive(response).await,
+                Err(e) => Answer::err(begun.era, e),
+            };
             self.record_era(answer.era);
             match answer.result {
                 Ok(listing) => {
