fix(front): list again where the response to a watch doesn't arrive

What callers would see: a front that missed many large changes never catches up (CONFIG).

Cause: after a failed watch the front watched again from the same revision. The response has each change since then, and beyond 8 MiB it is refused each time.

Where the response begins but can't be received, the front lists again: a list has each object once.

--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -219,6 +219,7 @@
                 () = self.wait_until_restored(position) => return,
                 () = self.wait_until_released() => return,
             };
+            let has_begun = begun.result.is_ok();
             // A response that arrives isn't given up for a peer that has it already: it would have to be sent again.
             let answer = match begun.result {
                 Ok(response) => self.directory.receive(response).await,
@@ -250,7 +251,13 @@
                     log::warn!(collection, revision; "the directory no longer has the changes since this revision; listing again");
                     return self.pace(wait, deadline).await;
                 }
-                Err(e) => self.handle_failure(&e, deadline).await,
+                Err(e) => {
+                    self.handle_failure(&e, deadline).await;
+                    if has_begun {
+                        // A list has each object once, a watch each of its changes, which may be too much.
+                        return;
+                    }
+                }
             }
         }
     }
