--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -329,6 +329,7 @@
         self.outage.record_failure(deadline.min(self.state.now()));
         if self.collection == Collection::Configuration {
             self.state.directory_unreachable.set(true);
+            self.state.snapshot_wanted.notify_one();
         }
         if self.failures == 1 {
             log::warn!(collection, error:%; "directory lost; what is known stays in force");
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -134,7 +134,14 @@
             })
             .unzip();
         let settings = LiveSettings::from(&self);
-        let state = FrontState::new(dialect, settings, incarnation_id, own_address, duties);
+        let state = FrontState::new(
+            dialect,
+            settings,
+            incarnation_id,
+            own_address,
+            own_snapshot_address.port(),
+            duties,
+        );
         if let (Some(link), Some((api, rx))) = (&state.duties, duty_input) {
             let calls = (directory.clone(), api);
             let (state, link) = (Rc::clone(&state), Rc::clone(link));
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -59,4 +59,5 @@
 pub use crate::live_settings::LiveSettings;
 pub use crate::peers::announcements::{AnnouncementPolicy, Announcements};
 pub use crate::peers::peer_records::PeerRecords;
+pub use crate::peers::snapshot_sources::SnapshotSources;
 pub use crate::response_info::{LimitNotice, PauseRequest, ResponseInfo};
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -107,6 +107,7 @@
 ) -> PeerHeartbeat {
     let (era, positions) = (state.era.latest(), state.revisions.latest_seen());
     PeerHeartbeat::new(state.incarnation_id, era, positions, loads, parts)
+        .snapshot_port(state.snapshot_port)
 }
 
 fn to_bytes(heartbeat: &PeerHeartbeat) -> Option<Vec<u8>> {
@@ -149,6 +150,7 @@
             limits,
             request_reports,
             duty_news,
+            snapshot_port,
         ) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
         if state.peers.record_incarnation(peer) {
@@ -158,7 +160,14 @@
             duties.record_news(from, peer, news);
         }
         state.record_peer_era(era, from);
+        if let Some(port) = snapshot_port {
+            let address = SocketAddr::new(from.ip(), port);
+            state.peers.snapshot_sources.borrow_mut().record(state.now(), address, positions);
+        }
         state.revisions.record_reported(state.now(), positions, || collect_time(&state));
+        if state.needs_snapshot() {
+            state.snapshot_wanted.notify_one();
+        }
         state.record_leaving_reported(leaving.into_iter().map(Into::into).collect());
         let origins: Vec<_> = origins.into_iter().flat_map(Origins::into_origins).collect();
         if !origins.is_empty() {
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod peer_heartbeat;
 pub(crate) mod peer_records;
 pub(crate) mod snapshot;
+pub(crate) mod snapshot_sources;
 pub(crate) mod snapshots;
 pub(crate) mod heartbeats;
 
@@ -24,7 +25,7 @@
 };
 use tokio::sync::Notify;
 
-use crate::{AnnouncementPolicy, Announcements, PeerRecords};
+use crate::{AnnouncementPolicy, Announcements, PeerRecords, SnapshotSources};
 
 /// Maximum number of incarnations of other fronts that are remembered. Beyond it, all count as new once more.
 const MAX_INCARNATIONS: usize = 4_096;
@@ -80,6 +81,8 @@
 #[derive(Debug)]
 pub(crate) struct Peers {
     records: RefCell<PeerRecords>,
+    /// What peers have reported, by the addresses of their snapshots.
+    pub(crate) snapshot_sources: RefCell<SnapshotSources>,
     /// Prompt parts that endpoints cache.
     pub(crate) cached_parts: RefCell<Announcements<(EndpointName, PromptPart)>>,
     /// Endpoints that are leaving.
@@ -103,6 +106,7 @@
     pub(crate) fn new(own_address: SocketAddr) -> Self {
         Self {
             records: RefCell::new(PeerRecords::new(own_address)),
+            snapshot_sources: RefCell::default(),
             cached_parts: RefCell::new(Announcements::new(CACHED_PARTS)),
             leaving: RefCell::new(Announcements::new(LEAVING)),
             origins: RefCell::new(Announcements::new(ORIGINS)),
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -45,8 +45,11 @@
     #[serde(default)]
     pub(crate) CrashReports,
     /// What the sender tells about duties. Fronts without duties or of before this element don't send it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(default)]
     pub(crate) Option<DutyNews>,
+    /// The port of the sender's snapshots, at the address from which it sends. Fronts of before this element don't send it.
+    #[serde(default)]
+    pub(crate) Option<u16>,
 );
 
 /// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
@@ -135,6 +138,7 @@
             limits,
             request_reports,
             None,
+            None,
         )
     }
 
@@ -168,6 +172,12 @@
         self
     }
 
+    /// Sets the port of the sender's snapshots.
+    pub(crate) fn snapshot_port(mut self, port: u16) -> Self {
+        self.12 = Some(port);
+        self
+    }
+
     /// Sets what was learned about prompt parts.
     pub(crate) fn part_reports(mut self, part_reports: CrashReports) -> Self {
         self.8 = part_reports;
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -33,6 +33,8 @@
 const MAX_TRANSFERS: usize = 4;
 /// Time limit for a snapshot transfer, and for the connection before it; a peer that takes longer is skipped.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum number of peers ahead of this front that are asked in one attempt.
+const MAX_SOURCES_ASKED: usize = 3;
 /// Interval between attempts, each of which tries the peers in turn.
 const ROUND_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum size of a snapshot: some thousand routes.
@@ -133,26 +135,34 @@
     state: Rc<FrontState<D>>,
     own_address: SocketAddr,
 ) {
+    sleep(state.jitter(ROUND_INTERVAL)).await;
     loop {
-        sleep(state.jitter(ROUND_INTERVAL)).await;
         if !state.needs_snapshot() {
+            tokio::select! {
+                () = sleep(ROUND_INTERVAL) => {}
+                () = state.snapshot_wanted.notified() => {}
+            }
             continue;
         }
-        let mut peers = state.seeds();
-        peers.retain(|it| *it != own_address);
-        if state.with_dispatcher(|it| it.table().is_none()) {
-            take_newest(&state, peers).await;
-            continue;
-        }
-        let places = Semaphore::new(1);
-        for peer in peers {
-            match fetch(peer, &places).await {
-                Ok(snapshot) if apply(&state, peer, &snapshot) => break,
-                Ok(_) => log::info!(peer:%; "snapshot of a peer isn't newer"),
-                Err(error) => {
-                    log::info!(peer:%, error:%; "fetching a snapshot from a peer failed")
-                }
-            }
+        take_from_peers(&state, own_address).await;
+        sleep(state.jitter(ROUND_INTERVAL)).await;
+    }
+}
+
+/// Asks the peers that are known to be ahead, and then the seeds, which may be as late as this front.
+async fn take_from_peers<D: Dialect>(state: &Rc<FrontState<D>>, own_address: SocketAddr) {
+    let mut peers = state.snapshot_sources(MAX_SOURCES_ASKED);
+    let seeds = state.seeds().into_iter().filter(|it| *it != own_address && !peers.contains(it));
+    peers.extend(seeds.collect::<Vec<_>>());
+    if state.with_dispatcher(|it| it.table().is_none()) {
+        return take_newest(state, peers).await;
+    }
+    let places = Semaphore::new(1);
+    for peer in peers {
+        match fetch(peer, &places).await {
+            Ok(snapshot) if apply(state, peer, &snapshot) => return,
+            Ok(_) => log::info!(peer:%; "snapshot of a peer isn't newer"),
+            Err(error) => log::info!(peer:%, error:%; "fetching a snapshot from a peer failed"),
         }
     }
 }
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -15,6 +15,7 @@
     Removal, RequestInfo, RequestKey, RequestKind, RequestRate, RouteTable,
 };
 use daisychute_runtime::Clock;
+use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
@@ -56,6 +57,10 @@
     pub(crate) directory_unreachable: Cell<bool>,
     /// Whether the directory's records of versions are to be read again.
     pub(crate) version_records_outdated: Cell<bool>,
+    /// Notified when a snapshot of a peer may be needed.
+    pub(crate) snapshot_wanted: Notify,
+    /// The port from which peers fetch snapshots.
+    pub(crate) snapshot_port: u16,
     /// Notified when the versions that may have streams may differ from what the directory has recorded.
     pub(crate) versions_may_differ: Notify,
     pub(crate) shutdown: ShutdownState,
@@ -90,6 +95,7 @@
         settings: LiveSettings,
         incarnation_id: u64,
         peer_address: SocketAddr,
+        snapshot_port: u16,
         duties: Option<Rc<DutyLink>>,
     ) -> Rc<Self> {
         Rc::new(Self {
@@ -104,6 +110,8 @@
             directory_last_seen: Cell::new(Time::ZERO),
             directory_unreachable: Cell::new(true),
             version_records_outdated: Cell::new(false),
+            snapshot_wanted: Notify::new(),
+            snapshot_port,
             versions_may_differ: Notify::new(),
             shutdown: ShutdownState::default(),
             large_responses: LargeBodies::default(),
@@ -460,8 +468,17 @@
     /// Whether a snapshot from a peer is needed: the directory is unreachable, and either no configuration is in force
     /// or a peer has seen later changes.
     pub(crate) fn needs_snapshot(&self) -> bool {
-        let unknown = self.with_dispatcher(|it| it.table().is_none());
-        self.directory_unreachable.get() && (unknown || self.revisions.is_behind())
+        let unknown = || self.with_dispatcher(|it| it.table().is_none());
+        self.directory_unreachable.get() && (self.revisions.is_behind() || unknown())
+    }
+
+    /// Returns some peers that have seen later changes than this front, in random order.
+    pub(crate) fn snapshot_sources(&self, count: usize) -> Vec<SocketAddr> {
+        let latest_seen = self.revisions.latest_seen();
+        let mut peers = self.peers.snapshot_sources.borrow().ahead_of(self.now(), latest_seen);
+        peers.shuffle(&mut *self.random.borrow_mut());
+        peers.truncate(count);
+        peers
     }
 
     /// Replaces the endpoints by those of a peer that has seen later changes, up to `covered`.
