fix(front): ask the seeds where no peer would tell of changes

What callers would see: a front that starts at a new address while the store turns it away stays at the configuration that it started with.

A front that couldn't register sends heartbeats to nobody, and nobody knows where to send any to.

--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) mod snapshots;
 pub(crate) mod heartbeats;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,6 +27,8 @@
 
 use crate::{AnnouncementPolicy, Announcements, PeerRecords, SnapshotSources};
 
+/// Time without a heartbeat after which none is expected: each peer sends several a second.
+const ALONE_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of incarnations of other fronts that are remembered. Beyond it, all count as new once more.
 const MAX_INCARNATIONS: usize = 4_096;
 /// Announcements of cached prompt parts: at most as many in a heartbeat as a front sends between two.
@@ -83,6 +85,8 @@
     records: RefCell<PeerRecords>,
     /// What peers have reported, by the addresses of their snapshots.
     pub(crate) snapshot_sources: RefCell<SnapshotSources>,
+    /// When the last heartbeat arrived; zero before the first one.
+    heard_at: Cell<Time>,
     /// Prompt parts that endpoints cache.
     pub(crate) cached_parts: RefCell<Announcements<(EndpointName, PromptPart)>>,
     /// Endpoints that are leaving.
@@ -107,6 +111,7 @@
         Self {
             records: RefCell::new(PeerRecords::new(own_address)),
             snapshot_sources: RefCell::default(),
+            heard_at: Cell::new(Time::ZERO),
             cached_parts: RefCell::new(Announcements::new(CACHED_PARTS)),
             leaving: RefCell::new(Announcements::new(LEAVING)),
             origins: RefCell::new(Announcements::new(ORIGINS)),
@@ -144,9 +149,15 @@
 
     /// Records that a heartbeat arrived from this address.
     pub(crate) fn record_heartbeat(&self, now: Time, from: SocketAddr) {
+        self.heard_at.set(now);
         self.records.borrow_mut().record_heartbeat(now, from);
     }
 
+    /// Whether no heartbeat has arrived lately, so that this front doesn't hear of changes that it lacks.
+    pub(crate) fn is_alone(&self, now: Time) -> bool {
+        now.since(self.heard_at.get()) > ALONE_TIME
+    }
+
     /// Returns the addresses of all other fronts that are known.
     pub(crate) fn addresses(&self, now: Time) -> Vec<SocketAddr> {
         self.records.borrow().addresses(now)
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -465,11 +465,12 @@
         self.now().since(self.directory_last_seen.get())
     }
 
-    /// Whether a snapshot from a peer is needed: the directory is unreachable, and either no configuration is in force
-    /// or a peer has seen later changes.
+    /// Whether a snapshot from a peer is needed: the directory is unreachable, and no configuration is in force, a peer has
+    /// seen later changes, or none would tell.
     pub(crate) fn needs_snapshot(&self) -> bool {
         let unknown = || self.with_dispatcher(|it| it.table().is_none());
-        self.directory_unreachable.get() && (self.revisions.is_behind() || unknown())
+        let is_alone = || self.peers.is_alone(self.now());
+        self.directory_unreachable.get() && (self.revisions.is_behind() || unknown() || is_alone())
     }
 
     /// Returns some peers that have seen later changes than this front, in random order.
