fix(front): don't wait for a silent store where a peer is ahead

Cause: a front whose peer is ahead replaced its watch by another one that might wait as long as any, up to [store] max-silence, before its failure told that the store is silent and that peers have to be asked.

--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -76,6 +76,8 @@
     early: u32,
     /// Invalid records of the present listing that were logged.
     logged: usize,
+    /// Whether the watch was replaced because a peer is ahead.
+    is_lagging: bool,
     outage: DirectoryOutage,
     /// When the directory last answered this watcher. Its connections may have been silent since.
     last_answer: Time,
@@ -96,6 +98,7 @@
             outdated: 0,
             early: 0,
             logged: 0,
+            is_lagging: false,
             outage: DirectoryOutage::default(),
             last_answer: Time::ZERO,
             era: 0,
@@ -192,8 +195,9 @@
     /// Returns how long the next watch waits: so short that, if all connections went silent right after the last answer,
     /// it fails early enough for a call on a new one within the maximum silence. After a failure it must show at once
     /// whether the directory is reachable again, because the time in which removed records may come back starts then.
+    /// A change that a peer already has is returned at once too, unless the directory is silent.
     fn watch_wait(&self) -> Duration {
-        if self.failures > 0 {
+        if self.failures > 0 || self.is_lagging {
             return PROBE_WAIT;
         }
         let since_answer = self.state.now().since(self.last_answer);
@@ -213,6 +217,7 @@
                 () = self.state.revisions.wait_until_lagging(self.collection) => {
                     let (collection, revision) = (self.collection.as_str(), position.revision());
                     log::info!(collection, revision; "a peer has seen a newer revision; watch restarted");
+                    self.is_lagging = true;
                     self.directory.reconnect();
                     continue;
                 }
@@ -296,6 +301,7 @@
             log::info!(collection, failures = self.failures; "directory regained");
         }
         self.last_answer = self.state.now();
+        self.is_lagging = false;
         self.failures = 0;
         self.outdated = 0;
     }
