--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -5,7 +5,9 @@
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
+use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
@@ -15,6 +17,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::{sleep, timeout};
+use tokio_io_timeout::TimeoutStream;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 use tokio_tungstenite::tungstenite::protocol::frame::Frame;
 use tokio_tungstenite::tungstenite::protocol::frame::coding::{Data, OpCode};
@@ -31,8 +34,14 @@
 /// Maximum number of snapshots that are received and decoded at once, each of which takes up to `MAX_SNAPSHOT_BYTES` and
 /// what it is decoded to.
 const MAX_TRANSFERS: usize = 4;
-/// Time limit for a snapshot transfer, and for the connection before it; a peer that takes longer is skipped.
+/// Time limit for a connection, and for more of a snapshot to be transferred; a peer that takes longer is skipped.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time limit for all of a snapshot: the largest ones take seconds over slow links.
+const MAX_TRANSFER_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of snapshots that are sent at once, so that each is sent before the time limit.
+const MAX_SENT: usize = 4;
+/// Maximum time for which a peer waits for its turn before it is to ask another one.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(200);
 /// Maximum number of peers ahead of this front that are asked in one attempt.
 const MAX_SOURCES_ASKED: usize = 3;
 /// Interval between attempts, each of which tries the peers in turn.
@@ -48,9 +57,9 @@
 #[derive(Debug, thiserror::Error)]
 enum FetchError {
     #[error("connecting failed: {0}")]
-    Connect(#[from] std::io::Error),
+    Connect(#[from] io::Error),
     #[error("writing failed: {0}")]
-    Write(#[source] std::io::Error),
+    Write(#[source] io::Error),
     #[error("the connection failed: {0}")]
     Socket(#[from] Box<Error>),
     #[error("the peer has no snapshot yet")]
@@ -59,18 +68,21 @@
     Codec(String),
     #[error("the transfer timed out")]
     Timeout,
+    #[error("too many snapshots are being sent")]
+    Busy,
 }
 
 /// Serves snapshots for the life of the process.
 pub(crate) async fn serve<D: Dialect>(state: Rc<FrontState<D>>, listener: TcpListener) {
     let latest = Rc::<RefCell<Weak<EncodedSnapshot>>>::default();
+    let turns = Rc::new(Semaphore::new(MAX_SENT));
     let serve = |stream, _| {
-        let (state, latest) = (Rc::clone(&state), Rc::clone(&latest));
+        let (state, latest, turns) = (Rc::clone(&state), Rc::clone(&latest), Rc::clone(&turns));
         async move {
-            match timeout(FETCH_TIMEOUT, send(&state, &latest, stream)).await {
-                Ok(Ok(())) => {}
-                Ok(Err(error)) => log::debug!(error:%; "sending a snapshot failed"),
-                Err(_) => side_listener::count_closed("slow"),
+            match send(&state, &latest, &turns, stream).await {
+                Ok(()) => {}
+                Err(FetchError::Timeout) => side_listener::count_closed("slow"),
+                Err(error) => log::debug!(error:%; "sending a snapshot failed"),
             }
         }
     };
@@ -88,11 +100,15 @@
 async fn send<D: Dialect>(
     state: &FrontState<D>,
     latest: &RefCell<Weak<EncodedSnapshot>>,
+    turns: &Semaphore,
     stream: TcpStream,
 ) -> Result<(), FetchError> {
     let config = websocket_config().read_buffer_size(READ_BUFFER_BYTES).write_buffer_size(0);
-    let socket = accept_async_with_config(stream, Some(config)).await;
-    let mut stream = socket.map_err(Box::new)?.into_inner();
+    let accepted = timeout(FETCH_TIMEOUT, accept_async_with_config(stream, Some(config))).await;
+    let socket = accepted.map_err(|_| FetchError::Timeout)?;
+    let mut stream = with_progress(socket.map_err(Box::new)?.into_inner());
+    let turn = timeout(MAX_TURN_WAIT, turns.acquire()).await;
+    let _turn = turn.map_err(|_| FetchError::Busy)?;
     let reusable = latest.borrow().upgrade().filter(|it| it.taken_at.elapsed() < REUSE_TIME);
     let snapshot = if let Some(snapshot) = reusable {
         snapshot
@@ -102,7 +118,21 @@
         snapshot
     };
     // A socket of the library would copy the message for each peer.
-    stream.write_all(&snapshot.frames).await.map_err(FetchError::Write)
+    let written = timeout(MAX_TRANSFER_TIME, stream.write_all(&snapshot.frames)).await;
+    match written.map_err(|_| FetchError::Timeout)? {
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => Err(FetchError::Timeout),
+        written => written.map_err(FetchError::Write),
+    }
+}
+
+/// A connection on which reading and writing fail once nothing moves for [`FETCH_TIMEOUT`].
+type ProgressStream = Pin<Box<TimeoutStream<TcpStream>>>;
+
+fn with_progress(stream: TcpStream) -> ProgressStream {
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_read_timeout(Some(FETCH_TIMEOUT));
+    stream.set_write_timeout(Some(FETCH_TIMEOUT));
+    Box::pin(stream)
 }
 
 /// Takes a snapshot and encodes it.
@@ -195,17 +225,17 @@
     let opened = timeout(FETCH_TIMEOUT, open(peer)).await;
     let socket = opened.map_err(|_| FetchError::Timeout)??;
     let _place = places.acquire().await;
-    timeout(FETCH_TIMEOUT, receive(socket)).await.map_err(|_| FetchError::Timeout)?
+    timeout(MAX_TRANSFER_TIME, receive(socket)).await.map_err(|_| FetchError::Timeout)?
 }
 
-async fn open(peer: SocketAddr) -> Result<WebSocketStream<TcpStream>, FetchError> {
-    let stream = TcpStream::connect(peer).await?;
+async fn open(peer: SocketAddr) -> Result<WebSocketStream<ProgressStream>, FetchError> {
+    let stream = with_progress(TcpStream::connect(peer).await?);
     let url = format!("ws://{peer}/");
     let opened = client_async_with_config(url, stream, Some(websocket_config())).await;
     Ok(opened.map_err(Box::new)?.0)
 }
 
-async fn receive(mut socket: WebSocketStream<TcpStream>) -> Result<Snapshot, FetchError> {
+async fn receive(mut socket: WebSocketStream<ProgressStream>) -> Result<Snapshot, FetchError> {
     let message = socket.next().await.ok_or(FetchError::Empty)?.map_err(Box::new)?;
     let Message::Binary(bytes) = message else { return Err(FetchError::Empty) };
     ciborium::from_reader(&bytes[..]).map_err(|e| FetchError::Codec(e.to_string()))
