fix(front): take no close for the end of a response after writing has failed

Cause: the system tells of a reset once. If the write gets it, the reads after it return what had arrived and then the end of the connection, as after a close in order; the worker is alive and confirms the end.

Where writing the request has failed, a body that only the close would end counts as broken off. Bodies with a length or chunks have an end of their own. A response that begins before the request is written needs nothing: no more is written then, so that the reads get the reset.

--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -118,8 +118,8 @@
             &mut request,
         )
         .await;
-        let (head, all_sent) = match head {
-            (Ok(head), all_sent) => (head, all_sent),
+        let (head, upload) = match head {
+            (Ok(head), upload) => (head, upload),
             (Err(ResponseError::Endless), _) => {
                 self.log_endless(ResponseError::Endless);
                 return CallEnd::Failed(SendFailure::Unusable, None);
@@ -130,7 +130,10 @@
             self.state.activity.record(self.decision.endpoint, sign);
         }
         let keep_alive = head.info.keep_alive;
-        let reusable = head.reusable && all_sent && head.head.keep_alive();
+        let reusable = head.reusable && upload == Upload::Whole && head.head.keep_alive();
+        if upload == Upload::Failed {
+            reader.distrust_close();
+        }
         let end = self.pass_response(head, &mut reader).await;
         let reusable = reusable && self.state.takes_work(self.decision.endpoint);
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
@@ -575,23 +578,34 @@
     matches!(write.write_buf(request).await, Ok(1..))
 }
 
-/// Writes the rest of the request while `response` runs. The second value tells whether the rest was written in full.
+/// How much of a request was written when its response began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Upload {
+    /// All of it.
+    Whole,
+    /// A part. No more is written.
+    Unfinished,
+    /// A part, after which writing failed. That may have been a reset, which the system tells of only once.
+    Failed,
+}
+
+/// Writes the rest of the request while `response` runs.
 async fn while_writing_rest<T>(
     response: impl Future<Output = T>,
     write: &mut WriteHalf<'_>,
     rest: &mut impl Buf,
-) -> (T, bool) {
+) -> (T, Upload) {
     if !rest.has_remaining() {
-        return (response.await, true);
+        return (response.await, Upload::Whole);
     }
     let mut response = std::pin::pin!(response);
     tokio::select! {
         biased;
-        out = &mut response => (out, false),
+        out = &mut response => (out, Upload::Unfinished),
         written = write.write_all_buf(rest) => {
             // An endpoint that stops reading may have responded nonetheless.
-            let all_sent = written.is_ok();
-            (response.await, all_sent)
+            let upload = if written.is_ok() { Upload::Whole } else { Upload::Failed };
+            (response.await, upload)
         }
     }
 }
--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -76,6 +76,8 @@
     buf: &'a mut BytesMut,
     body: Body,
     framing: Framing,
+    /// Whether the close of the connection may end a body.
+    is_close_trusted: bool,
     /// Bytes of chunk headers and trailers since the last bytes of the body.
     framing_bytes: usize,
     /// Bytes read from the connection, framing included.
@@ -101,6 +103,7 @@
             buf,
             body: Body::Complete(codec),
             framing: Framing::Length,
+            is_close_trusted: true,
             framing_bytes: 0,
             bytes_read: 0,
         }
@@ -141,6 +144,11 @@
         Ok(head)
     }
 
+    /// Takes the close of the connection for no end of a body from here on: it may have been reset.
+    pub(crate) const fn distrust_close(&mut self) {
+        self.is_close_trusted = false;
+    }
+
     /// Bytes of the body that were read from the connection so far, framing included.
     pub(crate) const fn bytes_read(&self) -> usize {
         self.bytes_read
@@ -267,7 +275,7 @@
             self.buf.reserve(READ_BYTES);
             let count = self.read.read_buf(self.buf).await.map_err(|_| ResponseError::Broken)?;
             if count == 0 {
-                return Ok(None);
+                return if self.is_close_trusted { Ok(None) } else { Err(ResponseError::Broken) };
             }
             self.bytes_read += count;
         }
