fix(front): pass on no response whose status isn't that of a final one

What a caller sees (MIXED, reported of other systems with status 000): the answer of a worker in trouble, with a status that doesn't exist. Status 000, two and four digits were refused here already; 101, 199, 600 and 999 were passed on, 101 as the head of an upgrade.

Cause: any status of three digits from 100 was taken for a final one.

Interim responses other than 101 are skipped, as 100 was, if they have no body; final ones have a status from 200 to 599. Others count as no answer.

--- a/crates/daisychute-front/src/endpoint/response_reader.rs
+++ b/crates/daisychute-front/src/endpoint/response_reader.rs
@@ -121,12 +121,13 @@
         let mut interim_responses = 0;
         let head = loop {
             match codec.decode(self.buf) {
-                Ok(Some(head)) if head.status == StatusCode::CONTINUE => {
+                Ok(Some(head)) if is_interim(&head, &codec) => {
                     interim_responses += 1;
                     if interim_responses > MAX_INTERIM_RESPONSES {
                         return Err(ResponseError::Endless);
                     }
                 }
+                Ok(Some(head)) if !is_final(head.status) => return Err(ResponseError::Broken),
                 Ok(Some(head)) => break head,
                 Ok(None) => _ = read_more(self.read, self.buf).await?,
                 Err(_) => return Err(ResponseError::Broken),
@@ -296,6 +297,17 @@
     }
 }
 
+/// Whether a response of this head comes before the final one. Interim responses have no body.
+fn is_interim(head: &ResponseHead, codec: &ClientCodec) -> bool {
+    let is_upgrade = head.status == StatusCode::SWITCHING_PROTOCOLS;
+    head.status.is_informational() && !is_upgrade && codec.message_type() == MessageType::None
+}
+
+/// Whether a final response may have this status (RFC 9110, section 15).
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Reads what has arrived, at least one byte. Returns the number of bytes.
 async fn read_more(read: &mut ReadHalf<'_>, buf: &mut BytesMut) -> Result<usize, ResponseError> {
     buf.reserve(READ_BYTES);
