fix(adapter): skip configurations that were replaced, over slow links

Cause: a watch returns each version since the last one, of which only the newest counts, and each takes most of a second on such a link.

The stand-in's rate is one of the listener in place of a fault, so that it holds beside faults.

--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -27,6 +27,9 @@
     /// listing is needed.
     #[error("the directory doesn't have the changes since that position")]
     HistoryGone,
+    /// The changes since the requested position would take longer to receive than a new listing.
+    #[error("the changes since that position are larger than a listing")]
+    TooManyChanges,
     /// The directory refused the call with this HTTP status; it may accept it later.
     #[error("the directory refused the call with status {0}")]
     Refused(u16),
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -256,6 +256,11 @@
                     log::warn!(collection, revision; "the directory no longer has the changes since this revision; listing again");
                     return self.pace(wait, deadline).await;
                 }
+                Err(DirectoryError::TooManyChanges) => {
+                    let (collection, revision) = (self.collection.as_str(), position.revision());
+                    log::info!(collection, revision; "the changes since this revision are larger than a listing; listing again");
+                    return;
+                }
                 Err(e) => {
                     self.handle_failure(&e, deadline).await;
                     if has_begun {
--- a/crates/daisychute-soak/src/changes.rs
+++ b/crates/daisychute-soak/src/changes.rs
@@ -46,6 +46,16 @@
     own.chain([route(MOVED_PATH, moved_to(version))]).collect()
 }
 
+/// Returns routes that no request uses, which make a configuration large.
+pub(crate) fn unused_routes(count: usize) -> impl Iterator<Item = Value> {
+    (0..count).map(|number| {
+        json!({
+            "name": format!("unused-{number}"), "host": "unused.example", "path_prefix": format!("/{number}/"),
+            "kind": "idempotent", "timeout_ms": 1000, "latency_goal_ms": 100, "service": SERVICES[0], "max_attempts": 1,
+        })
+    })
+}
+
 /// The service of [`MOVED_PATH`] in a version.
 fn moved_to(version: u64) -> &'static str {
     SERVICES[usize::from(version % 2 == 1)]
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -98,6 +98,8 @@
     restart_pending: Vec<bool>,
     /// The version of the current configuration.
     version: u64,
+    /// Number of unused routes in each configuration.
+    unused_routes: usize,
     /// Number of faults injected so far.
     faults: usize,
     /// Chooses the signals and configurations that follow a planned stop or reload; `None` if none do. It is a generator
@@ -157,6 +159,9 @@
     let mut soak = Soak::start(fronts, versions, options.changes).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut notice_rng = Pcg64Mcg::seed_from_u64(!seed);
+    if options.slow_links {
+        soak.slow_links_down();
+    }
     soak.series = planned_only.then(|| Pcg64Mcg::seed_from_u64(seed ^ SERIES_SEED));
     soak.restores = restores.then(|| Pcg64Mcg::seed_from_u64(seed ^ RESTORE_SEED));
     for number in 0..CLIENTS {
@@ -262,6 +267,7 @@
             cleanups,
             restart_pending,
             version,
+            unused_routes: 0,
             faults,
             series: None,
             restores: None,
--- a/crates/daisychute-soak/src/run/changing.rs
+++ b/crates/daisychute-soak/src/run/changing.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use crate::changes::{SERVICES, routes};
+use crate::changes::{SERVICES, routes, unused_routes};
 use crate::clients::run_probing_client;
 use crate::faults::Fault;
 use crate::report::Report;
@@ -34,6 +34,10 @@
 /// Number of fronts with which each step has a fault beside the changes. With fewer fronts fewer steps have one, so that
 /// fronts aren't disturbed all the time.
 pub(super) const FRONTS_OF_DENSE_FAULTS: usize = 24;
+/// Number of routes that make a configuration large, and the rate of a slow link, on which it takes most of a second, in bytes
+/// per second.
+const UNUSED_ROUTES: usize = 2_000;
+const SLOW_LINK_RATE: usize = 500_000;
 /// Maximum time from an invalid configuration to the next valid one, in ms.
 const MAX_INVALID_MS: u64 = 600;
 
@@ -96,6 +100,14 @@
             && self.changes.record_departure(worker)
     }
 
+    /// Connects every other front to the store by a slow link, and makes the configurations large from here on.
+    pub(super) fn slow_links_down(&mut self) {
+        self.unused_routes = UNUSED_ROUTES;
+        for front in self.fleet.fronts.iter().step_by(2) {
+            front.store_listener.set_rate(Some(SLOW_LINK_RATE));
+        }
+    }
+
     /// Writes a configuration. An invalid one has a route of a kind that doesn't exist, and a valid one follows it.
     pub(super) fn configure(&mut self, valid: bool) {
         self.version += 1;
@@ -108,6 +120,9 @@
             let at = Instant::now() + Duration::from_millis(rng.random_range(50..MAX_INVALID_MS));
             self.cleanups.push((at, FaultCleanup::Follow(Fault::Configure)));
         }
+        if let Some(routes) = extra.as_array_mut() {
+            routes.extend(unused_routes(self.unused_routes));
+        }
         self.fleet.configure(self.version, &extra);
         if valid {
             self.changes.record_version(self.version);
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -33,6 +33,9 @@
     /// heeds it in time
     #[arg(long, conflicts_with_all = ["poison", "crashing_requests", "limits", "notices", "restores"])]
     pub(crate) changes: bool,
+    /// Also connect every other front to the store by a slow link, and have configurations that take long on it
+    #[arg(long, requires = "changes")]
+    pub(crate) slow_links: bool,
     /// Run streams only, of workers that are processes, while workers and fronts end and are replaced, and check that they
     /// are in order and look whole only if they are
     #[arg(long, conflicts_with_all = ["planned_only", "poison", "crashing_requests", "limits", "notices", "restores", "changes", "versions"])]
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -79,6 +79,14 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Fronts on slow links received large configurations too late, or each of a series in turn.
+#[test]
+fn large_changes_over_slow_links_are_in_force_in_time() -> Result<(), HarnessError> {
+    let options = ["--changes", "--slow-links", "--fronts", "4"];
+    let args = ["run", "--seed", "67101", "--minutes", "0.3"].into_iter().chain(options);
+    actix_rt::System::new().block_on(run(&args.collect::<Vec<_>>()))
+}
+
 /// Streams of killed workers, without length and chunks, looked whole to their clients and lacked their last events.
 #[test]
 fn streams_of_ended_workers_look_whole_only_if_they_are() -> Result<(), HarnessError> {
