test(soak): entries of another writer under names that aren't safe in a URL

`--foreign-entries` gives the lists pages of one to four objects, puts entries into them under such names, has them read anew, and kills all fronts while entries stand: at the end of each run, and in between unless only planned changes are injected. A run without an entry fails.

--- a/crates/daisychute-soak/src/faults.rs
+++ b/crates/daisychute-soak/src/faults.rs
@@ -52,8 +52,22 @@
     /// The store is restored from a copy that is at least this old. What the operator and the workers wrote since is
     /// written again.
     Restore(Duration),
+    /// Another writer puts an entry into the list of this kind under this name, and the store discards its history.
+    ForeignEntry(&'static str, String),
+    /// All fronts are killed and restarted.
+    KillAll,
 }
 
+/// Kinds of the objects that fronts list.
+const LISTED_KINDS: [&str; 4] = ["servers", "fronts", "stream-versions", "config"];
+/// Beginnings of the names of foreign entries, so that they stand before, among and after the others.
+const FOREIGN_NAME_STARTS: [&str; 6] = ["", "f", "front-0", "i-", "i-1", "~"];
+/// Parts of names that aren't safe in a URL. Some are escapes of other names.
+const UNSAFE_NAME_PARTS: [&str; 14] = [
+    "&", "&after=z", "+", "#", "%", "%41", "%69-3", "%7E", " ", "\r\n", "\0", "\u{fc}", "/../",
+    "\"\\",
+];
+
 impl Fault {
     /// Chooses a random fault for a fleet of this many fronts and workers.
     pub(crate) fn random(rng: &mut Pcg64Mcg, fronts: usize, workers: usize) -> Self {
@@ -137,6 +151,14 @@
         }
     }
 
+    /// Chooses a random entry of another writer.
+    pub(crate) fn random_foreign_entry(rng: &mut Pcg64Mcg) -> Self {
+        let kind = LISTED_KINDS[rng.random_range(0..LISTED_KINDS.len())];
+        let start = FOREIGN_NAME_STARTS[rng.random_range(0..FOREIGN_NAME_STARTS.len())];
+        let part = UNSAFE_NAME_PARTS[rng.random_range(0..UNSAFE_NAME_PARTS.len())];
+        Self::ForeignEntry(kind, format!("{start}{part}"))
+    }
+
     /// Whether it is planned maintenance, during which no request may fail.
     pub(crate) const fn is_planned(&self) -> bool {
         matches!(
@@ -151,6 +173,7 @@
                 | Self::Leave(..)
                 | Self::AskForPause(..)
                 | Self::Limit(..)
+                | Self::ForeignEntry(..)
         )
     }
 }
--- a/crates/daisychute-soak/src/report.rs
+++ b/crates/daisychute-soak/src/report.rs
@@ -38,6 +38,8 @@
     pub(crate) changes: Option<Checked>,
     /// The streams of worker processes; `None` in runs without them.
     pub(crate) streams: Option<Counts>,
+    /// Number of entries of another writer; `None` in runs without them.
+    pub(crate) foreign_entries: Option<usize>,
 }
 
 impl fmt::Display for Report {
@@ -53,6 +55,7 @@
             limited,
             changes,
             streams,
+            foreign_entries,
             violations,
             log_lines,
             front_logs: _,
@@ -69,6 +72,9 @@
         if let Some(changes) = changes {
             write!(f, "; {changes}")?;
         }
+        if let Some(count) = foreign_entries {
+            write!(f, "; {count} foreign entries")?;
+        }
         for it in violations.iter().take(12) {
             write!(f, "\n  {it}")?;
         }
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -2,6 +2,7 @@
 
 mod changing;
 mod finish;
+mod foreign;
 
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
@@ -29,6 +30,7 @@
 use crate::poison::PoisonKind;
 use crate::report::Report;
 use crate::run::changing::{CHANGE_SETTINGS, FRONTS_OF_DENSE_FAULTS, WORKERS_PER_SERVICE};
+use crate::run::foreign::ForeignEntries;
 use crate::run_options::RunOptions;
 
 /// Number of simulated clients.
@@ -124,6 +126,8 @@
     change_rng: Option<Pcg64Mcg>,
     /// When the store as a whole is disturbed next.
     next_store_fault: Instant,
+    /// Entries of another writer; `None` without any. They have a generator of their own, like `series`.
+    foreign: Option<ForeignEntries>,
 }
 
 /// Ends a fault; the number is the index of the front or worker.
@@ -181,6 +185,9 @@
     if options.changes {
         soak.start_changes(seed);
     }
+    if options.foreign_entries {
+        soak.start_foreign_entries(seed);
+    }
     let mut step = 0;
     let end = Instant::now() + Duration::from_secs_f64(minutes * 60.0);
     while Instant::now() < end {
@@ -205,6 +212,7 @@
         }
         soak.inject_restore()?;
         soak.inject_changes()?;
+        soak.inject_foreign_entry(planned_only)?;
     }
     let mut report = soak.finish(poison_kind).await?;
     if limits && !report.limited.has_cases() {
@@ -215,6 +223,10 @@
         let text = "too few cases of versions: no resumed stream was checked".to_owned();
         report.violations.push(Violation::new(text));
     }
+    if report.foreign_entries == Some(0) {
+        let text = "too few cases of foreign entries: there was none".to_owned();
+        report.violations.push(Violation::new(text));
+    }
     if report.changes.as_ref().is_some_and(|it| !it.has_cases()) {
         let text = "too few cases of changes: no bound was checked".to_owned();
         report.violations.push(Violation::new(text));
@@ -279,6 +291,7 @@
             changes: Changes::default(),
             change_rng: None,
             next_store_fault: Instant::now(),
+            foreign: None,
         };
         soak.publish_addresses();
         Ok(soak)
@@ -425,6 +438,12 @@
                 self.store_listeners().for_each(StoreListener::silence_connections);
             }
             Fault::Restore(age) => self.restore_store(age),
+            Fault::ForeignEntry(kind, name) => self.put_foreign_entry(kind, name),
+            Fault::KillAll => {
+                for front in 0..self.fleet.fronts.len() {
+                    self.end_front(front, Process::kill)?;
+                }
+            }
         }
         if !planned {
             self.disturbances.push((now, until + RECOVERY_PERIOD));
--- a/crates/daisychute-soak/src/run/finish.rs
+++ b/crates/daisychute-soak/src/run/finish.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::checks::{RequestRecord, Violation, check};
+use crate::faults::Fault;
 use crate::limits::check_limits;
 use crate::notices::check_notices;
 use crate::poison::{PoisonKind, check_poison};
@@ -25,12 +26,16 @@
         poison_kind: Option<PoisonKind>,
     ) -> Result<Report, SoakError> {
         self.schedule_starts_of_ended_workers();
-        while !self.cleanups.is_empty() {
-            self.run_cleanups_until(Instant::now() + POLL_INTERVAL).await?;
-        }
+        self.run_all_cleanups().await?;
         self.pool.stopping.set(true);
         sleep(RECOVERY_PERIOD).await;
-        let mut report = Report { faults: self.faults, ..Report::default() };
+        if self.foreign.is_some() {
+            // The entries still stand.
+            self.inject(Fault::KillAll)?;
+            self.run_all_cleanups().await?;
+        }
+        let foreign_entries = self.foreign.as_ref().map(|it| it.count);
+        let mut report = Report { faults: self.faults, foreign_entries, ..Report::default() };
         if let Some(kind) = poison_kind {
             self.check_poison(kind, &mut report);
         }
@@ -61,6 +66,13 @@
         Ok(report)
     }
 
+    async fn run_all_cleanups(&mut self) -> Result<(), SoakError> {
+        while !self.cleanups.is_empty() {
+            self.run_cleanups_until(Instant::now() + POLL_INTERVAL).await?;
+        }
+        Ok(())
+    }
+
     /// Checks the requests that end workers. The ends then count as disturbances for all other requests.
     fn check_poison(&mut self, kind: PoisonKind, report: &mut Report) {
         let ends = self.fleet.poison.ends();
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -87,6 +87,14 @@
     actix_rt::System::new().block_on(run(&args.collect::<Vec<_>>()))
 }
 
+/// Fronts learned of no change of the workers any more, and served nothing once they were started again, while an entry of
+/// another writer ended a page of a list.
+#[test]
+fn foreign_entries_hide_no_others() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "70302", "--minutes", "0.2", "--changes", "--foreign-entries"];
+    actix_rt::System::new().block_on(run(&args))
+}
+
 /// Streams of killed workers, without length and chunks, looked whole to their clients and lacked their last events.
 #[test]
 fn streams_of_ended_workers_look_whole_only_if_they_are() -> Result<(), HarnessError> {
