--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -212,7 +212,8 @@
         }
         soak.inject_restore()?;
         soak.inject_changes()?;
-        soak.inject_foreign_entry(planned_only)?;
+        // Kills of all fronts would leave changes few fronts that have to heed them.
+        soak.inject_foreign_entry(!planned_only && !options.changes)?;
     }
     let mut report = soak.finish(poison_kind).await?;
     if limits && !report.limited.has_cases() {
--- a/crates/daisychute-soak/src/run/foreign.rs
+++ b/crates/daisychute-soak/src/run/foreign.rs
@@ -11,8 +11,7 @@
 
 /// Offset from the seed of a run to that of its generator of entries.
 const FOREIGN_SEED: u64 = 1 << 55;
-/// One in this many steps has another entry, and one in this many of all steps kills all fronts, unless only planned changes
-/// are injected.
+/// One in this many steps has another entry, and one in this many of all steps kills all fronts, if they may be killed.
 const FOREIGN_INTERVAL: u32 = 4;
 const KILL_INTERVAL: u32 = 24;
 /// Maximum number of entries that stand at the same time.
@@ -38,13 +37,13 @@
         self.foreign = Some(ForeignEntries { rng, standing: VecDeque::new(), count: 0 });
     }
 
-    /// Puts an entry into a list in some of the steps, and kills all fronts in few of them.
-    pub(super) fn inject_foreign_entry(&mut self, planned_only: bool) -> Result<(), SoakError> {
+    /// Puts an entry into a list in some of the steps, and kills all fronts in few of them if they may be killed.
+    pub(super) fn inject_foreign_entry(&mut self, may_kill: bool) -> Result<(), SoakError> {
         let Some(foreign) = &mut self.foreign else { return Ok(()) };
         let rng = &mut foreign.rng;
         let entry =
             (rng.random_range(0..FOREIGN_INTERVAL) == 0).then(|| Fault::random_foreign_entry(rng));
-        let kill = rng.random_range(0..KILL_INTERVAL) == 0 && !planned_only;
+        let kill = rng.random_range(0..KILL_INTERVAL) == 0 && may_kill;
         let kill = kill.then_some(Fault::KillAll);
         entry.into_iter().chain(kill).try_for_each(|it| self.inject(it))
     }
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -53,7 +53,7 @@
     #[arg(long, requires = "streams")]
     pub(crate) deadlines: bool,
     /// Also let another writer put entries into lists that are longer than a page, under names that aren't safe in a URL, and
-    /// kill all fronts while they stand: at the end, and in between unless only planned changes are injected
+    /// kill all fronts while they stand: at the end, and in between without `--planned-only` and `--changes`
     #[arg(long, conflicts_with = "streams")]
     pub(crate) foreign_entries: bool,
     /// Also let workers name limits on the rate of requests, and check that fronts keep to them together
