test(soak): start workers again that end beside the last cleanups

No request of the checks was lost; no worker of the plain service ran any more.

Cause: a run ends with the cleanups that are still due, which take up to 9 s more, as a planned stop is followed by others. Clients go on meanwhile, and so do calls that end workers. Workers that have ended were scheduled to start again once, before these cleanups, so that those which ended later stayed away for good.

Change: ended workers are scheduled to start again for as long as cleanups run, and once more after the clients have stopped. Starts alone don't prolong the run, so that a service which lets workers end without a bound still fails its checks in time. Each start has a time of its own in the record: without a fault in between, two starts of a worker were the same to the fronts. No check or bound is changed.

--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -117,6 +117,9 @@
     ended_logs: Vec<String>,
     /// Workers that have ended and will be started again.
     starting: BTreeSet<usize>,
+    /// Number of times that a worker was registered as newly started. Its record has it as the time of that start, so that
+    /// no two starts are the same.
+    worker_starts: u64,
     /// Times in which workers named limits.
     limit_periods: Vec<LimitPeriod>,
     /// What was changed, and when which front was disturbed.
@@ -288,6 +291,7 @@
             records,
             ended_logs: Vec::new(),
             starting: BTreeSet::new(),
+            worker_starts: 0,
             limit_periods: Vec::new(),
             changes: Changes::default(),
             change_rng: None,
@@ -515,6 +519,13 @@
         self.fleet.store.put("servers", worker.id(), self.records[number].clone());
     }
 
+    /// Registers a worker as newly started.
+    fn register(&mut self, worker: usize) {
+        self.worker_starts += 1;
+        self.fleet.workers[worker].restart();
+        self.put_record(worker, "ready", Some(self.worker_starts));
+    }
+
     /// Writes again what the operator and the workers wrote.
     fn rewrite(&self) {
         self.fleet.configure(self.version, &json!([]));
@@ -541,8 +552,7 @@
             FaultCleanup::Reconnect(worker) => self.relays[worker].set_mode(Mode::Open),
             FaultCleanup::Register(worker) => {
                 self.changes.record_return(worker);
-                self.fleet.workers[worker].restart();
-                self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64));
+                self.register(worker);
             }
             FaultCleanup::Restart(front) => self.restart(front).await?,
             FaultCleanup::Follow(fault) => self.inject(fault)?,
@@ -551,8 +561,7 @@
             FaultCleanup::StartAgain(worker) => {
                 self.starting.remove(&worker);
                 self.fleet.workers[worker].start_again().await?;
-                self.fleet.workers[worker].restart();
-                self.put_record(worker, "ready", Some(self.version * 1_000 + self.faults as u64));
+                self.register(worker);
             }
         }
         Ok(())
--- a/crates/daisychute-soak/src/run/finish.rs
+++ b/crates/daisychute-soak/src/run/finish.rs
@@ -11,7 +11,9 @@
 use crate::notices::check_notices;
 use crate::poison::{PoisonKind, check_poison};
 use crate::report::Report;
-use crate::run::{POLL_INTERVAL, RECOVERY_PERIOD, Soak, SoakError, WORKER_RESTART_TIME};
+use crate::run::{
+    FaultCleanup, POLL_INTERVAL, RECOVERY_PERIOD, Soak, SoakError, WORKER_RESTART_TIME,
+};
 use crate::versions::check_streams;
 
 /// Maximum time of the recovery check, in which all fronts become ready and calls succeed.
@@ -25,14 +27,15 @@
         mut self,
         poison_kind: Option<PoisonKind>,
     ) -> Result<Report, SoakError> {
-        self.schedule_starts_of_ended_workers();
-        self.run_all_cleanups().await?;
+        // Requests may end workers until the clients have stopped, so the starts of workers are awaited only then.
+        self.run_cleanups(|it| !matches!(it, FaultCleanup::StartAgain(_))).await?;
         self.pool.stopping.set(true);
         sleep(RECOVERY_PERIOD).await;
+        self.run_cleanups(|_| true).await?;
         if self.foreign.is_some() {
             // The entries still stand.
             self.inject(Fault::KillAll)?;
-            self.run_all_cleanups().await?;
+            self.run_cleanups(|_| true).await?;
         }
         let foreign_entries = self.foreign.as_ref().map(|it| it.count);
         let mut report = Report { faults: self.faults, foreign_entries, ..Report::default() };
@@ -66,11 +69,18 @@
         Ok(report)
     }
 
-    async fn run_all_cleanups(&mut self) -> Result<(), SoakError> {
-        while !self.cleanups.is_empty() {
+    /// Runs cleanups, and starts workers again that have ended, until no cleanup is left for which `is_awaited` is true.
+    async fn run_cleanups(
+        &mut self,
+        is_awaited: impl Fn(&FaultCleanup) -> bool,
+    ) -> Result<(), SoakError> {
+        loop {
+            self.schedule_starts_of_ended_workers();
+            if !self.cleanups.iter().any(|it| is_awaited(&it.1)) {
+                return Ok(());
+            }
             self.run_cleanups_until(Instant::now() + POLL_INTERVAL).await?;
         }
-        Ok(())
     }
 
     /// Checks the requests that end workers. The ends then count as disturbances for all other requests.
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -64,6 +64,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Workers that ended after the last fault, while its cleanups were still due, weren't started again.
+#[test]
+fn workers_that_end_beside_the_last_cleanups_start_again() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "70417", "--seeds", "2", "--minutes", "0.002", "--planned-only"];
+    actix_rt::System::new().block_on(run(&[&args[..], &["--crashing-requests"]].concat()))
+}
+
 /// Fronts sent workers that named a limit as many requests as others, whatever the limit and the number of fronts.
 #[test]
 fn limits_of_workers_hold() -> Result<(), HarnessError> {
