--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -1,6 +1,7 @@
 //! Runs one seed: starts fronts, workers and clients, injects faults, and reports the violations.
 
 mod changing;
+mod cleanups;
 mod finish;
 mod foreign;
 
@@ -17,7 +18,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::json;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use crate::changes::{Changes, SERVICES, routes};
 use crate::checks::Violation;
@@ -30,6 +31,7 @@
 use crate::poison::PoisonKind;
 use crate::report::Report;
 use crate::run::changing::{CHANGE_SETTINGS, FRONTS_OF_DENSE_FAULTS, WORKERS_PER_SERVICE};
+use crate::run::cleanups::{FaultCleanup, POLL_INTERVAL};
 use crate::run::foreign::ForeignEntries;
 use crate::run_options::RunOptions;
 
@@ -41,8 +43,6 @@
 const RESUMING_CLIENTS: u64 = 6;
 /// Number of simulated clients of prompts that may end workers.
 const POISONING_CLIENTS: u64 = 6;
-/// Time from the end of a worker under a prompt until it is started again.
-const WORKER_RESTART_TIME: Duration = Duration::from_millis(1_400);
 /// Offsets from the seed of a run to those of its further generators.
 const STREAM_CLIENT_SEED: u64 = 1 << 62;
 const RESUMING_CLIENT_SEED: u64 = 1 << 60;
@@ -64,10 +64,6 @@
 const MAX_SERIES_DELAY_MS: u64 = 9_000;
 /// An unplanned fault may disturb requests until this long after its end.
 const RECOVERY_PERIOD: Duration = Duration::from_millis(3_500);
-/// Pause between two checks whether a process has ended or cleanups are due.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Maximum number of log lines kept of fronts that have ended, the latest ones.
-const MAX_ENDED_LOG_LINES: usize = 100_000;
 /// One in this many steps has a worker announce something.
 const NOTICE_INTERVAL: u32 = 2;
 /// One in this many steps has a worker name a limit.
@@ -133,30 +129,6 @@
     foreign: Option<ForeignEntries>,
 }
 
-/// Ends a fault; the number is the index of the front or worker.
-enum FaultCleanup {
-    /// Resume a suspended front.
-    Resume(usize),
-    /// Let the store serve a front normally again.
-    RestoreStore(usize),
-    /// Let the store serve all fronts normally again.
-    RestoreStoreOfAll,
-    /// Accept connections to a worker again.
-    Reconnect(usize),
-    /// Register a worker that drained or announced to leave again, as newly started.
-    Register(usize),
-    /// Restart a front once it has ended.
-    Restart(usize),
-    /// Inject a planned fault that follows another one.
-    Follow(Fault),
-    /// Write again what the operator and the workers wrote, after a return of the store.
-    Rewrite,
-    /// Start a worker again that has ended.
-    StartAgain(usize),
-    /// End the limit that a worker names.
-    LiftLimit(usize),
-}
-
 /// Runs one seed.
 pub(crate) async fn run(seed: u64, options: RunOptions) -> Result<Report, SoakError> {
     let RunOptions { minutes, fronts, planned_only, notices, versions, restores, limits, .. } =
@@ -313,23 +285,6 @@
         *self.pool.front_addresses.borrow_mut() = addresses;
     }
 
-    /// Waits until this time and runs each cleanup when it is due.
-    async fn run_cleanups_until(&mut self, until: Instant) -> Result<(), SoakError> {
-        loop {
-            self.cleanups.sort_by_key(|it| it.0);
-            match self.cleanups.first() {
-                Some((at, _)) if *at <= until => {
-                    sleep_until(*at).await;
-                    let (_, cleanup) = self.cleanups.remove(0);
-                    self.clean_up(cleanup).await?;
-                }
-                _ => break,
-            }
-        }
-        sleep_until(until).await;
-        Ok(())
-    }
-
     /// Schedules signals and configurations that overlap with a stop or reload.
     fn schedule_series(&mut self, fault: &Fault) {
         let (Some(rng), Fault::Stop(front) | Fault::Reload(front)) = (&mut self.series, fault)
@@ -473,16 +428,6 @@
         self.cleanups.push((to, FaultCleanup::LiftLimit(worker)));
     }
 
-    /// Schedules the start of each worker that a prompt has ended.
-    fn schedule_starts_of_ended_workers(&mut self) {
-        for (number, worker) in self.fleet.workers.iter().enumerate() {
-            if worker.has_ended() && self.starting.insert(number) {
-                let at = Instant::now() + WORKER_RESTART_TIME;
-                self.cleanups.push((at, FaultCleanup::StartAgain(number)));
-            }
-        }
-    }
-
     fn is_running(&mut self, front: usize) -> Result<bool, SoakError> {
         let status = self.fleet.fronts[front].process.exit_status();
         Ok(status.map_err(StandinError::from)?.is_none())
@@ -519,70 +464,6 @@
         self.fleet.store.put("servers", worker.id(), self.records[number].clone());
     }
 
-    /// Registers a worker as newly started.
-    fn register(&mut self, worker: usize) {
-        self.worker_starts += 1;
-        self.fleet.workers[worker].restart();
-        self.put_record(worker, "ready", Some(self.worker_starts));
-    }
-
-    /// Writes again what the operator and the workers wrote.
-    fn rewrite(&self) {
-        self.fleet.configure(self.version, &json!([]));
-        for (worker, record) in self.fleet.workers.iter().zip(&self.records) {
-            self.fleet.store.put("servers", worker.id(), record.clone());
-        }
-    }
-
-    async fn clean_up(&mut self, cleanup: FaultCleanup) -> Result<(), SoakError> {
-        match cleanup {
-            FaultCleanup::Resume(front) if self.is_running(front)? => {
-                self.fleet.fronts[front].process.resume().map_err(StandinError::from)?;
-                self.changes.record_disturbance(Some(front), Duration::ZERO);
-            }
-            FaultCleanup::Resume(_) => {}
-            FaultCleanup::RestoreStore(front) => {
-                self.fleet.fronts[front].store_listener.set_fault(None);
-                self.changes.record_disturbance(Some(front), Duration::ZERO);
-            }
-            FaultCleanup::RestoreStoreOfAll => {
-                self.store_listeners().for_each(|it| it.set_fault(None));
-                self.changes.record_disturbance(None, Duration::ZERO);
-            }
-            FaultCleanup::Reconnect(worker) => self.relays[worker].set_mode(Mode::Open),
-            FaultCleanup::Register(worker) => {
-                self.changes.record_return(worker);
-                self.register(worker);
-            }
-            FaultCleanup::Restart(front) => self.restart(front).await?,
-            FaultCleanup::Follow(fault) => self.inject(fault)?,
-            FaultCleanup::Rewrite => self.rewrite(),
-            FaultCleanup::LiftLimit(worker) => self.fleet.workers[worker].set_limit(None),
-            FaultCleanup::StartAgain(worker) => {
-                self.starting.remove(&worker);
-                self.fleet.workers[worker].start_again().await?;
-                self.register(worker);
-            }
-        }
-        Ok(())
-    }
-
-    /// Restarts a front if it has ended, and checks again later otherwise.
-    async fn restart(&mut self, front: usize) -> Result<(), SoakError> {
-        if self.is_running(front)? {
-            self.cleanups.push((Instant::now() + POLL_INTERVAL, FaultCleanup::Restart(front)));
-            return Ok(());
-        }
-        self.restart_pending[front] = false;
-        self.ended_logs.extend(self.fleet.fronts[front].process.stdout());
-        let excess = self.ended_logs.len().saturating_sub(MAX_ENDED_LOG_LINES);
-        self.ended_logs.drain(..excess);
-        self.fleet.fronts[front].restart().await?;
-        self.changes.record_disturbance(Some(front), Duration::ZERO);
-        self.publish_addresses();
-        Ok(())
-    }
-
     /// Lets requests of this kind end workers, and starts the clients that send them beside others.
     fn start_poisoning(&self, kind: PoisonKind, seed: u64) {
         match kind {
--- a/crates/daisychute-soak/src/run/changing.rs
+++ b/crates/daisychute-soak/src/run/changing.rs
@@ -14,7 +14,8 @@
 use crate::clients::run_probing_client;
 use crate::faults::Fault;
 use crate::report::Report;
-use crate::run::{FaultCleanup, Soak, SoakError};
+use crate::run::cleanups::FaultCleanup;
+use crate::run::{Soak, SoakError};
 
 /// Offsets from the seed of a run to those of its further generators.
 const CHANGE_SEED: u64 = 1 << 57;
--- a/crates/daisychute-soak/src/run/finish.rs
+++ b/crates/daisychute-soak/src/run/finish.rs
@@ -11,9 +11,8 @@
 use crate::notices::check_notices;
 use crate::poison::{PoisonKind, check_poison};
 use crate::report::Report;
-use crate::run::{
-    FaultCleanup, POLL_INTERVAL, RECOVERY_PERIOD, Soak, SoakError, WORKER_RESTART_TIME,
-};
+use crate::run::cleanups::{FaultCleanup, WORKER_RESTART_TIME};
+use crate::run::{RECOVERY_PERIOD, Soak, SoakError};
 use crate::versions::check_streams;
 
 /// Maximum time of the recovery check, in which all fronts become ready and calls succeed.
@@ -69,20 +68,6 @@
         Ok(report)
     }
 
-    /// Runs cleanups, and starts workers again that have ended, until no cleanup is left for which `is_awaited` is true.
-    async fn run_cleanups(
-        &mut self,
-        is_awaited: impl Fn(&FaultCleanup) -> bool,
-    ) -> Result<(), SoakError> {
-        loop {
-            self.schedule_starts_of_ended_workers();
-            if !self.cleanups.iter().any(|it| is_awaited(&it.1)) {
-                return Ok(());
-            }
-            self.run_cleanups_until(Instant::now() + POLL_INTERVAL).await?;
-        }
-    }
-
     /// Checks the requests that end workers. The ends then count as disturbances for all other requests.
     fn check_poison(&mut self, kind: PoisonKind, report: &mut Report) {
         let ends = self.fleet.poison.ends();
