feat(front): log where each resumed stream began, and standstills

Each stream that a client comes back for is now logged with the service and version taken, the basis (told, only_one or unknown), the configuration in force, whether a peer is ahead, and the age of the last heartbeat; daisychute_resumed_streams_total counts them by basis. A process that stood still for half a second or longer says so.

No decision changes. The checker of promises names the new action, which touches no promise.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     BudgetUse, Cause, CrashNews, EndpointKey, ForwardedIdentity, Incarnation, LimitNews,
-    PromptPart, Quarantine, Reason, RequestKey, RequestKind, RequestRate, StreamOrigin,
+    OriginBasis, PromptPart, Quarantine, Reason, RequestKey, RequestKind, RequestRate,
+    StreamOrigin,
 };
 
 /// Work that an endpoint is asked to do.
@@ -283,6 +284,19 @@
     ///
     /// [`Event::VersionsRecorded`]: crate::Event::VersionsRecorded
     ReadVersionRecords,
+    /// Record where the stream began that a client resumes, as far as this front knows.
+    RecordResumption {
+        /// Id that the client gave the request.
+        request: Arc<str>,
+        /// Service that the stream is resumed at.
+        service: ServiceName,
+        /// Version that the stream is resumed at; `None` if its endpoints don't say it, or if it isn't known.
+        version: Option<SoftwareVersion>,
+        /// How the front knows it.
+        basis: OriginBasis,
+        /// Time since a heartbeat of another front arrived; `None` if none ever did.
+        heard_ago: Option<Duration>,
+    },
     /// Record that a request isn't sent again because the retry budget of its service is spent.
     RecordRetryDenied {
         /// Id that the client gave the request.
--- a/crates/daisychute-dispatch/src/core/contact.rs
+++ b/crates/daisychute-dispatch/src/core/contact.rs
@@ -24,6 +24,11 @@
         before.is_some_and(|at| now.since(at) >= Self::MAX_SILENCE)
     }
 
+    /// Returns the time since the last heartbeat of another front; `None` if none ever arrived.
+    pub(crate) fn heard_ago(&self, now: Time) -> Option<Duration> {
+        self.peer_heard_at.map(|at| now.since(at))
+    }
+
     /// Whether this front would know of new versions: it hears another front, or there never was one.
     pub(crate) fn is_given(&self, now: Time) -> bool {
         self.peer_heard_at.is_none_or(|at| now.since(at) < Self::MAX_SILENCE)
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fairness;
 pub(crate) mod limits;
 pub(crate) mod moved_routes;
+pub(crate) mod origin_basis;
 pub(crate) mod answered_requests;
 pub(crate) mod cause;
 pub(crate) mod contact;
--- /dev/null
+++ b/crates/daisychute-dispatch/src/core/origin_basis.rs
@@ -0,0 +1,24 @@
+//! How a front knows where a stream began.
+
+/// How a front knows where the stream began that a client resumes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum OriginBasis {
+    /// This front or another one saw its first event.
+    Told,
+    /// There is only one possibility.
+    OnlyOne,
+    /// It doesn't know.
+    Unknown,
+}
+
+impl OriginBasis {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Told => "told",
+            Self::OnlyOne => "only_one",
+            Self::Unknown => "unknown",
+        }
+    }
+}
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -1,11 +1,12 @@
 //! Streams that go on after events which the client already has.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
-use crate::{Action, Dispatcher, Reason, RequestKey, Resumption, StreamOrigin};
+use crate::{Action, Dispatcher, OriginBasis, Reason, RequestKey, Resumption, StreamOrigin};
 
 /// Multiple of a route's timeout within which a stream is resumed for the last time. Each attempt of a client ends with
 /// the timeout, and few clients wait longer than that for all of them.
@@ -21,7 +22,16 @@
         actions: &mut Vec<Action>,
     ) -> bool {
         let Some(state) = self.requests.get(&key).filter(|it| it.resumes()) else { return false };
-        let Some(version) = self.origin_version(now, state) else {
+        let origin = self.origin_version(now, state);
+        let basis = origin.as_ref().map_or(OriginBasis::Unknown, |it| it.1);
+        actions.push(Action::RecordResumption {
+            request: Arc::clone(&state.request.id),
+            service: state.service.clone(),
+            version: origin.as_ref().and_then(|it| it.0.clone()),
+            basis,
+            heard_ago: self.contact.heard_ago(now),
+        });
+        let Some((version, _)) = origin else {
             self.fail_or_refuse(key, Reason::OriginUnknown, actions);
             return true;
         };
@@ -33,7 +43,11 @@
 
     /// Returns the version that began the stream: as this front or another one saw it, or the only one that the service
     /// had since.
-    fn origin_version(&self, now: Time, state: &RequestState) -> Option<Option<SoftwareVersion>> {
+    fn origin_version(
+        &self,
+        now: Time,
+        state: &RequestState,
+    ) -> Option<(Option<SoftwareVersion>, OriginBasis)> {
         let Resumption { first_attempt } = state.request.resumption.as_ref()?;
         let attempt = first_attempt.as_deref().map(StreamOrigin::attempt);
         let known = attempt.and_then(|it| self.stream_origins.version(now, it));
@@ -46,7 +60,9 @@
             let present = present.map(|(_, it)| &it.endpoint.software_version);
             self.versions.only_version(now, &state.service, age, present)
         };
-        known.or_else(|| self.contact.is_given(now).then(only)?).cloned()
+        let known = known.map(|it| (it, OriginBasis::Told));
+        let only = || Some((self.contact.is_given(now).then(only)??, OriginBasis::OnlyOne));
+        known.or_else(only).map(|(version, basis)| (version.clone(), basis))
     }
 
     /// Whether the stream, which is at most `age` old, began at the service that its request gets now: requests get the
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -37,6 +37,7 @@
 pub use crate::core::dispatcher::Dispatcher;
 pub use crate::core::event::{Event, SendFailure};
 pub use crate::core::limits::LimitNews;
+pub use crate::core::origin_basis::OriginBasis;
 pub use crate::core::preview::{EndpointPreview, HeldBack, Preview, PreviewDecision};
 pub use crate::core::quarantine::Quarantine;
 pub use crate::core::reason::Reason;
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -248,6 +248,7 @@
             | Action::RecordBegin { .. }
             | Action::RecordRetryDenied { .. }
             | Action::ReadVersionRecords
+            | Action::RecordResumption { .. }
             | Action::CloseIdleConnections { .. } => {}
         }
     }
--- a/crates/daisychute-front/src/front.rs
+++ b/crates/daisychute-front/src/front.rs
@@ -1,6 +1,7 @@
 //! Starts and stops a front.
 
 use std::io;
+use std::mem;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -77,6 +78,9 @@
 const METRICS_PATH: &str = "/metrics";
 /// Interval at which expired connections are closed, the dispatcher is ticked and the gauges are set.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Time between two sweeps from which the process counts as having stood still: the interval, and a stop in which
+/// heartbeats of other fronts were missed.
+const MIN_STANDSTILL: Duration = Duration::from_millis(500);
 /// Maximum time after the start in which client connections wait for configuration and endpoints. They arrive from the
 /// directory in some milliseconds, while a refused client returns after some hundred.
 const MAX_STARTUP_WAIT: Duration = Duration::from_millis(400);
@@ -260,8 +264,15 @@
 async fn sweep<D: Dialect>(state: Rc<FrontState<D>>) {
     let mut ticks = interval(SWEEP_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last_tick = state.now();
     loop {
         ticks.tick().await;
+        let since_tick = state.now().since(mem::replace(&mut last_tick, state.now()));
+        if since_tick >= MIN_STANDSTILL {
+            let ms = since_tick.as_millis();
+            log::warn!(ms; "the process stood still");
+            metrics::counter!("daisychute_standstills_total").increment(1);
+        }
         state.pool.sweep();
         state.handle(Event::Tick);
         record_gauges(&state);
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -290,6 +290,20 @@
                     self.version_records_outdated.set(true);
                     self.versions_may_differ.notify_one();
                 }
+                Action::RecordResumption { request, service, version, basis, heard_ago } => {
+                    let configuration =
+                        self.with_dispatcher(|it| it.table().map(|it| it.version()));
+                    let version = version.as_ref().map_or("", SoftwareVersion::as_str);
+                    let basis = basis.as_str();
+                    let heard_ms = heard_ago.map(|it| it.as_millis());
+                    let behind = self.revisions.is_behind();
+                    log::info!(
+                        request:%, service:%, version, basis, config:? = configuration, behind, heard_ms:?;
+                        "stream resumed by its client"
+                    );
+                    metrics::counter!("daisychute_resumed_streams_total", "basis" => basis)
+                        .increment(1);
+                }
                 Action::RecordRetryDenied { request, service, budget, fronts } => {
                     let BudgetUse { requests, used, allowance } = budget;
                     log::info!(request:%, service:%, requests, used, allowance, fronts:?; "retry denied: the retry budget is spent");
