fix(dispatch): tell other fronts only what was seen of a stream's beginning

Cause: a front that resumes a stream records the version of whichever endpoint sends the first event there as the stream's origin, and tells it, also if it had only concluded that version. The others replace the true origin, which they saw, by it. An origin names no service either, so that two services whose versions bear one name are taken for one.

Change: a concluded origin is neither recorded nor told. An origin that is known stays; if a different one is told, none counts and the stream is refused. An origin names its service; a stream goes on there if its route still has the service, else it is refused (version_gone). Heartbeats carry the services in an element of their own, which older builds skip.

--- a/crates/daisychute-dispatch/src/config/backends.rs
+++ b/crates/daisychute-dispatch/src/config/backends.rs
@@ -67,6 +67,12 @@
         &self.list[0].service
     }
 
+    /// Whether requests may be sent to this service.
+    #[must_use]
+    pub fn contains(&self, service: &ServiceName) -> bool {
+        self.list.iter().any(|it| it.service == *service && it.weight > 0)
+    }
+
     /// Whether one service receives all requests.
     #[must_use]
     pub fn is_single(&self) -> bool {
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -500,6 +500,7 @@
         response_bytes: 0,
         is_oversized: false,
         stream_version: None,
+        origin_basis: None,
     })
 }
 
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -7,7 +7,9 @@
 use daisychute_core::{ServiceName, SoftwareVersion, TenantName, Time};
 
 use crate::fleet::cost_model::PrefillWork;
-use crate::{Account, Action, Cause, EndpointKey, ForwardedIdentity, RequestInfo, Route, Task};
+use crate::{
+    Account, Action, Cause, EndpointKey, ForwardedIdentity, OriginBasis, RequestInfo, Route, Task,
+};
 
 /// A send attempt that hasn't ended.
 #[derive(Debug, Clone)]
@@ -94,6 +96,8 @@
     /// Software version that all endpoints must have which send events of the stream; itself `None` if the directory
     /// doesn't say it. `None` before the first event, if the client has none either.
     pub(crate) stream_version: Option<Option<SoftwareVersion>>,
+    /// How it is known where the stream began that the client resumes; `None` if it resumes none, or before that is known.
+    pub(crate) origin_basis: Option<OriginBasis>,
 }
 
 impl RequestState {
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -6,6 +6,7 @@
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
+use crate::core::stream_origins::KnownOrigin;
 use crate::{Action, Dispatcher, OriginBasis, Reason, RequestKey, Resumption, StreamOrigin};
 
 /// Multiple of a route's timeout within which a stream is resumed for the last time. Each attempt of a client ends with
@@ -35,12 +36,28 @@
             self.fail_or_refuse(key, Reason::OriginUnknown, actions);
             return true;
         };
+        let service = self.told_service(now, state).unwrap_or(&state.service).clone();
+        if !state.route.backends.contains(&service) {
+            self.fail_or_refuse(key, Reason::VersionGone, actions);
+            return true;
+        }
         if let Some(state) = self.requests.get_mut(&key) {
+            state.service = service;
             state.stream_version = Some(version);
+            state.origin_basis = Some(basis);
         }
         false
     }
 
+    /// Returns the service at which the stream began, if a front told it.
+    fn told_service(&self, now: Time, state: &RequestState) -> Option<&ServiceName> {
+        let first_attempt = state.request.resumption.as_ref()?.first_attempt.as_deref()?;
+        match self.stream_origins.get(now, StreamOrigin::attempt(first_attempt))? {
+            KnownOrigin::At { service, .. } => service,
+            KnownOrigin::Disputed => None,
+        }
+    }
+
     /// Returns the version that began the stream: as this front or another one saw it, or the only one that the service
     /// had since.
     fn origin_version(
@@ -50,7 +67,11 @@
     ) -> Option<(Option<SoftwareVersion>, OriginBasis)> {
         let Resumption { first_attempt } = state.request.resumption.as_ref()?;
         let attempt = first_attempt.as_deref().map(StreamOrigin::attempt);
-        let known = attempt.and_then(|it| self.stream_origins.version(now, it));
+        let known = match attempt.and_then(|it| self.stream_origins.get(now, it)) {
+            Some(KnownOrigin::At { version, .. }) => Some(version),
+            Some(KnownOrigin::Disputed) => return None,
+            None => None,
+        };
         let only = || {
             let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
             if !self.began_at_its_service(now, state, age) {
@@ -74,7 +95,8 @@
             && self.moved_routes.is_settled(now, &state.route, age)
     }
 
-    /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts.
+    /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts where it
+    /// began, unless that was concluded.
     pub(crate) fn record_origin(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
         let Some(state) = self.requests.get_mut(&key) else { return };
         let Some(sent) = state.in_flight.as_ref().filter(|_| state.route.kind.is_stream()) else {
@@ -82,16 +104,16 @@
         };
         let version = sent.software_version.clone();
         state.stream_version = Some(version.clone());
-        if !state.route.kind.repeatable() {
+        if !state.route.kind.repeatable() || state.origin_basis == Some(OriginBasis::OnlyOne) {
             return;
         }
         let attempt = StreamOrigin::attempt(state.request.first_attempt());
         let client_timeout = state.request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
         let time_left = (state.arrived + client_timeout).since(now);
         let service = state.service.clone();
-        let origin = StreamOrigin { attempt, version, time_left };
-        self.stream_origins.record(now, origin.clone());
         let at_once = self.has_several_versions(&service);
+        let origin = StreamOrigin { attempt, service: Some(service), version, time_left };
+        self.stream_origins.record(now, origin.clone());
         actions.push(Action::AnnounceOrigin { origin, at_once });
     }
 
--- a/crates/daisychute-dispatch/src/core/stream_origins.rs
+++ b/crates/daisychute-dispatch/src/core/stream_origins.rs
@@ -7,15 +7,19 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use daisychute_core::{SoftwareVersion, Time};
+use daisychute_core::{ServiceName, SoftwareVersion, Time};
 use rustc_hash::FxHashMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The software version at which a stream began.
+/// The service and the software version at which a stream began.
+///
+/// A front tells only what it saw, or was told by one that saw it: never what it concluded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamOrigin {
     /// Hash of the id of the request that brought the first event, as [`StreamOrigin::attempt`] computes it.
     pub attempt: u64,
+    /// Service of the endpoint that sent the event; `None` if a front of an older build told it.
+    pub service: Option<ServiceName>,
     /// Version of the endpoint that sent the event; `None` if the directory doesn't say.
     pub version: Option<SoftwareVersion>,
     /// Time for which the client may still resume the stream.
@@ -32,8 +36,32 @@
 
 #[derive(Debug, Clone)]
 struct Entry {
+    service: Option<ServiceName>,
     version: Option<SoftwareVersion>,
     expires_at: Time,
+    /// Whether different origins of the stream were told, so that none of them counts.
+    is_disputed: bool,
+}
+
+impl Entry {
+    fn differs_from(&self, other: &Self) -> bool {
+        let services = self.service.as_ref().zip(other.service.as_ref());
+        self.version != other.version || services.is_some_and(|(known, told)| known != told)
+    }
+}
+
+/// What is known of the beginning of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum KnownOrigin<'a> {
+    /// A front saw its first event.
+    At {
+        /// Service of the endpoint that sent the event; `None` if it wasn't told.
+        service: Option<&'a ServiceName>,
+        /// Version of that endpoint.
+        version: &'a Option<SoftwareVersion>,
+    },
+    /// Different origins were told.
+    Disputed,
 }
 
 /// The origins of the streams that clients may still resume, at this front and others.
@@ -48,10 +76,17 @@
     /// Maximum number of entries, a few megabytes. The oldest are dropped beyond it.
     const MAX_ENTRIES: usize = 65_536;
 
+    /// Records an origin. One that is known already stays, for the longer of the two times.
     pub(crate) fn record(&mut self, now: Time, origin: StreamOrigin) {
-        let StreamOrigin { attempt, version, time_left } = origin;
-        let entry = Entry { version, expires_at: now + time_left };
-        if self.entries.insert(attempt, entry).is_none() {
+        let StreamOrigin { attempt, service, version, time_left } = origin;
+        let new = Entry { service, version, expires_at: now + time_left, is_disputed: false };
+        if let Some(known) = self.entries.get_mut(&attempt).filter(|it| now < it.expires_at) {
+            known.is_disputed |= known.differs_from(&new);
+            known.expires_at = known.expires_at.max(new.expires_at);
+            known.service = known.service.take().or(new.service);
+            return;
+        }
+        if self.entries.insert(attempt, new).is_none() {
             self.order.push_back(attempt);
         }
         if self.order.len() > Self::MAX_ENTRIES {
@@ -59,9 +94,13 @@
         }
     }
 
-    /// Returns the version at which the stream began; `None` if that isn't known.
-    pub(crate) fn version(&self, now: Time, attempt: u64) -> Option<&Option<SoftwareVersion>> {
-        self.entries.get(&attempt).filter(|it| now < it.expires_at).map(|it| &it.version)
+    /// Returns where the stream began; `None` if that isn't known.
+    pub(crate) fn get(&self, now: Time, attempt: u64) -> Option<KnownOrigin<'_>> {
+        let entry = self.entries.get(&attempt).filter(|it| now < it.expires_at)?;
+        if entry.is_disputed {
+            return Some(KnownOrigin::Disputed);
+        }
+        Some(KnownOrigin::At { service: entry.service.as_ref(), version: &entry.version })
     }
 
     /// Drops the oldest entries as far as they have expired.
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -78,7 +78,8 @@
 
 fn report_origin(front: &mut Front, text: &str, time_left: Duration) {
     let attempt = StreamOrigin::attempt(FIRST_ATTEMPT);
-    let origin = StreamOrigin { attempt, version: Some(version(text)), time_left };
+    let service = Some(service("lm"));
+    let origin = StreamOrigin { attempt, service, version: Some(version(text)), time_left };
     front.handle(Event::OriginsReported { origins: vec![origin] });
 }
 
@@ -147,6 +148,7 @@
     let (key, begun_at, actions) = begin(&mut front, request(FIRST_ATTEMPT, LONG));
     let origin = StreamOrigin {
         attempt: StreamOrigin::attempt(FIRST_ATTEMPT),
+        service: Some(service("lm")),
         version: Some(begun_at),
         time_left: Duration::from_secs(5),
     };
@@ -498,3 +500,37 @@
     let (_, actions) = arrive(&mut front, long_prompt("resumed").resumption(resumption));
     assert!(sent(&actions).is_some(), "after {admitted} requests: {actions:?}");
 }
+
+/// Guards against an origin that was concluded, and that other fronts take for one that was seen (ORDER).
+#[test]
+fn concluded_origin_is_not_told() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(HISTORY);
+    let (key, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+    front.handle(Event::ResponseStarted { key });
+    assert!(announced(&front.handle(Event::FirstOutput { key })).is_empty());
+}
+
+/// Guards against an origin that was seen and is replaced by another one, which a front has concluded (ORDER).
+#[test]
+fn origins_that_contradict_each_other_count_for_nothing() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    report_origin(&mut front, "v2", Duration::from_secs(3));
+    report_origin(&mut front, "v1", Duration::from_secs(3));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against a stream of one service that goes on at another, whose version bears the same name (ORDER).
+#[test]
+fn stream_of_a_service_that_its_route_has_left_is_refused() {
+    let others = (0..2).map(|it| with_version(endpoint(it, "other", Some(Role::Decode)), "v1"));
+    let mut front = Front::new(engines(&["v1", "v1"]).into_iter().chain(others));
+    front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 0)])));
+    front.wait(HISTORY);
+    report_origin(&mut front, "v1", Duration::from_secs(3));
+    front.handle(Event::Configured(weighted(3, [("lm", 0), ("other", 1)])));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::VersionGone), "{actions:?}");
+}
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -77,7 +77,7 @@
     let now = state.now();
     let parts = state.peers.cached_parts.borrow_mut().take(now);
     let parts: Vec<Part> = parts.into_iter().map(Part::from).collect();
-    let origins = Origins::group(state.peers.origins.borrow_mut().take(now));
+    let origins = state.peers.origins.borrow_mut().take(now);
     let leaving = state.peers.leaving.borrow_mut().take(now);
     let leaving: Vec<Leaving> = leaving.into_iter().map(Leaving::from).collect();
     let part_reports = CrashReports::new(now, state.peers.part_news.borrow_mut().take(now));
@@ -151,6 +151,7 @@
             request_reports,
             duty_news,
             snapshot_port,
+            origin_services,
         ) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
         if state.peers.record_incarnation(peer) {
@@ -169,7 +170,7 @@
             state.snapshot_wanted.notify_one();
         }
         state.record_leaving_reported(leaving.into_iter().map(Into::into).collect());
-        let origins: Vec<_> = origins.into_iter().flat_map(Origins::into_origins).collect();
+        let origins: Vec<_> = Origins::ungroup(origins, origin_services).collect();
         if !origins.is_empty() {
             state.handle(Event::OriginsReported { origins });
         }
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -1,5 +1,6 @@
 //! The heartbeat datagram between fronts.
 
+use std::iter;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -50,6 +51,9 @@
     /// The port of the sender's snapshots, at the address from which it sends. Fronts of before this element don't send it.
     #[serde(default)]
     pub(crate) Option<u16>,
+    /// The services at which the streams of each element of the origins began. Fronts of before this element don't send it.
+    #[serde(default)]
+    pub(crate) Vec<ServiceName>,
 );
 
 /// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
@@ -75,26 +79,40 @@
 pub(crate) struct Origins(Option<SoftwareVersion>, Vec<(u64, u32)>);
 
 impl Origins {
-    /// Groups origins by version.
-    pub(crate) fn group(origins: impl IntoIterator<Item = StreamOrigin>) -> Vec<Self> {
-        let mut groups: Vec<Self> = Vec::new();
-        for StreamOrigin { attempt, version, time_left } in origins {
+    /// Groups origins by version and service. Those of which the service isn't known are left out: other fronts know them from
+    /// the same front of an older build.
+    pub(crate) fn group(
+        origins: impl IntoIterator<Item = StreamOrigin>,
+    ) -> (Vec<Self>, Vec<ServiceName>) {
+        let (mut groups, mut services): (Vec<Self>, Vec<ServiceName>) = Default::default();
+        for StreamOrigin { attempt, service, version, time_left } in origins {
+            let Some(service) = service else { continue };
             let stream = (attempt, u32::try_from(time_left.as_millis()).unwrap_or(u32::MAX));
-            match groups.iter_mut().find(|it| it.0 == version) {
-                Some(group) => group.1.push(stream),
-                None => groups.push(Self(version, vec![stream])),
+            let mut known = groups.iter_mut().zip(&services);
+            match known.find(|it| it.0.0 == version && *it.1 == service) {
+                Some((group, _)) => group.1.push(stream),
+                None => {
+                    groups.push(Self(version, vec![stream]));
+                    services.push(service);
+                }
             }
         }
-        groups
-    }
-
-    /// Returns the origins of the group.
-    pub(crate) fn into_origins(self) -> impl Iterator<Item = StreamOrigin> {
-        let Self(version, streams) = self;
-        streams.into_iter().map(move |(attempt, ms)| StreamOrigin {
-            attempt,
-            version: version.clone(),
-            time_left: Duration::from_millis(ms.into()),
+        (groups, services)
+    }
+
+    /// Returns the origins of the groups of a heartbeat, which began at these services, one for each group.
+    pub(crate) fn ungroup(
+        groups: Vec<Self>,
+        services: Vec<ServiceName>,
+    ) -> impl Iterator<Item = StreamOrigin> {
+        let services = services.into_iter().map(Some).chain(iter::repeat(None));
+        groups.into_iter().zip(services).flat_map(|(Self(version, streams), service)| {
+            streams.into_iter().map(move |(attempt, ms)| StreamOrigin {
+                attempt,
+                service: service.clone(),
+                version: version.clone(),
+                time_left: Duration::from_millis(ms.into()),
+            })
         })
     }
 }
@@ -139,6 +157,7 @@
             request_reports,
             None,
             None,
+            Vec::new(),
         )
     }
 
@@ -155,8 +174,8 @@
     }
 
     /// Sets where streams began.
-    pub(crate) fn origins(mut self, origins: Vec<Origins>) -> Self {
-        self.7 = origins;
+    pub(crate) fn origins(mut self, origins: impl IntoIterator<Item = StreamOrigin>) -> Self {
+        (self.7, self.13) = Origins::group(origins);
         self
     }
 
