--- a/crates/daisychute-cli/src/commands/preview.rs
+++ b/crates/daisychute-cli/src/commands/preview.rs
@@ -65,6 +65,9 @@
                  {uncached_tokens} tokens to prefill, {deadline_ms} ms left, priority {priority}"
             )
         }
+        PreviewDecision::Wait { limit_ms } => {
+            format!("would wait up to {limit_ms} ms for news of the directory or of other fronts")
+        }
         PreviewDecision::Refuse { reason, retry_after_ms: Some(ms) } => {
             format!("would be refused, not run: {reason}; Retry-After {ms} ms")
         }
--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -279,10 +279,21 @@
         /// Measured time from sending to the first output.
         took: Duration,
     },
+    /// Read the directory, for a request that needs to know more than this front does. The result comes back as
+    /// [`Event::DirectoryRead`]; [`Event::NewsAwaited`] follows it, each report of another front, and `until`.
+    ///
+    /// [`Event::DirectoryRead`]: crate::Event::DirectoryRead
+    /// [`Event::NewsAwaited`]: crate::Event::NewsAwaited
+    AwaitNews {
+        /// Identifies the request.
+        key: RequestKey,
+        /// Time at which the request is refused if nothing has told the origin.
+        until: Time,
+    },
     /// Read the directory's records of software versions again: this front may have missed some. The result comes back as
-    /// [`Event::VersionsRecorded`].
+    /// [`Event::DirectoryRead`].
     ///
-    /// [`Event::VersionsRecorded`]: crate::Event::VersionsRecorded
+    /// [`Event::DirectoryRead`]: crate::Event::DirectoryRead
     ReadVersionRecords,
     /// Record where the stream began that a client resumes, as far as this front knows.
     RecordResumption {
@@ -294,6 +305,8 @@
         version: Option<SoftwareVersion>,
         /// How the front knows it.
         basis: OriginBasis,
+        /// Time that the request waited for news of it.
+        waited: Duration,
         /// Time since a heartbeat of another front arrived; `None` if none ever did.
         heard_ago: Option<Duration>,
     },
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, ServiceName, Time};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 use crate::core::contact::Contact;
 use crate::core::crash_quarantine::CrashQuarantine;
@@ -15,13 +15,14 @@
 use crate::core::response_sizes::ResponseSizes;
 use crate::core::shutdown::Shutdown;
 use crate::core::stream_origins::StreamOrigins;
-use crate::core::version_records::RecordedVersions;
+use crate::core::version_records::AllowedVersions;
 use crate::fleet::cost_model::{PrefillEngine, ServiceCostModel};
 use crate::fleet::stage_times::StageTimes;
 use crate::fleet::version_history::VersionHistory;
 use crate::{
-    Account, Action, Credentials, DispatchSettings, EndpointKey, Event, Fleet, LoadSample,
-    PeerLoad, PromptPart, Reason, RequestInfo, RequestKey, RetryBudget, Route, RouteTable, Task,
+    Account, Action, Credentials, DirectoryRead, DispatchSettings, EndpointKey, Event, Fleet,
+    LoadSample, PeerLoad, PromptPart, Reason, RequestInfo, RequestKey, RetryBudget, Route,
+    RouteTable, Task,
 };
 
 /// Selects the endpoint of each request, and decides which requests are retried, refused or failed.
@@ -57,8 +58,12 @@
     pub(crate) stream_origins: StreamOrigins,
     /// Software versions of the endpoints in the fleet, and of those that left it.
     pub(crate) versions: VersionHistory,
-    /// Software versions in the directory's record of each service that has one.
-    pub(crate) recorded_versions: FxHashMap<ServiceName, RecordedVersions>,
+    /// Software versions at which streams may begin, of each service that has a record in the directory.
+    pub(crate) allowed_versions: FxHashMap<ServiceName, AllowedVersions>,
+    /// Services of which the directory takes no record.
+    pub(crate) unrecordable_services: FxHashSet<ServiceName>,
+    /// The last read of the directory for streams that clients resume; `None` before the first one.
+    pub(crate) directory_read: Option<DirectoryRead>,
     /// Routes that lately sent their requests to other services.
     pub(crate) moved_routes: MovedRoutes,
     /// Requests and prompt parts under which endpoints ended.
@@ -93,7 +98,9 @@
             hold_ups: HoldUps::default(),
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
-            recorded_versions: FxHashMap::default(),
+            allowed_versions: FxHashMap::default(),
+            unrecordable_services: FxHashSet::default(),
+            directory_read: None,
             moved_routes: MovedRoutes::default(),
             crash_quarantine: CrashQuarantine::default(),
             fairness: Fairness::default(),
@@ -188,13 +195,15 @@
                 self.fleet.note_leaving(now, endpoint);
             }
             Event::OriginsReported { origins } => {
-                for origin in origins {
-                    self.stream_origins.record(now, origin);
-                }
+                self.origins_reported(now, origins);
             }
+            Event::NewsAwaited { key } => self.news_awaited(now, key, actions),
             Event::VersionsRecorded { service, versions } => {
-                self.versions_recorded(now, service, versions)
+                self.versions_recorded(&service, versions)
             }
+            Event::RecordRefused { service } => self.record_refused(service),
+            Event::DirectoryRead(read) => self.directory_read(now, read),
+            Event::ConfigurationsMissed => self.moved_routes.record_gap(now),
             Event::CrashNewsReported { news } => self.crash_news_reported(now, news, actions),
             Event::LimitsReported { limits } => self.limits_reported(now, limits, actions),
             Event::FrontsCounted(position) => {
@@ -230,8 +239,9 @@
         if self.table.as_ref().is_some_and(|it| it.version() >= table.version()) {
             return;
         }
-        if let Some(old) = &self.table {
-            self.moved_routes.record(now, old, &table);
+        match &self.table {
+            Some(old) => self.moved_routes.record(now, old, &table),
+            None => self.moved_routes.record_gap(now),
         }
         self.table = Some(table);
     }
@@ -245,7 +255,7 @@
         let (name, address) = (endpoint.name.clone(), endpoint.address);
         self.record_version(now, &name);
         self.versions.record(now, &endpoint);
-        self.version_listed(now, &endpoint);
+        self.version_listed(&endpoint);
         let previous_key = self.fleet.key(&name);
         let is_engine = endpoint.stage.is_some();
         let (key, replaced) = self.fleet.upsert(endpoint);
@@ -311,10 +321,9 @@
         self.budget(&state.service.clone()).record_request(now);
         self.fairness.record_arrival(&state);
         self.requests.insert(key, state);
-        if self.refuse_unknown_origin(now, key, actions) {
-            return;
+        if self.settle_origin(now, key, actions) {
+            self.place(now, key, Reason::NoEndpoint, actions);
         }
-        self.place(now, key, Reason::NoEndpoint, actions);
     }
 
     /// Returns the state of a request that arrives now; `None` if it has no route or isn't accepted for its key.
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use crate::{
-    CrashNews, Endpoint, EndpointKey, FrontPosition, Incarnation, LimitNews, LoadSample, PeerLoad,
-    PromptPart, Removal, RequestInfo, RequestKey, RequestRate, RouteTable, SoftwareVersions,
-    StreamOrigin,
+    CrashNews, DirectoryRead, Endpoint, EndpointKey, FrontPosition, Incarnation, LimitNews,
+    LoadSample, PeerLoad, PromptPart, Removal, RequestInfo, RequestKey, RequestRate, RouteTable,
+    SoftwareVersions, StreamOrigin,
 };
 
 /// Why a send attempt failed.
@@ -211,8 +211,18 @@
         /// The streams that clients may resume.
         origins: Vec<StreamOrigin>,
     },
-    /// The directory's record of the versions of a service that may have streams was read or written. Nothing that it
-    /// lacks may have had streams before.
+    /// News may have come of where the stream began that the client resumes, or [`Action::AwaitNews`] has ended.
+    ///
+    /// [`Action::AwaitNews`]: crate::Action::AwaitNews
+    NewsAwaited {
+        /// Identifies the request.
+        key: RequestKey,
+    },
+    /// The directory was read for streams that clients resume.
+    DirectoryRead(DirectoryRead),
+    /// Configurations may have been in force elsewhere that this front hasn't received. Precedes the one that it receives next.
+    ConfigurationsMissed,
+    /// The directory's record of the versions of a service that may have streams was written by this front.
     VersionsRecorded {
         /// The service.
         service: ServiceName,
@@ -229,6 +239,11 @@
         /// The limits, with times of this process.
         limits: Vec<LimitNews>,
     },
+    /// The directory doesn't take a record of the versions of a service that may have streams.
+    RecordRefused {
+        /// The service.
+        service: ServiceName,
+    },
     /// The fronts that share the endpoints were counted.
     FrontsCounted(FrontPosition),
     /// The process was asked to stop. From now on requests are refused whose response may not end by `deadline`.
--- a/crates/daisychute-dispatch/src/core/mod.rs
+++ b/crates/daisychute-dispatch/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! State machine of the dispatcher: its events, its actions and the state per request.
 
 pub(crate) mod action;
+pub(crate) mod directory_read;
 pub(crate) mod dispatcher;
 pub(crate) mod ending;
 pub(crate) mod event;
--- a/crates/daisychute-dispatch/src/core/moved_routes.rs
+++ b/crates/daisychute-dispatch/src/core/moved_routes.rs
@@ -15,12 +15,19 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct MovedRoutes {
     moved_at: FxHashMap<RouteKey, Time>,
+    /// Since when each configuration was in force here that was in force at all; `None` before the first one.
+    known_since: Option<Time>,
 }
 
 impl MovedRoutes {
     /// How long moves are remembered, more than any stream takes.
     const MAX_AGE: Duration = Duration::from_secs(1_200);
 
+    /// Records that configurations may have come and gone until now without being in force here.
+    pub(crate) fn record_gap(&mut self, now: Time) {
+        self.known_since = Some(now);
+    }
+
     /// Records the routes whose requests get other services under the new configuration than under the old one.
     pub(crate) fn record(&mut self, now: Time, old: &RouteTable, new: &RouteTable) {
         self.moved_at.retain(|_, at| now.since(*at) < Self::MAX_AGE);
@@ -36,9 +43,10 @@
         }
     }
 
-    /// Whether all requests of the route got the same services during all of the last `age`.
+    /// Whether all requests of the route are known to have got the same services during all of the last `age`.
     pub(crate) fn is_settled(&self, now: Time, route: &Route, age: Duration) -> bool {
         let key = (Arc::clone(&route.host), Arc::clone(&route.prefix));
-        self.moved_at.get(&key).is_none_or(|at| now.since(*at) >= age)
+        let is_known = self.known_since.is_some_and(|at| now.since(at) >= age);
+        is_known && self.moved_at.get(&key).is_none_or(|at| now.since(*at) >= age)
     }
 }
--- a/crates/daisychute-dispatch/src/core/origin_basis.rs
+++ b/crates/daisychute-dispatch/src/core/origin_basis.rs
@@ -4,9 +4,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum OriginBasis {
     /// This front or another one saw its first event.
-    Told,
-    /// There is only one possibility.
-    OnlyOne,
+    Seen,
+    /// A read of the directory that began after the request arrived left only one possibility.
+    Read,
     /// It doesn't know.
     Unknown,
 }
@@ -16,8 +16,8 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::Told => "told",
-            Self::OnlyOne => "only_one",
+            Self::Seen => "seen",
+            Self::Read => "read",
             Self::Unknown => "unknown",
         }
     }
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -101,6 +101,10 @@
             return;
         }
         let Some(placement) = self.choose_placement(now, key) else {
+            if let Some(until) = self.awaits_record_until(now, key) {
+                actions.push(Action::AwaitNews { key, until });
+                return;
+            }
             self.fail_or_refuse(key, self.reason_without_endpoint(key, reason), actions);
             return;
         };
@@ -172,17 +176,14 @@
         self.cost_models.entry(service).or_insert_with(ServiceCostModel::new);
         let state = self.requests.get(&key)?;
         let model = &self.cost_models[&state.service];
-        let query = self.selection_query(now, state, engine.as_ref());
+        let query = self.selection_query(state, engine.as_ref());
         let cache_holders = match &state.kv_handle {
             // The KV cache of the whole prompt is fetched; cached parts don't matter.
             Some(_) => Vec::new(),
             None => cache_holders(now, &self.fleet, &query),
         };
-        let best = |query: SelectionQuery<'_>| {
-            let selected = select(now, &self.fleet, model, &query, &cache_holders);
-            let any = query.recorded.map(|_| SelectionQuery { recorded: None, ..query });
-            selected.or_else(|| select(now, &self.fleet, model, &any?, &cache_holders))
-        };
+        let best =
+            |query: SelectionQuery<'_>| select(now, &self.fleet, model, &query, &cache_holders);
         let decode = SelectionQuery { stage: Some(EngineStage::Decode), ..query };
         if let Some(handle) = &state.kv_handle {
             let prefill_endpoint = self.fleet.endpoint(handle.endpoint);
@@ -203,8 +204,9 @@
             let cost_ms = latency_ms + candidate.prefill_ms * interference;
             Placement { cost_ms, latency_ms, ..Placement::run(candidate) }
         });
-        // Without an engine that may go on with the stream, a prefill would be in vain.
-        if state.prefill_tried || (combined.is_none() && state.stream_version.is_some()) {
+        // Without an engine that may run the stream, a prefill would be in vain.
+        let is_bound = query.version.is_some() || query.recorded.is_some();
+        if state.prefill_tried || (combined.is_none() && is_bound) {
             return combined;
         }
         let disaggregated = best(SelectionQuery {
@@ -235,7 +237,6 @@
     /// Returns the query for endpoints of any stage that prefill the prompt themselves.
     pub(crate) fn selection_query<'a>(
         &'a self,
-        now: Time,
         state: &'a RequestState,
         engine: Option<&'a EngineSpec>,
     ) -> SelectionQuery<'a> {
@@ -247,7 +248,7 @@
             source: None,
             priority: state.priority(),
             version: state.stream_version.as_ref(),
-            recorded: self.versions_to_begin_at(now, state),
+            recorded: self.versions_to_begin_at(state),
             tried: &state.tried,
             local_data_centre: self.settings.data_centre.as_ref(),
             seed: xxh3_64(state.request.id.as_bytes()),
--- a/crates/daisychute-dispatch/src/core/preview.rs
+++ b/crates/daisychute-dispatch/src/core/preview.rs
@@ -56,6 +56,11 @@
         /// Priority that the endpoint would be told; 0 is the most urgent.
         priority: u8,
     },
+    /// The request would wait for news of the directory or of other fronts, which decide whether it is sent.
+    Wait {
+        /// Time after which it would be refused without them, in ms.
+        limit_ms: u64,
+    },
     /// The request would be refused as not run.
     Refuse {
         /// Cause of the refusal.
@@ -143,7 +148,7 @@
         let model = self.cost_models.get(&state.service).unwrap_or(&new_model);
         let table = self.table.as_ref();
         let engine = table.and_then(|it| it.service(&state.service)?.engine);
-        let query = self.selection_query(now, state, engine.as_ref());
+        let query = self.selection_query(state, engine.as_ref());
         let holders = cache_holders(now, &self.fleet, &query);
         let preview = |(key, tracked): (EndpointKey, &TrackedEndpoint)| {
             let query = SelectionQuery { stage: tracked.endpoint.stage, ..query };
@@ -177,6 +182,9 @@
                     priority: decision.priority,
                 })
             }
+            Action::AwaitNews { key, until, .. } if *key == request => {
+                Some(Self::Wait { limit_ms: to_ms(until.since(now)) })
+            }
             Action::Refuse { key, reason, retry_after, .. } if *key == request => {
                 let reason = Arc::from(reason.as_str());
                 Some(Self::Refuse { reason, retry_after_ms: retry_after.map(to_ms) })
--- a/crates/daisychute-dispatch/src/core/request_state.rs
+++ b/crates/daisychute-dispatch/src/core/request_state.rs
@@ -8,7 +8,8 @@
 
 use crate::fleet::cost_model::PrefillWork;
 use crate::{
-    Account, Action, Cause, EndpointKey, ForwardedIdentity, OriginBasis, RequestInfo, Route, Task,
+    Account, Action, Cause, EndpointKey, ForwardedIdentity, OriginBasis, RequestInfo, Route,
+    StreamOrigin, Task,
 };
 
 /// A send attempt that hasn't ended.
@@ -139,6 +140,18 @@
         self.request.resumption.is_some() && self.route.kind.is_stream()
     }
 
+    /// Returns what identifies the stream that the client resumes; `None` if it resumes none, or doesn't say which.
+    pub(crate) fn first_attempt_hash(&self) -> Option<u64> {
+        let resumption = self.request.resumption.as_ref()?;
+        resumption.first_attempt.as_deref().map(StreamOrigin::attempt)
+    }
+
+    /// Whether the stream that the client resumes got the service that the request gets now, unless its route has moved:
+    /// requests get the services of a route by the id of their first attempt.
+    pub(crate) fn has_certain_service(&self) -> bool {
+        self.first_attempt_hash().is_some() || self.route.backends.is_single()
+    }
+
     /// Returns the maximum number of tokens that the request may generate; 0 without a prompt.
     pub(crate) fn max_output(&self) -> u32 {
         self.request.prompt.as_ref().map_or(0, |it| it.max_output)
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -7,92 +7,110 @@
 
 use crate::core::request_state::RequestState;
 use crate::core::stream_origins::KnownOrigin;
-use crate::{Action, Dispatcher, OriginBasis, Reason, RequestKey, Resumption, StreamOrigin};
+use crate::{Action, Dispatcher, OriginBasis, Reason, RequestKey, StreamOrigin};
 
 /// Multiple of a route's timeout within which a stream is resumed for the last time. Each attempt of a client ends with
 /// the timeout, and few clients wait longer than that for all of them.
 pub(crate) const MAX_STREAM_AGE_FACTOR: u32 = 2;
+/// Longest time that a request waits for a read of the directory, which answers within milliseconds, or some hundred if it is slow.
+pub(crate) const MAX_READ_WAIT: Duration = Duration::from_millis(400);
+
+/// Where a resumed stream began, as far as this front knows.
+enum Origin {
+    At {
+        service: ServiceName,
+        version: Option<SoftwareVersion>,
+        basis: OriginBasis,
+    },
+    /// At a service that its route doesn't have any more.
+    RouteMoved,
+    /// News may tell until this time.
+    UnknownUntil(Time),
+}
 
 impl Dispatcher {
-    /// Restricts a request that resumes a stream to the software version that began it. Refuses it if that version
-    /// isn't known, and returns whether it was refused.
-    pub(crate) fn refuse_unknown_origin(
+    /// Restricts a request that resumes a stream to the service and the software version that began it. Returns whether
+    /// the request may be placed; if not, it waits for news of the origin, or is refused.
+    pub(crate) fn settle_origin(
         &mut self,
         now: Time,
         key: RequestKey,
         actions: &mut Vec<Action>,
     ) -> bool {
-        let Some(state) = self.requests.get(&key).filter(|it| it.resumes()) else { return false };
-        let origin = self.origin_version(now, state);
-        let basis = origin.as_ref().map_or(OriginBasis::Unknown, |it| it.1);
-        actions.push(Action::RecordResumption {
-            request: Arc::clone(&state.request.id),
-            service: state.service.clone(),
-            version: origin.as_ref().and_then(|it| it.0.clone()),
-            basis,
-            heard_ago: self.contact.heard_ago(now),
-        });
-        let Some((version, _)) = origin else {
-            self.fail_or_refuse(key, Reason::OriginUnknown, actions);
-            return true;
-        };
-        let service = self.told_service(now, state).unwrap_or(&state.service).clone();
-        if !state.route.backends.contains(&service) {
-            self.fail_or_refuse(key, Reason::VersionGone, actions);
-            return true;
-        }
-        if let Some(state) = self.requests.get_mut(&key) {
-            state.service = service;
-            state.stream_version = Some(version);
-            state.origin_basis = Some(basis);
+        let Some(state) = self.requests.get(&key).filter(|it| it.resumes()) else { return true };
+        match self.origin(now, state) {
+            Origin::At { service, version, basis } => {
+                self.record_resumption(now, key, Some(&version), basis, actions);
+                if let Some(state) = self.requests.get_mut(&key) {
+                    state.service = service;
+                    state.stream_version = Some(version);
+                    state.origin_basis = Some(basis);
+                }
+                return true;
+            }
+            Origin::RouteMoved => {
+                self.record_resumption(now, key, None, OriginBasis::Seen, actions);
+                self.fail_or_refuse(key, Reason::VersionGone, actions);
+            }
+            Origin::UnknownUntil(until) if now < until => {
+                actions.push(Action::AwaitNews { key, until });
+            }
+            Origin::UnknownUntil(_) => {
+                self.record_resumption(now, key, None, OriginBasis::Unknown, actions);
+                self.fail_or_refuse(key, Reason::OriginUnknown, actions);
+            }
         }
         false
     }
 
-    /// Returns the service at which the stream began, if a front told it.
-    fn told_service(&self, now: Time, state: &RequestState) -> Option<&ServiceName> {
-        let first_attempt = state.request.resumption.as_ref()?.first_attempt.as_deref()?;
-        match self.stream_origins.get(now, StreamOrigin::attempt(first_attempt))? {
-            KnownOrigin::At { service, .. } => service,
-            KnownOrigin::Disputed => None,
+    /// Places a request that has waited for news of where its stream began.
+    pub(crate) fn news_awaited(&mut self, now: Time, key: RequestKey, actions: &mut Vec<Action>) {
+        if self.settle_origin(now, key, actions) {
+            self.place(now, key, Reason::NoEndpoint, actions);
         }
     }
 
-    /// Returns the version that began the stream: as this front or another one saw it, or the only one that the service
-    /// had since.
-    fn origin_version(
-        &self,
-        now: Time,
-        state: &RequestState,
-    ) -> Option<(Option<SoftwareVersion>, OriginBasis)> {
-        let Resumption { first_attempt } = state.request.resumption.as_ref()?;
-        let attempt = first_attempt.as_deref().map(StreamOrigin::attempt);
-        let known = match attempt.and_then(|it| self.stream_origins.get(now, it)) {
-            Some(KnownOrigin::At { version, .. }) => Some(version),
-            Some(KnownOrigin::Disputed) => return None,
-            None => None,
-        };
-        let only = || {
-            let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
-            if !self.began_at_its_service(now, state, age) {
-                return None;
+    /// Returns where a stream began: as this front or another one saw it, or at the only place there was.
+    fn origin(&self, now: Time, state: &RequestState) -> Origin {
+        let attempt = state.first_attempt_hash();
+        match attempt.and_then(|it| self.stream_origins.get(now, it)) {
+            Some(KnownOrigin::At { service, version }) => {
+                let service = service.unwrap_or(&state.service);
+                if !state.route.backends.contains(service) {
+                    return Origin::RouteMoved;
+                }
+                let (service, version) = (service.clone(), version.clone());
+                return Origin::At { service, version, basis: OriginBasis::Seen };
             }
-            let present = self.fleet.of_service(&state.service);
-            let present = present.map(|(_, it)| &it.endpoint.software_version);
-            self.versions.only_version(now, &state.service, age, present)
+            Some(KnownOrigin::Disputed) => return Origin::UnknownUntil(now),
+            None => {}
+        }
+        if let Some(version) = self.sole_version(now, state) {
+            let (service, version) = (state.service.clone(), version.clone());
+            return Origin::At { service, version, basis: OriginBasis::Read };
+        }
+        let wait = match self.read_after_arrival(state) {
+            None => MAX_READ_WAIT,
+            Some(_) => Duration::ZERO,
         };
-        let known = known.map(|it| (it, OriginBasis::Told));
-        let only = || Some((self.contact.is_given(now).then(only)??, OriginBasis::OnlyOne));
-        known.or_else(only).map(|(version, basis)| (version.clone(), basis))
+        Origin::UnknownUntil(state.arrived + wait)
+    }
+
+    /// Returns the last read of the directory if it began after the request arrived. Any before may lack versions and
+    /// moves of routes that its stream began after.
+    fn read_after_arrival(&self, state: &RequestState) -> Option<&crate::DirectoryRead> {
+        self.directory_read.as_ref().filter(|it| it.begun_at >= state.arrived)
     }
 
-    /// Whether the stream, which is at most `age` old, began at the service that its request gets now: requests get the
-    /// services of a route by the id of their first attempt.
-    fn began_at_its_service(&self, now: Time, state: &RequestState, age: Duration) -> bool {
-        let resumption = state.request.resumption.as_ref();
-        let is_named = resumption.is_some_and(|it| it.first_attempt.is_some());
-        (is_named || state.route.backends.is_single())
-            && self.moved_routes.is_settled(now, &state.route, age)
+    /// Returns the version of the stream if the directory leaves only one possibility.
+    fn sole_version(&self, now: Time, state: &RequestState) -> Option<&Option<SoftwareVersion>> {
+        let read = self.read_after_arrival(state)?;
+        let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
+        let is_current = self.table.as_ref().map(|it| it.version()) == read.configuration;
+        let has_not_moved = || self.moved_routes.is_settled(now, &state.route, age);
+        let is_certain = read.has_one_service()
+            || (is_current && state.has_certain_service() && has_not_moved());
+        read.sole_version(&state.service).filter(|_| is_certain)
     }
 
     /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts where it
@@ -104,23 +122,46 @@
         };
         let version = sent.software_version.clone();
         state.stream_version = Some(version.clone());
-        if !state.route.kind.repeatable() || state.origin_basis == Some(OriginBasis::OnlyOne) {
+        if !state.route.kind.repeatable() || state.origin_basis == Some(OriginBasis::Read) {
             return;
         }
         let attempt = StreamOrigin::attempt(state.request.first_attempt());
         let client_timeout = state.request.client_timeout.unwrap_or(Self::DEFAULT_CLIENT_TIMEOUT);
         let time_left = (state.arrived + client_timeout).since(now);
         let service = state.service.clone();
-        let at_once = self.has_several_versions(&service);
+        let at_once = self.may_have_several_versions(&service);
         let origin = StreamOrigin { attempt, service: Some(service), version, time_left };
         self.stream_origins.record(now, origin.clone());
         actions.push(Action::AnnounceOrigin { origin, at_once });
     }
 
-    fn has_several_versions(&self, service: &ServiceName) -> bool {
-        let mut versions =
-            self.fleet.of_service(service).map(|(_, it)| &it.endpoint.software_version);
-        let first = versions.next();
-        versions.any(|it| Some(it) != first)
+    /// Records where other fronts saw streams begin. The versions are recorded in the directory, as streams begin at
+    /// recorded ones only.
+    pub(crate) fn origins_reported(&mut self, now: Time, origins: Vec<StreamOrigin>) {
+        for origin in origins {
+            if let Some(service) = &origin.service {
+                self.version_reported(service, &origin.version);
+            }
+            self.stream_origins.record(now, origin);
+        }
+    }
+
+    fn record_resumption(
+        &self,
+        now: Time,
+        key: RequestKey,
+        version: Option<&Option<SoftwareVersion>>,
+        basis: OriginBasis,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(state) = self.requests.get(&key) else { return };
+        actions.push(Action::RecordResumption {
+            request: Arc::clone(&state.request.id),
+            service: state.service.clone(),
+            version: version.cloned().flatten(),
+            basis,
+            waited: now.since(state.arrived),
+            heard_ago: self.contact.heard_ago(now),
+        });
     }
 }
--- a/crates/daisychute-dispatch/src/core/version_records.rs
+++ b/crates/daisychute-dispatch/src/core/version_records.rs
@@ -1,7 +1,8 @@
 //! The software versions of each service that may have streams, as the directory keeps them.
 //!
-//! A front that starts knows nothing of the versions that served before it. The directory's records tell it, so that it
-//! need not refuse to resume streams until none can be left that began before its start.
+//! A front doesn't know of all versions that serve: it may have started just now, be cut off, or have stood still. The
+//! directory's records tell it. They can be relied on because streams that clients may resume begin at recorded versions
+//! only.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -9,23 +10,25 @@
 use daisychute_core::{ServiceName, SoftwareVersion, Time};
 
 use crate::core::request_state::RequestState;
-use crate::core::resumption::MAX_STREAM_AGE_FACTOR;
+use crate::core::resumption::{MAX_READ_WAIT, MAX_STREAM_AGE_FACTOR};
 use crate::fleet::endpoint::TrackedEndpoint;
-use crate::{Dispatcher, Endpoint, Route, RouteTable};
+use crate::{DirectoryRead, Dispatcher, Endpoint, RequestKey, Route, RouteTable};
 
 /// Software versions; `None` stands for endpoints of which the directory doesn't say it.
 pub type SoftwareVersions = BTreeSet<Option<SoftwareVersion>>;
 
-/// Time for which streams begin at recorded versions only, after an endpoint of another one was listed. A record is written
-/// in some milliseconds; a front that can't read or write it must not leave the new endpoints idle.
-const MAX_RECORDING_TIME: Duration = Duration::from_secs(5);
+/// Time for which a version stays recorded once no stream of it can be resumed any more. A front that is cut off for as long
+/// may begin streams at endpoints that the others know to have left.
+const MAX_ISOLATION: Duration = Duration::from_secs(120);
 
-/// What the directory has recorded of one service.
+static NONE_RECORDED: SoftwareVersions = SoftwareVersions::new();
+
+/// The versions of a service at which this front may begin streams.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct RecordedVersions {
+pub(crate) struct AllowedVersions {
     versions: SoftwareVersions,
-    /// Since when an endpoint is listed whose version isn't recorded; `None` if there is none.
-    lacking_since: Option<Time>,
+    /// Whether an endpoint was listed of another version.
+    is_lacking: bool,
 }
 
 impl Dispatcher {
@@ -55,50 +58,95 @@
         if !self.contact.is_given(now) {
             return None;
         }
-        let mut versions: SoftwareVersions =
-            self.versions.recent(now, service, age)?.cloned().collect();
+        let recent = self.versions.recent(now, service, age, age + MAX_ISOLATION)?;
+        let mut versions: SoftwareVersions = recent.cloned().collect();
         versions.extend(self.listed_versions(service));
         (!versions.is_empty()).then_some(versions)
     }
 
-    /// Records the versions that the directory's record of a service contains. Streams begin at these only, for a
-    /// time and as long as endpoints of them take requests. Those without endpoints count as having left now, unless more is known.
-    pub(crate) fn versions_recorded(
-        &mut self,
-        now: Time,
-        service: ServiceName,
-        versions: SoftwareVersions,
-    ) {
-        self.versions.complete(now, &service, &versions);
+    /// Records what a read of the directory says of the versions that may have streams. Those without endpoints count as
+    /// having left now, unless more is known.
+    pub(crate) fn directory_read(&mut self, now: Time, read: DirectoryRead) {
+        self.allowed_versions.retain(|service, _| read.records.contains_key(service));
+        for (service, record) in &read.records {
+            if record.is_complete {
+                self.versions.complete(now, read.begun_at, service, &record.versions);
+            }
+            self.versions_recorded(service, record.versions.clone());
+        }
+        self.directory_read = Some(read);
+    }
+
+    /// Records that the directory's record of a service contains these versions.
+    pub(crate) fn versions_recorded(&mut self, service: &ServiceName, versions: SoftwareVersions) {
         let lacks = |it: &TrackedEndpoint| !versions.contains(&it.endpoint.software_version);
-        let is_lacking = self.fleet.of_service(&service).any(|(_, it)| lacks(it));
-        let recorded = self.recorded_versions.entry(service).or_default();
-        recorded.versions = versions;
-        recorded.lacking_since = is_lacking.then(|| recorded.lacking_since.unwrap_or(now));
+        let is_lacking = self.fleet.of_service(service).any(|(_, it)| lacks(it));
+        let allowed = AllowedVersions { versions, is_lacking };
+        self.allowed_versions.insert(service.clone(), allowed);
+        self.unrecordable_services.remove(service);
+    }
+
+    /// Records that the directory takes no record of a service, so that streams may begin there at any version.
+    pub(crate) fn record_refused(&mut self, service: ServiceName) {
+        self.unrecordable_services.insert(service);
     }
 
     /// Records that an endpoint is listed, whose version may not be recorded yet.
-    pub(crate) fn version_listed(&mut self, now: Time, endpoint: &Endpoint) {
-        if let Some(recorded) = self.recorded_versions.get_mut(&endpoint.service)
-            && !recorded.versions.contains(&endpoint.software_version)
+    pub(crate) fn version_listed(&mut self, endpoint: &Endpoint) {
+        if let Some(allowed) = self.allowed_versions.get_mut(&endpoint.service) {
+            allowed.is_lacking |= !allowed.versions.contains(&endpoint.software_version);
+        }
+    }
+
+    /// Records that a stream began at this version, at another front that knew it to be recorded.
+    pub(crate) fn version_reported(
+        &mut self,
+        service: &ServiceName,
+        version: &Option<SoftwareVersion>,
+    ) {
+        if let Some(allowed) = self.allowed_versions.get_mut(service)
+            && allowed.is_lacking
+            && !allowed.versions.contains(version)
         {
-            recorded.lacking_since.get_or_insert(now);
+            let mut versions = allowed.versions.clone();
+            versions.insert(version.clone());
+            self.versions_recorded(service, versions);
         }
     }
 
-    /// Returns the versions at which a stream should begin, so that fronts that start later know of them; `None` for other
-    /// requests, for streams that have begun, and if there are no others.
-    pub(crate) fn versions_to_begin_at(
-        &self,
-        now: Time,
-        state: &RequestState,
-    ) -> Option<&SoftwareVersions> {
-        if !state.route.kind.is_stream() || state.stream_version.is_some() {
+    /// Whether a stream of the service may have begun at more than one version, as far as this front knows.
+    pub(crate) fn may_have_several_versions(&self, service: &ServiceName) -> bool {
+        let recorded = self.allowed_versions.get(service).map_or(0, |it| it.versions.len());
+        let mut listed =
+            self.fleet.of_service(service).map(|(_, it)| &it.endpoint.software_version);
+        let first = listed.next();
+        recorded > 1 || listed.any(|it| Some(it) != first)
+    }
+
+    /// Returns the versions at which a stream may begin that clients may resume; `None` if it may be any: for other
+    /// requests, for streams that have begun, as long as no records were read, and if the directory takes no record.
+    pub(crate) fn versions_to_begin_at(&self, state: &RequestState) -> Option<&SoftwareVersions> {
+        let kind = state.route.kind;
+        if !kind.is_stream() || !kind.repeatable() || state.stream_version.is_some() {
             return None;
         }
-        let recorded = self.recorded_versions.get(&state.service)?;
-        let since = recorded.lacking_since?;
-        (now.since(since) < MAX_RECORDING_TIME).then_some(&recorded.versions)
+        self.directory_read.as_ref()?;
+        let Some(allowed) = self.allowed_versions.get(&state.service) else {
+            let may_be_recorded = !self.unrecordable_services.contains(&state.service);
+            return may_be_recorded.then_some(&NONE_RECORDED);
+        };
+        allowed.is_lacking.then_some(&allowed.versions)
+    }
+
+    /// Returns until when a stream waits that finds no endpoint of a recorded version, while there are endpoints of others. `None`
+    /// if it isn't to wait.
+    pub(crate) fn awaits_record_until(&self, now: Time, key: RequestKey) -> Option<Time> {
+        let state = self.requests.get(&key)?;
+        let versions = self.versions_to_begin_at(state)?;
+        let lacks = |it: &TrackedEndpoint| !versions.contains(&it.endpoint.software_version);
+        let is_lacking = self.fleet.of_service(&state.service).any(|(_, it)| lacks(it));
+        let until = state.arrived + MAX_READ_WAIT;
+        (is_lacking && now < until).then_some(until)
     }
 }
 
--- a/crates/daisychute-dispatch/src/fleet/version_history.rs
+++ b/crates/daisychute-dispatch/src/fleet/version_history.rs
@@ -38,15 +38,17 @@
         history.seen_at.retain(|_, at| now.since(*at) < Self::MAX_AGE);
     }
 
-    /// Records the versions that may have had endpoints until now, earlier ones than this process knows included.
+    /// Records the versions that may have had endpoints until `read_at`, earlier ones than this process knows included.
     pub(crate) fn complete<'a>(
         &mut self,
         now: Time,
+        read_at: Time,
         service: &ServiceName,
         versions: impl IntoIterator<Item = &'a Version>,
     ) {
-        let history = self.history(now, service);
-        history.is_complete = true;
+        let history = self.history(read_at, service);
+        // What was read before a gap doesn't tell what was missed in it.
+        history.is_complete |= read_at >= history.known_since;
         for version in versions {
             history.seen_at.entry(version.clone()).or_insert(now);
         }
@@ -69,31 +71,18 @@
         self.services.entry(service.clone()).or_insert_with(new)
     }
 
-    /// Returns the versions of endpoints of the service that were recorded during the last `age`. `None` if there may have
-    /// been others.
+    /// Returns the versions of endpoints of the service that were recorded during the last `max_age`. `None` if there may
+    /// have been others during the last `age`.
     pub(crate) fn recent(
         &self,
         now: Time,
         service: &ServiceName,
         age: Duration,
+        max_age: Duration,
     ) -> Option<impl Iterator<Item = &Version>> {
         let history = self.services.get(service)?;
         let is_known = history.is_complete || now.since(history.known_since) >= age;
-        let recent = history.seen_at.iter().filter(move |(_, at)| now.since(**at) < age);
+        let recent = history.seen_at.iter().filter(move |(_, at)| now.since(**at) < max_age);
         is_known.then(|| recent.map(|(version, _)| version))
     }
-
-    /// Returns the version that all endpoints of the service had during all of the last `age`, those in `present`
-    /// included. `None` if there were several, or if there may have been others before the service was known.
-    pub(crate) fn only_version<'a>(
-        &'a self,
-        now: Time,
-        service: &ServiceName,
-        age: Duration,
-        present: impl Iterator<Item = &'a Version>,
-    ) -> Option<&'a Version> {
-        let mut versions = present.chain(self.recent(now, service, age)?);
-        let first = versions.next()?;
-        versions.all(|it| it == first).then_some(first)
-    }
 }
--- a/crates/daisychute-dispatch/src/lib.rs
+++ b/crates/daisychute-dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 pub use crate::core::action::{Action, SendDecision, Task};
 pub use crate::core::cause::Cause;
 pub use crate::core::crash_news::{CrashNews, Suspect};
+pub use crate::core::directory_read::{DirectoryRead, RecordedVersions};
 pub use crate::core::dispatcher::Dispatcher;
 pub use crate::core::event::{Event, SendFailure};
 pub use crate::core::limits::LimitNews;
--- a/crates/daisychute-dispatch/tests/preview.rs
+++ b/crates/daisychute-dispatch/tests/preview.rs
@@ -48,6 +48,9 @@
             deadline_ms: ms(decision.deadline.since(now)),
             priority: decision.priority,
         }),
+        Action::AwaitNews { until, .. } => {
+            Some(PreviewDecision::Wait { limit_ms: ms(until.since(now)) })
+        }
         Action::Refuse { reason, retry_after, .. } => Some(PreviewDecision::Refuse {
             reason: reason.as_str().into(),
             retry_after_ms: retry_after.map(ms),
--- a/crates/daisychute-dispatch/tests/promises.rs
+++ b/crates/daisychute-dispatch/tests/promises.rs
@@ -146,6 +146,8 @@
     broken: Vec<BegunStream>,
     // KV caches that were prefilled and neither used nor freed yet.
     held_caches: i64,
+    /// Requests that wait for news.
+    waiting: Vec<RequestKey>,
 }
 
 impl Checker {
@@ -166,6 +168,7 @@
             arrivals: Vec::new(),
             broken: Vec::new(),
             held_caches: 0,
+            waiting: Vec::new(),
         };
         checker.handle_event(Event::Configured(common::table(1)));
         for endpoint in fleet() {
@@ -228,6 +231,11 @@
             Action::Fail { key, .. } | Action::RelayErrorResponse { key } => {
                 self.close(key.number()).expect("one final response");
             }
+            Action::AwaitNews { key, .. } => {
+                let open = &self.open[&key.number()];
+                assert!(open.sent.is_none(), "a request waits for news at an endpoint");
+                self.waiting.push(key);
+            }
             Action::ReleaseKvCache { .. } => self.held_caches -= 1,
             Action::AnnounceCachedPart { .. }
             | Action::AnnounceOrigin { .. }
@@ -294,6 +302,9 @@
 
     fn play(&mut self, step: Step) {
         self.now = self.now + Duration::from_millis(step.delay_ms.into());
+        for key in std::mem::take(&mut self.waiting) {
+            self.handle_event(Event::NewsAwaited { key });
+        }
         if let Some(number) = step.drain {
             self.drain(number);
         }
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use daisychute_core::{Role, SoftwareVersion};
+use daisychute_core::{Role, SoftwareVersion, Time};
 use daisychute_dispatch::{
-    Action, Backend, Backends, ClientLimits, Endpoint, Event, Prompt, PromptPart, Reason, Removal,
-    RequestInfo, RequestKey, RequestKind, Resumption, Route, RouteTable, SendDecision, SendFailure,
-    ServiceSpec, StreamOrigin, Task,
+    Action, Backend, Backends, ClientLimits, DirectoryRead, Endpoint, Event, FrontPosition, Prompt,
+    PromptPart, Reason, RecordedVersions, Removal, RequestInfo, RequestKey, RequestKind,
+    Resumption, Route, RouteTable, SendDecision, SendFailure, ServiceSpec, StreamOrigin, Task,
 };
 
 use crate::common::{Front, HOST, LONG, SHORT, endpoint, name, route, service, services};
@@ -52,6 +52,33 @@
     (key, front.handle(Event::arrived(key, request)))
 }
 
+/// Returns until when a request waits for news.
+fn awaited(actions: &[Action]) -> Option<Time> {
+    actions.iter().find_map(|it| match it {
+        Action::AwaitNews { until, .. } => Some(*until),
+        _ => None,
+    })
+}
+
+/// Plays a request that waits for news in vain.
+fn resume(front: &mut Front, request: RequestInfo) -> Vec<Action> {
+    let (key, mut actions) = arrive(front, request);
+    while let Some(until) = awaited(&actions) {
+        front.now = until;
+        actions = front.handle(Event::NewsAwaited { key });
+    }
+    actions
+}
+
+/// Plays a request while which the directory is read, with these versions of the engines in its record.
+fn resume_after_read(front: &mut Front, request: RequestInfo, versions: &[&str]) -> Vec<Action> {
+    front.wait(Duration::from_millis(1));
+    let (key, actions) = arrive(front, request);
+    assert!(awaited(&actions).is_some(), "{actions:?}");
+    record(front, versions);
+    front.handle(Event::NewsAwaited { key })
+}
+
 fn sent(actions: &[Action]) -> Option<&SendDecision> {
     actions.iter().find_map(|it| match it {
         Action::Send { decision, .. } => Some(&**decision),
@@ -170,7 +197,7 @@
     let mut front = Front::new(engines(&["v1", "v2"]));
     front.wait(HISTORY);
     for first_attempt in [Some(FIRST_ATTEMPT), None] {
-        let (_, actions) = arrive(&mut front, resumption(first_attempt));
+        let actions = resume_after_read(&mut front, resumption(first_attempt), &["v1", "v2"]);
         assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
         assert!(sent(&actions).is_none());
     }
@@ -181,17 +208,29 @@
     let mut front = Front::new(engines(&["v1", "v1"]));
     front.wait(HISTORY);
     for first_attempt in [Some(FIRST_ATTEMPT), None] {
-        let (_, actions) = arrive(&mut front, resumption(first_attempt));
+        let actions = resume_after_read(&mut front, resumption(first_attempt), &["v1"]);
         assert!(sent(&actions).is_some(), "{actions:?}");
     }
 }
 
+/// Guards against a front that takes the only version that it knows for the only one there was, however long it has known the
+/// service (ORDER).
+#[test]
+fn stream_of_unknown_version_is_refused_without_a_read() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(HISTORY * 10);
+    for first_attempt in [Some(FIRST_ATTEMPT), None] {
+        let actions = resume(&mut front, resumption(first_attempt));
+        assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    }
+}
+
 /// Guards against a front that has just started, and takes the only version that it knows for the only one there was.
 #[test]
 fn stream_of_unknown_version_is_refused_by_a_front_that_knows_the_service_for_a_moment() {
     let mut front = Front::new(engines(&["v1", "v1"]));
     front.wait(Duration::from_secs(1));
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
 }
 
@@ -203,13 +242,12 @@
     front.wait(HISTORY);
     front.handle(heartbeat());
     front.wait(Duration::from_secs(2));
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
     front.handle(heartbeat());
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
-    record(&mut front, &["v1"]);
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume_after_read(&mut front, resumption(Some(FIRST_ATTEMPT)), &["v1"]);
     assert!(sent(&actions).is_some(), "{actions:?}");
 }
 
@@ -227,14 +265,14 @@
             let notice: fn(&mut Front, Event) -> Vec<Action> = $notice;
             let noticed = notice(&mut front, heartbeat);
             for first_attempt in [Some(FIRST_ATTEMPT), None] {
-                let (_, actions) = arrive(&mut front, resumption(first_attempt));
+                let actions = resume(&mut front, resumption(first_attempt));
                 assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
             }
             assert!(noticed.contains(&Action::ReadVersionRecords), "{noticed:?}");
             assert_eq!(to_record(&front), None);
             // The new version had left before this front listed the endpoints again.
-            record(&mut front, &["v1", "v2"]);
-            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+            let resumed = resumption(Some(FIRST_ATTEMPT));
+            let actions = resume_after_read(&mut front, resumed, &["v1", "v2"]);
             assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
             // What others tell of single streams holds.
             report_origin(&mut front, "v1", Duration::from_secs(3));
@@ -254,6 +292,10 @@
     };
 }
 
+/// Time for which a version stays recorded after its last endpoint has left: its streams can be resumed for [`HISTORY`], and
+/// a front that is cut off may begin some for two minutes.
+const RECORDED: Duration = Duration::from_secs(130);
+
 /// Defines a test for each way in which the endpoints of a version leave the fleet.
 macro_rules! versions_that_left {
     ($($name:ident: $left:expr,)*) => {$(
@@ -267,13 +309,13 @@
             for event in $left(second) {
                 front.handle(event);
             }
-            front.wait(HISTORY - Duration::from_secs(1));
-            front.handle(Event::Tick);
-            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
-            assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+            for _ in 1..RECORDED.as_secs() {
+                front.wait(Duration::from_secs(1));
+                front.handle(Event::Tick);
+            }
+            assert_eq!(to_record(&front).expect("known versions"), ["v1", "v2"]);
             front.wait(HISTORY);
-            let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
-            assert!(sent(&actions).is_some(), "{actions:?}");
+            assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
         }
     )*};
 }
@@ -294,9 +336,25 @@
     },
 }
 
+/// Plays a read of the directory with these versions of the engines in its record.
 fn record(front: &mut Front, versions: &[&str]) {
-    let versions = versions.iter().map(|it| Some(version(it))).collect();
-    front.handle(Event::VersionsRecorded { service: service("lm"), versions });
+    read(front, &[("lm", versions)]);
+}
+
+/// Plays a read of the directory with these records, and the configuration that the front has.
+fn read(front: &mut Front, records: &[(&str, &[&str])]) {
+    let read = directory_read(front, records);
+    front.handle(Event::DirectoryRead(read));
+}
+
+fn directory_read(front: &Front, records: &[(&str, &[&str])]) -> DirectoryRead {
+    let recorded = |versions: &[&str]| {
+        let versions = versions.iter().map(|it| Some(version(it))).collect();
+        RecordedVersions { versions, is_complete: true }
+    };
+    let records = records.iter().map(|(name, versions)| (service(name), recorded(versions)));
+    let configuration = front.dispatcher.table().map(|it| it.version());
+    DirectoryRead { begun_at: front.now, records: records.collect(), configuration }
 }
 
 /// Returns the versions that the record of the engines should contain.
@@ -312,12 +370,12 @@
 #[test]
 fn stream_of_unknown_version_goes_on_at_once_at_the_only_recorded_version() {
     let mut front = Front::new(engines(&["v1", "v1"]));
-    record(&mut front, &["v1"]);
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume_after_read(&mut front, resumption(Some(FIRST_ATTEMPT)), &["v1"]);
     assert!(sent(&actions).is_some(), "{actions:?}");
     let other = with_version(endpoint(2, "lm", Some(Role::Decode)), "v2");
     front.handle(Event::EndpointUpserted(other));
-    let (_, actions) = arrive(&mut front, resumption(None));
+    front.wait(Duration::from_millis(1));
+    let actions = resume(&mut front, resumption(None));
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
 }
 
@@ -326,16 +384,25 @@
 fn recorded_version_without_endpoints_counts_for_a_while() {
     let mut front = Front::new(engines(&["v1", "v1"]));
     record(&mut front, &["v1", "v2"]);
-    front.wait(HISTORY - Duration::from_secs(1));
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
-    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    front.wait(RECORDED - Duration::from_secs(1));
     assert_eq!(to_record(&front).expect("known versions"), ["v1", "v2"]);
     front.wait(Duration::from_secs(1));
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
-    assert!(sent(&actions).is_some(), "{actions:?}");
     assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
 }
 
+/// Guards against streams that go on at the only version of a record which was written before this front, or a copy of the
+/// directory, could know of all.
+#[test]
+fn stream_of_unknown_version_is_refused_by_an_incomplete_record() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    let (key, _) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let mut read = directory_read(&front, &[("lm", &["v1"])]);
+    read.records.get_mut(&service("lm")).expect("a record").is_complete = false;
+    front.handle(Event::DirectoryRead(read));
+    let actions = front.handle(Event::NewsAwaited { key });
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
 /// Guards against a record that lacks versions which served before the front that writes it started.
 #[test]
 fn front_that_knows_a_service_for_a_moment_records_nothing() {
@@ -346,9 +413,9 @@
     assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
 }
 
-/// Guards against streams of a version that no front knows which starts later.
+/// Guards against streams of a version that no front knows which starts later, or which missed that it joined (ORDER).
 #[test]
-fn streams_begin_at_recorded_versions_while_these_take_requests() {
+fn streams_begin_at_recorded_versions_only() {
     let mut front = Front::new(engines(&["v1", "v2"]));
     record(&mut front, &["v1"]);
     let begins_at = |front: &mut Front, number: u32| {
@@ -357,16 +424,56 @@
         version
     };
     assert!((0..20).all(|it| begins_at(&mut front, it) == version("v1")));
+    front.wait(Duration::from_secs(6));
+    assert!((0..20).all(|it| begins_at(&mut front, it) == version("v1")));
     let paused = front.dispatcher.fleet().key(&name("lm-1")).expect("a known engine");
     let pause = Duration::from_secs(1);
     front.handle(Event::PauseRequested { endpoint: paused, pause, spread: 0.0 });
-    assert_eq!(begins_at(&mut front, 20), version("v2"));
-    front.wait(Duration::from_secs(6));
-    assert!((0..20).any(|it| begins_at(&mut front, it) == version("v2")));
+    let actions = resume(&mut front, request("id-20", LONG));
+    assert!(sent(&actions).is_none() && refused(&actions).is_some(), "{actions:?}");
     record(&mut front, &["v1", "v2"]);
+    assert_eq!(begins_at(&mut front, 21), version("v2"));
+    front.wait(pause);
     assert!((0..20).any(|it| begins_at(&mut front, it) == version("v2")));
 }
 
+/// Guards against refusals while the version of the only endpoints is being recorded, which takes milliseconds.
+#[test]
+fn stream_waits_until_its_version_is_recorded() {
+    let mut front = Front::new(engines(&["v2"]));
+    record(&mut front, &[]);
+    let (key, actions) = arrive(&mut front, request("id", LONG));
+    assert!(awaited(&actions).is_some(), "{actions:?}");
+    let versions = [Some(version("v2"))].into();
+    front.handle(Event::VersionsRecorded { service: service("lm"), versions });
+    let actions = front.handle(Event::NewsAwaited { key });
+    assert!(sent(&actions).is_some(), "{actions:?}");
+}
+
+/// Guards against streams that never begin where the directory keeps no records.
+#[test]
+fn streams_begin_anywhere_if_the_directory_takes_no_record() {
+    let mut front = Front::new(engines(&["v2"]));
+    read(&mut front, &[]);
+    let (_, actions) = arrive(&mut front, request("id-1", LONG));
+    assert!(awaited(&actions).is_some(), "{actions:?}");
+    front.handle(Event::RecordRefused { service: service("lm") });
+    let (_, actions) = arrive(&mut front, request("id-2", LONG));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against new endpoints that stay idle at a front which the directory refuses, while others send them streams.
+#[test]
+fn version_at_which_another_front_saw_a_stream_begin_is_recorded() {
+    let mut front = Front::new(engines(&["v2"]));
+    record(&mut front, &["v1"]);
+    report_origin(&mut front, "v2", Duration::from_secs(3));
+    let (_, actions) = arrive(&mut front, request("id", LONG));
+    assert!(sent(&actions).is_some(), "{actions:?}");
+}
+
 /// Guards against prompts that are prefilled for a stream which no engine may go on with.
 #[test]
 fn stream_whose_version_is_gone_is_refused_without_a_prefill() {
@@ -394,7 +501,7 @@
     report_origin(&mut front, "v1", Duration::from_secs(3));
     front.wait(Duration::from_secs(3));
     front.handle(Event::Tick);
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown));
 }
 
@@ -432,7 +539,11 @@
                 let first_attempt = $first_attempt.map(|it: &str| format!("{it}-{id}").into());
                 let resumption = Resumption { first_attempt };
                 let resumed = request(&format!("resumed-{id}"), LONG).resumption(resumption);
-                let (_, actions) = arrive(&mut front, resumed);
+                front.wait(Duration::from_millis(1));
+                let (key, actions) = arrive(&mut front, resumed);
+                assert!(awaited(&actions).is_some(), "{actions:?}");
+                read(&mut front, &[("lm", &["v1"]), ("other", &["v2"])]);
+                let actions = front.handle(Event::NewsAwaited { key });
                 assert_eq!(refused(&actions), $refused, "{actions:?}");
             }
         }
@@ -466,7 +577,12 @@
     front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 1)])));
     front.wait(HISTORY);
     let service_of = |front: &mut Front, request| {
-        let (key, actions) = arrive(front, request);
+        front.wait(Duration::from_millis(1));
+        let (key, mut actions) = arrive(front, request);
+        if awaited(&actions).is_some() {
+            read(front, &[("lm", &["v1"]), ("other", &["v1"])]);
+            actions = front.handle(Event::NewsAwaited { key });
+        }
         let name = sent(&actions).expect("a send attempt").name.to_string();
         front.handle(Event::ClientDisconnected { key });
         name.starts_with("lm")
@@ -501,12 +617,107 @@
     assert!(sent(&actions).is_some(), "after {admitted} requests: {actions:?}");
 }
 
+/// What a front has heard of the others when the client comes back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Heard {
+    Never,
+    LongAgo,
+    Lately,
+}
+
+/// Which read of the directory it has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Read {
+    Never,
+    BeforeTheRequest,
+    BegunBeforeTheRequest,
+    AfterTheRequest,
+}
+
+/// What it was told of the stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    Nothing,
+    Seen,
+    Disputed,
+}
+
+/// Guards against a conclusion from anything but a read of the directory that began after the request arrived, or what a front
+/// saw (ORDER). The front lists v1 alone; the stream began at v2, which has joined without its knowledge.
+#[test]
+fn stream_of_a_version_that_joined_unnoticed_goes_nowhere_else() {
+    for heard in [Heard::Never, Heard::LongAgo, Heard::Lately] {
+        for read in [
+            Read::Never,
+            Read::BeforeTheRequest,
+            Read::BegunBeforeTheRequest,
+            Read::AfterTheRequest,
+        ] {
+            for told in [Told::Nothing, Told::Seen, Told::Disputed] {
+                let actions = resume_out_of_step(heard, read, told);
+                let reason = refused(&actions).unwrap_or_else(|| {
+                    panic!("{heard:?}, {read:?}, {told:?}: {actions:?}");
+                });
+                let expected = match told {
+                    Told::Seen => Reason::VersionGone,
+                    Told::Nothing | Told::Disputed => Reason::OriginUnknown,
+                };
+                assert_eq!(reason, expected, "{heard:?}, {read:?}, {told:?}");
+            }
+        }
+    }
+}
+
+fn resume_out_of_step(heard: Heard, when: Read, told: Told) -> Vec<Action> {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.handle(Event::FrontsCounted(FrontPosition::new(3, 0)));
+    front.wait(HISTORY);
+    let heartbeat = Event::PeerHeartbeat { peer: 1, loads: Vec::new(), parts: Vec::new() };
+    if heard == Heard::LongAgo {
+        front.handle(heartbeat.clone());
+        front.wait(Duration::from_secs(5));
+    }
+    if when == Read::BeforeTheRequest {
+        record(&mut front, &["v1"]);
+        front.wait(Duration::from_millis(1));
+    }
+    let early = directory_read(&front, &[("lm", &["v1"])]);
+    front.wait(Duration::from_millis(20));
+    if heard == Heard::Lately {
+        front.handle(heartbeat);
+    }
+    match told {
+        Told::Nothing => {}
+        Told::Seen => report_origin(&mut front, "v2", Duration::from_secs(3)),
+        Told::Disputed => {
+            report_origin(&mut front, "v2", Duration::from_secs(3));
+            report_origin(&mut front, "v1", Duration::from_secs(3));
+        }
+    }
+    let (key, mut actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    match when {
+        Read::BegunBeforeTheRequest => {
+            front.handle(Event::DirectoryRead(early));
+        }
+        Read::AfterTheRequest => record(&mut front, &["v1", "v2"]),
+        Read::Never | Read::BeforeTheRequest => {}
+    }
+    while let Some(until) = awaited(&actions) {
+        actions = front.handle(Event::NewsAwaited { key });
+        if awaited(&actions).is_some() {
+            front.now = until;
+        }
+    }
+    actions
+}
+
 /// Guards against an origin that was concluded, and that other fronts take for one that was seen (ORDER).
 #[test]
 fn concluded_origin_is_not_told() {
     let mut front = Front::new(engines(&["v1", "v1"]));
-    front.wait(HISTORY);
-    let (key, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let (key, _) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    record(&mut front, &["v1"]);
+    let actions = front.handle(Event::NewsAwaited { key });
     assert!(sent(&actions).is_some(), "{actions:?}");
     front.handle(Event::ResponseStarted { key });
     assert!(announced(&front.handle(Event::FirstOutput { key })).is_empty());
@@ -518,8 +729,18 @@
     let mut front = Front::new(engines(&["v1", "v2"]));
     report_origin(&mut front, "v2", Duration::from_secs(3));
     report_origin(&mut front, "v1", Duration::from_secs(3));
-    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against clients that wait for a read of the directory beyond the time in which it arrives.
+#[test]
+fn stream_of_unknown_version_is_refused_within_half_a_second() {
+    let mut front = Front::uncounted(engines(&["v1", "v2"]));
+    let arrived = front.now;
+    let actions = resume(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    assert!(front.now.since(arrived) <= Duration::from_millis(500));
 }
 
 /// Guards against a stream of one service that goes on at another, whose version bears the same name (ORDER).
@@ -534,3 +755,45 @@
     let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
     assert_eq!(refused(&actions), Some(Reason::VersionGone), "{actions:?}");
 }
+
+/// Each case has what a front, which knows that its route goes to `lm`, lacks of the configuration. The stream began at `other`.
+macro_rules! unknown_moves {
+    ($($name:ident: $missed:expr;)*) => {$(
+        /// Guards against streams that go on at the service of a route of which the front doesn't know that it has moved (ORDER).
+        #[test]
+        fn $name() {
+            let mut front = front_of_two_services();
+            front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 0)])));
+            let missed: fn(&mut Front) -> Option<u64> = $missed;
+            let configuration = missed(&mut front);
+            let (key, _) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+            let mut read = directory_read(&front, &[("lm", &["v1"]), ("other", &["v2"])]);
+            read.configuration = configuration;
+            front.handle(Event::DirectoryRead(read));
+            let actions = front.handle(Event::NewsAwaited { key });
+            assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+        }
+    )*};
+}
+
+unknown_moves! {
+    stream_is_refused_if_there_is_a_later_configuration: |front| {
+        front.wait(HISTORY);
+        Some(3)
+    };
+    stream_is_refused_if_the_newest_configuration_is_not_known: |front| {
+        front.wait(HISTORY);
+        None
+    };
+    stream_is_refused_by_a_front_that_knows_the_configuration_for_a_moment: |front| {
+        front.wait(HISTORY / 2);
+        Some(2)
+    };
+    stream_is_refused_after_configurations_were_missed: |front| {
+        front.wait(HISTORY);
+        front.handle(Event::ConfigurationsMissed);
+        front.handle(Event::Configured(weighted(5, [("lm", 1), ("other", 0)])));
+        front.wait(HISTORY / 2);
+        Some(5)
+    };
+}
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -1,6 +1,7 @@
 //! Serves one request from its arrival to its final response.
 
 use std::fmt::Write;
+use std::mem::replace;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -138,6 +139,7 @@
     /// Executes the dispatcher's actions until the request has its final response.
     async fn run(&mut self, first_action: Option<Action>) -> ConnectionOutcome {
         let mut action = first_action;
+        let mut has_asked = false;
         loop {
             action = match action {
                 Some(Action::Send { decision, .. }) => match self.send(&decision).await {
@@ -165,6 +167,13 @@
                         self.state.handle(Event::SendFailed { key: self.key, failure })
                     }
                 },
+                Some(Action::AwaitNews { until, .. }) => {
+                    if !replace(&mut has_asked, true) {
+                        self.state.request_news();
+                    }
+                    self.state.wait_for_news(until).await;
+                    self.state.handle(Event::NewsAwaited { key: self.key })
+                }
                 Some(final_action) => return self.finish(final_action).await,
                 None => return ConnectionOutcome::Abort,
             }
--- a/crates/daisychute-front/src/directory/mod.rs
+++ b/crates/daisychute-front/src/directory/mod.rs
@@ -98,8 +98,9 @@
     /// Makes later calls on new connections. Those that are open may have gone silent together, which only a timeout shows.
     fn reconnect(&self);
 
-    /// Returns the records of the versions that may have streams, of all services that have one.
-    fn version_records(&self) -> impl Future<Output = Answer<Vec<VersionRecord>>>;
+    /// Returns the records of the versions that may have streams, of all services that have one, and the position of the
+    /// directory at which they were read.
+    fn version_records(&self) -> impl Future<Output = Answer<(Position, Vec<VersionRecord>)>>;
 
     /// Creates such a record, or replaces it if it still has the given revision. Returns whether it was written; `false` if
     /// there is another one.
--- a/crates/daisychute-front/src/directory/revisions.rs
+++ b/crates/daisychute-front/src/directory/revisions.rs
@@ -96,6 +96,12 @@
         self.endpoints.covered.get()
     }
 
+    /// Returns the store's position up to which all changes of the configuration were seen here.
+    #[must_use]
+    pub fn configuration_covered(&self) -> Position {
+        self.configuration.covered.get()
+    }
+
     /// Returns the latest positions seen here of configuration and endpoints, for heartbeats and snapshots.
     #[must_use]
     pub fn latest_seen(&self) -> (Position, Position) {
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -242,7 +242,7 @@
                     position = position.max(listing.position);
                     self.state.revisions.record_seen(self.collection, listing.latest);
                     let changed = !listing.changes.is_empty();
-                    self.apply_all(listing.changes, position.era());
+                    self.apply_all(listing.changes, position.era(), false);
                     self.state.revisions.record_covered(self.collection, position);
                     if changed {
                         self.early = 0;
@@ -361,9 +361,9 @@
         let fronts_return = self.collection == Collection::Fronts
             && self.state.era.has_risen_within(now, FRONTS_RETURN_TIME);
         for name in removed.into_iter().filter(|_| !fronts_return) {
-            self.apply(Change { name, record: None }, era);
+            self.apply(Change { name, record: None }, era, true);
         }
-        self.apply_all(listing.changes, era);
+        self.apply_all(listing.changes, era, true);
         match self.collection {
             Collection::Endpoints => self.state.departures.borrow_mut().record_listed(now, era),
             Collection::Fronts => self.state.peers.record_listing(),
@@ -378,23 +378,23 @@
         self.state.with_dispatcher(|it| it.fleet().names().map(ToString::to_string).collect())
     }
 
-    /// Applies the changes of one listing.
-    fn apply_all(&mut self, changes: Vec<Change>, era: u64) {
+    /// Applies the changes of one listing. `may_skip` is whether the directory may have had others before them.
+    fn apply_all(&mut self, changes: Vec<Change>, era: u64, may_skip: bool) {
         self.logged = 0;
         for change in changes {
-            self.apply(change, era);
+            self.apply(change, era, may_skip);
         }
     }
 
     /// Applies a change that the directory told in this era.
-    fn apply(&mut self, change: Change, era: u64) {
+    fn apply(&mut self, change: Change, era: u64, may_skip: bool) {
         let Change { name, record } = change;
         match record {
             Some(Ok(record)) => {
                 if self.collection != Collection::Endpoints {
                     self.names.insert(name.clone());
                 }
-                self.upsert(name, record, era);
+                self.upsert(name, record, era, may_skip);
             }
             Some(Err(reason)) => {
                 let collection = self.collection.as_str();
@@ -410,10 +410,10 @@
         }
     }
 
-    fn upsert(&self, name: String, record: Record, era: u64) {
+    fn upsert(&self, name: String, record: Record, era: u64, may_skip: bool) {
         match record {
             Record::Configuration(table) => {
-                self.state.apply_configuration(table, "directory");
+                self.state.apply_configuration(table, "directory", may_skip);
             }
             Record::Endpoint(endpoint) => {
                 let removal = self.outage.removal(self.state.now());
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -173,6 +173,7 @@
         let origins: Vec<_> = Origins::ungroup(origins, origin_services).collect();
         if !origins.is_empty() {
             state.handle(Event::OriginsReported { origins });
+            state.news.notify_waiters();
         }
         let now = state.now();
         let news = part_reports.into_part_news(now).chain(request_reports.into_request_news(now));
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -274,7 +274,7 @@
     log::info!(peer:%, version, endpoints, era, covered = revision; "snapshot taken from peer");
     let (configuration_position, endpoints_position) = snapshot.positions();
     if newer_table {
-        state.apply_configuration(table, peer);
+        state.apply_configuration(table, peer, true);
         state.revisions.record_seen(Collection::Configuration, configuration_position);
     }
     if newer_endpoints {
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -19,6 +19,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
+use tokio::time::timeout_at;
 
 use crate::client::body_room::BodyMemory;
 use crate::directory::revisions::Revisions;
@@ -63,6 +64,8 @@
     pub(crate) snapshot_port: u16,
     /// Notified when the versions that may have streams may differ from what the directory has recorded.
     pub(crate) versions_may_differ: Notify,
+    /// Notified when requests that wait for news of the directory or of other fronts should look again.
+    pub(crate) news: Notify,
     pub(crate) shutdown: ShutdownState,
     /// Paces the large bodies of responses.
     pub(crate) large_responses: LargeBodies,
@@ -113,6 +116,7 @@
             snapshot_wanted: Notify::new(),
             snapshot_port,
             versions_may_differ: Notify::new(),
+            news: Notify::new(),
             shutdown: ShutdownState::default(),
             large_responses: LargeBodies::default(),
             client_slots: ConnectionSlots::default(),
@@ -290,15 +294,23 @@
                     self.version_records_outdated.set(true);
                     self.versions_may_differ.notify_one();
                 }
-                Action::RecordResumption { request, service, version, basis, heard_ago } => {
+                Action::RecordResumption {
+                    request,
+                    service,
+                    version,
+                    basis,
+                    waited,
+                    heard_ago,
+                } => {
                     let configuration =
                         self.with_dispatcher(|it| it.table().map(|it| it.version()));
                     let version = version.as_ref().map_or("", SoftwareVersion::as_str);
                     let basis = basis.as_str();
+                    let waited_ms = waited.as_millis();
                     let heard_ms = heard_ago.map(|it| it.as_millis());
                     let behind = self.revisions.is_behind();
                     log::info!(
-                        request:%, service:%, version, basis, config:? = configuration, behind, heard_ms:?;
+                        request:%, service:%, version, basis, config:? = configuration, behind, waited_ms, heard_ms:?;
                         "stream resumed by its client"
                     );
                     metrics::counter!("daisychute_resumed_streams_total", "basis" => basis)
@@ -320,6 +332,17 @@
         request_action
     }
 
+    /// Asks for news of the directory, which a request lacks.
+    pub(crate) fn request_news(&self) {
+        self.version_records_outdated.set(true);
+        self.versions_may_differ.notify_one();
+    }
+
+    /// Waits until there are news for requests that wait for some, at the latest until a time.
+    pub(crate) async fn wait_for_news(&self, until: Time) {
+        let _ = timeout_at(self.instant(until).into(), self.news.notified()).await;
+    }
+
     /// Tells the dispatcher if the machine was suspended since the last check, so that news may have been missed.
     pub(crate) fn check_suspension(self: &Rc<Self>) {
         let suspended = self.boot_clock.now().since(self.now());
@@ -387,14 +410,19 @@
         self.with_dispatcher(|it| it.fleet().takes_work(self.now(), endpoint))
     }
 
-    /// Puts a configuration in force that this `source`, the directory or a peer, has told, if it is newer.
+    /// Puts a configuration in force that this `source`, the directory or a peer, has told, if it is newer. `may_skip` is whether
+    /// others may have been in force since the last one.
     pub(crate) fn apply_configuration(
         self: &Rc<Self>,
         table: Arc<RouteTable>,
         source: impl Display,
+        may_skip: bool,
     ) {
         let before = self.with_dispatcher(|it| it.table().map(|table| table.version()));
         let (version, routes) = (table.version(), table.len());
+        if may_skip && before.is_some_and(|it| it < version) {
+            self.handle(Event::ConfigurationsMissed);
+        }
         self.handle(Event::Configured(table));
         self.versions_may_differ.notify_one();
         if before.is_none_or(|it| it < version) {
