fix(front): ask the other fronts where a stream began

Cause: origins are told in three heartbeats. A front that was cut off then is never told again.

Change: a request that lacks the origin of its stream asks all fronts in the next heartbeat, which is sent at once and repeated once. Those that know answer the asker alone. It waits for 100 ms after the read of the store, and not at all if this front is the only one.

--- a/crates/daisychute-dispatch/src/core/action.rs
+++ b/crates/daisychute-dispatch/src/core/action.rs
@@ -279,14 +279,17 @@
         /// Measured time from sending to the first output.
         took: Duration,
     },
-    /// Read the directory, for a request that needs to know more than this front does. The result comes back as
-    /// [`Event::DirectoryRead`]; [`Event::NewsAwaited`] follows it, each report of another front, and `until`.
+    /// Read the directory and ask the other fronts where the stream began that the client resumes. The answers come back as
+    /// [`Event::DirectoryRead`] and [`Event::OriginsReported`]; [`Event::NewsAwaited`] follows each of them, and `until`.
     ///
     /// [`Event::DirectoryRead`]: crate::Event::DirectoryRead
+    /// [`Event::OriginsReported`]: crate::Event::OriginsReported
     /// [`Event::NewsAwaited`]: crate::Event::NewsAwaited
     AwaitNews {
         /// Identifies the request.
         key: RequestKey,
+        /// Identifies the stream, as [`StreamOrigin::attempt`] does; `None` if the client doesn't say which it is.
+        attempt: Option<u64>,
         /// Time at which the request is refused if nothing has told the origin.
         until: Time,
     },
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -41,7 +41,7 @@
     /// Number of known fronts that share the endpoints, this one included.
     pub(crate) fronts: usize,
     /// Whether the directory has told which fronts there are; otherwise there may be more than `fronts`.
-    fronts_are_complete: bool,
+    pub(crate) fronts_are_complete: bool,
     /// Longest recent times of the stages of requests, by their service and the name of their route.
     pub(crate) stage_times: FxHashMap<(ServiceName, Arc<str>), StageTimes>,
     /// Sizes of the large responses that were whole.
--- a/crates/daisychute-dispatch/src/core/placement.rs
+++ b/crates/daisychute-dispatch/src/core/placement.rs
@@ -102,7 +102,7 @@
         }
         let Some(placement) = self.choose_placement(now, key) else {
             if let Some(until) = self.awaits_record_until(now, key) {
-                actions.push(Action::AwaitNews { key, until });
+                actions.push(Action::AwaitNews { key, attempt: None, until });
                 return;
             }
             self.fail_or_refuse(key, self.reason_without_endpoint(key, reason), actions);
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -14,6 +14,8 @@
 pub(crate) const MAX_STREAM_AGE_FACTOR: u32 = 2;
 /// Longest time that a request waits for a read of the directory, which answers within milliseconds, or some hundred if it is slow.
 pub(crate) const MAX_READ_WAIT: Duration = Duration::from_millis(400);
+/// Longest time that a request waits for other fronts to tell where its stream began, once the directory was read.
+const MAX_PEER_WAIT: Duration = Duration::from_millis(100);
 
 /// Where a resumed stream began, as far as this front knows.
 enum Origin {
@@ -53,7 +55,8 @@
                 self.fail_or_refuse(key, Reason::VersionGone, actions);
             }
             Origin::UnknownUntil(until) if now < until => {
-                actions.push(Action::AwaitNews { key, until });
+                let attempt = state.first_attempt_hash();
+                actions.push(Action::AwaitNews { key, attempt, until });
             }
             Origin::UnknownUntil(_) => {
                 self.record_resumption(now, key, None, OriginBasis::Unknown, actions);
@@ -70,6 +73,12 @@
         }
     }
 
+    /// Returns the origin of a stream for another front that asks; `None` if no front saw it that this one has heard of.
+    #[must_use]
+    pub fn stream_origin(&self, now: Time, attempt: u64) -> Option<StreamOrigin> {
+        self.stream_origins.to_tell(now, attempt)
+    }
+
     /// Returns where a stream began: as this front or another one saw it, or at the only place there was.
     fn origin(&self, now: Time, state: &RequestState) -> Origin {
         let attempt = state.first_attempt_hash();
@@ -89,8 +98,10 @@
             let (service, version) = (state.service.clone(), version.clone());
             return Origin::At { service, version, basis: OriginBasis::Read };
         }
+        let may_be_told = attempt.is_some() && (self.fronts > 1 || !self.fronts_are_complete);
         let wait = match self.read_after_arrival(state) {
             None => MAX_READ_WAIT,
+            Some(_) if may_be_told => MAX_PEER_WAIT,
             Some(_) => Duration::ZERO,
         };
         Origin::UnknownUntil(state.arrived + wait)
--- a/crates/daisychute-dispatch/src/core/stream_origins.rs
+++ b/crates/daisychute-dispatch/src/core/stream_origins.rs
@@ -103,6 +103,14 @@
         Some(KnownOrigin::At { service: entry.service.as_ref(), version: &entry.version })
     }
 
+    /// Returns the origin of a stream as another front is told it; `None` if it isn't known, or disputed.
+    pub(crate) fn to_tell(&self, now: Time, attempt: u64) -> Option<StreamOrigin> {
+        let is_told = |it: &&Entry| now < it.expires_at && !it.is_disputed;
+        let Entry { service, version, expires_at, .. } =
+            self.entries.get(&attempt).filter(is_told)?.clone();
+        Some(StreamOrigin { attempt, service, version, time_left: expires_at.since(now) })
+    }
+
     /// Drops the oldest entries as far as they have expired.
     pub(crate) fn expire(&mut self, now: Time) {
         let is_expired = |it: &u64| self.entries.get(it).is_none_or(|it| it.expires_at <= now);
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -721,6 +721,8 @@
     assert!(sent(&actions).is_some(), "{actions:?}");
     front.handle(Event::ResponseStarted { key });
     assert!(announced(&front.handle(Event::FirstOutput { key })).is_empty());
+    let attempt = StreamOrigin::attempt(FIRST_ATTEMPT);
+    assert_eq!(front.dispatcher.stream_origin(front.now, attempt), None);
 }
 
 /// Guards against an origin that was seen and is replaced by another one, which a front has concluded (ORDER).
@@ -733,7 +735,25 @@
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
 }
 
-/// Guards against clients that wait for a read of the directory beyond the time in which it arrives.
+/// Guards against refusals where another front, which is asked, saw where the stream began.
+#[test]
+fn stream_goes_on_once_another_front_has_told_its_origin() {
+    let mut front = Front::uncounted(engines(&["v1", "v2"]));
+    let (key, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    let asked = StreamOrigin::attempt(FIRST_ATTEMPT);
+    let asks =
+        |it: &Action| matches!(it, Action::AwaitNews { attempt: Some(it), .. } if *it == asked);
+    assert!(actions.iter().any(asks), "{actions:?}");
+    record(&mut front, &["v1", "v2"]);
+    let actions = front.handle(Event::NewsAwaited { key });
+    assert!(awaited(&actions).is_some(), "{actions:?}");
+    report_origin(&mut front, "v2", Duration::from_secs(3));
+    let actions = front.handle(Event::NewsAwaited { key });
+    let decision = sent(&actions).expect("a send attempt");
+    assert_eq!(decision.software_version, Some(version("v2")));
+}
+
+/// Guards against clients that wait for an answer of the other fronts beyond the time in which it arrives.
 #[test]
 fn stream_of_unknown_version_is_refused_within_half_a_second() {
     let mut front = Front::uncounted(engines(&["v1", "v2"]));
--- a/crates/daisychute-front/src/client/exchange.rs
+++ b/crates/daisychute-front/src/client/exchange.rs
@@ -167,9 +167,9 @@
                         self.state.handle(Event::SendFailed { key: self.key, failure })
                     }
                 },
-                Some(Action::AwaitNews { until, .. }) => {
+                Some(Action::AwaitNews { attempt, until, .. }) => {
                     if !replace(&mut has_asked, true) {
-                        self.state.request_news();
+                        self.state.request_news(attempt);
                     }
                     self.state.wait_for_news(until).await;
                     self.state.handle(Event::NewsAwaited { key: self.key })
--- a/crates/daisychute-front/src/peers/heartbeats.rs
+++ b/crates/daisychute-front/src/peers/heartbeats.rs
@@ -78,6 +78,7 @@
     let parts = state.peers.cached_parts.borrow_mut().take(now);
     let parts: Vec<Part> = parts.into_iter().map(Part::from).collect();
     let origins = state.peers.origins.borrow_mut().take(now);
+    let wanted_origins = state.peers.wanted_origins.borrow_mut().take(now);
     let leaving = state.peers.leaving.borrow_mut().take(now);
     let leaving: Vec<Leaving> = leaving.into_iter().map(Leaving::from).collect();
     let part_reports = CrashReports::new(now, state.peers.part_news.borrow_mut().take(now));
@@ -91,6 +92,7 @@
             .exits_in(state.shutdown.ends_in(now))
             .leaving(leaving)
             .origins(origins)
+            .wanted_origins(wanted_origins)
             .part_reports(part_reports)
             .request_reports(request_reports)
             .limits(limits)
@@ -152,6 +154,7 @@
             duty_news,
             snapshot_port,
             origin_services,
+            wanted_origins,
         ) = heartbeat;
         state.peers.record_heartbeat(state.now(), from);
         if state.peers.record_incarnation(peer) {
@@ -175,6 +178,7 @@
             state.handle(Event::OriginsReported { origins });
             state.news.notify_waiters();
         }
+        tell_origins(&state, &socket, from, &wanted_origins);
         let now = state.now();
         let news = part_reports.into_part_news(now).chain(request_reports.into_request_news(now));
         let news: Vec<_> = news.collect();
@@ -216,6 +220,31 @@
     }
 }
 
+/// Tells another front where the streams began that it asks for, as far as that is known here.
+fn tell_origins<D: Dialect>(
+    state: &FrontState<D>,
+    socket: &UdpSocket,
+    asker: SocketAddr,
+    attempts: &[u64],
+) {
+    let now = state.now();
+    let known = |it: &u64| state.with_dispatcher(|dispatcher| dispatcher.stream_origin(now, *it));
+    let origins: Vec<_> = attempts.iter().filter_map(known).collect();
+    if origins.is_empty() {
+        return;
+    }
+    log::debug!(asker:%, origins = origins.len(); "origins of streams told");
+    // The loads of this front are for its heartbeats to all; a heartbeat without them says that there are none.
+    let answer = state.with_dispatcher(|it| {
+        let loads = it.fleet().own_load(now).map(Load::from).collect();
+        heartbeat(state, loads, Vec::new()).origins(origins)
+    });
+    if let Some(bytes) = to_bytes(&answer) {
+        // A datagram that can't be sent is treated like a lost one.
+        let _ = socket.try_send_to(&bytes, asker);
+    }
+}
+
 /// Registers this front in the directory, so that its peers find it, and again after each return of the directory, for
 /// the life of the process.
 pub(crate) async fn announce<D: Dialect>(
--- a/crates/daisychute-front/src/peers/mod.rs
+++ b/crates/daisychute-front/src/peers/mod.rs
@@ -53,6 +53,13 @@
     capacity: 1_024,
     ttl: Duration::from_secs(5),
 };
+/// Questions where streams began. Their clients wait for the answer.
+const WANTED_ORIGINS: AnnouncementPolicy = AnnouncementPolicy {
+    repetitions: 2,
+    per_heartbeat: 32,
+    capacity: 1_024,
+    ttl: Duration::from_millis(400),
+};
 
 /// Announcements of what was learned about prompt parts. A lost one costs endpoints.
 const PART_NEWS: AnnouncementPolicy = AnnouncementPolicy {
@@ -93,6 +100,8 @@
     pub(crate) leaving: RefCell<Announcements<Incarnation>>,
     /// Where streams began.
     pub(crate) origins: RefCell<Announcements<StreamOrigin>>,
+    /// Streams, by their first attempts, of which this front asks where they began.
+    pub(crate) wanted_origins: RefCell<Announcements<u64>>,
     /// What was learned about prompt parts under which endpoints end.
     pub(crate) part_news: RefCell<Announcements<CrashNews>>,
     /// What was learned about requests under which endpoints end.
@@ -115,6 +124,7 @@
             cached_parts: RefCell::new(Announcements::new(CACHED_PARTS)),
             leaving: RefCell::new(Announcements::new(LEAVING)),
             origins: RefCell::new(Announcements::new(ORIGINS)),
+            wanted_origins: RefCell::new(Announcements::new(WANTED_ORIGINS)),
             part_news: RefCell::new(Announcements::new(PART_NEWS)),
             request_news: RefCell::new(Announcements::new(REQUEST_NEWS)),
             limits: RefCell::new(Announcements::new(LIMITS)),
--- a/crates/daisychute-front/src/peers/peer_heartbeat.rs
+++ b/crates/daisychute-front/src/peers/peer_heartbeat.rs
@@ -54,6 +54,10 @@
     /// The services at which the streams of each element of the origins began. Fronts of before this element don't send it.
     #[serde(default)]
     pub(crate) Vec<ServiceName>,
+    /// Streams of which the sender asks where they began: the hashes of their first attempts' ids. Fronts of before this
+    /// element don't send it.
+    #[serde(default)]
+    pub(crate) Vec<u64>,
 );
 
 /// The latest era of the directory that a front knows, and the eras of the two revisions in its heartbeat.
@@ -158,6 +162,7 @@
             None,
             None,
             Vec::new(),
+            Vec::new(),
         )
     }
 
@@ -179,6 +184,12 @@
         self
     }
 
+    /// Sets the streams of which the sender asks where they began.
+    pub(crate) fn wanted_origins(mut self, attempts: Vec<u64>) -> Self {
+        self.14 = attempts;
+        self
+    }
+
     /// Sets what was learned about requests.
     pub(crate) fn request_reports(mut self, request_reports: CrashReports) -> Self {
         self.10 = request_reports;
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -332,10 +332,15 @@
         request_action
     }
 
-    /// Asks for news of the directory, which a request lacks.
-    pub(crate) fn request_news(&self) {
+    /// Asks for news that a request lacks: of the directory, and of the other fronts if it resumes the stream of this
+    /// attempt.
+    pub(crate) fn request_news(&self, attempt: Option<u64>) {
         self.version_records_outdated.set(true);
         self.versions_may_differ.notify_one();
+        if let Some(attempt) = attempt {
+            self.peers.wanted_origins.borrow_mut().push(self.now(), attempt);
+            self.peers.request_urgent_heartbeat();
+        }
     }
 
     /// Waits until there are news for requests that wait for some, at the latest until a time.
