fix(dispatch): count a route as settled only once no front can follow its former services

Cause: the read of the store proves which configuration is the newest, not that each front follows it.

Change: a route that moved, or that was added, is settled after two of the longest timeouts of both configurations and the two minutes for which a front may be cut off; a front has to have followed the configuration for as long. Where one service alone has streams nothing changes.

stream_of_a_route_that_moved_a_while_ago_goes_on demanded the fault: it waits for two minutes longer, and the case of two timeouts is a refusal.

--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -116,9 +116,8 @@
     /// Returns the version of the stream if the directory leaves only one possibility.
     fn sole_version(&self, now: Time, state: &RequestState) -> Option<&Option<SoftwareVersion>> {
         let read = self.read_after_arrival(state)?;
-        let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
         let is_current = self.table.as_ref().map(|it| it.version()) == read.configuration;
-        let has_not_moved = || self.moved_routes.is_settled(now, &state.route, age);
+        let has_not_moved = || self.moved_routes.is_settled(now, &state.route);
         let is_certain = read.has_one_service()
             || (is_current && state.has_certain_service() && has_not_moved());
         read.sole_version(&state.service).filter(|_| is_certain)
--- a/crates/daisychute-dispatch/src/core/version_records.rs
+++ b/crates/daisychute-dispatch/src/core/version_records.rs
@@ -17,9 +17,9 @@
 /// Software versions; `None` stands for endpoints of which the directory doesn't say it.
 pub type SoftwareVersions = BTreeSet<Option<SoftwareVersion>>;
 
-/// Time for which a version stays recorded once no stream of it can be resumed any more. A front that is cut off for as long
-/// may begin streams at endpoints that the others know to have left.
-const MAX_ISOLATION: Duration = Duration::from_secs(120);
+/// Time for which a front may be cut off, and begin streams at endpoints that the others know to have left, or under a
+/// configuration that was replaced.
+pub(crate) const MAX_ISOLATION: Duration = Duration::from_secs(120);
 
 static NONE_RECORDED: SoftwareVersions = SoftwareVersions::new();
 
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -531,7 +531,7 @@
         fn $name() {
             let mut front = front_of_two_services();
             for (version, weights) in (2..).zip($configurations) {
-                front.wait(HISTORY);
+                front.wait(RECORDED);
                 front.handle(Event::Configured(weighted(version, weights)));
             }
             front.wait($wait);
@@ -552,19 +552,22 @@
 
 services_of_a_stream! {
     unnamed_stream_of_a_split_route_is_refused:
-        [[("lm", 1), ("other", 1)]], None, HISTORY => Some(Reason::OriginUnknown);
+        [[("lm", 1), ("other", 1)]], None, RECORDED => Some(Reason::OriginUnknown);
     unnamed_stream_of_a_route_with_one_service_goes_on:
-        [[("lm", 1), ("other", 0)]], None, HISTORY => None;
+        [[("lm", 1), ("other", 0)]], None, RECORDED => None;
     named_stream_of_a_split_route_goes_on:
-        [[("lm", 1), ("other", 1)]], Some("first"), HISTORY => None;
+        [[("lm", 1), ("other", 1)]], Some("first"), RECORDED => None;
     stream_of_a_route_that_has_just_moved_is_refused:
         [[("lm", 1), ("other", 0)], [("lm", 0), ("other", 1)]], Some("first"), HISTORY / 2
         => Some(Reason::OriginUnknown);
     stream_of_a_route_whose_weights_have_just_changed_is_refused:
         [[("lm", 1), ("other", 1)], [("lm", 1), ("other", 3)]], Some("first"), HISTORY / 2
         => Some(Reason::OriginUnknown);
+    stream_of_a_route_that_a_cut_off_front_may_not_know_to_have_moved_is_refused:
+        [[("lm", 1), ("other", 0)], [("lm", 0), ("other", 1)]], Some("first"), HISTORY * 2
+        => Some(Reason::OriginUnknown);
     stream_of_a_route_that_moved_a_while_ago_goes_on:
-        [[("lm", 1), ("other", 0)], [("lm", 0), ("other", 1)]], Some("first"), HISTORY => None;
+        [[("lm", 1), ("other", 0)], [("lm", 0), ("other", 1)]], Some("first"), RECORDED => None;
     stream_of_a_route_that_has_not_moved_goes_on:
         [[("lm", 1), ("other", 0)], [("lm", 1), ("other", 0)]], None, HISTORY / 2 => None;
 }
@@ -575,7 +578,7 @@
     let others = (0..2).map(|it| with_version(endpoint(it, "other", Some(Role::Decode)), "v1"));
     let mut front = Front::new(engines(&["v1", "v1"]).into_iter().chain(others));
     front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 1)])));
-    front.wait(HISTORY);
+    front.wait(RECORDED);
     let service_of = |front: &mut Front, request| {
         front.wait(Duration::from_millis(1));
         let (key, mut actions) = arrive(front, request);
@@ -798,22 +801,82 @@
 
 unknown_moves! {
     stream_is_refused_if_there_is_a_later_configuration: |front| {
-        front.wait(HISTORY);
+        front.wait(RECORDED);
         Some(3)
     };
     stream_is_refused_if_the_newest_configuration_is_not_known: |front| {
-        front.wait(HISTORY);
+        front.wait(RECORDED);
         None
     };
     stream_is_refused_by_a_front_that_knows_the_configuration_for_a_moment: |front| {
-        front.wait(HISTORY / 2);
+        front.wait(HISTORY * 2);
         Some(2)
     };
     stream_is_refused_after_configurations_were_missed: |front| {
-        front.wait(HISTORY);
+        front.wait(RECORDED);
         front.handle(Event::ConfigurationsMissed);
         front.handle(Event::Configured(weighted(5, [("lm", 1), ("other", 0)])));
-        front.wait(HISTORY / 2);
+        front.wait(HISTORY * 2);
         Some(5)
     };
 }
+
+/// Guards against a stream that a front with an old configuration began, and that goes on at the new service (ORDER).
+#[test]
+fn stream_that_a_front_with_an_old_configuration_began_goes_nowhere_else() {
+    let (mut late, mut other) = (front_of_two_services(), front_of_two_services());
+    for front in [&mut late, &mut other] {
+        read(front, &[("lm", &["v1"]), ("other", &["v2"])]);
+        front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 0)])));
+        front.wait(RECORDED);
+    }
+    other.handle(Event::Configured(weighted(3, [("lm", 0), ("other", 1)])));
+    for front in [&mut late, &mut other] {
+        front.wait(HISTORY + Duration::from_secs(1));
+    }
+    let (_, begun_at, _) = begin(&mut late, request(FIRST_ATTEMPT, LONG));
+    assert_eq!(begun_at, version("v1"));
+    let (key, _) = arrive(&mut other, resumption(Some(FIRST_ATTEMPT)));
+    read(&mut other, &[("lm", &["v1"]), ("other", &["v2"])]);
+    let actions = other.handle(Event::NewsAwaited { key });
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against a route that is removed and added again at another service, and isn't taken for one that moved (ORDER).
+#[test]
+fn stream_of_a_route_that_was_removed_and_added_elsewhere_is_refused() {
+    let mut front = front_of_two_services();
+    front.handle(Event::Configured(weighted(2, [("lm", 1), ("other", 0)])));
+    front.wait(RECORDED);
+    let without = RouteTable::new(3, vec![], services(), ClientLimits::default());
+    front.handle(Event::Configured(Arc::new(without.expect("a table"))));
+    front.wait(Duration::from_millis(500));
+    front.handle(Event::Configured(weighted(4, [("lm", 0), ("other", 1)])));
+    front.wait(Duration::from_millis(500));
+    let (key, _) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    read(&mut front, &[("lm", &["v1"]), ("other", &["v2"])]);
+    let actions = front.handle(Event::NewsAwaited { key });
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against a move that is forgotten by the route's present timeout, which is shorter than that of its streams (ORDER).
+#[test]
+fn stream_of_a_longer_timeout_is_refused_after_a_move() {
+    let table = |version: u64, weights, timeout| {
+        let table = weighted(version, weights);
+        let routes: Vec<_> = table.routes().map(|it| Route { timeout, ..it.clone() }).collect();
+        let services: Vec<_> = table.services().cloned().collect();
+        let table = RouteTable::new(version, routes, services, ClientLimits::default());
+        Arc::new(table.expect("routes differ"))
+    };
+    let mut front = front_of_two_services();
+    let long = Duration::from_secs(200);
+    front.handle(Event::Configured(table(2, [("lm", 1), ("other", 0)], long)));
+    front.wait(long * 3);
+    front.handle(Event::Configured(table(3, [("lm", 0), ("other", 1)], Duration::from_secs(2))));
+    front.wait(long);
+    let (key, _) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    read(&mut front, &[("lm", &["v1"]), ("other", &["v2"])]);
+    let actions = front.handle(Event::NewsAwaited { key });
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
