fix(dispatch, front): begin and conclude streams by records that can't have lost a version

- The record of a new era lost versions of the former one that the front which wrote it didn't know; and it was judged by the coverage of the read before.
Both are kept now, and a record is completed or shortened only by a front whose view of the endpoints covers the read that it rests on, after two timeouts and the two minutes for which a front may be cut off.
- A version that came back while a front missed it was dropped by what that front had seen of it before.
What a read has anew, or after a gap in the listing of endpoints, counts as seen now.
- A front that had read the record before a version was dropped began streams there once it came back.
A version without listed endpoints is read again first.
- A front concluded the only recorded version though it listed, or was told of, another one.
It concludes nothing then.

Waiting: a read that is asked for isn't held up by the spread of others or by a lost answer of the check of the configuration; one record that can't be written doesn't hold up the others; requests wait for 500 ms, as the rest of one slow read and a second one may take; a route whose streams can't be resumed doesn't wait. At most fifty reads a second are made by all fronts together, where it were a hundred.

--- a/crates/daisychute-dispatch/src/core/directory_read.rs
+++ b/crates/daisychute-dispatch/src/core/directory_read.rs
@@ -17,8 +17,8 @@
 
 /// A read of the directory.
 ///
-/// It proves what it says for all moments up to `begun_at`: the directory answered later than that, and streams begin only
-/// at versions that are recorded, which stay recorded for longer than any stream can be resumed.
+/// It tells of all streams that began before `begun_at`: the directory answered later than that, and streams begin only at
+/// recorded versions, which stay recorded for longer than any stream can be resumed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct DirectoryRead {
     /// When the calls were made.
--- a/crates/daisychute-dispatch/src/core/dispatcher.rs
+++ b/crates/daisychute-dispatch/src/core/dispatcher.rs
@@ -60,6 +60,8 @@
     pub(crate) versions: VersionHistory,
     /// Software versions at which streams may begin, of each service that has a record in the directory.
     pub(crate) allowed_versions: FxHashMap<ServiceName, AllowedVersions>,
+    /// Whether streams that clients may resume begin at recorded versions only.
+    pub(crate) needs_records: bool,
     /// Services of which the directory takes no record.
     pub(crate) unrecordable_services: FxHashSet<ServiceName>,
     /// The last read of the directory for streams that clients resume; `None` before the first one.
@@ -99,6 +101,7 @@
             stream_origins: StreamOrigins::default(),
             versions: VersionHistory::default(),
             allowed_versions: FxHashMap::default(),
+            needs_records: false,
             unrecordable_services: FxHashSet::default(),
             directory_read: None,
             moved_routes: MovedRoutes::default(),
@@ -107,6 +110,14 @@
         }
     }
 
+    /// Lets streams that clients may resume begin only at versions that are known to be recorded in the directory, also before
+    /// the first read of the records.
+    #[must_use]
+    pub const fn with_version_records(mut self) -> Self {
+        self.needs_records = true;
+        self
+    }
+
     /// Returns the configuration in force: routes and services; `None` before the first configuration.
     #[must_use]
     pub const fn table(&self) -> Option<&Arc<RouteTable>> {
@@ -201,6 +212,10 @@
             Event::VersionsRecorded { service, versions } => {
                 self.versions_recorded(&service, versions)
             }
+            Event::VersionsAllowed { service, versions } => {
+                self.versions_allowed(&service, versions)
+            }
+            Event::EndpointsMissed => self.versions.forget_completeness(now),
             Event::RecordRefused { service } => self.record_refused(service),
             Event::DirectoryRead(read) => self.directory_read(now, read),
             Event::ConfigurationsMissed => self.moved_routes.record_gap(now),
--- a/crates/daisychute-dispatch/src/core/event.rs
+++ b/crates/daisychute-dispatch/src/core/event.rs
@@ -239,6 +239,15 @@
         /// The limits, with times of this process.
         limits: Vec<LimitNews>,
     },
+    /// Another front told at which versions of a service it may begin streams, as they are recorded in the directory.
+    VersionsAllowed {
+        /// The service.
+        service: ServiceName,
+        /// The versions.
+        versions: SoftwareVersions,
+    },
+    /// Endpoints may have come and gone without this front's knowledge, or records of them may have been lost.
+    EndpointsMissed,
     /// The directory doesn't take a record of the versions of a service that may have streams.
     RecordRefused {
         /// The service.
--- a/crates/daisychute-dispatch/src/core/resumption.rs
+++ b/crates/daisychute-dispatch/src/core/resumption.rs
@@ -13,8 +13,8 @@
 /// the timeout, and few clients wait longer than that for all of them.
 pub(crate) const MAX_STREAM_AGE_FACTOR: u32 = 2;
 /// Longest time that a request waits for a read of the directory, which answers within milliseconds, or some hundred if it is slow.
-pub(crate) const MAX_READ_WAIT: Duration = Duration::from_millis(400);
-/// Longest time that a request waits for other fronts to tell where its stream began, once the directory was read.
+pub(crate) const MAX_READ_WAIT: Duration = Duration::from_millis(500);
+/// Time from its arrival for which a request waits for other fronts to tell where its stream began.
 const MAX_PEER_WAIT: Duration = Duration::from_millis(100);
 
 /// Where a resumed stream began, as far as this front knows.
@@ -25,7 +25,10 @@
         basis: OriginBasis,
     },
     /// At a service that its route doesn't have any more.
-    RouteMoved,
+    Left {
+        service: ServiceName,
+        version: Option<SoftwareVersion>,
+    },
     /// News may tell until this time.
     UnknownUntil(Time),
 }
@@ -42,7 +45,7 @@
         let Some(state) = self.requests.get(&key).filter(|it| it.resumes()) else { return true };
         match self.origin(now, state) {
             Origin::At { service, version, basis } => {
-                self.record_resumption(now, key, Some(&version), basis, actions);
+                self.record_resumption(now, key, &service, Some(&version), basis, actions);
                 if let Some(state) = self.requests.get_mut(&key) {
                     state.service = service;
                     state.stream_version = Some(version);
@@ -50,8 +53,9 @@
                 }
                 return true;
             }
-            Origin::RouteMoved => {
-                self.record_resumption(now, key, None, OriginBasis::Seen, actions);
+            Origin::Left { service, version } => {
+                let basis = OriginBasis::Seen;
+                self.record_resumption(now, key, &service, Some(&version), basis, actions);
                 self.fail_or_refuse(key, Reason::VersionGone, actions);
             }
             Origin::UnknownUntil(until) if now < until => {
@@ -59,7 +63,9 @@
                 actions.push(Action::AwaitNews { key, attempt, until });
             }
             Origin::UnknownUntil(_) => {
-                self.record_resumption(now, key, None, OriginBasis::Unknown, actions);
+                let service = state.service.clone();
+                let basis = OriginBasis::Unknown;
+                self.record_resumption(now, key, &service, None, basis, actions);
                 self.fail_or_refuse(key, Reason::OriginUnknown, actions);
             }
         }
@@ -84,14 +90,16 @@
         let attempt = state.first_attempt_hash();
         match attempt.and_then(|it| self.stream_origins.get(now, it)) {
             Some(KnownOrigin::At { service, version }) => {
-                let service = service.unwrap_or(&state.service);
-                if !state.route.backends.contains(service) {
-                    return Origin::RouteMoved;
+                let service = service.unwrap_or(&state.service).clone();
+                let version = version.clone();
+                if !state.route.backends.contains(&service) {
+                    return Origin::Left { service, version };
                 }
-                let (service, version) = (service.clone(), version.clone());
                 return Origin::At { service, version, basis: OriginBasis::Seen };
             }
             Some(KnownOrigin::Disputed) => return Origin::UnknownUntil(now),
+            // The directory has no records for streams that can't be resumed.
+            None if !state.route.kind.repeatable() => return Origin::UnknownUntil(now),
             None => {}
         }
         if let Some(version) = self.sole_version(now, state) {
@@ -120,7 +128,22 @@
         let has_not_moved = || self.moved_routes.is_settled(now, &state.route);
         let is_certain = read.has_one_service()
             || (is_current && state.has_certain_service() && has_not_moved());
-        read.sole_version(&state.service).filter(|_| is_certain)
+        let version = read.sole_version(&state.service).filter(|_| is_certain)?;
+        self.knows_no_other(now, state, version).then_some(version)
+    }
+
+    /// Whether this front knows of no other version of the service that may have streams.
+    fn knows_no_other(
+        &self,
+        now: Time,
+        state: &RequestState,
+        version: &Option<SoftwareVersion>,
+    ) -> bool {
+        let age = state.route.timeout * MAX_STREAM_AGE_FACTOR;
+        let listed = self.fleet.of_service(&state.service);
+        let mut listed = listed.map(|(_, it)| &it.endpoint.software_version);
+        let mut seen = self.versions.seen(now, &state.service, age);
+        listed.all(|it| it == version) && seen.all(|it| it == version)
     }
 
     /// Restricts a stream whose first event arrived to the version of its endpoint, and tells the other fronts where it
@@ -150,7 +173,7 @@
     pub(crate) fn origins_reported(&mut self, now: Time, origins: Vec<StreamOrigin>) {
         for origin in origins {
             if let Some(service) = &origin.service {
-                self.version_reported(service, &origin.version);
+                self.version_reported(now, service, &origin.version);
             }
             self.stream_origins.record(now, origin);
         }
@@ -160,6 +183,7 @@
         &self,
         now: Time,
         key: RequestKey,
+        service: &ServiceName,
         version: Option<&Option<SoftwareVersion>>,
         basis: OriginBasis,
         actions: &mut Vec<Action>,
@@ -167,7 +191,7 @@
         let Some(state) = self.requests.get(&key) else { return };
         actions.push(Action::RecordResumption {
             request: Arc::clone(&state.request.id),
-            service: state.service.clone(),
+            service: service.clone(),
             version: version.cloned().flatten(),
             basis,
             waited: now.since(state.arrived),
--- a/crates/daisychute-dispatch/src/core/version_records.rs
+++ b/crates/daisychute-dispatch/src/core/version_records.rs
@@ -58,7 +58,7 @@
         if !self.contact.is_given(now) {
             return None;
         }
-        let recent = self.versions.recent(now, service, age, age + MAX_ISOLATION)?;
+        let recent = self.versions.recent(now, service, age + MAX_ISOLATION)?;
         let mut versions: SoftwareVersions = recent.cloned().collect();
         versions.extend(self.listed_versions(service));
         (!versions.is_empty()).then_some(versions)
@@ -70,11 +70,15 @@
         self.allowed_versions.retain(|service, _| read.records.contains_key(service));
         for (service, record) in &read.records {
             if record.is_complete {
-                self.versions.complete(now, read.begun_at, service, &record.versions);
+                let before = self.directory_read.as_ref().and_then(|it| it.records.get(service));
+                let is_new = |it: &_| before.is_none_or(|before| !before.versions.contains(it));
+                let versions = &record.versions;
+                self.versions.complete(now, read.begun_at, service, versions, is_new);
             }
             self.versions_recorded(service, record.versions.clone());
         }
         self.directory_read = Some(read);
+        self.needs_records = true;
     }
 
     /// Records that the directory's record of a service contains these versions.
@@ -91,26 +95,64 @@
         self.unrecordable_services.insert(service);
     }
 
-    /// Records that an endpoint is listed, whose version may not be recorded yet.
+    /// Records that an endpoint is about to be listed. A version without listed endpoints may have been dropped from the record
+    /// since this front read it.
     pub(crate) fn version_listed(&mut self, endpoint: &Endpoint) {
-        if let Some(allowed) = self.allowed_versions.get_mut(&endpoint.service) {
-            allowed.is_lacking |= !allowed.versions.contains(&endpoint.software_version);
+        let Some(allowed) = self.allowed_versions.get_mut(&endpoint.service) else { return };
+        let version = &endpoint.software_version;
+        let mut listed = self.fleet.of_service(&endpoint.service);
+        if !listed.any(|(_, it)| it.endpoint.software_version == *version) {
+            allowed.versions.remove(version);
         }
+        allowed.is_lacking |= !allowed.versions.contains(version);
     }
 
     /// Records that a stream began at this version, at another front that knew it to be recorded.
     pub(crate) fn version_reported(
         &mut self,
+        now: Time,
         service: &ServiceName,
         version: &Option<SoftwareVersion>,
     ) {
-        if let Some(allowed) = self.allowed_versions.get_mut(service)
-            && allowed.is_lacking
-            && !allowed.versions.contains(version)
-        {
-            let mut versions = allowed.versions.clone();
-            versions.insert(version.clone());
-            self.versions_recorded(service, versions);
+        self.versions.record_version(now, service, version);
+        let allowed = self.allowed_versions.get(service);
+        if self.needs_records && allowed.is_none_or(|it| it.is_lacking) {
+            let mut versions = allowed.map(|it| it.versions.clone()).unwrap_or_default();
+            if versions.insert(version.clone()) {
+                self.versions_recorded(service, versions);
+            }
+        }
+    }
+
+    /// Returns the versions of each service at which streams may begin, as far as this front knows, for a front that can't
+    /// reach the directory.
+    pub fn allowed_versions(&self) -> impl Iterator<Item = (&ServiceName, &SoftwareVersions)> {
+        self.allowed_versions.iter().map(|(service, it)| (service, &it.versions))
+    }
+
+    /// Records at which versions another front may begin streams.
+    pub(crate) fn versions_allowed(&mut self, service: &ServiceName, told: SoftwareVersions) {
+        let allowed = self.allowed_versions.get(service);
+        let known = allowed.map(|it| it.versions.clone()).unwrap_or_default();
+        if allowed.is_none_or(|it| it.is_lacking) {
+            self.versions_recorded(service, known.into_iter().chain(told).collect());
+        }
+    }
+
+    /// Whether endpoints are listed of versions at which streams may not begin until their record is read or written.
+    #[must_use]
+    pub fn awaits_records(&self) -> bool {
+        let Some(table) = &self.table else { return false };
+        let mut services = table.services().map(|it| &it.name);
+        services.any(|it| self.lacks_record(it) && max_stream_age(table, it).is_some())
+    }
+
+    fn lacks_record(&self, service: &ServiceName) -> bool {
+        let mut listed =
+            self.fleet.of_service(service).map(|(_, it)| &it.endpoint.software_version);
+        match self.allowed_versions.get(service) {
+            Some(allowed) => allowed.is_lacking && listed.any(|it| !allowed.versions.contains(it)),
+            None => !self.unrecordable_services.contains(service) && listed.next().is_some(),
         }
     }
 
@@ -124,13 +166,15 @@
     }
 
     /// Returns the versions at which a stream may begin that clients may resume; `None` if it may be any: for other
-    /// requests, for streams that have begun, as long as no records were read, and if the directory takes no record.
+    /// requests, for streams that have begun, and if no records are kept.
     pub(crate) fn versions_to_begin_at(&self, state: &RequestState) -> Option<&SoftwareVersions> {
         let kind = state.route.kind;
         if !kind.is_stream() || !kind.repeatable() || state.stream_version.is_some() {
             return None;
         }
-        self.directory_read.as_ref()?;
+        if !self.needs_records {
+            return None;
+        }
         let Some(allowed) = self.allowed_versions.get(&state.service) else {
             let may_be_recorded = !self.unrecordable_services.contains(&state.service);
             return may_be_recorded.then_some(&NONE_RECORDED);
--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -407,7 +407,7 @@
 #[test]
 fn front_that_knows_a_service_for_a_moment_records_nothing() {
     let mut front = Front::new(engines(&["v1", "v1"]));
-    front.wait(HISTORY - Duration::from_millis(1));
+    front.wait(RECORDED - Duration::from_millis(1));
     assert_eq!(to_record(&front), None);
     front.wait(Duration::from_millis(1));
     assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
@@ -821,6 +821,92 @@
     };
 }
 
+/// Guards against a record that loses a version which came back, began streams and left while this front missed it (ORDER).
+#[test]
+fn version_that_came_back_unnoticed_stays_recorded() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    record(&mut front, &["v1"]);
+    let second = with_version(endpoint(2, "lm", Some(Role::Decode)), "v2");
+    front.handle(Event::EndpointUpserted(second.clone()));
+    front.wait(Duration::from_secs(1));
+    front.handle(Event::EndpointRemoved { name: second.name, removal: Removal::Left });
+    front.wait(RECORDED);
+    assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
+    record(&mut front, &["v1"]);
+    front.wait(Duration::from_secs(30));
+    record(&mut front, &["v1", "v2"]);
+    assert_eq!(to_record(&front).expect("known versions"), ["v1", "v2"]);
+}
+
+/// The same for one that stayed recorded all the while, and that may have come back where this front missed changes.
+#[test]
+fn version_that_may_have_come_back_in_a_gap_stays_recorded() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    record(&mut front, &["v1", "v2"]);
+    front.wait(RECORDED - Duration::from_secs(1));
+    front.handle(Event::EndpointsMissed);
+    assert_eq!(to_record(&front), None);
+    record(&mut front, &["v1", "v2"]);
+    front.wait(HISTORY);
+    assert_eq!(to_record(&front).expect("known versions"), ["v1", "v2"]);
+}
+
+/// Guards against streams that begin at a version which another front has dropped from the record since this one read it
+/// (ORDER).
+#[test]
+fn streams_begin_at_a_version_that_comes_back_only_after_another_read() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    record(&mut front, &["v1", "v2"]);
+    front.wait(Duration::from_secs(100));
+    let second = with_version(endpoint(3, "lm", Some(Role::Decode)), "v2");
+    front.handle(Event::EndpointUpserted(second));
+    assert!(front.dispatcher.awaits_records());
+    for id in 0..20 {
+        let (key, begun_at, _) = begin(&mut front, request(&format!("id-{id}"), LONG));
+        front.handle(Event::ClientDisconnected { key });
+        assert_eq!(begun_at, version("v1"), "without a read since v2 came back");
+    }
+    record(&mut front, &["v1", "v2"]);
+    assert!(!front.dispatcher.awaits_records());
+}
+
+/// Guards against a front that takes up a stream at the only recorded version while it knows another one (ORDER).
+#[test]
+fn front_that_knows_a_version_which_is_not_recorded_concludes_nothing() {
+    let told = |front: &mut Front| {
+        let attempt = StreamOrigin::attempt("another");
+        let time_left = Duration::from_secs(3);
+        let version = Some(version("v2"));
+        let origin = StreamOrigin { attempt, service: Some(service("lm")), version, time_left };
+        front.handle(Event::OriginsReported { origins: vec![origin] });
+    };
+    let mut listed = Front::new(engines(&["v1", "v2"]));
+    let actions = resume_after_read(&mut listed, resumption(Some(FIRST_ATTEMPT)), &["v1"]);
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    told(&mut front);
+    let actions = resume_after_read(&mut front, resumption(Some(FIRST_ATTEMPT)), &["v1"]);
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
+
+/// Guards against streams of a front which starts while the directory is away, at versions that nobody has recorded (ORDER).
+#[test]
+fn streams_begin_nowhere_before_the_versions_are_known_to_be_recorded() {
+    let mut front = Front::new(engines(&["v1", "v2"]));
+    front.dispatcher = front.dispatcher.clone().with_version_records();
+    let actions = resume(&mut front, request("id-1", LONG));
+    assert!(sent(&actions).is_none() && refused(&actions).is_some(), "{actions:?}");
+    let (_, actions) = arrive(&mut front, request("id-2", SHORT));
+    assert!(sent(&actions).is_some(), "streams that can't be resumed: {actions:?}");
+    let versions = [Some(version("v1"))].into();
+    front.handle(Event::VersionsAllowed { service: service("lm"), versions });
+    for id in 3..20 {
+        let (key, begun_at, _) = begin(&mut front, request(&format!("id-{id}"), LONG));
+        front.handle(Event::ClientDisconnected { key });
+        assert_eq!(begun_at, version("v1"));
+    }
+}
+
 /// Guards against a stream that a front with an old configuration began, and that goes on at the new service (ORDER).
 #[test]
 fn stream_that_a_front_with_an_old_configuration_began_goes_nowhere_else() {
@@ -880,3 +966,14 @@
     let actions = front.handle(Event::NewsAwaited { key });
     assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
 }
+
+/// Guards against clients that wait for a read which is never made: the directory has no records for such streams.
+#[test]
+fn resumption_on_a_route_that_is_not_resumable_is_refused_at_once() {
+    let plain = route(LONG, RequestKind::Stream { resumable: false }, "lm", 600, 2);
+    let table = RouteTable::new(2, vec![plain], services(), ClientLimits::default());
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.handle(Event::Configured(Arc::new(table.expect("a table"))));
+    let (_, actions) = arrive(&mut front, resumption(Some(FIRST_ATTEMPT)));
+    assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+}
--- a/crates/daisychute-front/src/directory/version_recorder.rs
+++ b/crates/daisychute-front/src/directory/version_recorder.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use daisychute_core::ServiceName;
-use daisychute_dispatch::{DirectoryRead, Event, RecordedVersions, SoftwareVersions};
-use tokio::time::sleep;
+use daisychute_dispatch::{DirectoryRead, Dispatcher, Event, RecordedVersions, SoftwareVersions};
+use tokio::time::{sleep, timeout};
 
 use crate::state::FrontState;
 use crate::{Collection, Continuity, Dialect, Directory, DirectoryError, Position, VersionRecord};
@@ -20,13 +20,17 @@
 const SPREAD_PER_FRONT: Duration = Duration::from_millis(5);
 /// Maximum time over which the fronts spread their calls. Until its call, a front begins streams at other versions.
 const MAX_SPREAD: Duration = Duration::from_millis(500);
-/// Minimum time between two reads, multiplied by the number of fronts: all fronts together make at most a hundred a second,
-/// however many clients come back.
-const READ_INTERVAL_PER_FRONT: Duration = Duration::from_millis(10);
+/// Minimum time between two reads, multiplied by the number of fronts: all fronts together make at most fifty a second, of two
+/// calls each, however many clients come back.
+const READ_INTERVAL_PER_FRONT: Duration = Duration::from_millis(20);
 /// Maximum of the minimum time between two reads, well below the time that clients wait for one.
 const MAX_READ_INTERVAL: Duration = Duration::from_millis(150);
 /// Wait time of the watch that shows whether there is a later configuration, so that it returns at once.
 const PROBE_WAIT: Duration = Duration::from_millis(1);
+/// Time limit for that watch: the records, which have arrived, may be enough.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Minimum delay after a failed call while clients wait.
+const MIN_PRESSED_DELAY: Duration = Duration::from_millis(250);
 /// Delay after the first failed call; it doubles with each further one.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(60);
 /// Maximum delay after failed calls, unless there are news or clients wait. Without records a front still serves: it refuses to
@@ -67,15 +71,21 @@
                 tokio::select! {
                     () = sleep(self.state.jitter(CHECK_INTERVAL)) => {}
                     () = self.state.versions_may_differ.notified() => {}
+                    () = self.state.read_wanted.notified() => {}
                 }
                 continue;
             }
             // A front that has just started, or has missed news, needs the records to resume streams.
             if self.read_at.is_some() && !self.state.version_records_outdated.get() {
                 let spread = (SPREAD_PER_FRONT * self.state.front_count()).min(MAX_SPREAD);
-                sleep(self.state.spread(spread)).await;
+                tokio::select! {
+                    () = sleep(self.state.spread(spread)) => {}
+                    () = self.state.read_wanted.notified() => {}
+                }
             }
-            match self.update().await {
+            let updated =
+                if self.needs_read() { self.update().await } else { self.complete().await };
+            match updated {
                 Ok(()) => {
                     self.failures = 0;
                     sleep(self.read_interval()).await;
@@ -87,14 +97,14 @@
 
     fn is_up_to_date(&self) -> bool {
         let wanted = self.wanted();
-        if !wanted.is_empty() && self.state.version_records_outdated.get() {
-            return false;
-        }
-        wanted.is_empty()
-            || self.read_at.is_some_and(|it| {
-                it.era() == self.state.era.latest()
-                    && self.outdated(it.era(), wanted, self.may_drop()).is_empty()
-            })
+        wanted.is_empty() || (!self.needs_read() && self.completed(wanted).is_empty())
+    }
+
+    /// Whether the records have to be read: for clients that wait, since they may have changed, or to add versions to them.
+    fn needs_read(&self) -> bool {
+        self.state.version_records_outdated.get()
+            || self.read_at.is_none_or(|it| it.era() != self.state.era.latest())
+            || self.state.with_dispatcher(Dispatcher::awaits_records)
     }
 
     /// Returns the minimum time between two reads.
@@ -108,56 +118,76 @@
         self.state.with_dispatcher(|it| it.versions_to_record(now))
     }
 
-    /// Whether this front has seen all changes of endpoints up to the last read, so that versions which are gone by what it
-    /// knows were gone then.
-    fn may_drop(&self) -> bool {
-        let revisions = &self.state.revisions;
-        let covered = revisions.endpoints_covered();
-        self.read_at.is_some_and(|it| covered >= it) && !revisions.is_behind()
+    /// Returns the records that lack versions of listed endpoints, with these: streams begin at recorded versions only.
+    fn extended(&self, era: u64) -> Vec<VersionRecord> {
+        let mut extended = Vec::new();
+        for (service, _) in self.wanted() {
+            let listed = self.state.with_dispatcher(|it| it.listed_versions(&service));
+            let known = self.records.get(&service);
+            let mut versions = known.map(|it| it.versions.clone()).unwrap_or_default();
+            let count = versions.len();
+            versions.extend(listed);
+            if versions.len() > count {
+                // It stays as incomplete as it is, or begins so: a copy of the directory may have lacked versions.
+                let era = known.map_or(era.saturating_sub(1), |it| it.era);
+                let revision = known.and_then(|it| it.revision);
+                extended.push(VersionRecord { service, versions, era, revision });
+            }
+        }
+        extended
     }
 
-    /// Returns the records that are to be written in this era.
+    /// Returns the records that were read and should contain just the versions that may have streams, as far as these are
+    /// known here.
     ///
-    /// A version is added as soon as an endpoint of it is listed, since streams begin at recorded versions only. It is
-    /// dropped only if `may_drop`.
-    fn outdated(
+    /// Fronts see versions leave at different moments. One that was dropped isn't added again while no endpoint of it is
+    /// listed: fronts would otherwise write in turns until all of them have forgotten it.
+    fn completed(
         &self,
-        era: u64,
         wanted: Vec<(ServiceName, Option<SoftwareVersions>)>,
-        may_drop: bool,
     ) -> Vec<VersionRecord> {
-        let mut outdated = Vec::new();
-        for (service, wanted) in wanted {
-            let listed = self.state.with_dispatcher(|it| it.listed_versions(&service));
-            let known = self.records.get(&service);
-            let wanted = wanted.filter(|_| may_drop);
-            let (kept, record_era) = match (known, wanted) {
-                // Fronts see versions leave at different moments. One that was dropped isn't added again while no endpoint
-                // of it is listed: fronts would otherwise write in turns until all of them have forgotten it.
-                (Some(known), Some(wanted)) if known.era == era => {
-                    (known.versions.intersection(&wanted).cloned().collect(), era)
-                }
-                (_, Some(wanted)) => (wanted, era),
-                // It stays as incomplete as it is, or begins so: a copy of the directory may have lacked it.
-                (Some(known), None) => (known.versions.clone(), known.era),
-                (None, None) if listed.is_empty() => continue,
-                (None, None) => (SoftwareVersions::new(), era.saturating_sub(1)),
+        let Some(read_at) = self.read_at else { return Vec::new() };
+        // What is gone by changes of endpoints up to the read was gone when the record was read.
+        let revisions = &self.state.revisions;
+        if revisions.endpoints_covered() < read_at || revisions.is_behind() {
+            return Vec::new();
+        }
+        let era = read_at.era();
+        let completed = wanted.into_iter().filter_map(|(service, wanted)| {
+            let (wanted, known) = (wanted?, self.records.get(&service)?);
+            let versions: SoftwareVersions = if known.era == era {
+                known.versions.intersection(&wanted).cloned().collect()
+            } else {
+                known.versions.union(&wanted).cloned().collect()
             };
-            let versions: SoftwareVersions = kept.into_iter().chain(listed).collect();
-            if known.is_none_or(|it| it.versions != versions || it.era != record_era) {
-                let revision = known.and_then(|it| it.revision);
-                outdated.push(VersionRecord { service, versions, era: record_era, revision });
-            }
+            let is_same = known.era == era && known.versions == versions;
+            let revision = known.revision;
+            (!is_same).then_some(VersionRecord { service, versions, era, revision })
+        });
+        completed.collect()
+    }
+
+    /// Writes records that were read before, if nobody has changed them since.
+    async fn complete(&mut self) -> Result<(), UpdateError> {
+        let era = self.read_at.map_or(0, Position::era);
+        for record in self.completed(self.wanted()) {
+            // The next write has to name the revision of this one, which only a read tells.
+            self.state.version_records_outdated.set(true);
+            self.write(era, record).await?;
         }
-        outdated
+        Ok(())
     }
 
     /// Reads all records, then writes those that are out of date.
     async fn update(&mut self) -> Result<(), UpdateError> {
         let is_wanted = self.state.version_records_outdated.replace(false);
         let begun_at = self.state.now();
-        let configuration =
-            async { if is_wanted { self.newest_configuration().await } else { None } };
+        let configuration = async {
+            if !is_wanted {
+                return None;
+            }
+            timeout(PROBE_TIMEOUT, self.newest_configuration()).await.ok().flatten()
+        };
         let (answer, configuration) = tokio::join!(self.directory.version_records(), configuration);
         if let Some(era) = answer.era {
             self.state.record_era(era, "directory");
@@ -167,7 +197,6 @@
         if era < self.state.era.latest() {
             return Err(UpdateError::Outdated);
         }
-        let may_drop = self.may_drop();
         self.read_at = Some(position);
         self.records = records.into_iter().map(|it| (it.service.clone(), it)).collect();
         let records = self.records.values().map(|it| {
@@ -177,10 +206,11 @@
         let records = records.collect();
         self.state.handle(Event::DirectoryRead(DirectoryRead { begun_at, records, configuration }));
         self.state.news.notify_waiters();
-        for record in self.outdated(era, self.wanted(), may_drop) {
-            self.write(era, record).await?;
+        let mut result = Ok(());
+        for record in self.extended(era) {
+            result = self.write(era, record).await.and(result);
         }
-        Ok(())
+        result
     }
 
     /// Returns the version of the newest configuration; `None` if this front may lack it.
@@ -217,7 +247,6 @@
         log::info!(service:%, versions = text, era = record.era; "versions that may have streams recorded");
         self.state.handle(Event::VersionsRecorded { service, versions });
         self.state.news.notify_waiters();
-        // The revision of the written record isn't known here; the next read tells it.
         self.records.insert(record.service.clone(), record);
         Ok(())
     }
@@ -231,13 +260,13 @@
         }
         let delay = INITIAL_RETRY_DELAY * 2_u32.pow(self.failures.min(8) - 1);
         let delay = self.state.jitter(delay.min(MAX_RETRY_DELAY));
-        let news = async {
-            sleep(delay.min(self.read_interval())).await;
-            self.state.versions_may_differ.notified().await;
+        let wanted = async {
+            sleep(delay.min(MIN_PRESSED_DELAY)).await;
+            self.state.read_wanted.notified().await;
         };
         tokio::select! {
             () = sleep(delay) => {}
-            () = news => {}
+            () = wanted => {}
         }
     }
 }
--- a/crates/daisychute-front/src/directory/watcher.rs
+++ b/crates/daisychute-front/src/directory/watcher.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use daisychute_core::{EndpointName, Time};
+use daisychute_dispatch::Event;
 use tokio::time::sleep;
 
 use crate::directory::answer::Answer;
@@ -355,6 +356,10 @@
         let (now, era) = (self.state.now(), listing.position.era());
         self.state.revisions.record_seen(self.collection, listing.latest);
         let listed: BTreeSet<_> = listing.changes.iter().map(|it| it.name.clone()).collect();
+        let was_listed = self.state.revisions.endpoints_covered() != Position::default();
+        if self.collection == Collection::Endpoints && was_listed {
+            self.state.handle(Event::EndpointsMissed);
+        }
         let known = self.known_names();
         let removed: Vec<_> = known.difference(&listed).cloned().collect();
         // Fronts register again over some time after a return.
--- a/crates/daisychute-front/src/peers/snapshot.rs
+++ b/crates/daisychute-front/src/peers/snapshot.rs
@@ -2,9 +2,10 @@
 
 use std::sync::Arc;
 
+use daisychute_core::ServiceName;
 use daisychute_dispatch::{
     Account, Accounts, AccountsError, ClientLimits, Dispatcher, DuplicateRoute, Endpoint, Route,
-    RouteTable, ServiceSpec,
+    RouteTable, ServiceSpec, SoftwareVersions,
 };
 use serde::{Deserialize, Serialize};
 
@@ -36,6 +37,9 @@
     /// Whether the sender knows that there is a later configuration, which may have revoked keys.
     #[serde(default)]
     outdated: bool,
+    /// The versions of services at which the sender may begin streams. Missing in snapshots of older builds.
+    #[serde(default)]
+    pub(crate) allowed_versions: Vec<(ServiceName, SoftwareVersions)>,
 }
 
 /// Why the configuration of a snapshot is invalid.
@@ -61,6 +65,10 @@
             accounts: table.accounts().map(|it| it.iter().cloned().collect()),
             endpoints: dispatcher.fleet().endpoints().cloned().collect(),
             unsettled: dispatcher.fleet().has_pending_removals(),
+            allowed_versions: dispatcher
+                .allowed_versions()
+                .map(|(service, versions)| (service.clone(), versions.clone()))
+                .collect(),
             ..Self::default()
         })
     }
--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -24,6 +24,8 @@
 use tokio_tungstenite::tungstenite::{Error, Message};
 use tokio_tungstenite::{WebSocketStream, accept_async_with_config, client_async_with_config};
 
+use daisychute_dispatch::Event;
+
 use crate::peers::snapshot::Snapshot;
 use crate::side_listener;
 use crate::state::FrontState;
@@ -265,6 +267,9 @@
     let covered = snapshot.covered();
     state.record_peer_era(covered.era(), peer);
     let knows_none = state.with_dispatcher(|it| it.fleet().is_empty());
+    for (service, versions) in snapshot.allowed_versions.iter().cloned() {
+        state.handle(Event::VersionsAllowed { service, versions });
+    }
     let newer_endpoints =
         state.revisions.endpoints_covered() < covered && (!snapshot.unsettled || knows_none);
     if !newer_table && !newer_endpoints {
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -64,6 +64,8 @@
     pub(crate) snapshot_port: u16,
     /// Notified when the versions that may have streams may differ from what the directory has recorded.
     pub(crate) versions_may_differ: Notify,
+    /// Notified when requests wait for a read of the directory.
+    pub(crate) read_wanted: Notify,
     /// Notified when requests that wait for news of the directory or of other fronts should look again.
     pub(crate) news: Notify,
     pub(crate) shutdown: ShutdownState,
@@ -116,6 +118,7 @@
             snapshot_wanted: Notify::new(),
             snapshot_port,
             versions_may_differ: Notify::new(),
+            read_wanted: Notify::new(),
             news: Notify::new(),
             shutdown: ShutdownState::default(),
             large_responses: LargeBodies::default(),
@@ -129,7 +132,9 @@
             clock: Clock::start(),
             boot_clock: BootClock::start(),
             suspended: Cell::default(),
-            dispatcher: RefCell::new(Dispatcher::new(settings.dispatch.clone())),
+            dispatcher: RefCell::new(
+                Dispatcher::new(settings.dispatch.clone()).with_version_records(),
+            ),
             settings: RefCell::new(settings),
             next_key: Cell::new(1),
             random: RefCell::new(Pcg64Mcg::seed_from_u64(incarnation_id)),
@@ -198,6 +203,7 @@
         log::warn!(era, previous, source:%; "era of the store has risen: it was restored from a copy");
         metrics::counter!("daisychute_directory_restores_total").increment(era - previous);
         self.departures.borrow_mut().hold(self.now());
+        self.dispatcher.borrow_mut().handle(self.now(), Event::EndpointsMissed, &mut Vec::new());
         self.peers.request_heartbeat();
         self.versions_may_differ.notify_one();
     }
@@ -336,7 +342,7 @@
     /// attempt.
     pub(crate) fn request_news(&self, attempt: Option<u64>) {
         self.version_records_outdated.set(true);
-        self.versions_may_differ.notify_one();
+        self.read_wanted.notify_one();
         if let Some(attempt) = attempt {
             self.peers.wanted_origins.borrow_mut().push(self.now(), attempt);
             self.peers.request_urgent_heartbeat();
@@ -539,6 +545,7 @@
         } else {
             Removal::Left
         };
+        self.handle(Event::EndpointsMissed);
         let listed: BTreeSet<_> = endpoints.iter().map(|it| &it.name).collect();
         let is_missing = |it: &&EndpointName| !listed.contains(it);
         let missing: Vec<_> =
