--- a/crates/daisychute-explain/src/cause.rs
+++ b/crates/daisychute-explain/src/cause.rs
@@ -60,11 +60,11 @@
         }
         ("refused", "origin_unknown") => format!(
             "refused by {process}, not run: the client resumed a stream, and {process} didn't know which software version \
-             had begun it",
+             had begun it: no front that it reaches saw that, and the store left more than one possibility or didn't answer",
         ),
         ("refused", "version_gone") => format!(
             "refused by {process}, not run: the client resumed a stream, and no endpoint of the software version that had \
-             begun it accepted work",
+             begun it accepted work, or its route had left their service",
         ),
         ("refused", reason) => format!(
             "refused by {process}, not run: {reason} ({}){}",
