--- a/crates/daisychute-front/src/peers/snapshots.rs
+++ b/crates/daisychute-front/src/peers/snapshots.rs
@@ -267,12 +267,10 @@
     let covered = snapshot.covered();
     state.record_peer_era(covered.era(), peer);
     let knows_none = state.with_dispatcher(|it| it.fleet().is_empty());
-    for (service, versions) in snapshot.allowed_versions.iter().cloned() {
-        state.handle(Event::VersionsAllowed { service, versions });
-    }
     let newer_endpoints =
         state.revisions.endpoints_covered() < covered && (!snapshot.unsettled || knows_none);
     if !newer_table && !newer_endpoints {
+        allow_versions(state, snapshot);
         return false;
     }
     let (endpoints, era, revision) = (snapshot.endpoints.len(), covered.era(), covered.revision());
@@ -285,9 +283,19 @@
     if newer_endpoints {
         state.replace_endpoints(&snapshot.endpoints, covered);
     }
+    // An endpoint that is listed voids what was known before of its version.
+    allow_versions(state, snapshot);
     if newer_endpoints && !snapshot.unsettled {
         state.revisions.record_seen(Collection::Endpoints, endpoints_position);
         state.revisions.record_covered(Collection::Endpoints, covered);
     }
     true
 }
+
+/// Lets streams begin at the versions at which the sender of a snapshot may begin some.
+fn allow_versions<D: Dialect>(state: &Rc<FrontState<D>>, snapshot: &Snapshot) {
+    for (service, versions) in snapshot.allowed_versions.iter().cloned() {
+        state.handle(Event::VersionsAllowed { service, versions });
+    }
+    state.news.notify_waiters();
+}
