test(soak): cut fronts off while software versions join

Cause: the soak had releases and fronts that stand still, but no front that is cut off from others while a version joins, so that it couldn't show streams that such a front went on with at another version.

Change: `--cuts`, beside `--versions`, cuts one front off from some or all others and mostly from the store, for 0.3 to 5 s, in series that overlap with each other and the other faults, while workers of a new version join and then replace all others. Clients resume their streams at any front. The report counts the cuts and the resumptions at fronts that are cut off or were so in the last 5 s; a run without one has too few cases. Timeouts of routes are 1.2 s in such runs, so that a front knows the versions of two timeouts before each series.

--- a/crates/daisychute-soak/src/clients.rs
+++ b/crates/daisychute-soak/src/clients.rs
@@ -47,6 +47,8 @@
     pub(crate) front_addresses: RefCell<Vec<SocketAddr>>,
     /// When each front, by its client address, was started.
     pub(crate) front_starts: RefCell<HashMap<SocketAddr, Instant>>,
+    /// The number of each front, by its client addresses, those before its restarts included.
+    pub(crate) front_numbers: RefCell<HashMap<SocketAddr, usize>>,
     /// The finished requests of all clients, in the order in which they ended.
     pub(crate) records: RefCell<Vec<RequestRecord>>,
     /// The streams of the clients that resume them: the attempts of each.
--- a/crates/daisychute-soak/src/faults.rs
+++ b/crates/daisychute-soak/src/faults.rs
@@ -56,6 +56,9 @@
     ForeignEntry(&'static str, String),
     /// All fronts are killed and restarted.
     KillAll,
+    /// A front and these others don't hear each other for this long, in which the store doesn't respond to it either if the
+    /// `bool` is true.
+    CutOff(usize, Vec<usize>, bool, Duration),
 }
 
 /// Kinds of the objects that fronts list.
--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -7,6 +7,7 @@
 mod changes;
 mod checks;
 mod clients;
+mod cuts;
 mod faults;
 mod limits;
 mod notices;
--- a/crates/daisychute-soak/src/report.rs
+++ b/crates/daisychute-soak/src/report.rs
@@ -5,6 +5,7 @@
 
 use crate::changes::Checked;
 use crate::checks::Violation;
+use crate::cuts::CutCounts;
 use crate::limits::Limited;
 use crate::poison::Poisoned;
 use crate::streams::Counts;
@@ -38,6 +39,8 @@
     pub(crate) changes: Option<Checked>,
     /// The streams of worker processes; `None` in runs without them.
     pub(crate) streams: Option<Counts>,
+    /// The cuts between fronts, with the streams that were resumed there; `None` in runs without them.
+    pub(crate) cuts: Option<CutCounts>,
     /// Number of entries of another writer; `None` in runs without them.
     pub(crate) foreign_entries: Option<usize>,
 }
@@ -55,6 +58,7 @@
             limited,
             changes,
             streams,
+            cuts,
             foreign_entries,
             violations,
             log_lines,
@@ -72,6 +76,9 @@
         if let Some(changes) = changes {
             write!(f, "; {changes}")?;
         }
+        if let Some(cuts) = cuts {
+            write!(f, "; {cuts}")?;
+        }
         if let Some(count) = foreign_entries {
             write!(f, "; {count} foreign entries")?;
         }
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -2,6 +2,7 @@
 
 mod changing;
 mod cleanups;
+mod cutting;
 mod finish;
 mod foreign;
 
@@ -10,7 +11,8 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Act, Fleet, FrontProcess, StandinError, StoreCopy, StoreListener, Worker, WorkerKind,
+    Act, Fleet, FrontProcess, FrontRelays, StandinError, StoreCopy, StoreListener, Worker,
+    WorkerKind,
 };
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
@@ -26,12 +28,14 @@
     CRASHING, ClientPool, POISON, run_client, run_crashing_client, run_poisoning_client,
     run_resuming_client, run_stream_client,
 };
+use crate::cuts::Cut;
 use crate::faults::Fault;
 use crate::limits::LimitPeriod;
 use crate::poison::PoisonKind;
 use crate::report::Report;
 use crate::run::changing::{CHANGE_SETTINGS, FRONTS_OF_DENSE_FAULTS, WORKERS_PER_SERVICE};
 use crate::run::cleanups::{FaultCleanup, POLL_INTERVAL};
+use crate::run::cutting::{Cutting, ROUTE_TIMEOUT};
 use crate::run::foreign::ForeignEntries;
 use crate::run_options::RunOptions;
 
@@ -41,6 +45,8 @@
 const STREAM_CLIENTS: u64 = 6;
 /// Number of simulated clients that resume broken streams.
 const RESUMING_CLIENTS: u64 = 6;
+/// Number of them beside cuts, during each of which some streams are to be resumed at its front.
+const RESUMING_CLIENTS_BESIDE_CUTS: u64 = 18;
 /// Number of simulated clients of prompts that may end workers.
 const POISONING_CLIENTS: u64 = 6;
 /// Offsets from the seed of a run to those of its further generators.
@@ -127,6 +133,10 @@
     next_store_fault: Instant,
     /// Entries of another writer; `None` without any. They have a generator of their own, like `series`.
     foreign: Option<ForeignEntries>,
+    /// Cuts of fronts from others; `None` without any.
+    cutting: Option<Cutting>,
+    /// Workers of old software versions, which never get a record again.
+    retired: BTreeSet<usize>,
 }
 
 /// Runs one seed.
@@ -135,7 +145,7 @@
         options;
     let poison_kind = options.poison_kind();
     let mut limit_rng = Pcg64Mcg::seed_from_u64(seed ^ LIMIT_SEED);
-    let mut soak = Soak::start(fronts, versions, options.changes).await?;
+    let mut soak = Soak::start(seed, options).await?;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut notice_rng = Pcg64Mcg::seed_from_u64(!seed);
     if options.slow_links {
@@ -150,7 +160,12 @@
         let seed = seed ^ STREAM_CLIENT_SEED ^ (number << 32);
         actix_rt::spawn(run_stream_client(Rc::clone(&soak.pool), seed));
     }
-    for number in 0..if versions { RESUMING_CLIENTS } else { 0 } {
+    let resuming_clients = match (versions, options.cuts) {
+        (_, true) => RESUMING_CLIENTS_BESIDE_CUTS,
+        (true, false) => RESUMING_CLIENTS,
+        (false, false) => 0,
+    };
+    for number in 0..resuming_clients {
         let seed = seed ^ RESUMING_CLIENT_SEED ^ (number << 32);
         actix_rt::spawn(run_resuming_client(Rc::clone(&soak.pool), seed));
     }
@@ -169,6 +184,7 @@
         let pause = Duration::from_millis(rng.random_range(50..600));
         soak.run_cleanups_until(Instant::now() + pause).await?;
         soak.schedule_starts_of_ended_workers();
+        soak.schedule_cuts();
         let mut fault = Fault::random(&mut rng, fronts, soak.relays.len());
         while planned_only && !fault.is_planned() {
             fault = Fault::random(&mut rng, fronts, soak.relays.len());
@@ -195,10 +211,15 @@
         let text = "too few cases of limits: no window was checked".to_owned();
         report.violations.push(Violation::new(text));
     }
-    if versions && !report.resumed.has_cases() {
+    // Cuts and their aftermath leave hardly a time without unplanned faults.
+    if versions && !options.cuts && !report.resumed.has_cases() {
         let text = "too few cases of versions: no resumed stream was checked".to_owned();
         report.violations.push(Violation::new(text));
     }
+    if report.cuts.as_ref().is_some_and(|it| !it.has_cases()) {
+        let text = "too few cases of cuts: no stream was resumed at a front that was cut off";
+        report.violations.push(Violation::new(text.to_owned()));
+    }
     if report.foreign_entries == Some(0) {
         let text = "too few cases of foreign entries: there was none".to_owned();
         report.violations.push(Violation::new(text));
@@ -211,7 +232,8 @@
 }
 
 impl Soak {
-    async fn start(fronts: usize, versions: bool, changes: bool) -> Result<Self, SoakError> {
+    async fn start(seed: u64, options: RunOptions) -> Result<Self, SoakError> {
+        let RunOptions { fronts, versions, changes, cuts, .. } = options;
         let mut fleet = Fleet::without_fronts().await?;
         if changes {
             fleet.add_service(SERVICES[1]);
@@ -227,9 +249,15 @@
                 fleet.add_worker(WorkerKind::Decode).await?;
             }
             for (number, worker) in fleet.workers.iter().enumerate() {
-                worker.set_version(["v1", "v2"][number % 2]);
+                worker.set_version(["v1", "v2"][if cuts { 0 } else { number % 2 }]);
             }
         }
+        let front_relays = FrontRelays::default();
+        if cuts {
+            fleet.set_timeout(ROUTE_TIMEOUT);
+            fleet.configure(1, &json!([]));
+            fleet.store.set_relays(front_relays.clone());
+        }
         let (mut relays, mut records) = (Vec::new(), Vec::new());
         let any_port = ([127, 0, 0, 1], 0).into();
         for worker in &fleet.workers {
@@ -269,6 +297,8 @@
             change_rng: None,
             next_store_fault: Instant::now(),
             foreign: None,
+            cutting: cuts.then(|| Cutting::new(seed, front_relays)),
+            retired: BTreeSet::new(),
         };
         soak.publish_addresses();
         Ok(soak)
@@ -279,8 +309,9 @@
         let addresses: Vec<_> =
             self.fleet.fronts.iter().map(FrontProcess::client_address).collect();
         let mut starts = self.pool.front_starts.borrow_mut();
-        for address in &addresses {
+        for (number, address) in addresses.iter().enumerate() {
             starts.entry(*address).or_insert_with(Instant::now);
+            self.pool.front_numbers.borrow_mut().insert(*address, number);
         }
         *self.pool.front_addresses.borrow_mut() = addresses;
     }
@@ -404,6 +435,11 @@
                     self.end_front(front, Process::kill)?;
                 }
             }
+            Fault::CutOff(front, others, from_store, span) => {
+                until = now + span;
+                let (begins_at, ends_at) = (now, until);
+                self.begin_cut(Cut { front, others, from_store, begins_at, ends_at });
+            }
         }
         if !planned {
             self.disturbances.push((now, until + RECOVERY_PERIOD));
@@ -459,6 +495,9 @@
 
     /// Writes the record of a worker to the store, with this state.
     fn put_record(&mut self, number: usize, state: &str, started_at: Option<u64>) {
+        if self.retired.contains(&number) {
+            return;
+        }
         let (worker, relay) = (&self.fleet.workers[number], &self.relays[number]);
         self.records[number] = record(worker, relay, state, started_at);
         self.fleet.store.put("servers", worker.id(), self.records[number].clone());
--- a/crates/daisychute-soak/src/run/cleanups.rs
+++ b/crates/daisychute-soak/src/run/cleanups.rs
@@ -39,6 +39,12 @@
     StartAgain(usize),
     /// End the limit that a worker names.
     LiftLimit(usize),
+    /// End the cuts of a front that are over.
+    EndCut(usize),
+    /// Start workers of a new software version.
+    Join,
+    /// Take the workers of all software versions but the latest out of the store.
+    RetireOldVersion,
 }
 
 impl Soak {
@@ -107,6 +113,9 @@
             FaultCleanup::Follow(fault) => self.inject(fault)?,
             FaultCleanup::Rewrite => self.rewrite(),
             FaultCleanup::LiftLimit(worker) => self.fleet.workers[worker].set_limit(None),
+            FaultCleanup::EndCut(front) => self.end_cut(front),
+            FaultCleanup::Join => self.join().await?,
+            FaultCleanup::RetireOldVersion => self.retire_old_version(),
             FaultCleanup::StartAgain(worker) => {
                 self.starting.remove(&worker);
                 self.fleet.workers[worker].start_again().await?;
--- a/crates/daisychute-soak/src/run/finish.rs
+++ b/crates/daisychute-soak/src/run/finish.rs
@@ -56,6 +56,7 @@
         let (violations, resumed) = check_streams(&streams, in_touch);
         report.violations.extend(violations);
         report.resumed = resumed;
+        self.count_cuts(&mut report);
         if self.change_rng.is_some() {
             self.check_changes(&mut report);
         }
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -20,6 +20,10 @@
     /// Run workers of two software versions, and check that no stream holds events of both
     #[arg(long)]
     pub(crate) versions: bool,
+    /// Also cut fronts off from others and, mostly, from the store, in series, while workers of new software versions join and
+    /// replace all others
+    #[arg(long, requires = "versions", conflicts_with_all = ["restores", "changes"])]
+    pub(crate) cuts: bool,
     /// Also restore the store from copies that are some seconds old
     #[arg(long)]
     pub(crate) restores: bool,
--- a/crates/daisychute-soak/tests/seeds.rs
+++ b/crates/daisychute-soak/tests/seeds.rs
@@ -50,6 +50,13 @@
     actix_rt::System::new().block_on(run(&args))
 }
 
+/// Streams of a version that joined during a cut of a front went on there at the only version that it knew.
+#[test]
+fn streams_keep_their_software_version_at_fronts_that_are_cut_off() -> Result<(), HarnessError> {
+    let args = ["run", "--seed", "76006", "--minutes", "0.2", "--versions", "--cuts"];
+    actix_rt::System::new().block_on(run(&args))
+}
+
 /// Each front that started ended workers until its peers announced the part again, and few prompts were served.
 #[test]
 fn prompts_that_end_workers_are_refused() -> Result<(), HarnessError> {
