--- a/crates/daisychute-front/src/directory/version_recorder.rs
+++ b/crates/daisychute-front/src/directory/version_recorder.rs
@@ -33,8 +33,8 @@
 const MIN_PRESSED_DELAY: Duration = Duration::from_millis(250);
 /// Delay after the first failed call; it doubles with each further one.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(60);
-/// Maximum delay after failed calls, unless there are news or clients wait. Without records a front still serves: it refuses to
-/// resume some streams.
+/// Maximum delay after failed calls, unless clients wait. Without a read a front still serves: it refuses to resume some
+/// streams, and to begin some at new versions.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// Why the records couldn't be brought up to date.
