--- a/crates/daisychute-dispatch/tests/resumed_streams.rs
+++ b/crates/daisychute-dispatch/tests/resumed_streams.rs
@@ -390,6 +390,39 @@
     assert_eq!(to_record(&front).expect("known versions"), ["v1"]);
 }
 
+/// Guards against clients that come back later than two timeouts of the route, after all fronts were killed in a release, and
+/// get the version that is left (ORDER).
+#[test]
+fn stream_that_is_resumed_late_does_not_go_on_at_the_version_that_is_left() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    record(&mut front, &["v1", "v2"]);
+    for waited in [HISTORY, HISTORY * 2, RECORDED - HISTORY * 3 - Duration::from_secs(1)] {
+        front.wait(waited);
+        let recorded = to_record(&front).expect("known versions");
+        let recorded: Vec<&str> = recorded.iter().map(String::as_str).collect();
+        let actions = resume_after_read(&mut front, resumption(Some(FIRST_ATTEMPT)), &recorded);
+        assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    }
+}
+
+/// Guards against a front whose watch of the directory alone is late, while it hears the other fronts (ORDER).
+#[test]
+fn stream_of_a_version_that_the_watch_has_not_told_is_refused() {
+    let mut front = Front::new(engines(&["v1", "v1"]));
+    front.wait(HISTORY);
+    record(&mut front, &["v1"]);
+    for _ in 0..20 {
+        front.wait(Duration::from_millis(200));
+        front.handle(Event::PeerHeartbeat { peer: 1, loads: Vec::new(), parts: Vec::new() });
+    }
+    for first_attempt in [Some(FIRST_ATTEMPT), None] {
+        let actions = resume(&mut front, resumption(first_attempt));
+        assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+        let actions = resume_after_read(&mut front, resumption(first_attempt), &["v1", "v2"]);
+        assert_eq!(refused(&actions), Some(Reason::OriginUnknown), "{actions:?}");
+    }
+}
+
 /// Guards against streams that go on at the only version of a record which was written before this front, or a copy of the
 /// directory, could know of all.
 #[test]
