Review: bound the time of case 6

Cause: in the worst case a third restart would have ended after 120 s.

Done: no restart begins later than 70 s after the first one.

--- a/review/harness-2/src/bin/case_6.rs
+++ b/review/harness-2/src/bin/case_6.rs
@@ -28,6 +28,8 @@
 /// Number of rolling restarts that are tried, until the rule is broken. A front that hears the other one before it has read the
 /// lease isn't caught: they send each other a heartbeat every 40 ms.
 const RESTARTS: u32 = 3;
+/// Time after which no further restart is tried, so that the script ends within 120 s.
+const LAST_RESTART: Duration = Duration::from_secs(70);
 /// Time for which the calls are observed after the restart: longer than a window and a lease, and until its report is due.
 const OBSERVED: Duration = Duration::from_secs(16);
 
@@ -73,7 +75,11 @@
     let clients = fronts.iter().map(|it| spawn_client(it.callers, Arc::clone(&done), record));
     let clients: Vec<_> = clients.collect();
     let mut code = Ok(HELD);
+    let started_at = Instant::now();
     for _ in 0..RESTARTS {
+        if started_at.elapsed() > LAST_RESTART {
+            break;
+        }
         code = rolling_restart(&mut fronts, &store, &api, &copy, record);
         if code != Ok(HELD) {
             break;
