feat(front): log the lease as it is read, with what was heard of it

Logs had the term of an acquisition and nothing of what it was drawn from.

Each change of holder or term that a front reads is one line now: the version read, which is the era and the revision, the term, the holder, and the last holder heard of with its term, its address and its age.

--- a/crates/daisychute-front/src/duties/link.rs
+++ b/crates/daisychute-front/src/duties/link.rs
@@ -38,10 +38,10 @@
 
 /// A holder of the duty that was heard of.
 #[derive(Debug, Clone, Copy)]
-struct HeardHolder {
-    address: SocketAddr,
-    term: Term,
-    last_seen: Time,
+pub(crate) struct HeardHolder {
+    pub(crate) address: SocketAddr,
+    pub(crate) term: Term,
+    pub(crate) last_seen: Time,
 }
 
 /// The lease while this front holds it.
@@ -232,6 +232,11 @@
         true_time.at(now).unwrap_or(own)
     }
 
+    /// The other front that was last heard of as the holder of the duty.
+    pub(crate) fn heard_holder(&self) -> Option<HeardHolder> {
+        self.heard_holder.get()
+    }
+
     /// The other front that holds the duty, if it was heard of lately.
     fn live_holder(&self, now: Time) -> Option<HeardHolder> {
         self.heard_holder.get().filter(|it| now.since(it.last_seen) < HOLDER_TIMEOUT)
--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -5,8 +5,8 @@
 
 use daisychute_core::{Incarnation, Term, Time};
 use daisychute_store::{
-    Holder, Lease, LeaseAction, LeaseEvent, Object, ObjectKind, ReadOutcome, ResourceVersion,
-    WriteId, WriteOutcome,
+    Holder, Lease, LeaseAction, LeaseEvent, LeaseRecord, Object, ObjectKind, ReadOutcome,
+    ResourceVersion, WriteId, WriteOutcome,
 };
 use daisychute_usage::{
     CallOutcome, ReportState, ReporterAction, ReporterEvent, StateUnavailable, StateVersion,
@@ -61,6 +61,8 @@
     shares_due_at: Time,
     stopping: bool,
     release_requested: bool,
+    /// Holder and term of the lease that was last logged.
+    logged_lease: Option<(Option<Holder>, Term)>,
 }
 
 impl<D: Dialect, S: DutyStore, A: ControlApi> DutyTask<D, S, A> {
@@ -101,6 +103,7 @@
             shares_due_at: Time::ZERO,
             stopping: false,
             release_requested: false,
+            logged_lease: None,
             state,
             link,
         }
@@ -124,6 +127,7 @@
         match input {
             DutyInput::LeaseRead(outcome) => {
                 self.lease_calls -= 1;
+                self.log_lease(&outcome);
                 self.lease(LeaseEvent::Read(outcome));
             }
             DutyInput::LeaseWritten(outcome) => {
@@ -168,6 +172,25 @@
         self.reporter(ReporterEvent::Tick);
     }
 
+    /// Logs the lease if its holder or term has changed since it was last read, with what other fronts told of it.
+    fn log_lease(&mut self, outcome: &ReadOutcome) {
+        let ReadOutcome::Found(object) = outcome else { return };
+        let Ok(LeaseRecord { holder, term, .. }) = object.parse() else { return };
+        let lease = Some((holder, term));
+        if self.logged_lease == lease {
+            return;
+        }
+        let holder = lease.as_ref().and_then(|it| it.0.as_ref()).map(|it| it.process.to_string());
+        self.logged_lease = lease;
+        let version = object.metadata.resource_version.as_ref().map(ResourceVersion::as_str);
+        let now = self.link.clock.now();
+        let heard = self.link.heard_holder();
+        let heard_term = heard.map(|it| it.term.get());
+        let heard_from = heard.map(|it| it.address.to_string());
+        let heard_age_ms = heard.map(|it| now.since(it.last_seen).as_millis());
+        log::info!(duty = DUTY, version, term:%, holder, heard_term, heard_from, heard_age_ms; "lease read");
+    }
+
     /// Releases the lease and leaves the duty to other fronts for a while.
     fn step_down(&mut self, reason: &str) {
         self.unanswered_since = None;
