fix(store, front): draw terms of a lease from the era of the store

Cause: a term was one more than the highest that the record names or that was heard of. The store can go back, and the record with it. Waiting for the news of others isn't the cure: with all fronts killed nobody knows the term, and the rule broke as well.

Change: the upper half of a term is the era of the store, which the store can't forget. Read and write of an acquisition must be answered in one era. A holder that learns of a later era stops, and may acquire the lease again at once while its former one would last. A record of an earlier era doesn't tell who acts, so that any other process waits for the whole duration; so it does after the first holder of an era, whose record can't name the one before.

Why it works: within an era each acquisition replaces the version that it read, so terms rise along one chain; the lowest of an era is above all of earlier ones, whoever acquires it and whatever it has heard. A call under a former term ends before another process may acquire the lease.

The same class: the stamp of the reports' state is ordered by terms and so by eras; a state write that is answered in a later era is of no effect here, as the lease is lost first. The planner's store names no eras and stays as it was.

--- a/crates/daisychute-core/src/lib.rs
+++ b/crates/daisychute-core/src/lib.rs
@@ -47,7 +47,7 @@
 pub use crate::outcome::{FinishReason, Refusal, RefusalReason, Usage, Verdict};
 pub use crate::plan::{DesiredState, Plan};
 pub use crate::request_id::{ParseRequestIdError, RequestId};
-pub use crate::revision::{Revision, Term};
+pub use crate::revision::{Era, Revision, Term};
 pub use crate::service::{Route, RouteKind, Service};
 pub use crate::status::{
     Duty, EndpointStatus, PeerStatus, ProcessRole, ProcessState, ProcessStatus, Revisions,
--- a/crates/daisychute-core/src/revision.rs
+++ b/crates/daisychute-core/src/revision.rs
@@ -11,8 +11,26 @@
 #[serde(transparent)]
 pub struct Revision(u64);
 
-/// Counts the acquisitions of a lease, and serves as its fencing token: the holder of a smaller term has lost the
-/// lease.
+/// Counts how often the platform store was restored from an older copy. A restored store forgets what it has acknowledged
+/// since that copy, but never its era. 0 if the store names none.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Era(u64);
+
+/// Orders the acquisitions of a lease, and serves as its fencing token: the holder of a smaller term has lost the lease.
+///
+/// The upper half is the [`Era`] of the store in which the lease was acquired, the lower half counts the acquisitions since
+/// the first known one. So no term of one era is used again in a later one, though the store may have forgotten it.
+///
+/// ```
+/// use daisychute_core::{Era, Term};
+///
+/// let forgotten = Term::new(41).next();
+/// assert!(Term::first_in(Era::new(1)) > forgotten);
+/// assert_eq!(Term::first_in(Era::new(3)).next().era(), Era::new(3));
+/// ```
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -52,4 +70,22 @@
     )*};
 }
 
-counters! { Revision Term }
+counters! { Revision Era Term }
+
+impl Term {
+    /// Number of bits below the era.
+    const COUNT_BITS: u32 = 32;
+
+    /// Returns the lowest term of an era.
+    #[must_use]
+    pub const fn first_in(era: Era) -> Self {
+        let era = if era.0 < u32::MAX as u64 { era.0 } else { u32::MAX as u64 };
+        Self((era << Self::COUNT_BITS) + 1)
+    }
+
+    /// Returns the era in which the lease was acquired.
+    #[must_use]
+    pub const fn era(self) -> Era {
+        Era(self.0 >> Self::COUNT_BITS)
+    }
+}
--- a/crates/daisychute-front/src/duties/input.rs
+++ b/crates/daisychute-front/src/duties/input.rs
@@ -4,19 +4,19 @@
 use daisychute_store::{ReadOutcome, WriteOutcome};
 use daisychute_usage::{StateStamp, UsageShare, WindowId};
 
-use crate::ControlAnswer;
+use crate::{ControlAnswer, DutyAnswer};
 
 /// What the task that runs the duties is told.
 #[derive(Debug)]
 pub(crate) enum DutyInput {
     /// The lease object was read.
-    LeaseRead(ReadOutcome),
+    LeaseRead(DutyAnswer<ReadOutcome>),
     /// The lease object was written.
-    LeaseWritten(WriteOutcome),
+    LeaseWritten(DutyAnswer<WriteOutcome>),
     /// The state of the usage reports was read.
-    StateRead(ReadOutcome),
+    StateRead(DutyAnswer<ReadOutcome>),
     /// The state of the usage reports was written.
-    StateWritten(WriteOutcome),
+    StateWritten(DutyAnswer<WriteOutcome>),
     /// A call of the control API ended.
     ReportEnded {
         /// The window that it reports.
--- a/crates/daisychute-front/src/duties/task.rs
+++ b/crates/daisychute-front/src/duties/task.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use daisychute_core::{Incarnation, Term, Time};
+use daisychute_core::{Era, Incarnation, Term, Time};
 use daisychute_store::{
     Holder, Lease, LeaseAction, LeaseEvent, LeaseRecord, Object, ObjectKind, ReadOutcome,
     ResourceVersion, WriteId, WriteOutcome,
@@ -19,7 +19,7 @@
 use crate::duties::link::{DutyLink, Held, format_counts};
 use crate::duties::settings::CALL_TIMEOUT;
 use crate::state::FrontState;
-use crate::{ControlAnswer, ControlApi, Dialect, DutyCall, DutyStore};
+use crate::{ControlAnswer, ControlApi, Dialect, DutyAnswer, DutyCall, DutyStore};
 
 /// Name of the duty in the objects of the store and in metrics.
 const DUTY: &str = "usage-report";
@@ -61,8 +61,8 @@
     shares_due_at: Time,
     stopping: bool,
     release_requested: bool,
-    /// Holder and term of the lease that was last logged.
-    logged_lease: Option<(Option<Holder>, Term)>,
+    /// Era, holder and term of the lease that was last logged.
+    logged_lease: Option<(Era, Option<Holder>, Term)>,
 }
 
 impl<D: Dialect, S: DutyStore, A: ControlApi> DutyTask<D, S, A> {
@@ -125,19 +125,23 @@
 
     fn handle(&mut self, input: DutyInput) {
         match input {
-            DutyInput::LeaseRead(outcome) => {
+            DutyInput::LeaseRead(answer) => {
                 self.lease_calls -= 1;
-                self.log_lease(&outcome);
-                self.lease(LeaseEvent::Read(outcome));
+                let (era, outcome) = self.record_answer(answer);
+                self.log_lease(era, &outcome);
+                self.lease(LeaseEvent::Read { era, outcome });
             }
-            DutyInput::LeaseWritten(outcome) => {
+            DutyInput::LeaseWritten(answer) => {
                 self.lease_calls -= 1;
-                self.lease(LeaseEvent::Written(outcome));
+                let (era, outcome) = self.record_answer(answer);
+                self.lease(LeaseEvent::Written { era, outcome });
             }
-            DutyInput::StateRead(outcome) => {
+            DutyInput::StateRead(answer) => {
+                let (_, outcome) = self.record_answer(answer);
                 self.reporter(ReporterEvent::StateRead(parse_state(outcome)))
             }
-            DutyInput::StateWritten(outcome) => {
+            DutyInput::StateWritten(answer) => {
+                let (_, outcome) = self.record_answer(answer);
                 self.reporter(ReporterEvent::StateWritten(state_write(outcome)));
             }
             DutyInput::ReportEnded { window, answer } => self.report_ended(window, answer),
@@ -151,7 +155,26 @@
         }
     }
 
+    /// Records the era of an answer of the store. The lease is lost with an earlier era, before anything is made of what the
+    /// answer says. Returns the era, zero if there is none, and the outcome.
+    fn record_answer<T>(&mut self, answer: DutyAnswer<T>) -> (Era, T) {
+        if let Some(era) = answer.era {
+            self.state.record_era(era.get(), "directory");
+            self.check_era();
+        }
+        (answer.era.unwrap_or_default(), answer.outcome)
+    }
+
+    /// Gives the lease up if the store was restored, as any answer of it or a peer told.
+    fn check_era(&mut self) {
+        let era = Era::new(self.state.era.latest());
+        if era > self.lease.era() {
+            self.lease(LeaseEvent::EraSeen(era));
+        }
+    }
+
     fn tick(&mut self) {
+        self.check_era();
         let now = self.link.clock.now();
         let eligible = !self.stopping && self.paused_until <= now && self.link.is_candidate(now);
         if eligible == self.eligible {
@@ -172,15 +195,15 @@
         self.reporter(ReporterEvent::Tick);
     }
 
-    /// Logs the lease if its holder or term has changed since it was last read, with what other fronts told of it.
-    fn log_lease(&mut self, outcome: &ReadOutcome) {
+    /// Logs the lease if the era, its holder or its term has changed since it was last read, with what other fronts told of it.
+    fn log_lease(&mut self, era: Era, outcome: &ReadOutcome) {
         let ReadOutcome::Found(object) = outcome else { return };
         let Ok(LeaseRecord { holder, term, .. }) = object.parse() else { return };
-        let lease = Some((holder, term));
+        let lease = Some((era, holder, term));
         if self.logged_lease == lease {
             return;
         }
-        let holder = lease.as_ref().and_then(|it| it.0.as_ref()).map(|it| it.process.to_string());
+        let holder = lease.as_ref().and_then(|it| it.1.as_ref()).map(|it| it.process.to_string());
         self.logged_lease = lease;
         let version = object.metadata.resource_version.as_ref().map(ResourceVersion::as_str);
         let now = self.link.clock.now();
@@ -323,6 +346,7 @@
 
     /// Starts a call if the lease is valid for longer than the call may take and no other call may still be executed.
     fn send_report(&mut self, term: Term, report: UsageReport) {
+        self.check_era();
         let started = self.link.clock.now();
         let ends_at = started + CALL_TIMEOUT;
         let may_start = !self.stopping
@@ -337,11 +361,15 @@
         log::info!(window:% = report.window, term:%, counts; "usage report sent");
         self.call_ends_at = Some(ends_at);
         let (api, tx, link) = (self.api.clone(), self.tx.clone(), Rc::clone(&self.link));
+        let (state, era) = (Rc::clone(&self.state), self.lease.era());
         let call = DutyCall { holder: self.holder.clone(), term, timeout: CALL_TIMEOUT };
         actix_rt::spawn(async move {
             let may_send = || {
                 let held = link.held.get().filter(|it| it.term == term);
-                link.clock.now() < ends_at && held.is_some_and(|it| ends_at < it.until)
+                let is_restored = Era::new(state.era.latest()) > era;
+                !is_restored
+                    && link.clock.now() < ends_at
+                    && held.is_some_and(|it| ends_at < it.until)
             };
             let answer = api.report_usage(&call, &report, may_send).await;
             if answer == ControlAnswer::NoAnswer {
--- a/crates/daisychute-front/src/lib.rs
+++ b/crates/daisychute-front/src/lib.rs
@@ -49,7 +49,7 @@
 pub use crate::directory::{Change, Directory, DirectoryError, Listing};
 pub use crate::duties::Duties;
 pub use crate::duties::control_api::{ControlAnswer, ControlApi, DutyCall};
-pub use crate::duties::duty_store::DutyStore;
+pub use crate::duties::duty_store::{DutyAnswer, DutyStore};
 pub use crate::duties::settings::DutySettings;
 pub use crate::event_framer::EventFramer;
 pub use crate::event_numbering::EventNumbering;
--- a/crates/daisychute-planner/src/control/calls.rs
+++ b/crates/daisychute-planner/src/control/calls.rs
@@ -1,7 +1,7 @@
 //! Calls of the I/O shell to the platform's object store, and its timer.
 
 use bytes::Bytes;
-use daisychute_core::{Drains, Plan, ProcessRole, ProcessState, ProcessStatus};
+use daisychute_core::{Drains, Era, Plan, ProcessRole, ProcessState, ProcessStatus};
 use daisychute_store::{
     CallError, LeaseEvent, Object, ObjectClient, ObjectKind, ReadOutcome, ReplicaEvent,
     ResourceVersion, WatchEvent, WatchKind, WatcherCandidate, WriteOutcome,
@@ -62,12 +62,13 @@
 
 pub(super) async fn read_lease(control: Control) {
     let outcome = control.read(ObjectKind::Leases).await;
-    control.lease(LeaseEvent::Read(outcome));
+    // This platform names no era.
+    control.lease(LeaseEvent::Read { era: Era::ZERO, outcome });
 }
 
 pub(super) async fn write_lease(control: Control, object: Object) {
     let outcome = control.write(&object).await;
-    control.lease(LeaseEvent::Written(outcome));
+    control.lease(LeaseEvent::Written { era: Era::ZERO, outcome });
 }
 
 pub(super) async fn read_plan(control: Control) {
--- a/crates/daisychute-planner/tests/world/calls.rs
+++ b/crates/daisychute-planner/tests/world/calls.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use daisychute_core::{Plan, Revision};
+use daisychute_core::{Era, Plan, Revision};
 use daisychute_planner::PlannerEvent;
 use daisychute_store::{LeaseEvent, Object, ObjectKind, ReadOutcome, WriteOutcome};
 
@@ -86,10 +86,10 @@
     pub(super) fn replied(&mut self, node: usize, origin: CallOrigin, reply: Reply) {
         match (origin, reply) {
             (CallOrigin::Lease, Reply::Read(outcome, _)) => {
-                self.lease(node, LeaseEvent::Read(*outcome))
+                self.lease(node, LeaseEvent::Read { era: Era::ZERO, outcome: *outcome })
             }
             (CallOrigin::Lease, Reply::Write(outcome)) => {
-                self.lease(node, LeaseEvent::Written(outcome))
+                self.lease(node, LeaseEvent::Written { era: Era::ZERO, outcome })
             }
             (CallOrigin::Planner, Reply::Read(outcome, _)) => {
                 self.planner(node, PlannerEvent::Read(*outcome));
--- a/crates/daisychute-store/src/lease/event.rs
+++ b/crates/daisychute-store/src/lease/event.rs
@@ -1,6 +1,6 @@
 //! Events and actions of the lease core.
 
-use daisychute_core::{Term, Time};
+use daisychute_core::{Era, Term, Time};
 
 use crate::{Object, ReadOutcome, WriteOutcome};
 
@@ -10,9 +10,21 @@
     /// Whether this process may acquire the lease. A holder that becomes ineligible keeps its lease.
     Eligible(bool),
     /// Result of [`LeaseAction::Read`].
-    Read(ReadOutcome),
+    Read {
+        /// Era that the answer names; zero without an answer, or if the store names none.
+        era: Era,
+        /// What was read.
+        outcome: ReadOutcome,
+    },
     /// Result of [`LeaseAction::Write`].
-    Written(WriteOutcome),
+    Written {
+        /// Era that the answer names; zero without an answer, or if the store names none.
+        era: Era,
+        /// What became of the write.
+        outcome: WriteOutcome,
+    },
+    /// The store is in this era, as another of its answers or another process told.
+    EraSeen(Era),
     /// A document carries this term, so the next acquisition must use a higher one.
     TermSeen(Term),
     /// Release the lease if this process holds it. Whether it acquires it again depends on [`LeaseEvent::Eligible`].
--- a/crates/daisychute-store/src/lease/lease_write.rs
+++ b/crates/daisychute-store/src/lease/lease_write.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use daisychute_core::{Term, Time};
+use daisychute_core::{Era, Term, Time};
 
 use super::{Lease, LeaseRecord, LeaseSettings};
 use crate::{Object, ObjectKind, PendingWrite, ResourceVersion};
@@ -20,6 +20,8 @@
 pub(super) struct LeaseWrite {
     pub(super) purpose: Purpose,
     pub(super) term: Term,
+    /// Era of the read that the write is based on. The write counts only if it takes effect in the same one.
+    pub(super) era: Era,
     pub(super) write: PendingWrite,
     pub(super) object: Object,
     /// When it was first sent. A retry doesn't change it.
@@ -72,6 +74,7 @@
         LeaseWrite {
             purpose,
             term,
+            era: self.era,
             write: PendingWrite { write_id, base },
             object,
             first_sent_at: now,
--- a/crates/daisychute-store/src/lease/mod.rs
+++ b/crates/daisychute-store/src/lease/mod.rs
@@ -7,6 +7,11 @@
 //!
 //! A process that held the lease before the last holder waits for the whole duration also if the lease was released, so
 //! that two processes never act in the order A, B, A within that time.
+//!
+//! A store that was restored from an older copy has forgotten the latest holders and their terms, and so may each process
+//! that is left. What it can't forget is its era, which is the upper part of each term: an acquisition counts only if it was
+//! read and written in one era, and its term is one of that era. A record of an earlier era doesn't tell who may be acting.
+//! So a holder that learns of a later era stops, and any other process waits for the whole duration.
 
 mod lease_write;
 mod event;
@@ -15,7 +20,7 @@
 
 use std::sync::Arc;
 
-use daisychute_core::{ProcessName, Term, Time};
+use daisychute_core::{Era, ProcessName, Term, Time};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 
@@ -40,6 +45,7 @@
 /// Version of the lease object that was read while another process may hold the lease.
 #[derive(Debug, Clone)]
 struct ObservedLease {
+    era: Era,
     /// `None` if the object didn't exist.
     version: Option<ResourceVersion>,
     /// When this process first read this version.
@@ -54,6 +60,8 @@
     name: Arc<str>,
     own_holder: Holder,
     write_id: WriteId,
+    /// The latest era of the store that this process knows.
+    era: Era,
     /// The process that held the lease before this one, for the records that this process writes.
     previous: Option<ProcessName>,
     /// Whether this process may acquire the lease.
@@ -67,6 +75,9 @@
     /// The highest term of a record that was read or a document that was seen. A record with a lower one is outdated.
     seen_term: Term,
     held: Option<HeldLease>,
+    /// Until when no other process can have acquired the lease, because this one held it when it learned that the store was
+    /// restored: others wait for longer.
+    continues_until: Option<Time>,
     observed: Option<ObservedLease>,
     call: CallState,
     /// When the next read is due: a poll, a retry or the read-back of an ambiguous write. Renewals use `renew_at`.
@@ -93,6 +104,7 @@
             name: name.into(),
             own_holder,
             write_id,
+            era: Era::ZERO,
             previous: None,
             eligible: false,
             release_requested: false,
@@ -100,6 +112,7 @@
             highest_term: Term::ZERO,
             seen_term: Term::ZERO,
             held: None,
+            continues_until: None,
             observed: None,
             call: CallState::Idle,
             next_read_at: Time::ZERO,
@@ -109,6 +122,12 @@
         }
     }
 
+    /// The latest era of the store that this process knows.
+    #[must_use]
+    pub const fn era(&self) -> Era {
+        self.era
+    }
+
     /// The term under which this process may act as holder now; `None` if it doesn't hold the lease.
     #[must_use]
     pub fn held_term(&self, now: Time) -> Option<Term> {
@@ -121,8 +140,17 @@
         self.check_clock(now, out);
         match event {
             LeaseEvent::Eligible(eligible) => self.eligible = eligible,
-            LeaseEvent::Read(outcome) => self.handle_read(now, outcome, out),
-            LeaseEvent::Written(outcome) => self.handle_written(now, outcome, out),
+            LeaseEvent::Read { era, outcome } => {
+                self.era_seen(now, era, out);
+                // An answer from before the return says nothing of the store as it is now.
+                let outcome = if era < self.era { ReadOutcome::Failed } else { outcome };
+                self.handle_read(now, outcome, out);
+            }
+            LeaseEvent::Written { era, outcome } => {
+                self.era_seen(now, era, out);
+                self.handle_written(now, outcome, out);
+            }
+            LeaseEvent::EraSeen(era) => self.era_seen(now, era, out),
             LeaseEvent::TermSeen(term) => self.term_seen(term, out),
             LeaseEvent::StepDown => self.step_down_requested = self.held.is_some(),
             LeaseEvent::Release => self.release_requested = true,
@@ -137,6 +165,7 @@
         self.last_now = now;
         if clock_went_back {
             self.observed = None;
+            self.continues_until = None;
             self.next_read_at = now;
         }
         if clock_went_back || self.held.as_ref().is_some_and(|it| it.until <= now) {
@@ -151,7 +180,23 @@
         }
     }
 
+    /// Drops the lease if the store was restored: it may have forgotten the acquisition.
+    fn era_seen(&mut self, now: Time, era: Era, out: &mut Vec<LeaseAction>) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        if let Some(held) = &self.held {
+            self.continues_until = Some(held.until);
+            self.next_read_at = now;
+            self.drop_lease(out);
+        }
+    }
+
     fn term_seen(&mut self, term: Term, out: &mut Vec<LeaseAction>) {
+        if self.highest_term < term {
+            self.continues_until = None;
+        }
         self.highest_term = self.highest_term.max(term);
         self.seen_term = self.seen_term.max(term);
         if self.held.as_ref().is_some_and(|it| it.term < term) {
@@ -232,13 +277,17 @@
         }
     }
 
-    /// Acquires a lease that nobody held yet. If a term of it was seen, the store was restored from an older copy, and
-    /// another process may hold the lease.
+    /// Acquires a lease that nobody held yet. If a term of it was seen, or the store was restored from an older copy, another
+    /// process may hold it.
     fn handle_missing(&mut self, now: Time, out: &mut Vec<LeaseAction>) {
+        let continues = self.continues(now);
+        let is_new = self.seen_term == Term::ZERO && self.era == Era::ZERO;
         let expires_at =
             self.unchanged_since(now, None) + self.settings.duration + self.settings.margin;
-        if self.seen_term == Term::ZERO || expires_at <= now {
-            self.previous = None;
+        if is_new || continues || expires_at <= now {
+            if !continues {
+                self.previous = None;
+            }
             self.acquire(now, None, out);
         } else {
             self.poll_later(now);
@@ -253,18 +302,18 @@
             return self.poll_later(now);
         };
         // A store that was restored from an older copy has a record that doesn't name the latest holders.
-        let is_outdated = record.term < self.seen_term;
+        let is_from_copy = record.term.era() < self.era;
+        let is_outdated = is_from_copy || record.term < self.seen_term;
         self.highest_term = self.highest_term.max(record.term);
         self.seen_term = self.seen_term.max(record.term);
         let unchanged_since = self.unchanged_since(now, Some(&version));
         let expires_at = unchanged_since + record.duration() + self.settings.margin;
         let available = record.holder.as_ref().is_none_or(|it| *it == self.own_holder);
-        let own_process = &self.own_holder.process;
-        // The last holder may acquire the lease again at once; the one before it may not.
-        let returns = record.previous.as_ref() == Some(own_process)
-            && record.last_holder() != Some(own_process);
-        if available && !returns && !is_outdated || expires_at <= now {
-            self.previous = record.previous_after(own_process);
+        let continues = available && is_from_copy && self.continues(now);
+        if available && !is_outdated && !self.returns(&record) || continues || expires_at <= now {
+            if !continues {
+                self.previous = record.previous_after(&self.own_holder.process);
+            }
             self.acquire(now, Some(version), out);
         } else {
             self.poll_later(now);
@@ -272,11 +321,25 @@
         }
     }
 
+    /// Whether this process held the lease when the store was restored, and would still hold it.
+    fn continues(&self, now: Time) -> bool {
+        self.continues_until.is_some_and(|it| now < it)
+    }
+
+    /// Whether this process may have acted shortly before the last holder of the record. The last holder itself may acquire
+    /// the lease again at once. The first record after a return of the store doesn't know who acted before.
+    fn returns(&self, record: &LeaseRecord) -> bool {
+        let own_process = Some(&self.own_holder.process);
+        let is_first = self.era > Era::ZERO && record.term == Term::first_in(self.era);
+        (is_first || record.previous.as_ref() == own_process) && record.last_holder() != own_process
+    }
+
     fn unchanged_since(&mut self, now: Time, version: Option<&ResourceVersion>) -> Time {
         match &self.observed {
-            Some(observed) if observed.version.as_ref() == version => observed.since,
+            Some(it) if it.era == self.era && it.version.as_ref() == version => it.since,
             _ => {
-                self.observed = Some(ObservedLease { version: version.cloned(), since: now });
+                let version = version.cloned();
+                self.observed = Some(ObservedLease { era: self.era, version, since: now });
                 now
             }
         }
@@ -286,7 +349,8 @@
         if !self.may_acquire() {
             return;
         }
-        let lease_write = self.build_write(Purpose::Acquire, self.highest_term.next(), base, now);
+        let term = self.highest_term.next().max(Term::first_in(self.era));
+        let lease_write = self.build_write(Purpose::Acquire, term, base, now);
         out.push(LeaseAction::Write(lease_write.object.clone()));
         self.call = CallState::Writing(lease_write);
     }
@@ -296,6 +360,10 @@
         else {
             return;
         };
+        // It may have taken effect in the restored store, in place of a record that has the same version again.
+        if lease_write.era < self.era {
+            return self.next_read_at = now;
+        }
         match outcome {
             WriteOutcome::Done(version) => self.write_applied(now, &lease_write, version, out),
             WriteOutcome::Conflict => self.write_superseded(now, &lease_write, out),
@@ -312,6 +380,9 @@
         outcome: &ReadOutcome,
         out: &mut Vec<LeaseAction>,
     ) {
+        if lease_write.era < self.era {
+            return self.next_read_at = now;
+        }
         match lease_write.write.resolve_read(outcome) {
             None => self.resolve_later(now, lease_write),
             Some((WriteResolution::Applied, Some(version))) => {
