--- a/crates/daisychute-soak/src/main.rs
+++ b/crates/daisychute-soak/src/main.rs
@@ -8,6 +8,7 @@
 mod checks;
 mod clients;
 mod cuts;
+mod duties;
 mod faults;
 mod limits;
 mod notices;
--- a/crates/daisychute-soak/src/report.rs
+++ b/crates/daisychute-soak/src/report.rs
@@ -6,6 +6,7 @@
 use crate::changes::Checked;
 use crate::checks::Violation;
 use crate::cuts::CutCounts;
+use crate::duties::DutyCounts;
 use crate::limits::Limited;
 use crate::poison::Poisoned;
 use crate::streams::Counts;
@@ -41,6 +42,8 @@
     pub(crate) streams: Option<Counts>,
     /// The cuts between fronts, with the streams that were resumed there; `None` in runs without them.
     pub(crate) cuts: Option<CutCounts>,
+    /// The usage reports; `None` in runs without them.
+    pub(crate) duties: Option<DutyCounts>,
     /// Number of entries of another writer; `None` in runs without them.
     pub(crate) foreign_entries: Option<usize>,
 }
@@ -59,6 +62,7 @@
             changes,
             streams,
             cuts,
+            duties,
             foreign_entries,
             violations,
             log_lines,
@@ -79,6 +83,9 @@
         if let Some(cuts) = cuts {
             write!(f, "; {cuts}")?;
         }
+        if let Some(duties) = duties {
+            write!(f, "; {duties}")?;
+        }
         if let Some(count) = foreign_entries {
             write!(f, "; {count} foreign entries")?;
         }
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -11,8 +11,8 @@
 use std::time::Duration;
 
 use daisychute_platform_standin::{
-    Act, Fleet, FrontProcess, FrontRelays, StandinError, StoreCopy, StoreListener, Worker,
-    WorkerKind,
+    Act, ControlApi, Fleet, FrontProcess, FrontRelays, StandinError, StoreCopy, StoreListener,
+    Worker, WorkerKind,
 };
 use daisychute_standin::StandinError as RelayError;
 use daisychute_standin::harness::{HarnessError, Process};
@@ -29,6 +29,7 @@
     run_resuming_client, run_stream_client,
 };
 use crate::cuts::Cut;
+use crate::duties;
 use crate::faults::Fault;
 use crate::limits::LimitPeriod;
 use crate::poison::PoisonKind;
@@ -64,6 +65,16 @@
 const COPY_AGE: Duration = Duration::from_secs(10);
 /// Maximum time after a return of the store until what the operator and the workers wrote is there again, in ms.
 const MAX_REWRITE_DELAY_MS: u64 = 1_500;
+/// Minimum time between two returns of the store in runs with usage reports, so that there are reports in between.
+const RETURN_INTERVAL_BESIDE_DUTIES: Duration = Duration::from_secs(14);
+/// One in this many steps has a fault in runs with usage reports.
+const FAULT_INTERVAL_BESIDE_DUTIES: usize = 8;
+/// Maximum time until a front is restarted beside a return of the store, in ms.
+const MAX_RESTART_DELAY_MS: u64 = 2_500;
+/// Maximum time until the store returns to the time around these restarts, in ms: longer than a shutdown takes.
+const MAX_RETURN_DELAY_MS: u64 = 5_000;
+/// Minimum length of a run that must have reports before and after a return of the store, in minutes.
+const MIN_MINUTES_OF_REPORTS: f64 = 0.5;
 /// Maximum number of further signals and configurations after a planned stop or reload.
 const MAX_SERIES: u32 = 3;
 /// Maximum time from a planned stop or reload to each of them, in ms: longer than a shutdown takes.
@@ -111,6 +122,10 @@
     series: Option<Pcg64Mcg>,
     /// Chooses the returns of the store from a copy; `None` without any. A generator of its own, like `series`.
     restores: Option<Pcg64Mcg>,
+    /// When the store is restored next at the earliest.
+    next_return: Instant,
+    /// The control API, to which the fronts report usage in runs with `--duties`.
+    control_api: Option<ControlApi>,
     /// Copies of the store with the times at which they were taken, oldest first.
     copies: VecDeque<(Instant, StoreCopy)>,
     /// Latest record of each worker.
@@ -190,7 +205,12 @@
             fault = Fault::random(&mut rng, fronts, soak.relays.len());
         }
         step += 1;
-        if !options.changes || step % (FRONTS_OF_DENSE_FAULTS / fronts).max(1) == 0 {
+        let interval = match (options.changes, options.duties) {
+            (true, _) => (FRONTS_OF_DENSE_FAULTS / fronts).max(1),
+            (false, true) => FAULT_INTERVAL_BESIDE_DUTIES,
+            (false, false) => 1,
+        };
+        if step % interval == 0 {
             soak.schedule_series(&fault);
             soak.inject(fault)?;
         }
@@ -224,6 +244,10 @@
         let text = "too few cases of foreign entries: there was none".to_owned();
         report.violations.push(Violation::new(text));
     }
+    if minutes >= MIN_MINUTES_OF_REPORTS && report.duties.is_some_and(|it| !it.has_cases()) {
+        let text = "too few cases of usage reports: none before or after a return of the store";
+        report.violations.push(Violation::new(text.to_owned()));
+    }
     if report.changes.as_ref().is_some_and(|it| !it.has_cases()) {
         let text = "too few cases of changes: no bound was checked".to_owned();
         report.violations.push(Violation::new(text));
@@ -266,8 +290,13 @@
             fleet.store.put("servers", worker.id(), records[relays.len()].clone());
             relays.push(relay);
         }
+        let control_api = if options.duties { Some(ControlApi::start().await?) } else { None };
+        let mut settings = control_api.as_ref().map(duties::settings).unwrap_or_default();
+        if changes {
+            settings.push_str(CHANGE_SETTINGS);
+        }
         for _ in 0..fronts {
-            fleet.add_front_with(if changes { CHANGE_SETTINGS } else { "" }).await?;
+            fleet.add_front_with(&settings).await?;
         }
         for front in &fleet.fronts {
             front.wait_ready(true).await?;
@@ -287,6 +316,8 @@
             faults,
             series: None,
             restores: None,
+            next_return: Instant::now(),
+            control_api,
             copies: VecDeque::new(),
             records,
             ended_logs: Vec::new(),
@@ -334,14 +365,40 @@
     /// Takes a copy of the store, and restores an older one in some of the steps.
     fn inject_restore(&mut self) -> Result<(), SoakError> {
         let Some(rng) = &mut self.restores else { return Ok(()) };
-        let is_due = rng.random_range(0..RESTORE_INTERVAL) == 0;
+        let is_due =
+            rng.random_range(0..RESTORE_INTERVAL) == 0 && Instant::now() >= self.next_return;
         let age = Duration::from_millis(rng.random_range(0..MAX_RESTORE_AGE_MS));
         let now = Instant::now();
         self.copies.retain(|it| now.duration_since(it.0) < COPY_AGE);
         self.copies.push_back((now, self.fleet.store.copy()));
+        if is_due && self.control_api.is_some() {
+            self.next_return = now + RETURN_INTERVAL_BESIDE_DUTIES;
+            self.schedule_restarts_around_return();
+        }
         if is_due { self.inject(Fault::Restore(age)) } else { Ok(()) }
     }
 
+    /// Schedules restarts of the front that reports usage and of another one, and a further return of the store to the time
+    /// around them.
+    fn schedule_restarts_around_return(&mut self) {
+        let holder = self.control_api.as_ref().and_then(duties::holder);
+        let (Some(rng), Some(holder)) = (&mut self.restores, holder) else { return };
+        let now = Instant::now();
+        let mut random_time = |ms| now + Duration::from_millis(rng.random_range(0..ms));
+        let fronts = self.fleet.fronts.len();
+        let faults: &[fn(usize) -> Fault] =
+            if self.series.is_some() { &[Fault::Stop] } else { &[Fault::Stop, Fault::Kill] };
+        let times = [random_time(MAX_RESTART_DELAY_MS), random_time(MAX_RESTART_DELAY_MS)];
+        let returns_at = random_time(MAX_RETURN_DELAY_MS);
+        let other = (holder + rng.random_range(1..fronts.max(2))) % fronts;
+        for (front, at) in [holder, other].into_iter().zip(times) {
+            let fault = faults[rng.random_range(0..faults.len())](front);
+            self.cleanups.push((at, FaultCleanup::Follow(fault)));
+        }
+        let age = Duration::from_millis(rng.random_range(0..MAX_RETURN_DELAY_MS));
+        self.cleanups.push((returns_at, FaultCleanup::Follow(Fault::Restore(age))));
+    }
+
     /// Restores the store from the newest copy that is at least this old, or from the oldest one.
     fn restore_store(&mut self, age: Duration) {
         let now = Instant::now();
--- a/crates/daisychute-soak/src/run/finish.rs
+++ b/crates/daisychute-soak/src/run/finish.rs
@@ -6,6 +6,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::checks::{RequestRecord, Violation, check};
+use crate::duties::check_reports;
 use crate::faults::Fault;
 use crate::limits::check_limits;
 use crate::notices::check_notices;
@@ -57,6 +58,11 @@
         report.violations.extend(violations);
         report.resumed = resumed;
         self.count_cuts(&mut report);
+        if let Some(api) = &self.control_api {
+            let (violations, counts) = check_reports(&api.calls());
+            report.violations.extend(violations);
+            report.duties = Some(counts);
+        }
         if self.change_rng.is_some() {
             self.check_changes(&mut report);
         }
--- a/crates/daisychute-soak/src/run_options.rs
+++ b/crates/daisychute-soak/src/run_options.rs
@@ -27,6 +27,10 @@
     /// Also restore the store from copies that are some seconds old
     #[arg(long)]
     pub(crate) restores: bool,
+    /// Also let fronts report usage, restart the one that does and another one around returns of the store, and check the
+    /// fencing tokens of the reports. Returns and other faults come less often, so that there are reports in between
+    #[arg(long, requires = "restores", conflicts_with = "changes")]
+    pub(crate) duties: bool,
     /// Also send prompts with a part that ends each worker which responds to it, and check that it is refused
     #[arg(long)]
     pub(crate) poison: bool,
