fix(dispatch, front): let only the process that sent a response outlive it

Cause: such a response counts as whole if its endpoint outlives it. Checks went out on new connections and counted by the worker's id, which a later start bears as well. The sentinel's end, which came with that of the response, only counted as "no longer watched".

Ruled out as the proof: the start time in the store, and with it the incarnation in the fleet, which may come too late; a health answer has none.

Answers on later connections count toward the time for which the endpoint ran only if one on a connection from before the end follows, and a response to another request only on such a connection.

Why it works: one process listens at an address at a time. One that answers after the end on a connection that it accepted before has run all the while, and so sent the response.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use daisychute_core::Time;
+use daisychute_core::{EndpointName, Time};
 
 use crate::{Dispatcher, EndpointKey, RequestKey};
 
@@ -11,6 +11,8 @@
 pub enum EndpointSign {
     /// The endpoint began its response to another request.
     Responded {
+        /// From when on the connection led to the process that responded.
+        connected_at: Time,
         /// When that request was sent.
         sent_at: Time,
         /// When the response began.
@@ -18,6 +20,8 @@
     },
     /// The endpoint itself answered a check.
     Answered {
+        /// From when on the connection led to the process that answered.
+        connected_at: Time,
         /// When it was asked.
         asked_at: Time,
         /// When the answer was there.
@@ -65,6 +69,8 @@
     WaitUntil(Time),
     /// Ask the endpoint whether it is there.
     Check,
+    /// Ask the process that sent the response whether it is there, on a connection from before the end.
+    Confirm,
     /// The response is whole: its endpoint has outlived it.
     Whole,
     /// The response isn't known to be whole.
@@ -75,7 +81,10 @@
 ///
 /// The connection of a response is closed in order when the response ends, and also when its endpoint gives it up because it is
 /// told to stop, or is ended by the system. An endpoint that stops ends some time after the connection was closed, and begins no
-/// response meanwhile. That time is its own: while its process is suspended, or waits for a processor, it doesn't pass. So the
+/// response meanwhile. A process that has ended may be replaced by a later start of the endpoint, under its name and address. So
+/// the last answer has to come on a connection from before the response ended: it is of the process that sent it.
+///
+/// The time until an endpoint ends is its own: while its process is suspended, or waits for a processor, it doesn't pass. So the
 /// endpoint is asked again and again, and only the time counts in which its answers show that it ran.
 ///
 /// ```
@@ -86,7 +95,8 @@
 ///
 /// let mut end = ResponseEnd::new(Time::ZERO, Duration::from_millis(500));
 /// let (first, second) = (Time::from_millis(300), Time::from_millis(500));
-/// let answered = |at| EndpointSign::Answered { asked_at: at, answered_at: at };
+/// let connected_at = Time::ZERO;
+/// let answered = |at| EndpointSign::Answered { connected_at, asked_at: at, answered_at: at };
 /// assert_eq!(end.first_step(), EndStep::WaitUntil(first));
 /// assert_eq!(end.next_step(first, EndpointSign::Due { watched: true }), EndStep::Check);
 /// assert_eq!(end.next_step(first, answered(first)), EndStep::WaitUntil(second));
@@ -101,6 +111,8 @@
     limit: Time,
     /// The latest time at which the endpoint is known to have run.
     seen_at: Time,
+    /// Whether the process that answered then is known to be the one that sent the response. If it is, it gave all answers before.
+    is_sender: bool,
     /// Time for which the endpoint has run since the response ended, as far as its answers show; at most `hold`.
     ran: Duration,
     /// Time that an answer of the endpoint usually takes. What goes beyond it may be a time in which it didn't run.
@@ -134,6 +146,7 @@
             hold,
             limit: ended_at + hold + hold / Self::EXTENSION_DIVISOR,
             seen_at: ended_at,
+            is_sender: true,
             ran: Duration::ZERO,
             answer_time: Self::MIN_ANSWER_TIME,
             refuses: false,
@@ -171,17 +184,18 @@
     #[must_use]
     pub fn next_step(&mut self, now: Time, sign: EndpointSign) -> EndStep {
         match sign {
-            EndpointSign::Responded { sent_at, began_at } => {
+            EndpointSign::Responded { connected_at, sent_at, began_at } => {
                 // An endpoint that stops goes on with what it has for a while, but begins nothing new.
                 let is_new = sent_at >= self.ended_at;
-                if is_new && began_at >= self.ended_at + Self::GIVE_UP_TIME {
+                let is_late = began_at >= self.ended_at + Self::GIVE_UP_TIME;
+                if is_new && is_late && self.leads_to_sender(connected_at) {
                     EndStep::Whole
                 } else {
                     self.wait()
                 }
             }
-            EndpointSign::Answered { asked_at, answered_at } => {
-                self.count_answer(asked_at, answered_at);
+            EndpointSign::Answered { connected_at, asked_at, answered_at } => {
+                self.count_answer(connected_at, asked_at, answered_at);
                 self.verdict(now)
             }
             EndpointSign::Refused { sent_at } => {
@@ -192,7 +206,12 @@
                 let unseen = now.since(self.seen_at);
                 // An answer is on its way for as long. Asking a slow endpoint once more would take longer than is left.
                 let is_on_time = unseen <= self.answer_time && self.seen_at > self.ended_at;
-                if watched && is_on_time && !self.refuses && self.ran + unseen >= self.hold {
+                if watched
+                    && self.is_sender
+                    && is_on_time
+                    && !self.refuses
+                    && self.ran + unseen >= self.hold
+                {
                     EndStep::Whole
                 } else if self.is_over(now) {
                     EndStep::Unconfirmed
@@ -205,14 +224,20 @@
                 // A process that is being ended may have accepted the check.
                 self.next_check = now + self.recheck_after;
                 self.recheck_after *= 2;
-                self.verdict(now)
+                if self.is_over(now) { EndStep::Unconfirmed } else { self.wait() }
             }
             EndpointSign::Gone => EndStep::Unconfirmed,
         }
     }
 
+    /// Whether a connection leads to the process that sent the response, if to any: a later start of the endpoint may have accepted
+    /// one from after the end.
+    fn leads_to_sender(&self, connected_at: Time) -> bool {
+        connected_at <= self.ended_at
+    }
+
     /// Counts the time for which the endpoint has run, as its answer shows.
-    fn count_answer(&mut self, asked_at: Time, answered_at: Time) {
+    fn count_answer(&mut self, connected_at: Time, asked_at: Time, answered_at: Time) {
         // A check for another response may have been answered before this one ended.
         if answered_at <= self.seen_at || asked_at < self.ended_at {
             return;
@@ -222,6 +247,7 @@
         let answer = answered_at.since(asked_at).min(self.answer_time);
         self.ran = (self.ran + gap + answer).min(self.hold);
         self.seen_at = answered_at;
+        self.is_sender = self.leads_to_sender(connected_at);
         let missing = self.hold - self.ran;
         let pause = missing.min(Self::CHECK_INTERVAL.max(self.answer_time));
         // An endpoint that has run for long enough and has to begin a response isn't asked more often.
@@ -245,9 +271,12 @@
 
     /// Returns what to do, by the time that is left until `limit`.
     fn verdict(&self, now: Time) -> EndStep {
-        if self.ran >= self.hold && !self.refuses {
+        if self.ran >= self.hold && !self.refuses && self.is_sender {
             return EndStep::Whole;
         }
+        if self.ran >= self.hold && !self.refuses && now < self.limit {
+            return EndStep::Confirm;
+        }
         if self.is_over(now) { EndStep::Unconfirmed } else { self.wait() }
     }
 }
@@ -294,6 +323,14 @@
             || self.hold_ups.may_lack_news(now, sent_at)
     }
 
+    /// Whether a later start of an endpoint is listed under its name.
+    #[must_use]
+    pub fn is_replaced(&self, name: &EndpointName, endpoint: EndpointKey) -> bool {
+        let latest = self.fleet.key(name).and_then(|it| self.fleet.incarnation(it));
+        let sender = self.fleet.incarnation(endpoint);
+        latest.zip(sender).is_some_and(|(latest, sender)| latest != sender)
+    }
+
     /// Records that the endpoint of a request is done with it, though its client doesn't have the whole response yet.
     pub(crate) fn response_ended(&mut self, now: Time, key: RequestKey) {
         let sent = self.requests.get_mut(&key).and_then(|it| it.in_flight.as_mut());
--- a/crates/daisychute-dispatch/tests/response_ends.rs
+++ b/crates/daisychute-dispatch/tests/response_ends.rs
@@ -14,6 +14,9 @@
 /// Time between two checks, in ms.
 const INTERVAL: u64 = 300;
 
+/// From when on the connections led to the process that responded.
+const BEFORE: Time = Time::from_millis(ENDED);
+
 const WAIT: EndStep = EndStep::WaitUntil(Time::from_millis(ENDED + INTERVAL));
 
 fn new_end() -> ResponseEnd {
@@ -34,7 +37,7 @@
 /// An answer of the endpoint itself, which was asked at the first time, in ms, and answered at the second.
 const fn answer(asked_at: u64, answered_at: u64) -> EndpointSign {
     let (asked_at, answered_at) = (Time::from_millis(asked_at), Time::from_millis(answered_at));
-    EndpointSign::Answered { asked_at, answered_at }
+    EndpointSign::Answered { connected_at: BEFORE, asked_at, answered_at }
 }
 
 /// Asks an endpoint whenever it is to be asked, until the decision. An answer takes `answer_time` ms, and comes after
@@ -65,7 +68,7 @@
 /// A response that began at this time, in ms, to a request that was sent at the other time.
 const fn response(began_at: u64, sent_at: u64) -> EndpointSign {
     let (began_at, sent_at) = (Time::from_millis(began_at), Time::from_millis(sent_at));
-    EndpointSign::Responded { sent_at, began_at }
+    EndpointSign::Responded { connected_at: BEFORE, sent_at, began_at }
 }
 
 /// Each case has the time of a sign, in ms, the sign, and what follows from it.
@@ -198,7 +201,9 @@
                 checks += 1;
                 end.next_step(Time::from_millis(now), answer(now, now))
             }
-            EndStep::Whole | EndStep::Unconfirmed => panic!("it has begun no response"),
+            EndStep::Confirm | EndStep::Whole | EndStep::Unconfirmed => {
+                panic!("it has begun no response")
+            }
         };
     }
     assert_eq!((now, checks), (LIMIT, 6));
@@ -214,3 +219,38 @@
     assert_eq!(end.next_step(at(ENDED + 25), due), EndStep::Check);
     assert_eq!(end.next_step(at(ENDED + 26), answer(ENDED + 25, ENDED + 26)), EndStep::Whole);
 }
+
+/// Answers on connections that were opened after the end, until the endpoint has run for long enough. Returns the last step.
+fn answers_on_new_connections(end: &mut ResponseEnd) -> EndStep {
+    let mut step = end.first_step();
+    for now in (ENDED + INTERVAL..=DUE).step_by(INTERVAL as usize).map(Time::from_millis) {
+        let responded = EndpointSign::Responded { connected_at: now, sent_at: now, began_at: now };
+        assert_ne!(end.next_step(now, responded), EndStep::Whole);
+        let answered =
+            EndpointSign::Answered { connected_at: now, asked_at: now, answered_at: now };
+        step = end.next_step(now, answered);
+    }
+    step
+}
+
+/// Guards against a truncated response that looks whole since a later start of its endpoint answers checks and requests, under the
+/// same name and address (ORDER, MIXED).
+#[test]
+fn connections_from_after_the_end_confirm_nothing() {
+    let at = Time::from_millis;
+    let mut end = new_end();
+    assert_eq!(answers_on_new_connections(&mut end), EndStep::Confirm);
+    let step = end.next_step(at(DUE), EndpointSign::Unanswered);
+    assert!(matches!(step, EndStep::WaitUntil(_)), "{step:?}");
+    let due = EndpointSign::Due { watched: true };
+    assert_eq!(end.next_step(at(DUE), due), EndStep::Check);
+    assert_eq!(end.next_step(at(LIMIT), due), EndStep::Unconfirmed);
+}
+
+/// Guards against whole responses that are cut since their endpoint closes each connection after its answer.
+#[test]
+fn last_answer_on_a_connection_from_before_the_end_confirms_all_others() {
+    let mut end = new_end();
+    assert_eq!(answers_on_new_connections(&mut end), EndStep::Confirm);
+    assert_eq!(end.next_step(Time::from_millis(DUE + 1), answer(DUE, DUE + 1)), EndStep::Whole);
+}
--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -104,7 +104,7 @@
         let Ok(mut request) = self.encode(&mut connection) else {
             return CallEnd::Failed(SendFailure::Unsent, None);
         };
-        let EndpointConnection { mut stream, codec, mut buf, history } = connection;
+        let EndpointConnection { mut stream, codec, mut buf, history, opened_at } = connection;
         let sent_at = self.state.now();
         let (mut read, mut write) = stream.split();
         if !write_available(&mut write, &mut request).await {
@@ -126,7 +126,8 @@
             }
             (Err(ResponseError::Broken), _) => return CallEnd::Failed(SendFailure::NoAnswer, None),
         };
-        if let Some(sign) = self.sign_of(&head, sent_at) {
+        let connected_at = self.state.time(opened_at);
+        if let Some(sign) = self.sign_of(&head, connected_at, sent_at) {
             self.state.activity.record(self.decision.endpoint, sign);
         }
         let keep_alive = head.info.keep_alive;
@@ -137,7 +138,7 @@
         let end = self.pass_response(head, &mut reader).await;
         let reusable = reusable && self.state.takes_work(self.decision.endpoint);
         if let (true, Some(codec)) = (reusable, reader.into_codec()) {
-            let mut connection = EndpointConnection { stream, codec, buf, history };
+            let mut connection = EndpointConnection { stream, codec, buf, history, opened_at };
             let is_served = matches!(end, CallEnd::Finished(_));
             connection.history.record(Arc::clone(&self.incoming.info.id), is_served);
             self.state.pool.put(self.decision.endpoint, connection, keep_alive);
@@ -211,14 +212,20 @@
         metrics::counter!("daisychute_late_answers_total").increment(1);
     }
 
-    /// Returns what the response to a request that was sent at this time tells of its endpoint, if anything.
-    fn sign_of(&self, head: &ReceivedHead, sent_at: Time) -> Option<EndpointSign> {
+    /// Returns what the response to a request tells of its endpoint, if anything: the request was sent at `sent_at`, on a
+    /// connection from `connected_at`.
+    fn sign_of(
+        &self,
+        head: &ReceivedHead,
+        connected_at: Time,
+        sent_at: Time,
+    ) -> Option<EndpointSign> {
         if head.info.not_run && !head.info.misdirected {
             return Some(EndpointSign::Refused { sent_at });
         }
         let began_at = self.state.now();
         let has_begun = head.info.signed && head.head.status.is_success();
-        has_begun.then_some(EndpointSign::Responded { sent_at, began_at })
+        has_begun.then_some(EndpointSign::Responded { connected_at, sent_at, began_at })
     }
 
     /// Reports the endpoint's load, if the response carries it, and passes the response on.
--- a/crates/daisychute-front/src/endpoint/connection.rs
+++ b/crates/daisychute-front/src/endpoint/connection.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::ServiceConfig;
 use actix_http::h1::ClientCodec;
@@ -18,6 +18,9 @@
 /// Time limit for establishing a connection. A full accept queue drops the SYN packet, and the kernel retransmits it
 /// only after a second: trying another endpoint is quicker.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time within which a connection that is established leads to the process that listened when it was begun: another one
+/// takes longer to listen at the address.
+const PROMPT_CONNECT: Duration = Duration::from_millis(100);
 /// Idle time before the first TCP keep-alive probe: an unreachable endpoint must be detected before clients give up.
 const KEEP_ALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between TCP keep-alive probes.
@@ -42,6 +45,8 @@
     pub(crate) codec: ClientCodec,
     pub(crate) buf: BytesMut,
     pub(crate) history: RequestHistory,
+    /// When the process at the other end listened already.
+    pub(crate) opened_at: Instant,
 }
 
 /// Ids of the requests that a connection has carried.
@@ -74,11 +79,27 @@
 impl EndpointConnection {
     /// Opens a TCP connection, within [`CONNECT_TIMEOUT`].
     pub(crate) async fn open(address: SocketAddr, http: &ServiceConfig) -> io::Result<Self> {
+        Self::open_since(Instant::now(), address, http).await
+    }
+
+    /// Opens a TCP connection that was decided on at `started`.
+    pub(crate) async fn open_since(
+        started: Instant,
+        address: SocketAddr,
+        http: &ServiceConfig,
+    ) -> io::Result<Self> {
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connect.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         detect_unresponsive_peer(&stream)?;
-        let codec = ClientCodec::new(http.clone());
-        Ok(Self { stream, codec, buf: BytesMut::new(), history: RequestHistory::default() })
+        let connected = Instant::now();
+        let is_prompt = connected.duration_since(started) <= PROMPT_CONNECT;
+        Ok(Self {
+            stream,
+            codec: ClientCodec::new(http.clone()),
+            buf: BytesMut::new(),
+            history: RequestHistory::default(),
+            opened_at: if is_prompt { started } else { connected },
+        })
     }
 
     /// Whether the request may be sent on this connection: it wasn't sent here before.
--- a/crates/daisychute-front/src/state.rs
+++ b/crates/daisychute-front/src/state.rs
@@ -149,6 +149,10 @@
         self.clock.instant(time)
     }
 
+    pub(crate) fn time(&self, instant: Instant) -> Time {
+        self.clock.time(instant)
+    }
+
     /// Replaces the settings that may change while the front serves.
     pub(crate) fn apply_settings(&self, settings: LiveSettings) {
         self.dispatcher.borrow_mut().apply_settings(settings.dispatch.clone());
--- a/crates/daisychute-runtime/src/clock.rs
+++ b/crates/daisychute-runtime/src/clock.rs
@@ -30,6 +30,13 @@
         self.origin + std::time::Duration::from_micros(time.as_micros())
     }
 
+    /// Converts an [`Instant`] to a time; zero if it is before the start of the clock.
+    #[must_use]
+    pub fn time(&self, instant: Instant) -> Time {
+        let micros = instant.saturating_duration_since(self.origin).as_micros();
+        Time::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
     /// Incarnation number for a process that starts now: microseconds since the Unix epoch by the system clock.
     #[must_use]
     pub fn incarnation() -> Incarnation {
