test(soak): return to a free lease as its former holder starts again

The store is restored to a copy in which the lease is free now, right before its former holder is started again.

--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -124,6 +124,10 @@
     restores: Option<Pcg64Mcg>,
     /// When the store is restored next at the earliest.
     next_return: Instant,
+    /// The holder of the duty that is stopped or killed next, or was: the store is restored once more as it is started again.
+    stopped_holder: Option<usize>,
+    /// A copy of the store from after it released its lease.
+    released: Option<StoreCopy>,
     /// The control API, to which the fronts report usage in runs with `--duties`.
     control_api: Option<ControlApi>,
     /// Copies of the store with the times at which they were taken, oldest first.
@@ -317,6 +321,8 @@
             series: None,
             restores: None,
             next_return: Instant::now(),
+            stopped_holder: None,
+            released: None,
             control_api,
             copies: VecDeque::new(),
             records,
@@ -371,6 +377,10 @@
         let now = Instant::now();
         self.copies.retain(|it| now.duration_since(it.0) < COPY_AGE);
         self.copies.push_back((now, self.fleet.store.copy()));
+        let lease = self.fleet.store.get("leases", "usage-report").unwrap_or_default();
+        if self.stopped_holder.is_some() && lease["record"]["released_by"].is_string() {
+            self.released = Some(self.fleet.store.copy());
+        }
         if is_due && self.control_api.is_some() {
             self.next_return = now + RETURN_INTERVAL_BESIDE_DUTIES;
             self.schedule_restarts_around_return();
@@ -378,7 +388,7 @@
         if is_due { self.inject(Fault::Restore(age)) } else { Ok(()) }
     }
 
-    /// Schedules restarts of the front that reports usage and of another one, and a further return of the store to the time
+    /// Schedules restarts of the front that reports usage and of another one, and further returns of the store to the time
     /// around them.
     fn schedule_restarts_around_return(&mut self) {
         let holder = self.control_api.as_ref().and_then(duties::holder);
@@ -390,6 +400,7 @@
             if self.series.is_some() { &[Fault::Stop] } else { &[Fault::Stop, Fault::Kill] };
         let times = [random_time(MAX_RESTART_DELAY_MS), random_time(MAX_RESTART_DELAY_MS)];
         let returns_at = random_time(MAX_RETURN_DELAY_MS);
+        (self.stopped_holder, self.released) = (Some(holder), None);
         let other = (holder + rng.random_range(1..fronts.max(2))) % fronts;
         for (front, at) in [holder, other].into_iter().zip(times) {
             let fault = faults[rng.random_range(0..faults.len())](front);
@@ -405,6 +416,23 @@
         let old = self.copies.iter().rev().find(|it| now.duration_since(it.0) >= age);
         let Some((_, copy)) = old.or_else(|| self.copies.front()) else { return };
         self.fleet.store.restore(copy);
+        self.schedule_rewrite();
+    }
+
+    /// Restores the store from the copy in which the lease is free, if this front is the holder that released it.
+    fn restore_released_lease(&mut self, front: usize) {
+        if self.stopped_holder == Some(front)
+            && let Some(copy) = self.released.take()
+        {
+            self.stopped_holder = None;
+            self.fleet.store.restore(&copy);
+            self.schedule_rewrite();
+        }
+    }
+
+    /// Schedules that what the operator and the workers wrote is written again.
+    fn schedule_rewrite(&mut self) {
+        let now = Instant::now();
         let Some(rng) = &mut self.restores else { return };
         let delay = Duration::from_millis(rng.random_range(0..MAX_REWRITE_DELAY_MS));
         self.cleanups.push((now + delay, FaultCleanup::Rewrite));
--- a/crates/daisychute-soak/src/run/cleanups.rs
+++ b/crates/daisychute-soak/src/run/cleanups.rs
@@ -135,6 +135,7 @@
         self.ended_logs.extend(self.fleet.fronts[front].process.stdout());
         let excess = self.ended_logs.len().saturating_sub(MAX_ENDED_LOG_LINES);
         self.ended_logs.drain(..excess);
+        self.restore_released_lease(front);
         self.fleet.fronts[front].restart().await?;
         self.changes.record_disturbance(Some(front), Duration::ZERO);
         self.publish_addresses();
