--- a/crates/daisychute-front/src/endpoint/call.rs
+++ b/crates/daisychute-front/src/endpoint/call.rs
@@ -503,13 +503,22 @@
         let mut looks = Looks::new(Instant::now());
         self.state.handle(Event::ResponseEnded { key: self.key });
         let is_passed = self.response_writer.head_passed();
-        let confirms =
-            sentinel.confirms(self.state, self.key, self.decision, is_passed, &mut looks);
-        let is_confirmed = confirms.await;
+        // What is left of a process that was replaced may have been held up on the way, its beginning too.
+        let is_replaced = || body_end.framing == Framing::UntilClose && self.is_replaced();
+        let (key, decision) = (self.key, self.decision);
+        let is_confirmed = !is_replaced()
+            && sentinel.confirms(self.state, key, decision, is_passed, &mut looks).await
+            && !is_replaced();
         self.log_outlived(body_end.framing, is_confirmed, &looks);
         is_confirmed
     }
 
+    /// Whether a later start of the endpoint is listed.
+    fn is_replaced(&self) -> bool {
+        let SendDecision { name, endpoint, .. } = self.decision;
+        self.state.with_dispatcher(|it| it.is_replaced(name, *endpoint))
+    }
+
     /// Logs and counts a response whose endpoint was watched after its end.
     fn log_outlived(&self, framing: Framing, is_confirmed: bool, looks: &Looks) {
         let (request, endpoint) = (&self.incoming.info.id, &self.decision.name);
--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -106,10 +106,6 @@
         let mut check_timeout = CHECK_TIMEOUT;
         let mut step = end.first_step();
         loop {
-            if state.with_dispatcher(|it| it.is_replaced(&decision.name, decision.endpoint)) {
-                looks.record(EndpointSign::Gone);
-                return false;
-            }
             let sign = match step {
                 EndStep::Whole => break,
                 EndStep::Unconfirmed => return false,
--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -73,6 +73,8 @@
 const MAX_RESTART_DELAY_MS: u64 = 2_500;
 /// Maximum time until the store returns to the time around these restarts, in ms: longer than a shutdown takes.
 const MAX_RETURN_DELAY_MS: u64 = 5_000;
+/// Maximum time for which the start of a former holder waits for a report of its successor.
+const MAX_SUCCESSION_TIME: Duration = Duration::from_secs(10);
 /// Minimum length of a run that must have reports before and after a return of the store, in minutes.
 const MIN_MINUTES_OF_REPORTS: f64 = 0.5;
 /// Maximum number of further signals and configurations after a planned stop or reload.
@@ -124,8 +126,9 @@
     restores: Option<Pcg64Mcg>,
     /// When the store is restored next at the earliest.
     next_return: Instant,
-    /// The holder of the duty that is stopped or killed next, or was: the store is restored once more as it is started again.
-    stopped_holder: Option<usize>,
+    /// The holder of the duty that is stopped or killed next, or was: the store is restored once more as it is started again,
+    /// which waits until this time for a report of its successor.
+    stopped_holder: Option<(usize, Instant)>,
     /// A copy of the store from after it released its lease.
     released: Option<StoreCopy>,
     /// The control API, to which the fronts report usage in runs with `--duties`.
@@ -400,7 +403,7 @@
             if self.series.is_some() { &[Fault::Stop] } else { &[Fault::Stop, Fault::Kill] };
         let times = [random_time(MAX_RESTART_DELAY_MS), random_time(MAX_RESTART_DELAY_MS)];
         let returns_at = random_time(MAX_RETURN_DELAY_MS);
-        (self.stopped_holder, self.released) = (Some(holder), None);
+        (self.stopped_holder, self.released) = (Some((holder, now + MAX_SUCCESSION_TIME)), None);
         let other = (holder + rng.random_range(1..fronts.max(2))) % fronts;
         for (front, at) in [holder, other].into_iter().zip(times) {
             let fault = faults[rng.random_range(0..faults.len())](front);
@@ -419,9 +422,17 @@
         self.schedule_rewrite();
     }
 
+    /// Whether the start of a former holder waits for a report of its successor.
+    fn awaits_successor(&self, front: usize) -> bool {
+        let is_stopped =
+            self.stopped_holder.is_some_and(|(it, until)| it == front && Instant::now() < until);
+        let holder = self.control_api.as_ref().and_then(duties::holder);
+        is_stopped && self.released.is_some() && holder == Some(front)
+    }
+
     /// Restores the store from the copy in which the lease is free, if this front is the holder that released it.
     fn restore_released_lease(&mut self, front: usize) {
-        if self.stopped_holder == Some(front)
+        if self.stopped_holder.is_some_and(|it| it.0 == front)
             && let Some(copy) = self.released.take()
         {
             self.stopped_holder = None;
--- a/crates/daisychute-soak/src/run/cleanups.rs
+++ b/crates/daisychute-soak/src/run/cleanups.rs
@@ -127,7 +127,7 @@
 
     /// Restarts a front if it has ended, and checks again later otherwise.
     async fn restart(&mut self, front: usize) -> Result<(), SoakError> {
-        if self.is_running(front)? {
+        if self.is_running(front)? || self.awaits_successor(front) {
             self.cleanups.push((Instant::now() + POLL_INTERVAL, FaultCleanup::Restart(front)));
             return Ok(());
         }
