--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -69,7 +69,10 @@
 const RETURN_INTERVAL_BESIDE_DUTIES: Duration = Duration::from_secs(14);
 /// One in this many steps has a fault in runs with usage reports.
 const FAULT_INTERVAL_BESIDE_DUTIES: usize = 8;
-/// Maximum time until a front is restarted beside a return of the store, in ms.
+/// Maximum time until another front than the holder is restarted beside a return of the store, in ms: it may succeed the
+/// holder before.
+const MAX_OTHER_RESTART_DELAY_MS: u64 = 10_000;
+/// Maximum time until the holder is restarted beside a return of the store, in ms.
 const MAX_RESTART_DELAY_MS: u64 = 2_500;
 /// Maximum time until the store returns to the time around these restarts, in ms: longer than a shutdown takes.
 const MAX_RETURN_DELAY_MS: u64 = 5_000;
@@ -401,7 +404,7 @@
         let fronts = self.fleet.fronts.len();
         let faults: &[fn(usize) -> Fault] =
             if self.series.is_some() { &[Fault::Stop] } else { &[Fault::Stop, Fault::Kill] };
-        let times = [random_time(MAX_RESTART_DELAY_MS), random_time(MAX_RESTART_DELAY_MS)];
+        let times = [random_time(MAX_RESTART_DELAY_MS), random_time(MAX_OTHER_RESTART_DELAY_MS)];
         let returns_at = random_time(MAX_RETURN_DELAY_MS);
         (self.stopped_holder, self.released) = (Some((holder, now + MAX_SUCCESSION_TIME)), None);
         let other = (holder + rng.random_range(1..fronts.max(2))) % fronts;
