--- a/crates/daisychute-front/src/endpoint/presence.rs
+++ b/crates/daisychute-front/src/endpoint/presence.rs
@@ -53,6 +53,12 @@
     is_persistent: bool,
 }
 
+impl Confirmed {
+    fn into_link(self) -> Link {
+        if self.is_persistent { Link::Open(self.connection) } else { Link::Kept(self.connection) }
+    }
+}
+
 impl Drop for Sentinel {
     fn drop(&mut self) {
         self.connecting.abort();
@@ -88,7 +94,8 @@
         Self { connecting, opened_at, _guard }
     }
 
-    /// Returns whether the endpoint outlives its response, which has ended. Its address may be in use again. With
+    /// Returns whether the process of the endpoint outlives its response, which has ended. Its address may be in use again, by a
+    /// later start of the endpoint too. With
     /// `is_passed`, the client has the response but for its end. `looks` records what was seen.
     pub(crate) async fn confirms<D: Dialect>(
         mut self,
@@ -124,16 +131,13 @@
                     biased;
                     connected = &mut self.connecting, if matches!(link, Link::Connecting) => {
                         match connected.unwrap_or(Err(EndpointSign::Unwatched)) {
-                            Ok(Confirmed { connection, answer_time, is_persistent })
-                                if state.time(connection.opened_at) <= ended_at =>
+                            Ok(confirmed)
+                                if state.time(confirmed.connection.opened_at) <= ended_at =>
                             {
-                                link = if is_persistent {
-                                    Link::Open(connection)
-                                } else {
-                                    Link::Kept(connection)
-                                };
-                                check_timeout = check_timeout.max(answer_time * 2);
-                                step = end.allow_answer_time(answer_time * 2);
+                                let answer_time = confirmed.answer_time * 2;
+                                link = confirmed.into_link();
+                                check_timeout = check_timeout.max(answer_time);
+                                step = end.allow_answer_time(answer_time);
                                 continue;
                             }
                             // A later start of the endpoint may have accepted the connection.
