fix(dispatch): let a response on a new connection count once the sender has answered

Cause: let a response to another request count only on a connection from before the end. An endpoint that has refused a request since, as one that asks for a pause, has to begin a response; on busy endpoints that comes on new connections.

Change: such a response makes the sender be asked once more on the connection from before the end; its answer decides.

--- a/crates/daisychute-dispatch/src/core/response_end.rs
+++ b/crates/daisychute-dispatch/src/core/response_end.rs
@@ -119,6 +119,8 @@
     answer_time: Duration,
     /// Whether the endpoint has refused a request since: it may have stopped to begin responses.
     refuses: bool,
+    /// Whether the endpoint, or a later start of it, began a response long enough after the end.
+    begins_responses: bool,
     /// Time after which the endpoint is asked again, if it doesn't answer the next check.
     recheck_after: Duration,
     /// When the endpoint is asked next.
@@ -150,6 +152,7 @@
             ran: Duration::ZERO,
             answer_time: Self::MIN_ANSWER_TIME,
             refuses: false,
+            begins_responses: false,
             recheck_after: Self::FIRST_RECHECK,
             next_check: ended_at + hold.min(Self::CHECK_INTERVAL),
         }
@@ -190,6 +193,10 @@
                 let is_late = began_at >= self.ended_at + Self::GIVE_UP_TIME;
                 if is_new && is_late && self.leads_to_sender(connected_at) {
                     EndStep::Whole
+                } else if is_new && is_late && !self.begins_responses {
+                    self.begins_responses = true;
+                    self.is_sender = false;
+                    EndStep::Confirm
                 } else {
                     self.wait()
                 }
@@ -271,10 +278,11 @@
 
     /// Returns what to do, by the time that is left until `limit`.
     fn verdict(&self, now: Time) -> EndStep {
-        if self.ran >= self.hold && !self.refuses && self.is_sender {
+        let goes_on = self.begins_responses || (self.ran >= self.hold && !self.refuses);
+        if goes_on && self.is_sender {
             return EndStep::Whole;
         }
-        if self.ran >= self.hold && !self.refuses && now < self.limit {
+        if goes_on && now < self.limit {
             return EndStep::Confirm;
         }
         if self.is_over(now) { EndStep::Unconfirmed } else { self.wait() }
--- a/crates/daisychute-dispatch/tests/response_ends.rs
+++ b/crates/daisychute-dispatch/tests/response_ends.rs
@@ -247,6 +247,26 @@
     assert_eq!(end.next_step(at(LIMIT), due), EndStep::Unconfirmed);
 }
 
+/// Guards against whole responses that are cut since their endpoint refused a request, and began the next response on a new
+/// connection.
+#[test]
+fn response_on_a_new_connection_counts_once_the_sender_has_answered() {
+    let at = Time::from_millis;
+    let refused = EndpointSign::Refused { sent_at: at(10_010) };
+    let responded = EndpointSign::Responded {
+        connected_at: at(10_300),
+        sent_at: at(10_300),
+        began_at: at(10_310),
+    };
+    let mut end = new_end();
+    assert_eq!(end.next_step(at(10_020), refused), WAIT);
+    assert_eq!(end.next_step(at(10_310), responded), EndStep::Confirm);
+    let mut replaced = end;
+    assert_eq!(end.next_step(at(10_311), answer(10_310, 10_311)), EndStep::Whole);
+    let step = replaced.next_step(at(10_311), EndpointSign::Gone);
+    assert_eq!(step, EndStep::Unconfirmed);
+}
+
 /// Guards against whole responses that are cut since their endpoint closes each connection after its answer.
 #[test]
 fn last_answer_on_a_connection_from_before_the_end_confirms_all_others() {
