--- a/crates/daisychute-soak/src/run.rs
+++ b/crates/daisychute-soak/src/run.rs
@@ -382,11 +382,14 @@
         let age = Duration::from_millis(rng.random_range(0..MAX_RESTORE_AGE_MS));
         let now = Instant::now();
         self.copies.retain(|it| now.duration_since(it.0) < COPY_AGE);
-        self.copies.push_back((now, self.fleet.store.copy()));
-        let lease = self.fleet.store.get("leases", "usage-report").unwrap_or_default();
-        if self.stopped_holder.is_some() && lease["record"]["released_by"].is_string() {
-            self.released = Some(self.fleet.store.copy());
+        let copy = self.fleet.store.copy();
+        if self.stopped_holder.is_some() {
+            let lease = self.fleet.store.get("leases", "usage-report").unwrap_or_default();
+            if lease["record"]["released_by"].is_string() {
+                self.released = Some(copy.clone());
+            }
         }
+        self.copies.push_back((now, copy));
         if is_due && self.control_api.is_some() {
             self.next_return = now + RETURN_INTERVAL_BESIDE_DUTIES;
             self.schedule_restarts_around_return();
